--- /dev/null
+++ b/src/control/api.ts
@@ -0,0 +1,167 @@
+import { Fault, open, Outcome } from '../shared/errors';
+import { field, giveFault, giveJson, handles, readAs, takeCalls, takeJson } from '../shared/edge';
+import { wholeHash } from '../shared/lib';
+import { isId } from '../shared/formats';
+import { Call, Listening, Ports } from '../shared/ports';
+import { IntentsValue, KEYS, Place } from '../shared/words';
+import { checkIntents } from './intents';
+import { Changed, Controller, reached } from './controller';
+import { NamedWeights, Operation, TenantKeys } from './operations';
+
+class ApplyAsk {
+  @field('number') basedOn!: number;
+  @field('object') intents!: object;
+  @field('boolean', false) dryRun?: boolean;
+}
+
+class WeightsAsk {
+  @field('string') weights!: string;
+}
+
+/** The operators' HTTP interface. */
+export class OperatorApi {
+  constructor(private readonly c: Controller, private readonly ports: Ports) {}
+
+  private giveTrouble(call: Call, f: Fault): void {
+    if (f.code === 'conflict') return giveJson(call, 409, { error: { class: 'refused', code: 'conflict', message: f.why }, revision: this.c.value(KEYS.intents)?.place.number ?? 0 });
+    if (f.sort === 'unknown') return giveFault(call, 504, 'unknown', f.code ?? 'unknown', `${f.step} at ${f.peer}: ${f.why}`, this.c.bounds.pause);
+    giveFault(call, f.code === 'bad-intents' ? 400 : 503, 'refused', f.code ?? 'refused', `${f.step} at ${f.peer}: ${f.why}`, this.c.bounds.pause);
+  }
+
+  private giveChanged(call: Call, key: string, r: Changed, more: object = {}): void {
+    const { epoch, by, number } = r.place;
+    const change = `${key}~${epoch}~${by}~${number}`.replace('/', ':');
+    giveJson(call, r.inEffect ? 200 : 202, { change, revision: number, inEffect: r.inEffect, ...more });
+  }
+
+  private async carry(call: Call, key: string, op: Operation, more: object = {}): Promise<void> {
+    const [f, r] = open(await this.c.change(op));
+    if (f) return this.giveTrouble(call, f);
+    this.giveChanged(call, key, r, more);
+  }
+
+  /** The intents that stand. */
+  @handles('GET', '/v1/intents')
+  async getIntents(call: Call): Promise<void> {
+    const v = this.c.value<IntentsValue>(KEYS.intents);
+    giveJson(call, 200, { revision: v?.place.number ?? 0, intents: v?.value.doc ?? { tenants: [], models: [], services: [], rules: [], cacheStores: [] } });
+  }
+
+  /** Applies a whole intents file on the revision it was based on. */
+  @handles('PUT', '/v1/intents')
+  async putIntents(call: Call): Promise<void> {
+    const body = await takeJson(call, this.c.startup.bodyMostBytes);
+    if (body === undefined) return;
+    const [f, a] = open(readAs(ApplyAsk, body, 'apply', call.peer));
+    if (f) return giveFault(call, 400, 'refused', f.code!, f.why);
+    const checked = checkIntents(a.intents);
+    if (checked.isLeft()) return giveJson(call, 400, { error: { class: 'refused', code: 'bad-intents', message: 'the file has faults' }, faults: checked.extract() });
+    if (a.dryRun) {
+      const now = this.c.value(KEYS.intents)?.place.number ?? 0;
+      if (now !== a.basedOn) return this.giveTrouble(call, { step: 'apply', peer: KEYS.intents, why: `based on revision ${a.basedOn}, but ${now} stands`, sort: 'refused', code: 'conflict' });
+      return giveJson(call, 200, { dryRun: true, revision: now });
+    }
+    await this.carry(call, KEYS.intents, { kind: 'intents', basedOn: a.basedOn, doc: a.intents });
+  }
+
+  /** How far a change has come. */
+  @handles('GET', '/v1/changes/:change')
+  async getChange(call: Call, change: string): Promise<void> {
+    const [key, epoch, by, number] = change.split('~');
+    if (number === undefined) return giveFault(call, 400, 'refused', 'bad-change', 'a change is named key~epoch~by~number');
+    const p: Place = { epoch: Number(epoch), by, number: Number(number) };
+    const name = key.replace(':', '/');
+    const known = reached(this.c.value(name)?.place, p);
+    const inEffect = known && (await this.c.effect(name, p, this.c.bounds.pause));
+    giveJson(call, 200, { change, committed: known, inEffect, routers: this.c.claims.applied(name) });
+  }
+
+  /** The tenants' key ids; hashes stay here. */
+  @handles('GET', '/v1/keys')
+  async getKeys(call: Call): Promise<void> {
+    const out: Record<string, string[]> = {};
+    for (const k of this.c.slots.cells.keys()) {
+      const v = k.startsWith(KEYS.tenantKeys) ? this.c.value<TenantKeys>(k)?.value : undefined;
+      if (v) out[v.tenant] = v.keys.map(idOf);
+    }
+    function idOf(x: { id: string }): string {
+      return x.id;
+    }
+    giveJson(call, 200, { keys: out });
+  }
+
+  /** Makes a key for a tenant; it is shown once. */
+  @handles('POST', '/v1/keys/:tenant')
+  async addKey(call: Call, tenant: string): Promise<void> {
+    if (!isId(tenant)) return giveFault(call, 400, 'refused', 'bad-name', 'the tenant is not a name');
+    const secret = `ph_${this.ports.dice.id().replaceAll('-', '')}${this.ports.dice.id().replaceAll('-', '')}`;
+    const id = wholeHash(secret).slice(0, 12);
+    await this.carry(call, KEYS.tenantKeys + tenant, { kind: 'key-add', tenant, id, hash: wholeHash(secret) }, { tenant, id, key: secret });
+  }
+
+  /** Withdraws a key. */
+  @handles('DELETE', '/v1/keys/:tenant/:id')
+  async dropKey(call: Call, tenant: string, id: string): Promise<void> {
+    await this.carry(call, KEYS.tenantKeys + tenant, { kind: 'key-drop', tenant, id }, { tenant, id });
+  }
+
+  /** The named weights of each model. */
+  @handles('GET', '/v1/weights')
+  async getWeights(call: Call): Promise<void> {
+    const out: NamedWeights[] = [];
+    for (const k of this.c.slots.cells.keys()) {
+      const v = k.startsWith(KEYS.weights) ? this.c.value<NamedWeights>(k)?.value : undefined;
+      if (v) out.push(v);
+    }
+    giveJson(call, 200, { weights: out });
+  }
+
+  /** Names new weights of a model. */
+  @handles('PUT', '/v1/weights/:model')
+  async putWeights(call: Call, model: string): Promise<void> {
+    if (!isId(model)) return giveFault(call, 400, 'refused', 'bad-name', 'the model is not a name');
+    const body = await takeJson(call, this.c.startup.bodyMostBytes);
+    if (body === undefined) return;
+    const [f, a] = open(readAs(WeightsAsk, body, 'name weights', call.peer));
+    if (f) return giveFault(call, 400, 'refused', f.code!, f.why);
+    if (!isId(a.weights)) return giveFault(call, 400, 'refused', 'bad-name', 'the weights are not a name');
+    await this.carry(call, KEYS.weights + model, { kind: 'weights', model, weights: a.weights }, { model, weights: a.weights });
+  }
+
+  /** The fleet as this controller sees it. */
+  @handles('GET', '/v1/fleet')
+  async getFleet(call: Call): Promise<void> {
+    const c = this.c;
+    giveJson(call, 200, {
+      controller: c.name, disk: c.slots.disk, diskFit: c.slots.fit(), voters: c.voters(), live: c.live(), majority: c.hasMajority(),
+      members: c.claims.members(), engines: c.value(KEYS.engines)?.value ?? [], revision: c.value(KEYS.intents)?.place.number ?? 0,
+      routers: c.claims.applied(KEYS.intents),
+    });
+  }
+
+  /** Whether this controller stands in a majority with a fit disk. */
+  @handles('GET', '/healthz')
+  async fitness(call: Call): Promise<void> {
+    const ok = this.c.hasMajority() && this.c.slots.fit();
+    giveJson(call, ok ? 200 : 503, { ok, majority: this.c.hasMajority(), diskFit: this.c.slots.fit() });
+  }
+
+  /** Figures in the text form that collectors read. */
+  @handles('GET', '/metrics')
+  async metrics(call: Call): Promise<void> {
+    const c = this.c;
+    const rows = [
+      `plumhollow_controller_members ${c.claims.members().length}`,
+      `plumhollow_controller_live_voters ${c.live().length}`,
+      `plumhollow_controller_disk_fit ${c.slots.fit() ? 1 : 0}`,
+      `plumhollow_controller_intents_revision ${c.value(KEYS.intents)?.place.number ?? 0}`,
+    ];
+    call.head(200, { 'content-type': 'text/plain; version=0.0.4' });
+    call.end(rows.join('\n') + '\n');
+  }
+}
+
+/** Serves the operators' HTTP interface. */
+export function serveOperators(c: Controller, ports: Ports): Promise<Outcome<Listening>> {
+  return ports.wire.serve(c.startup.http, takeCalls([new OperatorApi(c, ports)], ports.log));
+}
--- /dev/null
+++ b/src/control/claims.ts
@@ -0,0 +1,153 @@
+import { Left, Right } from 'purify-ts';
+import { field, Handled, message } from '../shared/edge';
+import { bad, open } from '../shared/errors';
+import { Ports } from '../shared/ports';
+import { Bounds } from '../shared/startup';
+import { Exchange } from '../shared/streams';
+import { comparePlaces, Member, Numbered, Place, Voters } from '../shared/words';
+import { Slots } from './slots';
+
+/** A follower's ask for a claim: who it is, and how far it has applied each key. */
+export class ClaimAsk {
+  @field('object') member!: Member;
+  @field('list') has!: [string, number, string, number][];
+}
+
+class EffectAsk {
+  @field('string') key!: string;
+  @field('number') epoch!: number;
+  @field('string') by!: string;
+  @field('number') number!: number;
+  @field('number') within!: number;
+}
+
+interface Holder {
+  member: Member;
+  until: number;
+  has: Map<string, Place>;
+  ex: Exchange;
+}
+
+function covers(has: Map<string, Place>, n: Place & { key: string }): boolean {
+  const h = has.get(n.key);
+  return h !== undefined && comparePlaces(h, n) >= 0;
+}
+
+/** Claims that nodes hold at this controller, and the news they are sent. */
+export class Claims {
+  private readonly holders = new Map<string, Holder>();
+  private readonly waiters = new Set<() => void>();
+  private readonly startedAt: number;
+
+  constructor(private readonly slots: Slots, private readonly ports: Ports, private readonly bounds: Bounds, private readonly voters: () => Voters | undefined) {
+    this.startedAt = ports.clock.now();
+  }
+
+  /** The nodes whose claim here has not ended. */
+  members(): Member[] {
+    const now = this.ports.clock.now();
+    const out: Member[] = [];
+    for (const [name, h] of this.holders) {
+      if (h.until > now) out.push(h.member);
+      else if (h.until + this.bounds.claim * 10 < now) this.holders.delete(name);
+    }
+    return out;
+  }
+
+  /** How far each live router has applied a key. */
+  applied(key: string): { name: string; place?: Place }[] {
+    const now = this.ports.clock.now();
+    const out: { name: string; place?: Place }[] = [];
+    for (const h of this.holders.values()) if (h.until > now && h.member.role === 'router') out.push({ name: h.member.name, place: h.has.get(key) });
+    return out;
+  }
+
+  private learned(): Numbered[] {
+    const out: Numbered[] = [];
+    for (const c of this.slots.cells.values()) if (c.learned) out.push(c.learned);
+    return out;
+  }
+
+  /** Grants or renews a claim, only to a node that has applied all that is known here. */
+  @message('claim', ClaimAsk)
+  async claim(m: ClaimAsk, ex: Exchange): Handled {
+    const voters = this.voters();
+    if (!voters) return bad('claim', m.member.name, 'not founded', 'refused', 'not-founded');
+    const has = new Map<string, Place>();
+    for (const [key, epoch, by, number] of m.has) has.set(key, { epoch, by, number });
+    const missing: Numbered[] = [];
+    for (const n of this.learned()) if (!covers(has, n)) missing.push(n);
+    const disk = this.slots.disk;
+    if (missing.length > 0) return Right({ granted: false, disk, missing, voters, members: [] });
+    this.holders.set(m.member.name, { member: m.member, until: this.ports.clock.now() + this.bounds.claimHeld, has, ex });
+    this.poke();
+    return Right({ granted: true, disk, missing, voters, members: this.members() });
+  }
+
+  /** Ends a claim at once, when a node leaves by itself. */
+  @message('leave', ClaimAsk)
+  async leave(m: ClaimAsk): Handled {
+    this.holders.delete(m.member.name);
+    this.poke();
+    return Right(undefined);
+  }
+
+  /** Pushes a change down the held streams and counts the acknowledgements. */
+  push(n: Numbered): void {
+    for (const h of this.holders.values()) void this.pushOne(h, n);
+  }
+
+  private async pushOne(h: Holder, n: Numbered): Promise<void> {
+    if (covers(h.has, n)) return;
+    const [f] = open(await h.ex.ask('news', [n], this.bounds.ask));
+    if (f) {
+      this.ports.log.warn({ step: 'push news', peer: h.member.name }, f.why);
+      return;
+    }
+    if (!covers(h.has, n)) h.has.set(n.key, n);
+    this.poke();
+  }
+
+  private poke(): void {
+    for (const w of [...this.waiters]) w();
+  }
+
+  private inEffect(m: EffectAsk): boolean {
+    const now = this.ports.clock.now();
+    if (now < this.startedAt + this.bounds.claimHeld) return false;
+    for (const h of this.holders.values()) if (h.member.role === 'router' && h.until > now && !covers(h.has, m)) return false;
+    return true;
+  }
+
+  private nextEnd(): number {
+    const now = this.ports.clock.now();
+    let end = now < this.startedAt + this.bounds.claimHeld ? this.startedAt + this.bounds.claimHeld : now + this.bounds.claim;
+    for (const h of this.holders.values()) if (h.until > now) end = Math.min(end, h.until);
+    return Math.max(1, end - now);
+  }
+
+  /** Comes back when every router with a live claim has the change, or its claim has ended. */
+  @message('effect', EffectAsk)
+  async effect(m: EffectAsk): Handled {
+    const until = this.ports.clock.now() + m.within;
+    while (!this.inEffect(m)) {
+      if (this.ports.clock.now() >= until) return Left({ step: 'effect', peer: this.slots.disk, why: 'not all have it yet', sort: 'unknown', code: 'pending' });
+      await this.next(Math.min(this.nextEnd(), until - this.ports.clock.now()));
+    }
+    return Right({ disk: this.slots.disk });
+  }
+
+  private next(within: number): Promise<void> {
+    const { waiters, ports } = this;
+    function wait(done: () => void): void {
+      const off = ports.clock.alarm(Math.max(1, within), go);
+      function go(): void {
+        off();
+        waiters.delete(go);
+        done();
+      }
+      waiters.add(go);
+    }
+    return new Promise(wait);
+  }
+}
--- /dev/null
+++ b/src/control/controller.ts
@@ -0,0 +1,304 @@
+import { Left, Right } from 'purify-ts';
+import { Handled, message } from '../shared/edge';
+import { bad, Fault, makeFault, open, Outcome } from '../shared/errors';
+import { rendezvous } from '../shared/lib';
+import { poll } from '../shared/poll';
+import { Listening, Ports, Stream } from '../shared/ports';
+import { Bounds, boundsOf, Startup } from '../shared/startup';
+import { converse, Exchange, Held, Hello, HelloEdge, hold, noStream, WIRE_VERSION } from '../shared/streams';
+import { allVoters, comparePlaces, isQuorum, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
+import { Claims } from './claims';
+import { keyOf, makeValue, Operation } from './operations';
+import { Acceptor, makeOwner, Owner, Reach } from './register';
+import { openSlots, Slots } from './slots';
+import { Votes } from './votes';
+
+/** What became of a change. */
+export interface Changed {
+  place: Place;
+  inEffect: boolean;
+  value: unknown;
+}
+
+/** A running controller. */
+export interface Controller {
+  name: string;
+  startup: Startup;
+  bounds: Bounds;
+  slots: Slots;
+  claims: Claims;
+  votes: Votes;
+  owner: Owner;
+  edges: object[];
+  voters(): Voters | undefined;
+  live(): string[];
+  picked(key: string): boolean;
+  change(op: Operation): Promise<Outcome<Changed>>;
+  effect(key: string, p: Place, within: number): Promise<boolean>;
+  value<T>(key: string): { place: Numbered; value: T } | undefined;
+  weightsSince(key: string): number | undefined;
+  hasMajority(): boolean;
+  askVoter(v: Voter, type: string, body: unknown, within: number): Promise<Outcome<unknown>>;
+  peerHello(at: string, type: string): Promise<Outcome<unknown>>;
+  stop(): Promise<void>;
+  stopped(): boolean;
+}
+
+/** What one controller says to another beside votes. */
+export class ControlEdge {
+  constructor(private readonly c: ControlParts) {}
+
+  /** Takes a change that this node, as the key's owner, is to make. */
+  @message('change')
+  async change(op: Operation): Handled {
+    return this.c.changeHere(op);
+  }
+
+  /** Takes what a peer knows to be committed. */
+  @message('sync')
+  async sync(list: Numbered[]): Handled {
+    for (const n of list) await this.c.acceptor.learn({ change: n });
+    return Right(true);
+  }
+
+  /** Tells whether this disk is blank, which one it is, and the voters. */
+  @message('who')
+  async who(): Handled {
+    const v = this.c.voters();
+    return Right({ disk: this.c.slots.disk, blank: v === undefined, voters: v, core: v ? allVoters(v).map(atOf) : [] });
+  }
+
+  /** Agrees to a founding, once. */
+  @message('found')
+  async found(v: Voters): Handled {
+    const now = this.c.voters();
+    if (now) return JSON.stringify(this.c.slots.founding()) === JSON.stringify(v) ? Right(true) : bad('found', this.c.slots.disk, 'already of a fleet', 'refused', 'not-blank');
+    const disk = this.c.slots.disk;
+    function mine(x: Voter): boolean {
+      return x.disk === disk;
+    }
+    if (!v.now.some(mine)) return bad('found', disk, 'not of these founders', 'refused', 'not-founder');
+    const o = await this.c.slots.found(v);
+    return o;
+  }
+}
+
+function atOf(x: { at: string }): string {
+  return x.at;
+}
+
+interface ControlParts {
+  slots: Slots;
+  acceptor: Acceptor;
+  voters(): Voters | undefined;
+  changeHere(op: Operation): Promise<Outcome<unknown>>;
+}
+
+/** Starts a controller: its disk, its votes, its claims, its streams. */
+export async function startController(ports: Ports, startup: Startup): Promise<Outcome<Controller>> {
+  const [f, slots] = open(await openSlots(ports, 1 << 20));
+  return f ? Left(f) : runController(ports, startup, slots);
+}
+
+async function runController(ports: Ports, startup: Startup, slots: Slots): Promise<Outcome<Controller>> {
+  const bounds = boundsOf(startup);
+  const hello: Hello = { version: WIRE_VERSION, name: startup.name, role: 'controller', at: startup.wire, zone: startup.zone };
+  const helds = new Map<string, Held>();
+  const learnedAt = new Map<string, { at: number; number: number }>();
+  let stopped = false;
+
+  function voters(): Voters | undefined {
+    return ((slots.cells.get(KEYS.voters)?.learned?.value ?? slots.founding()) as Voters | undefined) ?? undefined;
+  }
+
+  function learned(n: Numbered): void {
+    if (learnedAt.get(n.key)?.number !== n.number) learnedAt.set(n.key, { at: ports.clock.now(), number: n.number });
+    claims.push(n);
+    if (n.key === KEYS.voters) reachAll();
+  }
+
+  function isSelf(v: Voter): boolean {
+    return v.disk === slots.disk;
+  }
+
+  async function askVoter(v: Voter, type: string, body: unknown, within: number): Promise<Outcome<unknown>> {
+    if (isSelf(v)) return local(type, body);
+    const ex = helds.get(v.at)?.up();
+    return ex ? ex.ask(type, body, within) : Left(noStream(type, v.at));
+  }
+
+  function local(type: string, body: unknown): Handled {
+    switch (type) {
+      case 'prepare': return acceptor.prepare(body as never);
+      case 'accept': return acceptor.accept(body as never);
+      case 'learn': return acceptor.learn(body as never);
+      case 'effect': return claims.effect(body as never);
+      default: return Promise.resolve(Left(makeFault(type, startup.name, 'not known here', 'refused')));
+    }
+  }
+
+  const reach: Reach = { name: startup.name, within: bounds.ask, voters, ask: askVoter, learned };
+  const acceptor = new Acceptor(slots, reach, ports);
+  const claims = new Claims(slots, ports, bounds, voters);
+  const owner = makeOwner(slots, reach);
+  const votes = new Votes(slots, ports, voters, startup.onceKeepMs);
+  const [e] = open(await votes.begin());
+  if (e) return Left(e);
+  const edges: object[] = [new HelloEdge(hello), acceptor, claims, votes, new ControlEdge({ slots, acceptor, voters, changeHere })];
+
+  function live(): string[] {
+    const v = voters();
+    if (!v) return [];
+    function up(x: Voter): boolean {
+      return isSelf(x) || helds.get(x.at)?.up() !== undefined;
+    }
+    return allVoters(v).filter(up).map(atOf);
+  }
+
+  function picked(key: string): boolean {
+    return rendezvous(key, live())[0] === startup.wire;
+  }
+
+  async function effect(key: string, p: Place, within: number): Promise<boolean> {
+    const v = voters();
+    if (!v) return false;
+    function one(x: Voter): Promise<Outcome<unknown>> {
+      return askVoter(x, 'effect', { key, epoch: p.epoch, by: p.by, number: p.number, within }, within * 1.1);
+    }
+    return (await poll(v, one)).isRight();
+  }
+
+  async function changeHere(op: Operation): Promise<Outcome<Changed>> {
+    const key = keyOf(op);
+    function make(now: Numbered | undefined): Outcome<unknown> {
+      return makeValue(op, now);
+    }
+    const [g, c] = open(await owner.change(key, make));
+    if (g) return Left(g);
+    const waits = op.kind !== 'engines' && op.kind !== 'duty';
+    const inEffect = waits && (await effect(key, c, bounds.effect));
+    return Right({ place: { epoch: c.epoch, by: c.by, number: c.number }, inEffect, value: c.value });
+  }
+
+  async function change(op: Operation): Promise<Outcome<Changed>> {
+    const key = keyOf(op);
+    const at = rendezvous(key, live())[0];
+    if (at === undefined) return bad('change', startup.name, 'not founded', 'refused', 'not-founded');
+    if (at === startup.wire) return changeHere(op);
+    const ex = helds.get(at)?.up();
+    if (!ex) return Left(noStream('change', at));
+    const [g, r] = open(await ex.ask('change', op, bounds.effect * 2));
+    return g ? Left(g) : Right(r as Changed);
+  }
+
+  function committed(): Numbered[] {
+    const out: Numbered[] = [];
+    for (const c of slots.cells.values()) if (c.learned) out.push(c.learned);
+    return out;
+  }
+
+  function onUp(ex: Exchange): void {
+    void ex.ask('sync', committed(), bounds.ask);
+  }
+
+  function reachAll(): void {
+    const want = new Set<string>([...(voters() ? allVoters(voters()!).map(atOf) : startup.founders)]);
+    want.delete(startup.wire);
+    for (const [at, h] of helds) {
+      if (want.has(at)) continue;
+      h.stop();
+      helds.delete(at);
+    }
+    for (const at of want) if (!helds.has(at)) helds.set(at, hold(ports, at, { hello, edges, within: bounds.dial, pause: bounds.pause, onUp }));
+  }
+
+  function peerHello(at: string, type: string): Promise<Outcome<unknown>> {
+    const ex = helds.get(at)?.up();
+    return ex ? ex.ask(type, {}, bounds.ask) : Promise.resolve(Left<Fault, unknown>(noStream(type, at)));
+  }
+
+  async function tryFound(): Promise<void> {
+    const founders = [...startup.founders].sort();
+    if (founders[0] !== startup.wire) return;
+    const set: Voter[] = [{ disk: slots.disk, at: startup.wire }];
+    for (const at of founders.slice(1)) {
+      const [g, w] = open(await peerHello(at, 'who'));
+      const r = w as { disk: string; blank: boolean } | undefined;
+      if (g || !r?.blank) return;
+      set.push({ disk: r.disk, at });
+    }
+    if (!voters()) await slots.found({ now: set });
+  }
+
+  async function spreadFounding(): Promise<void> {
+    const v = slots.founding() as Voters | undefined;
+    if (!v || slots.cells.get(KEYS.voters)?.learned) return;
+    for (const x of v.now) if (!isSelf(x)) await helds.get(x.at)?.up()?.ask('found', v, bounds.ask);
+    function make(now: Numbered | undefined): Outcome<unknown> {
+      return Right(now?.value ?? v);
+    }
+    if (picked(KEYS.voters)) await owner.change(KEYS.voters, make);
+  }
+
+  async function tend(): Promise<void> {
+    while (!stopped) {
+      if (!voters()) await tryFound();
+      else await spreadFounding();
+      reachAll();
+      if (voters()) await tendKeys();
+      await ports.clock.sleep(bounds.renew * (0.8 + 0.4 * ports.dice.next()));
+    }
+  }
+
+  async function tendKeys(): Promise<void> {
+    for (const key of new Set([...slots.cells.keys(), KEYS.engines, KEYS.intents])) {
+      if (!picked(key)) owner.disown(key);
+      else if (!owner.owns(key)) await owner.own(key);
+    }
+  }
+
+  const [g, listening] = open(await ports.wire.accept(startup.wire, taken));
+  if (g) return Left(g);
+
+  function taken(s: Stream): void {
+    converse(ports, s, edges);
+  }
+
+  function value<T>(key: string): { place: Numbered; value: T } | undefined {
+    const n = slots.cells.get(key)?.learned;
+    return n && { place: n, value: n.value as T };
+  }
+
+  function weightsSince(key: string): number | undefined {
+    return learnedAt.get(key)?.at;
+  }
+
+  function hasMajority(): boolean {
+    const v = voters();
+    const disks = new Set<string>();
+    for (const x of v ? allVoters(v) : []) if (isSelf(x) || helds.get(x.at)?.up()) disks.add(x.disk);
+    return v !== undefined && isQuorum(v, disks);
+  }
+
+  async function stop(): Promise<void> {
+    stopped = true;
+    for (const h of helds.values()) h.stop();
+    await (listening as Listening).close();
+  }
+
+  function isStopped(): boolean {
+    return stopped;
+  }
+
+  reachAll();
+  void tend();
+  return Right({
+    name: startup.name, startup, bounds, slots, claims, votes, owner, edges, voters, live, picked, change, effect, value,
+    weightsSince, hasMajority, askVoter, peerHello, stop, stopped: isStopped,
+  });
+}
+
+/** Whether one place is at or past another. */
+export function reached(have: Place | undefined, want: Place): boolean {
+  return have !== undefined && comparePlaces(have, want) >= 0;
+}
--- /dev/null
+++ b/src/control/duties.ts
@@ -0,0 +1,87 @@
+import { open } from '../shared/errors';
+import { engineStatus, giveOrder } from '../shared/contracts/engine';
+import { listEngines } from '../shared/contracts/platform';
+import { Ports } from '../shared/ports';
+import { Engine, KEYS } from '../shared/words';
+import { Controller } from './controller';
+import { NamedWeights } from './operations';
+
+/** Starts all duties of a controller. */
+export function startDuties(c: Controller, ports: Ports): void {
+  void watchPlatform(c, ports);
+  void endOldWeights(c, ports);
+  void orderWeights(c, ports);
+}
+
+/** Watches the platform's list while this node owns the key `engines`; the register is the fence. */
+export async function watchPlatform(c: Controller, ports: Ports): Promise<void> {
+  while (!c.stopped()) {
+    await ports.clock.sleep(c.bounds.platform);
+    if (c.startup.platform === '' || !c.owner.owns(KEYS.engines) || !c.picked(KEYS.engines)) continue;
+    const [f, list] = open(await listEngines(ports.wire, c.startup.platform, c.bounds.status));
+    if (f) {
+      ports.log.warn({ step: f.step, peer: f.peer }, f.why);
+      continue;
+    }
+    const now = c.value<Engine[]>(KEYS.engines)?.value;
+    const next = list.sort(byId);
+    if (JSON.stringify(now) === JSON.stringify(next)) continue;
+    const [g] = open(await c.change({ kind: 'engines', engines: next }));
+    if (g) ports.log.warn({ step: g.step, peer: g.peer }, g.why);
+  }
+}
+
+function byId(a: Engine, b: Engine): number {
+  return a.id < b.id ? -1 : 1;
+}
+
+/** Ends old weights once the ratio of the bound has passed since the new ones were learned here. */
+export async function endOldWeights(c: Controller, ports: Ports): Promise<void> {
+  while (!c.stopped()) {
+    await ports.clock.sleep(c.bounds.pause);
+    for (const key of c.slots.cells.keys()) {
+      if (!key.startsWith(KEYS.weights) || !c.owner.owns(key)) continue;
+      const v = c.value<NamedWeights>(key)?.value;
+      if (!v || v.only) continue;
+      const since = c.weightsSince(key);
+      if (since !== undefined && ports.clock.now() - since < c.bounds.weightsStop) continue;
+      await c.change({ kind: 'weights-only', model: v.model, weights: v.weights });
+    }
+  }
+}
+
+/** Orders engines to take up the named weights: one node for each engine, under the epoch of its duty. */
+export async function orderWeights(c: Controller, ports: Ports): Promise<void> {
+  const held = new Map<string, number>();
+  while (!c.stopped()) {
+    await ports.clock.sleep(c.bounds.platform);
+    for (const e of c.value<Engine[]>(KEYS.engines)?.value ?? []) {
+      const key = `duty/${e.id}`;
+      const named = c.value<NamedWeights>(KEYS.weights + e.model)?.value;
+      if (!c.picked(key) || e.leaving) {
+        held.delete(e.id);
+        continue;
+      }
+      if (!named) continue;
+      await orderOne(e, key, named);
+    }
+  }
+
+  async function orderOne(e: Engine, key: string, named: NamedWeights): Promise<void> {
+    const [f, st] = open(await engineStatus(ports.wire, e.at, c.bounds.status));
+    if (f || st.weights === named.weights) return;
+    const mine = c.value<{ holder: string }>(key);
+    if (mine?.value.holder !== c.name || !c.owner.owns(key)) {
+      const [g] = open(await c.change({ kind: 'duty', duty: e.id, holder: c.name }));
+      if (g) return;
+      held.set(e.id, ports.clock.now());
+    }
+    const since = held.get(e.id) ?? ports.clock.now();
+    held.set(e.id, since);
+    if (ports.clock.now() - since < c.bounds.claimHeld) return;
+    const place = c.value(key)?.place;
+    if (!place || !c.owner.owns(key) || !c.hasMajority()) return;
+    const [h] = open(await giveOrder(ports.wire, e.at, { epoch: place.epoch, by: place.by, weights: named.weights }, c.bounds.status));
+    if (h) ports.log.warn({ step: h.step, peer: h.peer }, h.why);
+  }
+}
--- /dev/null
+++ b/src/control/operations.ts
@@ -0,0 +1,80 @@
+import { Left, Right } from 'purify-ts';
+import { bad, makeFault, Outcome } from '../shared/errors';
+import { Engine, Intents, IntentsValue, KEYS, Numbered, setSalts, Voters } from '../shared/words';
+import { checkIntents } from './intents';
+
+/** The hashes of one tenant's keys. */
+export interface TenantKeys {
+  tenant: string;
+  keys: { id: string; hash: string }[];
+}
+
+/** The named weights of a model; `only` says that older ones may serve nothing fresh. */
+export interface NamedWeights {
+  model: string;
+  weights: string;
+  only: boolean;
+}
+
+/** A change as operators or duties ask for it. */
+export type Operation =
+  | { kind: 'intents'; basedOn: number; doc: unknown }
+  | { kind: 'key-add'; tenant: string; id: string; hash: string }
+  | { kind: 'key-drop'; tenant: string; id: string }
+  | { kind: 'weights'; model: string; weights: string }
+  | { kind: 'weights-only'; model: string; weights: string }
+  | { kind: 'engines'; engines: Engine[] }
+  | { kind: 'duty'; duty: string; holder: string }
+  | { kind: 'voters'; voters: Voters; basedOn: number };
+
+/** The control key that an operation changes. */
+export function keyOf(op: Operation): string {
+  switch (op.kind) {
+    case 'intents': return KEYS.intents;
+    case 'key-add': case 'key-drop': return KEYS.tenantKeys + op.tenant;
+    case 'weights': case 'weights-only': return KEYS.weights + op.model;
+    case 'engines': return KEYS.engines;
+    case 'duty': return `duty/${op.duty}`;
+    case 'voters': return KEYS.voters;
+  }
+}
+
+function keep<T>(now: Numbered | undefined, fresh: T): T {
+  return (now?.value as T | undefined) ?? fresh;
+}
+
+/** Works out the new value of a key from an operation and the value that stands. */
+export function makeValue(op: Operation, now: Numbered | undefined): Outcome<unknown> {
+  switch (op.kind) {
+    case 'intents': {
+      const at = now?.number ?? 0;
+      if (op.basedOn !== at) return bad('apply', KEYS.intents, `based on revision ${op.basedOn}, but ${at} stands`, 'refused', 'conflict');
+      const o = checkIntents(op.doc);
+      if (o.isLeft()) return Left(makeFault('apply', KEYS.intents, 'the file has faults', 'refused', 'bad-intents'));
+      return Right(setSalts(o.extract() as Intents, now?.value as IntentsValue | undefined));
+    }
+    case 'key-add': {
+      const v = keep<TenantKeys>(now, { tenant: op.tenant, keys: [] });
+      return Right({ tenant: op.tenant, keys: [...v.keys.filter(other), { id: op.id, hash: op.hash }] });
+    }
+    case 'key-drop': {
+      const v = keep<TenantKeys>(now, { tenant: op.tenant, keys: [] });
+      return Right({ tenant: op.tenant, keys: v.keys.filter(other) });
+    }
+    case 'weights': return Right({ model: op.model, weights: op.weights, only: false } as NamedWeights);
+    case 'weights-only': {
+      const v = now?.value as NamedWeights | undefined;
+      if (v?.weights !== op.weights) return bad('end old weights', op.model, 'other weights are named', 'refused', 'conflict');
+      return Right({ ...v, only: true });
+    }
+    case 'engines': return Right(op.engines);
+    case 'duty': return Right({ holder: op.holder });
+    case 'voters': {
+      if (op.basedOn !== (now?.number ?? 0)) return bad('change voters', KEYS.voters, 'another change came first', 'refused', 'conflict');
+      return Right(op.voters);
+    }
+  }
+  function other(k: { id: string }): boolean {
+    return (op.kind !== 'key-add' && op.kind !== 'key-drop') || k.id !== op.id;
+  }
+}
--- /dev/null
+++ b/src/control/register.ts
@@ -0,0 +1,244 @@
+import { Left, Right } from 'purify-ts';
+import { field, Handled, message } from '../shared/edge';
+import { bad, Fault, open, Outcome } from '../shared/errors';
+import { Ports } from '../shared/ports';
+import { poll } from '../shared/poll';
+import { allVoters, compareEpochs, comparePlaces, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
+import { Slots } from './slots';
+
+/** How the registers reach the other voters. */
+export interface Reach {
+  name: string;
+  within: number;
+  voters(): Voters | undefined;
+  ask(v: Voter, type: string, body: unknown, within: number): Promise<Outcome<unknown>>;
+  learned(n: Numbered): void;
+}
+
+class PrepareAsk {
+  @field('string') key!: string;
+  @field('number') epoch!: number;
+  @field('string') by!: string;
+  @field('object', false) voters?: Place;
+}
+
+class AcceptAsk {
+  @field('object') change!: Numbered;
+  @field('object', false) voters?: Place;
+}
+
+class LearnAsk {
+  @field('object') change!: Numbered;
+}
+
+interface Promised {
+  ok: boolean;
+  seen: { epoch: number; by: string };
+  accepted?: Numbered;
+  voters?: Numbered;
+}
+
+/** The part of a register that each voter's disk plays. */
+export class Acceptor {
+  constructor(private readonly slots: Slots, private readonly reach: Reach, private readonly ports: Ports) {}
+
+  private laterVoters(sent: Place | undefined): Numbered | undefined {
+    const mine = this.slots.cells.get(KEYS.voters)?.learned;
+    if (!mine) return undefined;
+    return !sent || comparePlaces(mine, sent) > 0 ? mine : undefined;
+  }
+
+  private votes(): boolean {
+    const v = this.reach.voters();
+    const disk = this.slots.disk;
+    function mine(x: Voter): boolean {
+      return x.disk === disk;
+    }
+    return v !== undefined && allVoters(v).some(mine);
+  }
+
+  /** Promises to take nothing of a lower epoch. */
+  @message('prepare', PrepareAsk)
+  async prepare(m: PrepareAsk): Handled {
+    const later = this.laterVoters(m.voters);
+    const seen = this.slots.cells.get(m.key)?.promised ?? { epoch: 0, by: '' };
+    if (later) return Right({ ok: false, seen, voters: later } as Promised);
+    if (!this.votes()) return bad('prepare', this.slots.disk, 'not a voter', 'refused', 'no-voter');
+    if (compareEpochs(m, seen) < 0) return Right({ ok: false, seen } as Promised);
+    const promised = { epoch: m.epoch, by: m.by };
+    const accepted = this.slots.cells.get(m.key)?.accepted;
+    const [f] = open(await this.slots.put({ key: m.key, promised }));
+    if (f) return Left(f);
+    return Right({ ok: true, seen: promised, accepted } as Promised);
+  }
+
+  /** Takes a change unless a higher epoch was promised. */
+  @message('accept', AcceptAsk)
+  async accept(m: AcceptAsk): Handled {
+    const later = this.laterVoters(m.voters);
+    const c = m.change;
+    const cell = this.slots.cells.get(c.key);
+    const seen = cell?.promised ?? { epoch: 0, by: '' };
+    if (later) return Right({ ok: false, seen, voters: later } as Promised);
+    if (!this.votes()) return bad('accept', this.slots.disk, 'not a voter', 'refused', 'no-voter');
+    if (compareEpochs(c, seen) < 0) return Right({ ok: false, seen } as Promised);
+    if (cell?.accepted && comparePlaces(c, cell.accepted) < 0) return Right({ ok: false, seen } as Promised);
+    const promised = { epoch: c.epoch, by: c.by };
+    const [f] = open(await this.slots.put({ key: c.key, promised, accepted: c }));
+    if (f) return Left(f);
+    return Right({ ok: true, seen: promised } as Promised);
+  }
+
+  /** Keeps what is committed, and carries it to the followers. */
+  @message('learn', LearnAsk)
+  async learn(m: LearnAsk): Handled {
+    const c = m.change;
+    const cell = this.slots.cells.get(c.key);
+    if (!cell?.learned || comparePlaces(c, cell.learned) > 0) {
+      const same = cell?.accepted && comparePlaces(cell.accepted, c) === 0;
+      const [f] = open(await this.slots.put({ key: c.key, learned: same ? true : c }));
+      if (f) return Left(f);
+      this.reach.learned(c);
+    }
+    this.ports.log.info({ step: 'learn', peer: c.by }, `${c.key} ${c.epoch}.${c.number}`);
+    return Right({ disk: this.slots.disk });
+  }
+}
+
+interface Owned {
+  epoch: number;
+  current?: Numbered;
+}
+
+/** The owner's side: one turn at a time for each key. */
+export interface Owner {
+  change(key: string, make: (now: Numbered | undefined) => Outcome<unknown>): Promise<Outcome<Numbered>>;
+  own(key: string): Promise<Outcome<Numbered | undefined>>;
+  owns(key: string): boolean;
+  disown(key: string): void;
+}
+
+/** Makes the owner's side of the registers. */
+export function makeOwner(slots: Slots, reach: Reach): Owner {
+  const owned = new Map<string, Owned>();
+  const turns = new Map<string, Promise<unknown>>();
+  const highest = new Map<string, number>();
+
+  function inTurn<T>(key: string, run: () => Promise<T>): Promise<T> {
+    const before = turns.get(key) ?? Promise.resolve();
+    const mine = before.then(run);
+    turns.set(key, mine);
+    return mine;
+  }
+
+  function votersPlace(): Numbered | undefined {
+    return slots.cells.get(KEYS.voters)?.learned;
+  }
+
+  function placeOnly(n: Numbered | undefined): Place | undefined {
+    return n && { epoch: n.epoch, by: n.by, number: n.number };
+  }
+
+  function isOk(p: Promised): boolean {
+    return p.ok;
+  }
+
+  function note(key: string, got: Promised[]): void {
+    for (const p of got) {
+      if (p.voters && comparePlaces(p.voters, votersPlace() ?? { epoch: 0, by: '', number: 0 }) > 0) void slots.put({ key: KEYS.voters, learned: p.voters });
+      highest.set(key, Math.max(highest.get(key) ?? 0, p.seen.epoch));
+    }
+  }
+
+  async function ask(key: string, type: string, body: object): Promise<Outcome<Promised[]>> {
+    const voters = reach.voters();
+    if (!voters) return bad(type, reach.name, 'not founded', 'refused', 'not-founded');
+    const seen: Promised[] = [];
+    async function one(v: Voter): Promise<Outcome<Promised>> {
+      const r = (await reach.ask(v, type, { ...body, voters: placeOnly(votersPlace()) }, reach.within)) as Outcome<Promised>;
+      const [, p] = open(r);
+      if (p) seen.push(p);
+      return r;
+    }
+    const o = await poll(voters, one, isOk);
+    note(key, seen);
+    return o;
+  }
+
+  async function acquire(key: string): Promise<Outcome<Owned>> {
+    const epoch = Math.max(highest.get(key) ?? 0, slots.cells.get(key)?.promised.epoch ?? 0) + 1;
+    const [f, got] = open(await ask(key, 'prepare', { key, epoch, by: reach.name }));
+    if (f) return Left(f);
+    let best: Numbered | undefined;
+    for (const p of got) if (p.accepted && (!best || comparePlaces(p.accepted, best) > 0)) best = p.accepted;
+    const mine: Owned = { epoch };
+    if (best) {
+      const [g, c] = open(await commit(key, mine, best.number, best.value));
+      if (g) return Left(g);
+      mine.current = c;
+    }
+    owned.set(key, mine);
+    return Right(mine);
+  }
+
+  async function commit(key: string, o: Owned, number: number, value: unknown): Promise<Outcome<Numbered>> {
+    const change: Numbered = { key, epoch: o.epoch, by: reach.name, number, value };
+    const [f] = open(await ask(key, 'accept', { change }));
+    if (f) {
+      owned.delete(key);
+      return Left({ ...f, step: `accept ${key}`, sort: 'unknown' });
+    }
+    const voters = reach.voters()!;
+    const [g] = open(await poll(voters, learn));
+    function learn(v: Voter): Promise<Outcome<unknown>> {
+      return reach.ask(v, 'learn', { change }, reach.within);
+    }
+    if (g) {
+      owned.delete(key);
+      return Left({ ...g, step: `learn ${key}`, sort: 'unknown' });
+    }
+    return Right(change);
+  }
+
+  async function ensure(key: string): Promise<Outcome<Owned>> {
+    const o = owned.get(key);
+    if (o) return Right(o);
+    const [f, v] = open(await acquire(key));
+    if (f) return Left({ ...f, step: `own ${key}` } as Fault);
+    return Right(v);
+  }
+
+  function change(key: string, make: (now: Numbered | undefined) => Outcome<unknown>): Promise<Outcome<Numbered>> {
+    async function run(): Promise<Outcome<Numbered>> {
+      const [f, o] = open(await ensure(key));
+      if (f) return Left({ ...f, sort: 'refused' });
+      const [g, value] = open(make(o.current));
+      if (g) return Left(g);
+      const [h, c] = open(await commit(key, o, (o.current?.number ?? 0) + 1, value));
+      if (h) return Left(h);
+      o.current = c;
+      return Right(c);
+    }
+    return inTurn(key, run);
+  }
+
+  function own(key: string): Promise<Outcome<Numbered | undefined>> {
+    async function run(): Promise<Outcome<Numbered | undefined>> {
+      function current(o: Owned): Numbered | undefined {
+        return o.current;
+      }
+      return (await ensure(key)).map(current);
+    }
+    return inTurn(key, run);
+  }
+
+  function owns(key: string): boolean {
+    return owned.has(key);
+  }
+
+  function disown(key: string): void {
+    owned.delete(key);
+  }
+
+  return { change, own, owns, disown };
+}
--- /dev/null
+++ b/src/data/api.ts
@@ -0,0 +1,249 @@
+import { EngineLine, generate, GenerateAsk, Generating, Part, splitParts, tokenise } from '../shared/contracts/engine';
+import { field, giveFault, giveJson, handles, readAs, takeJson } from '../shared/edge';
+import { Fault, open } from '../shared/errors';
+import { wholeHash } from '../shared/lib';
+import { Call } from '../shared/ports';
+import { Service } from '../shared/words';
+import { holdKey, tellRun } from './once';
+import { Overlap, Placement } from './place';
+import type { RouterParts } from './router';
+
+class CallerAsk {
+  @field('string', false) service?: string;
+  @field('string', false) label?: string;
+  @field('string', false) prompt?: string;
+  @field('list', false) tokens?: number[];
+  @field('number', false) maxTokens?: number;
+  @field('number', false) deadlineMs?: number;
+}
+
+interface Checked {
+  tenant: string;
+  salt: string;
+  service: Service;
+  parts: Part[];
+  maxTokens: number;
+  until: number;
+  key?: string;
+}
+
+function isToken(t: unknown): boolean {
+  return Number.isInteger(t) && (t as number) >= 0;
+}
+
+function tokensOf(parts: readonly Part[]): number {
+  let t = 0;
+  for (const p of parts) t += p.size;
+  return t;
+}
+
+/** The callers' HTTP interface. */
+export class CallerApi {
+  private underWay = 0;
+
+  constructor(private readonly r: RouterParts) {}
+
+  /** How many requests are under way. */
+  busy(): number {
+    return this.underWay;
+  }
+
+  private refuse(call: Call, status: number, code: string, why: string, again?: number): undefined {
+    this.r.counts.refused++;
+    giveFault(call, status, 'refused', code, why, again);
+    return undefined;
+  }
+
+  private async check(call: Call): Promise<Checked | undefined> {
+    const { r } = this;
+    const again = r.bounds.pause * 5;
+    if (r.draining()) return this.refuse(call, 503, 'draining', 'this router is leaving', again);
+    if (!r.follower.live()) return this.refuse(call, 503, 'no-claim', 'this router holds no claim at the core', again);
+    const bearer = /^Bearer (.+)$/.exec(call.headers.authorization ?? '')?.[1];
+    const tenant = bearer === undefined ? undefined : r.tenantOf(wholeHash(bearer));
+    if (tenant === undefined) return this.refuse(call, 401, 'bad-key', 'the tenant key is not known');
+    const body = await takeJson(call, r.startup.bodyMostBytes);
+    if (body === undefined) {
+      r.counts.refused++;
+      return undefined;
+    }
+    const [f, a] = open(readAs(CallerAsk, body, 'generate', call.peer));
+    if (f) return this.refuse(call, 400, f.code!, f.why);
+    const service = r.serviceOf(tenant, a.service, a.label);
+    if (service === 'missing') return this.refuse(call, 404, 'no-service', 'no service or rule matches');
+    if (service === 'foreign') return this.refuse(call, 403, 'foreign-service', 'the service is another tenant\'s');
+    const salt = r.saltOf(tenant);
+    if (salt === undefined) return this.refuse(call, 403, 'no-tenant', 'the tenant is not of the intents');
+    if ((a.prompt === undefined) === (a.tokens === undefined)) return this.refuse(call, 400, 'bad-prompt', 'either prompt or tokens is needed');
+    if (a.tokens && !a.tokens.every(isToken)) return this.refuse(call, 400, 'bad-prompt', 'tokens must be whole numbers from 0');
+    const parts = splitParts(service.model, a.tokens ?? tokenise(a.prompt!));
+    if (parts.length === 0) return this.refuse(call, 400, 'bad-prompt', 'the prompt is empty');
+    if ((a.deadlineMs ?? 1) <= 0 || (a.maxTokens ?? 1) <= 0) return this.refuse(call, 400, 'bad-bounds', 'deadlineMs and maxTokens must be above 0');
+    const key = call.headers['idempotency-key'];
+    if (!service.mayRepeat && !key) return this.refuse(call, 400, 'no-idempotency-key', 'this service needs an Idempotency-Key');
+    if (key !== undefined && key.length > 128) return this.refuse(call, 400, 'no-idempotency-key', 'an Idempotency-Key has 128 characters at the most');
+    return {
+      tenant, salt, service, parts, maxTokens: Math.min(a.maxTokens ?? service.maxTokens, service.maxTokens),
+      until: r.ports.clock.now() + Math.min(a.deadlineMs ?? service.deadlineMs, service.deadlineMs),
+      key: service.mayRepeat ? undefined : wholeHash(JSON.stringify([tenant, key])).slice(0, 32),
+    };
+  }
+
+  /** Takes a prompt, places it, sends it on, and gives the pieces back. */
+  @handles('POST', '/v1/generate')
+  async generate(call: Call): Promise<void> {
+    this.r.counts.asked++;
+    const c = await this.check(call);
+    if (!c) return;
+    this.underWay++;
+    await this.carry(call, c);
+    this.underWay--;
+  }
+
+  private async carry(call: Call, c: Checked): Promise<void> {
+    const { r } = this;
+    const { clock } = r.ports;
+    const run = r.runId();
+    r.earn(c.service);
+    if (c.key !== undefined) {
+      const once = await holdKey(r.follower, c.key, run);
+      if (!once.won) {
+        void tellRun(r.follower, c.key, run, 'released');
+        if (once.state === 'unreachable') return this.refuse(call, 503, 'no-core', 'the core gave no vote', r.bounds.pause * 5);
+        return this.refuse(call, 409, `key-${once.state}`, `this Idempotency-Key is taken: ${once.state}`, once.state === 'running' ? r.bounds.claim : undefined);
+      }
+    }
+    const avoid = new Set<string>();
+    const urgent = c.service.urgency === 'high';
+    let last: Fault | undefined;
+    let sentOnce = false;
+    let refusedBy = 'no-engine';
+    for (let leg = 0; leg < 3; leg++) {
+      const weights = r.freshWeights(c.service.model);
+      const by = new Map<string, Overlap[] | undefined>();
+      for (const w of weights.queried) by.set(w, await r.placer.overlaps(c.service.model, c.salt, w, c.parts));
+      const wanted = { model: c.service.model, salt: c.salt, parts: c.parts, urgent, avoid };
+      const p = r.placer.pick({ ...wanted, weights: weights.now }, by) ?? (weights.old && r.placer.pick({ ...wanted, weights: weights.old }, by));
+      if (!p) break;
+      if (sentOnce && !r.allowSecond(c.service)) {
+        refusedBy = 'no-budget';
+        break;
+      }
+      if (call.gone.aborted || clock.now() >= c.until) break;
+      if (!r.follower.live() || r.saltOf(c.tenant) !== c.salt) {
+        refusedBy = 'no-claim';
+        break;
+      }
+      sentOnce = true;
+      r.counts.legs++;
+      const o = await this.sendOn(call, c, p, run, urgent);
+      if (o.done) {
+        if (c.key !== undefined) void tellRun(r.follower, c.key, run, o.fault ? 'unknown' : 'done');
+        return;
+      }
+      last = o.fault;
+      if (o.fault && o.fault.sort !== 'refused' && !c.service.mayRepeat) {
+        if (c.key !== undefined) void tellRun(r.follower, c.key, run, 'unknown');
+        r.counts.unknown++;
+        return giveFault(call, 502, 'unknown', 'leg-lost', `${o.fault.step} at ${p.seen.engine.id}: ${o.fault.why}`);
+      }
+      avoid.add(p.seen.engine.id);
+      r.engines.refresh(p.seen);
+    }
+    if (c.key !== undefined) void tellRun(r.follower, c.key, run, 'released');
+    if (last && last.sort !== 'refused') {
+      r.counts.unknown++;
+      return giveFault(call, clock.now() >= c.until ? 504 : 502, 'unknown', 'leg-lost', `${last.step}: ${last.why}`, r.bounds.pause * 5);
+    }
+    return this.refuse(call, 503, refusedBy, last ? `${last.step}: ${last.why}` : 'no engine can take this now', r.bounds.pause * 5);
+  }
+
+  private async sendOn(call: Call, c: Checked, p: Placement, run: string, urgent: boolean): Promise<{ done: boolean; fault?: Fault }> {
+    const { r } = this;
+    const { clock } = r.ports;
+    const unread = tokensOf(c.parts.slice(p.expected));
+    const q: GenerateAsk = {
+      request: run, tenant: c.tenant, model: c.service.model, weights: p.weights, salt: c.salt, parts: c.parts, maxTokens: c.maxTokens, urgent,
+      repeatable: c.service.mayRepeat, fetch: p.fetch && { at: p.fetch.at, hashes: p.fetch.hashes },
+    };
+    r.engines.began(p.seen, unread);
+    const [f, g] = open(await generate(r.ports, p.seen.engine.at, q, Math.max(1, c.until - clock.now()), call.gone));
+    if (f) {
+      r.engines.ended(p.seen, f.sort === 'refused' && f.code !== undefined && f.code.startsWith('status-'));
+      return { done: false, fault: f };
+    }
+    const first = await g.next();
+    const [h, line] = open(first);
+    if (h) {
+      r.engines.ended(p.seen, false);
+      return { done: false, fault: h };
+    }
+    call.head(200, { 'content-type': 'application/x-ndjson', 'x-engine': p.seen.engine.id });
+    const bad = await this.pieces(call, g, line, c, p);
+    r.engines.ended(p.seen, bad === undefined || bad.code === 'caller-gone');
+    return { done: true, fault: bad };
+  }
+
+  private async pieces(call: Call, g: Generating, first: EngineLine, c: Checked, p: Placement): Promise<Fault | undefined> {
+    const { r } = this;
+    let line = first;
+    let n = 0;
+    for (;;) {
+      if (line.done === true) {
+        if (line.count !== n) return this.breakOff(call, g, { step: 'read piece', peer: p.seen.engine.id, why: `count ${line.count} after ${n} pieces`, sort: 'unknown', code: 'bad-count' });
+        this.note(c, p, line);
+        call.end(JSON.stringify({ done: true, count: n, outcome: 'ok' }) + '\n');
+        r.counts.done++;
+        return undefined;
+      }
+      if (line.n !== n || typeof line.text !== 'string') return this.breakOff(call, g, { step: 'read piece', peer: p.seen.engine.id, why: `piece ${line.n} where ${n} was due`, sort: 'unknown', code: 'bad-order' });
+      n++;
+      if (!(await call.piece(JSON.stringify({ n: line.n, text: line.text }) + '\n'))) {
+        g.cancel();
+        return { step: 'give piece', peer: call.peer, why: 'caller went away', sort: 'unknown', code: 'caller-gone' };
+      }
+      const [f, next] = open(await g.next());
+      if (f) return this.breakOff(call, g, f);
+      line = next;
+    }
+  }
+
+  private breakOff(call: Call, g: Generating, f: Fault): Fault {
+    g.cancel();
+    this.r.counts.unknown++;
+    call.end(JSON.stringify({ error: { class: 'unknown', code: f.code ?? 'broken', message: f.why }, incomplete: true }) + '\n');
+    return f;
+  }
+
+  private note(c: Checked, p: Placement, line: EngineLine): void {
+    const { r } = this;
+    const reused = line.reused ?? [];
+    r.counts.needed += tokensOf(c.parts);
+    r.counts.reused += tokensOf(reused);
+    r.counts.expected += tokensOf(c.parts.slice(0, p.expected));
+    if (!p.indexed) r.counts.unindexed++;
+    if (line.fetched && p.fetch) {
+      r.counts.fetched += line.fetched.tokens;
+      r.engines.learnedLink(p.fetch.from, p.seen.engine.id, line.fetched.tokens, line.fetched.ms);
+    }
+    if (line.read !== undefined && line.prefillMs !== undefined) r.engines.learnedPrefill(p.seen, line.read, line.prefillMs);
+    r.placer.tellReused({ source: p.seen.engine.id, model: c.service.model, salt: c.salt, weights: p.weights, parts: c.parts, count: reused.length });
+  }
+
+  /** Whether this router takes requests. */
+  @handles('GET', '/healthz')
+  async fitness(call: Call): Promise<void> {
+    const ok = this.r.follower.live() && !this.r.draining();
+    giveJson(call, ok ? 200 : 503, { ok, claim: this.r.follower.live(), draining: this.r.draining() });
+  }
+
+  /** Figures in the text form that collectors read. */
+  @handles('GET', '/metrics')
+  async metrics(call: Call): Promise<void> {
+    const rows: string[] = [];
+    for (const [k, v] of Object.entries(this.r.counts)) rows.push(`plumhollow_router_${k.replace(/[A-Z]/g, '_$&').toLowerCase()}_total ${v}`);
+    rows.push(`plumhollow_router_under_way ${this.underWay}`);
+    call.head(200, { 'content-type': 'text/plain; version=0.0.4' });
+    call.end(rows.join('\n') + '\n');
+  }
+}
--- /dev/null
+++ b/src/data/engines.ts
@@ -0,0 +1,146 @@
+import { EngineStatus, engineStatus } from '../shared/contracts/engine';
+import { open } from '../shared/errors';
+import { Follower } from '../shared/follow';
+import { Ports } from '../shared/ports';
+import { Bounds } from '../shared/startup';
+import { Engine, KEYS } from '../shared/words';
+
+/** What this router knows of one engine's fitness and occupancy. */
+export interface Seen {
+  engine: Engine;
+  status?: EngineStatus;
+  at: number;
+  sent: number;
+  sentTokens: number;
+  mine: number;
+  faults: number;
+  openUntil: number;
+  probing: boolean;
+  msPerToken: number;
+}
+
+/** The engines as the news lists them, with their fitness. */
+export interface Engines {
+  ofModel(model: string): Seen[];
+  get(id: string): Seen | undefined;
+  fit(s: Seen): boolean;
+  began(s: Seen, tokens: number): void;
+  ended(s: Seen, good: boolean): void;
+  learnedPrefill(s: Seen, read: number, ms: number): void;
+  refresh(s: Seen): void;
+  linkCost(from: string, to: string): number;
+  learnedLink(from: string, to: string, tokens: number, ms: number): void;
+  renew(): void;
+  stop(): void;
+}
+
+const FAULTS_TO_OPEN = 3;
+const SMOOTH = 0.2;
+
+/** Follows the engines: one task for each asks how it stands. */
+export function watchEngines(ports: Ports, bounds: Bounds, follower: Follower): Engines {
+  const seen = new Map<string, Seen>();
+  const links = new Map<string, number>();
+  let stopped = false;
+
+  function renew(): void {
+    const list = follower.value<Engine[]>(KEYS.engines)?.value ?? [];
+    const want = new Map<string, Engine>();
+    for (const e of list) want.set(e.id, e);
+    for (const [id, s] of seen) if (want.get(id)?.at !== s.engine.at) seen.delete(id);
+    for (const [id, e] of want) {
+      const s = seen.get(id);
+      if (s) {
+        s.engine = e;
+        continue;
+      }
+      const fresh: Seen = { engine: e, at: 0, sent: 0, sentTokens: 0, mine: 0, faults: 0, openUntil: 0, probing: false, msPerToken: 0.3 };
+      seen.set(id, fresh);
+      void tend(fresh);
+    }
+  }
+
+  async function tend(s: Seen): Promise<void> {
+    while (!stopped && seen.get(s.engine.id) === s) {
+      await ask(s);
+      await ports.clock.sleep(bounds.status * 3 * (0.7 + 0.6 * ports.dice.next()));
+    }
+  }
+
+  async function ask(s: Seen): Promise<void> {
+    const [f, st] = open(await engineStatus(ports.wire, s.engine.at, bounds.status));
+    if (f) {
+      noteFault(s);
+      return;
+    }
+    s.status = st;
+    s.at = ports.clock.now();
+    s.sent = 0;
+    s.sentTokens = 0;
+    if (s.probing || s.openUntil > 0) {
+      s.faults = 0;
+      s.openUntil = 0;
+      s.probing = false;
+    }
+  }
+
+  function noteFault(s: Seen): void {
+    s.faults++;
+    if (s.faults >= FAULTS_TO_OPEN) s.openUntil = ports.clock.now() + bounds.circuit * Math.min(8, s.faults - FAULTS_TO_OPEN + 1);
+  }
+
+  function ofModel(model: string): Seen[] {
+    const out: Seen[] = [];
+    for (const s of seen.values()) if (s.engine.model === model) out.push(s);
+    return out;
+  }
+
+  function fit(s: Seen): boolean {
+    const now = ports.clock.now();
+    if (s.engine.leaving || !s.status || s.status.leaving || now - s.at > bounds.circuit * 4) return false;
+    if (s.openUntil === 0) return true;
+    return now >= s.openUntil && !s.probing;
+  }
+
+  function began(s: Seen, tokens: number): void {
+    s.sent++;
+    s.mine++;
+    s.sentTokens += tokens;
+    if (s.openUntil > 0) s.probing = true;
+  }
+
+  function ended(s: Seen, good: boolean): void {
+    s.mine--;
+    s.probing = false;
+    if (!good) return noteFault(s);
+    s.faults = 0;
+    s.openUntil = 0;
+  }
+
+  function learnedPrefill(s: Seen, read: number, ms: number): void {
+    if (read > 0) s.msPerToken += SMOOTH * (ms / read - s.msPerToken);
+  }
+
+  function refresh(s: Seen): void {
+    void ask(s);
+  }
+
+  function linkCost(from: string, to: string): number {
+    return links.get(`${from} ${to}`) ?? 0.05;
+  }
+
+  function learnedLink(from: string, to: string, tokens: number, ms: number): void {
+    if (tokens > 0) links.set(`${from} ${to}`, linkCost(from, to) + 2 * SMOOTH * (ms / tokens - linkCost(from, to)));
+  }
+
+  function get(id: string): Seen | undefined {
+    return seen.get(id);
+  }
+
+  function stop(): void {
+    stopped = true;
+  }
+
+  renew();
+  return { ofModel, get, fit, began, ended, learnedPrefill, refresh, linkCost, learnedLink, renew, stop };
+}
--- /dev/null
+++ b/src/data/once.ts
@@ -0,0 +1,39 @@
+import { Follower } from '../shared/follow';
+import { Voter } from '../shared/words';
+
+interface VoteReturn {
+  disk: string;
+  run: string;
+  state: string;
+}
+
+/** What came of asking for the right to run a key. */
+export interface OnceReturn {
+  won: boolean;
+  state: 'running' | 'done' | 'failed' | 'unknown' | 'unreachable';
+}
+
+/** Asks a majority of the core's disks for a key; only the run that has it may send anything on. */
+export async function holdKey(follower: Follower, key: string, run: string): Promise<OnceReturn> {
+  function yes(r: VoteReturn, v: Voter): boolean {
+    return r.disk === v.disk && r.run === run;
+  }
+  const { ok, got } = await follower.askVoters<VoteReturn>('vote', { key, run }, yes);
+  if (ok) return { won: true, state: 'running' };
+  const others = new Map<string, { count: number; state: string }>();
+  for (const r of got) {
+    if (r.run === run) continue;
+    const o = others.get(r.run) ?? { count: 0, state: 'running' };
+    o.count++;
+    if (r.state !== 'running') o.state = r.state;
+    others.set(r.run, o);
+  }
+  if (others.size === 0) return { won: false, state: 'unreachable' };
+  for (const o of others.values()) if (o.state !== 'running') return { won: false, state: o.state as OnceReturn['state'] };
+  return { won: false, state: 'running' };
+}
+
+/** Tells the disks what became of a run; `released` gives the key back, for a run that certainly never was. */
+export async function tellRun(follower: Follower, key: string, run: string, state: 'done' | 'failed' | 'unknown' | 'released'): Promise<void> {
+  await follower.coreAsk('run', { key, run, state });
+}
--- /dev/null
+++ b/src/data/place.ts
@@ -0,0 +1,181 @@
+import { Part } from '../shared/contracts/engine';
+import { open } from '../shared/errors';
+import { Follower } from '../shared/follow';
+import { rendezvous } from '../shared/lib';
+import { Ports } from '../shared/ports';
+import { Bounds } from '../shared/startup';
+import { Held, Hello, hold } from '../shared/streams';
+import { CacheStore, IntentsValue, KEYS, Member } from '../shared/words';
+import { Engines, Seen } from './engines';
+
+/** What an index said that a source holds. */
+export interface Overlap {
+  source: string;
+  tokens: number;
+  doubted: number;
+  parts: number;
+}
+
+/** What is to be placed. */
+export interface Wanted {
+  model: string;
+  salt: string;
+  parts: Part[];
+  urgent: boolean;
+  weights: (s: Seen) => string | undefined;
+  avoid: Set<string>;
+}
+
+/** Where a request goes, and what is fetched for it. */
+export interface Placement {
+  seen: Seen;
+  weights: string;
+  expected: number;
+  fetch?: { from: string; at: string; hashes: string[]; tokens: number };
+  indexed: boolean;
+}
+
+/** Asks indexers and works out placements. */
+export interface Placer {
+  overlaps(model: string, salt: string, weights: string, parts: Part[]): Promise<Overlap[] | undefined>;
+  pick(w: Wanted, by: Map<string, Overlap[] | undefined>): Placement | undefined;
+  tellReused(body: object): void;
+  reach(members: Member[]): void;
+  stop(): void;
+}
+
+/** How a router places: by the index, by affinity only, or at random. */
+export type PlaceWay = 'index' | 'affinity';
+
+/** Makes the placer; it keeps a stream up to each indexer. */
+export function makePlacer(ports: Ports, bounds: Bounds, follower: Follower, engines: Engines, hello: Hello, edges: object[], way: PlaceWay): Placer {
+  const helds = new Map<string, Held>();
+  let stopped = false;
+
+  function reach(members: Member[]): void {
+    const want = new Set<string>();
+    for (const m of members) if (m.role === 'indexer') want.add(m.at);
+    for (const [at, h] of helds) {
+      if (want.has(at)) continue;
+      h.stop();
+      helds.delete(at);
+    }
+    if (stopped) return;
+    for (const at of want) if (!helds.has(at)) helds.set(at, hold(ports, at, { hello, edges, within: bounds.dial, pause: bounds.pause }));
+  }
+
+  function order(): string[] {
+    const ats = rendezvous(hello.name, [...helds.keys()]);
+    return ats;
+  }
+
+  async function overlaps(model: string, salt: string, weights: string, parts: Part[]): Promise<Overlap[] | undefined> {
+    if (way === 'affinity') return undefined;
+    let tries = 0;
+    for (const at of order()) {
+      const ex = helds.get(at)?.up();
+      if (!ex) continue;
+      if (++tries > 2) break;
+      const [f, r] = open(await ex.ask('query', { model, salt, weights, parts }, bounds.query));
+      if (!f) return r as Overlap[];
+    }
+    return undefined;
+  }
+
+  function room(s: Seen, urgent: boolean): boolean {
+    const st = s.status!;
+    const busy = st.running + st.waiting + s.sent;
+    return busy < (urgent ? st.batch + st.queue : st.batch + st.queue * 0.5);
+  }
+
+  function total(parts: readonly Part[], from = 0): number {
+    let t = 0;
+    for (let i = from; i < parts.length; i++) t += parts[i].size;
+    return t;
+  }
+
+  function waitOf(s: Seen): number {
+    const st = s.status!;
+    const behind = (st.unreadTokens + s.sentTokens) * s.msPerToken;
+    const over = Math.max(0, st.running + st.waiting + s.sent + 1 - st.batch);
+    return behind + over * s.msPerToken * 300;
+  }
+
+  function stores(): CacheStore[] {
+    return follower.value<IntentsValue>(KEYS.intents)?.value.doc.cacheStores ?? [];
+  }
+
+  function addressOf(source: string): string | undefined {
+    const e = engines.get(source);
+    if (e) return engines.fit(e) ? e.engine.at : undefined;
+    function named(s: CacheStore): boolean {
+      return s.id === source;
+    }
+    return stores().find(named)?.at;
+  }
+
+  function pick(w: Wanted, by: Map<string, Overlap[] | undefined>): Placement | undefined {
+    const all = total(w.parts);
+    let best: { cost: number; p: Placement } | undefined;
+    const prefix = w.parts.length > 1 ? w.parts[Math.min(w.parts.length - 2, 7)].hash : (w.parts[0]?.hash ?? '');
+    const able: { s: Seen; weights: string }[] = [];
+    for (const s of engines.ofModel(w.model)) {
+      const weights = w.weights(s);
+      if (weights !== undefined && !w.avoid.has(s.engine.id) && engines.fit(s) && room(s, w.urgent)) able.push({ s, weights });
+    }
+    const ranks = rendezvous(`${w.salt} ${prefix}`, able.map(idOf));
+    for (const { s, weights } of able) {
+      const known = by.get(weights);
+      const cand = known ? byIndex(s, weights, known) : byAffinity(s, weights);
+      const cost = cand.cost * (1 + 0.02 * ports.dice.next());
+      if (!best || cost < best.cost) best = { cost, p: cand.p };
+    }
+    return best?.p;
+
+    function idOf(a: { s: Seen }): string {
+      return a.s.engine.id;
+    }
+
+    function byAffinity(s: Seen, weights: string): { cost: number; p: Placement } {
+      const rank = ranks.indexOf(s.engine.id);
+      const likely = rank === 0 ? 0.3 : 1;
+      return { cost: waitOf(s) + all * s.msPerToken * likely + rank, p: { seen: s, weights, expected: 0, indexed: false } };
+    }
+
+    function byIndex(s: Seen, weights: string, known: Overlap[]): { cost: number; p: Placement } {
+      let own: Overlap = { source: s.engine.id, tokens: 0, doubted: 0, parts: 0 };
+      for (const o of known) if (o.source === s.engine.id) own = o;
+      const held = own.tokens + own.doubted * 0.5;
+      let cost = waitOf(s) + (all - held) * s.msPerToken + ranks.indexOf(s.engine.id) * 0.5;
+      const p: Placement = { seen: s, weights, expected: own.parts, indexed: true };
+      for (const o of known) {
+        if (o.source === s.engine.id || o.parts <= own.parts) continue;
+        const at = addressOf(o.source);
+        if (!at) continue;
+        const more = total(w.parts.slice(0, o.parts), own.parts);
+        const link = engines.linkCost(o.source, s.engine.id);
+        const sure = o.tokens / Math.max(1, o.tokens + o.doubted);
+        const fetched = waitOf(s) + more * link + (all - held - more * sure) * s.msPerToken + ranks.indexOf(s.engine.id) * 0.5;
+        if (fetched >= cost) continue;
+        cost = fetched;
+        p.fetch = { from: o.source, at, hashes: w.parts.slice(own.parts, o.parts).map(hashOf), tokens: more };
+      }
+      return { cost, p };
+    }
+  }
+
+  function hashOf(p: Part): string {
+    return p.hash;
+  }
+
+  function tellReused(body: object): void {
+    for (const h of helds.values()) h.up()?.tell('reused', body);
+  }
+
+  function stop(): void {
+    stopped = true;
+    for (const h of helds.values()) h.stop();
+  }
+
+  return { overlaps, pick, tellReused, reach, stop };
+}
--- /dev/null
+++ b/src/data/router.ts
@@ -0,0 +1,186 @@
+import { Left, Right } from 'purify-ts';
+import { open, Outcome } from '../shared/errors';
+import { takeCalls } from '../shared/edge';
+import { follow, Follower } from '../shared/follow';
+import { Ports, Stream } from '../shared/ports';
+import { Bounds, boundsOf, Startup } from '../shared/startup';
+import { converse, Hello, HelloEdge, WIRE_VERSION } from '../shared/streams';
+import { IntentsValue, KEYS, Member, Numbered, Rule, Service } from '../shared/words';
+import { CallerApi } from './api';
+import { Engines, Seen, watchEngines } from './engines';
+import { makePlacer, Placer, PlaceWay } from './place';
+
+/** What a router counts, for metrics. */
+export interface RouterCounts {
+  asked: number;
+  done: number;
+  refused: number;
+  unknown: number;
+  failed: number;
+  legs: number;
+  secondTries: number;
+  needed: number;
+  reused: number;
+  expected: number;
+  unindexed: number;
+  fetched: number;
+}
+
+/** All that a request needs on its way. */
+export interface RouterParts {
+  ports: Ports;
+  startup: Startup;
+  bounds: Bounds;
+  follower: Follower;
+  engines: Engines;
+  placer: Placer;
+  counts: RouterCounts;
+  tenantOf(hash: string): string | undefined;
+  serviceOf(tenant: string, service: string | undefined, label: string | undefined): Service | 'missing' | 'foreign';
+  saltOf(tenant: string): string | undefined;
+  freshWeights(model: string): { now: (s: Seen) => string | undefined; old?: (s: Seen) => string | undefined; queried: string[] };
+  allowSecond(service: Service): boolean;
+  earn(service: Service): void;
+  runId(): string;
+  draining(): boolean;
+}
+
+/** A running router. */
+export interface Router {
+  parts: RouterParts;
+  stop(): Promise<void>;
+  drain(): Promise<void>;
+}
+
+interface NamedWeights {
+  weights: string;
+  only: boolean;
+}
+
+/** Starts a router: it follows the core, watches engines, and takes callers. */
+export async function startRouter(ports: Ports, startup: Startup, way: PlaceWay = 'index'): Promise<Outcome<Router>> {
+  const bounds = boundsOf(startup);
+  const hello: Hello = { version: WIRE_VERSION, name: startup.name, role: 'router', at: startup.wire, zone: startup.zone };
+  const member: Member = { name: startup.name, role: 'router', at: startup.wire, http: startup.http, zone: startup.zone };
+  const edges: object[] = [new HelloEdge(hello)];
+  const counts: RouterCounts = { asked: 0, done: 0, refused: 0, unknown: 0, failed: 0, legs: 0, secondTries: 0, needed: 0, reused: 0, expected: 0, unindexed: 0, fetched: 0 };
+  const hashes = new Map<string, string>();
+  const rules = new Map<string, string>();
+  const services = new Map<string, Service>();
+  const namedAt = new Map<string, { number: number; at: number }>();
+  const budget = new Map<string, number>();
+  const incarnation = ports.dice.id().slice(0, 8);
+  let runs = 0;
+  let leaving = false;
+  const follower = follow(ports, bounds, hello, member, startup.seeds, edges);
+  const engines = watchEngines(ports, bounds, follower);
+  const placer = makePlacer(ports, bounds, follower, engines, hello, edges, way);
+
+  function changed(n: Numbered): void {
+    if (n.key === KEYS.engines) engines.renew();
+    else if (n.key === KEYS.intents) renewIntents((n.value as IntentsValue).doc);
+    else if (n.key.startsWith(KEYS.tenantKeys)) renewKeys();
+    else if (n.key.startsWith(KEYS.weights) && namedAt.get(n.key)?.number !== n.number) namedAt.set(n.key, { number: n.number, at: ports.clock.now() });
+  }
+
+  function renewIntents(doc: { services: Service[]; rules: Rule[] }): void {
+    services.clear();
+    rules.clear();
+    for (const s of doc.services) services.set(s.id, s);
+    for (const r of doc.rules) rules.set(`${r.tenant} ${r.label}`, r.service);
+  }
+
+  function renewKeys(): void {
+    hashes.clear();
+    for (const k of follower.keys(KEYS.tenantKeys)) {
+      const v = follower.value<{ tenant: string; keys: { hash: string }[] }>(k)!.value;
+      for (const x of v.keys) hashes.set(x.hash, v.tenant);
+    }
+  }
+
+  function tenantOf(hash: string): string | undefined {
+    return hashes.get(hash);
+  }
+
+  function serviceOf(tenant: string, service: string | undefined, label: string | undefined): Service | 'missing' | 'foreign' {
+    const s = services.get(service ?? rules.get(`${tenant} ${label ?? ''}`) ?? '');
+    if (!s) return 'missing';
+    return s.tenant === tenant ? s : 'foreign';
+  }
+
+  function saltOf(tenant: string): string | undefined {
+    return follower.value<IntentsValue>(KEYS.intents)?.value.salts[tenant];
+  }
+
+  function freshWeights(model: string): ReturnType<RouterParts['freshWeights']> {
+    const key = KEYS.weights + model;
+    const named = follower.value<NamedWeights>(key)?.value;
+    const all = new Set<string>();
+    for (const s of engines.ofModel(model)) if (s.status) all.add(s.status.weights);
+    function any(s: Seen): string | undefined {
+      return s.status?.weights;
+    }
+    if (!named) return { now: any, queried: [...all] };
+    function only(s: Seen): string | undefined {
+      return s.status?.weights === named!.weights ? named!.weights : undefined;
+    }
+    const over = named.only || ports.clock.now() - (namedAt.get(key)?.at ?? -Infinity) >= bounds.weightsStop;
+    return over ? { now: only, queried: [named.weights] } : { now: only, old: any, queried: [...all] };
+  }
+
+  function shareOf(s: Service): number {
+    return Math.min(s.secondTries, startup.secondTryShare);
+  }
+
+  function earn(s: Service): void {
+    budget.set(s.id, Math.min(5, (budget.get(s.id) ?? 0) + shareOf(s)));
+  }
+
+  function allowSecond(s: Service): boolean {
+    const b = budget.get(s.id) ?? 0;
+    if (b < 1) return false;
+    budget.set(s.id, b - 1);
+    counts.secondTries++;
+    return true;
+  }
+
+  function runId(): string {
+    return `${startup.name}.${incarnation}.${++runs}`;
+  }
+
+  function draining(): boolean {
+    return leaving;
+  }
+
+  void follower.changes.observe(changed);
+  void follower.membership.observe(placer.reach);
+  const parts: RouterParts = { ports, startup, bounds, follower, engines, placer, counts, tenantOf, serviceOf, saltOf, freshWeights, allowSecond, earn, runId, draining };
+  const api = new CallerApi(parts);
+  const [f, wire] = open(await ports.wire.accept(startup.wire, taken));
+  if (f) return Left(f);
+  const [g, http] = open(await ports.wire.serve(startup.http, takeCalls([api], ports.log)));
+  if (g) return Left(g);
+
+  const listening = [wire, http];
+
+  function taken(s: Stream): void {
+    converse(ports, s, edges);
+  }
+
+  async function drain(): Promise<void> {
+    leaving = true;
+    const until = ports.clock.now() + bounds.drain;
+    while (api.busy() > 0 && ports.clock.now() < until) await ports.clock.sleep(bounds.pause * 0.25);
+  }
+
+  async function stop(): Promise<void> {
+    leaving = true;
+    await follower.leave();
+    follower.stop();
+    engines.stop();
+    placer.stop();
+    for (const l of listening) await l.close();
+  }
+
+  return Right({ parts, stop, drain });
+}
--- /dev/null
+++ b/src/index/api.ts
@@ -0,0 +1,74 @@
+import { field, giveFault, giveJson, handles, readAs, takeCalls, takeJson } from '../shared/edge';
+import { open, Outcome } from '../shared/errors';
+import { Call, Listening, Ports } from '../shared/ports';
+import { Indexer, partsOf, QueryAsk } from './indexer';
+
+class HashAsk {
+  @field('string') model!: string;
+  @field('string') salt!: string;
+  @field('string') weights!: string;
+  @field('list') hashes!: string[];
+}
+
+/** The index's HTTP interface. */
+export class IndexApi {
+  constructor(private readonly ix: Indexer) {}
+
+  /** Tells per source how many tokens of a prompt match: text, token ids or parts. */
+  @handles('POST', '/query')
+  async query(call: Call): Promise<void> {
+    const body = await takeJson(call, this.ix.startup.bodyMostBytes);
+    if (body === undefined) return;
+    const [f, q] = open(readAs(QueryAsk, body, 'query', call.peer));
+    if (f) return giveFault(call, 400, 'refused', f.code!, f.why);
+    giveJson(call, 200, { scores: this.ix.query(q), parts: partsOf(q).length });
+  }
+
+  /** The same for part hashes; sizes are those that the trees know. */
+  @handles('POST', '/query_by_hash')
+  async queryByHash(call: Call): Promise<void> {
+    const body = await takeJson(call, this.ix.startup.bodyMostBytes);
+    if (body === undefined) return;
+    const [f, q] = open(readAs(HashAsk, body, 'query by hash', call.peer));
+    if (f) return giveFault(call, 400, 'refused', f.code!, f.why);
+    function part(hash: string): { hash: string; size: number } {
+      return { hash, size: 0 };
+    }
+    giveJson(call, 200, { scores: this.ix.query({ model: q.model, salt: q.salt, weights: q.weights, parts: q.hashes.map(part) }), parts: q.hashes.length });
+  }
+
+  /** The whole of the trees as events. */
+  @handles('GET', '/dump')
+  async dump(call: Call): Promise<void> {
+    giveJson(call, 200, this.ix.dump());
+  }
+
+  /** The listeners and where they stand. */
+  @handles('GET', '/listeners')
+  async listeners(call: Call): Promise<void> {
+    giveJson(call, 200, { gateOpen: this.ix.gateOpen(), listeners: this.ix.listeners() });
+  }
+
+  /** Whether the gate is open. */
+  @handles('GET', '/healthz')
+  async fitness(call: Call): Promise<void> {
+    giveJson(call, this.ix.gateOpen() ? 200 : 503, { ok: this.ix.gateOpen() });
+  }
+
+  /** Figures in the text form that collectors read. */
+  @handles('GET', '/metrics')
+  async metrics(call: Call): Promise<void> {
+    const rows = [`plumhollow_index_parts ${this.ix.trees.size()}`, `plumhollow_index_evicted_total ${this.ix.trees.evicted()}`];
+    for (const [k, v] of Object.entries(this.ix.counts)) rows.push(`plumhollow_index_${k.replace(/[A-Z]/g, '_$&').toLowerCase()}_total ${v}`);
+    const by = new Map<string, number>();
+    for (const l of this.ix.listeners()) by.set(l.status, (by.get(l.status) ?? 0) + 1);
+    for (const [k, v] of by) rows.push(`plumhollow_index_listeners{status="${k}"} ${v}`);
+    call.head(200, { 'content-type': 'text/plain; version=0.0.4' });
+    call.end(rows.join('\n') + '\n');
+  }
+}
+
+/** Serves the index's HTTP interface. */
+export function serveIndex(ix: Indexer, ports: Ports): Promise<Outcome<Listening>> {
+  return ports.wire.serve(ix.startup.http, takeCalls([new IndexApi(ix)], ports.log));
+}
--- /dev/null
+++ b/src/index/listener.ts
@@ -0,0 +1,119 @@
+import { Stream as Feed } from 'most';
+import { EventBatch, EventsReturn, pullEvents } from '../shared/contracts/engine';
+import { pullStoreEvents } from '../shared/contracts/store';
+import { open } from '../shared/errors';
+import { makeFeed } from '../shared/lib';
+import { Ports } from '../shared/ports';
+import { Bounds } from '../shared/startup';
+
+/** A registration derived from the platform's list or from a `cacheStore` service. */
+export interface Registration {
+  id: string;
+  kind: 'engine' | 'store';
+  at: string;
+  paused: boolean;
+}
+
+/** Where a listener stands. */
+export interface ListenerView {
+  id: string;
+  kind: string;
+  at: string;
+  status: 'pending' | 'active' | 'paused' | 'failed';
+  lastError?: string;
+  epoch: string;
+  lastSeq: number;
+  gaps: number;
+  repaired: number;
+}
+
+/** How far a source has been heard; it outlives unregistering. */
+export interface Heard {
+  epoch: string;
+  seq: number;
+}
+
+/** A listener of one source. */
+export interface Listener {
+  reg: Registration;
+  pulls: Feed<EventsReturn>;
+  view(): { status: ListenerView['status']; lastError?: string };
+  stop(): void;
+}
+
+/** Pulls one source's events for as long as it is registered, one task for each. */
+export function listenTo(ports: Ports, bounds: Bounds, reg: Registration, from: Heard, gateOpen: () => boolean, onLong: () => void): Listener {
+  const hand = makeFeed<EventsReturn>();
+  const gone = new AbortController();
+  let stopped = false;
+  let epoch = from.epoch;
+  let after = from.seq;
+  let connected = false;
+  let lastError: string | undefined;
+  let failedAt: number | undefined;
+
+  async function pull(): Promise<void> {
+    const ask = reg.kind === 'store' ? pullStoreEvents : pullEvents;
+    while (!stopped) {
+      const [f, r] = open(await ask(ports.wire, reg.at, epoch, after, bounds.feedWait, gone.signal));
+      if (stopped) return;
+      if (f) {
+        lastError = `${f.step}: ${f.why}`;
+        failedAt = failedAt ?? ports.clock.now();
+        if (ports.clock.now() - failedAt > bounds.feedWait * 0.3) onLong();
+        await ports.clock.sleep(bounds.pause * (0.5 + ports.dice.next()));
+        continue;
+      }
+      connected = true;
+      lastError = undefined;
+      failedAt = undefined;
+      if (r.epoch !== epoch) {
+        epoch = r.epoch;
+        after = 0;
+      }
+      for (const b of r.batches) after = Math.max(after, b.seq);
+      if (r.batches.length === 0) after = Math.max(after, r.last);
+      hand.add(r);
+    }
+  }
+
+  function view(): { status: ListenerView['status']; lastError?: string } {
+    if (reg.paused) return { status: 'paused' };
+    if (lastError !== undefined && connected) return { status: 'failed', lastError };
+    return { status: connected && gateOpen() ? 'active' : 'pending', lastError };
+  }
+
+  function stop(): void {
+    stopped = true;
+    gone.abort();
+    hand.end();
+  }
+
+  if (!reg.paused) void pull();
+  return { reg, pulls: hand.feed, view, stop };
+}
+
+/** The newest batches of a source, kept for peers that missed some. */
+export interface BatchRing {
+  add(epoch: string, b: EventBatch): void;
+  between(epoch: string, from: number, to: number): EventBatch[];
+}
+
+/** Makes a ring of batches. */
+export function makeRing(most: number): BatchRing {
+  let held: EventBatch[] = [];
+  let of = '';
+  function add(epoch: string, b: EventBatch): void {
+    if (epoch !== of) held = [];
+    of = epoch;
+    held.push(b);
+    if (held.length > most * 1.5) held = held.slice(-most);
+  }
+  function between(epoch: string, from: number, to: number): EventBatch[] {
+    function inside(b: EventBatch): boolean {
+      return b.seq >= from && b.seq <= to;
+    }
+    return epoch === of ? held.filter(inside) : [];
+  }
+  return { add, between };
+}
--- /dev/null
+++ b/src/programs/common.ts
@@ -0,0 +1,84 @@
+import { Command } from 'commander';
+import { Either } from 'purify-ts';
+import { Fault, sayFault } from '../shared/errors';
+import { Ports } from '../shared/ports';
+import { realClock, realDice, realDisk, realLog } from '../shared/real';
+import { realWire } from '../shared/realwire';
+import { boundsOf, readStartup, Startup, startupFields } from '../shared/startup';
+
+/** The version that all programs tell. */
+export const VERSION = '0.1.0';
+
+/** Something running that can drain and stop. */
+export interface Running {
+  drain(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+function flagOf(name: string): string {
+  return '--' + name.replace(/[A-Z]/g, lower);
+}
+
+function lower(c: string): string {
+  return '-' + c.toLowerCase();
+}
+
+function list(v: string): string[] {
+  return v.split(',').filter(Boolean);
+}
+
+/** Runs a daemon: flags and file to startup, ports, start, drain at SIGTERM, end at a second signal. */
+export function runDaemon(program: string, doc: string, need: string[], start: (ports: Ports, s: Startup) => Promise<Either<Fault, Running>>): void {
+  const cmd = new Command(program).description(doc).version(VERSION).option('--startup <file>', 'a JSON file of startup fields; flags win');
+  for (const f of startupFields()) {
+    const text = f.list ? `${f.doc} (comma between)` : f.doc;
+    if (f.list) cmd.option(`${flagOf(f.name)} <list>`, text, list);
+    else if (f.number) cmd.option(`${flagOf(f.name)} <number>`, text, Number);
+    else cmd.option(`${flagOf(f.name)} <value>`, text);
+  }
+  cmd.exitOverride(badUse);
+  cmd.parse();
+  const { startup: file, ...flags } = cmd.opts() as { startup?: string };
+  const read = readStartup(file, flags, need);
+  if (read.isLeft()) {
+    for (const f of read.extract() as string[]) process.stderr.write(`${program}: ${f}\n`);
+    process.exit(2);
+  }
+  void run(program, read.extract() as Startup, start);
+}
+
+function badUse(e: { exitCode: number }): never {
+  process.exit(e.exitCode === 0 ? 0 : 2);
+}
+
+async function run(program: string, s: Startup, start: (ports: Ports, s: Startup) => Promise<Either<Fault, Running>>): Promise<void> {
+  const log = realLog(program, s.name);
+  const ports: Ports = { clock: realClock(), dice: realDice(), disk: realDisk(s.data), wire: realWire(boundsOf(s).dial), log };
+  const o = await start(ports, s);
+  if (o.isLeft()) {
+    const f = o.extract() as Fault;
+    log.error({ step: f.step, peer: f.peer }, f.why);
+    process.stderr.write(`${program}: ${sayFault(f)}\n`);
+    process.exit(1);
+  }
+  const running = o.extract() as Running;
+  let signals = 0;
+  async function leave(): Promise<void> {
+    if (++signals > 1) process.exit(1);
+    await running.drain();
+    await running.stop();
+    process.exit(0);
+  }
+  function signalled(): void {
+    void leave();
+  }
+  function broke(e: unknown): void {
+    log.error({ step: 'run', peer: s.name }, String((e as Error)?.stack ?? e));
+    process.exit(1);
+  }
+  process.on('SIGTERM', signalled);
+  process.on('SIGINT', signalled);
+  process.on('uncaughtException', broke);
+  process.on('unhandledRejection', broke);
+  process.stdout.write(`${program} ${s.name} is up\n`);
+}
--- /dev/null
+++ b/src/programs/indexer.ts
@@ -0,0 +1,19 @@
+#!/usr/bin/env node
+import { Left, Right } from 'purify-ts';
+import { serveIndex } from '../index/api';
+import { startIndexer } from '../index/indexer';
+import { Fault, open, Outcome } from '../shared/errors';
+import { Ports } from '../shared/ports';
+import { Startup } from '../shared/startup';
+import { runDaemon, Running } from './common';
+
+async function start(ports: Ports, s: Startup): Promise<Outcome<Running>> {
+  const [f, ix] = open(await startIndexer(ports, s));
+  if (f) return Left<Fault, Running>(f);
+  const [g] = open(await serveIndex(ix, ports));
+  return g ? Left<Fault, Running>(g) : Right({ drain: nothing, stop: ix.stop });
+}
+
+async function nothing(): Promise<void> {}
+
+runDaemon('plumhollow-indexer', 'Listens to engines and stores, keeps the trees of kept parts, is asked for overlaps.', ['name', 'wire', 'http', 'seeds'], start);
--- /dev/null
+++ b/src/programs/plumhollow.ts
@@ -0,0 +1,231 @@
+#!/usr/bin/env node
+import { readFileSync } from 'node:fs';
+import { Command } from 'commander';
+import { checkIntents, IntentFault } from '../control/intents';
+import { compareFleet, Finding } from '../control/check';
+import { Fault, open, Outcome, sayFault } from '../shared/errors';
+import { askJson, guard, parseJson } from '../shared/lib';
+import { Wire } from '../shared/ports';
+import { realWire } from '../shared/realwire';
+import { Intents } from '../shared/words';
+import { VERSION } from './common';
+
+const FINE = 0;
+const FINDINGS = 1;
+const BAD_USE = 2;
+const WITHIN = 8000;
+
+interface Got {
+  status: number;
+  body: unknown;
+}
+
+const wire: Wire = realWire(2000);
+const program = new Command('plumhollow').description('Drives a plumhollow fleet.').version(VERSION);
+program.option('--at <list>', 'controllers\' HTTP addresses, ip:port, comma between; or PLUMHOLLOW_AT', process.env.PLUMHOLLOW_AT ?? '127.0.0.1:8000');
+program.option('--json', 'print JSON');
+
+function say(value: unknown, text: string): void {
+  process.stdout.write((program.opts().json ? JSON.stringify(value, null, 2) : text) + '\n');
+}
+
+function fail(code: number, text: string): never {
+  process.stderr.write(`plumhollow: ${text}\n`);
+  return process.exit(code);
+}
+
+/** Asks the controllers in turn until one returns; a change is asked of one only, for its fate may be unknown. */
+async function core(method: string, path: string, body?: unknown): Promise<Outcome<Got>> {
+  let last: Outcome<Got> | undefined;
+  for (const at of String(program.opts().at).split(',')) {
+    const o = await askJson(wire, { at, method, path, body: body === undefined ? undefined : JSON.stringify(body), within: WITHIN });
+    if (o.isRight()) return o;
+    last = o as Outcome<Got>;
+    if ((o.extract() as Fault).sort !== 'refused' && method !== 'GET') break;
+  }
+  return last!;
+}
+
+async function need(method: string, path: string, body?: unknown): Promise<Got> {
+  const [f, r] = open(await core(method, path, body));
+  if (f) return fail(FINDINGS, sayFault(f));
+  return r;
+}
+
+function readIntents(file: string): { doc?: Intents; faults: IntentFault[] } {
+  const [f, text] = open(guard('read file', file, read));
+  function read(): string {
+    return readFileSync(file, 'utf8');
+  }
+  if (f) return fail(BAD_USE, sayFault(f));
+  const [g, raw] = open(parseJson(text, 'read file', file));
+  if (g) return { faults: [{ path: '', why: g.why }] };
+  const o = checkIntents(raw);
+  return o.isLeft() ? { faults: o.extract() as IntentFault[] } : { doc: o.extract() as Intents, faults: [] };
+}
+
+function sayFaults(faults: IntentFault[]): void {
+  function line(x: IntentFault): string {
+    return `${x.path || '(file)'}: ${x.why}`;
+  }
+  say({ faults }, faults.map(line).join('\n'));
+}
+
+function sayChange(r: Got): void {
+  const b = r.body as { change?: string; inEffect?: boolean; error?: { code: string; message: string }; revision?: number; key?: string; id?: string; faults?: IntentFault[] };
+  if (r.status === 200 || r.status === 202) {
+    const key = b.key ? `\nkey ${b.key}\nid ${b.id}` : '';
+    say(b, `${b.inEffect ? 'in effect' : 'taken, not yet in effect everywhere'}: ${b.change}${key}`);
+    return process.exit(FINE);
+  }
+  if (b.faults) sayFaults(b.faults);
+  else say(b, `${b.error?.code}: ${b.error?.message}${r.status === 409 ? ` (revision ${b.revision} stands)` : ''}`);
+  process.exit(FINDINGS);
+}
+
+async function current(): Promise<{ revision: number; intents: Intents }> {
+  return (await need('GET', '/v1/intents')).body as { revision: number; intents: Intents };
+}
+
+async function apply(file: string, o: { basedOn?: string; dryRun?: boolean }): Promise<void> {
+  const { doc, faults } = readIntents(file);
+  if (!doc) {
+    sayFaults(faults);
+    return process.exit(FINDINGS);
+  }
+  const basedOn = o.basedOn === undefined ? (await current()).revision : Number(o.basedOn);
+  if (!Number.isInteger(basedOn)) return fail(BAD_USE, '--based-on takes a revision');
+  const r = await need('PUT', '/v1/intents', { basedOn, intents: doc, dryRun: o.dryRun === true });
+  if (o.dryRun && r.status === 200) {
+    say(r.body, `would be applied on revision ${basedOn}`);
+    return process.exit(FINE);
+  }
+  sayChange(r);
+}
+
+function diffLists(now: Intents, then: Intents): string[] {
+  const out: string[] = [];
+  for (const kind of ['tenants', 'models', 'services', 'rules', 'cacheStores'] as const) {
+    const a = new Set((now[kind] as object[]).map(text));
+    const b = new Set((then[kind] as object[]).map(text));
+    for (const x of a) if (!b.has(x)) out.push(`- ${kind} ${x}`);
+    for (const x of b) if (!a.has(x)) out.push(`+ ${kind} ${x}`);
+  }
+  return out;
+  function text(x: object): string {
+    return JSON.stringify(Object.fromEntries(Object.entries(x).sort()));
+  }
+}
+
+async function diff(file: string): Promise<void> {
+  const { doc, faults } = readIntents(file);
+  if (!doc) {
+    sayFaults(faults);
+    return process.exit(FINDINGS);
+  }
+  const now = await current();
+  const lines = diffLists(now.intents, doc);
+  say({ revision: now.revision, changes: lines }, lines.length > 0 ? lines.join('\n') : 'no difference');
+  process.exit(lines.length > 0 ? FINDINGS : FINE);
+}
+
+async function check(file: string): Promise<void> {
+  const { doc, faults } = readIntents(file);
+  if (!doc) {
+    sayFaults(faults);
+    return process.exit(FINDINGS);
+  }
+  const fleet = (await need('GET', '/v1/fleet')).body;
+  const keys = (await need('GET', '/v1/keys')).body;
+  const weights = (await need('GET', '/v1/weights')).body;
+  const found = await compareFleet(wire, doc, fleet as never, keys as never, weights as never, WITHIN / 4);
+  function line(x: Finding): string {
+    return `${x.path}: ${x.why}`;
+  }
+  say({ findings: found }, found.length > 0 ? found.map(line).join('\n') : 'no findings');
+  process.exit(found.length > 0 ? FINDINGS : FINE);
+}
+
+async function status(): Promise<void> {
+  const b = (await need('GET', '/v1/fleet')).body as { controller: string; majority: boolean; diskFit: boolean; live: string[]; revision: number; members: { name: string; role: string; at: string; zone: string }[]; engines: { id: string; at: string; weights: string; leaving: boolean }[] };
+  function member(m: { name: string; role: string; at: string; zone: string }): string {
+    return `  ${m.role} ${m.name} ${m.at} ${m.zone}`;
+  }
+  function engine(e: { id: string; at: string; weights: string; leaving: boolean }): string {
+    return `  ${e.id} ${e.at} ${e.weights}${e.leaving ? ' leaving' : ''}`;
+  }
+  say(b, [`seen by ${b.controller}: ${b.majority ? 'in a majority' : 'no majority'}, disk ${b.diskFit ? 'fit' : 'unfit'}, revision ${b.revision}`,
+    `core ${b.live.join(' ')}`, 'members', ...b.members.map(member), 'engines', ...b.engines.map(engine)].join('\n'));
+  process.exit(b.majority ? FINE : FINDINGS);
+}
+
+async function show(path: string): Promise<void> {
+  const b = (await need('GET', path)).body;
+  say(b, JSON.stringify(b, null, 2));
+  process.exit(FINE);
+}
+
+async function keysAdd(tenant: string): Promise<void> {
+  sayChange(await need('POST', `/v1/keys/${encodeURIComponent(tenant)}`, {}));
+}
+
+async function keysDrop(tenant: string, id: string): Promise<void> {
+  sayChange(await need('DELETE', `/v1/keys/${encodeURIComponent(tenant)}/${encodeURIComponent(id)}`));
+}
+
+async function nameWeights(model: string, weights: string): Promise<void> {
+  sayChange(await need('PUT', `/v1/weights/${encodeURIComponent(model)}`, { weights }));
+}
+
+async function addRule(tenant: string, label: string, service: string): Promise<void> {
+  const now = await current();
+  const intents = { ...now.intents, rules: [...now.intents.rules, { tenant, label, service }] };
+  sayChange(await need('PUT', '/v1/intents', { basedOn: now.revision, intents }));
+}
+
+async function dropRule(tenant: string, label: string): Promise<void> {
+  const now = await current();
+  function other(r: { tenant: string; label: string }): boolean {
+    return r.tenant !== tenant || r.label !== label;
+  }
+  sayChange(await need('PUT', '/v1/intents', { basedOn: now.revision, intents: { ...now.intents, rules: now.intents.rules.filter(other) } }));
+}
+
+function showIntents(): Promise<void> {
+  return show('/v1/intents');
+}
+
+function showKeys(): Promise<void> {
+  return show('/v1/keys');
+}
+
+function showWeights(): Promise<void> {
+  return show('/v1/weights');
+}
+
+function showChange(change: string): Promise<void> {
+  return show(`/v1/changes/${encodeURIComponent(change).replaceAll('%7E', '~').replaceAll('%3A', ':')}`);
+}
+
+function badUse(e: { exitCode: number }): never {
+  return process.exit(e.exitCode === 0 ? FINE : BAD_USE);
+}
+
+program.exitOverride(badUse);
+program.command('apply <file>').description('apply a whole intents file').option('--based-on <revision>', 'the revision it was made from; the standing one where left out').option('--dry-run', 'check only').action(apply);
+program.command('diff <file>').description('what a file would change').action(diff);
+program.command('check <file>').description('compare a file with the fleet as it is').action(check);
+program.command('status').description('the fleet as a controller sees it').action(status);
+program.command('intents').description('the intents that stand').action(showIntents);
+program.command('change <change>').description('how far a change has come').action(showChange);
+const keys = program.command('keys').description('tenants\' keys');
+keys.command('list').action(showKeys);
+keys.command('add <tenant>').description('make a key; it is shown once').action(keysAdd);
+keys.command('drop <tenant> <id>').description('withdraw a key').action(keysDrop);
+const weights = program.command('weights').description('named weights');
+weights.command('list').action(showWeights);
+weights.command('name <model> <weights>').description('name new weights of a model').action(nameWeights);
+const rules = program.command('rules').description('small changes: a new whole file built from the standing one');
+rules.command('add <tenant> <label> <service>').action(addRule);
+rules.command('drop <tenant> <label>').action(dropRule);
+void program.parseAsync();
--- /dev/null
+++ b/src/shared/contracts/store.ts
@@ -0,0 +1,8 @@
+import { Outcome } from '../errors';
+import { Wire } from '../ports';
+import { EventsReturn, pullEvents } from './engine';
+
+/** Pulls the store's events: the store tells of its parts as engines do. */
+export function pullStoreEvents(wire: Wire, at: string, epoch: string, after: number, wait: number, gone: AbortSignal): Promise<Outcome<EventsReturn>> {
+  return pullEvents(wire, at, epoch, after, wait, gone);
+}
--- /dev/null
+++ b/src/shared/edge.ts
@@ -0,0 +1,138 @@
+import { Right } from 'purify-ts';
+import { bad, open, Outcome, sayFault } from './errors';
+import { Call, Log } from './ports';
+import { parseJson } from './lib';
+
+type Maker<T> = new () => T;
+type FieldSort = 'string' | 'number' | 'boolean' | 'object' | 'list' | 'any';
+interface FieldRule { sort: FieldSort; need: boolean }
+interface Handling { verb: string; path: string; name: string }
+
+const fieldsOf = new Map<unknown, Map<string, FieldRule>>();
+const handlingsOf = new Map<unknown, Handling[]>();
+const messagesOf = new Map<unknown, Map<string, { name: string; shape?: Maker<object> }>>();
+
+/** Marks a checked field of something that crosses an edge. */
+export function field(sort: FieldSort, need = true): (target: object, name: string) => void {
+  function mark(target: object, name: string): void {
+    const m = fieldsOf.get(target.constructor) ?? new Map<string, FieldRule>();
+    m.set(name, { sort, need });
+    fieldsOf.set(target.constructor, m);
+  }
+  return mark;
+}
+
+/** Marks a method as the handler of an HTTP verb and path; `:x` parts match one segment. */
+export function handles(verb: string, path: string): (target: object, name: string) => void {
+  function mark(target: object, name: string): void {
+    handlingsOf.set(target.constructor, [...(handlingsOf.get(target.constructor) ?? []), { verb, path, name }]);
+  }
+  return mark;
+}
+
+/** Marks a method as the handler of a wire message, its body checked against a shape. */
+export function message(type: string, shape?: Maker<object>): (target: object, name: string) => void {
+  function mark(target: object, name: string): void {
+    const m = messagesOf.get(target.constructor) ?? new Map<string, { name: string; shape?: Maker<object> }>();
+    m.set(type, { name, shape });
+    messagesOf.set(target.constructor, m);
+  }
+  return mark;
+}
+
+function sortOf(v: unknown): FieldSort {
+  if (Array.isArray(v)) return 'list';
+  return typeof v as FieldSort;
+}
+
+/** Checks a body against a marked shape; unknown fields are dropped. */
+export function readAs<T extends object>(shape: Maker<T>, body: unknown, step: string, peer: string): Outcome<T> {
+  if (typeof body !== 'object' || body === null || Array.isArray(body)) return bad(step, peer, 'an object is wanted', 'refused', 'bad-shape');
+  const out = new shape() as Record<string, unknown>;
+  const src = body as Record<string, unknown>;
+  for (const [name, rule] of fieldsOf.get(shape) ?? []) {
+    const v = src[name];
+    if (v === undefined || v === null) {
+      if (rule.need) return bad(step, peer, `field ${name} is missing`, 'refused', 'bad-shape');
+      continue;
+    }
+    if (rule.sort !== 'any' && sortOf(v) !== rule.sort) return bad(step, peer, `field ${name} must be a ${rule.sort}`, 'refused', 'bad-shape');
+    if (rule.sort === 'number' && !Number.isFinite(v)) return bad(step, peer, `field ${name} must be finite`, 'refused', 'bad-shape');
+    out[name] = v;
+  }
+  return Right(out as T);
+}
+
+/** What a message handler gives back. */
+export type Handled = Promise<Outcome<unknown>>;
+
+/** Hands a wire message to the first of the objects that handles its type. */
+export async function dispatch(edges: readonly object[], type: string, body: unknown, from: unknown, peer: string): Handled {
+  for (const e of edges) {
+    const h = messagesOf.get(e.constructor)?.get(type);
+    if (!h) continue;
+    const [f, v] = open(h.shape ? readAs(h.shape, body, type, peer) : Right(body as object));
+    if (f) return bad(f.step, f.peer, f.why, f.sort, f.code);
+    return (e as unknown as Record<string, (b: unknown, x: unknown) => Handled>)[h.name](v, from);
+  }
+  return bad(type, peer, 'message not known here', 'refused', 'not-known');
+}
+
+/** Sends a JSON return whole. */
+export function giveJson(call: Call, status: number, body: unknown, headers: Record<string, string> = {}): void {
+  call.head(status, { 'content-type': 'application/json', ...headers });
+  call.end(JSON.stringify(body) + '\n');
+}
+
+/** Sends the one documented shape of an error. */
+export function giveFault(call: Call, status: number, sort: string, code: string, why: string, retryAfter?: number): void {
+  const again: Record<string, string> = retryAfter === undefined ? {} : { 'retry-after': String(Math.max(1, Math.ceil(retryAfter / 1000))) };
+  giveJson(call, status, { error: { class: sort, code, message: why } }, again);
+}
+
+/** Reads and checks a JSON body; on a fault the return is given and undefined comes back. */
+export async function takeJson(call: Call, most: number): Promise<unknown | undefined> {
+  const [f, text] = open(await call.body(most));
+  if (f) {
+    giveFault(call, f.code === 'too-large' ? 413 : 400, 'refused', f.code ?? 'bad-body', f.why);
+    return undefined;
+  }
+  const [g, v] = open(parseJson(text, 'read body', call.peer));
+  if (g || v === undefined || v === null) {
+    giveFault(call, 400, 'refused', 'bad-json', g ? g.why : 'empty');
+    return undefined;
+  }
+  return v;
+}
+
+function matches(pattern: string, path: string): string[] | undefined {
+  const a = pattern.split('/');
+  const b = path.split('/');
+  if (a.length !== b.length) return undefined;
+  const found: string[] = [];
+  for (let i = 0; i < a.length; i++) {
+    if (a[i].startsWith(':')) found.push(b[i]);
+    else if (a[i] !== b[i]) return undefined;
+  }
+  return found;
+}
+
+/** Makes the taker of HTTP requests for objects with marked handlers. */
+export function takeCalls(edges: readonly object[], log: Log): (call: Call) => Promise<void> {
+  async function take(call: Call): Promise<void> {
+    let known = false;
+    for (const e of edges) {
+      for (const h of handlingsOf.get(e.constructor) ?? []) {
+        const found = matches(h.path, call.path);
+        if (!found) continue;
+        known = true;
+        if (h.verb !== call.method) continue;
+        await (e as unknown as Record<string, (c: Call, ...x: string[]) => Promise<void>>)[h.name](call, ...found);
+        return;
+      }
+    }
+    log.info({ step: 'take call', peer: call.peer }, sayFault({ step: call.method, peer: call.peer, why: call.path, sort: 'refused' }));
+    giveFault(call, known ? 405 : 404, 'refused', known ? 'bad-method' : 'not-found', `${call.method} ${call.path}`);
+  }
+  return take;
+}
--- /dev/null
+++ b/src/shared/follow.ts
@@ -0,0 +1,250 @@
+import { Stream as Feed } from 'most';
+import { Left, Right } from 'purify-ts';
+import { Handled, message } from './edge';
+import { open, Outcome } from './errors';
+import { makeFeed } from './lib';
+import { poll } from './poll';
+import { Ports } from './ports';
+import { Bounds } from './startup';
+import { converse, Exchange, Held, Hello, hold, noStream } from './streams';
+import { allVoters, comparePlaces, isQuorum, KEYS, Member, Numbered, Place, Voter, Voters } from './words';
+
+/** A node's view of the control state, kept up by news and claims. */
+export interface Follower {
+  live(): boolean;
+  value<T>(key: string): { place: Place; value: T } | undefined;
+  keys(prefix: string): string[];
+  members(role: string): Member[];
+  voters(): Voters | undefined;
+  core(): string[];
+  places(): Numbered[];
+  take(list: Numbered[]): boolean;
+  changes: Feed<Numbered>;
+  membership: Feed<Member[]>;
+  coreAsk(type: string, body: unknown): Promise<unknown[]>;
+  askVoters<T>(type: string, body: unknown, yes: (r: T, v: Voter) => boolean): Promise<{ ok: boolean; got: T[] }>;
+  leave(): Promise<void>;
+  stop(): void;
+}
+
+interface ClaimReturn {
+  granted: boolean;
+  disk: string;
+  missing: Numbered[];
+  voters: Voters;
+  members: Member[];
+}
+
+/** Makes the claim's ask for how far a node has applied each key. */
+export function hasList(state: Map<string, Numbered>): [string, number, string, number][] {
+  const out: [string, number, string, number][] = [];
+  for (const n of state.values()) out.push([n.key, n.epoch, n.by, n.number]);
+  return out;
+}
+
+/** Handlers of what the core and other followers say. */
+export class FollowEdge {
+  constructor(private readonly takeNews: (list: Numbered[]) => boolean, private readonly who: () => unknown) {}
+
+  /** Takes numbered changes; lower ones are ignored. */
+  @message('news')
+  async news(list: Numbered[]): Handled {
+    this.takeNews(list);
+    return Right(true);
+  }
+
+  /** Tells a newcomer where the core is. */
+  @message('who')
+  async askWho(): Handled {
+    return Right(this.who());
+  }
+}
+
+/** Follows the core: finds it from the seeds, renews a claim at each controller, applies news. */
+export function follow(ports: Ports, bounds: Bounds, hello: Hello, member: Member, seeds: string[], edges: object[]): Follower {
+  const state = new Map<string, Numbered>();
+  const grants = new Map<string, { until: number; members: Member[] }>();
+  const helds = new Map<string, Held>();
+  const refused = new Map<string, number>();
+  const changes = makeFeed<Numbered>();
+  const membership = makeFeed<Member[]>();
+  let founded: Voters | undefined;
+  let stopped = false;
+
+  function voters(): Voters | undefined {
+    return (state.get(KEYS.voters)?.value as Voters | undefined) ?? founded;
+  }
+
+  function core(): string[] {
+    const v = voters();
+    return v ? allVoters(v).map(atOf) : [];
+  }
+
+  function atOf(x: { at: string }): string {
+    return x.at;
+  }
+
+  function take(list: Numbered[]): boolean {
+    let any = false;
+    for (const n of list) {
+      const have = state.get(n.key);
+      if (have && comparePlaces(n, have) <= 0) continue;
+      state.set(n.key, n);
+      any = true;
+      changes.add(n);
+    }
+    if (any) reach();
+    return any;
+  }
+
+  function who(): unknown {
+    return { voters: voters(), core: core() };
+  }
+
+  const edge = new FollowEdge(take, who);
+  edges.push(edge);
+
+  function live(): boolean {
+    const v = voters();
+    if (!v) return false;
+    const now = ports.clock.now();
+    const good = new Set<string>();
+    const dead = new Set<string>();
+    for (const x of allVoters(v)) {
+      if ((grants.get(x.disk)?.until ?? 0) > now) good.add(x.disk);
+      if ((refused.get(x.at) ?? 0) > now) dead.add(x.disk);
+    }
+    return isQuorum(v, good) || dead.size === allVoters(v).length;
+  }
+
+  async function renew(ex: Exchange): Promise<void> {
+    let up = true;
+    void ex.done.then(down);
+    function down(): void {
+      up = false;
+    }
+    while (up && !stopped) {
+      const sent = ports.clock.now();
+      const [f, r] = open(await ex.ask('claim', { member, has: hasList(state) }, bounds.ask));
+      if (f) {
+        if (f.code === 'not-founded') await ports.clock.sleep(bounds.pause);
+        else await ports.clock.sleep(bounds.renew * 0.5);
+        continue;
+      }
+      const c = r as ClaimReturn;
+      founded = c.voters;
+      if (!c.granted) {
+        if (!take(c.missing)) await ports.clock.sleep(bounds.renew * 0.5);
+        continue;
+      }
+      const before = JSON.stringify(members(''));
+      grants.set(c.disk, { until: sent + bounds.claim, members: c.members });
+      refused.delete(ex.peer);
+      const after = members('');
+      if (JSON.stringify(after) !== before) membership.add(after);
+      reach();
+      await ports.clock.sleep(bounds.renew * (0.8 + 0.4 * ports.dice.next()));
+    }
+  }
+
+  function members(role: string): Member[] {
+    const now = ports.clock.now();
+    const m = new Map<string, Member>();
+    for (const g of grants.values()) if (g.until > now) for (const x of g.members) if (role === '' || x.role === role) m.set(x.name, x);
+    return [...m.values()].sort(byName);
+  }
+
+  function byName(a: Member, b: Member): number {
+    return a.name < b.name ? -1 : 1;
+  }
+
+  function onUp(ex: Exchange): void {
+    void renew(ex);
+  }
+
+  function reach(): void {
+    if (stopped) return;
+    const want = new Set(core());
+    if (want.size === 0) return;
+    for (const [at, h] of helds) {
+      if (want.has(at)) continue;
+      h.stop();
+      helds.delete(at);
+    }
+    for (const at of want) if (!helds.has(at)) helds.set(at, hold(ports, at, { hello, edges, within: bounds.dial, pause: bounds.pause, onUp, onRefused }));
+    function onRefused(f: { peer: string; code?: string }): void {
+      if (f.code === 'ECONNREFUSED') refused.set(f.peer, ports.clock.now() + bounds.claim - bounds.dial);
+    }
+  }
+
+  async function findCore(): Promise<void> {
+    while (!stopped && core().length === 0) {
+      for (const at of seeds) await askSeed(at);
+      if (core().length === 0) await ports.clock.sleep(bounds.pause * (0.5 + ports.dice.next()));
+    }
+  }
+
+  async function askSeed(at: string): Promise<void> {
+    const [f, stream] = open(await ports.wire.dial(at, bounds.dial));
+    if (f) return;
+    const one = converse(ports, stream, edges);
+    const [g] = open(await one.ask('hello', hello, bounds.dial));
+    const [h, w] = open(await one.ask('who', {}, bounds.dial));
+    one.close();
+    if (g || h) return;
+    const v = (w as { voters?: Voters }).voters;
+    if (!v) return;
+    founded = founded ?? v;
+    reach();
+  }
+
+  async function coreAsk(type: string, body: unknown): Promise<unknown[]> {
+    const out: Promise<unknown>[] = [];
+    for (const h of helds.values()) out.push(h.up()?.ask(type, body, bounds.ask) ?? Promise.resolve(undefined));
+    return Promise.all(out);
+  }
+
+  async function askVoters<T>(type: string, body: unknown, yes: (r: T, v: Voter) => boolean): Promise<{ ok: boolean; got: T[] }> {
+    const v = voters();
+    if (!v) return { ok: false, got: [] };
+    const got: T[] = [];
+    async function one(x: Voter): Promise<Outcome<T>> {
+      const ex = helds.get(x.at)?.up();
+      const r = (ex ? await ex.ask(type, body, bounds.ask) : Left(noStream(type, x.at))) as Outcome<T>;
+      const [, g] = open(r);
+      if (g !== undefined) got.push(g);
+      return r;
+    }
+    const o = await poll(v, one, yes);
+    return { ok: o.isRight(), got };
+  }
+
+  async function leave(): Promise<void> {
+    grants.clear();
+    await coreAsk('leave', { member, has: [] });
+  }
+
+  function value<T>(key: string): { place: Place; value: T } | undefined {
+    const n = state.get(key);
+    return n && { place: n, value: n.value as T };
+  }
+
+  function keys(prefix: string): string[] {
+    function starts(k: string): boolean {
+      return k.startsWith(prefix);
+    }
+    return [...state.keys()].filter(starts);
+  }
+
+  function places(): Numbered[] {
+    return [...state.values()];
+  }
+
+  function stop(): void {
+    stopped = true;
+    for (const h of helds.values()) h.stop();
+  }
+
+  void findCore();
+  return { live, value, keys, members, voters, core, places, take, changes: changes.feed, membership: membership.feed, coreAsk, askVoters, leave, stop };
+}
--- /dev/null
+++ b/src/shared/real.ts
@@ -0,0 +1,95 @@
+import { randomUUID } from 'node:crypto';
+import { open as openFile, readFile, mkdir } from 'node:fs/promises';
+import { join } from 'node:path';
+import { performance } from 'node:perf_hooks';
+import { Left, Right } from 'purify-ts';
+import bunyan from 'bunyan';
+import { makeFault, Outcome } from './errors';
+import { Clock, Dice, Disk, Log } from './ports';
+
+/** The machine's monotonic clock. */
+export function realClock(): Clock {
+  function now(): number {
+    return performance.now();
+  }
+  function wall(): string {
+    return new Date().toISOString();
+  }
+  function sleep(ms: number): Promise<void> {
+    function wait(go: () => void): void {
+      setTimeout(go, ms);
+    }
+    return new Promise(wait);
+  }
+  function alarm(ms: number, ring: () => void): () => void {
+    const t = setTimeout(ring, ms);
+    function off(): void {
+      clearTimeout(t);
+    }
+    return off;
+  }
+  return { now, wall, sleep, alarm };
+}
+
+/** The machine's randomness. */
+export function realDice(): Dice {
+  return { next: Math.random, id: randomUUID };
+}
+
+/** One data folder on the machine's disk. */
+export function realDisk(folder: string): Disk {
+  async function put(step: string, name: string, bytes: Uint8Array, flags: string): Promise<Outcome<void>> {
+    try {
+      await mkdir(folder, { recursive: true });
+      const f = await openFile(join(folder, name), flags);
+      try {
+        await f.writeFile(bytes);
+        await f.sync();
+      } finally {
+        await f.close();
+      }
+      const d = await openFile(folder, 'r');
+      try {
+        await d.sync();
+      } finally {
+        await d.close();
+      }
+      return Right(undefined);
+    } catch (e) {
+      return Left(makeFault(step, name, e, 'failed', 'disk'));
+    }
+  }
+  async function read(name: string): Promise<Outcome<Uint8Array | undefined>> {
+    try {
+      return Right(await readFile(join(folder, name)));
+    } catch (e) {
+      if ((e as { code?: string }).code === 'ENOENT') return Right(undefined);
+      return Left(makeFault('read file', name, e, 'failed', 'disk'));
+    }
+  }
+  function write(name: string, bytes: Uint8Array): Promise<Outcome<void>> {
+    return put('write file', name, bytes, 'w');
+  }
+  function append(name: string, bytes: Uint8Array): Promise<Outcome<void>> {
+    return put('append file', name, bytes, 'a');
+  }
+  return { read, write, append };
+}
+
+/** Bunyan's ring in memory, written out to standard error when something goes wrong. */
+export function realLog(program: string, name: string, records = 200): Log {
+  const ring = new bunyan.RingBuffer({ limit: records });
+  const log = bunyan.createLogger({ name: program, node: name, streams: [{ level: 'info', type: 'raw', stream: ring }] });
+  function info(fields: object, text: string): void {
+    log.info(fields, text);
+  }
+  function warn(fields: object, text: string): void {
+    log.warn(fields, text);
+  }
+  function error(fields: object, text: string): void {
+    log.error(fields, text);
+    for (const r of ring.records) process.stderr.write(JSON.stringify(r, bunyan.safeCycles()) + '\n');
+    ring.records.length = 0;
+  }
+  return { info, warn, error };
+}
--- /dev/null
+++ b/src/shared/realwire.ts
@@ -0,0 +1,228 @@
+import http from 'node:http';
+import net from 'node:net';
+import { PackrStream, UnpackrStream } from 'msgpackr';
+import { Agent, request } from 'undici';
+import { Left, Right } from 'purify-ts';
+import { makeFault, Outcome } from './errors';
+import { Ask, Call, Listening, Message, Reply, Stream, Wire } from './ports';
+import { makeFeed } from './lib';
+
+function split(at: string): { host: string; port: number } {
+  const i = at.lastIndexOf(':');
+  return { host: at.slice(0, i), port: Number(at.slice(i + 1)) };
+}
+
+function listen(server: net.Server, at: string, close: () => Promise<void>): Promise<Outcome<Listening>> {
+  function wait(done: (o: Outcome<Listening>) => void): void {
+    function failed(e: Error): void {
+      done(Left(makeFault('listen', at, e)));
+    }
+    function up(): void {
+      server.off('error', failed);
+      const a = server.address() as net.AddressInfo;
+      done(Right({ at: `${a.address}:${a.port}`, close }));
+    }
+    server.once('error', failed);
+    server.listen({ ...split(at), backlog: 1024 }, up);
+  }
+  return new Promise(wait);
+}
+
+function makeCall(req: http.IncomingMessage, res: http.ServerResponse): Call {
+  const url = new URL(req.url ?? '/', 'http://node');
+  const gone = new AbortController();
+  function closed(): void {
+    if (!res.writableFinished) gone.abort();
+  }
+  function broke(): void {
+    gone.abort();
+  }
+  res.on('close', closed);
+  res.on('error', broke);
+  req.on('error', broke);
+  async function body(most: number): Promise<Outcome<string>> {
+    const parts: Buffer[] = [];
+    let size = 0;
+    try {
+      for await (const p of req) {
+        size += (p as Buffer).length;
+        if (size > most) return Left(makeFault('read body', req.socket.remoteAddress ?? '', `over ${most} bytes`, 'refused', 'too-large'));
+        parts.push(p as Buffer);
+      }
+    } catch (e) {
+      return Left(makeFault('read body', req.socket.remoteAddress ?? '', e, 'refused', 'bad-body'));
+    }
+    return Right(Buffer.concat(parts).toString('utf8'));
+  }
+  function head(status: number, headers: Record<string, string>): void {
+    if (!res.headersSent) res.writeHead(status, headers);
+  }
+  function piece(text: string): Promise<boolean> {
+    function wait(done: (ok: boolean) => void): void {
+      if (gone.signal.aborted || res.destroyed) return done(false);
+      if (res.write(text)) return done(true);
+      function drained(): void {
+        res.off('close', drained);
+        res.off('drain', drained);
+        done(!gone.signal.aborted);
+      }
+      res.once('drain', drained);
+      res.once('close', drained);
+    }
+    return new Promise(wait);
+  }
+  function end(text?: string): void {
+    res.end(text);
+  }
+  function breakOff(): void {
+    res.destroy();
+  }
+  const headers = req.headers as Record<string, string | undefined>;
+  return { method: req.method ?? 'GET', path: url.pathname, query: url.searchParams, headers, peer: req.socket.remoteAddress ?? '', gone: gone.signal, body, head, piece, end, breakOff };
+}
+
+function serve(at: string, take: (call: Call) => Promise<void>): Promise<Outcome<Listening>> {
+  function arrived(req: http.IncomingMessage, res: http.ServerResponse): void {
+    void take(makeCall(req, res));
+  }
+  const server = http.createServer({ keepAliveTimeout: 30000 }, arrived);
+  function close(): Promise<void> {
+    function wait(done: () => void): void {
+      server.close(done as () => void);
+      server.closeIdleConnections();
+    }
+    return new Promise(wait);
+  }
+  return listen(server, at, close);
+}
+
+function makeStream(socket: net.Socket): Stream {
+  const out = new PackrStream({ useRecords: false });
+  const inn = new UnpackrStream({ useRecords: false });
+  const hand = makeFeed<Message>();
+  const peer = `${socket.remoteAddress}:${socket.remotePort}`;
+  let ended = false;
+  socket.setNoDelay(true);
+  out.pipe(socket);
+  socket.pipe(inn);
+  function wait(done: () => void): void {
+    function over(): void {
+      if (ended) return;
+      ended = true;
+      socket.destroy();
+      hand.end();
+      done();
+    }
+    for (const s of [socket, out, inn]) {
+      s.on('error', over);
+      s.on('close', over);
+    }
+    inn.on('end', over);
+  }
+  const done = new Promise<void>(wait);
+  inn.on('data', hand.add);
+  function send(m: Message): boolean {
+    if (ended) return false;
+    return out.write(m);
+  }
+  function close(): void {
+    socket.destroy();
+  }
+  return { peer, feed: hand.feed, done, send, close };
+}
+
+function accept(at: string, take: (s: Stream) => void): Promise<Outcome<Listening>> {
+  const held = new Set<net.Socket>();
+  function arrived(socket: net.Socket): void {
+    held.add(socket);
+    function left(): void {
+      held.delete(socket);
+    }
+    socket.on('close', left);
+    take(makeStream(socket));
+  }
+  const server = net.createServer(arrived);
+  function close(): Promise<void> {
+    for (const s of held) s.destroy();
+    function wait(done: () => void): void {
+      server.close(done as () => void);
+    }
+    return new Promise(wait);
+  }
+  return listen(server, at, close);
+}
+
+function dial(at: string, within: number): Promise<Outcome<Stream>> {
+  function wait(done: (o: Outcome<Stream>) => void): void {
+    const socket = net.connect(split(at));
+    function late(): void {
+      socket.destroy();
+      done(Left(makeFault('dial', at, 'no stream in time', 'refused', 'timeout')));
+    }
+    const t = setTimeout(late, within);
+    function failed(e: Error & { code?: string }): void {
+      clearTimeout(t);
+      done(Left(makeFault('dial', at, e, 'refused', e.code)));
+    }
+    function up(): void {
+      clearTimeout(t);
+      socket.off('error', failed);
+      done(Right(makeStream(socket)));
+    }
+    socket.once('error', failed);
+    socket.once('connect', up);
+  }
+  return new Promise(wait);
+}
+
+const SURE = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+
+function askWith(agent: Agent): (q: Ask) => Promise<Outcome<Reply>> {
+  async function ask(q: Ask): Promise<Outcome<Reply>> {
+    const step = `${q.method} ${q.path}`;
+    const cut = new AbortController();
+    const t = setTimeout(cutOff, q.within);
+    function cutOff(): void {
+      cut.abort();
+    }
+    if (q.gone?.aborted) cut.abort();
+    q.gone?.addEventListener('abort', cutOff, { once: true });
+    function over(): void {
+      clearTimeout(t);
+      q.gone?.removeEventListener('abort', cutOff);
+    }
+    try {
+      const res = await request(`http://${q.at}${q.path}`, { dispatcher: agent, method: q.method as 'GET', headers: q.headers, body: q.body, signal: cut.signal });
+      const it = res.body[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+      const text = new TextDecoder();
+      async function next(): Promise<Outcome<string | undefined>> {
+        try {
+          const p = await it.next();
+          if (!p.done) return Right(text.decode(p.value, { stream: true }));
+          over();
+          return Right(undefined);
+        } catch (e) {
+          over();
+          return Left(makeFault(step, q.at, e, 'unknown', (e as { code?: string }).code));
+        }
+      }
+      function cancel(): void {
+        over();
+        res.body.on('error', over);
+        res.body.destroy();
+      }
+      return Right({ status: res.statusCode, headers: res.headers as Record<string, string | undefined>, next, cancel });
+    } catch (e) {
+      over();
+      const code = (e as { code?: string }).code;
+      return Left(makeFault(step, q.at, e, code && SURE.has(code) ? 'refused' : 'unknown', cut.signal.aborted ? 'timeout' : code));
+    }
+  }
+  return ask;
+}
+
+/** The machine's network: Node's http, undici, and msgpackr over net. */
+export function realWire(connectWithin: number): Wire {
+  const agent = new Agent({ connect: { timeout: connectWithin }, connections: 256, pipelining: 1, keepAliveTimeout: 4000, bodyTimeout: 0, headersTimeout: 0 });
+  return { serve, ask: askWith(agent), accept, dial };
+}
--- /dev/null
+++ b/src/shared/streams.ts
@@ -0,0 +1,179 @@
+import { Left, Right } from 'purify-ts';
+import { bad, Fault, makeFault, open, Outcome } from './errors';
+import { dispatch, Handled, message } from './edge';
+import { Message, Ports, Stream } from './ports';
+
+/** The version of our wire messages; a peer more than one off is refused. */
+export const WIRE_VERSION = 1;
+
+/** What a process says first on a stream. */
+export interface Hello {
+  version: number;
+  name: string;
+  role: string;
+  at: string;
+  zone: string;
+}
+
+/** Asks and returns over one stream, both ways. */
+export interface Exchange {
+  stream: Stream;
+  peer: string;
+  hello?: Hello;
+  done: Promise<void>;
+  ask(type: string, body: unknown, within: number): Promise<Outcome<unknown>>;
+  tell(type: string, body: unknown): boolean;
+  close(): void;
+}
+
+/** Puts asks and returns on a stream; what arrives goes to the marked handlers. */
+export function converse(ports: Ports, stream: Stream, edges: readonly object[]): Exchange {
+  const waiting = new Map<number, (o: Outcome<unknown>) => void>();
+  let last = 0;
+  let over = false;
+  const ex: Exchange = { stream, peer: stream.peer, done: stream.done, ask, tell, close: stream.close };
+
+  function ask(type: string, body: unknown, within: number): Promise<Outcome<unknown>> {
+    const id = ++last;
+    function wait(done: (o: Outcome<unknown>) => void): void {
+      if (over) return done(bad(type, ex.peer, 'stream ended', 'refused', 'ended'));
+      const off = ports.clock.alarm(within, late);
+      function late(): void {
+        waiting.delete(id);
+        done(bad(type, ex.peer, 'no return in time', 'unknown', 'timeout'));
+      }
+      function arrived(o: Outcome<unknown>): void {
+        off();
+        waiting.delete(id);
+        done(o);
+      }
+      waiting.set(id, arrived);
+      stream.send({ id, type, body });
+    }
+    return new Promise(wait);
+  }
+
+  function tell(type: string, body: unknown): boolean {
+    return !over && stream.send({ type, body });
+  }
+
+  async function take(m: Message): Promise<void> {
+    if (m.re !== undefined) {
+      waiting.get(m.re)?.(m.fault ? Left(m.fault as Fault) : Right(m.body));
+      return;
+    }
+    const [f, v] = open(await dispatch(edges, m.type ?? '', m.body, ex, ex.peer));
+    if (m.id === undefined) {
+      if (f) ports.log.warn({ step: f.step, peer: f.peer }, f.why);
+    } else {
+      stream.send(f ? { re: m.id, fault: f } : { re: m.id, body: v });
+    }
+  }
+
+  function arrived(m: Message): void {
+    void take(m);
+  }
+
+  function ended(): void {
+    over = true;
+    for (const [, done] of [...waiting]) done(bad('ask', ex.peer, 'stream ended', 'unknown', 'ended'));
+  }
+
+  void stream.feed.observe(arrived);
+  void stream.done.then(ended);
+  return ex;
+}
+
+/** A stream that is kept up to one peer. */
+export interface Held {
+  at: string;
+  up(): Exchange | undefined;
+  stop(): void;
+}
+
+/** How a held stream is kept up. */
+export interface HoldWays {
+  hello: Hello;
+  edges: readonly object[];
+  within: number;
+  pause: number;
+  onUp?: (ex: Exchange) => void;
+  onDown?: (ex: Exchange) => void;
+  onRefused?: (f: Fault) => void;
+}
+
+/** Reads a peer's hello, or says why it is refused. */
+export function checkHello(body: unknown, peer: string): Outcome<Hello> {
+  const h = body as Hello | undefined;
+  if (!h || typeof h.version !== 'number') return bad('hello', peer, 'no hello', 'refused', 'bad-hello');
+  if (Math.abs(h.version - WIRE_VERSION) > 1) return bad('hello', peer, `wire version ${h.version} is too far from ${WIRE_VERSION}`, 'refused', 'wire-version');
+  return Right(h);
+}
+
+/** Keeps a stream up to a peer, one task for each. */
+export function hold(ports: Ports, at: string, ways: HoldWays): Held {
+  let ex: Exchange | undefined;
+  let stopped = false;
+
+  async function keep(): Promise<void> {
+    while (!stopped) {
+      const [f, stream] = open(await ports.wire.dial(at, ways.within));
+      if (f) {
+        ways.onRefused?.(f);
+      } else if (stopped) {
+        stream.close();
+      } else {
+        await live(stream);
+      }
+      if (!stopped) await ports.clock.sleep(ways.pause * (0.5 + ports.dice.next()));
+    }
+  }
+
+  async function live(stream: Stream): Promise<void> {
+    const one = converse(ports, stream, ways.edges);
+    one.peer = at;
+    const [f, h] = open(await one.ask('hello', ways.hello, ways.within));
+    if (f) {
+      ports.log.warn({ step: f.step, peer: at }, f.why);
+      one.close();
+      return;
+    }
+    one.hello = h as Hello;
+    ex = one;
+    ways.onUp?.(one);
+    await one.done;
+    ex = undefined;
+    ways.onDown?.(one);
+  }
+
+  function up(): Exchange | undefined {
+    return ex;
+  }
+
+  function stop(): void {
+    stopped = true;
+    ex?.close();
+  }
+
+  void keep();
+  return { at, up, stop };
+}
+
+/** A fault for a peer that has no stream up. */
+export function noStream(step: string, at: string): Fault {
+  return makeFault(step, at, 'no stream up', 'refused', 'no-stream');
+}
+
+/** Takes a peer's hello and gives our own. */
+export class HelloEdge {
+  constructor(private readonly own: Hello) {}
+
+  /** Checks the wire version first of all. */
+  @message('hello')
+  async hello(body: unknown, ex: Exchange): Handled {
+    const [f, h] = open(checkHello(body, ex.peer));
+    if (f) return Left(f);
+    ex.hello = h;
+    return Right(this.own);
+  }
+}
--- /dev/null
+++ b/tools/engine.ts
@@ -0,0 +1,320 @@
+import { EngineLine, EngineOrder, EventBatch, GenerateAsk, Part, PartEvent } from '../src/shared/contracts/engine';
+import { giveFault, giveJson, handles, takeCalls, takeJson } from '../src/shared/edge';
+import { Outcome } from '../src/shared/errors';
+import { askJson } from '../src/shared/lib';
+import { Call, Listening, Ports } from '../src/shared/ports';
+import { compareEpochs } from '../src/shared/words';
+
+/** How a stand-in engine behaves. */
+export interface EngineWays {
+  id: string;
+  at: string;
+  zone: string;
+  model: string;
+  weights: string;
+  batch: number;
+  queue: number;
+  mostTokens: number;
+  prefillMs: number;
+  decodeMs: number;
+  keepBatches: number;
+  loseEvents: number;
+  swapMs: number;
+  ledger: (entry: LedgerEntry) => void;
+}
+
+/** One thing that an engine really did. */
+export interface LedgerEntry {
+  kind: 'began' | 'ended' | 'broke' | 'order';
+  engine: string;
+  at: number;
+  request?: string;
+  tenant?: string;
+  salt?: string;
+  weights?: string;
+  repeatable?: boolean;
+  tag?: string;
+  reused?: { tokens: number; madeBy: string[]; madeWeights: string[]; madeSalts: string[] };
+  order?: EngineOrder;
+}
+
+interface Kept extends Part {
+  salt: string;
+  weights: string;
+  parent: string;
+  madeBy: string;
+}
+
+/** A running stand-in engine. */
+export interface StandInEngine {
+  ways: EngineWays;
+  leave(): void;
+  kept(): number;
+  stop(): Promise<void>;
+}
+
+/** Handlers of the engine contract. */
+class EngineEdge {
+  private readonly cache = new Map<string, Kept>();
+  private tokens = 0;
+  private readonly epoch: string;
+  private seq = 0;
+  private batches: EventBatch[] = [];
+  private pending: PartEvent[] = [];
+  private readonly waiters = new Set<() => void>();
+  private running = 0;
+  private waiting: { urgent: boolean; go: () => void }[] = [];
+  private prefills: { urgent: boolean; go: () => void }[] = [];
+  private prefilling = false;
+  private unread = 0;
+  private fence = { epoch: 0, by: '' };
+  leaving = false;
+
+  constructor(private readonly ports: Ports, readonly ways: EngineWays) {
+    this.epoch = ports.dice.id();
+  }
+
+  private keyOf(salt: string, weights: string, hash: string): string {
+    return `${salt}|${weights}|${hash}`;
+  }
+
+  private tell(kind: 'stored' | 'removed', k: Kept): void {
+    this.pending.push({ kind, model: this.ways.model, weights: k.weights, salt: k.salt, parent: k.parent, hash: k.hash, size: k.size });
+  }
+
+  private flush(): void {
+    if (this.pending.length === 0) return;
+    this.seq++;
+    const lost = this.ports.dice.next() < this.ways.loseEvents;
+    if (!lost) this.batches.push({ seq: this.seq, events: this.pending });
+    this.pending = [];
+    if (this.batches.length > this.ways.keepBatches) this.batches.shift();
+    for (const w of [...this.waiters]) w();
+  }
+
+  private keep(k: Kept): void {
+    const key = this.keyOf(k.salt, k.weights, k.hash);
+    const had = this.cache.get(key);
+    if (had) {
+      this.cache.delete(key);
+      this.cache.set(key, had);
+      return;
+    }
+    this.cache.set(key, k);
+    this.tokens += k.size;
+    this.tell('stored', k);
+    while (this.tokens > this.ways.mostTokens) {
+      const [oldKey, old] = this.cache.entries().next().value as [string, Kept];
+      this.cache.delete(oldKey);
+      this.tokens -= old.size;
+      this.tell('removed', old);
+    }
+  }
+
+  kept(): number {
+    return this.tokens;
+  }
+
+  private async slot(urgent: boolean): Promise<void> {
+    const { waiting } = this;
+    if (this.running < this.ways.batch) {
+      this.running++;
+      return;
+    }
+    function wait(go: () => void): void {
+      waiting.push({ urgent, go });
+    }
+    await new Promise<void>(wait);
+  }
+
+  private free(): void {
+    const i = this.waiting.findIndex(isUrgent);
+    const next = this.waiting.splice(Math.max(0, i), 1)[0];
+    if (next) next.go();
+    else this.running--;
+  }
+
+  private async prefill(urgent: boolean, ms: number): Promise<void> {
+    const { prefills } = this;
+    function wait(go: () => void): void {
+      prefills.push({ urgent, go });
+    }
+    if (this.prefilling) await new Promise<void>(wait);
+    this.prefilling = true;
+    await this.ports.clock.sleep(ms);
+    const i = prefills.findIndex(isUrgent);
+    const next = prefills.splice(Math.max(0, i), 1)[0];
+    this.prefilling = next !== undefined;
+    next?.go();
+  }
+
+  @handles('POST', '/api/generate')
+  async generate(call: Call): Promise<void> {
+    const q = (await takeJson(call, 1 << 24)) as GenerateAsk | undefined;
+    if (!q) return;
+    const { ways, ports } = this;
+    if (this.leaving) return giveFault(call, 503, 'refused', 'leaving', 'this engine is leaving');
+    if (q.model !== ways.model || q.weights !== ways.weights) return giveFault(call, 409, 'refused', 'weights', `weights here are ${ways.weights}`);
+    if (this.waiting.length >= ways.queue) return giveFault(call, 429, 'refused', 'busy', 'the queue is full');
+    const began: LedgerEntry = { kind: 'began', engine: ways.id, at: ports.clock.now(), request: q.request, tenant: q.tenant, salt: q.salt, weights: ways.weights, repeatable: q.repeatable, tag: q.parts[q.parts.length - 1]?.hash };
+    ways.ledger(began);
+    let unread = 0;
+    for (const p of q.parts) unread += p.size;
+    this.unread += unread;
+    await this.slot(q.urgent);
+    const fetched = q.fetch && !call.gone.aborted ? await this.fetch(q) : undefined;
+    const reused: Kept[] = [];
+    for (const p of q.parts) {
+      const k = this.cache.get(this.keyOf(q.salt, ways.weights, p.hash));
+      if (!k) break;
+      reused.push(k);
+    }
+    const read = q.parts.slice(reused.length);
+    let tokens = 0;
+    for (const p of read) tokens += p.size;
+    const start = ports.clock.now();
+    if (!call.gone.aborted) await this.prefill(q.urgent, ways.prefillMs * tokens);
+    this.unread -= unread;
+    const prefillMs = ways.prefillMs * tokens || ports.clock.now() - start;
+    let parent = reused.length > 0 ? reused[reused.length - 1].hash : ways.model;
+    for (const k of reused) this.keep(k);
+    for (const p of read) {
+      this.keep({ ...p, salt: q.salt, weights: ways.weights, parent, madeBy: q.tenant });
+      parent = p.hash;
+    }
+    this.flush();
+    await this.decode(call, q, reused, { read: tokens, prefillMs, fetched });
+    this.free();
+  }
+
+  private async decode(call: Call, q: GenerateAsk, reused: Kept[], told: { read: number; prefillMs: number; fetched?: { tokens: number; ms: number } }): Promise<void> {
+    const { ways, ports } = this;
+    const entry: LedgerEntry = { kind: 'ended', engine: ways.id, at: 0, request: q.request, tenant: q.tenant, salt: q.salt, weights: ways.weights, reused: { tokens: 0, madeBy: [], madeWeights: [], madeSalts: [] } };
+    for (const k of reused) {
+      entry.reused!.tokens += k.size;
+      entry.reused!.madeBy.push(k.madeBy);
+      entry.reused!.madeWeights.push(k.weights);
+      entry.reused!.madeSalts.push(k.salt);
+    }
+    call.head(200, { 'content-type': 'application/x-ndjson' });
+    for (let n = 0; n < q.maxTokens; n++) {
+      await ports.clock.sleep(ways.decodeMs * (1 + this.running / ways.batch));
+      const line: EngineLine = { n, text: `${q.parts[q.parts.length - 1].hash}#${n} ` };
+      if (call.gone.aborted || !(await call.piece(JSON.stringify(line) + '\n'))) {
+        ways.ledger({ ...entry, kind: 'broke', at: ports.clock.now() });
+        return call.breakOff();
+      }
+    }
+    ways.ledger({ ...entry, at: ports.clock.now() });
+    const last: EngineLine = { done: true, count: q.maxTokens, reused: reused.map(bare), ...told };
+    call.end(JSON.stringify(last) + '\n');
+  }
+
+  private async fetch(q: GenerateAsk): Promise<{ tokens: number; ms: number } | undefined> {
+    const start = this.ports.clock.now();
+    const o = await askJson(this.ports.wire, { at: q.fetch!.at, method: 'POST', path: '/api/parts', body: JSON.stringify({ salt: q.salt, weights: q.weights, hashes: q.fetch!.hashes }), within: 2000 });
+    if (o.isLeft()) return undefined;
+    const parts = ((o.extract() as { body: { parts?: Kept[] } }).body?.parts ?? []) as Kept[];
+    let tokens = 0;
+    for (const p of parts) {
+      tokens += p.size;
+      this.keep(p);
+    }
+    return { tokens, ms: this.ports.clock.now() - start };
+  }
+
+  @handles('POST', '/api/parts')
+  async parts(call: Call): Promise<void> {
+    const q = (await takeJson(call, 1 << 24)) as { salt: string; weights: string; hashes: string[] } | undefined;
+    if (!q) return;
+    const parts: Kept[] = [];
+    let tokens = 0;
+    for (const h of q.hashes) {
+      const k = this.cache.get(this.keyOf(q.salt, q.weights, h));
+      if (!k) break;
+      parts.push(k);
+      tokens += k.size;
+    }
+    await this.ports.clock.sleep(2 + tokens * 0.02);
+    giveJson(call, 200, { parts });
+  }
+
+  @handles('POST', '/api/put')
+  async put(call: Call): Promise<void> {
+    const q = (await takeJson(call, 1 << 24)) as { parts: Kept[] } | undefined;
+    if (!q) return;
+    for (const p of q.parts) this.keep(p);
+    this.flush();
+    giveJson(call, 200, { kept: q.parts.length });
+  }
+
+  @handles('GET', '/api/kv-events')
+  async events(call: Call): Promise<void> {
+    const same = call.query.get('epoch') === this.epoch;
+    const after = same ? Number(call.query.get('after') ?? 0) : 0;
+    if (same && this.seq <= after) await this.more(Number(call.query.get('wait') ?? 1000), call.gone);
+    function later(b: EventBatch): boolean {
+      return b.seq > after;
+    }
+    const oldest = this.batches[0]?.seq ?? this.seq + 1;
+    giveJson(call, 200, { epoch: this.epoch, lost: oldest > after + 1, last: this.seq, batches: this.batches.filter(later) });
+  }
+
+  private more(within: number, gone: AbortSignal): Promise<void> {
+    const { waiters, ports } = this;
+    function wait(done: () => void): void {
+      const off = ports.clock.alarm(within, go);
+      gone.addEventListener('abort', go, { once: true });
+      function go(): void {
+        off();
+        gone.removeEventListener('abort', go);
+        waiters.delete(go);
+        done();
+      }
+      waiters.add(go);
+    }
+    return new Promise(wait);
+  }
+
+  @handles('GET', '/api/status')
+  async status(call: Call): Promise<void> {
+    const { ways } = this;
+    giveJson(call, 200, { id: ways.id, model: ways.model, weights: ways.weights, running: this.running, waiting: this.waiting.length, batch: ways.batch, queue: ways.queue, unreadTokens: this.unread, leaving: this.leaving });
+  }
+
+  @handles('POST', '/api/order')
+  async order(call: Call): Promise<void> {
+    const o = (await takeJson(call, 4096)) as EngineOrder | undefined;
+    if (!o) return;
+    if (compareEpochs(o, this.fence) < 0) return giveFault(call, 409, 'refused', 'fenced', 'an order of a higher fence came first');
+    this.fence = { epoch: o.epoch, by: o.by };
+    this.ways.ledger({ kind: 'order', engine: this.ways.id, at: this.ports.clock.now(), order: o });
+    giveJson(call, 200, { taken: true });
+    if (o.weights === this.ways.weights) return;
+    await this.ports.clock.sleep(this.ways.swapMs);
+    this.ways.weights = o.weights;
+  }
+}
+
+function bare(k: Kept): Part {
+  return { hash: k.hash, size: k.size };
+}
+
+function isUrgent(x: { urgent: boolean }): boolean {
+  return x.urgent;
+}
+
+/** Starts a stand-in engine; a store is one that generates nothing. */
+export async function startEngine(ports: Ports, ways: EngineWays): Promise<Outcome<StandInEngine>> {
+  const edge = new EngineEdge(ports, ways);
+  function leave(): void {
+    edge.leaving = true;
+  }
+  function kept(): number {
+    return edge.kept();
+  }
+  function up(l: Listening): StandInEngine {
+    return { ways, leave, kept, stop: l.close };
+  }
+  return (await ports.wire.serve(ways.at, takeCalls([edge], ports.log))).map(up);
+}
--- /dev/null
+++ b/tools/ledger.ts
@@ -0,0 +1,54 @@
+import { LedgerEntry } from './engine';
+import { Report, Seen } from './callers';
+
+/** What the ledgers of engines and callers prove or disprove. */
+export interface Verdict {
+  runs: number;
+  twice: string[];
+  refusedButRan: string[];
+  crossedWalls: string[];
+  crossedWeights: string[];
+  unfenced: string[];
+  wrongPieces: string[];
+  legsPerRequest: number;
+}
+
+/** Reads the ledgers: nothing here asks the product for its opinion. */
+export function judge(ledger: readonly LedgerEntry[], report: Report, walled: ReadonlySet<string>): Verdict {
+  const began = new Map<string, LedgerEntry[]>();
+  const v: Verdict = { runs: 0, twice: [], refusedButRan: [], crossedWalls: [], crossedWeights: [], unfenced: [], wrongPieces: report.wrong.slice(0, 20), legsPerRequest: 0 };
+  const fences = new Map<string, { epoch: number; by: string; weights: string }>();
+  for (const e of ledger) {
+    if (e.kind === 'began' && e.tag) began.set(e.tag, [...(began.get(e.tag) ?? []), e]);
+    if (e.kind === 'began') v.runs++;
+    if (e.kind === 'order' && e.order) {
+      const f = fences.get(e.engine);
+      if (f && f.epoch === e.order.epoch && f.by === e.order.by && f.weights !== e.order.weights && f.epoch === 0) v.unfenced.push(`${e.engine} ${JSON.stringify(e.order)}`);
+      fences.set(e.engine, e.order);
+    }
+    if (e.kind !== 'ended') continue;
+    for (const m of e.reused?.madeBy ?? []) if (m !== e.tenant && (walled.has(m) || walled.has(e.tenant!))) v.crossedWalls.push(`${e.engine} ${e.request}: ${e.tenant} used a part made by ${m}`);
+    for (const w of e.reused?.madeWeights ?? []) if (w !== e.weights) v.crossedWeights.push(`${e.engine} ${e.request}: ${e.weights} used a part of ${w}`);
+  }
+  for (const s of report.seen) judgeOne(s, began.get(s.tag) ?? [], v);
+  v.legsPerRequest = report.asked === 0 ? 0 : Math.round((v.runs / report.asked) * 1000) / 1000;
+  return v;
+}
+
+function judgeOne(s: Seen, runs: LedgerEntry[], v: Verdict): void {
+  if (!s.repeatable && runs.length > 1) v.twice.push(`${s.tag}: ${runs.map(where).join(', ')}; ${JSON.stringify(s.legs)}`);
+  if (s.end === 'refused' && s.legs.every(wasRefused) && runs.length > 0) v.refusedButRan.push(`${s.tag}: ${runs.map(where).join(', ')}; ${JSON.stringify(s.legs)}`);
+}
+
+function where(e: LedgerEntry): string {
+  return `${e.engine} ${e.request}`;
+}
+
+function wasRefused(l: { status: number; sort: string }): boolean {
+  return l.status >= 400 && l.status !== 502 && l.status !== 504;
+}
+
+/** Whether nothing forbidden was seen. */
+export function isClean(v: Verdict): boolean {
+  return v.twice.length + v.refusedButRan.length + v.crossedWalls.length + v.crossedWeights.length + v.unfenced.length + v.wrongPieces.length === 0;
+}
--- /dev/null
+++ b/tools/platform.ts
@@ -0,0 +1,27 @@
+import { giveJson, handles, takeCalls, takeJson } from '../src/shared/edge';
+import { Outcome } from '../src/shared/errors';
+import { Call, Listening, Ports } from '../src/shared/ports';
+import { Engine } from '../src/shared/words';
+
+/** The stand-in platform's list, which a test or the runner changes. */
+class PlatformEdge {
+  constructor(readonly engines: Engine[]) {}
+
+  @handles('GET', '/api/engines')
+  async list(call: Call): Promise<void> {
+    giveJson(call, 200, { engines: this.engines });
+  }
+
+  @handles('PUT', '/api/engines')
+  async put(call: Call): Promise<void> {
+    const b = (await takeJson(call, 1 << 20)) as { engines: Engine[] } | undefined;
+    if (!b) return;
+    this.engines.splice(0, this.engines.length, ...b.engines);
+    giveJson(call, 200, { engines: this.engines.length });
+  }
+}
+
+/** Starts a stand-in platform. */
+export function startPlatform(ports: Ports, at: string, engines: Engine[]): Promise<Outcome<Listening>> {
+  return ports.wire.serve(at, takeCalls([new PlatformEdge(engines)], ports.log));
+}
