--- a/src/shared/streams.ts
+++ b/src/shared/streams.ts
@@ -141,11 +141,20 @@
     one.hello = h as Hello;
     ex = one;
     ways.onUp?.(one);
+    void beat(one);
     await one.done;
     ex = undefined;
     ways.onDown?.(one);
   }
 
+  async function beat(one: Exchange): Promise<void> {
+    while (!stopped && ex === one) {
+      await ports.clock.sleep(ways.pause * 2 * (0.8 + 0.4 * ports.dice.next()));
+      const [f] = open(await one.ask('ping', {}, ways.within * 1.5));
+      if (f) one.close();
+    }
+  }
+
   function up(): Exchange | undefined {
     return ex;
   }
@@ -176,4 +185,10 @@
     ex.hello = h;
     return Right(this.own);
   }
+
+  /** Shows that this process still takes turns. */
+  @message('ping')
+  async ping(): Handled {
+    return Right(true);
+  }
 }
--- a/tools/engine.ts
+++ b/tools/engine.ts
@@ -25,7 +25,7 @@
 
 /** One thing that an engine really did. */
 export interface LedgerEntry {
-  kind: 'began' | 'ended' | 'broke' | 'order';
+  kind: 'began' | 'ended' | 'broke' | 'turned' | 'order' | 'fenced';
   engine: string;
   at: number;
   request?: string;
@@ -153,10 +153,12 @@
     const q = (await takeJson(call, 1 << 24)) as GenerateAsk | undefined;
     if (!q) return;
     const { ways, ports } = this;
-    if (this.leaving) return giveFault(call, 503, 'refused', 'leaving', 'this engine is leaving');
-    if (q.model !== ways.model || q.weights !== ways.weights) return giveFault(call, 409, 'refused', 'weights', `weights here are ${ways.weights}`);
-    if (this.waiting.length >= ways.queue) return giveFault(call, 429, 'refused', 'busy', 'the queue is full');
-    const began: LedgerEntry = { kind: 'began', engine: ways.id, at: ports.clock.now(), request: q.request, tenant: q.tenant, salt: q.salt, weights: ways.weights, repeatable: q.repeatable, tag: q.parts[q.parts.length - 1]?.hash };
+    const weights = ways.weights;
+    const turned: LedgerEntry = { kind: 'turned', engine: ways.id, at: ports.clock.now(), request: q.request, tenant: q.tenant };
+    if (this.leaving) return this.turn(call, turned, 503, 'leaving', 'this engine is leaving');
+    if (q.model !== ways.model || q.weights !== weights) return this.turn(call, turned, 409, 'weights', `weights here are ${weights}`);
+    if (this.waiting.length >= ways.queue) return this.turn(call, turned, 429, 'busy', 'the queue is full');
+    const began: LedgerEntry = { kind: 'began', engine: ways.id, at: ports.clock.now(), request: q.request, tenant: q.tenant, salt: q.salt, weights, repeatable: q.repeatable, tag: q.parts[q.parts.length - 1]?.hash };
     ways.ledger(began);
     let unread = 0;
     for (const p of q.parts) unread += p.size;
@@ -165,7 +167,7 @@
     const fetched = q.fetch && !call.gone.aborted ? await this.fetch(q) : undefined;
     const reused: Kept[] = [];
     for (const p of q.parts) {
-      const k = this.cache.get(this.keyOf(q.salt, ways.weights, p.hash));
+      const k = this.cache.get(this.keyOf(q.salt, weights, p.hash));
       if (!k) break;
       reused.push(k);
     }
@@ -179,7 +181,7 @@
     let parent = reused.length > 0 ? reused[reused.length - 1].hash : ways.model;
     for (const k of reused) this.keep(k);
     for (const p of read) {
-      this.keep({ ...p, salt: q.salt, weights: ways.weights, parent, madeBy: q.tenant });
+      this.keep({ ...p, salt: q.salt, weights, parent, madeBy: q.tenant });
       parent = p.hash;
     }
     this.flush();
@@ -187,9 +189,14 @@
     this.free();
   }
 
+  private turn(call: Call, entry: LedgerEntry, status: number, code: string, why: string): void {
+    this.ways.ledger(entry);
+    giveFault(call, status, 'refused', code, why);
+  }
+
   private async decode(call: Call, q: GenerateAsk, reused: Kept[], told: { read: number; prefillMs: number; fetched?: { tokens: number; ms: number } }): Promise<void> {
     const { ways, ports } = this;
-    const entry: LedgerEntry = { kind: 'ended', engine: ways.id, at: 0, request: q.request, tenant: q.tenant, salt: q.salt, weights: ways.weights, reused: { tokens: 0, madeBy: [], madeWeights: [], madeSalts: [] } };
+    const entry: LedgerEntry = { kind: 'ended', engine: ways.id, at: 0, request: q.request, tenant: q.tenant, salt: q.salt, weights: q.weights, reused: { tokens: 0, madeBy: [], madeWeights: [], madeSalts: [] } };
     for (const k of reused) {
       entry.reused!.tokens += k.size;
       entry.reused!.madeBy.push(k.madeBy);
@@ -286,6 +293,7 @@
   async order(call: Call): Promise<void> {
     const o = (await takeJson(call, 4096)) as EngineOrder | undefined;
     if (!o) return;
+    if (compareEpochs(o, this.fence) < 0) this.ways.ledger({ kind: 'fenced', engine: this.ways.id, at: this.ports.clock.now(), order: o });
     if (compareEpochs(o, this.fence) < 0) return giveFault(call, 409, 'refused', 'fenced', 'an order of a higher fence came first');
     this.fence = { epoch: o.epoch, by: o.by };
     this.ways.ledger({ kind: 'order', engine: this.ways.id, at: this.ports.clock.now(), order: o });
--- a/tools/ledger.ts
+++ b/tools/ledger.ts
@@ -17,15 +17,10 @@
 export function judge(ledger: readonly LedgerEntry[], report: Report, walled: ReadonlySet<string>): Verdict {
   const began = new Map<string, LedgerEntry[]>();
   const v: Verdict = { runs: 0, twice: [], refusedButRan: [], crossedWalls: [], crossedWeights: [], unfenced: [], wrongPieces: report.wrong.slice(0, 20), legsPerRequest: 0 };
-  const fences = new Map<string, { epoch: number; by: string; weights: string }>();
   for (const e of ledger) {
     if (e.kind === 'began' && e.tag) began.set(e.tag, [...(began.get(e.tag) ?? []), e]);
     if (e.kind === 'began') v.runs++;
-    if (e.kind === 'order' && e.order) {
-      const f = fences.get(e.engine);
-      if (f && f.epoch === e.order.epoch && f.by === e.order.by && f.weights !== e.order.weights && f.epoch === 0) v.unfenced.push(`${e.engine} ${JSON.stringify(e.order)}`);
-      fences.set(e.engine, e.order);
-    }
+    if (e.kind === 'fenced') v.unfenced.push(`${e.engine} ${JSON.stringify(e.order)} after a higher fence`);
     if (e.kind !== 'ended') continue;
     for (const m of e.reused?.madeBy ?? []) if (m !== e.tenant && (walled.has(m) || walled.has(e.tenant!))) v.crossedWalls.push(`${e.engine} ${e.request}: ${e.tenant} used a part made by ${m}`);
     for (const w of e.reused?.madeWeights ?? []) if (w !== e.weights) v.crossedWeights.push(`${e.engine} ${e.request}: ${e.weights} used a part of ${w}`);
--- a/tools/platform.ts
+++ b/tools/platform.ts
@@ -5,10 +5,11 @@
 
 /** The stand-in platform's list, which a test or the runner changes. */
 class PlatformEdge {
-  constructor(readonly engines: Engine[]) {}
+  constructor(readonly engines: Engine[], private readonly served: (peer: string) => void) {}
 
   @handles('GET', '/api/engines')
   async list(call: Call): Promise<void> {
+    this.served(call.peer);
     giveJson(call, 200, { engines: this.engines });
   }
 
@@ -21,7 +22,9 @@
   }
 }
 
+function nothing(): void {}
+
 /** Starts a stand-in platform. */
-export function startPlatform(ports: Ports, at: string, engines: Engine[]): Promise<Outcome<Listening>> {
-  return ports.wire.serve(at, takeCalls([new PlatformEdge(engines)], ports.log));
+export function startPlatform(ports: Ports, at: string, engines: Engine[], served: (peer: string) => void = nothing): Promise<Outcome<Listening>> {
+  return ports.wire.serve(at, takeCalls([new PlatformEdge(engines, served)], ports.log));
 }
--- /dev/null
+++ b/tools/sim.ts
@@ -0,0 +1,137 @@
+import { Command } from 'commander';
+import { fork } from 'node:child_process';
+import { cpus } from 'node:os';
+import { DEPLOYMENTS } from './deploy';
+import { Fault } from './simfaults';
+import { RunResult, runSeed } from './simrun';
+
+/** A run in short, as a worker tells it. */
+interface Short {
+  seed: number;
+  violations: string[];
+  hash: string;
+  asked: number;
+  whole: number;
+  refused: number;
+  unknown: number;
+  incomplete: number;
+  acks: number;
+  pending: number;
+  backMs: number;
+  lateShare: number;
+  secondTryShare: number;
+  effectMs: number[];
+}
+
+function shorten(r: RunResult): Short {
+  const { report: p, ops } = r;
+  return {
+    seed: r.seed, violations: r.violations, hash: r.hash, asked: p.asked, whole: p.whole, refused: p.refused, unknown: p.unknown, incomplete: p.incomplete, acks: ops.acks,
+    pending: ops.pending, backMs: r.backMs, lateShare: r.lateShare, secondTryShare: r.secondTryShare, effectMs: ops.effectMs,
+  };
+}
+
+/** Leaves out what a failing seed does not need, one fault at a time. */
+async function shrink(seed: number, deployment: string, schedule: Fault[]): Promise<Fault[]> {
+  let best = schedule;
+  for (let i = 0; i < best.length; ) {
+    const less = [...best.slice(0, i), ...best.slice(i + 1)];
+    const r = await runSeed(seed, { deployment, faults: 0, schedule: less });
+    if (r.violations.length > 0) best = less;
+    else i++;
+  }
+  return best;
+}
+
+async function worker(): Promise<void> {
+  const [, , , deployment, faults, ...seeds] = process.argv;
+  for (const s of seeds) {
+    const r = await runSeed(Number(s), { deployment, faults: Number(faults) });
+    process.send!(shorten(r));
+  }
+  process.exit(0);
+}
+
+function spread(list: number[]): string {
+  function up(a: number, b: number): number {
+    return a - b;
+  }
+  const s = list.filter(Number.isFinite).sort(up);
+  if (s.length === 0) return 'none';
+  return `median ${Math.round(s[s.length >> 1])}, 90 % ${Math.round(s[Math.floor(s.length * 0.9)])}, most ${Math.round(s[s.length - 1])}`;
+}
+
+function sayAll(all: Short[], deployment: string): void {
+  let asked = 0;
+  let whole = 0;
+  let refused = 0;
+  let unknown = 0;
+  let acks = 0;
+  let pending = 0;
+  const effect: number[] = [];
+  const back: number[] = [];
+  const second: number[] = [];
+  let bad = 0;
+  for (const r of all) {
+    asked += r.asked;
+    whole += r.whole;
+    refused += r.refused;
+    unknown += r.unknown + r.incomplete;
+    acks += r.acks;
+    pending += r.pending;
+    effect.push(...r.effectMs);
+    back.push(r.backMs);
+    second.push(r.secondTryShare * 1000);
+    if (r.violations.length > 0) bad++;
+  }
+  process.stdout.write(`${deployment}: ${all.length} seeds, ${bad} with violations; ${asked} asked, ${whole} whole, ${refused} refused, ${unknown} unknown or incomplete; ${acks} changes acknowledged, ${pending} pending\n`);
+  process.stdout.write(`acknowledged after ms: ${spread(effect)}; served again after ms: ${spread(back)}; second tries in thousandths: ${spread(second)}\n`);
+}
+
+async function one(seed: number, deployment: string, faults: number, verbose: boolean): Promise<void> {
+  const r = await runSeed(seed, { deployment, faults, keepLines: verbose });
+  if (verbose) process.stdout.write(r.lines.join('\n') + '\n');
+  process.stdout.write(JSON.stringify(shorten(r), null, 2) + '\n');
+  if (r.violations.length > 0) process.stdout.write(`shortest known schedule:\n${JSON.stringify(await shrink(seed, deployment, r.schedule), null, 1)}\n`);
+  process.exit(r.violations.length > 0 ? 1 : 0);
+}
+
+async function main(): Promise<void> {
+  const cmd = new Command('sim').option('--seeds <n>', 'how many seeds', '20').option('--from <n>', 'the first seed', '1').option('--seed <n>', 'one seed only').option('--faults <n>', 'faults in each run', '6')
+    .option('--deployment <name>', DEPLOYMENTS.join(' or '), 'saffron-bay').option('--trace', 'with --seed: print the trace').parse();
+  const o = cmd.opts() as { seeds: string; from: string; seed?: string; faults: string; deployment: string; trace?: boolean };
+  if (!DEPLOYMENTS.includes(o.deployment)) {
+    process.stderr.write(`sim: there is no ${o.deployment}\n`);
+    return process.exit(2);
+  }
+  if (o.seed !== undefined) return one(Number(o.seed), o.deployment, Number(o.faults), o.trace === true);
+  const n = Math.max(1, cpus().length - 1);
+  const piles: string[][] = [];
+  for (let i = 0; i < n; i++) piles.push([]);
+  for (let i = 0; i < Number(o.seeds); i++) piles[i % n].push(String(Number(o.from) + i));
+  const all: Short[] = [];
+  function runPile(pile: string[]): Promise<void> {
+    function wait(done: () => void): void {
+      const child = fork(__filename, ['worker', o.deployment, o.faults, ...pile]);
+      function told(m: unknown): void {
+        const r = m as Short;
+        all.push(r);
+        if (r.violations.length > 0) process.stdout.write(`seed ${r.seed}: ${r.violations.slice(0, 3).join('\n  ')}\n`);
+      }
+      child.on('message', told);
+      child.on('exit', done);
+    }
+    return new Promise(wait);
+  }
+  function some(p: string[]): boolean {
+    return p.length > 0;
+  }
+  await Promise.all(piles.filter(some).map(runPile));
+  sayAll(all, o.deployment);
+  function bad(r: Short): boolean {
+    return r.violations.length > 0;
+  }
+  process.exit(all.some(bad) || all.length < Number(o.seeds) ? 1 : 0);
+}
+
+if (require.main === module) void (process.argv[2] === 'worker' ? worker() : main());
--- /dev/null
+++ b/tools/simfaults.ts
@@ -0,0 +1,203 @@
+import { Dice } from '../src/shared/ports';
+import { SimFleet } from './simfleet';
+import { Proc } from './simworld';
+
+/** One fault of a schedule. */
+export interface Fault {
+  at: number;
+  kind: string;
+  who: string;
+  other: string;
+  ms: number;
+}
+
+/** The faults that the simulator produces. */
+export const SIM_FAULTS = [
+  'kill', 'power', 'kill-edge', 'kill-core', 'kill-ours', 'power-core', 'freeze', 'cut', 'cut-one-way', 'cut-off', 'split-core', 'core-from-edge',
+  'slow-link', 'disk-slow', 'disk-full', 'disk-stall', 'wipe', 'leave', 'engine-crash', 'engine-vanish', 'engine-freeze', 'store-empty', 'index-all', 'release',
+] as const;
+
+/** Draws a schedule of faults. */
+export function drawFaults(f: SimFleet, dice: Dice, from: number, to: number, count: number): Fault[] {
+  const out: Fault[] = [];
+  const ours = [...f.core, ...f.edge, ...f.core.map(indexOf)];
+  function any<T>(list: readonly T[]): T {
+    return list[Math.floor(dice.next() * list.length)];
+  }
+  for (let i = 0; i < count; i++) {
+    const kind = any(SIM_FAULTS);
+    const engine = any(f.d.engines).id;
+    let who = any(ours);
+    let other = any([...ours, engine]);
+    if (kind.startsWith('disk') || kind === 'wipe') who = any(f.core);
+    if (kind.startsWith('engine') || kind === 'leave' || kind === 'release') who = engine;
+    if (kind === 'slow-link') other = engine;
+    if (other === who) other = 'platform';
+    out.push({ at: Math.round(from + dice.next() * (to - from)), kind, who, other, ms: Math.round(300 + dice.next() * dice.next() * 7000) });
+  }
+  function byAt(a: Fault, b: Fault): number {
+    return a.at - b.at;
+  }
+  return out.sort(byAt);
+}
+
+function indexOf(core: string): string {
+  return `index-${core}`;
+}
+
+/** Brings a fault about in the simulated fleet, and ends it after its time. */
+export function injectSim(f: SimFleet, x: Fault): void {
+  const { w } = f;
+  function proc(name: string): Proc {
+    function named(p: Proc): boolean {
+      return p.name === name;
+    }
+    return w.procs().find(named)!;
+  }
+  w.trace(`fault ${x.kind} ${x.who} ${x.other} ${x.ms}`);
+  const indexes = f.core.map(indexOf);
+
+  function note(names: readonly string[]): void {
+    for (const n of names) proc(n).disturbedAt = w.now() + x.ms;
+  }
+
+  function down(names: readonly string[], power: boolean, wipe = false): void {
+    note(names);
+    for (const n of names) {
+      const p = proc(n);
+      if (!p.alive) continue;
+      w.kill(p, power);
+      if (wipe) p.files.clear();
+      function back(): void {
+        if (p.alive) return;
+        w.revive(p);
+        f.starts.get(n)?.();
+      }
+      w.after(x.ms + w.dice.next() * 200, back);
+    }
+  }
+
+  function cutAll(a: readonly string[], b: readonly string[], oneWay = false): void {
+    note([...a, ...b]);
+    const pairs: [string, string][] = [];
+    for (const m of a) for (const n of b) if (m !== n) pairs.push([proc(m).ip, proc(n).ip]);
+    for (const [m, n] of pairs) {
+      w.cut(m, n, true);
+      if (!oneWay) w.cut(n, m, true);
+    }
+    function heal(): void {
+      for (const [m, n] of pairs) {
+        w.cut(m, n, false);
+        w.cut(n, m, false);
+      }
+    }
+    w.after(x.ms, heal);
+  }
+
+  function everyone(): string[] {
+    const out: string[] = [];
+    for (const p of w.procs()) if (p.name !== x.who && p.name !== 'ops' && p.name !== 'callers') out.push(p.name);
+    return out;
+  }
+
+  function withIndex(core: string): string[] {
+    return [core, indexOf(core)];
+  }
+
+  function diskFault(set: (p: Proc, on: boolean) => void): void {
+    note([x.who]);
+    const p = proc(x.who);
+    set(p, true);
+    function over(): void {
+      set(p, false);
+    }
+    w.after(x.ms, over);
+  }
+
+  function mark(leaving: boolean): void {
+    for (const e of f.engines) if (e.id === x.who) e.leaving = leaving;
+  }
+
+  switch (x.kind) {
+    case 'kill': return down([x.who], false);
+    case 'power': return down([x.who], true);
+    case 'kill-edge': return down(f.edge, false);
+    case 'kill-core': return down([...f.core, ...indexes], false);
+    case 'power-core': return down([...f.core, ...indexes], true);
+    case 'kill-ours': return down([...f.core, ...f.edge, ...indexes], w.dice.next() < 0.5);
+    case 'wipe': return down([x.who], true, true);
+    case 'index-all': return down(indexes, false);
+    case 'engine-crash': case 'store-empty': return down([x.kind === 'store-empty' ? 'store-1' : x.who], false);
+    case 'engine-vanish': return down([x.who], true);
+    case 'freeze': case 'engine-freeze': {
+      note([x.who]);
+      const p = proc(x.who);
+      if (!p.alive || p.frozen) return;
+      w.freeze(p);
+      function thaw(): void {
+        if (p.frozen) w.wake(p);
+      }
+      w.after(x.ms, thaw);
+      return;
+    }
+    case 'cut': return cutAll([x.who], [x.other]);
+    case 'cut-one-way': return cutAll([x.who], [x.other], true);
+    case 'cut-off': return cutAll([x.who], everyone());
+    case 'split-core': return cutAll(withIndex(f.core[0]), [...withIndex(f.core[1]), ...withIndex(f.core[2])]);
+    case 'core-from-edge': return cutAll([...f.core, ...indexes], f.edge);
+    case 'slow-link': {
+      const [a, b] = [proc(x.who).ip, proc(x.other).ip];
+      w.slow(a, b, 60);
+      w.slow(b, a, 60);
+      return;
+    }
+    case 'disk-slow': return diskFault(slowDisk);
+    case 'disk-full': return diskFault(fullDisk);
+    case 'disk-stall': return diskFault(w.stall);
+    case 'leave': {
+      mark(true);
+      function returned(): void {
+        mark(false);
+      }
+      w.after(x.ms + 6000, returned);
+      return;
+    }
+    case 'release': {
+      mark(true);
+      function swap(): void {
+        down([x.who], true);
+        function listedAgain(): void {
+          mark(false);
+        }
+        w.after(x.ms + 500, listedAgain);
+      }
+      w.after(4000, swap);
+      return;
+    }
+  }
+}
+
+function slowDisk(p: Proc, on: boolean): void {
+  p.disk.slow = on ? 80 : 1;
+}
+
+function fullDisk(p: Proc, on: boolean): void {
+  p.disk.full = on;
+}
+
+/** Ends every fault that still lasts. */
+export function healAll(f: SimFleet): void {
+  const { w } = f;
+  w.trace('all faults end');
+  w.healLinks();
+  for (const e of f.engines) e.leaving = false;
+  for (const p of w.procs()) {
+    p.disk.slow = 1;
+    p.disk.full = false;
+    w.stall(p, false);
+    if (p.frozen) w.wake(p);
+    if (p.alive) continue;
+    w.revive(p);
+    f.starts.get(p.name)?.();
+  }
+}
--- /dev/null
+++ b/tools/simfleet.ts
@@ -0,0 +1,193 @@
+import { Controller, startController } from '../src/control/controller';
+import { serveOperators } from '../src/control/api';
+import { startDuties } from '../src/control/duties';
+import { startRouter } from '../src/data/router';
+import { serveIndex } from '../src/index/api';
+import { startIndexer } from '../src/index/indexer';
+import { askJson } from '../src/shared/lib';
+import { open, Outcome } from '../src/shared/errors';
+import { Ports } from '../src/shared/ports';
+import { Startup } from '../src/shared/startup';
+import { Engine, Intents } from '../src/shared/words';
+import { Deployment, listed, makeDeployment } from './deploy';
+import { EngineWays, LedgerEntry, startEngine } from './engine';
+import { startPlatform } from './platform';
+import { makeNet, SimNet } from './simwire';
+import { makeWorld, Proc, World } from './simworld';
+
+/** An engine that the platform lists as leaving, and when the core knew. */
+export interface Mark {
+  engine: string;
+  knownAt?: number;
+  until: number;
+}
+
+/** A fleet in a simulated world, running the real libraries. */
+export interface SimFleet {
+  w: World;
+  net: SimNet;
+  d: Deployment;
+  ledger: LedgerEntry[];
+  engines: Engine[];
+  controllers: Map<string, Controller>;
+  starts: Map<string, () => void>;
+  core: string[];
+  edge: string[];
+  ops: Ports;
+  callers: Ports;
+  marks: Mark[];
+  startAll(): void;
+  startup(name: string, wire: string, http: string, zone: string): Startup;
+}
+
+/** Makes the intents of a simulated run: the deployment's, and the prober's. */
+export function simIntents(d: Deployment, probeService: string, extraRules: number, walled: readonly string[]): Intents {
+  const base = d.intents;
+  const services = [...base.services];
+  for (const n of [3, 5]) services.push({ id: `probe-${n}`, tenant: 'probe', model: d.model, urgency: 'high', mayRepeat: true, deadlineMs: 8000, maxTokens: n, secondTries: 0.15 });
+  const rules = [...base.rules, { tenant: 'probe', label: 'probe', service: probeService }];
+  for (let i = 0; i < extraRules; i++) rules.push({ tenant: 'probe', label: `extra-${i}`, service: 'probe-3' });
+  function wall(t: Intents['tenants'][number]): Intents['tenants'][number] {
+    return walled.includes(t.id) ? { id: t.id, sharing: 'walled' } : t;
+  }
+  return { ...base, tenants: [...base.tenants.map(wall), { id: 'probe', sharing: 'walled' }], services, rules };
+}
+
+/** Builds the fleet: three core machines, some edges and engines of the deployment. */
+export function makeSimFleet(seed: number, name: string, edges: number, engineCount: number, keepLines: boolean): SimFleet {
+  const w = makeWorld(seed, keepLines);
+  const net = makeNet(w);
+  const full = makeDeployment(name)!;
+  const d: Deployment = { ...full, edge: full.edge.slice(0, edges), engines: full.engines.slice(0, engineCount) };
+  const ledger: LedgerEntry[] = [];
+  const engines = d.engines.map(listed);
+  const controllers = new Map<string, Controller>();
+  const starts = new Map<string, () => void>();
+  const seeds = d.core.map(wireOf);
+
+  function wireOf(c: { wire: string }): string {
+    return c.wire;
+  }
+
+  function startup(n: string, wire: string, http: string, zone: string): Startup {
+    return {
+      name: n, zone, wire, http, seeds, founders: seeds, data: n, platform: d.platform, changeBoundMs: 2000, leavingBoundMs: 3000, weightsBoundMs: d.weightsBoundMs,
+      secondTryShare: 0.18, onceKeepMs: 600000, indexMostParts: 100000, bodyMostBytes: 1 << 22,
+    };
+  }
+
+  function ipOf(at: string): string {
+    return at.slice(0, at.lastIndexOf(':'));
+  }
+
+  function add(n: string, ip: string, start: (p: Proc, ports: Ports) => Promise<unknown>): void {
+    const p = w.procs().find(named) ?? w.proc(n, ip);
+    function named(x: Proc): boolean {
+      return x.name === n;
+    }
+    function go(): void {
+      void start(p, net.ports(p));
+    }
+    starts.set(n, go);
+  }
+
+  for (const c of d.core) {
+    add(c.name, ipOf(c.wire), startCore);
+    async function startCore(_: Proc, ports: Ports): Promise<void> {
+      const [f, ctl] = open(await startController(ports, startup(c.name, c.wire, c.http, c.zone)));
+      if (f) return w.trace(`${c.name} did not start: ${f.why}`);
+      controllers.set(c.name, ctl);
+      await serveOperators(ctl, ports);
+      startDuties(ctl, ports);
+    }
+    const ixIp = ipOf(c.wire).replace('.1.', '.5.');
+    add(`index-${c.name}`, ixIp, startIx);
+    async function startIx(_: Proc, ports: Ports): Promise<void> {
+      const [f, ix] = open(await startIndexer(ports, startup(`index-${c.name}`, `${ixIp}:7001`, `${ixIp}:8001`, c.zone)));
+      if (!f) await serveIndex(ix, ports);
+    }
+  }
+  for (const e of d.edge) {
+    add(e.name, ipOf(e.wire), startEdge);
+    async function startEdge(_: Proc, ports: Ports): Promise<void> {
+      await startRouter(ports, startup(e.name, e.wire, e.http, e.zone));
+    }
+  }
+  function note(e: LedgerEntry): void {
+    ledger.push(e);
+    w.trace(`${e.engine} ${e.kind} ${e.request ?? ''} ${e.weights ?? ''}`);
+  }
+  for (const e of [...d.engines, d.store]) {
+    add(e.id, ipOf(e.at), startOne);
+    async function startOne(_: Proc, ports: Ports): Promise<void> {
+      const ways: EngineWays = { ...e, ledger: note };
+      await startEngine(ports, ways);
+    }
+  }
+  add('platform', ipOf(d.platform), startList);
+  async function startList(_: Proc, ports: Ports): Promise<Outcome<unknown>> {
+    return startPlatform(ports, d.platform, engines, served);
+  }
+  const marks: Mark[] = [];
+  function served(peer: string): void {
+    const p = w.procAt(peer)!;
+    const { life } = p;
+    const open = marks.filter(unknown);
+    for (const e of engines) if (e.leaving && !marks.some(of(e.id))) open.push(push({ engine: e.id, until: Infinity }));
+    for (const m of marks) if (m.until === Infinity && !engines.some(leaves(m.engine))) m.until = w.now();
+    const at = w.now();
+    w.after(1000, judge);
+    function judge(): void {
+      if (p.life !== life || !p.alive || p.frozen || (p.disturbedAt ?? -1) >= at) return;
+      for (const m of open) if (m.knownAt === undefined) m.knownAt = at;
+    }
+  }
+  function unknown(m: Mark): boolean {
+    return m.knownAt === undefined && m.until === Infinity;
+  }
+  function of(id: string): (m: Mark) => boolean {
+    function test(m: Mark): boolean {
+      return m.engine === id && m.until === Infinity;
+    }
+    return test;
+  }
+  function leaves(id: string): (e: Engine) => boolean {
+    function test(e: Engine): boolean {
+      return e.id === id && e.leaving;
+    }
+    return test;
+  }
+  function push(m: Mark): Mark {
+    marks.push(m);
+    return m;
+  }
+
+  const ops = net.ports(w.proc('ops', '127.10.9.1'));
+  const callers = net.ports(w.proc('callers', '127.10.9.2'));
+
+  function startAll(): void {
+    for (const go of starts.values()) go();
+  }
+
+  return { w, net, d, ledger, engines, controllers, starts, core: d.core.map(nameOf), edge: d.edge.map(nameOf), ops, callers, startAll, startup, marks };
+}
+
+function nameOf(x: { name: string }): string {
+  return x.name;
+}
+
+/** Asks the controllers in turn, as the operators' command line does. */
+export async function askCore(f: SimFleet, method: string, path: string, body?: unknown, first = 0): Promise<{ status: number; body: Record<string, unknown> } | { status: 0; sure: boolean }> {
+  const n = f.d.core.length;
+  let sure = true;
+  for (let i = 0; i < n; i++) {
+    const at = f.d.core[(first + i) % n].http;
+    const [g, r] = open(await askJson(f.ops.wire, { at, method, path, body: body === undefined ? undefined : JSON.stringify(body), within: 6000 }));
+    if (!g) return { status: r.status, body: r.body as Record<string, unknown> };
+    if (g.sort !== 'refused') {
+      sure = false;
+      if (method !== 'GET') break;
+    }
+  }
+  return { status: 0, sure };
+}
--- /dev/null
+++ b/tools/simrun.ts
@@ -0,0 +1,190 @@
+import { Report, runCallers, Seen } from './callers';
+import { judge, Verdict } from './ledger';
+import { seededDice } from './dice';
+import { askCore, makeSimFleet, SimFleet, simIntents } from './simfleet';
+import { drawFaults, Fault, healAll, injectSim } from './simfaults';
+import { applyRule, checkKept, makeOpsLog, nameWeights, OpsLog, probe, race, turnKey, wallOff } from './simops';
+
+/** How a run is made. */
+export interface RunWays {
+  deployment: string;
+  faults: number;
+  schedule?: Fault[];
+  keepLines?: boolean;
+}
+
+/** What came of a run. */
+export interface RunResult {
+  seed: number;
+  violations: string[];
+  schedule: Fault[];
+  hash: string;
+  report: Report;
+  verdict: Verdict;
+  ops: OpsLog;
+  lateShare: number;
+  backMs: number;
+  secondTryShare: number;
+  reuse: number;
+  lines: string[];
+}
+
+const FAULTS_FROM = 9000;
+const FAULTS_TO = 30000;
+const HEAL = 36000;
+const LATE_FROM = 44000;
+const END = 52000;
+
+/** Runs one seed and judges it by the ledgers. */
+export async function runSeed(seed: number, ways: RunWays): Promise<RunResult> {
+  const f = makeSimFleet(seed, ways.deployment, 4, 4, ways.keepLines === true);
+  const { w } = f;
+  const ops = makeOpsLog();
+  const keys: Record<string, string> = {};
+  const keyIds = new Map<string, string>();
+  const seen: Seen[] = [];
+  let report: Report | undefined;
+  const lossy = Math.floor(w.dice.next() * f.d.engines.length);
+  f.d.engines[lossy].loseEvents = 0.05;
+  const schedule = ways.schedule ?? drawFaults(f, seededDice(seed + 77777), FAULTS_FROM, FAULTS_TO, ways.faults);
+  f.startAll();
+  void operate();
+  for (const x of schedule) w.after(x.at, inject(x));
+  w.after(HEAL, heal);
+  await w.run(END + 12000);
+
+  function inject(x: Fault): () => void {
+    function go(): void {
+      injectSim(f, x);
+    }
+    return go;
+  }
+
+  function heal(): void {
+    healAll(f);
+  }
+
+  async function configure(): Promise<boolean> {
+    const r = await askCore(f, 'PUT', '/v1/intents', { basedOn: 0, intents: simIntents(f.d, 'probe-3', 0, []) });
+    if (r.status !== 200) return false;
+    ops.lastAcked = { revision: 1, service: 'probe-3' };
+    for (const t of f.d.intents.tenants) {
+      const k = await askCore(f, 'POST', `/v1/keys/${t.id}`, {});
+      if (k.status !== 200) return false;
+      keys[t.id] = String((k as { body: Record<string, unknown> }).body.key);
+    }
+    return true;
+  }
+
+  async function operate(): Promise<void> {
+    const { clock, dice } = f.ops;
+    await clock.sleep(2500);
+    while (!(await configure())) await clock.sleep(300);
+    await turnKey(f, ops, keyIds);
+    void call();
+    void probes();
+    let weights = 1;
+    while (w.now() < HEAL - 1000) {
+      await clock.sleep(500 + dice.next() * 2500);
+      const roll = dice.next();
+      if (roll < 0.4) await applyRule(f, ops, ops.lastAcked.service === 'probe-3' ? 'probe-5' : 'probe-3', Math.floor(dice.next() * 40), Math.floor(dice.next() * 3));
+      else if (roll < 0.55) await race(f, ops);
+      else if (roll < 0.8) await turnKey(f, ops, keyIds);
+      else if (roll < 0.9 && weights < 4) await nameWeights(f, ops, `w${++weights}`);
+      else if (ops.walls.size < 2) await wallOff(f, ops, `tenant-${6 + ops.walls.size}`);
+    }
+    await clock.sleep(END - w.now());
+    await checkKept(f, ops);
+  }
+
+  async function call(): Promise<void> {
+    const edges = f.d.edge.map(httpOf);
+    report = await runCallers(f.callers, { intents: f.d.intents, keys, edges, shortPerS: 12, longPerS: 1.5, forMs: END - w.now(), retries: 3 }, note);
+    function note(s: Seen): void {
+      seen.push(s);
+    }
+  }
+
+  async function probes(): Promise<void> {
+    while (w.now() < END) {
+      await f.callers.clock.sleep(120);
+      const old = ops.droppedKeys[Math.floor(f.callers.dice.next() * ops.droppedKeys.length)];
+      if (old !== undefined && f.callers.dice.next() < 0.4) void probe(f, ops, old, true);
+      else if (ops.liveKey) void probe(f, ops, ops.liveKey, false);
+    }
+  }
+
+  return judgeRun(f, seed, report, seen, ops, schedule);
+}
+
+function httpOf(x: { http: string }): string {
+  return x.http;
+}
+
+function judgeRun(f: SimFleet, seed: number, report: Report | undefined, seen: Seen[], ops: OpsLog, schedule: Fault[]): RunResult {
+  const violations = [...ops.violations];
+  const walled = new Set<string>();
+  for (const t of f.d.intents.tenants) if (t.sharing === 'walled') walled.add(t.id);
+  const r = report ?? { asked: 0, whole: 0, refused: 0, unknown: 0, incomplete: 0, failed: 0, wrong: [], callerRetries: 0, firstMs: { short: { p50: 0, p99: 0 }, long: { p50: 0, p99: 0 } }, seen };
+  if (!report) violations.push('callers never finished: the fleet was not configured or a caller hangs');
+  const v = judge(f.ledger, r, walled);
+  for (const [k, list] of Object.entries(v)) if (Array.isArray(list)) for (const x of list) violations.push(`${k}: ${x}`);
+  violations.push(...lateWork(f, ops));
+  const late = { asked: 0, whole: 0 };
+  let firstBack = Infinity;
+  for (const s of r.seen) {
+    const at = s.legs[0]?.at ?? 0;
+    if (s.end === 'whole' && at > HEAL) firstBack = Math.min(firstBack, at);
+    if (at < LATE_FROM) continue;
+    late.asked++;
+    if (s.end === 'whole') late.whole++;
+  }
+  const lateShare = late.asked === 0 ? 0 : late.whole / late.asked;
+  if (lateShare < 0.95) violations.push(`after all is healed only ${late.whole} of ${late.asked} are served`);
+  const second = secondTries(f);
+  if (second.share > 0.2) violations.push(`second tries of a tenant's services are ${second.share.toFixed(3)}`);
+  let reused = 0;
+  for (const e of f.ledger) if (e.kind === 'ended') reused += e.reused?.tokens ?? 0;
+  return { seed, violations, schedule, hash: f.w.traceHash(), report: r, verdict: v, ops, lateShare, backMs: firstBack - HEAL, secondTryShare: second.share, reuse: reused, lines: f.w.lines };
+}
+
+/** Legs beyond the first that reached engines, of the tenant with the largest share. */
+function secondTries(f: SimFleet): { share: number } {
+  const by = new Map<string, { legs: number; runs: Set<string> }>();
+  for (const e of f.ledger) {
+    if (e.kind !== 'began' && e.kind !== 'turned') continue;
+    const b = by.get(e.tenant!) ?? { legs: 0, runs: new Set<string>() };
+    b.legs++;
+    b.runs.add(e.request!);
+    by.set(e.tenant!, b);
+  }
+  let share = 0;
+  for (const b of by.values()) if (b.runs.size >= 20) share = Math.max(share, (b.legs - b.runs.size) / b.runs.size);
+  return { share };
+}
+
+/** Work that engines began although they were known to leave, or under weights that were no longer to serve, or across a new wall. */
+function lateWork(f: SimFleet, ops: OpsLog): string[] {
+  const out: string[] = [];
+  const marks = f.marks;
+  for (const e of f.ledger) {
+    if (e.kind !== 'began') continue;
+    for (const m of marks) if (m.engine === e.engine && m.knownAt !== undefined && e.at > m.knownAt + 3000 && e.at < m.until) out.push(`leaving: ${e.engine} began ${e.request} ${(e.at - m.knownAt).toFixed(0)} ms after it was known to leave`);
+    const allowed = new Set<string>();
+    let last = 0;
+    for (const [i, w] of ops.weights.entries()) if (w.ackAt !== undefined && w.ackAt + f.d.weightsBoundMs < e.at) last = i;
+    for (const w of ops.weights.slice(last)) allowed.add(w.name);
+    if (!allowed.has(e.weights!)) out.push(`weights: ${e.engine} began ${e.request} under ${e.weights} at ${e.at.toFixed(0)}, allowed are ${[...allowed].join(' ')}`);
+  }
+  const began = new Map<string, number>();
+  for (const e of f.ledger) if (e.kind === 'began') began.set(`${e.engine} ${e.request}`, e.at);
+  for (const e of f.ledger) {
+    if (e.kind !== 'ended') continue;
+    const at = began.get(`${e.engine} ${e.request}`) ?? 0;
+    for (const m of e.reused?.madeBy ?? []) {
+      if (m === e.tenant) continue;
+      for (const t of [m, e.tenant!]) if ((ops.walls.get(t) ?? Infinity) < at) out.push(`walls: ${e.engine} ${e.request}: ${e.tenant} used a part made by ${m}, walled at ${ops.walls.get(t)!.toFixed(0)}, began at ${at.toFixed(0)}`);
+    }
+  }
+  return out;
+}
--- /dev/null
+++ b/tools/simwire.ts
@@ -0,0 +1,390 @@
+import { Left, Right } from 'purify-ts';
+import { makeFault, Outcome } from '../src/shared/errors';
+import { makeFeed } from '../src/shared/lib';
+import { Ask, Call, Listening, Message, Ports, Reply, Stream, Wire } from '../src/shared/ports';
+import { Proc, World } from './simworld';
+
+interface Listener {
+  proc: Proc;
+  life: number;
+  takeCall?: (c: Call) => Promise<void>;
+  takeStream?: (s: Stream) => void;
+}
+
+interface Pipe {
+  send(run: () => void): void;
+  broken(): boolean;
+  breakOff(): void;
+}
+
+const GIVE_UP = 8000;
+const LATE = 1000;
+
+/** The simulated network over a world. */
+export interface SimNet {
+  ports(p: Proc): Ports;
+}
+
+/** Makes the network: orderly streams that lose nothing until they break, as TCP's do. */
+export function makeNet(w: World): SimNet {
+  const listeners = new Map<string, Listener>();
+  const pipes = new Set<{ a: Proc; b: Proc; end: (who: Proc) => void }>();
+  const warm = new Set<string>();
+
+  function ipOf(at: string): string {
+    return at.slice(0, at.lastIndexOf(':'));
+  }
+
+  function makePipe(from: Proc, to: Proc, onBreak: () => void): Pipe {
+    const queue: (() => void)[] = [];
+    const life = to.life;
+    let busy = false;
+    let since: number | undefined;
+    let over = false;
+    function breakOff(): void {
+      if (over) return;
+      over = true;
+      queue.length = 0;
+    }
+    function pump(): void {
+      if (over || queue.length === 0) {
+        busy = false;
+        return;
+      }
+      if (w.isCut(from.ip, to.ip) || w.isCut(to.ip, from.ip) || !to.powered) {
+        since = since ?? w.now();
+        if (w.now() - since > GIVE_UP) {
+          breakOff();
+          onBreak();
+          return;
+        }
+        w.after(40, pump);
+        return;
+      }
+      since = undefined;
+      if (!to.alive || to.life !== life) {
+        breakOff();
+        onBreak();
+        return;
+      }
+      const run = queue.shift()!;
+      function go(): void {
+        if (to.alive && to.life === life) run();
+      }
+      w.onProc(to, go);
+      w.after(0, pump);
+    }
+    function send(run: () => void): void {
+      if (over) return;
+      queue.push(run);
+      if (busy) return;
+      busy = true;
+      w.after(w.latency(from.ip, to.ip), pump);
+    }
+    function broken(): boolean {
+      return over;
+    }
+    return { send, broken, breakOff };
+  }
+
+  function makePair(a: Proc, b: Proc): [Stream, Stream] {
+    const ends = new Map<Proc, () => void>();
+    const rec = { a, b, end };
+    pipes.add(rec);
+    const toB = makePipe(a, b, fromA);
+    const toA = makePipe(b, a, fromB);
+    function fromA(): void {
+      end(a);
+      end(b);
+    }
+    function fromB(): void {
+      end(a);
+      end(b);
+    }
+    function end(who: Proc): void {
+      ends.get(who)?.();
+    }
+    function side(me: Proc, out: Pipe, back: Pipe): Stream {
+      const hand = makeFeed<Message>();
+      let over = false;
+      const life = me.life;
+      function wait(done: () => void): void {
+        function ended(): void {
+          if (over) return;
+          over = true;
+          out.breakOff();
+          back.breakOff();
+          pipes.delete(rec);
+          function tell(): void {
+            if (!me.alive || me.life !== life) return;
+            hand.end();
+            done();
+          }
+          w.onProc(me, tell);
+        }
+        ends.set(me, ended);
+      }
+      const done = new Promise<void>(wait);
+      function send(m: Message): boolean {
+        if (over || !me.alive || me.life !== life) return false;
+        const copy = structuredClone(m);
+        function arrive(): void {
+          adds.get(me === a ? b : a)?.(copy);
+        }
+        out.send(arrive);
+        return true;
+      }
+      function close(): void {
+        end(me);
+        w.after(w.latency(a.ip, b.ip), other);
+        function other(): void {
+          if (!w.isCut(a.ip, b.ip) && !w.isCut(b.ip, a.ip)) end(me === a ? b : a);
+          else w.after(GIVE_UP, otherLate);
+        }
+        function otherLate(): void {
+          end(me === a ? b : a);
+        }
+      }
+      adds.set(me, hand.add);
+      return { peer: me === a ? b.ip : a.ip, feed: hand.feed, done, send, close };
+    }
+    const adds = new Map<Proc, (m: Message) => void>();
+    return [side(a, toB, toA), side(b, toA, toB)];
+  }
+
+  w.onDeath(died);
+  function died(p: Proc, power: boolean): void {
+    for (const [at, l] of listeners) if (l.proc === p) listeners.delete(at);
+    if (power) return;
+    for (const r of [...pipes]) {
+      if (r.a !== p && r.b !== p) continue;
+      const other = r.a === p ? r.b : r.a;
+      function reset(): void {
+        if (w.isCut(p.ip, other.ip)) w.after(200, reset);
+        else r.end(other);
+      }
+      w.after(w.latency(p.ip, other.ip), reset);
+    }
+  }
+
+  function reachable(from: Proc, to: Proc | undefined): boolean {
+    return to !== undefined && to.powered && !w.isCut(from.ip, to.ip) && !w.isCut(to.ip, from.ip);
+  }
+
+  function ports(p: Proc): Ports {
+    const clock = w.clock(p);
+    const life = p.life;
+
+    function mine(): boolean {
+      return p.alive && p.life === life;
+    }
+
+    async function listen(at: string, l: Omit<Listener, 'proc' | 'life'>): Promise<Outcome<Listening>> {
+      listeners.set(at, { ...l, proc: p, life });
+      async function close(): Promise<void> {
+        if (listeners.get(at)?.proc === p) listeners.delete(at);
+      }
+      return Right({ at, close });
+    }
+
+    function dial(at: string, within: number): Promise<Outcome<Stream>> {
+      const to = w.procAt(ipOf(at));
+      function wait(done: (o: Outcome<Stream>) => void): void {
+        function finish(o: Outcome<Stream>): void {
+          function tell(): void {
+            if (mine()) done(o);
+          }
+          w.onProc(p, tell);
+        }
+        function late(): void {
+          finish(Left(makeFault('dial', at, 'no stream in time', 'refused', 'timeout')));
+        }
+        function arrive(): void {
+          if (!mine()) return;
+          if (!reachable(p, to)) {
+            w.after(within, late);
+            return;
+          }
+          const l = listeners.get(at);
+          if (!l?.takeStream || !l.proc.alive) return finish(Left(makeFault('dial', at, 'refused', 'refused', 'ECONNREFUSED')));
+          const [a, b] = makePair(p, l.proc);
+          function take(): void {
+            if (l!.proc.alive && l!.proc.life === l!.life) l!.takeStream!(b);
+          }
+          w.onProc(l.proc, take);
+          finish(Right(a));
+        }
+        w.after(w.latency(p.ip, ipOf(at)) * 2, arrive);
+      }
+      return new Promise(wait);
+    }
+
+    function ask(q: Ask): Promise<Outcome<Reply>> {
+      const to = w.procAt(ipOf(q.at));
+      const step = `${q.method} ${q.path}`;
+      function wait(done: (o: Outcome<Reply>) => void): void {
+        const asked = w.now();
+        let headed = false;
+        let over = false;
+        const gone = new AbortController();
+        const got: Outcome<string | undefined>[] = [];
+        let want: ((o: Outcome<string | undefined>) => void) | undefined;
+        let back: Pipe | undefined;
+        const drop = clock.alarm(q.within, late);
+        q.gone?.addEventListener('abort', late, { once: true });
+        function off(): void {
+          drop();
+          q.gone?.removeEventListener('abort', late);
+        }
+        if (q.gone?.aborted) w.after(0, late);
+
+        function cancelFar(): void {
+          if (!to) return;
+          function far(): void {
+            if (to!.alive) w.onProc(to!, abort);
+          }
+          function abort(): void {
+            gone.abort();
+          }
+          w.after(w.latency(p.ip, to.ip) + (reachable(p, to) ? 0 : 1500), far);
+        }
+        function late(): void {
+          fail('unknown', 'timeout');
+          cancelFar();
+        }
+        function settleOne(o: Outcome<string | undefined>): void {
+          if (want) {
+            const k = want;
+            want = undefined;
+            k(o);
+          } else got.push(o);
+        }
+        function fail(sort: 'refused' | 'unknown', code: string): void {
+          if (over) return;
+          over = true;
+          off();
+          function tell(): void {
+            if (!mine()) return;
+            const f = Left(makeFault(step, q.at, code, sort, code));
+            if (!headed) done(f);
+            else settleOne(f);
+          }
+          w.onProc(p, tell);
+        }
+        function next(): Promise<Outcome<string | undefined>> {
+          function pull(k: (o: Outcome<string | undefined>) => void): void {
+            if (got.length > 0) k(got.shift()!);
+            else want = k;
+          }
+          return new Promise(pull);
+        }
+        function cancel(): void {
+          if (over) return;
+          over = true;
+          off();
+          cancelFar();
+        }
+        function broke(): void {
+          fail('unknown', 'reset');
+        }
+        function arrive(): void {
+          if (!mine()) return;
+          if (!reachable(p, to)) {
+            if (warm.has(`${p.ip} ${q.at}`)) {
+              if (w.now() - asked < LATE) w.after(100, arrive);
+              return;
+            }
+            function noConnect(): void {
+              fail('refused', 'UND_ERR_CONNECT_TIMEOUT');
+            }
+            w.after(400, noConnect);
+            return;
+          }
+          if (over) {
+            function closed(): void {
+              gone.abort();
+            }
+            w.after(1, closed);
+          }
+          const l = listeners.get(q.at);
+          if (!l?.takeCall || !l.proc.alive) {
+            warm.delete(`${p.ip} ${q.at}`);
+            return fail('refused', 'ECONNREFUSED');
+          }
+          warm.add(`${p.ip} ${q.at}`);
+          const rec = { a: p, b: l.proc, end: ended };
+          pipes.add(rec);
+          function ended(who: Proc): void {
+            if (who === p) broke();
+            else gone.abort();
+          }
+          back = makePipe(l.proc, p, broke);
+          function takeIt(): void {
+            if (l!.proc.alive && l!.proc.life === l!.life) void l!.takeCall!(makeCall(rec));
+          }
+          w.onProc(l.proc, takeIt);
+        }
+        function makeCall(rec: { a: Proc; b: Proc; end: (who: Proc) => void }): Call {
+          const url = new URL(q.path, 'http://node');
+          let closed = false;
+          async function body(most: number): Promise<Outcome<string>> {
+            const text = q.body ?? '';
+            return text.length > most ? Left(makeFault('read body', p.ip, `over ${most} bytes`, 'refused', 'too-large')) : Right(text);
+          }
+          function head(status: number, headers: Record<string, string>): void {
+            if (closed) return;
+            function arriveHead(): void {
+              if (over || headed) return;
+              headed = true;
+              done(Right({ status, headers, next, cancel }));
+            }
+            back!.send(arriveHead);
+          }
+          async function piece(text: string): Promise<boolean> {
+            if (closed || gone.signal.aborted || back!.broken()) return false;
+            function arrivePiece(): void {
+              if (!over) settleOne(Right(text));
+            }
+            back!.send(arrivePiece);
+            return true;
+          }
+          function end(text?: string): void {
+            if (closed) return;
+            closed = true;
+            function arriveEnd(): void {
+              pipes.delete(rec);
+              if (over) return;
+              over = true;
+              off();
+              if (text) settleOne(Right(text));
+              settleOne(Right(undefined));
+            }
+            back!.send(arriveEnd);
+          }
+          function breakOff(): void {
+            if (closed) return;
+            closed = true;
+            pipes.delete(rec);
+            back!.send(broke);
+          }
+          return { method: q.method, path: url.pathname, query: url.searchParams, headers: { ...q.headers }, peer: p.ip, gone: gone.signal, body, head, piece, end, breakOff };
+        }
+        w.after(w.latency(p.ip, ipOf(q.at)), arrive);
+      }
+      return new Promise(wait);
+    }
+
+    function serve(at: string, takeCall: (c: Call) => Promise<void>): Promise<Outcome<Listening>> {
+      return listen(at, { takeCall });
+    }
+
+    function accept(at: string, takeStream: (s: Stream) => void): Promise<Outcome<Listening>> {
+      return listen(at, { takeStream });
+    }
+
+    const wire: Wire = { serve, ask, accept, dial };
+    return { clock, dice: w.dice, disk: w.disk(p), wire, log: w.log(p) };
+  }
+
+  return { ports };
+}
--- /dev/null
+++ b/tools/simworld.ts
@@ -0,0 +1,326 @@
+import { Left, Right } from 'purify-ts';
+import { makeFault, Outcome } from '../src/shared/errors';
+import { Clock, Dice, Disk, Log, Wire } from '../src/shared/ports';
+import { seededDice } from './dice';
+
+interface Event {
+  at: number;
+  n: number;
+  run: () => void;
+}
+
+/** One simulated process on a machine of its own. */
+export interface Proc {
+  name: string;
+  ip: string;
+  life: number;
+  alive: boolean;
+  powered: boolean;
+  frozen: boolean;
+  held: (() => void)[];
+  disturbedAt?: number;
+  files: Map<string, Uint8Array>;
+  disk: { slow: number; full: boolean; stalled: boolean; waiting: (() => void)[]; inFlight: Set<() => void> };
+}
+
+/** The simulated world: virtual time, machines, links between them. */
+export interface World {
+  dice: Dice;
+  now(): number;
+  after(ms: number, run: () => void): () => void;
+  proc(name: string, ip: string): Proc;
+  procAt(ip: string): Proc | undefined;
+  procs(): Proc[];
+  onProc(p: Proc, run: () => void): void;
+  clock(p: Proc): Clock;
+  disk(p: Proc): Disk;
+  log(p: Proc): Log;
+  kill(p: Proc, power: boolean): void;
+  revive(p: Proc): void;
+  freeze(p: Proc): void;
+  wake(p: Proc): void;
+  stall(p: Proc, on: boolean): void;
+  cut(from: string, to: string, on: boolean): void;
+  isCut(from: string, to: string): boolean;
+  slow(from: string, to: string, times: number): void;
+  latency(from: string, to: string): number;
+  healLinks(): void;
+  onDeath(run: (p: Proc, power: boolean) => void): void;
+  trace(text: string): void;
+  traceHash(): string;
+  lines: string[];
+  run(untilMs: number): Promise<void>;
+}
+
+/** Makes a world from a seed; nothing in it depends on anything else. */
+export function makeWorld(seed: number, keepLines: boolean): World {
+  const dice = seededDice(seed);
+  const heap: Event[] = [];
+  const all = new Map<string, Proc>();
+  const cuts = new Set<string>();
+  const slows = new Map<string, number>();
+  const deaths: ((p: Proc, power: boolean) => void)[] = [];
+  const lines: string[] = [];
+  let time = 0;
+  let count = 0;
+  let hash = 2166136261;
+
+  function less(a: Event, b: Event): boolean {
+    return a.at < b.at || (a.at === b.at && a.n < b.n);
+  }
+
+  function push(e: Event): void {
+    let i = heap.push(e) - 1;
+    while (i > 0) {
+      const up = (i - 1) >> 1;
+      if (!less(heap[i], heap[up])) break;
+      [heap[i], heap[up]] = [heap[up], heap[i]];
+      i = up;
+    }
+  }
+
+  function pop(): Event {
+    const top = heap[0];
+    const last = heap.pop()!;
+    if (heap.length === 0) return top;
+    heap[0] = last;
+    let i = 0;
+    for (;;) {
+      const l = 2 * i + 1;
+      let m = i;
+      if (l < heap.length && less(heap[l], heap[m])) m = l;
+      if (l + 1 < heap.length && less(heap[l + 1], heap[m])) m = l + 1;
+      if (m === i) return top;
+      [heap[i], heap[m]] = [heap[m], heap[i]];
+      i = m;
+    }
+  }
+
+  function now(): number {
+    return time;
+  }
+
+  function nothing(): void {}
+
+  function after(ms: number, run: () => void): () => void {
+    const e: Event = { at: time + Math.max(0, ms), n: ++count, run };
+    push(e);
+    function off(): void {
+      e.run = nothing;
+    }
+    return off;
+  }
+
+  function proc(name: string, ip: string): Proc {
+    const p: Proc = { name, ip, life: 0, alive: true, powered: true, frozen: false, held: [], files: new Map(), disk: { slow: 1, full: false, stalled: false, waiting: [], inFlight: new Set() } };
+    all.set(name, p);
+    return p;
+  }
+
+  function procAt(ip: string): Proc | undefined {
+    for (const p of all.values()) if (p.ip === ip) return p;
+    return undefined;
+  }
+
+  function procs(): Proc[] {
+    return [...all.values()];
+  }
+
+  function onProc(p: Proc, run: () => void): void {
+    if (p.frozen) p.held.push(run);
+    else run();
+  }
+
+  function clock(p: Proc): Clock {
+    const life = p.life;
+    function alarm(ms: number, ring: () => void): () => void {
+      let off = false;
+      const drop = after(ms, go);
+      function go(): void {
+        if (p.life === life && p.alive) onProc(p, go2);
+      }
+      function go2(): void {
+        if (!off && p.life === life && p.alive) ring();
+      }
+      function cancel(): void {
+        off = true;
+        drop();
+      }
+      return cancel;
+    }
+    function sleep(ms: number): Promise<void> {
+      function wait(done: () => void): void {
+        alarm(ms, done);
+      }
+      return new Promise(wait);
+    }
+    function wall(): string {
+      return String(time);
+    }
+    return { now, wall, sleep, alarm };
+  }
+
+  function disk(p: Proc): Disk {
+    const life = p.life;
+    function later(run: () => Outcome<void>, torn: () => void): Promise<Outcome<void>> {
+      function wait(done: (o: Outcome<void>) => void): void {
+        p.disk.inFlight.add(torn);
+        function finish(): void {
+          if (p.life !== life || !p.alive) return;
+          if (p.disk.stalled) {
+            p.disk.waiting.push(finish);
+            return;
+          }
+          p.disk.inFlight.delete(torn);
+          const o = run();
+          function tell(): void {
+            if (p.life === life && p.alive) done(o);
+          }
+          onProc(p, tell);
+        }
+        after((0.5 + dice.next() * 3) * p.disk.slow, finish);
+      }
+      return new Promise(wait);
+    }
+    async function read(name: string): Promise<Outcome<Uint8Array | undefined>> {
+      return Right(p.files.get(name));
+    }
+    function join(a: Uint8Array | undefined, b: Uint8Array): Uint8Array {
+      return Buffer.concat([a ?? new Uint8Array(0), b]);
+    }
+    function cutOf(bytes: Uint8Array): Uint8Array {
+      return bytes.subarray(0, Math.floor(dice.next() * (bytes.length + 1)));
+    }
+    function write(name: string, bytes: Uint8Array): Promise<Outcome<void>> {
+      const copy = Uint8Array.from(bytes);
+      function run(): Outcome<void> {
+        p.files.set(name, p.disk.full ? cutOf(copy) : copy);
+        return p.disk.full ? Left(makeFault('write file', p.name, 'no space', 'failed', 'disk')) : Right(undefined);
+      }
+      function torn(): void {
+        p.files.set(name, cutOf(copy));
+      }
+      return later(run, torn);
+    }
+    function append(name: string, bytes: Uint8Array): Promise<Outcome<void>> {
+      const copy = Uint8Array.from(bytes);
+      function run(): Outcome<void> {
+        p.files.set(name, join(p.files.get(name), p.disk.full ? cutOf(copy) : copy));
+        return p.disk.full ? Left(makeFault('append file', p.name, 'no space', 'failed', 'disk')) : Right(undefined);
+      }
+      function torn(): void {
+        p.files.set(name, join(p.files.get(name), cutOf(copy)));
+      }
+      return later(run, torn);
+    }
+    return { read, write, append };
+  }
+
+  function log(p: Proc): Log {
+    function say(fields: object, text: string): void {
+      trace(`${p.name} ${(fields as { step?: string }).step ?? ''} ${(fields as { peer?: string }).peer ?? ''}: ${text}`);
+    }
+    return { info: nothing, warn: say, error: say };
+  }
+
+  function kill(p: Proc, power: boolean): void {
+    if (!p.alive) return;
+    p.alive = false;
+    p.life++;
+    p.frozen = false;
+    p.held = [];
+    p.powered = !power;
+    for (const torn of p.disk.inFlight) if (dice.next() < 0.7) torn();
+    p.disk.inFlight.clear();
+    p.disk.waiting = [];
+    trace(`${p.name} ${power ? 'loses power' : 'is killed'}`);
+    for (const d of deaths) d(p, power);
+  }
+
+  function revive(p: Proc): void {
+    p.alive = true;
+    p.powered = true;
+    trace(`${p.name} is back`);
+  }
+
+  function freeze(p: Proc): void {
+    p.frozen = true;
+    trace(`${p.name} freezes`);
+  }
+
+  function wake(p: Proc): void {
+    p.frozen = false;
+    trace(`${p.name} wakes`);
+    for (const h of p.held.splice(0)) after(0, h);
+  }
+
+  function stall(p: Proc, on: boolean): void {
+    p.disk.stalled = on;
+    if (!on) for (const w of p.disk.waiting.splice(0)) after(0, w);
+  }
+
+  function cut(from: string, to: string, on: boolean): void {
+    if (on) cuts.add(`${from} ${to}`);
+    else cuts.delete(`${from} ${to}`);
+  }
+
+  function isCut(from: string, to: string): boolean {
+    return cuts.has(`${from} ${to}`);
+  }
+
+  function slow(from: string, to: string, times: number): void {
+    slows.set(`${from} ${to}`, times);
+  }
+
+  function latency(from: string, to: string): number {
+    return (0.3 + dice.next() * 1.2) * (slows.get(`${from} ${to}`) ?? 1);
+  }
+
+  function healLinks(): void {
+    cuts.clear();
+    slows.clear();
+  }
+
+  function onDeath(run: (p: Proc, power: boolean) => void): void {
+    deaths.push(run);
+  }
+
+  function trace(text: string): void {
+    const line = `${time.toFixed(1)} ${text}`;
+    for (let i = 0; i < line.length; i++) hash = Math.imul(hash ^ line.charCodeAt(i), 16777619) >>> 0;
+    if (keepLines) lines.push(line);
+  }
+
+  function traceHash(): string {
+    return `${hash.toString(16)}-${count}`;
+  }
+
+  function settle(): Promise<void> {
+    function wait(done: () => void): void {
+      setImmediate(done);
+    }
+    return new Promise(wait);
+  }
+
+  async function run(untilMs: number): Promise<void> {
+    while (heap.length > 0 && heap[0].at <= untilMs) {
+      const e = pop();
+      time = e.at;
+      if (e.run === nothing) continue;
+      e.run();
+      await settle();
+    }
+    time = untilMs;
+  }
+
+  return { dice, now, after, proc, procAt, procs, onProc, clock, disk, log, kill, revive, freeze, wake, stall, cut, isCut, slow, latency, healLinks, onDeath, trace, traceHash, lines, run };
+}
+
+/** What a simulated process is given to run on. */
+export interface SimPorts {
+  clock: Clock;
+  dice: Dice;
+  disk: Disk;
+  wire: Wire;
+  log: Log;
+}
