Older weights each end by their own time, also when newer ones are named twice

Cause: one time ran for each model, from the last naming. A second naming within the bound gave the weights before the first another whole bound. Ruled out: routers that missed the naming (their places were up to date in the trace), engines that swapped late (engines may; routers must not send). Conclusion: the value lists the older weights that may still serve; each leaves the list by its own time, at the owner, and at every router by its own clock as well.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -37,7 +37,7 @@
   change(op: Operation): Promise<Outcome<Changed>>;
   effect(key: string, p: Place, within: number): Promise<boolean>;
   value<T>(key: string): { place: Numbered; value: T } | undefined;
-  weightsSince(key: string): number | undefined;
+  heardLive(key: string): boolean;
   hasMajority(): boolean;
   askVoter(v: Voter, type: string, body: unknown, within: number): Promise<Outcome<unknown>>;
   peerHello(at: string, type: string): Promise<Outcome<unknown>>;
@@ -110,7 +110,7 @@
   const bounds = boundsOf(startup);
   const hello: Hello = { version: WIRE_VERSION, name: startup.name, role: 'controller', at: startup.wire, zone: startup.zone };
   const helds = new Map<string, Held>();
-  const learnedAt = new Map<string, { at: number; number: number }>();
+  const heard = new Set<string>();
   let stopped = false;
 
   function voters(): Voters | undefined {
@@ -118,7 +118,7 @@
   }
 
   function learned(n: Numbered): void {
-    if (learnedAt.get(n.key)?.number !== n.number) learnedAt.set(n.key, { at: ports.clock.now(), number: n.number });
+    heard.add(n.key);
     claims.push(n);
     if (n.key === KEYS.voters) reachAll();
   }
@@ -249,7 +249,11 @@
     const has = hasList(committed());
     async function from(h: Held): Promise<void> {
       const [g, list] = open((await h.up()?.ask('missing', has, bounds.ask)) ?? Left(noStream('missing', h.at)));
-      if (!g) for (const n of list as Numbered[]) await acceptor.learn({ change: n });
+      if (g) return;
+      for (const n of list as Numbered[]) {
+        await acceptor.learn({ change: n });
+        heard.delete(n.key);
+      }
     }
     await Promise.all([...helds.values()].map(from));
   }
@@ -284,8 +288,8 @@
     return n && { place: n, value: n.value as T };
   }
 
-  function weightsSince(key: string): number | undefined {
-    return learnedAt.get(key)?.at;
+  function heardLive(key: string): boolean {
+    return heard.has(key);
   }
 
   function hasMajority(): boolean {
@@ -309,7 +313,7 @@
   void tend();
   return Right({
     name: startup.name, startup, bounds, slots, claims, votes, owner, edges, voters, live, picked, change, effect, value,
-    weightsSince, hasMajority, askVoter, peerHello, stop, stopped: isStopped,
+    heardLive, hasMajority, askVoter, peerHello, stop, stopped: isStopped,
   });
 }
 
--- a/src/control/duties.ts
+++ b/src/control/duties.ts
@@ -35,18 +35,25 @@
   return a.id < b.id ? -1 : 1;
 }
 
-/** Ends old weights once the ratio of the bound has passed since the new ones were learned here. */
+/** Ends older weights once the ratio of the bound has passed since they were superseded, each by its own time. */
 export async function endOldWeights(c: Controller, ports: Ports): Promise<void> {
+  const since = new Map<string, number>();
   while (!c.stopped()) {
     await ports.clock.sleep(c.bounds.pause);
-    for (const key of c.slots.cells.keys()) {
-      if (!key.startsWith(KEYS.weights) || !c.owner.owns(key)) continue;
-      const v = c.value<NamedWeights>(key)?.value;
-      if (!v || v.only) continue;
-      const since = c.weightsSince(key);
-      if (since !== undefined && ports.clock.now() - since < c.bounds.weightsStop) continue;
-      await c.change({ kind: 'weights-only', model: v.model, weights: v.weights });
+    for (const key of c.slots.cells.keys()) if (key.startsWith(KEYS.weights)) await endOne(key);
+  }
+
+  async function endOne(key: string): Promise<void> {
+    const v = c.value<NamedWeights>(key)?.value;
+    if (!v) return;
+    const ended: string[] = [];
+    for (const w of v.older) {
+      const k = `${key} ${w}`;
+      if (!since.has(k)) since.set(k, c.heardLive(key) ? ports.clock.now() : -Infinity);
+      if (ports.clock.now() - since.get(k)! >= c.bounds.weightsStop) ended.push(w);
     }
+    for (const k of since.keys()) if (k.startsWith(`${key} `) && !v.older.includes(k.slice(key.length + 1))) since.delete(k);
+    if (ended.length > 0 && c.owner.owns(key)) await c.change({ kind: 'weights-end', model: v.model, ended });
   }
 }
 
--- a/src/control/operations.ts
+++ b/src/control/operations.ts
@@ -9,11 +9,11 @@
   keys: { id: string; hash: string }[];
 }
 
-/** The named weights of a model; `only` says that older ones may serve nothing fresh. */
+/** The named weights of a model, and the older ones that may still serve fresh requests; `*` stands for all from before the first naming. */
 export interface NamedWeights {
   model: string;
   weights: string;
-  only: boolean;
+  older: string[];
 }
 
 /** A change as operators or duties ask for it. */
@@ -22,7 +22,7 @@
   | { kind: 'key-add'; tenant: string; id: string; hash: string }
   | { kind: 'key-drop'; tenant: string; id: string }
   | { kind: 'weights'; model: string; weights: string }
-  | { kind: 'weights-only'; model: string; weights: string }
+  | { kind: 'weights-end'; model: string; ended: string[] }
   | { kind: 'engines'; engines: Engine[] }
   | { kind: 'duty'; duty: string; holder: string }
   | { kind: 'voters'; voters: Voters; basedOn: number };
@@ -32,7 +32,7 @@
   switch (op.kind) {
     case 'intents': return KEYS.intents;
     case 'key-add': case 'key-drop': return KEYS.tenantKeys + op.tenant;
-    case 'weights': case 'weights-only': return KEYS.weights + op.model;
+    case 'weights': case 'weights-end': return KEYS.weights + op.model;
     case 'engines': return KEYS.engines;
     case 'duty': return `duty/${op.duty}`;
     case 'voters': return KEYS.voters;
@@ -61,11 +61,22 @@
       const v = keep<TenantKeys>(now, { tenant: op.tenant, keys: [] });
       return Right({ tenant: op.tenant, keys: v.keys.filter(other) });
     }
-    case 'weights': return Right({ model: op.model, weights: op.weights, only: false } as NamedWeights);
-    case 'weights-only': {
+    case 'weights': {
       const v = now?.value as NamedWeights | undefined;
-      if (v?.weights !== op.weights) return bad('end old weights', op.model, 'other weights are named', 'refused', 'conflict');
-      return Right({ ...v, only: true });
+      if (v?.weights === op.weights) return Right(v);
+      const before = v ? [...v.older, v.weights] : ['*'];
+      function others(w: string): boolean {
+        return op.kind === 'weights' && w !== op.weights;
+      }
+      return Right({ model: op.model, weights: op.weights, older: before.filter(others) } as NamedWeights);
+    }
+    case 'weights-end': {
+      const v = now?.value as NamedWeights | undefined;
+      function stays(w: string): boolean {
+        return op.kind === 'weights-end' && !op.ended.includes(w);
+      }
+      if (!v) return bad('end old weights', op.model, 'no weights are named', 'refused', 'conflict');
+      return Right({ ...v, older: v.older.filter(stays) });
     }
     case 'engines': return Right(op.engines);
     case 'duty': return Right({ holder: op.holder });
--- a/src/data/router.ts
+++ b/src/data/router.ts
@@ -54,7 +54,7 @@
 
 interface NamedWeights {
   weights: string;
-  only: boolean;
+  older: string[];
 }
 
 /** Starts a router: it follows the core, watches engines, and takes callers. */
@@ -67,7 +67,7 @@
   const hashes = new Map<string, string>();
   const rules = new Map<string, string>();
   const services = new Map<string, Service>();
-  const namedAt = new Map<string, { number: number; at: number }>();
+  const olderSince = new Map<string, number>();
   const budget = new Map<string, number>();
   const incarnation = ports.dice.id().slice(0, 8);
   let runs = 0;
@@ -80,7 +80,12 @@
     if (n.key === KEYS.engines) engines.renew();
     else if (n.key === KEYS.intents) renewIntents((n.value as IntentsValue).doc);
     else if (n.key.startsWith(KEYS.tenantKeys)) renewKeys();
-    else if (n.key.startsWith(KEYS.weights) && namedAt.get(n.key)?.number !== n.number) namedAt.set(n.key, { number: n.number, at: ports.clock.now() });
+    else if (n.key.startsWith(KEYS.weights)) noteOlder(n.key, n.value as NamedWeights);
+  }
+
+  function noteOlder(key: string, v: NamedWeights): void {
+    for (const w of v.older) if (!olderSince.has(`${key} ${w}`)) olderSince.set(`${key} ${w}`, ports.clock.now());
+    for (const k of olderSince.keys()) if (k.startsWith(`${key} `) && !v.older.includes(k.slice(key.length + 1))) olderSince.delete(k);
   }
 
   function renewIntents(doc: { services: Service[]; rules: Rule[] }): void {
@@ -124,8 +129,15 @@
     function only(s: Seen): string | undefined {
       return s.status?.weights === named!.weights ? named!.weights : undefined;
     }
-    const over = named.only || ports.clock.now() - (namedAt.get(key)?.at ?? -Infinity) >= bounds.weightsStop;
-    return over ? { now: only, queried: [named.weights] } : { now: only, old: any, queried: [...all] };
+    const ok = new Set(named.older.filter(stillOk));
+    function stillOk(w: string): boolean {
+      return ports.clock.now() - (olderSince.get(`${key} ${w}`) ?? -Infinity) < bounds.weightsStop;
+    }
+    function old(s: Seen): string | undefined {
+      const w = s.status?.weights;
+      return w !== undefined && (ok.has(w) || ok.has('*')) ? w : undefined;
+    }
+    return ok.size === 0 ? { now: only, queried: [named.weights] } : { now: only, old, queried: [...all] };
   }
 
   function shareOf(s: Service): number {
--- a/test/seeds.test.ts
+++ b/test/seeds.test.ts
@@ -15,6 +15,10 @@
   await clean(3, 'saffron-bay', 0, [fault(24159, 'wipe', 'core-1', 'edge-2', 3915)]);
 }
 
+async function namedTwice(): Promise<void> {
+  await clean(48, 'saffron-bay', 6);
+}
+
 async function sameTrace(): Promise<void> {
   const a = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
   const b = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
@@ -22,4 +26,5 @@
 }
 
 test('a controller whose disk was emptied still learns what is committed', emptiedController);
+test('weights that were superseded twice still end by their own time', namedTwice);
 test('a seed gives the same trace twice', sameTrace);
