A refused dial extends a claim that still lasts, and never revives one

Cause: while the core's processes are dead but its machines refuse, a router counts that as a claim, since nobody can acknowledge a change then. It did so also where its claim had already lapsed in a cut, and so with a state that missed changes acknowledged meanwhile. Ruled out: the register and the start of controllers (changes were held for a whole claim after the restart, as they should). Conclusion: refusal counts only while the claim lasts.

--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -173,7 +173,7 @@
     }
     for (const at of want) if (!helds.has(at)) helds.set(at, hold(ports, at, { hello, edges, within: bounds.dial, pause: bounds.pause, onUp, onRefused }));
     function onRefused(f: { peer: string; code?: string }): void {
-      if (f.code === 'ECONNREFUSED') refused.set(f.peer, ports.clock.now() + bounds.claim - bounds.dial);
+      if (f.code === 'ECONNREFUSED' && live()) refused.set(f.peer, ports.clock.now() + bounds.claim - bounds.dial);
     }
   }
 
--- a/test/seeds.test.ts
+++ b/test/seeds.test.ts
@@ -19,6 +19,18 @@
   await clean(48, 'saffron-bay', 6);
 }
 
+async function lapsedClaim(): Promise<void> {
+  await clean(1063, 'saffron-bay', 0, [
+    fault(12700, 'kill-ours', 'index-core-2', 'index-core-3', 486),
+    fault(26790, 'core-from-edge', 'index-core-1', 'index-core-2', 4947),
+    fault(29312, 'kill-core', 'edge-1', 'engine-1', 6160),
+  ]);
+}
+
+async function wokenEngine(): Promise<void> {
+  await clean(1099, 'atlas-ordre', 10);
+}
+
 async function sameTrace(): Promise<void> {
   const a = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
   const b = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
@@ -27,4 +39,6 @@
 
 test('a controller whose disk was emptied still learns what is committed', emptiedController);
 test('weights that were superseded twice still end by their own time', namedTwice);
+test('a claim that lapsed while cut off is not revived by a core that refuses', lapsedClaim);
+test('a leg that waits in a frozen engine is cut when its tenant is walled off', wokenEngine);
 test('a seed gives the same trace twice', sameTrace);
