A leg without its first piece is cut when its salt or weights no longer hold

Cause: a leg sent before a tenant was walled off lay in the buffer of a frozen engine and was begun when the engine woke, with the old group's salt. Ruled out: the placement and the salts (every leg sent after the acknowledgement carried the new salt).

--- a/src/data/api.ts
+++ b/src/data/api.ts
@@ -167,13 +167,16 @@
       repeatable: c.service.mayRepeat, fetch: p.fetch && { at: p.fetch.at, hashes: p.fetch.hashes },
     };
     r.engines.began(p.seen, unread);
-    const [f, g] = open(await generate(r.ports, p.seen.engine.at, q, Math.max(1, c.until - clock.now()), call.gone));
+    const leg = { tenant: c.tenant, salt: c.salt, model: c.service.model, weights: p.weights, cut: new AbortController() };
+    r.underWay.add(leg);
+    const [f, g] = open(await generate(r.ports, p.seen.engine.at, q, Math.max(1, c.until - clock.now()), AbortSignal.any([call.gone, leg.cut.signal])));
     if (f) {
+      r.underWay.delete(leg);
       r.engines.ended(p.seen, f.sort === 'refused' && f.code !== undefined && f.code.startsWith('status-'));
       return { done: false, fault: f };
     }
-    const first = await g.next();
-    const [h, line] = open(first);
+    const [h, line] = open(await g.next());
+    r.underWay.delete(leg);
     if (h) {
       r.engines.ended(p.seen, false);
       return { done: false, fault: h };
--- a/src/data/router.ts
+++ b/src/data/router.ts
@@ -26,6 +26,15 @@
   fetched: number;
 }
 
+/** A leg whose first piece is still to come; it is cut when what it was placed under no longer holds. */
+export interface Leg {
+  tenant: string;
+  salt: string;
+  model: string;
+  weights: string;
+  cut: AbortController;
+}
+
 /** All that a request needs on its way. */
 export interface RouterParts {
   ports: Ports;
@@ -42,6 +51,7 @@
   allowSecond(service: Service): boolean;
   earn(service: Service): void;
   runId(): string;
+  underWay: Set<Leg>;
   draining(): boolean;
 }
 
@@ -69,6 +79,7 @@
   const services = new Map<string, Service>();
   const olderSince = new Map<string, number>();
   const budget = new Map<string, number>();
+  const underWay = new Set<Leg>();
   const incarnation = ports.dice.id().slice(0, 8);
   let runs = 0;
   let leaving = false;
@@ -81,6 +92,7 @@
     else if (n.key === KEYS.intents) renewIntents((n.value as IntentsValue).doc);
     else if (n.key.startsWith(KEYS.tenantKeys)) renewKeys();
     else if (n.key.startsWith(KEYS.weights)) noteOlder(n.key, n.value as NamedWeights);
+    cutLegs();
   }
 
   function noteOlder(key: string, v: NamedWeights): void {
@@ -88,6 +100,14 @@
     for (const k of olderSince.keys()) if (k.startsWith(`${key} `) && !v.older.includes(k.slice(key.length + 1))) olderSince.delete(k);
   }
 
+  function cutLegs(): void {
+    for (const l of underWay) {
+      const named = follower.value<NamedWeights>(KEYS.weights + l.model)?.value;
+      const ended = named !== undefined && named.weights !== l.weights && !named.older.includes(l.weights) && !named.older.includes('*');
+      if (ended || saltOf(l.tenant) !== l.salt) l.cut.abort();
+    }
+  }
+
   function renewIntents(doc: { services: Service[]; rules: Rule[] }): void {
     services.clear();
     rules.clear();
@@ -166,7 +186,7 @@
 
   void follower.changes.observe(changed);
   void follower.membership.observe(placer.reach);
-  const parts: RouterParts = { ports, startup, bounds, follower, engines, placer, counts, tenantOf, serviceOf, saltOf, freshWeights, allowSecond, earn, runId, draining };
+  const parts: RouterParts = { ports, startup, bounds, follower, engines, placer, counts, tenantOf, serviceOf, saltOf, freshWeights, allowSecond, earn, runId, underWay, draining };
   const api = new CallerApi(parts);
   const [f, wire] = open(await ports.wire.accept(startup.wire, taken));
   if (f) return Left(f);
