A duty's holder confirms its epoch just before each order

Cause: a holder kept ordering an engine as long as it believed that it owned the duty; a controller that had been cut off had not heard of the higher epoch, and its order came after the new holder's. Ruled out: the engine's fence (it refused the late order, so the engine was never turned back; but the order should not have been sent). Conclusion: before an order the holder has its epoch confirmed by a majority, sends only while that is fresh (a fifth of a claim), and a new holder first waits out a whole claim.

--- a/src/control/duties.ts
+++ b/src/control/duties.ts
@@ -59,7 +59,7 @@
 
 /** Orders engines to take up the named weights: one node for each engine, under the epoch of its duty. */
 export async function orderWeights(c: Controller, ports: Ports): Promise<void> {
-  const held = new Map<string, number>();
+  const held = new Map<string, { epoch: number; since: number }>();
   while (!c.stopped()) {
     await ports.clock.sleep(c.bounds.platform);
     for (const e of c.value<Engine[]>(KEYS.engines)?.value ?? []) {
@@ -70,25 +70,24 @@
         continue;
       }
       if (!named) continue;
-      await orderOne(e, key, named);
+      await orderOne(e, named);
     }
   }
 
-  async function orderOne(e: Engine, key: string, named: NamedWeights): Promise<void> {
+  async function orderOne(e: Engine, named: NamedWeights): Promise<void> {
     const [f, st] = open(await engineStatus(ports.wire, e.at, c.bounds.status));
     if (f || st.weights === named.weights) return;
-    const mine = c.value<{ holder: string }>(key);
-    if (mine?.value.holder !== c.name || !c.owner.owns(key)) {
-      const [g] = open(await c.change({ kind: 'duty', duty: e.id, holder: c.name }));
-      if (g) return;
-      held.set(e.id, ports.clock.now());
+    const asked = ports.clock.now();
+    const [g, r] = open(await c.change({ kind: 'duty', duty: e.id, holder: c.name }));
+    if (g || r.place.by !== c.name) return;
+    const mine = held.get(e.id);
+    if (mine?.epoch !== r.place.epoch) {
+      held.set(e.id, { epoch: r.place.epoch, since: ports.clock.now() });
+      return;
     }
-    const since = held.get(e.id) ?? ports.clock.now();
-    held.set(e.id, since);
-    if (ports.clock.now() - since < c.bounds.claimHeld) return;
-    const place = c.value(key)?.place;
-    if (!place || !c.owner.owns(key) || !c.hasMajority()) return;
-    const [h] = open(await giveOrder(ports.wire, e.at, { epoch: place.epoch, by: place.by, weights: named.weights }, c.bounds.status));
+    const now = ports.clock.now();
+    if (now - mine.since < c.bounds.claimHeld || now - asked > c.bounds.orderFresh) return;
+    const [h] = open(await giveOrder(ports.wire, e.at, { epoch: r.place.epoch, by: r.place.by, weights: named.weights }, c.bounds.status));
     if (h) ports.log.warn({ step: h.step, peer: h.peer }, h.why);
   }
 }
--- a/src/shared/startup.ts
+++ b/src/shared/startup.ts
@@ -40,6 +40,7 @@
   circuit: number;
   join: number;
   drain: number;
+  orderFresh: number;
 }
 
 /** Derives the times from the bounds. */
@@ -61,6 +62,7 @@
     circuit: s.leavingBoundMs * 0.5,
     join: s.changeBoundMs * 0.5,
     drain: s.weightsBoundMs * 0.8,
+    orderFresh: claim * 0.2,
   };
 }
 
--- a/test/seeds.test.ts
+++ b/test/seeds.test.ts
@@ -31,6 +31,15 @@
   await clean(1099, 'atlas-ordre', 10);
 }
 
+async function oneHolder(): Promise<void> {
+  await clean(115, 'atlas-ordre', 6);
+}
+
+async function replaced(): Promise<void> {
+  const r = await runSeed(104, { deployment: 'atlas-ordre', faults: 0, replace: true });
+  expect({ violations: r.violations, replaced: r.ops.replaced }).toEqual({ violations: [], replaced: true });
+}
+
 async function sameTrace(): Promise<void> {
   const a = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
   const b = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
@@ -41,4 +50,6 @@
 test('weights that were superseded twice still end by their own time', namedTwice);
 test('a claim that lapsed while cut off is not revived by a core that refuses', lapsedClaim);
 test('a leg that waits in a frozen engine is cut when its tenant is walled off', wokenEngine);
+test('an old holder of a duty stops before a new one orders', oneHolder);
+test('a lost core machine is replaced by an empty one under traffic', replaced);
 test('a seed gives the same trace twice', sameTrace);
