A lost core machine is replaced by an empty one through a joint set

One operator command, safe to repeat: the joint set is committed and known to every live router, the votes for idempotency keys and every key are carried to the new disk, then the new set alone stands. A router that held a key under another set holds it anew before it sends on.

--- a/src/control/api.ts
+++ b/src/control/api.ts
@@ -7,6 +7,7 @@
 import { checkIntents } from './intents';
 import { Changed, Controller, reached } from './controller';
 import { NamedWeights, Operation, TenantKeys } from './operations';
+import { replaceVoter } from './voters';
 
 class ApplyAsk {
   @field('number') basedOn!: number;
@@ -18,6 +19,11 @@
   @field('string') weights!: string;
 }
 
+class VotersAsk {
+  @field('string') out!: string;
+  @field('string') into!: string;
+}
+
 /** The operators' HTTP interface. */
 export class OperatorApi {
   constructor(private readonly c: Controller, private readonly ports: Ports) {}
@@ -128,6 +134,18 @@
     await this.carry(call, KEYS.weights + model, { kind: 'weights', model, weights: a.weights }, { model, weights: a.weights });
   }
 
+  /** Replaces a lost core machine by an empty one. */
+  @handles('POST', '/v1/voters')
+  async postVoters(call: Call): Promise<void> {
+    const body = await takeJson(call, this.c.startup.bodyMostBytes);
+    if (body === undefined) return;
+    const [f, a] = open(readAs(VotersAsk, body, 'replace voter', call.peer));
+    if (f) return giveFault(call, 400, 'refused', f.code!, f.why);
+    const [g, v] = open(await replaceVoter(this.c, this.ports, a.out, a.into));
+    if (g) return this.giveTrouble(call, g);
+    giveJson(call, 200, { voters: v, done: true });
+  }
+
   /** The fleet as this controller sees it. */
   @handles('GET', '/v1/fleet')
   async getFleet(call: Call): Promise<void> {
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -1,6 +1,6 @@
 import { Left, Right } from 'purify-ts';
-import { Handled, message } from '../shared/edge';
-import { bad, Fault, makeFault, open, Outcome } from '../shared/errors';
+import { dispatch, Handled, message } from '../shared/edge';
+import { bad, Fault, open, Outcome } from '../shared/errors';
 import { rendezvous } from '../shared/lib';
 import { hasList } from '../shared/follow';
 import { poll } from '../shared/poll';
@@ -134,13 +134,7 @@
   }
 
   function local(type: string, body: unknown): Handled {
-    switch (type) {
-      case 'prepare': return acceptor.prepare(body as never);
-      case 'accept': return acceptor.accept(body as never);
-      case 'learn': return acceptor.learn(body as never);
-      case 'effect': return claims.effect(body as never);
-      default: return Promise.resolve(Left(makeFault(type, startup.name, 'not known here', 'refused')));
-    }
+    return dispatch(edges, type, body, undefined, startup.name);
   }
 
   const reach: Reach = { name: startup.name, within: bounds.ask, voters, ask: askVoter, learned, learnHere };
--- a/src/control/votes.ts
+++ b/src/control/votes.ts
@@ -174,21 +174,22 @@
     return f ? bad('note run', this.slots.disk, f.why, 'failed', f.code) : Right({ disk: this.slots.disk });
   }
 
-  /** Gives every vote to a disk that is to become a voter. */
-  @message('votes')
-  async give(): Handled {
-    return Right(this.all());
+  /** Gives all that a disk which is to become a voter must hold: the votes, and the names of the keys. */
+  @message('held')
+  async held(): Handled {
+    return Right({ disk: this.slots.disk, votes: this.all(), keys: [...this.slots.cells.keys()] });
   }
 
   /** Takes votes that the old set had given; those that stand here stay. */
-  async copy(votes: Vote[]): Promise<Outcome<void>> {
-    let last: Outcome<void> = Right(undefined);
+  @message('copy')
+  async copy(votes: Vote[]): Handled {
+    const writes: Promise<Outcome<void>>[] = [];
     for (const v of votes) {
       if (this.find(v.key)) continue;
       this.now.set(v.key, v);
-      const [f] = open(await this.write({ vote: v }));
-      if (f) last = bad(f.step, f.peer, f.why, f.sort, f.code);
+      writes.push(this.write({ vote: v }));
     }
-    return last;
+    for (const o of await Promise.all(writes)) if (o.isLeft()) return o;
+    return Right({ disk: this.slots.disk });
   }
 }
--- a/src/data/api.ts
+++ b/src/data/api.ts
@@ -4,7 +4,7 @@
 import { wholeHash } from '../shared/lib';
 import { Call } from '../shared/ports';
 import { Service } from '../shared/words';
-import { holdKey, tellRun } from './once';
+import { holdKey, tellRun, votersMark } from './once';
 import { Overlap, Placement } from './place';
 import type { RouterParts } from './router';
 
@@ -105,6 +105,7 @@
     const { clock } = r.ports;
     const run = r.runId();
     r.earn(c.service);
+    let set: string | undefined;
     if (c.key !== undefined) {
       const once = await holdKey(r.follower, c.key, run);
       if (!once.won) {
@@ -112,6 +113,7 @@
         if (once.state === 'unreachable') return this.refuse(call, 503, 'no-core', 'the core gave no vote', r.bounds.pause * 5);
         return this.refuse(call, 409, `key-${once.state}`, `this Idempotency-Key is taken: ${once.state}`, once.state === 'running' ? r.bounds.claim : undefined);
       }
+      set = once.set;
     }
     const avoid = new Set<string>();
     const urgent = c.service.urgency === 'high';
@@ -134,6 +136,12 @@
         refusedBy = 'no-claim';
         break;
       }
+      if (c.key !== undefined && votersMark(r.follower) !== set) {
+        set = (await holdKey(r.follower, c.key, run)).set;
+        if (set === undefined) break;
+        leg--;
+        continue;
+      }
       sentOnce = true;
       r.counts.legs++;
       const o = await this.sendOn(call, c, p, run, urgent);
--- a/src/data/once.ts
+++ b/src/data/once.ts
@@ -11,6 +11,12 @@
 export interface OnceReturn {
   won: boolean;
   state: 'running' | 'done' | 'failed' | 'unknown' | 'unreachable';
+  set?: string;
+}
+
+/** Names the voter set that a key was held under; under another set it must be held anew. */
+export function votersMark(follower: Follower): string {
+  return JSON.stringify(follower.voters() ?? null);
 }
 
 /** Asks a majority of the core's disks for a key; only the run that has it may send anything on. */
@@ -18,8 +24,9 @@
   function yes(r: VoteReturn, v: Voter): boolean {
     return r.disk === v.disk && r.run === run;
   }
+  const set = votersMark(follower);
   const { ok, got } = await follower.askVoters<VoteReturn>('vote', { key, run }, yes);
-  if (ok) return { won: true, state: 'running' };
+  if (ok) return votersMark(follower) === set ? { won: true, state: 'running', set } : holdKey(follower, key, run);
   const others = new Map<string, { count: number; state: string }>();
   for (const r of got) {
     if (r.run === run) continue;
--- a/src/programs/plumhollow.ts
+++ b/src/programs/plumhollow.ts
@@ -191,6 +191,13 @@
   sayChange(await need('PUT', '/v1/intents', { basedOn: now.revision, intents: { ...now.intents, rules: now.intents.rules.filter(other) } }));
 }
 
+async function replaceVoter(out: string, into: string): Promise<void> {
+  const r = await need('POST', '/v1/voters', { out, into });
+  const b = r.body as { error?: { code: string; message: string } };
+  say(b, r.status === 200 ? `${into} votes in the place of ${out}` : `${b.error?.code}: ${b.error?.message}; repeat the command`);
+  process.exit(r.status === 200 ? FINE : FINDINGS);
+}
+
 function showIntents(): Promise<void> {
   return show('/v1/intents');
 }
@@ -228,4 +235,6 @@
 const rules = program.command('rules').description('small changes: a new whole file built from the standing one');
 rules.command('add <tenant> <label> <service>').action(addRule);
 rules.command('drop <tenant> <label>').action(dropRule);
+const voters = program.command('voters').description('the core machines whose disks vote');
+voters.command('replace <out> <into>').description('replace a lost core machine (address or disk id) by an empty one (ip:port); safe to repeat').action(replaceVoter);
 void program.parseAsync();
--- a/tools/sim.ts
+++ b/tools/sim.ts
@@ -21,13 +21,14 @@
   lateShare: number;
   secondTryShare: number;
   effectMs: number[];
+  replaced: boolean;
 }
 
 function shorten(r: RunResult): Short {
   const { report: p, ops } = r;
   return {
     seed: r.seed, violations: r.violations, hash: r.hash, asked: p.asked, whole: p.whole, refused: p.refused, unknown: p.unknown, incomplete: p.incomplete, acks: ops.acks,
-    pending: ops.pending, backMs: r.backMs, lateShare: r.lateShare, secondTryShare: r.secondTryShare, effectMs: ops.effectMs,
+    pending: ops.pending, backMs: r.backMs, lateShare: r.lateShare, secondTryShare: r.secondTryShare, effectMs: ops.effectMs, replaced: ops.replaced,
   };
 }
 
@@ -71,6 +72,7 @@
   const effect: number[] = [];
   const back: number[] = [];
   const second: number[] = [];
+  let replaced = 0;
   let bad = 0;
   for (const r of all) {
     asked += r.asked;
@@ -78,13 +80,14 @@
     refused += r.refused;
     unknown += r.unknown + r.incomplete;
     acks += r.acks;
+    if (r.replaced) replaced++;
     pending += r.pending;
     effect.push(...r.effectMs);
     back.push(r.backMs);
     second.push(r.secondTryShare * 1000);
     if (r.violations.length > 0) bad++;
   }
-  process.stdout.write(`${deployment}: ${all.length} seeds, ${bad} with violations; ${asked} asked, ${whole} whole, ${refused} refused, ${unknown} unknown or incomplete; ${acks} changes acknowledged, ${pending} pending\n`);
+  process.stdout.write(`${deployment}: ${all.length} seeds, ${bad} with violations; ${asked} asked, ${whole} whole, ${refused} refused, ${unknown} unknown or incomplete; ${acks} changes acknowledged, ${pending} pending; ${replaced} core machines replaced\n`);
   process.stdout.write(`acknowledged after ms: ${spread(effect)}; served again after ms: ${spread(back)}; second tries in thousandths: ${spread(second)}\n`);
 }
 
--- a/tools/simfaults.ts
+++ b/tools/simfaults.ts
@@ -18,7 +18,7 @@
 ] as const;
 
 /** Draws a schedule of faults. */
-export function drawFaults(f: SimFleet, dice: Dice, from: number, to: number, count: number): Fault[] {
+export function drawFaults(f: SimFleet, dice: Dice, from: number, to: number, count: number, wipes: boolean): Fault[] {
   const out: Fault[] = [];
   const ours = [...f.core, ...f.edge, ...f.core.map(indexOf)];
   function any<T>(list: readonly T[]): T {
@@ -26,7 +26,7 @@
   }
   for (let i = 0; i < count; i++) {
     let kind: string = any(SIM_FAULTS);
-    if (kind === 'wipe' && out.some(isWipe)) kind = 'power';
+    if (kind === 'wipe' && (!wipes || out.some(isWipe))) kind = 'power';
     const engine = any(f.d.engines).id;
     let who = any(ours);
     let other = any([...ours, engine]);
@@ -73,7 +73,7 @@
       w.kill(p, power);
       if (wipe) p.files.clear();
       function back(): void {
-        if (p.alive) return;
+        if (p.alive || f.lost.has(n)) return;
         w.revive(p);
         f.starts.get(n)?.();
       }
@@ -200,7 +200,7 @@
     p.disk.full = false;
     w.stall(p, false);
     if (p.frozen) w.wake(p);
-    if (p.alive) continue;
+    if (p.alive || f.lost.has(p.name)) continue;
     w.revive(p);
     f.starts.get(p.name)?.();
   }
--- a/tools/simfleet.ts
+++ b/tools/simfleet.ts
@@ -36,6 +36,8 @@
   ops: Ports;
   callers: Ports;
   marks: Mark[];
+  lost: Set<string>;
+  spare: Deployment['core'][number];
   startAll(): void;
   startup(name: string, wire: string, http: string, zone: string): Startup;
 }
@@ -91,7 +93,9 @@
     starts.set(n, go);
   }
 
-  for (const c of d.core) {
+  const lost = new Set<string>(['core-4']);
+  const spare = { ...d.core[0], name: 'core-4', wire: d.core[0].wire.replace('.1.1:', '.1.4:'), http: d.core[0].http.replace('.1.1:', '.1.4:') };
+  for (const c of [...d.core, spare]) {
     add(c.name, ipOf(c.wire), startCore);
     async function startCore(_: Proc, ports: Ports): Promise<void> {
       const [f, ctl] = open(await startController(ports, startup(c.name, c.wire, c.http, c.zone)));
@@ -100,6 +104,7 @@
       await serveOperators(ctl, ports);
       startDuties(ctl, ports);
     }
+    if (c === spare) continue;
     const ixIp = ipOf(c.wire).replace('.1.', '.5.');
     add(`index-${c.name}`, ixIp, startIx);
     async function startIx(_: Proc, ports: Ports): Promise<void> {
@@ -166,10 +171,10 @@
   const callers = net.ports(w.proc('callers', '127.10.9.2'));
 
   function startAll(): void {
-    for (const go of starts.values()) go();
+    for (const [n, go] of starts) if (!lost.has(n)) go();
   }
 
-  return { w, net, d, ledger, engines, controllers, starts, core: d.core.map(nameOf), edge: d.edge.map(nameOf), ops, callers, startAll, startup, marks };
+  return { w, net, d, ledger, engines, controllers, starts, core: d.core.map(nameOf), edge: d.edge.map(nameOf), ops, callers, startAll, startup, marks, lost, spare };
 }
 
 function nameOf(x: { name: string }): string {
@@ -178,10 +183,11 @@
 
 /** Asks the controllers in turn, as the operators' command line does. */
 export async function askCore(f: SimFleet, method: string, path: string, body?: unknown, first = 0): Promise<{ status: number; body: Record<string, unknown> } | { status: 0; sure: boolean }> {
-  const n = f.d.core.length;
+  const ats = [...f.d.core, f.spare];
+  const n = ats.length;
   let sure = true;
   for (let i = 0; i < n; i++) {
-    const at = f.d.core[(first + i) % n].http;
+    const at = ats[(first + i) % n].http;
     const [g, r] = open(await askJson(f.ops.wire, { at, method, path, body: body === undefined ? undefined : JSON.stringify(body), within: 6000 }));
     if (!g) return { status: r.status, body: r.body as Record<string, unknown> };
     if (g.sort !== 'refused') {
--- a/tools/simops.ts
+++ b/tools/simops.ts
@@ -16,11 +16,12 @@
   walls: Map<string, number>;
   lastAcked: { revision: number; service: string };
   effectMs: number[];
+  replaced: boolean;
 }
 
 /** Makes an empty log. */
 export function makeOpsLog(): OpsLog {
-  return { acks: 0, pending: 0, conflicts: 0, unknown: 0, violations: [], rule: { possible: new Set(['probe-3']), windows: new Set() }, droppedKeys: [], liveKey: undefined, weights: [{ name: 'w1', sentAt: -1e9, ackAt: -1e9 }], walls: new Map(), lastAcked: { revision: 0, service: 'probe-3' }, effectMs: [] };
+  return { acks: 0, pending: 0, conflicts: 0, unknown: 0, violations: [], rule: { possible: new Set(['probe-3']), windows: new Set() }, droppedKeys: [], liveKey: undefined, weights: [{ name: 'w1', sentAt: -1e9, ackAt: -1e9 }], walls: new Map(), lastAcked: { revision: 0, service: 'probe-3' }, effectMs: [], replaced: false };
 }
 
 type Reply = { status: number; body: Record<string, unknown>; sure: boolean };
@@ -143,3 +144,26 @@
     else if (b.revision === log.lastAcked.revision && has !== log.lastAcked.service) log.violations.push(`${c.name} holds ${has} at revision ${b.revision}, ${log.lastAcked.service} was acknowledged`);
   }
 }
+
+/** A core machine is lost for good; operators start an empty one at a new address and have it vote in its place. */
+export async function replaceCore(f: SimFleet, log: OpsLog): Promise<void> {
+  const victim = f.d.core[Math.floor(f.w.dice.next() * f.d.core.length)];
+  function named(name: string): (p: { name: string }) => boolean {
+    function test(p: { name: string }): boolean {
+      return p.name === name;
+    }
+    return test;
+  }
+  const p = f.w.procs().find(named(victim.name))!;
+  f.lost.add(victim.name);
+  f.w.kill(p, true);
+  f.lost.delete('core-4');
+  f.starts.get('core-4')!();
+  f.w.trace(`operator loses ${victim.name} and starts core-4`);
+  for (let i = 0; !log.replaced; i++) {
+    await f.ops.clock.sleep(700);
+    const r = await tell(f, log, 'POST', '/v1/voters', { out: victim.wire, into: f.spare.wire }, i);
+    if (r.status === 200) log.replaced = true;
+  }
+  if (f.w.dice.next() < 0.5) f.lost.delete(victim.name);
+}
--- a/tools/simrun.ts
+++ b/tools/simrun.ts
@@ -3,12 +3,13 @@
 import { seededDice } from './dice';
 import { askCore, makeSimFleet, SimFleet, simIntents } from './simfleet';
 import { drawFaults, Fault, healAll, injectSim } from './simfaults';
-import { applyRule, checkKept, makeOpsLog, nameWeights, OpsLog, probe, race, turnKey, wallOff } from './simops';
+import { applyRule, checkKept, makeOpsLog, nameWeights, OpsLog, probe, race, replaceCore, turnKey, wallOff } from './simops';
 
 /** How a run is made. */
 export interface RunWays {
   deployment: string;
   faults: number;
+  replace?: boolean;
   schedule?: Fault[];
   keepLines?: boolean;
 }
@@ -46,7 +47,8 @@
   let report: Report | undefined;
   const lossy = Math.floor(w.dice.next() * f.d.engines.length);
   f.d.engines[lossy].loseEvents = 0.05;
-  const schedule = ways.schedule ?? drawFaults(f, seededDice(seed + 77777), FAULTS_FROM, FAULTS_TO, ways.faults);
+  const replaces = ways.replace ?? seed % 4 === 0;
+  const schedule = ways.schedule ?? drawFaults(f, seededDice(seed + 77777), FAULTS_FROM, FAULTS_TO, ways.faults, !replaces);
   f.startAll();
   void operate();
   for (const x of schedule) w.after(x.at, inject(x));
@@ -84,6 +86,7 @@
     void call();
     void probes();
     let weights = 1;
+    if (replaces) void replaceLater();
     while (w.now() < HEAL - 1000) {
       await clock.sleep(500 + dice.next() * 2500);
       const roll = dice.next();
@@ -97,6 +100,11 @@
     await checkKept(f, ops);
   }
 
+  async function replaceLater(): Promise<void> {
+    await f.ops.clock.sleep(4000 + f.ops.dice.next() * 10000);
+    await replaceCore(f, ops);
+  }
+
   async function call(): Promise<void> {
     const edges = f.d.edge.map(httpOf);
     report = await runCallers(f.callers, { intents: f.d.intents, keys, edges, shortPerS: 12, longPerS: 1.5, forMs: END - w.now(), retries: 3, patienceMs: 8000 }, note);
@@ -141,6 +149,7 @@
   }
   const lateShare = late.asked === 0 ? 0 : late.whole / late.asked;
   if (lateShare < 0.95) violations.push(`after all is healed only ${late.whole} of ${late.asked} are served`);
+  if (!f.lost.has('core-4') && !ops.replaced) violations.push('the lost core machine was never replaced');
   const second = secondTries(f);
   if (second.share > 0.2) violations.push(`second tries of a tenant's services are ${second.share.toFixed(3)}`);
   let reused = 0;
