--- a/src/control/claims.ts
+++ b/src/control/claims.ts
@@ -104,7 +104,7 @@
       this.ports.log.warn({ step: 'push news', peer: h.member.name }, f.why);
       return;
     }
-    if (!covers(h.has, n)) h.has.set(n.key, n);
+    if (!covers(h.has, n)) h.has.set(n.key, { epoch: n.epoch, by: n.by, number: n.number });
     this.poke();
   }
 
--- a/src/data/api.ts
+++ b/src/data/api.ts
@@ -111,7 +111,8 @@
       if (!once.won) {
         void tellRun(r.follower, c.key, run, 'released');
         if (once.state === 'unreachable') return this.refuse(call, 503, 'no-core', 'the core gave no vote', r.bounds.pause * 5);
-        return this.refuse(call, 409, `key-${once.state}`, `this Idempotency-Key is taken: ${once.state}`, once.state === 'running' ? r.bounds.claim : undefined);
+        r.counts.unknown++;
+        return giveFault(call, 409, 'unknown', `key-${once.state}`, `this Idempotency-Key is taken: ${once.state}`, once.state === 'running' ? r.bounds.claim : undefined);
       }
       set = once.set;
     }
--- /dev/null
+++ b/test/transcripts.test.ts
@@ -0,0 +1,193 @@
+import { open } from '../src/shared/errors';
+import { Ports } from '../src/shared/ports';
+import { askCore, makeSimFleet, SimFleet, simIntents } from '../tools/simfleet';
+
+interface Scene {
+  f: SimFleet;
+  keys: Record<string, string>;
+  lines: string[];
+}
+
+const OFTEN = /"(started|at|prefillMs)":[\d.]+/g;
+
+async function exchange(s: Scene, ports: Ports, at: string, method: string, path: string, body?: unknown, headers: Record<string, string> = {}): Promise<string> {
+  const text = typeof body === 'string' ? body : body === undefined ? undefined : JSON.stringify(body);
+  s.lines.push(`> ${method} ${path}`);
+  for (const [k, v] of Object.entries(headers)) s.lines.push(`> ${k}: ${k === 'authorization' ? 'Bearer (key)' : v}`);
+  if (text !== undefined) s.lines.push(`> ${text.length > 400 ? `(${text.length} characters)` : text}`);
+  const [f, r] = open(await ports.wire.ask({ at, method, path, body: text, headers, within: 20000 }));
+  if (f) {
+    s.lines.push(`< (${f.sort} ${f.code})`, '');
+    return '';
+  }
+  s.lines.push(`< ${r.status}${r.headers['retry-after'] ? ` retry-after: ${r.headers['retry-after']}` : ''}`);
+  let all = '';
+  for (;;) {
+    const [g, piece] = open(await r.next());
+    if (g) s.lines.push(`< (broken off: ${g.code})`);
+    if (g || piece === undefined) break;
+    all += piece;
+  }
+  for (const l of all.split('\n')) if (l) s.lines.push(`< ${l.replace(OFTEN, '"$1":0').replace(/"key":"ph_\w+"/, '"key":"(key)"')}`);
+  s.lines.push('');
+  return all;
+}
+
+async function scene(seed: number, act: (s: Scene) => Promise<void>): Promise<string> {
+  const f = makeSimFleet(seed, 'saffron-bay', 2, 2, false);
+  const s: Scene = { f, keys: {}, lines: [] };
+  let over = false;
+  f.startAll();
+  async function go(): Promise<void> {
+    await f.ops.clock.sleep(4000);
+    await act(s);
+    over = true;
+  }
+  void go();
+  await f.w.run(60000);
+  expect(over).toBe(true);
+  return s.lines.join('\n');
+}
+
+async function configured(s: Scene): Promise<void> {
+  const r = await askCore(s.f, 'PUT', '/v1/intents', { basedOn: 0, intents: simIntents(s.f.d, 'probe-3', 0, []) });
+  expect(r.status).toBe(200);
+  for (const t of ['probe', 'tenant-1', 'tenant-2']) {
+    const k = await askCore(s.f, 'POST', `/v1/keys/${t}`, {});
+    s.keys[t] = String((k as { body: Record<string, unknown> }).body.key);
+  }
+}
+
+function controllerAt(s: Scene): string {
+  return s.f.d.core[0].http;
+}
+
+async function applying(s: Scene): Promise<void> {
+  const { ops, d } = s.f;
+  const at = controllerAt(s);
+  const small = { tenants: [{ id: 'bay', sharing: 'walled' }], models: [{ id: 'roster' }], services: [{ id: 'swap', tenant: 'bay', model: 'roster', urgency: 'high', mayRepeat: true }], rules: [{ tenant: 'bay', label: 'short', service: 'swap' }], cacheStores: [{ id: 'store-1', at: d.store.at }] };
+  await exchange(s, ops, at, 'GET', '/v1/intents');
+  await exchange(s, ops, at, 'PUT', '/v1/intents', { basedOn: 0, intents: small, dryRun: true });
+  const change = JSON.parse(await exchange(s, ops, at, 'PUT', '/v1/intents', { basedOn: 0, intents: small })) as { change: string };
+  await exchange(s, ops, at, 'GET', `/v1/changes/${change.change}`);
+  const faulty = { tenants: [{ id: 'bay', sharing: 'walled', group: 'x' }, { id: 'bay', sharing: 'open' }, { id: 'two words', sharing: 'group' }], models: [{ id: 'roster', colour: 'red' }], services: [{ id: 'swap', tenant: 'nobody', model: 'roster', deadlineMs: -1, secondTries: 0.5 }], rules: 'all', extra: 1 };
+  await exchange(s, ops, at, 'PUT', '/v1/intents', { basedOn: 1, intents: faulty });
+  await exchange(s, ops, at, 'PUT', '/v1/intents', { basedOn: 1, intents: { ...small, rules: [{ tenant: 'bay', label: 'short', service: 'gone' }], cacheStores: [] } });
+  await exchange(s, ops, at, 'PUT', '/v1/intents', '{"basedOn": 1,');
+  await exchange(s, ops, at, 'POST', '/v1/keys/bay', {});
+  await exchange(s, ops, at, 'PUT', '/v1/weights/roster', { weights: 'w1' });
+  await exchange(s, ops, at, 'DELETE', '/v1/intents');
+  await exchange(s, ops, at, 'GET', '/v1/nothing');
+}
+
+async function racing(s: Scene): Promise<void> {
+  await configured(s);
+  const { d, ops } = s.f;
+  const twin: Scene = { ...s, lines: [] };
+  const one = exchange(s, ops, d.core[0].http, 'PUT', '/v1/intents', { basedOn: 1, intents: simIntents(d, 'probe-3', 1, []) });
+  const two = exchange(twin, ops, d.core[1].http, 'PUT', '/v1/intents', { basedOn: 1, intents: simIntents(d, 'probe-5', 2, []) });
+  await Promise.all([one, two]);
+  s.lines.push('and at the same time', '', ...twin.lines);
+}
+
+async function generating(s: Scene): Promise<void> {
+  await configured(s);
+  const { callers, d } = s.f;
+  const at = d.edge[0].http;
+  const key = { authorization: `Bearer ${s.keys.probe}` };
+  const own = { authorization: `Bearer ${s.keys['tenant-1']}` };
+  await exchange(s, callers, at, 'POST', '/v1/generate', { label: 'probe', prompt: 'Is this swap within the labour rules?' }, key);
+  await exchange(s, callers, at, 'POST', '/v1/generate', { service: 'swap-1', prompt: 'Approve or refer?', maxTokens: 2 }, { ...own, 'idempotency-key': 'swap-77' });
+  await exchange(s, callers, at, 'POST', '/v1/generate', { service: 'swap-1', prompt: 'Approve or refer?', maxTokens: 2 }, { ...own, 'idempotency-key': 'swap-77' });
+  await exchange(s, callers, d.edge[1].http, 'POST', '/v1/generate', { service: 'swap-1', prompt: 'Approve or refer?', maxTokens: 2 }, { ...own, 'idempotency-key': 'swap-77' });
+}
+
+async function refusing(s: Scene): Promise<void> {
+  await configured(s);
+  const { callers, d } = s.f;
+  const at = d.edge[0].http;
+  const key = { authorization: `Bearer ${s.keys.probe}` };
+  const own = { authorization: `Bearer ${s.keys['tenant-1']}` };
+  await exchange(s, callers, at, 'POST', '/v1/generate', { label: 'probe', prompt: 'x' });
+  await exchange(s, callers, at, 'POST', '/v1/generate', { label: 'probe', prompt: 'x' }, { authorization: 'Bearer nobody' });
+  await exchange(s, callers, at, 'POST', '/v1/generate', '{"label":', key);
+  await exchange(s, callers, at, 'POST', '/v1/generate', '[1]', key);
+  await exchange(s, callers, at, 'POST', '/v1/generate', { label: 7, prompt: 'x' }, key);
+  await exchange(s, callers, at, 'POST', '/v1/generate', { label: 'probe' }, key);
+  await exchange(s, callers, at, 'POST', '/v1/generate', { label: 'probe', tokens: [1, -2, 'x'] }, key);
+  await exchange(s, callers, at, 'POST', '/v1/generate', { label: 'probe', prompt: '' }, key);
+  await exchange(s, callers, at, 'POST', '/v1/generate', { label: 'none', prompt: 'x' }, key);
+  await exchange(s, callers, at, 'POST', '/v1/generate', { service: 'swap-1', prompt: 'x' }, key);
+  await exchange(s, callers, at, 'POST', '/v1/generate', { service: 'swap-1', prompt: 'x' }, own);
+  await exchange(s, callers, at, 'POST', '/v1/generate', { label: 'probe', prompt: 'x'.repeat(1 << 22) }, key);
+  await exchange(s, callers, at, 'GET', '/v1/generate');
+  for (const e of s.f.engines) e.leaving = true;
+  await callers.clock.sleep(2000);
+  await exchange(s, callers, at, 'POST', '/v1/generate', { label: 'probe', prompt: 'x' }, key);
+  expect(s.f.ledger.filter(isBegun)).toEqual([]);
+}
+
+function isBegun(e: { kind: string }): boolean {
+  return e.kind === 'began';
+}
+
+async function breaking(s: Scene): Promise<void> {
+  await configured(s);
+  const { callers, d, w } = s.f;
+  function crash(): void {
+    for (const p of w.procs()) if (p.name.startsWith('engine-')) w.kill(p, false);
+  }
+  w.after(90, crash);
+  await exchange(s, callers, d.edge[0].http, 'POST', '/v1/generate', { service: 'swap-1', prompt: 'Approve or refer?', maxTokens: 8 }, { authorization: `Bearer ${s.keys['tenant-1']}`, 'idempotency-key': 'swap-78' });
+  await exchange(s, callers, d.edge[0].http, 'POST', '/v1/generate', { service: 'swap-1', prompt: 'Approve or refer?', maxTokens: 8 }, { authorization: `Bearer ${s.keys['tenant-1']}`, 'idempotency-key': 'swap-78' });
+}
+
+async function indexing(s: Scene): Promise<void> {
+  await configured(s);
+  const { callers, ops, d, w } = s.f;
+  const prompt = 'Union agreement, part one.\n\nPart two: rest between shifts.\n\nWho may swap on Sunday?';
+  await exchange(s, callers, d.edge[0].http, 'POST', '/v1/generate', { label: 'probe', prompt }, { authorization: `Bearer ${s.keys.probe}` });
+  await ops.clock.sleep(500);
+  const at = d.core.map(indexHttp);
+  const q = { model: 'roster', salt: 'w:probe', weights: 'w1', text: prompt };
+  await exchange(s, ops, at[0], 'POST', '/query', q);
+  await exchange(s, ops, at[0], 'POST', '/query', { ...q, salt: 'w:tenant-1' });
+  await exchange(s, ops, at[0], 'POST', '/query', { ...q, weights: 'w2' });
+  await exchange(s, ops, at[0], 'POST', '/query', { model: 'roster' });
+  const p = w.procs().find(isReplica)!;
+  w.kill(p, false);
+  w.revive(p);
+  s.f.starts.get(p.name)!();
+  await ops.clock.sleep(200);
+  s.lines.push('a replica was killed and has just started', '');
+  await exchange(s, ops, at[2], 'GET', '/healthz');
+  await ops.clock.sleep(3000);
+  await exchange(s, ops, at[2], 'GET', '/healthz');
+  await exchange(s, ops, at[2], 'POST', '/query', q);
+  await exchange(s, ops, at[2], 'GET', '/listeners');
+}
+
+function indexHttp(c: { http: string }): string {
+  return c.http.replace('.1.', '.5.').replace(':8000', ':8001');
+}
+
+function isReplica(p: { name: string }): boolean {
+  return p.name === 'index-core-3';
+}
+
+async function approve(seed: number, act: (s: Scene) => Promise<void>): Promise<void> {
+  expect(await scene(seed, act)).toMatchSnapshot();
+}
+
+test.each([
+  ['apply: whole, dry, faulty, in parts', applying],
+  ['two operators race', racing],
+  ['generate, and a repeat of what may not repeat', generating],
+  ['refusals cost no engine work', refusing],
+  ['an engine breaks off in the middle', breaking],
+  ['index query, and a replica that starts from a peer', indexing],
+])('%s', run);
+
+async function run(_: string, act: (s: Scene) => Promise<void>): Promise<void> {
+  await approve(7, act);
+}
