--- a/tools/sim.ts
+++ b/tools/sim.ts
@@ -4,6 +4,7 @@
 import { DEPLOYMENTS } from './deploy';
 import { Fault } from './simfaults';
 import { RunResult, runSeed } from './simrun';
+import { MECHANISMS } from './without';
 
 /** A run in short, as a worker tells it. */
 interface Short {
@@ -45,7 +46,8 @@
 }
 
 async function worker(): Promise<void> {
-  const [, , , deployment, faults, ...seeds] = process.argv;
+  const [, , , deployment, faults, without, ...seeds] = process.argv;
+  MECHANISMS[without]?.();
   for (const s of seeds) {
     const r = await runSeed(Number(s), { deployment, faults: Number(faults) });
     process.send!(shorten(r));
@@ -101,12 +103,13 @@
 
 async function main(): Promise<void> {
   const cmd = new Command('sim').option('--seeds <n>', 'how many seeds', '20').option('--from <n>', 'the first seed', '1').option('--seed <n>', 'one seed only').option('--faults <n>', 'faults in each run', '6')
-    .option('--deployment <name>', DEPLOYMENTS.join(' or '), 'saffron-bay').option('--trace', 'with --seed: print the trace').parse();
-  const o = cmd.opts() as { seeds: string; from: string; seed?: string; faults: string; deployment: string; trace?: boolean };
-  if (!DEPLOYMENTS.includes(o.deployment)) {
-    process.stderr.write(`sim: there is no ${o.deployment}\n`);
+    .option('--deployment <name>', DEPLOYMENTS.join(' or '), 'saffron-bay').option('--without <mechanism>', `leave a mechanism out: ${Object.keys(MECHANISMS).join(', ')}`).option('--trace', 'with --seed: print the trace').parse();
+  const o = cmd.opts() as { seeds: string; from: string; seed?: string; faults: string; deployment: string; trace?: boolean; without?: string };
+  if (!DEPLOYMENTS.includes(o.deployment) || (o.without !== undefined && !(o.without in MECHANISMS))) {
+    process.stderr.write(`sim: there is no ${o.without ?? o.deployment}\n`);
     return process.exit(2);
   }
+  if (o.without) MECHANISMS[o.without]();
   if (o.seed !== undefined) return one(Number(o.seed), o.deployment, Number(o.faults), o.trace === true);
   const n = Math.max(1, cpus().length - 1);
   const piles: string[][] = [];
@@ -115,7 +118,7 @@
   const all: Short[] = [];
   function runPile(pile: string[]): Promise<void> {
     function wait(done: () => void): void {
-      const child = fork(__filename, ['worker', o.deployment, o.faults, ...pile]);
+      const child = fork(__filename, ['worker', o.deployment, o.faults, o.without ?? 'none', ...pile]);
       function told(m: unknown): void {
         const r = m as Short;
         all.push(r);
--- /dev/null
+++ b/tools/without.ts
@@ -0,0 +1,139 @@
+import { Right } from 'purify-ts';
+import * as claims from '../src/control/claims';
+import * as duties from '../src/control/duties';
+import * as slots from '../src/control/slots';
+import * as once from '../src/data/once';
+import * as engine from '../src/shared/contracts/engine';
+import * as platform from '../src/shared/contracts/platform';
+import { Outcome } from '../src/shared/errors';
+import * as follow from '../src/shared/follow';
+import * as startup from '../src/shared/startup';
+import { Engine, Intents } from '../src/shared/words';
+import * as operations from '../src/control/operations';
+
+type Patch = Record<string, (...x: never[]) => unknown>;
+
+function always(): boolean {
+  return true;
+}
+
+function noVotes(): void {
+  async function won(): Promise<once.OnceReturn> {
+    return { won: true, state: 'running' };
+  }
+  function mark(): undefined {
+    return undefined;
+  }
+  (once as unknown as Patch).holdKey = won;
+  (once as unknown as Patch).votersMark = mark;
+}
+
+function noEffect(): void {
+  async function atOnce(this: { slots: { disk: string } }): Promise<Outcome<unknown>> {
+    return Right({ disk: this.slots.disk });
+  }
+  (claims.Claims.prototype as unknown as Patch).effect = atOnce;
+}
+
+function noClaims(): void {
+  const real = follow.follow;
+  function lasting(...x: Parameters<typeof follow.follow>): follow.Follower {
+    return { ...real(...x), live: always };
+  }
+  (follow as unknown as Patch).follow = lasting as never;
+}
+
+function noSalts(): void {
+  const real = operations.makeValue;
+  function same(...x: Parameters<typeof operations.makeValue>): Outcome<unknown> {
+    function flatten(v: unknown): unknown {
+      const i = v as { doc?: Intents; salts?: Record<string, string> };
+      for (const t of Object.keys(i?.salts ?? {})) i.salts![t] = 'one';
+      return v;
+    }
+    return real(...x).map(flatten);
+  }
+  (operations as unknown as Patch).makeValue = same as never;
+}
+
+function noWeightsEnd(): void {
+  const real = startup.boundsOf;
+  function endless(s: startup.Startup): startup.Bounds {
+    return { ...real(s), weightsStop: Infinity };
+  }
+  async function nothing(): Promise<void> {}
+  (startup as unknown as Patch).boundsOf = endless as never;
+  (duties as unknown as Patch).endOldWeights = nothing;
+}
+
+function noLeaving(): void {
+  const real = platform.listEngines;
+  function staying(e: Engine): Engine {
+    return { ...e, leaving: false };
+  }
+  function all(list: Engine[]): Engine[] {
+    return list.map(staying);
+  }
+  async function list(...x: Parameters<typeof platform.listEngines>): Promise<Outcome<Engine[]>> {
+    return (await real(...x)).map(all);
+  }
+  (platform as unknown as Patch).listEngines = list as never;
+}
+
+function noSync(): void {
+  const real = slots.openSlots;
+  async function lazy(...x: Parameters<typeof slots.openSlots>): Promise<Outcome<slots.Slots>> {
+    function skip(s: slots.Slots): slots.Slots {
+      async function put(l: slots.Line): Promise<Outcome<void>> {
+        const c = s.cells.get(l.key) ?? { promised: { epoch: 0, by: '' } };
+        if (l.promised) c.promised = l.promised;
+        if (l.accepted) c.accepted = l.accepted;
+        if (l.learned) c.learned = l.learned === true ? c.accepted : l.learned;
+        s.cells.set(l.key, c);
+        return Right(undefined);
+      }
+      return { ...s, put };
+    }
+    return (await real(...x)).map(skip);
+  }
+  (slots as unknown as Patch).openSlots = lazy as never;
+}
+
+function noLastLine(): void {
+  const real = engine.generate;
+  async function padded(...x: Parameters<typeof engine.generate>): Promise<Outcome<engine.Generating>> {
+    function wrap(g: engine.Generating): engine.Generating {
+      let n = 0;
+      function finish(): engine.EngineLine {
+        return { done: true, count: n };
+      }
+      function count(l: engine.EngineLine): engine.EngineLine {
+        if (!l.done) n++;
+        return l;
+      }
+      async function next(): Promise<Outcome<engine.EngineLine>> {
+        const o = (await g.next()).map(count);
+        return o.isLeft() && n > 0 ? Right(finish()) : o;
+      }
+      return { ...g, next };
+    }
+    return (await real(...x)).map(wrap);
+  }
+  (engine as unknown as Patch).generate = padded as never;
+}
+
+function lateRefusal(): void {
+  const real = engine.generate;
+  async function sure(...x: Parameters<typeof engine.generate>): Promise<Outcome<engine.Generating>> {
+    function surely(f: { sort: string }): never {
+      return { ...f, sort: 'refused' } as never;
+    }
+    return (await real(...x)).mapLeft(surely);
+  }
+  (engine as unknown as Patch).generate = sure as never;
+}
+
+/** Mechanisms that the simulator can leave out, to see that its checks catch what they prevent. */
+export const MECHANISMS: Record<string, () => void> = {
+  votes: noVotes, effect: noEffect, claims: noClaims, salts: noSalts, 'weights-end': noWeightsEnd, leaving: noLeaving, sync: noSync, 'last-line': noLastLine, 'unknown-class': lateRefusal,
+};
