--- a/src/control/votes.ts
+++ b/src/control/votes.ts
@@ -6,7 +6,7 @@
 import { frame, Slots, unframe } from './slots';
 
 /** What became of the run that holds a key, as far as it was told. */
-export type RunState = 'running' | 'done' | 'failed' | 'unknown';
+export type RunState = 'running' | 'done' | 'unknown';
 
 /** A vote: which run may use an idempotency key. */
 export interface Vote {
--- a/src/data/once.ts
+++ b/src/data/once.ts
@@ -1,5 +1,5 @@
 import { Follower } from '../shared/follow';
-import { Voter } from '../shared/words';
+import { Member, Voter } from '../shared/words';
 
 interface VoteReturn {
   disk: string;
@@ -10,7 +10,7 @@
 /** What came of asking for the right to run a key. */
 export interface OnceReturn {
   won: boolean;
-  state: 'running' | 'done' | 'failed' | 'unknown' | 'unreachable';
+  state: 'running' | 'done' | 'unknown' | 'unreachable';
   set?: string;
 }
 
@@ -37,10 +37,19 @@
   }
   if (others.size === 0) return { won: false, state: 'unreachable' };
   for (const o of others.values()) if (o.state !== 'running') return { won: false, state: o.state as OnceReturn['state'] };
+  for (const other of others.keys()) if (!follower.members('router').some(made(other))) return { won: false, state: 'unknown' };
   return { won: false, state: 'running' };
 }
 
+/** Tests whether a router that lives now made a run. */
+function made(run: string): (m: Member) => boolean {
+  function test(m: Member): boolean {
+    return run.startsWith(`${m.name}.${m.life}.`);
+  }
+  return test;
+}
+
 /** Tells the disks what became of a run; `released` gives the key back, for a run that certainly never was. */
-export async function tellRun(follower: Follower, key: string, run: string, state: 'done' | 'failed' | 'unknown' | 'released'): Promise<void> {
+export async function tellRun(follower: Follower, key: string, run: string, state: 'done' | 'unknown' | 'released'): Promise<void> {
   await follower.coreAsk('run', { key, run, state });
 }
--- a/src/data/router.ts
+++ b/src/data/router.ts
@@ -71,7 +71,7 @@
 export async function startRouter(ports: Ports, startup: Startup, way: PlaceWay = 'index'): Promise<Outcome<Router>> {
   const bounds = boundsOf(startup);
   const hello: Hello = { version: WIRE_VERSION, name: startup.name, role: 'router', at: startup.wire, zone: startup.zone };
-  const member: Member = { name: startup.name, role: 'router', at: startup.wire, http: startup.http, zone: startup.zone };
+  const member: Member = { name: startup.name, role: 'router', at: startup.wire, http: startup.http, zone: startup.zone, life: ports.dice.id().slice(0, 8) };
   const edges: object[] = [new HelloEdge(hello)];
   const counts: RouterCounts = { asked: 0, done: 0, refused: 0, unknown: 0, failed: 0, legs: 0, secondTries: 0, needed: 0, reused: 0, expected: 0, unindexed: 0, fetched: 0 };
   const hashes = new Map<string, string>();
@@ -80,7 +80,6 @@
   const olderSince = new Map<string, number>();
   const budget = new Map<string, number>();
   const underWay = new Set<Leg>();
-  const incarnation = ports.dice.id().slice(0, 8);
   let runs = 0;
   let leaving = false;
   const follower = follow(ports, bounds, hello, member, startup.seeds, edges);
@@ -177,7 +176,7 @@
   }
 
   function runId(): string {
-    return `${startup.name}.${incarnation}.${++runs}`;
+    return `${startup.name}.${member.life}.${++runs}`;
   }
 
   function draining(): boolean {
--- a/src/index/indexer.ts
+++ b/src/index/indexer.ts
@@ -113,7 +113,7 @@
 export async function startIndexer(ports: Ports, startup: Startup, edges: object[] = [], listens = true): Promise<Outcome<Indexer>> {
   const bounds: Bounds = boundsOf(startup);
   const hello: Hello = { version: WIRE_VERSION, name: startup.name, role: 'indexer', at: startup.wire, zone: startup.zone };
-  const member: Member = { name: startup.name, role: 'indexer', at: startup.wire, http: startup.http, zone: startup.zone };
+  const member: Member = { name: startup.name, role: 'indexer', at: startup.wire, http: startup.http, zone: startup.zone, life: ports.dice.id().slice(0, 8) };
   const trees = makeTrees(startup.indexMostParts);
   const heard = new Map<string, Heard>();
   const listeners = new Map<string, Listener>();
--- a/src/shared/words.ts
+++ b/src/shared/words.ts
@@ -43,6 +43,7 @@
   at: string;
   http: string;
   zone: string;
+  life: string;
 }
 
 /** One engine as the platform lists it. */
--- /dev/null
+++ b/test/smoke.test.ts
@@ -0,0 +1,72 @@
+import { createServer, AddressInfo } from 'node:net';
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { runCallers } from '../tools/callers';
+import { Deployment, makeDeployment } from '../tools/deploy';
+import { allReady, configure, makeFleet, readLedgers, startAll, stopAll, until } from '../tools/fleet';
+import { judge } from '../tools/ledger';
+
+async function freeAt(): Promise<string> {
+  const server = createServer();
+  function up(go: () => void): void {
+    server.listen(0, '127.0.0.1', go);
+  }
+  await new Promise<void>(up);
+  const at = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  function over(go: () => void): void {
+    server.close(go as () => void);
+  }
+  await new Promise<void>(over);
+  return at;
+}
+
+async function small(): Promise<Deployment> {
+  const d = makeDeployment('atlas-ordre')!;
+  const out: Deployment = { ...d, edge: d.edge.slice(0, 2), engines: d.engines.slice(0, 2), platform: await freeAt() };
+  for (const c of out.core) Object.assign(c, { wire: await freeAt(), http: await freeAt(), indexWire: await freeAt(), indexHttp: await freeAt() });
+  for (const e of out.edge) Object.assign(e, { wire: await freeAt(), http: await freeAt() });
+  for (const e of out.engines) e.at = await freeAt();
+  out.store.at = await freeAt();
+  out.intents.cacheStores[0].at = out.store.at;
+  return out;
+}
+
+async function servesForReal(): Promise<void> {
+  const folder = mkdtempSync(join(tmpdir(), 'plumhollow-'));
+  const f = makeFleet(await small(), folder);
+  await startAll(f);
+  const edges = f.d.edge.map(httpOf);
+  function httpOf(e: { http: string }): string {
+    return e.http;
+  }
+  async function ready(): Promise<boolean> {
+    return allReady(f, edges);
+  }
+  expect(await until(f, 60000, ready)).toBe(true);
+  const keys = await configure(f);
+  const check = await f.cli(['check', join(folder, 'intents.json')]);
+  expect(JSON.parse(check.out)).toEqual({ findings: [] });
+  const report = await runCallers(f.ports, { intents: f.d.intents, keys, edges, shortPerS: 15, longPerS: 2, forMs: 3000, retries: 3 });
+  const v = judge(readLedgers(f), report, new Set(['tenant-1', 'tenant-2']));
+  const raced = await Promise.all([f.cli(['rules', 'add', 'tenant-1', 'x', 'ticket-1']), f.cli(['apply', join(folder, 'intents.json'), '--based-on', '0'])]);
+  const exits: number[] = [];
+  for (const p of f.procs.values()) p.child.once('exit', note);
+  function note(code: number | null): void {
+    exits.push(code ?? 99);
+  }
+  await stopAll(f);
+  rmSync(folder, { recursive: true, force: true });
+  expect(report.whole).toBe(report.asked);
+  expect(report.asked).toBeGreaterThan(10);
+  expect({ twice: v.twice, walls: v.crossedWalls, wrong: v.wrongPieces, runs: v.runs }).toEqual({ twice: [], walls: [], wrong: [], runs: report.asked });
+  expect(raced[0].code).toBe(0);
+  expect(raced[1].code).toBe(1);
+  expect(exits).toEqual(exits.map(zero));
+}
+
+function zero(): number {
+  return 0;
+}
+
+test('real processes start, are configured, serve, and leave at SIGTERM', servesForReal);
