A controller whose disk takes no writes at its start runs, and votes once it does

Cause: opening the slots begins a fresh slot; where that failed the process ended, so a full disk at a restart was a lost core machine. With another one emptied the fleet had no majority for good. Ruled out: the emptied voter (two disks are enough) and the votes' files. Conclusion: a disk that takes no writes is the same at the start as later: the node says so, does not vote, and begins with a whole slot when there is room.

--- a/src/control/slots.ts
+++ b/src/control/slots.ts
@@ -120,8 +120,11 @@
     return Right(undefined);
   }
 
-  const [f] = open(await turn());
-  if (f) return Left(f);
+  const first = await turn();
+  if (first.isLeft()) {
+    torn = true;
+    ports.log.error({ step: 'open slots', peer: 'disk' }, 'the disk takes no writes; this node does not vote');
+  }
 
   let queue: { bytes: Uint8Array; done: (o: Outcome<void>) => void }[] = [];
   let busy = false;
--- a/src/control/votes.ts
+++ b/src/control/votes.ts
@@ -65,7 +65,8 @@
       this.file = x.i;
       this.gen = x.gen;
     }
-    return this.turn(this.now);
+    this.torn = (await this.turn(this.now)).isLeft();
+    return Right(undefined);
   }
 
   private async turn(carried: Map<string, Vote>): Promise<Outcome<void>> {
--- a/test/seeds.test.ts
+++ b/test/seeds.test.ts
@@ -40,6 +40,10 @@
   expect({ violations: r.violations, replaced: r.ops.replaced }).toEqual({ violations: [], replaced: true });
 }
 
+async function fullAtStart(): Promise<void> {
+  await clean(57, 'saffron-bay', 0, [fault(20583, 'disk-full', 'core-3', 'index-core-2', 2998), fault(21408, 'power-core', 'index-core-3', 'core-3', 325), fault(25995, 'wipe', 'core-2', 'edge-3', 2146)]);
+}
+
 async function sameTrace(): Promise<void> {
   const a = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
   const b = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
@@ -52,4 +56,5 @@
 test('a leg that waits in a frozen engine is cut when its tenant is walled off', wokenEngine);
 test('an old holder of a duty stops before a new one orders', oneHolder);
 test('a lost core machine is replaced by an empty one under traffic', replaced);
+test('a controller whose disk is full at its start votes again when there is room', fullAtStart);
 test('a seed gives the same trace twice', sameTrace);
