--- a/src/data/place.ts
+++ b/src/data/place.ts
@@ -44,11 +44,8 @@
   stop(): void;
 }
 
-/** How a router places: by the index, by affinity only, or at random. */
-export type PlaceWay = 'index' | 'affinity';
-
 /** Makes the placer; it keeps a stream up to each indexer. */
-export function makePlacer(ports: Ports, bounds: Bounds, follower: Follower, engines: Engines, hello: Hello, edges: object[], way: PlaceWay): Placer {
+export function makePlacer(ports: Ports, bounds: Bounds, follower: Follower, engines: Engines, hello: Hello, edges: object[], way: 'index' | 'affinity'): Placer {
   const helds = new Map<string, Held>();
   let stopped = false;
 
--- a/src/data/router.ts
+++ b/src/data/router.ts
@@ -8,7 +8,7 @@
 import { IntentsValue, KEYS, Member, Numbered, Rule, Service } from '../shared/words';
 import { CallerApi } from './api';
 import { Engines, Seen, watchEngines } from './engines';
-import { makePlacer, Placer, PlaceWay } from './place';
+import { makePlacer, Placer } from './place';
 
 /** What a router counts, for metrics. */
 export interface RouterCounts {
@@ -68,7 +68,7 @@
 }
 
 /** Starts a router: it follows the core, watches engines, and takes callers. */
-export async function startRouter(ports: Ports, startup: Startup, way: PlaceWay = 'index'): Promise<Outcome<Router>> {
+export async function startRouter(ports: Ports, startup: Startup): Promise<Outcome<Router>> {
   const bounds = boundsOf(startup);
   const hello: Hello = { version: WIRE_VERSION, name: startup.name, role: 'router', at: startup.wire, zone: startup.zone };
   const member: Member = { name: startup.name, role: 'router', at: startup.wire, http: startup.http, zone: startup.zone, life: ports.dice.id().slice(0, 8) };
@@ -84,7 +84,7 @@
   let leaving = false;
   const follower = follow(ports, bounds, hello, member, startup.seeds, edges);
   const engines = watchEngines(ports, bounds, follower);
-  const placer = makePlacer(ports, bounds, follower, engines, hello, edges, way);
+  const placer = makePlacer(ports, bounds, follower, engines, hello, edges, startup.placeBy);
 
   function changed(n: Numbered): void {
     if (n.key === KEYS.engines) engines.renew();
--- a/src/shared/startup.ts
+++ b/src/shared/startup.ts
@@ -21,6 +21,7 @@
   onceKeepMs: number;
   indexMostParts: number;
   bodyMostBytes: number;
+  placeBy: 'index' | 'affinity';
 }
 
 /** Times that follow from the bounds; every constant is a ratio to one. */
@@ -81,6 +82,7 @@
   secondTryShare: { doc: 'second tries as a share of a service\'s requests', format: share, default: 0.18 },
   onceKeepMs: { doc: 'idempotency keys are kept at least this long', format: positive, default: 600000 },
   indexMostParts: { doc: 'parts kept in the trees at the most', format: positive, default: 2000000 },
+  placeBy: { doc: 'place by the index, or by affinity only', format: ['index', 'affinity'], default: 'index' },
   bodyMostBytes: { doc: 'the largest body taken', format: positive, default: 4194304 },
 };
 
--- a/tools/callers.ts
+++ b/tools/callers.ts
@@ -1,4 +1,4 @@
-import { splitParts } from '../src/shared/contracts/engine';
+import { Part, splitParts } from '../src/shared/contracts/engine';
 import { open } from '../src/shared/errors';
 import { lineReader, parseJson } from '../src/shared/lib';
 import { Ports } from '../src/shared/ports';
@@ -19,6 +19,8 @@
 /** One request as its caller saw it. */
 export interface Seen {
   tag: string;
+  parts: Part[];
+  sentAt: number;
   tenant: string;
   long: boolean;
   repeatable: boolean;
@@ -95,7 +97,7 @@
     const service = serviceOf(t, long);
     const tokens = promptOf(t, long);
     const parts = splitParts(service.model, tokens);
-    const seen: Seen = { tag: parts[parts.length - 1].hash, tenant: service.tenant, long, repeatable: service.mayRepeat, legs: [], end: 'refused', wrong: [] };
+    const seen: Seen = { tag: parts[parts.length - 1].hash, parts, sentAt: clock.now(), tenant: service.tenant, long, repeatable: service.mayRepeat, legs: [], end: 'refused', wrong: [] };
     const key = dice.id();
     const body = JSON.stringify({ label: long ? 'long' : 'short', tokens, maxTokens: service.maxTokens });
     const started = clock.now();
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -92,7 +92,7 @@
 }
 
 /** Starts every process of the deployment. */
-export async function startAll(f: Fleet): Promise<void> {
+export async function startAll(f: Fleet, placeBy = 'index'): Promise<void> {
   const { d, folder } = f;
   const seeds = d.core.map(wireOf).join(',');
   function wireOf(c: { wire: string }): string {
@@ -109,7 +109,7 @@
     ups.push(f.start(`index-${c.name}`, 'indexer', [program('indexer'), '--name', `index-${c.name}`, '--wire', c.indexWire, '--http', c.indexHttp, ...common], ''));
   }
   for (const e of d.edge) {
-    ups.push(f.start(e.name, 'router', [program('router'), '--name', e.name, '--zone', e.zone, '--wire', e.wire, '--http', e.http, '--seeds', seeds, '--weights-bound-ms', String(d.weightsBoundMs)], ''));
+    ups.push(f.start(e.name, 'router', [program('router'), '--name', e.name, '--zone', e.zone, '--wire', e.wire, '--http', e.http, '--seeds', seeds, '--weights-bound-ms', String(d.weightsBoundMs), '--place-by', placeBy], ''));
   }
   await Promise.all(ups);
 }
@@ -202,11 +202,34 @@
   const { seen, wrong, ...rest } = r;
   process.stdout.write(JSON.stringify({
     deployment: f.d.name, ...rest, wrong: wrong.length, notWhole: sortsOf(seen), verdict: v, routers: m,
-    reuse: m.needed ? Math.round((m.reused / m.needed) * 1000) / 1000 : 0, secondTryShare: m.asked ? Math.round((m.second_tries / m.asked) * 10000) / 10000 : 0,
+    oracleReuse: seenBefore(f, seen), reuse: m.needed ? Math.round((m.reused / m.needed) * 1000) / 1000 : 0, secondTryShare: m.asked ? Math.round((m.second_tries / m.asked) * 10000) / 10000 : 0,
   }, null, 2) + '\n');
   return isClean(v);
 }
 
+/** The share of tokens that an endless cache, shared by all engines, would have had. */
+function seenBefore(f: Fleet, seen: Report['seen']): number {
+  const groups = new Map<string, string>();
+  for (const t of f.d.intents.tenants) groups.set(t.id, t.group ?? t.id);
+  const had = new Set<string>();
+  let all = 0;
+  let before = 0;
+  function bySent(a: Report['seen'][number], b: Report['seen'][number]): number {
+    return a.sentAt - b.sentAt;
+  }
+  for (const s of [...seen].sort(bySent)) {
+    let still = true;
+    for (const p of s.parts) {
+      const k = `${groups.get(s.tenant)} ${p.hash}`;
+      still = still && had.has(k);
+      all += p.size;
+      if (still) before += p.size;
+      had.add(k);
+    }
+  }
+  return all === 0 ? 0 : Math.round((before / all) * 1000) / 1000;
+}
+
 function sortsOf(seen: Report['seen']): Record<string, number> {
   const by: Record<string, number> = {};
   for (const s of seen) for (const l of s.legs) if (l.sort !== 'whole') by[`${l.status} ${l.sort}`] = (by[`${l.status} ${l.sort}`] ?? 0) + 1;
@@ -214,8 +237,8 @@
 }
 
 async function main(): Promise<void> {
-  const cmd = new Command('fleet').argument('<deployment>', DEPLOYMENTS.join(' or ')).option('--seconds <n>', 'how long callers call', '20').option('--fault <name>', `a fault halfway: ${FAULTS.join(', ')}`).option('--net <n>', 'second number of the loopback addresses', '10').option('--scale <x>', 'callers\' rate against the brief\'s', '1').parse();
-  const o = cmd.opts() as { seconds: string; fault?: string; net: string; scale: string };
+  const cmd = new Command('fleet').argument('<deployment>', DEPLOYMENTS.join(' or ')).option('--seconds <n>', 'how long callers call', '20').option('--fault <name>', `a fault halfway: ${FAULTS.join(', ')}`).option('--net <n>', 'second number of the loopback addresses', '10').option('--place-by <way>', 'index or affinity', 'index').option('--scale <x>', 'callers\' rate against the brief\'s', '1').parse();
+  const o = cmd.opts() as { seconds: string; fault?: string; net: string; scale: string; placeBy: string };
   const d = makeDeployment(cmd.args[0], Number(o.net));
   if (!d || (o.fault !== undefined && !FAULTS.includes(o.fault))) {
     process.stderr.write(`fleet: there is no ${d ? o.fault : cmd.args[0]}\n`);
@@ -225,7 +248,7 @@
   rmSync(folder, { recursive: true, force: true });
   mkdirSync(folder, { recursive: true });
   const f = makeFleet(d, folder);
-  await startAll(f);
+  await startAll(f, o.placeBy);
   const edges = d.edge.map(httpOf);
   async function ready(): Promise<boolean> {
     return allReady(f, edges);
