--- a/src/control/claims.ts
+++ b/src/control/claims.ts
@@ -33,6 +33,10 @@
   return h !== undefined && comparePlaces(h, n) >= 0;
 }
 
+function byName(a: { name: string }, b: { name: string }): number {
+  return a.name < b.name ? -1 : 1;
+}
+
 /** Claims that nodes hold at this controller, and the news they are sent. */
 export class Claims {
   private readonly holders = new Map<string, Holder>();
@@ -51,7 +55,7 @@
       if (h.until > now) out.push(h.member);
       else if (h.until + this.bounds.claim * 10 < now) this.holders.delete(name);
     }
-    return out;
+    return out.sort(byName);
   }
 
   /** How far each live router has applied a key. */
@@ -59,7 +63,7 @@
     const now = this.ports.clock.now();
     const out: { name: string; place?: Place }[] = [];
     for (const h of this.holders.values()) if (h.until > now && h.member.role === 'router') out.push({ name: h.member.name, place: h.has.get(key) });
-    return out;
+    return out.sort(byName);
   }
 
   private learned(): Numbered[] {
