--- /dev/null
+++ b/test/streams.test.ts
@@ -0,0 +1,68 @@
+import { open } from '../src/shared/errors';
+import { Exchange, Hello, HelloEdge, converse, hold, WIRE_VERSION } from '../src/shared/streams';
+import { Stream } from '../src/shared/ports';
+import { makeNet } from '../tools/simwire';
+import { makeWorld } from '../tools/simworld';
+
+function hello(version: number, more: object = {}): Hello {
+  return { version, name: `v${version}`, role: 'router', at: '', zone: '', ...more };
+}
+
+async function met(version: number): Promise<{ up: boolean; code?: string; name?: string }> {
+  const w = makeWorld(1, false);
+  const net = makeNet(w);
+  const server = net.ports(w.proc('server', '127.10.1.1'));
+  const client = net.ports(w.proc('client', '127.10.1.2'));
+  const at = '127.10.1.1:7000';
+  let up: Exchange | undefined;
+  let code: string | undefined;
+  function taken(s: Stream): void {
+    converse(server, s, [new HelloEdge(hello(WIRE_VERSION))]);
+  }
+  function onUp(ex: Exchange): void {
+    up = ex;
+  }
+  await server.wire.accept(at, taken);
+  const held = hold(client, at, { hello: hello(version, { flavour: 'from another version' }), edges: [], within: 100, pause: 100, onUp });
+  async function askPlainly(): Promise<void> {
+    const [, s] = open(await client.wire.dial(at, 100));
+    const [f] = open(await converse(client, s!, []).ask('hello', hello(version), 100));
+    code = f?.code;
+  }
+  void askPlainly();
+  await w.run(1000);
+  held.stop();
+  return { up: up !== undefined, code, name: up?.hello?.name };
+}
+
+async function versions(): Promise<void> {
+  expect(await met(WIRE_VERSION)).toEqual({ up: true, code: undefined, name: 'v1' });
+  expect(await met(WIRE_VERSION + 1)).toEqual({ up: true, code: undefined, name: 'v1' });
+  expect(await met(WIRE_VERSION + 2)).toEqual({ up: false, code: 'wire-version', name: undefined });
+}
+
+async function frozenPeer(): Promise<void> {
+  const w = makeWorld(2, false);
+  const net = makeNet(w);
+  const p = w.proc('server', '127.10.1.1');
+  const server = net.ports(p);
+  const client = net.ports(w.proc('client', '127.10.1.2'));
+  const at = '127.10.1.1:7000';
+  function taken(s: Stream): void {
+    converse(server, s, [new HelloEdge(hello(WIRE_VERSION))]);
+  }
+  await server.wire.accept(at, taken);
+  const held = hold(client, at, { hello: hello(WIRE_VERSION), edges: [], within: 400, pause: 200 });
+  await w.run(1000);
+  expect(held.up()).toBeDefined();
+  w.freeze(p);
+  await w.run(3000);
+  expect(held.up()).toBeUndefined();
+  w.wake(p);
+  await w.run(5000);
+  expect(held.up()).toBeDefined();
+  held.stop();
+}
+
+test('versions one apart meet, with fields that one does not know; further apart is refused', versions);
+test('a peer that takes no turns counts as down, and is up again when it wakes', frozenPeer);
