--- a/test/seeds.test.ts
+++ b/test/seeds.test.ts
@@ -44,6 +44,16 @@
   await clean(57, 'saffron-bay', 0, [fault(20583, 'disk-full', 'core-3', 'index-core-2', 2998), fault(21408, 'power-core', 'index-core-3', 'core-3', 325), fault(25995, 'wipe', 'core-2', 'edge-3', 2146)]);
 }
 
+async function secondTries(): Promise<void> {
+  const turned = ['engine-1', 'engine-2', 'engine-3'].map(turns);
+  function turns(e: string): Fault {
+    return fault(12000, 'engine-turns', e, 'platform', 15000);
+  }
+  const r = await runSeed(9, { deployment: 'saffron-bay', faults: 0, schedule: turned });
+  expect(r.violations).toEqual([]);
+  expect(r.secondTryShare).toBeGreaterThan(0.05);
+}
+
 async function sameTrace(): Promise<void> {
   const a = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
   const b = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
@@ -57,4 +67,5 @@
 test('an old holder of a duty stops before a new one orders', oneHolder);
 test('a lost core machine is replaced by an empty one under traffic', replaced);
 test('a controller whose disk is full at its start votes again when there is room', fullAtStart);
+test('second tries stay under a fifth while most engines turn all away', secondTries);
 test('a seed gives the same trace twice', sameTrace);
--- a/tools/simfaults.ts
+++ b/tools/simfaults.ts
@@ -11,7 +11,7 @@
   ms: number;
 }
 
-/** The faults that the simulator produces. */
+/** The faults that the simulator draws; `engine-turns` (an engine turns all away) comes in given schedules only. */
 export const SIM_FAULTS = [
   'kill', 'power', 'kill-edge', 'kill-core', 'kill-ours', 'power-core', 'freeze', 'cut', 'cut-one-way', 'cut-off', 'split-core', 'core-from-edge',
   'slow-link', 'disk-slow', 'disk-full', 'disk-stall', 'wipe', 'leave', 'engine-crash', 'engine-vanish', 'engine-freeze', 'store-empty', 'index-all', 'release',
@@ -144,6 +144,16 @@
       w.after(x.ms, thaw);
       return;
     }
+    case 'engine-turns': {
+      const ways = f.standins.get(x.who)!.ways;
+      const { queue } = ways;
+      ways.queue = -1;
+      function room(): void {
+        ways.queue = queue;
+      }
+      w.after(x.ms, room);
+      return;
+    }
     case 'cut': return cutAll([x.who], [x.other]);
     case 'cut-one-way': return cutAll([x.who], [x.other], true);
     case 'cut-off': return cutAll([x.who], everyone());
--- a/tools/simfleet.ts
+++ b/tools/simfleet.ts
@@ -10,7 +10,7 @@
 import { Startup } from '../src/shared/startup';
 import { Engine, Intents } from '../src/shared/words';
 import { Deployment, listed, makeDeployment } from './deploy';
-import { EngineWays, LedgerEntry, startEngine } from './engine';
+import { EngineWays, LedgerEntry, StandInEngine, startEngine } from './engine';
 import { startPlatform } from './platform';
 import { makeNet, SimNet } from './simwire';
 import { makeWorld, Proc, World } from './simworld';
@@ -36,6 +36,7 @@
   ops: Ports;
   callers: Ports;
   marks: Mark[];
+  standins: Map<string, StandInEngine>;
   lost: Set<string>;
   spare: Deployment['core'][number];
   startAll(): void;
@@ -65,6 +66,7 @@
   const engines = d.engines.map(listed);
   const controllers = new Map<string, Controller>();
   const starts = new Map<string, () => void>();
+  const standins = new Map<string, StandInEngine>();
   const seeds = d.core.map(wireOf);
 
   function wireOf(c: { wire: string }): string {
@@ -126,7 +128,8 @@
     add(e.id, ipOf(e.at), startOne);
     async function startOne(_: Proc, ports: Ports): Promise<void> {
       const ways: EngineWays = { ...e, ledger: note };
-      await startEngine(ports, ways);
+      const [f, one] = open(await startEngine(ports, ways));
+      if (!f) standins.set(e.id, one);
     }
   }
   add('platform', ipOf(d.platform), startList);
@@ -174,7 +177,7 @@
     for (const [n, go] of starts) if (!lost.has(n)) go();
   }
 
-  return { w, net, d, ledger, engines, controllers, starts, core: d.core.map(nameOf), edge: d.edge.map(nameOf), ops, callers, startAll, startup, marks, lost, spare };
+  return { w, net, d, ledger, engines, controllers, starts, core: d.core.map(nameOf), edge: d.edge.map(nameOf), ops, callers, startAll, startup, marks, standins, lost, spare };
 }
 
 function nameOf(x: { name: string }): string {
--- a/tools/without.ts
+++ b/tools/without.ts
@@ -2,6 +2,7 @@
 import * as claims from '../src/control/claims';
 import * as duties from '../src/control/duties';
 import * as slots from '../src/control/slots';
+import * as router from '../src/data/router';
 import * as once from '../src/data/once';
 import * as engine from '../src/shared/contracts/engine';
 import * as platform from '../src/shared/contracts/platform';
@@ -133,7 +134,19 @@
   (engine as unknown as Patch).generate = sure as never;
 }
 
+function noBudget(): void {
+  const real = router.startRouter;
+  async function spending(...x: Parameters<typeof router.startRouter>): Promise<Outcome<router.Router>> {
+    function free(r: router.Router): router.Router {
+      r.parts.allowSecond = always;
+      return r;
+    }
+    return (await real(...x)).map(free);
+  }
+  (router as unknown as Patch).startRouter = spending as never;
+}
+
 /** Mechanisms that the simulator can leave out, to see that its checks catch what they prevent. */
 export const MECHANISMS: Record<string, () => void> = {
-  votes: noVotes, effect: noEffect, claims: noClaims, salts: noSalts, 'weights-end': noWeightsEnd, leaving: noLeaving, sync: noSync, 'last-line': noLastLine, 'unknown-class': lateRefusal,
+  votes: noVotes, effect: noEffect, claims: noClaims, salts: noSalts, 'weights-end': noWeightsEnd, leaving: noLeaving, sync: noSync, 'last-line': noLastLine, 'unknown-class': lateRefusal, budget: noBudget,
 };
