An engine that turned a leg away is left alone for a while

Cause: an engine that answers 429, 409 or 503 looked free by its status, so the next request went there too, and with the budget of second tries used up it was refused although another engine had room. Ruled out: the budget (it held), the index (the engines turned away whatever they kept).

--- a/src/data/api.ts
+++ b/src/data/api.ts
@@ -157,7 +157,7 @@
         return giveFault(call, 502, 'unknown', 'leg-lost', `${o.fault.step} at ${p.seen.engine.id}: ${o.fault.why}`);
       }
       avoid.add(p.seen.engine.id);
-      r.engines.refresh(p.seen);
+      if (o.fault?.code?.startsWith('status-')) r.engines.turnedAway(p.seen);
     }
     if (c.key !== undefined) void tellRun(r.follower, c.key, run, 'released');
     if (last && last.sort !== 'refused') {
--- a/src/data/engines.ts
+++ b/src/data/engines.ts
@@ -16,6 +16,8 @@
   faults: number;
   openUntil: number;
   probing: boolean;
+  turns: number;
+  turnedUntil: number;
   msPerToken: number;
 }
 
@@ -27,7 +29,7 @@
   began(s: Seen, tokens: number): void;
   ended(s: Seen, good: boolean): void;
   learnedPrefill(s: Seen, read: number, ms: number): void;
-  refresh(s: Seen): void;
+  turnedAway(s: Seen): void;
   linkCost(from: string, to: string): number;
   learnedLink(from: string, to: string, tokens: number, ms: number): void;
   renew(): void;
@@ -54,7 +56,7 @@
         s.engine = e;
         continue;
       }
-      const fresh: Seen = { engine: e, at: 0, sent: 0, sentTokens: 0, mine: 0, faults: 0, openUntil: 0, probing: false, msPerToken: 0.3 };
+      const fresh: Seen = { engine: e, at: 0, sent: 0, sentTokens: 0, mine: 0, faults: 0, openUntil: 0, probing: false, turns: 0, turnedUntil: 0, msPerToken: 0.3 };
       seen.set(id, fresh);
       void tend(fresh);
     }
@@ -98,6 +100,7 @@
   function fit(s: Seen): boolean {
     const now = ports.clock.now();
     if (s.engine.leaving || !s.status || s.status.leaving || now - s.at > bounds.circuit * 4) return false;
+    if (now < s.turnedUntil) return false;
     if (s.openUntil === 0) return true;
     return now >= s.openUntil && !s.probing;
   }
@@ -118,10 +121,13 @@
   }
 
   function learnedPrefill(s: Seen, read: number, ms: number): void {
+    s.turns = 0;
     if (read > 0) s.msPerToken += SMOOTH * (ms / read - s.msPerToken);
   }
 
-  function refresh(s: Seen): void {
+  function turnedAway(s: Seen): void {
+    s.turns++;
+    s.turnedUntil = ports.clock.now() + Math.min(bounds.circuit, bounds.status * 2 ** Math.min(8, s.turns - 1)) * (0.7 + 0.6 * ports.dice.next());
     void ask(s);
   }
 
@@ -142,5 +148,5 @@
   }
 
   renew();
-  return { ofModel, get, fit, began, ended, learnedPrefill, refresh, linkCost, learnedLink, renew, stop };
+  return { ofModel, get, fit, began, ended, learnedPrefill, turnedAway, linkCost, learnedLink, renew, stop };
 }
