One piece of code keeps streams up to a changing set of peers; one reads checked bodies

Four places kept a map of held streams in step with a wanted set, and five read and checked a body by the same five lines.

--- a/src/control/api.ts
+++ b/src/control/api.ts
@@ -1,5 +1,5 @@
 import { Fault, open, Outcome } from '../shared/errors';
-import { field, giveFault, giveJson, handles, readAs, takeCalls, takeJson } from '../shared/edge';
+import { field, giveFault, giveJson, handles, takeAs, takeCalls } from '../shared/edge';
 import { wholeHash } from '../shared/lib';
 import { isId } from '../shared/formats';
 import { Call, Listening, Ports } from '../shared/ports';
@@ -56,10 +56,8 @@
   /** Applies a whole intents file on the revision it was based on. */
   @handles('PUT', '/v1/intents')
   async putIntents(call: Call): Promise<void> {
-    const body = await takeJson(call, this.c.startup.bodyMostBytes);
-    if (body === undefined) return;
-    const [f, a] = open(readAs(ApplyAsk, body, 'apply', call.peer));
-    if (f) return giveFault(call, 400, 'refused', f.code!, f.why);
+    const a = await takeAs(call, ApplyAsk, this.c.startup.bodyMostBytes, 'apply');
+    if (!a) return;
     const checked = checkIntents(a.intents);
     if (checked.isLeft()) return giveJson(call, 400, { error: { class: 'refused', code: 'bad-intents', message: 'the file has faults' }, faults: checked.extract() });
     if (a.dryRun) {
@@ -126,10 +124,8 @@
   @handles('PUT', '/v1/weights/:model')
   async putWeights(call: Call, model: string): Promise<void> {
     if (!isId(model)) return giveFault(call, 400, 'refused', 'bad-name', 'the model is not a name');
-    const body = await takeJson(call, this.c.startup.bodyMostBytes);
-    if (body === undefined) return;
-    const [f, a] = open(readAs(WeightsAsk, body, 'name weights', call.peer));
-    if (f) return giveFault(call, 400, 'refused', f.code!, f.why);
+    const a = await takeAs(call, WeightsAsk, this.c.startup.bodyMostBytes, 'name weights');
+    if (!a) return;
     if (!isId(a.weights)) return giveFault(call, 400, 'refused', 'bad-name', 'the weights are not a name');
     await this.carry(call, KEYS.weights + model, { kind: 'weights', model, weights: a.weights }, { model, weights: a.weights });
   }
@@ -137,10 +133,8 @@
   /** Replaces a lost core machine by an empty one. */
   @handles('POST', '/v1/voters')
   async postVoters(call: Call): Promise<void> {
-    const body = await takeJson(call, this.c.startup.bodyMostBytes);
-    if (body === undefined) return;
-    const [f, a] = open(readAs(VotersAsk, body, 'replace voter', call.peer));
-    if (f) return giveFault(call, 400, 'refused', f.code!, f.why);
+    const a = await takeAs(call, VotersAsk, this.c.startup.bodyMostBytes, 'replace voter');
+    if (!a) return;
     const [g, v] = open(await replaceVoter(this.c, this.ports, a.out, a.into));
     if (g) return this.giveTrouble(call, g);
     giveJson(call, 200, { voters: v, done: true });
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -6,7 +6,7 @@
 import { poll } from '../shared/poll';
 import { Listening, Ports, Stream } from '../shared/ports';
 import { Bounds, boundsOf, Startup } from '../shared/startup';
-import { converse, Held, Hello, HelloEdge, hold, noStream, WIRE_VERSION } from '../shared/streams';
+import { converse, Hello, HelloEdge, holdAll, noStream, WIRE_VERSION } from '../shared/streams';
 import { allVoters, comparePlaces, isQuorum, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
 import { Claims } from './claims';
 import { keyOf, makeValue, Operation } from './operations';
@@ -109,7 +109,6 @@
 async function runController(ports: Ports, startup: Startup, slots: Slots): Promise<Outcome<Controller>> {
   const bounds = boundsOf(startup);
   const hello: Hello = { version: WIRE_VERSION, name: startup.name, role: 'controller', at: startup.wire, zone: startup.zone };
-  const helds = new Map<string, Held>();
   const heard = new Set<string>();
   let stopped = false;
 
@@ -129,7 +128,7 @@
 
   async function askVoter(v: Voter, type: string, body: unknown, within: number): Promise<Outcome<unknown>> {
     if (isSelf(v)) return local(type, body);
-    const ex = helds.get(v.at)?.up();
+    const ex = helds.up(v.at);
     return ex ? ex.ask(type, body, within) : Left(noStream(type, v.at));
   }
 
@@ -148,12 +147,13 @@
   const [e] = open(await votes.begin());
   if (e) return Left(e);
   const edges: object[] = [new HelloEdge(hello), acceptor, claims, votes, new ControlEdge({ slots, acceptor, voters, changeHere, committed })];
+  const helds = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause });
 
   function live(): string[] {
     const v = voters();
     if (!v) return [];
     function up(x: Voter): boolean {
-      return isSelf(x) || helds.get(x.at)?.up() !== undefined;
+      return isSelf(x) || helds.up(x.at) !== undefined;
     }
     return allVoters(v).filter(up).map(atOf);
   }
@@ -188,7 +188,7 @@
     const at = rendezvous(key, live())[0];
     if (at === undefined) return bad('change', startup.name, 'not founded', 'refused', 'not-founded');
     if (at === startup.wire) return changeHere(op);
-    const ex = helds.get(at)?.up();
+    const ex = helds.up(at);
     if (!ex) return Left(noStream('change', at));
     const [g, r] = open(await ex.ask('change', op, bounds.effect * 2));
     return g ? Left(g) : Right(r as Changed);
@@ -201,18 +201,15 @@
   }
 
   function reachAll(): void {
-    const want = new Set<string>([...(voters() ? allVoters(voters()!).map(atOf) : startup.founders)]);
-    want.delete(startup.wire);
-    for (const [at, h] of helds) {
-      if (want.has(at)) continue;
-      h.stop();
-      helds.delete(at);
+    const v = voters();
+    function other(at: string): boolean {
+      return at !== startup.wire;
     }
-    for (const at of want) if (!helds.has(at)) helds.set(at, hold(ports, at, { hello, edges, within: bounds.dial, pause: bounds.pause }));
+    helds.want((v ? allVoters(v).map(atOf) : startup.founders).filter(other));
   }
 
   function peerHello(at: string, type: string): Promise<Outcome<unknown>> {
-    const ex = helds.get(at)?.up();
+    const ex = helds.up(at);
     return ex ? ex.ask(type, {}, bounds.ask) : Promise.resolve(Left<Fault, unknown>(noStream(type, at)));
   }
 
@@ -232,7 +229,7 @@
   async function spreadFounding(): Promise<void> {
     const v = slots.founding() as Voters | undefined;
     if (!v || slots.cells.get(KEYS.voters)?.learned) return;
-    for (const x of v.now) if (!isSelf(x)) await helds.get(x.at)?.up()?.ask('found', v, bounds.ask);
+    for (const x of v.now) if (!isSelf(x)) await helds.up(x.at)?.ask('found', v, bounds.ask);
     function make(now: Numbered | undefined): Outcome<unknown> {
       return Right(now?.value ?? v);
     }
@@ -241,15 +238,15 @@
 
   async function catchUp(): Promise<void> {
     const has = hasList(committed());
-    async function from(h: Held): Promise<void> {
-      const [g, list] = open((await h.up()?.ask('missing', has, bounds.ask)) ?? Left(noStream('missing', h.at)));
+    async function from(at: string): Promise<void> {
+      const [g, list] = open((await helds.up(at)?.ask('missing', has, bounds.ask)) ?? Left(noStream('missing', at)));
       if (g) return;
       for (const n of list as Numbered[]) {
         await acceptor.learn({ change: n });
         heard.delete(n.key);
       }
     }
-    await Promise.all([...helds.values()].map(from));
+    await Promise.all(helds.ats().map(from));
   }
 
   async function tend(): Promise<void> {
@@ -289,13 +286,13 @@
   function hasMajority(): boolean {
     const v = voters();
     const disks = new Set<string>();
-    for (const x of v ? allVoters(v) : []) if (isSelf(x) || helds.get(x.at)?.up()) disks.add(x.disk);
+    for (const x of v ? allVoters(v) : []) if (isSelf(x) || helds.up(x.at)) disks.add(x.disk);
     return v !== undefined && isQuorum(v, disks);
   }
 
   async function stop(): Promise<void> {
     stopped = true;
-    for (const h of helds.values()) h.stop();
+    helds.stop();
     await (listening as Listening).close();
   }
 
--- a/src/data/place.ts
+++ b/src/data/place.ts
@@ -4,7 +4,7 @@
 import { rendezvous } from '../shared/lib';
 import { Ports } from '../shared/ports';
 import { Bounds } from '../shared/startup';
-import { Held, Hello, hold } from '../shared/streams';
+import { Hello, holdAll } from '../shared/streams';
 import { CacheStore, IntentsValue, KEYS, Member } from '../shared/words';
 import { Engines, Seen } from './engines';
 
@@ -46,31 +46,25 @@
 
 /** Makes the placer; it keeps a stream up to each indexer. */
 export function makePlacer(ports: Ports, bounds: Bounds, follower: Follower, engines: Engines, hello: Hello, edges: object[], way: 'index' | 'affinity'): Placer {
-  const helds = new Map<string, Held>();
-  let stopped = false;
+  const helds = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause });
 
   function reach(members: Member[]): void {
-    const want = new Set<string>();
-    for (const m of members) if (m.role === 'indexer') want.add(m.at);
-    for (const [at, h] of helds) {
-      if (want.has(at)) continue;
-      h.stop();
-      helds.delete(at);
-    }
-    if (stopped) return;
-    for (const at of want) if (!helds.has(at)) helds.set(at, hold(ports, at, { hello, edges, within: bounds.dial, pause: bounds.pause }));
+    helds.want(members.filter(isIndexer).map(atOf));
+  }
+
+  function isIndexer(m: Member): boolean {
+    return m.role === 'indexer';
   }
 
-  function order(): string[] {
-    const ats = rendezvous(hello.name, [...helds.keys()]);
-    return ats;
+  function atOf(m: Member): string {
+    return m.at;
   }
 
   async function overlaps(model: string, salt: string, weights: string, parts: Part[]): Promise<Overlap[] | undefined> {
     if (way === 'affinity') return undefined;
     let tries = 0;
-    for (const at of order()) {
-      const ex = helds.get(at)?.up();
+    for (const at of rendezvous(hello.name, helds.ats())) {
+      const ex = helds.up(at);
       if (!ex) continue;
       if (++tries > 2) break;
       const [f, r] = open(await ex.ask('query', { model, salt, weights, parts }, bounds.query));
@@ -166,13 +160,8 @@
   }
 
   function tellReused(body: object): void {
-    for (const h of helds.values()) h.up()?.tell('reused', body);
-  }
-
-  function stop(): void {
-    stopped = true;
-    for (const h of helds.values()) h.stop();
+    for (const at of helds.ats()) helds.up(at)?.tell('reused', body);
   }
 
-  return { overlaps, pick, tellReused, reach, stop };
+  return { overlaps, pick, tellReused, reach, stop: helds.stop };
 }
--- a/src/index/api.ts
+++ b/src/index/api.ts
@@ -1,5 +1,5 @@
-import { field, giveFault, giveJson, handles, readAs, takeCalls, takeJson } from '../shared/edge';
-import { open, Outcome } from '../shared/errors';
+import { field, giveJson, handles, takeAs, takeCalls } from '../shared/edge';
+import { Outcome } from '../shared/errors';
 import { Call, Listening, Ports } from '../shared/ports';
 import { Indexer, partsOf, QueryAsk } from './indexer';
 
@@ -17,20 +17,16 @@
   /** Tells per source how many tokens of a prompt match: text, token ids or parts. */
   @handles('POST', '/query')
   async query(call: Call): Promise<void> {
-    const body = await takeJson(call, this.ix.startup.bodyMostBytes);
-    if (body === undefined) return;
-    const [f, q] = open(readAs(QueryAsk, body, 'query', call.peer));
-    if (f) return giveFault(call, 400, 'refused', f.code!, f.why);
+    const q = await takeAs(call, QueryAsk, this.ix.startup.bodyMostBytes, 'query');
+    if (!q) return;
     giveJson(call, 200, { scores: this.ix.query(q), parts: partsOf(q).length });
   }
 
   /** The same for part hashes; sizes are those that the trees know. */
   @handles('POST', '/query_by_hash')
   async queryByHash(call: Call): Promise<void> {
-    const body = await takeJson(call, this.ix.startup.bodyMostBytes);
-    if (body === undefined) return;
-    const [f, q] = open(readAs(HashAsk, body, 'query by hash', call.peer));
-    if (f) return giveFault(call, 400, 'refused', f.code!, f.why);
+    const q = await takeAs(call, HashAsk, this.ix.startup.bodyMostBytes, 'query by hash');
+    if (!q) return;
     function part(hash: string): { hash: string; size: number } {
       return { hash, size: 0 };
     }
--- a/src/index/indexer.ts
+++ b/src/index/indexer.ts
@@ -5,7 +5,7 @@
 import { follow, Follower } from '../shared/follow';
 import { Ports, Stream } from '../shared/ports';
 import { Bounds, boundsOf, Startup } from '../shared/startup';
-import { converse, Exchange, Held, Hello, HelloEdge, hold, WIRE_VERSION } from '../shared/streams';
+import { converse, Exchange, Hello, HelloEdge, holdAll, WIRE_VERSION } from '../shared/streams';
 import { Engine, IntentsValue, KEYS, Member } from '../shared/words';
 import { BatchRing, Heard, Listener, ListenerView, listenTo, makeRing, Registration } from './listener';
 import { makeTrees, Overlap, Trees } from './tree';
@@ -119,7 +119,7 @@
   const listeners = new Map<string, Listener>();
   const rings = new Map<string, BatchRing>();
   const gapsOf = new Map<string, { gaps: number; repaired: number }>();
-  const peers = new Map<string, Held>();
+  const peers = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause });
   const turns = new Map<string, Promise<void>>();
   const buffered: { id: string; r: EventsReturn }[] = [];
   const counts: IndexCounts = { queries: 0, gaps: 0, repairedBatches: 0, lostBatches: 0, epochChanges: 0, confirmed: 0, dropped: 0 };
@@ -229,9 +229,9 @@
     const missing = new Set<number>();
     for (let n = Math.max(h.seq + 1, next - 2048); n < next; n++) missing.add(n);
     const found = new Map<number, EventBatch>();
-    for (const p of peers.values()) {
+    for (const at of peers.ats()) {
       if (found.size === missing.size) break;
-      const ex = p.up();
+      const ex = peers.up(at);
       if (!ex) continue;
       const [f, list] = open(await ex.ask('missed', { source: id, epoch: h.epoch, from: h.seq + 1, to: next - 1 }, bounds.query));
       if (f) continue;
@@ -253,15 +253,15 @@
   }
 
   function reachPeers(members: Member[]): void {
-    const want = new Set<string>();
-    for (const m of members) if (m.role === 'indexer' && m.name !== startup.name) want.add(m.at);
-    for (const [at, p] of peers) {
-      if (want.has(at)) continue;
-      p.stop();
-      peers.delete(at);
-    }
-    if (stopped) return;
-    for (const at of want) if (!peers.has(at)) peers.set(at, hold(ports, at, { hello, edges, within: bounds.dial, pause: bounds.pause }));
+    peers.want(members.filter(isPeer).map(atOf));
+  }
+
+  function isPeer(m: Member): boolean {
+    return m.role === 'indexer' && m.name !== startup.name;
+  }
+
+  function atOf(m: Member): string {
+    return m.at;
   }
 
   async function join(): Promise<void> {
@@ -281,7 +281,7 @@
     const until = ports.clock.now() + bounds.dial;
     for (;;) {
       const out: Exchange[] = [];
-      for (const p of peers.values()) if (p.up()) out.push(p.up()!);
+      for (const at of peers.ats()) if (peers.up(at)) out.push(peers.up(at)!);
       if (out.length > 0 || ports.clock.now() >= until) return out;
       await ports.clock.sleep(bounds.pause * 0.25);
     }
@@ -329,7 +329,7 @@
     await follower.leave();
     follower.stop();
     for (const l of listeners.values()) l.stop();
-    for (const p of peers.values()) p.stop();
+    peers.stop();
     await close();
   }
 
--- a/src/shared/edge.ts
+++ b/src/shared/edge.ts
@@ -105,6 +105,15 @@
   return v;
 }
 
+/** Reads a JSON body and checks it against a marked shape; on a fault the return is given and undefined comes back. */
+export async function takeAs<T extends object>(call: Call, shape: Maker<T>, most: number, step: string): Promise<T | undefined> {
+  const body = await takeJson(call, most);
+  if (body === undefined) return undefined;
+  const [f, v] = open(readAs(shape, body, step, call.peer));
+  if (f) giveFault(call, 400, 'refused', f.code ?? 'bad-shape', f.why);
+  return v;
+}
+
 function matches(pattern: string, path: string): string[] | undefined {
   const a = pattern.split('/');
   const b = path.split('/');
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -1,12 +1,12 @@
 import { Stream as Feed } from 'most';
 import { Left, Right } from 'purify-ts';
 import { Handled, message } from './edge';
-import { open, Outcome } from './errors';
+import { Fault, open, Outcome } from './errors';
 import { makeFeed } from './lib';
 import { poll } from './poll';
 import { Ports } from './ports';
 import { Bounds } from './startup';
-import { converse, Exchange, Held, Hello, hold, noStream } from './streams';
+import { converse, Exchange, Hello, holdAll, noStream } from './streams';
 import { allVoters, comparePlaces, isQuorum, KEYS, Member, Numbered, Place, Voter, Voters } from './words';
 
 /** A node's view of the control state, kept up by news and claims. */
@@ -64,7 +64,6 @@
 export function follow(ports: Ports, bounds: Bounds, hello: Hello, member: Member, seeds: string[], edges: object[]): Follower {
   const state = new Map<string, Numbered>();
   const grants = new Map<string, { until: number; members: Member[] }>();
-  const helds = new Map<string, Held>();
   const refused = new Map<string, number>();
   const changes = makeFeed<Numbered>();
   const membership = makeFeed<Member[]>();
@@ -101,8 +100,8 @@
     return { voters: voters(), core: core() };
   }
 
-  const edge = new FollowEdge(take, who);
-  edges.push(edge);
+  edges.push(new FollowEdge(take, who));
+  const helds = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause, onUp, onRefused });
 
   function live(): boolean {
     const v = voters();
@@ -162,19 +161,13 @@
     void renew(ex);
   }
 
+  function onRefused(f: Fault): void {
+    if (f.code === 'ECONNREFUSED' && live()) refused.set(f.peer, ports.clock.now() + bounds.claim - bounds.dial);
+  }
+
   function reach(): void {
-    if (stopped) return;
-    const want = new Set(core());
-    if (want.size === 0) return;
-    for (const [at, h] of helds) {
-      if (want.has(at)) continue;
-      h.stop();
-      helds.delete(at);
-    }
-    for (const at of want) if (!helds.has(at)) helds.set(at, hold(ports, at, { hello, edges, within: bounds.dial, pause: bounds.pause, onUp, onRefused }));
-    function onRefused(f: { peer: string; code?: string }): void {
-      if (f.code === 'ECONNREFUSED' && live()) refused.set(f.peer, ports.clock.now() + bounds.claim - bounds.dial);
-    }
+    const want = core();
+    if (want.length > 0) helds.want(want);
   }
 
   async function findCore(): Promise<void> {
@@ -200,7 +193,7 @@
 
   async function coreAsk(type: string, body: unknown): Promise<unknown[]> {
     const out: Promise<unknown>[] = [];
-    for (const h of helds.values()) out.push(h.up()?.ask(type, body, bounds.ask) ?? Promise.resolve(undefined));
+    for (const at of helds.ats()) out.push(helds.up(at)?.ask(type, body, bounds.ask) ?? Promise.resolve(undefined));
     return Promise.all(out);
   }
 
@@ -209,7 +202,7 @@
     if (!v) return { ok: false, got: [] };
     const got: T[] = [];
     async function one(x: Voter): Promise<Outcome<T>> {
-      const ex = helds.get(x.at)?.up();
+      const ex = helds.up(x.at);
       const r = (ex ? await ex.ask(type, body, bounds.ask) : Left(noStream(type, x.at))) as Outcome<T>;
       const [, g] = open(r);
       if (g !== undefined) got.push(g);
@@ -242,7 +235,7 @@
 
   function stop(): void {
     stopped = true;
-    for (const h of helds.values()) h.stop();
+    helds.stop();
   }
 
   void findCore();
--- a/src/shared/streams.ts
+++ b/src/shared/streams.ts
@@ -168,6 +168,46 @@
   return { at, up, stop };
 }
 
+/** Streams that are kept up to all peers of a set that changes. */
+export interface Holds {
+  want(ats: Iterable<string>): void;
+  up(at: string): Exchange | undefined;
+  ats(): string[];
+  stop(): void;
+}
+
+/** Keeps streams up to the wanted peers, and to no others. */
+export function holdAll(ports: Ports, ways: HoldWays): Holds {
+  const helds = new Map<string, Held>();
+  let stopped = false;
+
+  function want(ats: Iterable<string>): void {
+    if (stopped) return;
+    const wanted = new Set(ats);
+    for (const [at, h] of helds) {
+      if (wanted.has(at)) continue;
+      h.stop();
+      helds.delete(at);
+    }
+    for (const at of wanted) if (!helds.has(at)) helds.set(at, hold(ports, at, ways));
+  }
+
+  function up(at: string): Exchange | undefined {
+    return helds.get(at)?.up();
+  }
+
+  function ats(): string[] {
+    return [...helds.keys()];
+  }
+
+  function stop(): void {
+    stopped = true;
+    for (const h of helds.values()) h.stop();
+  }
+
+  return { want, up, ats, stop };
+}
+
 /** A fault for a peer that has no stream up. */
 export function noStream(step: string, at: string): Fault {
   return makeFault(step, at, 'no stream up', 'refused', 'no-stream');
