--- a/test/transcripts.test.ts
+++ b/test/transcripts.test.ts
@@ -179,6 +179,26 @@
   expect(await scene(seed, act)).toMatchSnapshot();
 }
 
+async function hangsUp(): Promise<void> {
+  async function act(s: Scene): Promise<void> {
+    await configured(s);
+    const { callers, d } = s.f;
+    const gone = new AbortController();
+    const headers = { authorization: `Bearer ${s.keys['tenant-1']}`, 'idempotency-key': 'swap-79' };
+    const [, r] = open(await callers.wire.ask({ at: d.edge[0].http, method: 'POST', path: '/v1/generate', headers, body: JSON.stringify({ service: 'check-1', prompt: 'x' }), within: 9000, gone: gone.signal }));
+    await r!.next();
+    gone.abort();
+    await callers.clock.sleep(2000);
+    expect(s.f.ledger.map(kindOf)).toEqual(['began', 'broke']);
+  }
+  await scene(11, act);
+}
+
+function kindOf(e: { kind: string }): string {
+  return e.kind;
+}
+
+test('a caller that hangs up ends its leg at the engine', hangsUp);
 test.each([
   ['apply: whole, dry, faulty, in parts', applying],
   ['two operators race', racing],
