Tests of check's findings and of the listeners' states

Seen: check names a model without engines, a tenant without a key and a store that does not answer, with exit 1; listeners are active, paused while their engine leaves, and failed with an error.

--- a/test/smoke.test.ts
+++ b/test/smoke.test.ts
@@ -1,5 +1,5 @@
 import { createServer, AddressInfo } from 'node:net';
-import { mkdtempSync, rmSync } from 'node:fs';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { runCallers } from '../tools/callers';
@@ -47,6 +47,11 @@
   const keys = await configure(f);
   const check = await f.cli(['check', join(folder, 'intents.json')]);
   expect(JSON.parse(check.out)).toEqual({ findings: [] });
+  const odd = { ...f.d.intents, models: [...f.d.intents.models, { id: 'ghost' }], tenants: [...f.d.intents.tenants, { id: 'newcomer', sharing: 'walled' }], cacheStores: [{ id: 'lost', at: await freeAt() }] };
+  writeFileSync(join(folder, 'odd.json'), JSON.stringify(odd));
+  const found = await f.cli(['check', join(folder, 'odd.json')]);
+  expect(found.code).toBe(1);
+  expect((JSON.parse(found.out) as { findings: { path: string }[] }).findings.map(pathOf)).toEqual(['models[1]', 'models[1]', 'tenants[8]', 'cacheStores[0]']);
   const report = await runCallers(f.ports, { intents: f.d.intents, keys, edges, shortPerS: 15, longPerS: 2, forMs: 3000, retries: 3 });
   const v = judge(readLedgers(f), report, new Set(['tenant-1', 'tenant-2']));
   const raced = await Promise.all([f.cli(['rules', 'add', 'tenant-1', 'x', 'ticket-1']), f.cli(['apply', join(folder, 'intents.json'), '--based-on', '0'])]);
@@ -65,6 +70,10 @@
   expect(exits).toEqual(exits.map(zero));
 }
 
+function pathOf(x: { path: string }): string {
+  return x.path;
+}
+
 function zero(): number {
   return 0;
 }
--- a/test/transcripts.test.ts
+++ b/test/transcripts.test.ts
@@ -194,10 +194,36 @@
   await scene(11, act);
 }
 
+async function statuses(): Promise<void> {
+  async function act(s: Scene): Promise<void> {
+    await configured(s);
+    const { ops, d, w } = s.f;
+    async function told(): Promise<string[]> {
+      const all = JSON.parse(await exchange(s, ops, indexHttp(d.core[0]), 'GET', '/listeners')) as { listeners: { id: string; status: string; lastError?: string }[] };
+      return all.listeners.map(say).sort();
+    }
+    function say(l: { id: string; status: string; lastError?: string }): string {
+      return `${l.id} ${l.status}${l.lastError ? ' with an error' : ''}`;
+    }
+    await ops.clock.sleep(1000);
+    expect(await told()).toEqual(['engine-1 active', 'engine-2 active', 'store-1 active']);
+    s.f.engines[0].leaving = true;
+    w.kill(w.procs().find(isStore)!, false);
+    await ops.clock.sleep(2000);
+    expect(await told()).toEqual(['engine-1 paused', 'engine-2 active', 'store-1 failed with an error']);
+  }
+  await scene(12, act);
+}
+
+function isStore(p: { name: string }): boolean {
+  return p.name === 'store-1';
+}
+
 function kindOf(e: { kind: string }): string {
   return e.kind;
 }
 
+test('listeners are active, paused while leaving, failed with an error', statuses);
 test('a caller that hangs up ends its leg at the engine', hangsUp);
 test.each([
   ['apply: whole, dry, faulty, in parts', applying],
