One voter check, one way to apply a log line, one break handler

Read once more: two classes asked by the same lines whether a disk votes; the simulator wrote applying a log line again; its streams had twin handlers; one result was counted and never read.

--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -3,7 +3,7 @@
 import { bad, Fault, open, Outcome } from '../shared/errors';
 import { Ports } from '../shared/ports';
 import { poll } from '../shared/poll';
-import { allVoters, compareEpochs, comparePlaces, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
+import { compareEpochs, comparePlaces, isVoter, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
 import { Slots } from './slots';
 
 /** How the registers reach the other voters. */
@@ -50,12 +50,7 @@
   }
 
   private votes(): boolean {
-    const v = this.reach.voters();
-    const disk = this.slots.disk;
-    function mine(x: Voter): boolean {
-      return x.disk === disk;
-    }
-    return v !== undefined && allVoters(v).some(mine);
+    return isVoter(this.reach.voters(), this.slots.disk);
   }
 
   /** Promises to take nothing of a lower epoch. */
--- a/src/control/slots.ts
+++ b/src/control/slots.ts
@@ -70,7 +70,8 @@
   return { values, whole: at };
 }
 
-function applyLine(cells: Map<string, Cell>, l: Line): void {
+/** Applies one line of the log to the cells. */
+export function applyLine(cells: Map<string, Cell>, l: Line): void {
   const c = cells.get(l.key) ?? { promised: { epoch: 0, by: '' } };
   if (l.promised) c.promised = l.promised;
   if (l.accepted) c.accepted = l.accepted;
--- a/src/control/votes.ts
+++ b/src/control/votes.ts
@@ -2,7 +2,7 @@
 import { field, Handled, message } from '../shared/edge';
 import { bad, open, Outcome } from '../shared/errors';
 import { Ports } from '../shared/ports';
-import { allVoters, Voters } from '../shared/words';
+import { isVoter, Voters } from '../shared/words';
 import { frame, Slots, unframe } from './slots';
 
 /** What became of the run that holds a key, as far as it was told. */
@@ -133,19 +133,10 @@
     }
   }
 
-  private isVoter(): boolean {
-    const disk = this.slots.disk;
-    const v = this.voters();
-    function mine(x: { disk: string }): boolean {
-      return x.disk === disk;
-    }
-    return v !== undefined && allVoters(v).some(mine);
-  }
-
   /** Gives this disk's vote to the first run that asks; later ones are told which run has it. */
   @message('vote', VoteAsk)
   async vote(m: VoteAsk): Handled {
-    if (!this.isVoter()) return bad('vote', this.slots.disk, 'not a voter', 'refused', 'no-voter');
+    if (!isVoter(this.voters(), this.slots.disk)) return bad('vote', this.slots.disk, 'not a voter', 'refused', 'no-voter');
     const have = this.find(m.key);
     if (have && have.run !== m.run) return Right({ disk: this.slots.disk, run: have.run, state: have.state });
     const vote: Vote = { key: m.key, run: m.run, state: have?.state ?? 'running' };
--- a/src/shared/words.ts
+++ b/src/shared/words.ts
@@ -135,6 +135,14 @@
   return most(v.now) && (v.next === undefined || most(v.next));
 }
 
+/** Whether a disk votes, in either set. */
+export function isVoter(v: Voters | undefined, disk: string): boolean {
+  function mine(x: Voter): boolean {
+    return x.disk === disk;
+  }
+  return v !== undefined && allVoters(v).some(mine);
+}
+
 /** All voters of both sets, each disk once. */
 export function allVoters(v: Voters): Voter[] {
   const m = new Map<string, Voter>();
--- a/tools/simrun.ts
+++ b/tools/simrun.ts
@@ -26,7 +26,6 @@
   lateShare: number;
   backMs: number;
   secondTryShare: number;
-  reuse: number;
   lines: string[];
 }
 
@@ -152,9 +151,7 @@
   if (!f.lost.has('core-4') && !ops.replaced) violations.push('the lost core machine was never replaced');
   const second = secondTries(f);
   if (second.share > 0.2) violations.push(`second tries of a tenant's services are ${second.share.toFixed(3)}`);
-  let reused = 0;
-  for (const e of f.ledger) if (e.kind === 'ended') reused += e.reused?.tokens ?? 0;
-  return { seed, violations, schedule, hash: f.w.traceHash(), report: r, verdict: v, ops, lateShare, backMs: firstBack - HEAL, secondTryShare: second.share, reuse: reused, lines: f.w.lines };
+  return { seed, violations, schedule, hash: f.w.traceHash(), report: r, verdict: v, ops, lateShare, backMs: firstBack - HEAL, secondTryShare: second.share, lines: f.w.lines };
 }
 
 /** Legs beyond the first that reached engines, of the tenant with the largest share. */
--- a/tools/simwire.ts
+++ b/tools/simwire.ts
@@ -91,13 +91,9 @@
     const ends = new Map<Proc, () => void>();
     const rec = { a, b, end };
     pipes.add(rec);
-    const toB = makePipe(a, b, fromA);
-    const toA = makePipe(b, a, fromB);
-    function fromA(): void {
-      end(a);
-      end(b);
-    }
-    function fromB(): void {
+    const toB = makePipe(a, b, endBoth);
+    const toA = makePipe(b, a, endBoth);
+    function endBoth(): void {
       end(a);
       end(b);
     }
--- a/tools/without.ts
+++ b/tools/without.ts
@@ -86,11 +86,7 @@
   async function lazy(...x: Parameters<typeof slots.openSlots>): Promise<Outcome<slots.Slots>> {
     function skip(s: slots.Slots): slots.Slots {
       async function put(l: slots.Line): Promise<Outcome<void>> {
-        const c = s.cells.get(l.key) ?? { promised: { epoch: 0, by: '' } };
-        if (l.promised) c.promised = l.promised;
-        if (l.accepted) c.accepted = l.accepted;
-        if (l.learned) c.learned = l.learned === true ? c.accepted : l.learned;
-        s.cells.set(l.key, c);
+        slots.applyLine(s.cells, l);
         return Right(undefined);
       }
       return { ...s, put };
