An epoch is promised once, and by one life of a controller only

Cause: prepare took an equal epoch and `by` was only the name, so an owner whose own disk lost its promise could come back, be promised the same (epoch, by) and commit another value at the same place. learn then took a stale accepted value for the same one. Ruled out: the ownership ending at a failed accept (it ends with the process), the tie by name (both were one name). Before: the new test in disk.test.ts gives acknowledged, lost, acknowledged at the three voters. After: acknowledged at all three. Conclusion: equal epochs are refused at prepare, and `by` carries the life; duties compare it too.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -24,6 +24,7 @@
 /** A running controller. */
 export interface Controller {
   name: string;
+  by: string;
   startup: Startup;
   bounds: Bounds;
   slots: Slots;
@@ -110,6 +111,7 @@
   const bounds = boundsOf(startup);
   const hello: Hello = { version: WIRE_VERSION, name: startup.name, role: 'controller', at: startup.wire, zone: startup.zone };
   const heard = new Set<string>();
+  const by = `${startup.name}.${ports.dice.id().slice(0, 8)}`;
   let stopped = false;
 
   function voters(): Voters | undefined {
@@ -136,7 +138,7 @@
     return dispatch(edges, type, body, undefined, startup.name);
   }
 
-  const reach: Reach = { name: startup.name, within: bounds.ask, voters, ask: askVoter, learned, learnHere };
+  const reach: Reach = { by, within: bounds.ask, voters, ask: askVoter, learned, learnHere };
   function learnHere(n: Numbered): Promise<unknown> {
     return acceptor.learn({ change: n });
   }
@@ -303,7 +305,7 @@
   reachAll();
   void tend();
   return Right({
-    name: startup.name, startup, bounds, slots, claims, votes, owner, edges, voters, live, picked, change, effect, value,
+    name: startup.name, by, startup, bounds, slots, claims, votes, owner, edges, voters, live, picked, change, effect, value,
     heardLive, hasMajority, askVoter, peerHello, stop, stopped: isStopped,
   });
 }
--- a/src/control/duties.ts
+++ b/src/control/duties.ts
@@ -79,7 +79,7 @@
     if (f || st.weights === named.weights) return;
     const asked = ports.clock.now();
     const [g, r] = open(await c.change({ kind: 'duty', duty: e.id, holder: c.name }));
-    if (g || r.place.by !== c.name) return;
+    if (g || r.place.by !== c.by) return;
     const mine = held.get(e.id);
     if (mine?.epoch !== r.place.epoch) {
       held.set(e.id, { epoch: r.place.epoch, since: ports.clock.now() });
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -6,9 +6,9 @@
 import { compareEpochs, comparePlaces, isVoter, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
 import { Slots } from './slots';
 
-/** How the registers reach the other voters. */
+/** How the registers reach the other voters; `by` tells this life of this node from every other. */
 export interface Reach {
-  name: string;
+  by: string;
   within: number;
   voters(): Voters | undefined;
   ask(v: Voter, type: string, body: unknown, within: number): Promise<Outcome<unknown>>;
@@ -53,14 +53,14 @@
     return isVoter(this.reach.voters(), this.slots.disk);
   }
 
-  /** Promises to take nothing of a lower epoch. */
+  /** Promises to take nothing of a lower epoch; an epoch that was promised already is not promised again. */
   @message('prepare', PrepareAsk)
   async prepare(m: PrepareAsk): Handled {
     const later = this.laterVoters(m.voters);
     const seen = this.slots.cells.get(m.key)?.promised ?? { epoch: 0, by: '' };
     if (later) return Right({ ok: false, seen, voters: later } as Promised);
     if (!this.votes()) return bad('prepare', this.slots.disk, 'not a voter', 'refused', 'no-voter');
-    if (compareEpochs(m, seen) < 0) return Right({ ok: false, seen } as Promised);
+    if (m.epoch <= seen.epoch) return Right({ ok: false, seen } as Promised);
     const promised = { epoch: m.epoch, by: m.by };
     const accepted = this.slots.cells.get(m.key)?.accepted;
     const [f] = open(await this.slots.put({ key: m.key, promised }));
@@ -148,7 +148,7 @@
 
   async function ask(key: string, type: string, body: object): Promise<Outcome<Promised[]>> {
     const voters = reach.voters();
-    if (!voters) return bad(type, reach.name, 'not founded', 'refused', 'not-founded');
+    if (!voters) return bad(type, reach.by, 'not founded', 'refused', 'not-founded');
     const seen: Promised[] = [];
     async function one(v: Voter): Promise<Outcome<Promised>> {
       const r = (await reach.ask(v, type, { ...body, voters: placeOnly(votersPlace()) }, reach.within)) as Outcome<Promised>;
@@ -163,7 +163,7 @@
 
   async function acquire(key: string): Promise<Outcome<Owned>> {
     const epoch = Math.max(highest.get(key) ?? 0, slots.cells.get(key)?.promised.epoch ?? 0) + 1;
-    const [f, got] = open(await ask(key, 'prepare', { key, epoch, by: reach.name }));
+    const [f, got] = open(await ask(key, 'prepare', { key, epoch, by: reach.by }));
     if (f) return Left(f);
     let best: Numbered | undefined;
     for (const p of got) if (p.accepted && (!best || comparePlaces(p.accepted, best) > 0)) best = p.accepted;
@@ -178,7 +178,7 @@
   }
 
   async function commit(key: string, o: Owned, number: number, value: unknown): Promise<Outcome<Numbered>> {
-    const change: Numbered = { key, epoch: o.epoch, by: reach.name, number, value };
+    const change: Numbered = { key, epoch: o.epoch, by: reach.by, number, value };
     const [f] = open(await ask(key, 'accept', { change }));
     if (f) {
       owned.delete(key);
--- a/test/disk.test.ts
+++ b/test/disk.test.ts
@@ -1,15 +1,18 @@
 import { Right } from 'purify-ts';
+import { Acceptor, makeOwner, Reach } from '../src/control/register';
 import { openSlots, Slots } from '../src/control/slots';
 import { Votes } from '../src/control/votes';
-import { open, Outcome } from '../src/shared/errors';
+import { dispatch } from '../src/shared/edge';
+import { bad, open, Outcome } from '../src/shared/errors';
 import { Ports } from '../src/shared/ports';
+import { Voter } from '../src/shared/words';
 import { seededDice } from '../tools/dice';
 import { makeNet } from '../tools/simwire';
 import { makeWorld } from '../tools/simworld';
 
 type Files = Map<string, Uint8Array>;
 
-function portsOn(files: Files): Ports {
+function portsOn(files: Files, seed = 3): Ports {
   const w = makeWorld(1, false);
   const base = makeNet(w).ports(w.proc('node', '127.10.1.1'));
   async function read(name: string): Promise<Outcome<Uint8Array | undefined>> {
@@ -23,15 +26,78 @@
     files.set(name, Buffer.concat([files.get(name) ?? new Uint8Array(0), bytes]));
     return Right(undefined);
   }
-  return { ...base, dice: seededDice(3), disk: { read, write, append } };
+  return { ...base, dice: seededDice(seed), disk: { read, write, append } };
 }
 
-async function opened(files: Files): Promise<Slots> {
-  const [f, s] = open(await openSlots(portsOn(files), 1 << 20));
+async function opened(files: Files, seed = 3): Promise<Slots> {
+  const [f, s] = open(await openSlots(portsOn(files, seed), 1 << 20));
   expect(f).toBeUndefined();
   return s!;
 }
 
+/** Three voters on files of their own; messages pass only where `passes` says so. */
+async function three(): Promise<{ node: (i: number, life: string, passes: (to: number, type: string) => boolean) => Promise<ReturnType<typeof makeOwner>>; cell: (i: number) => unknown; lose: (i: number) => Promise<void> }> {
+  const files: Files[] = [new Map(), new Map(), new Map()];
+  const slots: Slots[] = [];
+  const acceptors: Acceptor[] = [];
+  const set: Voter[] = [];
+  for (const [i, x] of files.entries()) {
+    slots.push(await opened(x, i));
+    set.push({ disk: slots[i].disk, at: String(i) });
+  }
+  const kept = files.map(copyOf);
+  function voters(): { now: Voter[] } {
+    return { now: set };
+  }
+  function nothing(): void {}
+  async function node(i: number, life: string, passes: (to: number, type: string) => boolean): Promise<ReturnType<typeof makeOwner>> {
+    const reach: Reach = { by: life, within: 100, voters, ask, learned: nothing, learnHere };
+    async function learnHere(): Promise<unknown> {
+      return undefined;
+    }
+    async function ask(v: Voter, type: string, body: unknown): Promise<Outcome<unknown>> {
+      if (!passes(Number(v.at), type)) return bad(type, v.at, 'cut', 'unknown', 'timeout');
+      return dispatch([acceptors[Number(v.at)]], type, body, undefined, v.at);
+    }
+    for (const [k, s] of slots.entries()) acceptors[k] = new Acceptor(s, reach, portsOn(files[k]));
+    return makeOwner(slots[i], reach);
+  }
+  function cell(i: number): unknown {
+    return slots[i].cells.get('k')?.learned?.value;
+  }
+  async function lose(i: number): Promise<void> {
+    files[i] = copyOf(kept[i]);
+    slots[i] = await opened(files[i], i);
+  }
+  return { node, cell, lose };
+}
+
+function copyOf(f: Files): Files {
+  return new Map(f);
+}
+
+async function oneEpoch(): Promise<void> {
+  const t = await three();
+  function value(v: string): () => Outcome<unknown> {
+    function make(): Outcome<unknown> {
+      return Right(v);
+    }
+    return make;
+  }
+  function first(to: number, type: string): boolean {
+    return type === 'prepare' ? to !== 0 : to === 1 && type === 'accept';
+  }
+  function second(to: number, type: string): boolean {
+    return to !== 1 || type === 'learn';
+  }
+  expect((await (await t.node(0, 'a.1', first)).change('k', value('lost'))).isLeft()).toBe(true);
+  await t.lose(0);
+  const again = await t.node(0, 'a.2', second);
+  for (let i = 0; i < 3; i++) await again.own('k');
+  expect((await again.change('k', value('acknowledged'))).isRight()).toBe(true);
+  expect([0, 1, 2].map(t.cell)).toEqual(['acknowledged', 'acknowledged', 'acknowledged']);
+}
+
 function numberOf(s: Slots): number {
   return s.cells.get('k')?.accepted?.number ?? 0;
 }
@@ -111,3 +177,4 @@
 test('a log cut or bent at any byte gives what was whole before it', everyCut);
 test('a slot torn at any byte falls back to the other slot and its log', tornSlot);
 test('a vote outlives restarts, and a released key can be run anew', voteKept);
+test('one epoch never carries two values, also when an owner forgot its promise and came back', oneEpoch);
--- a/test/transcripts.test.ts
+++ b/test/transcripts.test.ts
@@ -9,10 +9,11 @@
 }
 
 const OFTEN = /"(started|at|prefillMs)":[\d.]+/g;
+const LIFE = /(core-\d)\.[0-9a-f]{8}/g;
 
 async function exchange(s: Scene, ports: Ports, at: string, method: string, path: string, body?: unknown, headers: Record<string, string> = {}): Promise<string> {
   const text = typeof body === 'string' ? body : body === undefined ? undefined : JSON.stringify(body);
-  s.lines.push(`> ${method} ${path}`);
+  s.lines.push(`> ${method} ${path.replace(LIFE, '$1.(life)')}`);
   for (const [k, v] of Object.entries(headers)) s.lines.push(`> ${k}: ${k === 'authorization' ? 'Bearer (key)' : v}`);
   if (text !== undefined) s.lines.push(`> ${text.length > 400 ? `(${text.length} characters)` : text}`);
   const [f, r] = open(await ports.wire.ask({ at, method, path, body: text, headers, within: 20000 }));
@@ -28,7 +29,7 @@
     if (g || piece === undefined) break;
     all += piece;
   }
-  for (const l of all.split('\n')) if (l) s.lines.push(`< ${l.replace(OFTEN, '"$1":0').replace(/"key":"ph_\w+"/, '"key":"(key)"').replace(/"id":"[0-9a-f]{12}"/, '"id":"(id)"').replace(/"epoch":"[0-9a-f]{32}"/g, '"epoch":"(epoch)"')}`);
+  for (const l of all.split('\n')) if (l) s.lines.push(`< ${l.replace(OFTEN, '"$1":0').replace(LIFE, '$1.(life)').replace(/"key":"ph_\w+"/, '"key":"(key)"').replace(/"id":"[0-9a-f]{12}"/, '"id":"(id)"').replace(/"epoch":"[0-9a-f]{32}"/g, '"epoch":"(epoch)"')}`);
   s.lines.push('');
   return all;
 }
