No return tells of what is not yet synced, nor of a write that failed

Cause: learn returned at once when memory had the change, which is set before the write; copy skipped a key that was not synced, and a vote told of another run's unsynced vote. After a failed write memory stayed ahead and the next ask was told yes. Ruled out: prepare and accept (they always write, and lines are synced in order). Before: the new test in disk.test.ts has a vote told while the disk holds every write back. After: all four messages wait, and fail while the disk fails; they are kept once it takes writes. Conclusion: one group of lines for slots and votes, with `settled` as the barrier; the two copies of that queue are gone.

--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -90,12 +90,11 @@
   async learn(m: LearnAsk): Handled {
     const c = m.change;
     const cell = this.slots.cells.get(c.key);
-    if (!cell?.learned || comparePlaces(c, cell.learned) > 0) {
-      const same = cell?.accepted && comparePlaces(cell.accepted, c) === 0;
-      const [f] = open(await this.slots.put({ key: c.key, learned: same ? true : c }));
-      if (f) return Left(f);
-      this.reach.learned(c);
-    }
+    const fresh = !cell?.learned || comparePlaces(c, cell.learned) > 0;
+    const same = cell?.accepted && comparePlaces(cell.accepted, c) === 0;
+    const [f] = open(await (fresh ? this.slots.put({ key: c.key, learned: same ? true : c }) : this.slots.settled()));
+    if (f) return Left(f);
+    if (fresh) this.reach.learned(c);
     this.ports.log.info({ step: 'learn', peer: c.by }, `${c.key} ${c.epoch}.${c.number}`);
     return Right({ disk: this.slots.disk });
   }
--- a/src/control/slots.ts
+++ b/src/control/slots.ts
@@ -5,6 +5,7 @@
 import { guard } from '../shared/lib';
 import { Ports } from '../shared/ports';
 import { Numbered } from '../shared/words';
+import { makeGroup } from './group';
 
 /** What a disk holds of one control key. */
 export interface Cell {
@@ -28,6 +29,7 @@
   founding(): unknown;
   found(v: unknown): Promise<Outcome<void>>;
   put(l: Line): Promise<Outcome<void>>;
+  settled(): Promise<Outcome<void>>;
   fit(): boolean;
   cutBytes: number;
 }
@@ -127,27 +129,13 @@
     ports.log.error({ step: 'open slots', peer: 'disk' }, 'the disk takes no writes; this node does not vote');
   }
 
-  let queue: { bytes: Uint8Array; done: (o: Outcome<void>) => void }[] = [];
-  let busy = false;
-
-  async function drain(): Promise<void> {
-    busy = true;
-    while (queue.length > 0) {
-      const batch = queue;
-      queue = [];
-      const o = await writeBatch(batch);
-      for (const q of batch) q.done(o);
-    }
-    busy = false;
-  }
-
-  async function writeBatch(batch: { bytes: Uint8Array }[]): Promise<Outcome<void>> {
+  async function writeBatch(lines: unknown[]): Promise<Outcome<void>> {
     if (torn || logBytes > mostLog) {
       const o = await turn();
       if (o.isLeft()) torn = true;
       return o;
     }
-    const bytes = Buffer.concat(batch.map(bytesOf));
+    const bytes = Buffer.concat(lines.map(frame));
     const [g] = open(await ports.disk.append(`log-${state.gen % 2}`, bytes));
     if (g) {
       torn = true;
@@ -158,26 +146,20 @@
     return Right(undefined);
   }
 
-  function bytesOf(q: { bytes: Uint8Array }): Uint8Array {
-    return q.bytes;
+  function behind(): boolean {
+    return torn;
   }
 
-  function write(v: unknown): Promise<Outcome<void>> {
-    function wait(done: (o: Outcome<void>) => void): void {
-      queue.push({ bytes: frame(v), done });
-      if (!busy) void drain();
-    }
-    return new Promise(wait);
-  }
+  const group = makeGroup(writeBatch, behind);
 
   function put(l: Line): Promise<Outcome<void>> {
     applyLine(cells, l);
-    return write(l);
+    return group.add(l);
   }
 
   function found(v: unknown): Promise<Outcome<void>> {
     state.founding = v;
-    return write({ founding: v });
+    return group.add({ founding: v });
   }
 
   function founding(): unknown {
@@ -188,5 +170,5 @@
     return !torn;
   }
 
-  return Right({ disk: state.disk, cells, founding, found, put, fit, cutBytes });
+  return Right({ disk: state.disk, cells, founding, found, put, settled: group.settled, fit, cutBytes });
 }
--- a/src/control/votes.ts
+++ b/src/control/votes.ts
@@ -3,6 +3,7 @@
 import { bad, open, Outcome } from '../shared/errors';
 import { Ports } from '../shared/ports';
 import { isVoter, Voters } from '../shared/words';
+import { Group, makeGroup } from './group';
 import { frame, Slots, unframe } from './slots';
 
 /** What became of the run that holds a key, as far as it was told. */
@@ -39,12 +40,16 @@
   private file = 0;
   private gen = 0;
   private turnedAt: number;
-  private queue: { line: object; done: (o: Outcome<void>) => void }[] = [];
-  private busy = false;
   private torn = false;
+  private readonly group: Group<object>;
 
   constructor(private readonly slots: Slots, private readonly ports: Ports, private readonly voters: () => Voters | undefined, private readonly keep: number) {
     this.turnedAt = ports.clock.now();
+    this.group = makeGroup(this.writeBatch.bind(this), this.isTorn.bind(this));
+  }
+
+  private isTorn(): boolean {
+    return this.torn;
   }
 
   /** Reads the files, oldest first, and starts a new one, so that a torn tail is never written on. */
@@ -90,27 +95,7 @@
     return this.now.get(key) ?? this.before.get(key);
   }
 
-  private write(line: object): Promise<Outcome<void>> {
-    const self = this.queue;
-    function wait(done: (o: Outcome<void>) => void): void {
-      self.push({ line, done });
-    }
-    const p = new Promise(wait);
-    if (!this.busy) void this.drain();
-    return p;
-  }
-
-  private async drain(): Promise<void> {
-    this.busy = true;
-    while (this.queue.length > 0) {
-      const batch = this.queue.splice(0);
-      const o = await this.writeBatch(batch);
-      for (const q of batch) q.done(o);
-    }
-    this.busy = false;
-  }
-
-  private async writeBatch(batch: { line: object }[]): Promise<Outcome<void>> {
+  private async writeBatch(lines: object[]): Promise<Outcome<void>> {
     if (this.torn) {
       const o = await this.turn(new Map([...this.before, ...this.now]));
       this.torn = o.isLeft();
@@ -125,12 +110,9 @@
       this.before = this.now;
       this.now = new Map();
     }
-    const o = await this.ports.disk.append(`votes-${this.file}`, Buffer.concat(batch.map(bytes)));
+    const o = await this.ports.disk.append(`votes-${this.file}`, Buffer.concat(lines.map(frame)));
     if (o.isLeft()) this.torn = true;
     return o;
-    function bytes(q: { line: object }): Uint8Array {
-      return frame(q.line);
-    }
   }
 
   /** Gives this disk's vote to the first run that asks; later ones are told which run has it. */
@@ -138,12 +120,11 @@
   async vote(m: VoteAsk): Handled {
     if (!isVoter(this.voters(), this.slots.disk)) return bad('vote', this.slots.disk, 'not a voter', 'refused', 'no-voter');
     const have = this.find(m.key);
-    if (have && have.run !== m.run) return Right({ disk: this.slots.disk, run: have.run, state: have.state });
-    const vote: Vote = { key: m.key, run: m.run, state: have?.state ?? 'running' };
-    this.now.set(m.key, vote);
-    const [f] = open(await this.write({ vote }));
+    const vote: Vote = have ?? { key: m.key, run: m.run, state: 'running' };
+    if (!have) this.now.set(m.key, vote);
+    const [f] = open(await (have ? this.group.settled() : this.group.add({ vote })));
     if (f) return bad('vote', this.slots.disk, f.why, 'failed', f.code);
-    return Right({ disk: this.slots.disk, run: m.run, state: vote.state });
+    return Right({ disk: this.slots.disk, run: vote.run, state: vote.state });
   }
 
   /** Takes what became of a run; one that certainly never ran gives its key back. */
@@ -162,7 +143,7 @@
   }
 
   private async told(line: object): Handled {
-    const [f] = open(await this.write(line));
+    const [f] = open(await this.group.add(line));
     return f ? bad('note run', this.slots.disk, f.why, 'failed', f.code) : Right({ disk: this.slots.disk });
   }
 
@@ -179,9 +160,9 @@
     for (const v of votes) {
       if (this.find(v.key)) continue;
       this.now.set(v.key, v);
-      writes.push(this.write({ vote: v }));
+      writes.push(this.group.add({ vote: v }));
     }
-    for (const o of await Promise.all(writes)) if (o.isLeft()) return o;
+    for (const o of await Promise.all([...writes, this.group.settled()])) if (o.isLeft()) return o;
     return Right({ disk: this.slots.disk });
   }
 }
--- a/test/disk.test.ts
+++ b/test/disk.test.ts
@@ -98,6 +98,68 @@
   expect([0, 1, 2].map(t.cell)).toEqual(['acknowledged', 'acknowledged', 'acknowledged']);
 }
 
+/** Whether a promise has come back once all that could run has run. */
+async function isBack(p: Promise<unknown>): Promise<boolean> {
+  let back = false;
+  function told(): void {
+    back = true;
+  }
+  void p.then(told);
+  function turns(go: () => void): void {
+    setImmediate(go);
+  }
+  for (let i = 0; i < 5; i++) await new Promise<void>(turns);
+  return back;
+}
+
+async function toldWhenSynced(): Promise<void> {
+  const files: Files = new Map();
+  const ports = portsOn(files);
+  let fails = false;
+  let held: (() => void)[] | undefined = [];
+  async function append(name: string, bytes: Uint8Array): Promise<Outcome<void>> {
+    function wait(go: () => void): void {
+      if (held) held.push(go);
+      else go();
+    }
+    await new Promise<void>(wait);
+    return fails ? bad('append', name, 'no space', 'failed', 'disk') : ports.disk.append(name, bytes);
+  }
+  async function write(name: string, bytes: Uint8Array): Promise<Outcome<void>> {
+    return fails ? bad('write', name, 'no space', 'failed', 'disk') : ports.disk.write(name, bytes);
+  }
+  const slow: Ports = { ...ports, disk: { ...ports.disk, append, write } };
+  const [, slots] = open(await openSlots(slow, 1 << 20));
+  const set = { now: [{ disk: slots!.disk, at: '0' }] };
+  function voters(): typeof set {
+    return set;
+  }
+  function nothing(): void {}
+  async function never(): Promise<Outcome<unknown>> {
+    return bad('ask', '', 'nobody', 'refused', 'none');
+  }
+  const acceptor = new Acceptor(slots!, { by: 'a.1', within: 1, voters, ask: never, learned: nothing, learnHere: never }, slow);
+  const votes = new Votes(slots!, slow, voters, 1000);
+  await votes.begin();
+  const change = { key: 'k', epoch: 1, by: 'a.1', number: 1, value: 1 };
+  const vote = { key: 'x', run: 'r1', state: 'running' };
+  const acts = [[acceptor, 'learn', { change }], [votes, 'copy', [vote]], [votes, 'vote', { key: 'x', run: 'r2' }], [votes, 'run', { key: 'x', run: 'r1', state: 'done' }]] as const;
+  const told: Promise<Outcome<unknown>>[] = [];
+  for (const [edge, type, body] of [...acts, ...acts]) {
+    told.push(dispatch([edge], type, body, undefined, ''));
+    expect({ type, back: await isBack(told[told.length - 1]) }).toEqual({ type, back: false });
+  }
+  fails = true;
+  for (const go of held.splice(0)) go();
+  held = undefined;
+  for (const o of await Promise.all(told)) expect(o.isLeft()).toBe(true);
+  for (const [edge, type, body] of acts) expect({ type, kept: (await dispatch([edge], type, body, undefined, '')).isRight() }).toEqual({ type, kept: false });
+  fails = false;
+  for (const [edge, type, body] of acts) expect({ type, kept: (await dispatch([edge], type, body, undefined, '')).isRight() }).toEqual({ type, kept: true });
+  const after = await opened(files);
+  expect(after.cells.get('k')?.learned).toEqual(change);
+}
+
 function numberOf(s: Slots): number {
   return s.cells.get('k')?.accepted?.number ?? 0;
 }
@@ -178,3 +240,4 @@
 test('a slot torn at any byte falls back to the other slot and its log', tornSlot);
 test('a vote outlives restarts, and a released key can be run anew', voteKept);
 test('one epoch never carries two values, also when an owner forgot its promise and came back', oneEpoch);
+test('nothing is answered before what it tells is synced, nor after a write that failed', toldWhenSynced);
