Claims are kept by name and life: a frozen router is not forgotten for its successor

Cause: holders were keyed by name, so the claim of a new process of the same name took the place of the frozen one's, and a change was told as in effect while the frozen process could wake and serve by old state until its own claim ended. Ruled out: the router's side (its claim is timed from when it sent the ask, so it never outlasts the core's record). Before: claims.test.ts, effect is told with the frozen life behind. After: it waits for that life's claim to end; `leave` ends one life only. Two live processes of one name are two members, each with a claim of its own. Conclusion: name and life everywhere that claims and members are kept.

--- a/src/control/claims.ts
+++ b/src/control/claims.ts
@@ -33,6 +33,10 @@
   return h !== undefined && comparePlaces(h, n) >= 0;
 }
 
+function lifeOf(m: Member): string {
+  return `${m.name} ${m.life}`;
+}
+
 function byName(a: { name: string }, b: { name: string }): number {
   return a.name < b.name ? -1 : 1;
 }
@@ -51,9 +55,9 @@
   members(): Member[] {
     const now = this.ports.clock.now();
     const out: Member[] = [];
-    for (const [name, h] of this.holders) {
+    for (const [life, h] of this.holders) {
       if (h.until > now) out.push(h.member);
-      else if (h.until + this.bounds.claim * 10 < now) this.holders.delete(name);
+      else if (h.until + this.bounds.claim * 10 < now) this.holders.delete(life);
     }
     return out.sort(byName);
   }
@@ -83,7 +87,7 @@
     for (const n of this.learned()) if (!covers(has, n)) missing.push(n);
     const disk = this.slots.disk;
     if (missing.length > 0) return Right({ granted: false, disk, missing, voters, members: [] });
-    this.holders.set(m.member.name, { member: m.member, until: this.ports.clock.now() + this.bounds.claimHeld, has, ex });
+    this.holders.set(lifeOf(m.member), { member: m.member, until: this.ports.clock.now() + this.bounds.claimHeld, has, ex });
     this.poke();
     return Right({ granted: true, disk, missing, voters, members: this.members() });
   }
@@ -91,7 +95,7 @@
   /** Ends a claim at once, when a node leaves by itself. */
   @message('leave', ClaimAsk)
   async leave(m: ClaimAsk): Handled {
-    this.holders.delete(m.member.name);
+    this.holders.delete(lifeOf(m.member));
     this.poke();
     return Right(undefined);
   }
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -149,7 +149,7 @@
   function members(role: string): Member[] {
     const now = ports.clock.now();
     const m = new Map<string, Member>();
-    for (const g of grants.values()) if (g.until > now) for (const x of g.members) if (role === '' || x.role === role) m.set(x.name, x);
+    for (const g of grants.values()) if (g.until > now) for (const x of g.members) if (role === '' || x.role === role) m.set(`${x.name} ${x.life}`, x);
     return [...m.values()].sort(byName);
   }
 
