A controller speaks of a change's effect only once it has learned it

Cause: effect was judged by the claims alone. A controller that missed the learn grants claims that do not cover the change, so the majority asked for effect and the majority a router holds could share only that one. Ruled out: the drain at the others (right as it is). Before: claims.test.ts, effect is told of a change that was never learned there. After: it waits, and is poked when it learns.

--- a/src/control/claims.ts
+++ b/src/control/claims.ts
@@ -100,8 +100,9 @@
     return Right(undefined);
   }
 
-  /** Pushes a change down the held streams and counts the acknowledgements. */
+  /** Pushes a change that is learned here down the held streams and counts the acknowledgements. */
   push(n: Numbered): void {
+    this.poke();
     for (const h of this.holders.values()) void this.pushOne(h, n);
   }
 
@@ -122,7 +123,8 @@
 
   private inEffect(m: EffectAsk): boolean {
     const now = this.ports.clock.now();
-    if (now < this.startedAt + this.bounds.claimHeld) return false;
+    const learned = this.slots.cells.get(m.key)?.learned;
+    if (!learned || comparePlaces(learned, m) < 0 || now < this.startedAt + this.bounds.claimHeld) return false;
     for (const h of this.holders.values()) if (h.member.role === 'router' && h.until > now && !covers(h.has, m)) return false;
     return true;
   }
--- a/test/claims.test.ts
+++ b/test/claims.test.ts
@@ -83,4 +83,13 @@
   expect(await d.effect(2)).toBe(true);
 }
 
+async function notLearnedHere(): Promise<void> {
+  const d = await desk();
+  await d.learn(1);
+  expect(await d.effect(2)).toBe(false);
+  await d.learn(2);
+  expect(await d.effect(2)).toBe(true);
+}
+
 test('a frozen router keeps its claim when a new process of its name asks for one', twoLives);
+test('a controller that has not learned a change does not say that it is in effect', notLearnedHere);
