A disk whose synced data is gone counts as a new disk and does not vote

Cause: a newest slot that went bad fell back to the older one and dropped the log written since; a bad frame in the middle of a log was cut as a torn tail with the synced frames after it; votes files likewise. The node then voted as if it remembered. Ruled out: telling a torn last append from a changed byte by its checksum alone. A torn end is short or zero; all else is spoilt. Before: with a byte changed, the node came back under its own disk id without later changes. After, every byte of all four files changed in turn: either nothing is missing (both slots' bytes, through both logs) or the id is new; votes files: always a new id. Conclusion: logs say which slot they follow, a frame is one sync, votes name their disk; `diskSpoilt` says so. A last synced frame that is cut short, or a file put back from a copy, can't be told from a torn one and stays a limit.

--- a/src/control/api.ts
+++ b/src/control/api.ts
@@ -145,7 +145,7 @@
   async getFleet(call: Call): Promise<void> {
     const c = this.c;
     giveJson(call, 200, {
-      controller: c.name, disk: c.slots.disk, diskFit: c.slots.fit(), voters: c.voters(), live: c.live(), majority: c.hasMajority(),
+      controller: c.name, disk: c.slots.disk, diskFit: c.slots.fit(), diskSpoilt: c.slots.spoilt, voters: c.voters(), live: c.live(), majority: c.hasMajority(),
       members: c.claims.members(), engines: c.value(KEYS.engines)?.value ?? [], revision: c.value(KEYS.intents)?.place.number ?? 0,
       routers: c.claims.applied(KEYS.intents),
     });
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -12,7 +12,7 @@
 import { keyOf, makeValue, Operation } from './operations';
 import { Acceptor, makeOwner, Owner, Reach } from './register';
 import { openSlots, Slots } from './slots';
-import { Votes } from './votes';
+import { KeptVotes, readVotes, Votes } from './votes';
 
 /** What became of a change. */
 export interface Changed {
@@ -71,7 +71,7 @@
   @message('who')
   async who(): Handled {
     const v = this.c.voters();
-    return Right({ disk: this.c.slots.disk, blank: v === undefined, voters: v, core: v ? allVoters(v).map(atOf) : [] });
+    return Right({ disk: this.c.slots.disk, blank: v === undefined && !this.c.slots.spoilt, voters: v, core: v ? allVoters(v).map(atOf) : [] });
   }
 
   /** Agrees to a founding, once. */
@@ -79,7 +79,8 @@
   async found(v: Voters): Handled {
     const now = this.c.voters();
     if (now) return JSON.stringify(this.c.slots.founding()) === JSON.stringify(v) ? Right(true) : bad('found', this.c.slots.disk, 'already of a fleet', 'refused', 'not-blank');
-    const disk = this.c.slots.disk;
+    const { disk, spoilt } = this.c.slots;
+    if (spoilt) return bad('found', disk, 'this disk was of a fleet', 'refused', 'not-blank');
     function mine(x: Voter): boolean {
       return x.disk === disk;
     }
@@ -103,11 +104,13 @@
 
 /** Starts a controller: its disk, its votes, its claims, its streams. */
 export async function startController(ports: Ports, startup: Startup): Promise<Outcome<Controller>> {
-  const [f, slots] = open(await openSlots(ports, 1 << 20));
-  return f ? Left(f) : runController(ports, startup, slots);
+  const [f, kept] = open(await readVotes(ports));
+  if (f) return Left(f);
+  const [g, slots] = open(await openSlots(ports, 1 << 20, kept));
+  return g ? Left(g) : runController(ports, startup, slots, kept);
 }
 
-async function runController(ports: Ports, startup: Startup, slots: Slots): Promise<Outcome<Controller>> {
+async function runController(ports: Ports, startup: Startup, slots: Slots, kept: KeptVotes): Promise<Outcome<Controller>> {
   const bounds = boundsOf(startup);
   const hello: Hello = { version: WIRE_VERSION, name: startup.name, role: 'controller', at: startup.wire, zone: startup.zone };
   const heard = new Set<string>();
@@ -146,8 +149,7 @@
   const claims = new Claims(slots, ports, bounds, voters);
   const owner = makeOwner(slots, reach);
   const votes = new Votes(slots, ports, voters, startup.onceKeepMs);
-  const [e] = open(await votes.begin());
-  if (e) return Left(e);
+  await votes.begin(kept);
   const edges: object[] = [new HelloEdge(hello), acceptor, claims, votes, new ControlEdge({ slots, acceptor, voters, changeHere, committed })];
   const helds = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause });
 
@@ -217,7 +219,7 @@
 
   async function tryFound(): Promise<void> {
     const founders = [...startup.founders].sort();
-    if (founders[0] !== startup.wire) return;
+    if (founders[0] !== startup.wire || slots.spoilt) return;
     const set: Voter[] = [{ disk: slots.disk, at: startup.wire }];
     for (const at of founders.slice(1)) {
       const [g, w] = open(await peerHello(at, 'who'));
--- /dev/null
+++ b/src/control/frames.ts
@@ -0,0 +1,54 @@
+import { crc32 } from 'node:zlib';
+import { pack, unpack } from 'msgpackr';
+import { open } from '../shared/errors';
+import { guard } from '../shared/lib';
+
+const HEAD = 12;
+
+/** Frames a value: its length, its checksum, a checksum of these two, and the packed value. */
+export function frame(v: unknown): Uint8Array {
+  const body = pack(v);
+  const out = Buffer.alloc(HEAD + body.length);
+  out.writeUInt32BE(body.length, 0);
+  out.writeUInt32BE(crc32(body), 4);
+  out.writeUInt32BE(crc32(out.subarray(0, 8)), 8);
+  out.set(body, HEAD);
+  return out;
+}
+
+/** What a file of frames holds; `torn` where its end was never whole, `spoilt` where whole bytes have changed since. */
+export interface Unframed {
+  values: unknown[];
+  torn: boolean;
+  spoilt: boolean;
+}
+
+/** Reads frames up to the first that is not whole: missing or zero bytes at the end are torn, all else is spoilt. */
+export function unframe(bytes: Uint8Array | undefined): Unframed {
+  const b = bytes ? Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length) : Buffer.alloc(0);
+  const values: unknown[] = [];
+  let at = 0;
+  while (at < b.length) {
+    const headed = at + HEAD <= b.length;
+    const end = headed ? at + HEAD + b.readUInt32BE(at) : Infinity;
+    const sound = headed && crc32(b.subarray(at, at + 8)) === b.readUInt32BE(at + 8);
+    if (!headed || (sound && end > b.length)) return { values, torn: true, spoilt: false };
+    const body = b.subarray(at + HEAD, end);
+    const [f, v] = open(guard('unpack', 'disk', read));
+    function read(): unknown {
+      return sound && crc32(body) === b.readUInt32BE(at + 4) ? unpack(body) : undefined;
+    }
+    if (f || v === undefined) {
+      const torn = isZero(b.subarray(Math.max(at, b.length - 8)));
+      return { values, torn, spoilt: !torn };
+    }
+    values.push(v);
+    at = end;
+  }
+  return { values, torn: false, spoilt: false };
+}
+
+function isZero(b: Uint8Array): boolean {
+  for (const x of b) if (x !== 0) return false;
+  return true;
+}
--- a/src/control/slots.ts
+++ b/src/control/slots.ts
@@ -1,10 +1,8 @@
-import { crc32 } from 'node:zlib';
-import { pack, unpack } from 'msgpackr';
 import { Left, Right } from 'purify-ts';
 import { bad, open, Outcome } from '../shared/errors';
-import { guard } from '../shared/lib';
 import { Ports } from '../shared/ports';
 import { Numbered } from '../shared/words';
+import { frame, Unframed, unframe } from './frames';
 import { makeGroup } from './group';
 
 /** What a disk holds of one control key. */
@@ -22,7 +20,7 @@
   learned?: Numbered | true;
 }
 
-/** A node's kept state: a random disk id, the founding it agreed to, and its cells. */
+/** A node's kept state: a random disk id, the founding it agreed to, and its cells; where synced data is gone, the id is a new one. */
 export interface Slots {
   disk: string;
   cells: Map<string, Cell>;
@@ -31,45 +29,20 @@
   put(l: Line): Promise<Outcome<void>>;
   settled(): Promise<Outcome<void>>;
   fit(): boolean;
-  cutBytes: number;
+  spoilt: boolean;
 }
 
 interface Whole {
   gen: number;
   disk: string;
   founding?: unknown;
+  spoilt?: boolean;
   cells: [string, Cell][];
 }
 
-/** Frames bytes with their length and checksum. */
-export function frame(v: unknown): Uint8Array {
-  const body = pack(v);
-  const out = Buffer.alloc(8 + body.length);
-  out.writeUInt32BE(body.length, 0);
-  out.writeUInt32BE(crc32(body), 4);
-  out.set(body, 8);
-  return out;
-}
-
-/** Reads frames up to the first torn or corrupt one; tells how many bytes were whole. */
-export function unframe(bytes: Uint8Array): { values: unknown[]; whole: number } {
-  const b = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
-  const values: unknown[] = [];
-  let at = 0;
-  while (at + 8 <= b.length) {
-    const len = b.readUInt32BE(at);
-    if (at + 8 + len > b.length || len === 0) break;
-    const body = b.subarray(at + 8, at + 8 + len);
-    if (crc32(body) !== b.readUInt32BE(at + 4)) break;
-    const v = guard('unpack', 'disk', read);
-    function read(): unknown {
-      return unpack(body);
-    }
-    if (v.isLeft()) break;
-    values.push(v.extract());
-    at += 8 + len;
-  }
-  return { values, whole: at };
+interface Found {
+  whole: Whole;
+  spoilt: boolean;
 }
 
 /** Applies one line of the log to the cells. */
@@ -81,39 +54,66 @@
   cells.set(l.key, c);
 }
 
-/** Opens the two slots and the log between; torn tails are cut, never guessed past. */
-export async function openSlots(ports: Ports, mostLog: number): Promise<Outcome<Slots>> {
-  let best: Whole | undefined;
-  for (const name of ['slot-0', 'slot-1']) {
+function genOf(log: Unframed): number {
+  return (log.values[0] as { gen?: number } | undefined)?.gen ?? 0;
+}
+
+function applyLog(w: Whole, cells: Map<string, Cell>, log: Unframed): void {
+  for (const batch of log.values.slice(1) as (Line & { founding?: unknown })[][]) {
+    for (const l of batch) {
+      if (l.founding !== undefined) w.founding = l.founding;
+      else applyLine(cells, l);
+    }
+  }
+}
+
+/** Reads both slots and both logs: the newest whole slot, its log, and the next log where the slot after it can't be read. */
+function readWhole(slots: Unframed[], logs: Unframed[]): Found | undefined {
+  const wholes = slots.map(wholeOf);
+  const i = (wholes[0]?.gen ?? 0) > (wholes[1]?.gen ?? 0) ? 0 : 1;
+  const best = wholes[i];
+  if (!best) return slots[0].torn || slots[0].spoilt || logs[0].values.length > 1 || logs[1].values.length > 1 ? { whole: { gen: 0, disk: '', cells: [] }, spoilt: true } : undefined;
+  const log = logs[i];
+  const next = logs[1 - i];
+  const cells = new Map(best.cells);
+  applyLog(best, cells, log);
+  let spoilt = genOf(log) !== best.gen || log.spoilt;
+  if (!wholes[1 - i]) {
+    const follows = genOf(next) === best.gen + 1;
+    if (follows) applyLog(best, cells, next);
+    spoilt ||= next.spoilt || (follows && log.torn && next.values.length > 1);
+  }
+  return { whole: { ...best, cells: [...cells] }, spoilt };
+}
+
+function wholeOf(slot: Unframed): Whole | undefined {
+  return slot.values[0] as Whole | undefined;
+}
+
+/** Opens the two slots and the logs between; torn tails are cut, and a disk whose synced data or votes are gone counts as a new one. */
+export async function openSlots(ports: Ports, mostLog: number, kept?: { disk: string; spoilt: boolean }): Promise<Outcome<Slots>> {
+  const files: Unframed[] = [];
+  for (const name of ['slot-0', 'slot-1', 'log-0', 'log-1']) {
     const [f, bytes] = open(await ports.disk.read(name));
     if (f) return Left(f);
-    const w = bytes && (unframe(bytes).values[0] as Whole | undefined);
-    if (w && (!best || w.gen > best.gen)) best = w;
+    files.push(unframe(bytes));
+  }
+  const read = readWhole(files.slice(0, 2), files.slice(2));
+  let state: Whole = read?.whole ?? { gen: 0, disk: ports.dice.id(), cells: [] };
+  const votesGone = kept !== undefined && (kept.spoilt || (kept.disk !== state.disk && state.cells.length > 0));
+  if (read?.spoilt || votesGone) {
+    const was = state.disk;
+    state = { ...state, disk: ports.dice.id(), spoilt: true };
+    ports.log.error({ step: 'open slots', peer: 'disk' }, `synced data of disk ${was} is gone; this node counts as a new disk ${state.disk} and does not vote until it is named in the place of the old one`);
   }
-  const fresh = best === undefined;
-  let state: Whole = best ?? { gen: 0, disk: ports.dice.id(), cells: [] };
   const cells = new Map<string, Cell>(state.cells);
   let logBytes = 0;
-  let cutBytes = 0;
-  if (!fresh) {
-    const [f, bytes] = open(await ports.disk.read(`log-${state.gen % 2}`));
-    if (f) return Left(f);
-    if (bytes) {
-      const { values, whole } = unframe(bytes);
-      for (const v of values) {
-        const l = v as Line & { founding?: unknown };
-        if (l.founding !== undefined) state.founding = l.founding;
-        else applyLine(cells, l);
-      }
-      cutBytes = bytes.length - whole;
-    }
-  }
   let torn = false;
 
   async function turn(): Promise<Outcome<void>> {
     const gen = state.gen + 1;
-    const next: Whole = { gen, disk: state.disk, founding: state.founding, cells: [...cells] };
-    const [f] = open(await ports.disk.write(`log-${gen % 2}`, new Uint8Array(0)));
+    const next: Whole = { gen, disk: state.disk, founding: state.founding, spoilt: state.spoilt, cells: [...cells] };
+    const [f] = open(await ports.disk.write(`log-${gen % 2}`, frame({ gen })));
     if (f) return Left(f);
     const [g] = open(await ports.disk.write(`slot-${gen % 2}`, frame(next)));
     if (g) return Left(g);
@@ -132,10 +132,13 @@
   async function writeBatch(lines: unknown[]): Promise<Outcome<void>> {
     if (torn || logBytes > mostLog) {
       const o = await turn();
-      if (o.isLeft()) torn = true;
-      return o;
+      if (o.isLeft()) {
+        torn = true;
+        return o;
+      }
     }
-    const bytes = Buffer.concat(lines.map(frame));
+    if (lines.length === 0) return Right(undefined);
+    const bytes = frame(lines);
     const [g] = open(await ports.disk.append(`log-${state.gen % 2}`, bytes));
     if (g) {
       torn = true;
@@ -170,5 +173,5 @@
     return !torn;
   }
 
-  return Right({ disk: state.disk, cells, founding, found, put, settled: group.settled, fit, cutBytes });
+  return Right({ disk: state.disk, cells, founding, found, put, settled: group.settled, fit, spoilt: state.spoilt === true });
 }
--- a/src/control/votes.ts
+++ b/src/control/votes.ts
@@ -1,10 +1,11 @@
-import { Right } from 'purify-ts';
+import { Left, Right } from 'purify-ts';
 import { field, Handled, message } from '../shared/edge';
 import { bad, open, Outcome } from '../shared/errors';
 import { Ports } from '../shared/ports';
 import { isVoter, Voters } from '../shared/words';
+import { frame, unframe } from './frames';
 import { Group, makeGroup } from './group';
-import { frame, Slots, unframe } from './slots';
+import { Slots } from './slots';
 
 /** What became of the run that holds a key, as far as it was told. */
 export type RunState = 'running' | 'done' | 'unknown';
@@ -29,10 +30,53 @@
   @field('string') state!: RunState | 'released';
 }
 
+interface VoteLine {
+  vote?: Vote;
+  gone?: string;
+}
+
+/** What the three files held. */
+export interface KeptVotes {
+  votes: Vote[];
+  file: number;
+  gen: number;
+  disk: string;
+  spoilt: boolean;
+}
+
 function byGen(a: { gen: number }, b: { gen: number }): number {
   return a.gen - b.gen;
 }
 
+function asLine(vote: Vote): VoteLine {
+  return { vote };
+}
+
+/** Reads the files of votes, oldest first, and tells whether synced votes are gone. */
+export async function readVotes(ports: Ports): Promise<Outcome<KeptVotes>> {
+  const found: { i: number; gen: number; disk: string; batches: VoteLine[][] }[] = [];
+  let spoilt = false;
+  for (const i of FILES) {
+    const [f, bytes] = open(await ports.disk.read(`votes-${i}`));
+    if (f) return Left(f);
+    const u = unframe(bytes);
+    spoilt ||= u.spoilt;
+    const head = u.values[0] as { gen: number; disk: string } | undefined;
+    if (head) found.push({ i, ...head, batches: u.values.slice(1) as VoteLine[][] });
+  }
+  found.sort(byGen);
+  const votes = new Map<string, Vote>();
+  for (const x of found) {
+    for (const l of x.batches.flat()) {
+      if (l.vote) votes.set(l.vote.key, l.vote);
+      if (l.gone) votes.delete(l.gone);
+    }
+  }
+  const last = found[found.length - 1];
+  spoilt ||= found.length > 1 && last.gen - found[0].gen !== found.length - 1;
+  return Right({ votes: [...votes.values()], file: last?.i ?? 0, gen: last?.gen ?? 0, disk: last?.disk ?? '', spoilt });
+}
+
 /** First-come votes for idempotency keys, synced before they are told; three files written in turn. */
 export class Votes {
   private now = new Map<string, Vote>();
@@ -52,33 +96,17 @@
     return this.torn;
   }
 
-  /** Reads the files, oldest first, and starts a new one, so that a torn tail is never written on. */
-  async begin(): Promise<Outcome<void>> {
-    const found: { i: number; gen: number; lines: { gen?: number; vote?: Vote; gone?: string }[] }[] = [];
-    for (const i of FILES) {
-      const [f, bytes] = open(await this.ports.disk.read(`votes-${i}`));
-      if (f) return bad(f.step, f.peer, f.why, f.sort, f.code);
-      const lines = (bytes ? unframe(bytes).values : []) as { gen?: number; vote?: Vote; gone?: string }[];
-      found.push({ i, gen: lines[0]?.gen ?? 0, lines });
-    }
-    found.sort(byGen);
-    for (const x of found) {
-      for (const l of x.lines) {
-        if (l.vote) this.now.set(l.vote.key, l.vote);
-        if (l.gone) this.now.delete(l.gone);
-      }
-      this.file = x.i;
-      this.gen = x.gen;
-    }
+  /** Takes what this disk had kept and starts a new file, so that a torn tail is never written on. */
+  async begin(kept: KeptVotes): Promise<void> {
+    if (kept.disk === this.slots.disk) for (const vote of kept.votes) this.now.set(vote.key, vote);
+    this.file = kept.file;
+    this.gen = kept.gen;
     this.torn = (await this.turn(this.now)).isLeft();
-    return Right(undefined);
   }
 
   private async turn(carried: Map<string, Vote>): Promise<Outcome<void>> {
     const to = (this.file + 1) % FILES.length;
-    const lines: Uint8Array[] = [frame({ gen: this.gen + 1 })];
-    for (const vote of carried.values()) lines.push(frame({ vote }));
-    const [f] = open(await this.ports.disk.write(`votes-${to}`, Buffer.concat(lines)));
+    const [f] = open(await this.ports.disk.write(`votes-${to}`, Buffer.concat([frame({ gen: this.gen + 1, disk: this.slots.disk }), frame([...carried.values()].map(asLine))])));
     if (f) return bad(f.step, f.peer, f.why, f.sort, f.code);
     this.file = to;
     this.gen++;
@@ -110,7 +138,8 @@
       this.before = this.now;
       this.now = new Map();
     }
-    const o = await this.ports.disk.append(`votes-${this.file}`, Buffer.concat(lines.map(frame)));
+    if (lines.length === 0) return Right(undefined);
+    const o = await this.ports.disk.append(`votes-${this.file}`, frame(lines));
     if (o.isLeft()) this.torn = true;
     return o;
   }
--- a/test/disk.test.ts
+++ b/test/disk.test.ts
@@ -1,7 +1,7 @@
 import { Right } from 'purify-ts';
 import { Acceptor, makeOwner, Reach } from '../src/control/register';
 import { openSlots, Slots } from '../src/control/slots';
-import { Votes } from '../src/control/votes';
+import { KeptVotes, readVotes, Votes } from '../src/control/votes';
 import { dispatch } from '../src/shared/edge';
 import { bad, open, Outcome } from '../src/shared/errors';
 import { Ports } from '../src/shared/ports';
@@ -140,7 +140,7 @@
   }
   const acceptor = new Acceptor(slots!, { by: 'a.1', within: 1, voters, ask: never, learned: nothing, learnHere: never }, slow);
   const votes = new Votes(slots!, slow, voters, 1000);
-  await votes.begin();
+  await votes.begin({ votes: [], file: 0, gen: 0, disk: '', spoilt: false });
   const change = { key: 'k', epoch: 1, by: 'a.1', number: 1, value: 1 };
   const vote = { key: 'x', run: 'r1', state: 'running' };
   const acts = [[acceptor, 'learn', { change }], [votes, 'copy', [vote]], [votes, 'vote', { key: 'x', run: 'r2' }], [votes, 'run', { key: 'x', run: 'r1', state: 'done' }]] as const;
@@ -164,52 +164,64 @@
   return s.cells.get('k')?.accepted?.number ?? 0;
 }
 
+function acceptedLine(n: number): Parameters<Slots['put']>[0] {
+  return { key: 'k', promised: { epoch: 1, by: 'a' }, accepted: { key: 'k', epoch: 1, by: 'a', number: n, value: 'v'.repeat(n * 5) } };
+}
+
 async function everyCut(): Promise<void> {
   const files: Files = new Map();
   const s = await opened(files);
-  const ends: { log: number; number: number }[] = [{ log: 0, number: 0 }];
+  const ends: { log: number; number: number }[] = [{ log: files.get('log-1')!.length, number: 0 }];
   for (let n = 1; n <= 6; n++) {
-    await s.put({ key: 'k', promised: { epoch: 1, by: 'a' }, accepted: { key: 'k', epoch: 1, by: 'a', number: n, value: 'v'.repeat(n * 5) } });
+    await s.put(acceptedLine(n));
     ends.push({ log: files.get('log-1')!.length, number: n });
   }
   const log = files.get('log-1')!;
-  for (let cut = 0; cut <= log.length; cut++) {
-    const torn: Files = new Map(files);
-    torn.set('log-1', log.subarray(0, cut));
-    const again = await opened(torn);
+  for (let cut = ends[0].log; cut <= log.length; cut++) {
     const want = ends.filter(before).pop()!.number;
     function before(e: { log: number }): boolean {
       return e.log <= cut;
     }
-    expect({ cut, number: numberOf(again), disk: again.disk }).toEqual({ cut, number: want, disk: s.disk });
-  }
-  for (let at = 0; at < log.length; at += 3) {
-    const bent = Uint8Array.from(log);
-    bent[at] ^= 0x40;
-    const files2: Files = new Map(files);
-    files2.set('log-1', bent);
-    const again = await opened(files2);
-    const whole = ends.filter(before).pop()!.number;
-    function before(e: { log: number }): boolean {
-      return e.log <= at;
+    for (const hole of [0, 700]) {
+      const torn: Files = new Map(files);
+      torn.set('log-1', Buffer.concat([log.subarray(0, cut), Buffer.alloc(hole)]));
+      const again = await opened(torn, 9);
+      expect({ cut, hole, number: numberOf(again), disk: again.disk }).toEqual({ cut, hole, number: want, disk: s.disk });
+    }
+  }
+}
+
+/** Files with one byte changed, and with one of them emptied or gone, for every file and byte. */
+function* spoils(files: Files): Generator<{ what: string; files: Files }> {
+  for (const [name, bytes] of files) {
+    for (let at = 0; at < bytes.length; at++) {
+      const bent = Uint8Array.from(bytes);
+      bent[at] ^= 0x41;
+      yield { what: `${name} at ${at}`, files: new Map(files).set(name, bent) };
     }
-    expect({ at, number: numberOf(again) }).toEqual({ at, number: whole });
+    yield { what: `${name} emptied`, files: new Map(files).set(name, new Uint8Array(0)) };
+    const less = new Map(files);
+    less.delete(name);
+    yield { what: `${name} gone`, files: less };
   }
 }
 
-async function tornSlot(): Promise<void> {
+async function everySpoiltByte(): Promise<void> {
   const files: Files = new Map();
+  const first = await opened(files);
+  await first.put(acceptedLine(1));
   const s = await opened(files);
-  await s.put({ key: 'k', accepted: { key: 'k', epoch: 1, by: 'a', number: 1, value: 1 } });
-  const before: Files = new Map(files);
-  await opened(files);
-  const slot = files.get('slot-0')!;
-  for (let cut = 0; cut <= slot.length; cut++) {
-    const torn: Files = new Map(before);
-    torn.set('log-0', new Uint8Array(0));
-    torn.set('slot-0', slot.subarray(0, cut));
-    expect({ cut, number: numberOf(await opened(torn)) }).toEqual({ cut, number: 1 });
+  for (let n = 2; n <= 4; n++) await s.put(acceptedLine(n));
+  let kept = 0;
+  for (const x of spoils(files)) {
+    const again = await opened(x.files, 9);
+    const same = again.disk === first.disk;
+    if (same) kept++;
+    expect({ what: x.what, forgot: same && numberOf(again) !== 4, spoilt: again.spoilt }).toEqual({ what: x.what, forgot: false, spoilt: !same });
+    const later = await opened(x.files, 10);
+    expect({ what: x.what, disk: later.disk, spoilt: later.spoilt }).toEqual({ what: x.what, disk: again.disk, spoilt: again.spoilt });
   }
+  expect(kept).toBeGreaterThan(files.get('slot-0')!.length + files.get('slot-1')!.length);
 }
 
 async function voteKept(): Promise<void> {
@@ -221,7 +233,7 @@
   }
   async function votesOn(): Promise<Votes> {
     const v = new Votes(disk, portsOn(files), set, 1000);
-    await v.begin();
+    await v.begin((await readVotes(portsOn(files))).extract() as KeptVotes);
     return v;
   }
   const one = await votesOn();
@@ -234,10 +246,29 @@
     expect((await again.vote({ key: 'a', run: 'r3' })).extract()).toMatchObject({ run: 'r1', state: 'done' });
     if (i === 3) expect((await again.vote({ key: 'b', run: 'r4' })).extract()).toMatchObject({ run: 'r4' });
   }
+  const votesOnly = new Map([...files].filter(isVotes));
+  function isVotes(x: [string, unknown]): boolean {
+    return x[0].startsWith('votes');
+  }
+  for (const x of spoils(votesOnly)) {
+    if (/emptied|gone/.test(x.what)) continue;
+    expect({ what: x.what, spoilt: ((await readVotes(portsOn(x.files))).extract() as KeptVotes).spoilt }).toEqual({ what: x.what, spoilt: true });
+  }
 }
 
-test('a log cut or bent at any byte gives what was whole before it', everyCut);
-test('a slot torn at any byte falls back to the other slot and its log', tornSlot);
+test('a log cut at any byte, or with a hole at its end, gives what was whole before it', everyCut);
+test('a byte changed anywhere loses nothing, or makes it a new disk that does not vote', everySpoiltByte);
 test('a vote outlives restarts, and a released key can be run anew', voteKept);
 test('one epoch never carries two values, also when an owner forgot its promise and came back', oneEpoch);
+async function noVotes(): Promise<void> {
+  const files: Files = new Map();
+  const s = await opened(files);
+  await s.put(acceptedLine(1));
+  for (const disk of [s.disk, '']) {
+    const [, again] = open(await openSlots(portsOn(new Map(files), 9), 1 << 20, { disk, spoilt: false }));
+    expect(again!.disk === s.disk).toBe(disk === s.disk);
+  }
+}
+
+test('a disk whose votes files are gone counts as a new one', noVotes);
 test('nothing is answered before what it tells is synced, nor after a write that failed', toldWhenSynced);
