Replacing a voter at its own address is harmless: a test that shows it

Suspected: while a set is joint, an emptied disk at the old voter's address is asked for both, and could count for the old one. Found: prepare refuses the second ask of one epoch, and a change is told only after learn, whose return names the disk. No change of code.

--- a/test/disk.test.ts
+++ b/test/disk.test.ts
@@ -5,7 +5,7 @@
 import { dispatch } from '../src/shared/edge';
 import { bad, open, Outcome } from '../src/shared/errors';
 import { Ports } from '../src/shared/ports';
-import { Voter } from '../src/shared/words';
+import { Voter, Voters } from '../src/shared/words';
 import { seededDice } from '../tools/dice';
 import { makeNet } from '../tools/simwire';
 import { makeWorld } from '../tools/simworld';
@@ -36,7 +36,7 @@
 }
 
 /** Three voters on files of their own; messages pass only where `passes` says so. */
-async function three(): Promise<{ node: (i: number, life: string, passes: (to: number, type: string) => boolean) => Promise<ReturnType<typeof makeOwner>>; cell: (i: number) => unknown; lose: (i: number) => Promise<void> }> {
+async function three(): Promise<{ node: (i: number, life: string, passes: (to: number, type: string) => boolean) => Promise<ReturnType<typeof makeOwner>>; cell: (i: number) => unknown; lose: (i: number) => Promise<void>; replace: (i: number) => Promise<void> }> {
   const files: Files[] = [new Map(), new Map(), new Map()];
   const slots: Slots[] = [];
   const acceptors: Acceptor[] = [];
@@ -46,8 +46,9 @@
     set.push({ disk: slots[i].disk, at: String(i) });
   }
   const kept = files.map(copyOf);
-  function voters(): { now: Voter[] } {
-    return { now: set };
+  let next: Voter[] | undefined;
+  function voters(): Voters {
+    return { now: set, next };
   }
   function nothing(): void {}
   async function node(i: number, life: string, passes: (to: number, type: string) => boolean): Promise<ReturnType<typeof makeOwner>> {
@@ -69,21 +70,40 @@
     files[i] = copyOf(kept[i]);
     slots[i] = await opened(files[i], i);
   }
-  return { node, cell, lose };
+  async function replace(i: number): Promise<void> {
+    files[i] = new Map();
+    slots[i] = await opened(files[i], i + 20);
+    next = set.with(i, { disk: slots[i].disk, at: String(i) });
+  }
+  return { node, cell, lose, replace };
 }
 
 function copyOf(f: Files): Files {
   return new Map(f);
 }
 
-async function oneEpoch(): Promise<void> {
+function value(v: string): () => Outcome<unknown> {
+  function make(): Outcome<unknown> {
+    return Right(v);
+  }
+  return make;
+}
+
+async function inPlace(): Promise<void> {
   const t = await three();
-  function value(v: string): () => Outcome<unknown> {
-    function make(): Outcome<unknown> {
-      return Right(v);
-    }
-    return make;
+  let cut = false;
+  function passes(to: number): boolean {
+    return !cut || to !== 1;
   }
+  const owner = await t.node(0, 'a.1', passes);
+  expect((await owner.change('k', value('before'))).isRight()).toBe(true);
+  await t.replace(2);
+  cut = true;
+  expect((await owner.change('k', value('at one of the old set'))).isLeft()).toBe(true);
+}
+
+async function oneEpoch(): Promise<void> {
+  const t = await three();
   function first(to: number, type: string): boolean {
     return type === 'prepare' ? to !== 0 : to === 1 && type === 'accept';
   }
@@ -271,4 +291,5 @@
 }
 
 test('a disk whose votes files are gone counts as a new one', noVotes);
+test('an emptied disk at the address of a voter does not count as that voter, also while it joins', inPlace);
 test('nothing is answered before what it tells is synced, nor after a write that failed', toldWhenSynced);
