Time counts a machine's suspension, so that no claim outlives its end

Cause: the monotonic clock stands still while a machine is suspended; a woken router that is cut off from the core went on by the claim it had before. Ruled out: freezes (time goes on), a woken router that hears the core (news comes before later requests).

--- a/src/shared/real.ts
+++ b/src/shared/real.ts
@@ -1,17 +1,22 @@
 import { randomUUID } from 'node:crypto';
 import { open as openFile, readFile, mkdir } from 'node:fs/promises';
+import { uptime } from 'node:os';
 import { join } from 'node:path';
 import { performance } from 'node:perf_hooks';
 import { Left, Right } from 'purify-ts';
 import bunyan from 'bunyan';
+import { withSuspension } from './clock';
 import { makeFault, Outcome } from './errors';
 import { Clock, Dice, Disk, Log } from './ports';
 
-/** The machine's monotonic clock. */
+function sinceBoot(): number {
+  return uptime() * 1000;
+}
+
+/** The machine's monotonic clock, with the time it was suspended. */
 export function realClock(): Clock {
-  function now(): number {
-    return performance.now();
-  }
+  const monotonic = performance.now.bind(performance);
+  const now = process.platform === 'linux' ? withSuspension(monotonic, sinceBoot) : monotonic;
   function wall(): string {
     return new Date().toISOString();
   }
--- a/test/seeds.test.ts
+++ b/test/seeds.test.ts
@@ -54,6 +54,12 @@
   expect(r.secondTryShare).toBeGreaterThan(0.05);
 }
 
+async function suspended(): Promise<void> {
+  const schedule: Fault[] = [];
+  for (let i = 0; i < 4; i++) schedule.push(fault(9000 + i * 5000, 'suspend', `edge-${i + 1}`, '', 4000), fault(9010 + i * 5000, 'edge-from-core', `edge-${i + 1}`, '', 5500));
+  await clean(1, 'saffron-bay', 0, schedule);
+}
+
 async function sameTrace(): Promise<void> {
   const a = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
   const b = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
@@ -69,3 +75,4 @@
 test('a controller whose disk is full at its start votes again when there is room', fullAtStart);
 test('second tries stay under a fifth while most engines turn all away', secondTries);
 test('a seed gives the same trace twice', sameTrace);
+test('a router whose machine was suspended lets nothing in by the claim it had before', suspended);
--- a/tools/simfaults.ts
+++ b/tools/simfaults.ts
@@ -15,6 +15,7 @@
 export const SIM_FAULTS = [
   'kill', 'power', 'kill-edge', 'kill-core', 'kill-ours', 'power-core', 'freeze', 'cut', 'cut-one-way', 'cut-off', 'split-core', 'core-from-edge',
   'slow-link', 'disk-slow', 'disk-full', 'disk-stall', 'wipe', 'leave', 'engine-crash', 'engine-vanish', 'engine-freeze', 'store-empty', 'index-all', 'release',
+  'suspend', 'clock-jump', 'edge-from-core',
 ] as const;
 
 /** Draws a schedule of faults. */
@@ -133,17 +134,21 @@
     case 'index-all': return down(indexes, false);
     case 'engine-crash': case 'store-empty': return down([x.kind === 'store-empty' ? 'store-1' : x.who], false);
     case 'engine-vanish': return down([x.who], true);
-    case 'freeze': case 'engine-freeze': {
+    case 'freeze': case 'engine-freeze': case 'suspend': {
       note([x.who]);
       const p = proc(x.who);
       if (!p.alive || p.frozen) return;
-      w.freeze(p);
+      w.freeze(p, x.kind === 'suspend');
       function thaw(): void {
         if (p.frozen) w.wake(p);
       }
       w.after(x.ms, thaw);
       return;
     }
+    case 'clock-jump': {
+      proc(x.who).wallOff += (x.ms - 2000) * 1000;
+      return;
+    }
     case 'engine-turns': {
       const ways = f.standins.get(x.who)!.ways;
       const { queue } = ways;
@@ -159,6 +164,7 @@
     case 'cut-off': return cutAll([x.who], everyone());
     case 'split-core': return cutAll(withIndex(f.core[0]), [...withIndex(f.core[1]), ...withIndex(f.core[2])]);
     case 'core-from-edge': return cutAll([...f.core, ...indexes], f.edge);
+    case 'edge-from-core': return cutAll([f.edge.includes(x.who) ? x.who : f.edge[0]], [...f.core, ...indexes]);
     case 'slow-link': {
       const [a, b] = [proc(x.who).ip, proc(x.other).ip];
       w.slow(a, b, 60);
--- a/tools/simworld.ts
+++ b/tools/simworld.ts
@@ -1,4 +1,5 @@
 import { Left, Right } from 'purify-ts';
+import { withSuspension } from '../src/shared/clock';
 import { makeFault, Outcome } from '../src/shared/errors';
 import { Clock, Dice, Disk, Log, Wire } from '../src/shared/ports';
 import { seededDice } from './dice';
@@ -17,6 +18,9 @@
   alive: boolean;
   powered: boolean;
   frozen: boolean;
+  stood: number;
+  stoodFrom?: number;
+  wallOff: number;
   held: (() => void)[];
   disturbedAt?: number;
   files: Map<string, Uint8Array>;
@@ -37,7 +41,7 @@
   log(p: Proc): Log;
   kill(p: Proc, power: boolean): void;
   revive(p: Proc): void;
-  freeze(p: Proc): void;
+  freeze(p: Proc, suspended?: boolean): void;
   wake(p: Proc): void;
   stall(p: Proc, on: boolean): void;
   cut(from: string, to: string, on: boolean): void;
@@ -112,7 +116,7 @@
   }
 
   function proc(name: string, ip: string): Proc {
-    const p: Proc = { name, ip, life: 0, alive: true, powered: true, frozen: false, held: [], files: new Map(), disk: { slow: 1, full: false, stalled: false, waiting: [], inFlight: new Set() } };
+    const p: Proc = { name, ip, life: 0, alive: true, powered: true, frozen: false, stood: 0, wallOff: 0, held: [], files: new Map(), disk: { slow: 1, full: false, stalled: false, waiting: [], inFlight: new Set() } };
     all.set(name, p);
     return p;
   }
@@ -155,9 +159,15 @@
       return new Promise(wait);
     }
     function wall(): string {
-      return String(time);
+      return String(time + p.wallOff);
     }
-    return { now, wall, sleep, alarm };
+    function monotonic(): number {
+      return time - p.stood - (p.stoodFrom === undefined ? 0 : time - p.stoodFrom);
+    }
+    function coarse(): number {
+      return Math.floor(time / 10) * 10;
+    }
+    return { now: withSuspension(monotonic, coarse), wall, sleep, alarm };
   }
 
   function disk(p: Proc): Disk {
@@ -228,6 +238,7 @@
     p.alive = false;
     p.life++;
     p.frozen = false;
+    stand(p);
     p.held = [];
     p.powered = !power;
     for (const torn of p.disk.inFlight) if (dice.next() < 0.7) torn();
@@ -243,13 +254,20 @@
     trace(`${p.name} is back`);
   }
 
-  function freeze(p: Proc): void {
+  function freeze(p: Proc, suspended = false): void {
     p.frozen = true;
-    trace(`${p.name} freezes`);
+    if (suspended) p.stoodFrom = time;
+    trace(`${p.name} ${suspended ? 'is suspended' : 'freezes'}`);
+  }
+
+  function stand(p: Proc): void {
+    if (p.stoodFrom !== undefined) p.stood += time - p.stoodFrom;
+    p.stoodFrom = undefined;
   }
 
   function wake(p: Proc): void {
     p.frozen = false;
+    stand(p);
     trace(`${p.name} wakes`);
     for (const h of p.held.splice(0)) after(0, h);
   }
--- a/tools/without.ts
+++ b/tools/without.ts
@@ -7,6 +7,7 @@
 import * as engine from '../src/shared/contracts/engine';
 import * as platform from '../src/shared/contracts/platform';
 import { Outcome } from '../src/shared/errors';
+import * as clock from '../src/shared/clock';
 import * as follow from '../src/shared/follow';
 import * as startup from '../src/shared/startup';
 import { Engine, Intents } from '../src/shared/words';
@@ -142,7 +143,14 @@
   (router as unknown as Patch).startRouter = spending as never;
 }
 
+function noSuspension(): void {
+  function plain(monotonic: () => number): () => number {
+    return monotonic;
+  }
+  (clock as unknown as Patch).withSuspension = plain as never;
+}
+
 /** Mechanisms that the simulator can leave out, to see that its checks catch what they prevent. */
 export const MECHANISMS: Record<string, () => void> = {
-  votes: noVotes, effect: noEffect, claims: noClaims, salts: noSalts, 'weights-end': noWeightsEnd, leaving: noLeaving, sync: noSync, 'last-line': noLastLine, 'unknown-class': lateRefusal, budget: noBudget,
+  votes: noVotes, effect: noEffect, claims: noClaims, salts: noSalts, 'weights-end': noWeightsEnd, leaving: noLeaving, sync: noSync, 'last-line': noLastLine, 'unknown-class': lateRefusal, budget: noBudget, suspension: noSuspension,
 };
