A leaving engine that froze begins none of the legs that wait in its socket

Cause: legs without a first piece were cut when salts or weights ended, not when their engine was known to leave, and the stand-in engine began a request whose connection was closed. Ruled out: status and fitness (no leg was picked for it after the news). Conclusion: legs that the engine has shown no turn since are cut at 0.4 of the leaving bound; others are left to end.

--- a/src/data/api.ts
+++ b/src/data/api.ts
@@ -176,7 +176,7 @@
       repeatable: c.service.mayRepeat, fetch: p.fetch && { at: p.fetch.at, hashes: p.fetch.hashes },
     };
     r.engines.began(p.seen, unread);
-    const leg = { tenant: c.tenant, salt: c.salt, model: c.service.model, weights: p.weights, cut: new AbortController() };
+    const leg = { tenant: c.tenant, salt: c.salt, model: c.service.model, weights: p.weights, seen: p.seen, since: clock.now(), cut: new AbortController() };
     r.underWay.add(leg);
     const [f, g] = open(await generate(r.ports, p.seen.engine.at, q, Math.max(1, c.until - clock.now()), AbortSignal.any([call.gone, leg.cut.signal])));
     if (f) {
--- a/src/data/engines.ts
+++ b/src/data/engines.ts
@@ -10,6 +10,7 @@
   engine: Engine;
   status?: EngineStatus;
   at: number;
+  shownAt: number;
   sent: number;
   sentTokens: number;
   mine: number;
@@ -56,7 +57,7 @@
         s.engine = e;
         continue;
       }
-      const fresh: Seen = { engine: e, at: 0, sent: 0, sentTokens: 0, mine: 0, faults: 0, openUntil: 0, probing: false, turns: 0, turnedUntil: 0, msPerToken: 0.3 };
+      const fresh: Seen = { engine: e, at: 0, shownAt: 0, sent: 0, sentTokens: 0, mine: 0, faults: 0, openUntil: 0, probing: false, turns: 0, turnedUntil: 0, msPerToken: 0.3 };
       seen.set(id, fresh);
       void tend(fresh);
     }
@@ -70,6 +71,7 @@
   }
 
   async function ask(s: Seen): Promise<void> {
+    const asked = ports.clock.now();
     const [f, st] = open(await engineStatus(ports.wire, s.engine.at, bounds.status));
     if (f) {
       noteFault(s);
@@ -77,6 +79,7 @@
     }
     s.status = st;
     s.at = ports.clock.now();
+    s.shownAt = asked;
     s.sent = 0;
     s.sentTokens = 0;
     if (s.probing || s.openUntil > 0) {
--- a/src/data/router.ts
+++ b/src/data/router.ts
@@ -32,6 +32,9 @@
   salt: string;
   model: string;
   weights: string;
+  seen: Seen;
+  since: number;
+  watched?: boolean;
   cut: AbortController;
 }
 
@@ -104,9 +107,17 @@
       const named = follower.value<NamedWeights>(KEYS.weights + l.model)?.value;
       const ended = named !== undefined && named.weights !== l.weights && !named.older.includes(l.weights) && !named.older.includes('*');
       if (ended || saltOf(l.tenant) !== l.salt) l.cut.abort();
+      else if (l.seen.engine.leaving && !l.watched) void cutSilent(l);
     }
   }
 
+  /** Cuts a leg off that a leaving engine may not have begun: it has shown no turn since the leg was sent on. */
+  async function cutSilent(l: Leg): Promise<void> {
+    l.watched = true;
+    await ports.clock.sleep(bounds.leavingCut);
+    if (underWay.has(l) && l.seen.shownAt <= l.since) l.cut.abort();
+  }
+
   function renewIntents(doc: { services: Service[]; rules: Rule[] }): void {
     services.clear();
     rules.clear();
--- a/src/shared/startup.ts
+++ b/src/shared/startup.ts
@@ -42,6 +42,7 @@
   join: number;
   drain: number;
   orderFresh: number;
+  leavingCut: number;
 }
 
 /** Derives the times from the bounds. */
@@ -64,6 +65,7 @@
     join: s.changeBoundMs * 0.5,
     drain: s.weightsBoundMs * 0.8,
     orderFresh: claim * 0.2,
+    leavingCut: s.leavingBoundMs * 0.4,
   };
 }
 
--- a/test/seeds.test.ts
+++ b/test/seeds.test.ts
@@ -60,6 +60,12 @@
   await clean(1, 'saffron-bay', 0, schedule);
 }
 
+async function frozenLeaver(): Promise<void> {
+  const schedule: Fault[] = [];
+  for (let i = 0; i < 4; i++) schedule.push(fault(8900 + i * 5000, 'engine-freeze', `engine-${i + 1}`, '', 6000), fault(9000 + i * 5000, 'leave', `engine-${i + 1}`, '', 4000));
+  await clean(2, 'saffron-bay', 0, schedule);
+}
+
 async function sameTrace(): Promise<void> {
   const a = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
   const b = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
@@ -76,3 +82,4 @@
 test('second tries stay under a fifth while most engines turn all away', secondTries);
 test('a seed gives the same trace twice', sameTrace);
 test('a router whose machine was suspended lets nothing in by the claim it had before', suspended);
+test('an engine that froze and was then known to leave begins nothing when it wakes', frozenLeaver);
--- a/tools/engine.ts
+++ b/tools/engine.ts
@@ -28,7 +28,6 @@
   kind: 'began' | 'ended' | 'broke' | 'turned' | 'order' | 'fenced';
   engine: string;
   at: number;
-  gotAt?: number;
   request?: string;
   tenant?: string;
   salt?: string;
@@ -39,6 +38,8 @@
   order?: EngineOrder;
 }
 
+const LOOK = 2;
+
 interface Kept extends Part {
   salt: string;
   weights: string;
@@ -154,12 +155,14 @@
     const q = (await takeJson(call, 1 << 24)) as GenerateAsk | undefined;
     if (!q) return;
     const { ways, ports } = this;
+    await ports.clock.sleep(LOOK);
+    if (call.gone.aborted) return call.breakOff();
     const weights = ways.weights;
     const turned: LedgerEntry = { kind: 'turned', engine: ways.id, at: ports.clock.now(), request: q.request, tenant: q.tenant };
     if (this.leaving) return this.turn(call, turned, 503, 'leaving', 'this engine is leaving');
     if (q.model !== ways.model || q.weights !== weights) return this.turn(call, turned, 409, 'weights', `weights here are ${weights}`);
     if (this.waiting.length >= ways.queue) return this.turn(call, turned, 429, 'busy', 'the queue is full');
-    const began: LedgerEntry = { kind: 'began', engine: ways.id, at: ports.clock.now(), gotAt: Number(call.headers['x-arrived'] ?? ports.clock.now()), request: q.request, tenant: q.tenant, salt: q.salt, weights, repeatable: q.repeatable, tag: q.parts[q.parts.length - 1]?.hash };
+    const began: LedgerEntry = { kind: 'began', engine: ways.id, at: ports.clock.now(), request: q.request, tenant: q.tenant, salt: q.salt, weights, repeatable: q.repeatable, tag: q.parts[q.parts.length - 1]?.hash };
     ways.ledger(began);
     let unread = 0;
     for (const p of q.parts) unread += p.size;
--- a/tools/simrun.ts
+++ b/tools/simrun.ts
@@ -175,7 +175,7 @@
   const marks = f.marks;
   for (const e of f.ledger) {
     if (e.kind !== 'began') continue;
-    for (const m of marks) if (m.engine === e.engine && m.knownAt !== undefined && e.gotAt! > m.knownAt + 3000 && e.gotAt! < m.until) out.push(`leaving: ${e.engine} got ${e.request} ${(e.gotAt! - m.knownAt).toFixed(0)} ms after it was known to leave`);
+    for (const m of marks) if (m.engine === e.engine && m.knownAt !== undefined && e.at > m.knownAt + 3000 && e.at < m.until) out.push(`leaving: ${e.engine} got ${e.request} ${(e.at - m.knownAt).toFixed(0)} ms after it was known to leave`);
     const allowed = new Set<string>();
     let last = 0;
     for (const [i, w] of ops.weights.entries()) if (w.ackAt !== undefined && w.ackAt + f.d.weightsBoundMs < e.at) last = i;
--- a/tools/simwire.ts
+++ b/tools/simwire.ts
@@ -315,13 +315,12 @@
             else gone.abort();
           }
           back = makePipe(l.proc, p, broke);
-          const arrived = w.now();
           function takeIt(): void {
-            if (l!.proc.alive && l!.proc.life === l!.life) void l!.takeCall!(makeCall(rec, arrived));
+            if (l!.proc.alive && l!.proc.life === l!.life) void l!.takeCall!(makeCall(rec));
           }
           w.onProc(l.proc, takeIt);
         }
-        function makeCall(rec: { a: Proc; b: Proc; end: (who: Proc) => void }, arrived: number): Call {
+        function makeCall(rec: { a: Proc; b: Proc; end: (who: Proc) => void }): Call {
           const url = new URL(q.path, 'http://node');
           let closed = false;
           async function body(most: number): Promise<Outcome<string>> {
@@ -364,7 +363,7 @@
             pipes.delete(rec);
             back!.send(broke);
           }
-          return { method: q.method, path: url.pathname, query: url.searchParams, headers: { ...q.headers, 'x-arrived': String(arrived) }, peer: p.ip, gone: gone.signal, body, head, piece, end, breakOff };
+          return { method: q.method, path: url.pathname, query: url.searchParams, headers: { ...q.headers }, peer: p.ip, gone: gone.signal, body, head, piece, end, breakOff };
         }
         w.after(w.latency(p.ip, ipOf(q.at)), arrive);
       }
