Operators can found a fleet while a founder is not there; it joins when it comes

Cause: founding waits for all founders blank, so one machine that never comes keeps a new fleet from serving. Ruled out: founding by a majority after a wait (it founds over what a third, cut off, has kept). Before: founding.test.ts, with core-3 absent no majority within 9 s, and no way out. After: founded by one call; core-3 votes within seconds of its start, and another core machine may then be lost. A late founder: founded within 1.5 s of its start. Two emptied machines with the third kept: no founding, by itself or by the call.

--- a/src/control/api.ts
+++ b/src/control/api.ts
@@ -24,6 +24,10 @@
   @field('string') into!: string;
 }
 
+class FoundAsk {
+  @field('list') without!: string[];
+}
+
 /** The operators' HTTP interface. */
 export class OperatorApi {
   constructor(private readonly c: Controller, private readonly ports: Ports) {}
@@ -140,6 +144,16 @@
     giveJson(call, 200, { voters: v, done: true });
   }
 
+  /** Founds a blank fleet without founders that are not there. */
+  @handles('POST', '/v1/found')
+  async postFound(call: Call): Promise<void> {
+    const a = await takeAs(call, FoundAsk, this.c.startup.bodyMostBytes, 'found');
+    if (!a) return;
+    const [g, v] = open(await this.c.found(a.without));
+    if (g) return this.giveTrouble(call, g);
+    giveJson(call, 200, { voters: v, done: true });
+  }
+
   /** The fleet as this controller sees it. */
   @handles('GET', '/v1/fleet')
   async getFleet(call: Call): Promise<void> {
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -7,13 +7,16 @@
 import { Listening, Ports, Stream } from '../shared/ports';
 import { Bounds, boundsOf, Startup } from '../shared/startup';
 import { converse, Hello, HelloEdge, holdAll, noStream, WIRE_VERSION } from '../shared/streams';
-import { allVoters, comparePlaces, isQuorum, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
+import { allVoters, comparePlaces, isQuorum, isVoter, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
 import { Claims } from './claims';
 import { keyOf, makeValue, Operation } from './operations';
 import { Acceptor, makeOwner, Owner, Reach } from './register';
 import { openSlots, Slots } from './slots';
 import { KeptVotes, readVotes, Votes } from './votes';
 
+/** How the disk of a founder is named that was not there. */
+export const ABSENT = 'absent ';
+
 /** What became of a change. */
 export interface Changed {
   place: Place;
@@ -36,6 +39,7 @@
   live(): string[];
   picked(key: string): boolean;
   change(op: Operation): Promise<Outcome<Changed>>;
+  found(without: string[]): Promise<Outcome<Voters>>;
   effect(key: string, p: Place, within: number): Promise<boolean>;
   value<T>(key: string): { place: Numbered; value: T } | undefined;
   heardLive(key: string): boolean;
@@ -217,17 +221,30 @@
     return ex ? ex.ask(type, {}, bounds.ask) : Promise.resolve(Left<Fault, unknown>(noStream(type, at)));
   }
 
-  async function tryFound(): Promise<void> {
+  async function found(without: string[]): Promise<Outcome<Voters>> {
+    const stood = voters();
+    if (stood) return isVoter(stood, slots.disk) ? Right(stood) : bad('found', slots.disk, 'a fleet is founded, and this disk is not of it', 'refused', 'not-blank');
     const founders = [...startup.founders].sort();
-    if (founders[0] !== startup.wire || slots.spoilt) return;
-    const set: Voter[] = [{ disk: slots.disk, at: startup.wire }];
-    for (const at of founders.slice(1)) {
+    function absent(at: string): boolean {
+      return without.includes(at);
+    }
+    if (slots.spoilt) return bad('found', slots.disk, 'this disk was of a fleet', 'refused', 'not-blank');
+    if (absent(startup.wire) || founders.filter(absent).length * 2 >= founders.length) return bad('found', startup.name, 'a majority of the founders must be here', 'refused', 'no-quorum');
+    const set: Voter[] = [];
+    for (const at of founders) {
+      if (at === startup.wire) {
+        set.push({ disk: slots.disk, at });
+        continue;
+      }
       const [g, w] = open(await peerHello(at, 'who'));
       const r = w as { disk: string; blank: boolean } | undefined;
-      if (g || !r?.blank) return;
-      set.push({ disk: r.disk, at });
+      if (absent(at) && r) return bad('found', at, 'is named as absent, and is here', 'refused', 'conflict');
+      if (!absent(at) && g) return Left({ ...g, sort: 'refused' });
+      if (r && !r.blank) return bad('found', at, 'is not blank', 'refused', 'not-blank');
+      set.push({ disk: r ? r.disk : `${ABSENT}${at}`, at });
     }
-    if (!voters()) await slots.found({ now: set });
+    const [h] = open(voters() ? bad<void>('found', startup.name, 'another came first', 'refused', 'conflict') : await slots.found({ now: set }));
+    return h ? Left(h) : Right({ now: set });
   }
 
   async function spreadFounding(): Promise<void> {
@@ -256,8 +273,8 @@
   async function tend(): Promise<void> {
     while (!stopped) {
       await catchUp();
-      if (!voters()) await tryFound();
-      else await spreadFounding();
+      if (!voters() && [...startup.founders].sort()[0] === startup.wire) await found([]);
+      if (voters()) await spreadFounding();
       reachAll();
       if (voters()) await tendKeys();
       await ports.clock.sleep(bounds.renew * (0.8 + 0.4 * ports.dice.next()));
@@ -307,7 +324,7 @@
   reachAll();
   void tend();
   return Right({
-    name: startup.name, by, startup, bounds, slots, claims, votes, owner, edges, voters, live, picked, change, effect, value,
+    name: startup.name, by, startup, bounds, slots, claims, votes, owner, edges, voters, live, picked, change, found, effect, value,
     heardLive, hasMajority, askVoter, peerHello, stop, stopped: isStopped,
   });
 }
--- a/src/control/duties.ts
+++ b/src/control/duties.ts
@@ -3,14 +3,25 @@
 import { listEngines } from '../shared/contracts/platform';
 import { Ports } from '../shared/ports';
 import { Engine, KEYS } from '../shared/words';
-import { Controller } from './controller';
+import { ABSENT, Controller } from './controller';
 import { NamedWeights } from './operations';
+import { replaceVoter } from './voters';
 
 /** Starts all duties of a controller. */
 export function startDuties(c: Controller, ports: Ports): void {
   void watchPlatform(c, ports);
   void endOldWeights(c, ports);
   void orderWeights(c, ports);
+  void joinAbsent(c, ports);
+}
+
+/** Has a founder that was absent vote in its own place once it is here; nothing was ever promised there. */
+export async function joinAbsent(c: Controller, ports: Ports): Promise<void> {
+  while (!c.stopped()) {
+    await ports.clock.sleep(c.bounds.claim);
+    if (!c.owner.owns(KEYS.voters) || !c.picked(KEYS.voters)) continue;
+    for (const v of c.voters()?.now ?? []) if (v.disk.startsWith(ABSENT) && (await c.peerHello(v.at, 'who')).isRight()) await replaceVoter(c, ports, v.disk, v.at);
+  }
 }
 
 /** Watches the platform's list while this node owns the key `engines`; the register is the fence. */
--- a/src/programs/plumhollow.ts
+++ b/src/programs/plumhollow.ts
@@ -191,6 +191,13 @@
   sayChange(await need('PUT', '/v1/intents', { basedOn: now.revision, intents: { ...now.intents, rules: now.intents.rules.filter(other) } }));
 }
 
+async function found(o: { without: string[] }): Promise<void> {
+  const r = await need('POST', '/v1/found', { without: o.without });
+  const b = r.body as { error?: { code: string; message: string } };
+  say(b, r.status === 200 ? 'the fleet is founded' : `${b.error?.code}: ${b.error?.message}`);
+  process.exit(r.status === 200 ? FINE : FINDINGS);
+}
+
 async function replaceVoter(out: string, into: string): Promise<void> {
   const r = await need('POST', '/v1/voters', { out, into });
   const b = r.body as { error?: { code: string; message: string } };
@@ -237,4 +244,5 @@
 rules.command('drop <tenant> <label>').action(dropRule);
 const voters = program.command('voters').description('the core machines whose disks vote');
 voters.command('replace <out> <into>').description('replace a lost core machine (address or disk id) by an empty one (ip:port); safe to repeat').action(replaceVoter);
+program.command('found').description('found a blank fleet while a minority of the founders is not there').requiredOption('--without <addresses...>', 'the founders that are not there (ip:port)').action(found);
 void program.parseAsync();
