--- a/src/data/engines.ts
+++ b/src/data/engines.ts
@@ -39,6 +39,8 @@
 
 const FAULTS_TO_OPEN = 3;
 const SMOOTH = 0.2;
+const FIRST_MS_PER_TOKEN = 0.3;
+const FIRST_LINK_MS_PER_TOKEN = 0.05;
 
 /** Follows the engines: one task for each asks how it stands. */
 export function watchEngines(ports: Ports, bounds: Bounds, follower: Follower): Engines {
@@ -57,7 +59,7 @@
         s.engine = e;
         continue;
       }
-      const fresh: Seen = { engine: e, at: 0, shownAt: 0, sent: 0, sentTokens: 0, mine: 0, faults: 0, openUntil: 0, probing: false, turns: 0, turnedUntil: 0, msPerToken: 0.3 };
+      const fresh: Seen = { engine: e, at: 0, shownAt: 0, sent: 0, sentTokens: 0, mine: 0, faults: 0, openUntil: 0, probing: false, turns: 0, turnedUntil: 0, msPerToken: FIRST_MS_PER_TOKEN };
       seen.set(id, fresh);
       void tend(fresh);
     }
@@ -135,7 +137,7 @@
   }
 
   function linkCost(from: string, to: string): number {
-    return links.get(`${from} ${to}`) ?? 0.05;
+    return links.get(`${from} ${to}`) ?? FIRST_LINK_MS_PER_TOKEN;
   }
 
   function learnedLink(from: string, to: string, tokens: number, ms: number): void {
--- a/src/data/place.ts
+++ b/src/data/place.ts
@@ -8,6 +8,21 @@
 import { CacheStore, IntentsValue, KEYS, Member } from '../shared/words';
 import { Engines, Seen } from './engines';
 
+/** How much a doubted token counts of a sure one. */
+const DOUBTED = 0.5;
+/** Tokens that a request waiting beyond the batch is taken to hold an engine up by. */
+const BEHIND_TOKENS = 300;
+/** The share of an engine's queue that requests which are not urgent may fill. */
+const PATIENT_QUEUE = 0.5;
+/** The share of a prompt that its home by affinity is taken to have to read. */
+const HOME_READS = 0.3;
+/** Costs are spread by this share, so that routers do not all pick the same. */
+const SPREAD = 0.02;
+/** Ms that each rank below the home costs where an index knows, which keeps equals together. */
+const RANK_MS = 0.5;
+/** Affinity looks at a prompt's parts up to this one, and never at the last. */
+const PREFIX_PART = 7;
+
 /** What an index said that a source holds. */
 export interface Overlap {
   source: string;
@@ -76,7 +91,7 @@
   function room(s: Seen, urgent: boolean): boolean {
     const st = s.status!;
     const busy = st.running + st.waiting + s.sent;
-    return busy < (urgent ? st.batch + st.queue : st.batch + st.queue * 0.5);
+    return busy < (urgent ? st.batch + st.queue : st.batch + st.queue * PATIENT_QUEUE);
   }
 
   function total(parts: readonly Part[], from = 0): number {
@@ -89,7 +104,7 @@
     const st = s.status!;
     const behind = (st.unreadTokens + s.sentTokens) * s.msPerToken;
     const over = Math.max(0, st.running + st.waiting + s.sent + 1 - st.batch);
-    return behind + over * s.msPerToken * 300;
+    return behind + over * s.msPerToken * BEHIND_TOKENS;
   }
 
   function stores(): CacheStore[] {
@@ -108,7 +123,7 @@
   function pick(w: Wanted, by: Map<string, Overlap[] | undefined>): Placement | undefined {
     const all = total(w.parts);
     let best: { cost: number; p: Placement } | undefined;
-    const prefix = w.parts.length > 1 ? w.parts[Math.min(w.parts.length - 2, 7)].hash : (w.parts[0]?.hash ?? '');
+    const prefix = w.parts.length > 1 ? w.parts[Math.min(w.parts.length - 2, PREFIX_PART)].hash : (w.parts[0]?.hash ?? '');
     const able: { s: Seen; weights: string }[] = [];
     for (const s of engines.ofModel(w.model)) {
       const weights = w.weights(s);
@@ -118,7 +133,7 @@
     for (const { s, weights } of able) {
       const known = by.get(weights);
       const cand = known ? byIndex(s, weights, known) : byAffinity(s, weights);
-      const cost = cand.cost * (1 + 0.02 * ports.dice.next());
+      const cost = cand.cost * (1 + SPREAD * ports.dice.next());
       if (!best || cost < best.cost) best = { cost, p: cand.p };
     }
     return best?.p;
@@ -129,15 +144,15 @@
 
     function byAffinity(s: Seen, weights: string): { cost: number; p: Placement } {
       const rank = ranks.indexOf(s.engine.id);
-      const likely = rank === 0 ? 0.3 : 1;
+      const likely = rank === 0 ? HOME_READS : 1;
       return { cost: waitOf(s) + all * s.msPerToken * likely + rank, p: { seen: s, weights, expected: 0, indexed: false } };
     }
 
     function byIndex(s: Seen, weights: string, known: Overlap[]): { cost: number; p: Placement } {
       let own: Overlap = { source: s.engine.id, tokens: 0, doubted: 0, parts: 0 };
       for (const o of known) if (o.source === s.engine.id) own = o;
-      const held = own.tokens + own.doubted * 0.5;
-      let cost = waitOf(s) + (all - held) * s.msPerToken + ranks.indexOf(s.engine.id) * 0.5;
+      const held = own.tokens + own.doubted * DOUBTED;
+      let cost = waitOf(s) + (all - held) * s.msPerToken + ranks.indexOf(s.engine.id) * RANK_MS;
       const p: Placement = { seen: s, weights, expected: own.parts, indexed: true };
       for (const o of known) {
         if (o.source === s.engine.id || o.parts <= own.parts) continue;
@@ -146,7 +161,7 @@
         const more = total(w.parts.slice(0, o.parts), own.parts);
         const link = engines.linkCost(o.source, s.engine.id);
         const sure = o.tokens / Math.max(1, o.tokens + o.doubted);
-        const fetched = waitOf(s) + more * link + (all - held - more * sure) * s.msPerToken + ranks.indexOf(s.engine.id) * 0.5;
+        const fetched = waitOf(s) + more * link + (all - held - more * sure) * s.msPerToken + ranks.indexOf(s.engine.id) * RANK_MS;
         if (fetched >= cost) continue;
         cost = fetched;
         p.fetch = { from: o.source, at, hashes: w.parts.slice(own.parts, o.parts).map(hashOf), tokens: more };
--- a/src/data/router.ts
+++ b/src/data/router.ts
@@ -16,7 +16,6 @@
   done: number;
   refused: number;
   unknown: number;
-  failed: number;
   legs: number;
   secondTries: number;
   needed: number;
@@ -76,7 +75,7 @@
   const hello: Hello = { version: WIRE_VERSION, name: startup.name, role: 'router', at: startup.wire, zone: startup.zone };
   const member: Member = { name: startup.name, role: 'router', at: startup.wire, http: startup.http, zone: startup.zone, life: ports.dice.id().slice(0, 8) };
   const edges: object[] = [new HelloEdge(hello)];
-  const counts: RouterCounts = { asked: 0, done: 0, refused: 0, unknown: 0, failed: 0, legs: 0, secondTries: 0, needed: 0, reused: 0, expected: 0, unindexed: 0, fetched: 0 };
+  const counts: RouterCounts = { asked: 0, done: 0, refused: 0, unknown: 0, legs: 0, secondTries: 0, needed: 0, reused: 0, expected: 0, unindexed: 0, fetched: 0 };
   const hashes = new Map<string, string>();
   const rules = new Map<string, string>();
   const services = new Map<string, Service>();
--- a/src/index/tree.ts
+++ b/src/index/tree.ts
@@ -29,7 +29,6 @@
 export interface Trees {
   apply(source: string, e: PartEvent): void;
   dropSource(source: string): number;
-  dropParts(source: string, keep: (p: PartEvent) => boolean): number;
   doubt(source: string): number;
   doubted(source: string): number;
   reused(source: string, model: string, salt: string, weights: string, parts: readonly Part[], count: number): { confirmed: number; dropped: number };
@@ -139,18 +138,10 @@
   }
 
   function dropSource(source: string): number {
-    return dropParts(source, none);
-  }
-
-  function none(): boolean {
-    return false;
-  }
-
-  function dropParts(source: string, keep: (p: PartEvent) => boolean): number {
     let count = 0;
     for (const n of [...(held.get(source) ?? [])]) {
       for (const [weights, set] of [...n.holders]) {
-        if (!set.has(source) || keep(eventOf(n, weights))) continue;
+        if (!set.has(source)) continue;
         release(source, weights, n);
         count++;
       }
@@ -236,5 +227,5 @@
     return evictedCount;
   }
 
-  return { apply, dropSource, dropParts, doubt, doubted, reused, query, dump, size, holding, evicted };
+  return { apply, dropSource, doubt, doubted, reused, query, dump, size, holding, evicted };
 }
--- a/src/shared/lib.ts
+++ b/src/shared/lib.ts
@@ -22,15 +22,6 @@
   }
 }
 
-/** Runs what a library may reject from. */
-export async function guardAsync<T>(step: string, peer: string, run: () => Promise<T>): Promise<Outcome<T>> {
-  try {
-    return Right(await run());
-  } catch (e) {
-    return Left(makeFault(step, peer, e));
-  }
-}
-
 /** A short hash of text in hex. */
 export function shortHash(text: string): string {
   return createHash('sha256').update(text).digest('hex').slice(0, 16);
--- a/tools/simworld.ts
+++ b/tools/simworld.ts
@@ -1,7 +1,7 @@
 import { Left, Right } from 'purify-ts';
 import { withSuspension } from '../src/shared/clock';
 import { makeFault, Outcome } from '../src/shared/errors';
-import { Clock, Dice, Disk, Log, Wire } from '../src/shared/ports';
+import { Clock, Dice, Disk, Log } from '../src/shared/ports';
 import { seededDice } from './dice';
 
 interface Event {
@@ -333,12 +333,3 @@
 
   return { dice, now, after, proc, procAt, procs, onProc, clock, disk, log, kill, revive, freeze, wake, stall, cut, isCut, slow, latency, healLinks, onDeath, trace, traceHash, lines, run };
 }
-
-/** What a simulated process is given to run on. */
-export interface SimPorts {
-  clock: Clock;
-  dice: Dice;
-  disk: Disk;
-  wire: Wire;
-  log: Log;
-}
