Controllers tell their seeds where the core is, so that exchanged seeds still lead there

Cause: seeds exchanged for edge machines, then all of ours killed at once: routers came back asking seeds that knew of nobody, while the controllers, who know, asked no seed. Ruled out: the controllers (they know their voters from disk).

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -6,7 +6,7 @@
 import { poll } from '../shared/poll';
 import { Listening, Ports, Stream } from '../shared/ports';
 import { Bounds, boundsOf, Startup } from '../shared/startup';
-import { converse, Hello, HelloEdge, holdAll, noStream, WIRE_VERSION } from '../shared/streams';
+import { askOnce, converse, Hello, HelloEdge, holdAll, noStream, WIRE_VERSION } from '../shared/streams';
 import { allVoters, comparePlaces, isQuorum, isVoter, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
 import { Claims } from './claims';
 import { keyOf, makeValue, Operation } from './operations';
@@ -28,6 +28,7 @@
 export interface Controller {
   name: string;
   by: string;
+  hello: Hello;
   startup: Startup;
   bounds: Bounds;
   slots: Slots;
@@ -270,6 +271,15 @@
     await Promise.all(helds.ats().map(from));
   }
 
+  /** Tells the seeds that are not of the core where it is: they are asked first, and may be machines that know of nobody. */
+  async function tellSeeds(): Promise<void> {
+    while (!stopped) {
+      const v = voters();
+      for (const at of startup.seeds) if (v && !allVoters(v).map(atOf).includes(at)) await askOnce(ports, hello, edges, at, 'here', v, bounds.dial);
+      await ports.clock.sleep(bounds.claim * (0.8 + 0.4 * ports.dice.next()));
+    }
+  }
+
   async function tend(): Promise<void> {
     while (!stopped) {
       await catchUp();
@@ -323,8 +333,9 @@
 
   reachAll();
   void tend();
+  void tellSeeds();
   return Right({
-    name: startup.name, by, startup, bounds, slots, claims, votes, owner, edges, voters, live, picked, change, found, effect, value,
+    name: startup.name, by, hello, startup, bounds, slots, claims, votes, owner, edges, voters, live, picked, change, found, effect, value,
     heardLive, hasMajority, askVoter, peerHello, stop, stopped: isStopped,
   });
 }
--- a/src/control/voters.ts
+++ b/src/control/voters.ts
@@ -2,25 +2,13 @@
 import { bad, Fault, makeFault, open, Outcome } from '../shared/errors';
 import { poll } from '../shared/poll';
 import { Ports } from '../shared/ports';
-import { converse, Hello, WIRE_VERSION } from '../shared/streams';
+import { askOnce } from '../shared/streams';
 import { allVoters, KEYS, Voter, Voters } from '../shared/words';
 import { Controller } from './controller';
 import { Vote } from './votes';
 
 const HEX = '0123456789abcdef';
 
-/** Asks a controller that is not yet of the fleet. */
-async function askOnce(c: Controller, ports: Ports, at: string, type: string): Promise<Outcome<unknown>> {
-  const [f, stream] = open(await ports.wire.dial(at, c.bounds.dial));
-  if (f) return Left(f);
-  const hello: Hello = { version: WIRE_VERSION, name: c.name, role: 'controller', at: c.startup.wire, zone: c.startup.zone };
-  const ex = converse(ports, stream, []);
-  const h = await ex.ask('hello', hello, c.bounds.ask);
-  const o = h.isLeft() ? h : await ex.ask(type, {}, c.bounds.ask);
-  ex.close();
-  return o;
-}
-
 function sameSet(a: readonly Voter[], b: readonly Voter[]): boolean {
   function text(v: Voter): string {
     return `${v.disk} ${v.at}`;
@@ -33,7 +21,7 @@
   const stood = c.value<Voters>(KEYS.voters);
   if (!stood) return bad('replace voter', c.name, 'the fleet is not founded', 'refused', 'not-founded');
   const v = stood.value;
-  const [f, w] = open(await askOnce(c, ports, into, 'who'));
+  const [f, w] = open(await askOnce(ports, c.hello, [], into, 'who', {}, c.bounds.ask));
   if (f) return Left({ ...f, sort: 'refused' } as Fault);
   const { disk } = w as { disk: string };
   function isNew(x: Voter): boolean {
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -6,7 +6,7 @@
 import { poll } from './poll';
 import { Ports } from './ports';
 import { Bounds } from './startup';
-import { converse, Exchange, Hello, holdAll, noStream } from './streams';
+import { askOnce, Exchange, Hello, holdAll, noStream } from './streams';
 import { allVoters, comparePlaces, isQuorum, KEYS, Member, Numbered, Place, Voter, Voters } from './words';
 
 /** A node's view of the control state, kept up by news and claims. */
@@ -44,7 +44,7 @@
 
 /** Handlers of what the core and other followers say. */
 export class FollowEdge {
-  constructor(private readonly takeNews: (list: Numbered[]) => boolean, private readonly who: () => unknown) {}
+  constructor(private readonly takeNews: (list: Numbered[]) => boolean, private readonly who: () => unknown, private readonly told: (v: Voters | undefined) => void) {}
 
   /** Takes numbered changes; lower ones are ignored. */
   @message('news')
@@ -53,6 +53,13 @@
     return Right(true);
   }
 
+  /** Hears from a controller where the core is, for one that has this process among its seeds. */
+  @message('here')
+  async here(v: Voters): Handled {
+    this.told(v);
+    return Right(true);
+  }
+
   /** Tells a newcomer where the core is. */
   @message('who')
   async askWho(): Handled {
@@ -100,7 +107,7 @@
     return { voters: voters(), core: core() };
   }
 
-  edges.push(new FollowEdge(take, who));
+  edges.push(new FollowEdge(take, who, told));
   const helds = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause, onUp, onRefused });
 
   function live(): boolean {
@@ -178,14 +185,11 @@
   }
 
   async function askSeed(at: string): Promise<void> {
-    const [f, stream] = open(await ports.wire.dial(at, bounds.dial));
-    if (f) return;
-    const one = converse(ports, stream, edges);
-    const [g] = open(await one.ask('hello', hello, bounds.dial));
-    const [h, w] = open(await one.ask('who', {}, bounds.dial));
-    one.close();
-    if (g || h) return;
-    const v = (w as { voters?: Voters }).voters;
+    const [f, w] = open(await askOnce(ports, hello, edges, at, 'who', {}, bounds.dial));
+    if (!f) told((w as { voters?: Voters }).voters);
+  }
+
+  function told(v: Voters | undefined): void {
     if (!v) return;
     founded = founded ?? v;
     reach();
--- a/src/shared/streams.ts
+++ b/src/shared/streams.ts
@@ -84,6 +84,17 @@
   return ex;
 }
 
+/** Asks a peer one thing over a stream of its own. */
+export async function askOnce(ports: Ports, hello: Hello, edges: readonly object[], at: string, type: string, body: unknown, within: number): Promise<Outcome<unknown>> {
+  const [f, stream] = open(await ports.wire.dial(at, within));
+  if (f) return Left(f);
+  const ex = converse(ports, stream, edges);
+  const h = await ex.ask('hello', hello, within);
+  const o = h.isLeft() ? h : await ex.ask(type, body, within);
+  ex.close();
+  return o;
+}
+
 /** A stream that is kept up to one peer. */
 export interface Held {
   at: string;
--- a/test/seeds.test.ts
+++ b/test/seeds.test.ts
@@ -66,6 +66,10 @@
   await clean(2, 'saffron-bay', 0, schedule);
 }
 
+async function seedsExchanged(): Promise<void> {
+  await clean(23, 'saffron-bay', 0, [fault(11882, 'seeds', 'core-3', 'index-core-2', 965), fault(26235, 'kill-ours', 'edge-4', 'edge-2', 1784)]);
+}
+
 async function sameTrace(): Promise<void> {
   const a = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
   const b = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
@@ -83,3 +87,4 @@
 test('a seed gives the same trace twice', sameTrace);
 test('a router whose machine was suspended lets nothing in by the claim it had before', suspended);
 test('an engine that froze and was then known to leave begins nothing when it wakes', frozenLeaver);
+test('seeds exchanged for machines that know of nobody still lead to the core after all were killed', seedsExchanged);
--- a/tools/without.ts
+++ b/tools/without.ts
@@ -1,7 +1,9 @@
 import { Right } from 'purify-ts';
 import * as claims from '../src/control/claims';
+import type { Controller } from '../src/control/controller';
 import * as duties from '../src/control/duties';
 import * as slots from '../src/control/slots';
+import { CallerApi } from '../src/data/api';
 import * as router from '../src/data/router';
 import * as once from '../src/data/once';
 import * as engine from '../src/shared/contracts/engine';
@@ -9,6 +11,7 @@
 import { Outcome } from '../src/shared/errors';
 import * as clock from '../src/shared/clock';
 import * as follow from '../src/shared/follow';
+import { Call, Ports } from '../src/shared/ports';
 import * as startup from '../src/shared/startup';
 import { Engine, Intents } from '../src/shared/words';
 import * as operations from '../src/control/operations';
@@ -150,7 +153,92 @@
   (clock as unknown as Patch).withSuspension = plain as never;
 }
 
+function noOrderCheck(): void {
+  const real = engine.generate;
+  async function blind(...x: Parameters<typeof engine.generate>): Promise<Outcome<engine.Generating>> {
+    function wrap(g: engine.Generating): engine.Generating {
+      let n = 0;
+      function fix(l: engine.EngineLine): engine.EngineLine {
+        return l.done ? { ...l, request: x[2].request, count: n } : { ...l, request: x[2].request, n: n++ };
+      }
+      async function next(): Promise<Outcome<engine.EngineLine>> {
+        return (await g.next()).map(fix);
+      }
+      return { ...g, next };
+    }
+    return (await real(...x)).map(wrap);
+  }
+  (engine as unknown as Patch).generate = blind as never;
+}
+
+/** A data plane that bends the pieces of one call in twenty. */
+function bends(bend: (text: string, other: string) => string): () => void {
+  function patch(): void {
+    const proto = CallerApi.prototype as unknown as { generate(c: Call): Promise<void> };
+    const real = proto.generate;
+    let calls = 0;
+    let other = '';
+    function bent(this: CallerApi, call: Call): Promise<void> {
+      if (++calls % 20 !== 0) return real.call(this as never, call);
+      let n = 0;
+      function piece(text: string): Promise<boolean> {
+        const told = ++n === 2 ? bend(text, other) : text;
+        other = text;
+        return told === '' ? Promise.resolve(true) : call.piece(told);
+      }
+      return real.call(this as never, { ...call, piece, head: call.head, end: call.end });
+    }
+    proto.generate = bent;
+  }
+  return patch;
+}
+
+function skip(): string {
+  return '';
+}
+
+function repeat(text: string): string {
+  return text + text;
+}
+
+function splice(_text: string, other: string): string {
+  return other;
+}
+
+function noFence(): void {
+  const real = duties.startDuties;
+  function loose(c: Controller, ports: Ports): void {
+    function picked(key: string): boolean {
+      return key.startsWith('duty/') || c.picked(key);
+    }
+    async function change(op: operations.Operation): ReturnType<Controller['change']> {
+      return op.kind === 'duty' ? Right({ place: { epoch: 1, by: c.by, number: 1 }, inEffect: false, value: undefined }) : c.change(op);
+    }
+    real({ ...c, picked, change }, ports);
+  }
+  (duties as unknown as Patch).startDuties = loose as never;
+}
+
+/** A router that lets a leg run on after it told the caller that it refused. */
+function refusesLate(): void {
+  const proto = CallerApi.prototype as unknown as { sendOn(...x: unknown[]): Promise<{ done: boolean; fault?: object }> };
+  const real = proto.sendOn;
+  let calls = 0;
+  async function late(this: CallerApi, ...x: unknown[]): Promise<{ done: boolean; fault?: object }> {
+    if (++calls % 20 !== 0) return real.apply(this, x);
+    function nothing(): void {}
+    async function taken(): Promise<boolean> {
+      return true;
+    }
+    const mute = { ...(x[0] as Call), head: nothing, piece: taken, end: nothing };
+    void real.call(this, mute, ...x.slice(1));
+    return { done: false, fault: { step: 'generate', peer: '', why: 'late', sort: 'refused', code: 'late' } };
+  }
+  proto.sendOn = late;
+}
+
 /** Mechanisms that the simulator can leave out, to see that its checks catch what they prevent. */
 export const MECHANISMS: Record<string, () => void> = {
   votes: noVotes, effect: noEffect, claims: noClaims, salts: noSalts, 'weights-end': noWeightsEnd, leaving: noLeaving, sync: noSync, 'last-line': noLastLine, 'unknown-class': lateRefusal, budget: noBudget, suspension: noSuspension,
+  'order-check': noOrderCheck, 'router-whole': bends(skip), 'router-once': bends(repeat), 'router-own': bends(splice), fence: noFence, 'refused-is-sure': refusesLate,
 };
