--- a/src/programs/common.ts
+++ b/src/programs/common.ts
@@ -53,7 +53,7 @@
 
 async function run(program: string, s: Startup, start: (ports: Ports, s: Startup) => Promise<Either<Fault, Running>>): Promise<void> {
   const log = realLog(program, s.name);
-  const ports: Ports = { clock: realClock(), dice: realDice(), disk: realDisk(s.data), wire: realWire(boundsOf(s).dial), log };
+  const ports: Ports = { clock: realClock(), dice: realDice(), disk: realDisk(s.data), wire: realWire(boundsOf(s).dial, s.bind), log };
   const o = await start(ports, s);
   if (o.isLeft()) {
     const f = o.extract() as Fault;
--- a/src/shared/formats.ts
+++ b/src/shared/formats.ts
@@ -1,3 +1,4 @@
+const IP = /^(\d{1,3}\.){3}\d{1,3}$/;
 const ADDRESS = /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/;
 
 /** An ip:port, or nothing. */
@@ -11,6 +12,11 @@
   (v as unknown[]).forEach(address);
 }
 
+/** An IP number, or nothing. */
+export function ipOrNone(v: unknown): void {
+  if (typeof v !== 'string' || (v !== '' && !IP.test(v))) complain('must be an IP number');
+}
+
 /** A number above 0. */
 export function positive(v: unknown): void {
   if (typeof v !== 'number' || !(v > 0)) complain('must be a number above 0');
--- a/src/shared/realwire.ts
+++ b/src/shared/realwire.ts
@@ -152,9 +152,9 @@
   return listen(server, at, close);
 }
 
-function dial(at: string, within: number): Promise<Outcome<Stream>> {
+function dial(at: string, within: number, localAddress?: string): Promise<Outcome<Stream>> {
   function wait(done: (o: Outcome<Stream>) => void): void {
-    const socket = net.connect(split(at));
+    const socket = net.connect({ ...split(at), localAddress });
     function late(): void {
       socket.destroy();
       done(Left(makeFault('dial', at, 'no stream in time', 'refused', 'timeout')));
@@ -222,7 +222,20 @@
 }
 
 /** The machine's network: Node's http, undici, and msgpackr over net. */
-export function realWire(connectWithin: number): Wire {
-  const agent = new Agent({ connect: { timeout: connectWithin }, connections: 256, pipelining: 1, keepAliveTimeout: 4000, bodyTimeout: 0, headersTimeout: 0 });
-  return { serve, ask: askWith(agent), accept, dial };
+export function realWire(connectWithin: number, bind = ''): Wire {
+  const localAddress = bind === '' ? undefined : bind;
+  function bound(at: string): string {
+    return bind === '' ? at : `${bind}:${split(at).port}`;
+  }
+  function serveHere(at: string, take: (call: Call) => Promise<void>): Promise<Outcome<Listening>> {
+    return serve(bound(at), take);
+  }
+  function acceptHere(at: string, take: (s: Stream) => void): Promise<Outcome<Listening>> {
+    return accept(bound(at), take);
+  }
+  function dialFrom(at: string, within: number): Promise<Outcome<Stream>> {
+    return dial(at, within, localAddress);
+  }
+  const agent = new Agent({ localAddress, connect: { timeout: connectWithin }, connections: 256, pipelining: 1, keepAliveTimeout: 4000, bodyTimeout: 0, headersTimeout: 0 });
+  return { serve: serveHere, ask: askWith(agent), accept: acceptHere, dial: dialFrom };
 }
--- a/src/shared/startup.ts
+++ b/src/shared/startup.ts
@@ -1,7 +1,7 @@
 import convict from 'convict';
 import { Either, Left, Right } from 'purify-ts';
 import { readFileSync } from 'node:fs';
-import { address, addresses, positive, share } from './formats';
+import { address, addresses, ipOrNone, positive, share } from './formats';
 import { guard } from './lib';
 
 /** What a process is told at its start. */
@@ -10,6 +10,7 @@
   zone: string;
   wire: string;
   http: string;
+  bind: string;
   seeds: string[];
   founders: string[];
   data: string;
@@ -74,6 +75,7 @@
   zone: { doc: 'the zone it stands in', format: String, default: 'zone-a' },
   wire: { doc: 'where it listens for our own processes', format: address, default: '' },
   http: { doc: 'where it listens for HTTP', format: address, default: '' },
+  bind: { doc: 'the IP number it listens at and dials from, where it is another than the one it tells', format: ipOrNone, default: '' },
   seeds: { doc: 'addresses of processes first asked for peers', format: addresses, default: [] as string[] },
   founders: { doc: 'controllers that found a blank fleet; the seeds where left out', format: addresses, default: [] as string[] },
   data: { doc: 'the data folder', format: String, default: 'data' },
--- a/tools/faults.ts
+++ b/tools/faults.ts
@@ -1,10 +1,11 @@
 import { rmSync } from 'node:fs';
 import { askJson } from '../src/shared/lib';
 import { listed } from './deploy';
-import type { Fleet, Proc } from './fleet';
+import { controlOf, type Fleet, type Proc } from './fleet';
 
 /** The faults that the runner brings about on real processes. */
-export const FAULTS = ['kill-router', 'kill-routers', 'kill-controller', 'kill-core', 'kill-all-ours', 'kill-indexers', 'kill-engine', 'freeze-router', 'freeze-controller', 'freeze-engine', 'leave-engine', 'empty-store', 'wipe-controller', 'new-weights', 'drop-key'];
+export const FAULTS = ['kill-router', 'kill-routers', 'kill-controller', 'kill-core', 'kill-all-ours', 'kill-indexers', 'kill-engine', 'freeze-router', 'freeze-controller', 'freeze-engine', 'leave-engine', 'empty-store', 'wipe-controller', 'new-weights', 'drop-key',
+  'cut-router', 'cut-router-one-way', 'cut-controller', 'cut-core-from-edges', 'cut-core-apart'];
 
 function say(text: string): void {
   process.stdout.write(`fault: ${text}\n`);
@@ -29,6 +30,24 @@
   await Promise.all(backs);
 }
 
+function ipOf(x: { wire: string }): string {
+  return x.wire.split(':')[0];
+}
+
+/** Cuts the links from all of one side to all of the other, and back unless one way, and heals them. */
+async function cut(f: Fleet, from: string[], to: string[], ms: number, oneWay = false): Promise<void> {
+  const cuts: [string, string][] = [];
+  for (const a of from) for (const b of to) if (a !== b) cuts.push([a, b], ...(oneWay ? [] : [[b, a] as [string, string]]));
+  async function tell(body: object): Promise<void> {
+    await askJson(f.ports.wire, { at: controlOf(f.d), method: 'PUT', path: '/api/cuts', body: JSON.stringify(body), within: 2000 });
+  }
+  await tell({ cuts });
+  say(`cut ${from.join(' ')} from ${to.join(' ')}${oneWay ? ', one way' : ''}`);
+  await f.ports.clock.sleep(ms);
+  await tell({ cuts: [] });
+  say('healed');
+}
+
 async function freeze(f: Fleet, name: string, ms: number): Promise<void> {
   const p = f.procs.get(name)!;
   p.child.kill('SIGSTOP');
@@ -46,6 +65,8 @@
 
 /** Brings a fault about. */
 export async function injectFault(f: Fleet, fault: string): Promise<void> {
+  const core = f.d.core.map(ipOf);
+  const edges = f.d.edge.map(ipOf);
   switch (fault) {
     case 'kill-router': return killBack(f, ['edge-1'], 2000);
     case 'kill-routers': return killBack(f, ofRole(f, 'router'), 1000);
@@ -58,6 +79,11 @@
     case 'freeze-controller': return freeze(f, 'core-1', 4000);
     case 'freeze-engine': return freeze(f, 'engine-1', 3000);
     case 'empty-store': return killBack(f, ['store-1'], 1000);
+    case 'cut-router': return cut(f, [edges[0]], core, 4000);
+    case 'cut-router-one-way': return cut(f, [edges[0]], core, 4000, true);
+    case 'cut-controller': return cut(f, [core[0]], [...core.slice(1), ...edges], 4000);
+    case 'cut-core-from-edges': return cut(f, core, edges, 4000);
+    case 'cut-core-apart': return cut(f, [core[0]], core.slice(1), 4000);
     case 'wipe-controller': {
       rmSync(f.procs.get('core-1')!.data, { recursive: true, force: true });
       return killBack(f, ['core-1'], 500);
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -11,6 +11,7 @@
 import { Deployment, DEPLOYMENTS, listed, makeDeployment } from './deploy';
 import { LedgerEntry } from './engine';
 import { FAULTS, injectFault } from './faults';
+import { boundOf } from './links';
 import { edgeNames, isClean, judge } from './ledger';
 
 /** A process that the runner started. */
@@ -92,28 +93,46 @@
 }
 
 /** Starts every process of the deployment. */
-export async function startAll(f: Fleet, placeBy = 'index'): Promise<void> {
+export async function startAll(f: Fleet, placeBy = 'index', linked?: { told: string; bound: string }): Promise<void> {
   const { d, folder } = f;
+  function bind(at: string): string[] {
+    return linked ? ['--bind', boundOf(at, linked).split(':')[0]] : [];
+  }
   const seeds = d.core.map(wireOf).join(',');
   function wireOf(c: { wire: string }): string {
     return c.wire;
   }
   const ups: Promise<void>[] = [];
   const standin = join(ROOT, 'tools/standin.js');
+  if (linked) {
+    const ats = [...d.engines.map(atOf), d.store.at];
+    for (const c of d.core) ats.push(c.wire, c.http, c.indexWire, c.indexHttp);
+    for (const e of d.edge) ats.push(e.wire, e.http);
+    await f.start('links', 'links', [standin, 'links', JSON.stringify({ ...linked, ats, control: controlOf(d) })], '');
+  }
   ups.push(f.start('platform', 'platform', [standin, 'platform', JSON.stringify({ at: d.platform, engines: d.engines.map(listed) })], ''));
-  for (const e of [...d.engines, d.store]) ups.push(f.start(e.id, 'engine', [standin, 'engine', JSON.stringify({ ...e, ledgerFile: join(folder, `${e.id}.ledger`) })], ''));
+  for (const e of [...d.engines, d.store]) ups.push(f.start(e.id, 'engine', [standin, 'engine', JSON.stringify({ ...e, at: linked ? boundOf(e.at, linked) : e.at, bind: bind(e.at)[1], ledgerFile: join(folder, `${e.id}.ledger`) })], ''));
   for (const c of d.core) {
-    const common = ['--seeds', seeds, '--zone', c.zone, '--weights-bound-ms', String(d.weightsBoundMs)];
+    const common = ['--seeds', seeds, '--zone', c.zone, '--weights-bound-ms', String(d.weightsBoundMs), ...bind(c.wire)];
     const data = join(folder, c.name);
     ups.push(f.start(c.name, 'controller', [program('controller'), '--name', c.name, '--wire', c.wire, '--http', c.http, '--platform', d.platform, '--data', data, ...common], data));
     ups.push(f.start(`index-${c.name}`, 'indexer', [program('indexer'), '--name', `index-${c.name}`, '--wire', c.indexWire, '--http', c.indexHttp, ...common], ''));
   }
   for (const e of d.edge) {
-    ups.push(f.start(e.name, 'router', [program('router'), '--name', e.name, '--zone', e.zone, '--wire', e.wire, '--http', e.http, '--seeds', seeds, '--weights-bound-ms', String(d.weightsBoundMs), '--place-by', placeBy], ''));
+    ups.push(f.start(e.name, 'router', [program('router'), '--name', e.name, '--zone', e.zone, '--wire', e.wire, '--http', e.http, '--seeds', seeds, '--weights-bound-ms', String(d.weightsBoundMs), '--place-by', placeBy, ...bind(e.wire)], ''));
   }
   await Promise.all(ups);
 }
 
+function atOf(e: { at: string }): string {
+  return e.at;
+}
+
+/** Where the stand-in network is told what to cut. */
+export function controlOf(d: Deployment): string {
+  return d.platform.replace('.4.1:', '.4.8:');
+}
+
 /** Waits until something holds, by asking again; false when the bound has passed. */
 export async function until(f: Fleet, within: number, test: () => Promise<boolean>): Promise<boolean> {
   const end = f.ports.clock.now() + within;
@@ -236,19 +255,21 @@
   return by;
 }
 
-async function main(): Promise<void> {
-  const cmd = new Command('fleet').argument('<deployment>', DEPLOYMENTS.join(' or ')).option('--seconds <n>', 'how long callers call', '20').option('--fault <name>', `a fault halfway: ${FAULTS.join(', ')}`).option('--net <n>', 'second number of the loopback addresses', '10').option('--place-by <way>', 'index or affinity', 'index').option('--scale <x>', 'callers\' rate against the brief\'s', '1').parse();
-  const o = cmd.opts() as { seconds: string; fault?: string; net: string; scale: string; placeBy: string };
-  const d = makeDeployment(cmd.args[0], Number(o.net));
-  if (!d || (o.fault !== undefined && !FAULTS.includes(o.fault))) {
-    process.stderr.write(`fleet: there is no ${d ? o.fault : cmd.args[0]}\n`);
-    return process.exit(2);
-  }
+interface RunnerWays {
+  seconds: string;
+  fault?: string;
+  net: string;
+  scale: string;
+  placeBy: string;
+}
+
+/** Runs a whole fleet once, with a fault halfway; says whether nothing forbidden was seen. */
+async function runOnce(d: Deployment, o: RunnerWays, fault: string | undefined): Promise<{ clean: boolean; row: string }> {
   const folder = resolve('fleet-data', d.name);
   rmSync(folder, { recursive: true, force: true });
   mkdirSync(folder, { recursive: true });
   const f = makeFleet(d, folder);
-  await startAll(f, o.placeBy);
+  await startAll(f, o.placeBy, fault?.startsWith('cut-') ? { told: o.net, bound: String(Number(o.net) + 1) } : undefined);
   const edges = d.edge.map(httpOf);
   async function ready(): Promise<boolean> {
     return allReady(f, edges);
@@ -260,13 +281,32 @@
   const ms = Number(o.seconds) * 1000;
   const x = Number(o.scale);
   const calls = runCallers(f.ports, { intents: d.intents, keys, edges, shortPerS: d.rates.shortPerS * x, longPerS: d.rates.longPerS * x, forMs: ms, retries: 3 });
-  if (o.fault !== undefined) {
+  if (fault !== undefined) {
     await f.ports.clock.sleep(ms / 2);
-    await injectFault(f, o.fault);
+    await injectFault(f, fault);
   }
   const report = await calls;
   const clean = sayReport(f, report, await sumMetrics(f));
   await stopAll(f);
+  return { clean, row: `| ${fault ?? 'none'} | ${report.whole} of ${report.asked} | ${report.refused} | ${report.unknown + report.incomplete} | ${report.callerRetries} | ${clean ? 0 : 'yes'} |` };
+}
+
+async function main(): Promise<void> {
+  const cmd = new Command('fleet').argument('<deployment>', DEPLOYMENTS.join(' or ')).option('--seconds <n>', 'how long callers call', '20').option('--fault <name>', `a fault halfway, or \`all\` in turn: ${FAULTS.join(', ')}`).option('--net <n>', 'second number of the loopback addresses', '10').option('--place-by <way>', 'index or affinity', 'index').option('--scale <x>', 'callers\' rate against the brief\'s', '1').parse();
+  const o = cmd.opts() as RunnerWays;
+  const d = makeDeployment(cmd.args[0], Number(o.net));
+  if (!d || (o.fault !== undefined && o.fault !== 'all' && !FAULTS.includes(o.fault))) {
+    process.stderr.write(`fleet: there is no ${d ? o.fault : cmd.args[0]}\n`);
+    return process.exit(2);
+  }
+  const rows: string[] = [];
+  let clean = true;
+  for (const fault of o.fault === 'all' ? FAULTS : [o.fault]) {
+    const r = await runOnce(d, o, fault);
+    rows.push(r.row);
+    clean = clean && r.clean;
+  }
+  process.stdout.write(['| fault | whole | refused in the end | unknown or incomplete | tries again | forbidden |', '| --- | --- | --- | --- | --- | --- |', ...rows].join('\n') + '\n');
   process.exit(clean ? 0 : 1);
 }
 
--- a/tools/simfleet.ts
+++ b/tools/simfleet.ts
@@ -79,7 +79,7 @@
 
   function startup(n: string, wire: string, http: string, zone: string): Startup {
     return {
-      name: n, zone, wire, http, seeds, founders, data: n, platform: d.platform, changeBoundMs: 2000, leavingBoundMs: 3000, weightsBoundMs: d.weightsBoundMs,
+      name: n, zone, wire, http, bind: '', seeds, founders, data: n, platform: d.platform, changeBoundMs: 2000, leavingBoundMs: 3000, weightsBoundMs: d.weightsBoundMs,
       secondTryShare: 0.18, onceKeepMs: 600000, indexMostParts: 100000, bodyMostBytes: 1 << 22, placeBy: 'index',
     };
   }
