--- a/tools/sim.ts
+++ b/tools/sim.ts
@@ -4,6 +4,7 @@
 import { DEPLOYMENTS } from './deploy';
 import { Fault } from './simfaults';
 import { RunResult, runSeed } from './simrun';
+import { makeTraffic } from './traffic';
 import { MECHANISMS } from './without';
 
 /** A run in short, as a worker tells it. */
@@ -100,8 +101,10 @@
   process.stdout.write(`acknowledged after ms: ${spread(effect)}; served again after ms: ${spread(back)}; second tries in thousandths: ${spread(second)}\n`);
 }
 
-async function one(seed: number, deployment: string, faults: number, verbose: boolean, brief: boolean): Promise<void> {
-  const r = await runSeed(seed, { deployment, faults, keepLines: verbose, brief });
+async function one(seed: number, deployment: string, faults: number, verbose: boolean, brief: boolean, weighs: boolean): Promise<void> {
+  const traffic = weighs ? makeTraffic() : undefined;
+  const r = await runSeed(seed, { deployment, faults, keepLines: verbose, brief, traffic });
+  if (traffic) process.stdout.write(['| from, type | messages | kB |', '| --- | --- | --- |', ...traffic.rows(r.report.asked / 1000)].join('\n') + '\n');
   if (verbose) process.stdout.write(r.lines.join('\n') + '\n');
   process.stdout.write(JSON.stringify(shorten(r), null, 2) + '\n');
   if (r.violations.length > 0) process.stdout.write(`shortest known schedule:\n${JSON.stringify(await shrink(seed, deployment, r.schedule), null, 1)}\n`);
@@ -110,14 +113,14 @@
 
 async function main(): Promise<void> {
   const cmd = new Command('sim').option('--seeds <n>', 'how many seeds', '20').option('--from <n>', 'the first seed', '1').option('--seed <n>', 'one seed only').option('--faults <n>', 'faults in each run', '6')
-    .option('--deployment <name>', DEPLOYMENTS.join(' or '), 'saffron-bay').option('--without <mechanism>', `leave a mechanism out: ${Object.keys(MECHANISMS).join(', ')}`).option('--brief', 'at the brief\'s sizes and rates').option('--trace', 'with --seed: print the trace').parse();
-  const o = cmd.opts() as { seeds: string; from: string; seed?: string; faults: string; deployment: string; trace?: boolean; without?: string; brief?: boolean };
+    .option('--deployment <name>', DEPLOYMENTS.join(' or '), 'saffron-bay').option('--without <mechanism>', `leave a mechanism out: ${Object.keys(MECHANISMS).join(', ')}`).option('--brief', 'at the brief\'s sizes and rates').option('--traffic', 'with --seed: messages and kB between our processes for 1,000 requests').option('--trace', 'with --seed: print the trace').parse();
+  const o = cmd.opts() as { seeds: string; from: string; seed?: string; faults: string; deployment: string; trace?: boolean; without?: string; brief?: boolean; traffic?: boolean };
   if (!DEPLOYMENTS.includes(o.deployment) || (o.without !== undefined && !(o.without in MECHANISMS))) {
     process.stderr.write(`sim: there is no ${o.without ?? o.deployment}\n`);
     return process.exit(2);
   }
   if (o.without) MECHANISMS[o.without]();
-  if (o.seed !== undefined) return one(Number(o.seed), o.deployment, Number(o.faults), o.trace === true, o.brief === true);
+  if (o.seed !== undefined) return one(Number(o.seed), o.deployment, Number(o.faults), o.trace === true, o.brief === true, o.traffic === true);
   const n = Math.max(1, cpus().length - 1);
   const piles: string[][] = [];
   for (let i = 0; i < n; i++) piles.push([]);
--- a/tools/simrun.ts
+++ b/tools/simrun.ts
@@ -3,6 +3,7 @@
 import { seededDice } from './dice';
 import { askCore, makeSimFleet, SimFleet, simIntents } from './simfleet';
 import { drawFaults, Fault, healAll, injectSim } from './simfaults';
+import { Traffic } from './traffic';
 import { applyRule, checkKept, makeOpsLog, nameWeights, OpsLog, probe, race, raceKeys, replaceCore, turnKey, wallOff } from './simops';
 
 /** How a run is made. */
@@ -13,6 +14,7 @@
   replace?: boolean;
   schedule?: Fault[];
   keepLines?: boolean;
+  traffic?: Traffic;
 }
 
 /** What came of a run. */
@@ -41,6 +43,7 @@
 export async function runSeed(seed: number, ways: RunWays): Promise<RunResult> {
   const f = makeSimFleet(seed, ways.deployment, ways.brief ? 9 : 4, ways.brief ? 99 : 4, ways.keepLines === true);
   const { w } = f;
+  f.net.traffic = ways.traffic;
   const ops = makeOpsLog();
   const keys: Record<string, string> = {};
   const keyIds = new Map<string, string>();
--- a/tools/simwire.ts
+++ b/tools/simwire.ts
@@ -3,6 +3,7 @@
 import { makeFeed } from '../src/shared/lib';
 import { Ask, Call, Listening, Message, Ports, Reply, Stream, Wire } from '../src/shared/ports';
 import { Proc, World } from './simworld';
+import { Traffic } from './traffic';
 
 interface Listener {
   proc: Proc;
@@ -23,6 +24,7 @@
 /** The simulated network over a world. */
 export interface SimNet {
   sent: { at: string; body: string }[];
+  traffic?: Traffic;
   ports(p: Proc): Ports;
 }
 
@@ -32,6 +34,7 @@
   const pipes = new Set<{ a: Proc; b: Proc; end: (who: Proc) => void }>();
   const warm = new Set<string>();
   const sent: SimNet['sent'] = [];
+  const net: SimNet = { ports, sent };
 
   function ipOf(at: string): string {
     return at.slice(0, at.lastIndexOf(':'));
@@ -126,6 +129,7 @@
       function send(m: Message): boolean {
         if (over || !me.alive || me.life !== life) return false;
         const copy = structuredClone(m);
+        net.traffic?.weigh(me.name, m);
         function arrive(): void {
           adds.get(me === a ? b : a)?.(copy);
         }
@@ -385,5 +389,5 @@
     return { clock, dice: w.dice, disk: w.disk(p), wire, log: w.log(p) };
   }
 
-  return { ports, sent };
+  return net;
 }
