Followers and controllers say less: claims by difference, news whole from the owner only

Cause: each claim (4 a second and follower at each controller) carried all places there and all members back; each change went whole to each follower three times; each note of a run was returned and the return dropped. Ruled out: votes (one each way for each disk). A claim that leaves its places out needs one on the same stream to go by; a follower of the version before always tells all, and is told all.

An emptied controller at a voter's address was taken for that voter when owners are picked: the others left it keys (the engine list among them) that it did not take up. The hello of a controller names its disk, and only a voter with its own disk is live.

--- a/src/control/claims.ts
+++ b/src/control/claims.ts
@@ -7,10 +7,10 @@
 import { comparePlaces, Member, Numbered, Place, Voters } from '../shared/words';
 import { Slots } from './slots';
 
-/** A follower's ask for a claim: who it is, and how far it has applied each key. */
+/** A follower's ask for a claim: who it is, and how far it has applied each key; left out where that is as it was in its last claim. */
 export class ClaimAsk {
   @field('object') member!: Member;
-  @field('list') has!: [string, number, string, number][];
+  @field('list', false) has?: [string, number, string, number][];
 }
 
 class EffectAsk {
@@ -26,6 +26,7 @@
   until: number;
   has: Map<string, Place>;
   ex: Exchange;
+  told: string;
 }
 
 function covers(has: Map<string, Place>, n: Place & { key: string }): boolean {
@@ -81,15 +82,21 @@
   async claim(m: ClaimAsk, ex: Exchange): Handled {
     const voters = this.voters();
     if (!voters) return bad('claim', m.member.name, 'not founded', 'refused', 'not-founded');
-    const has = new Map<string, Place>();
-    for (const [key, epoch, by, number] of m.has) has.set(key, { epoch, by, number });
+    const before = this.holders.get(lifeOf(m.member));
+    const same = m.has === undefined;
+    if (same && before?.ex !== ex) return bad('claim', m.member.name, 'no claim on this stream to go by', 'refused', 'tell-all');
+    const has = same ? before!.has : new Map<string, Place>();
+    for (const [key, epoch, by, number] of m.has ?? []) has.set(key, { epoch, by, number });
     const missing: Numbered[] = [];
     for (const n of this.learned()) if (!covers(has, n)) missing.push(n);
     const disk = this.slots.disk;
     if (missing.length > 0) return Right({ granted: false, disk, missing, voters, members: [] });
-    this.holders.set(lifeOf(m.member), { member: m.member, until: this.ports.clock.now() + this.bounds.claimHeld, has, ex });
+    const holder: Holder = { member: m.member, until: this.ports.clock.now() + this.bounds.claimHeld, has, ex, told: '' };
+    this.holders.set(lifeOf(m.member), holder);
     this.poke();
-    return Right({ granted: true, disk, missing, voters, members: this.members() });
+    const members = this.members();
+    holder.told = JSON.stringify([voters, members]);
+    return Right(same && holder.told === before!.told ? { granted: true, disk, missing } : { granted: true, disk, missing, voters, members });
   }
 
   /** Ends a claim at once, when a node leaves by itself. */
@@ -100,15 +107,16 @@
     return Right(undefined);
   }
 
-  /** Pushes a change that is learned here down the held streams and counts the acknowledgements. */
-  push(n: Numbered): void {
+  /** Pushes a change that is learned here down the held streams and counts the acknowledgements; another's change is sent whole only to those who don't have it from its owner. */
+  push(n: Numbered, own = true): void {
     this.poke();
-    for (const h of this.holders.values()) void this.pushOne(h, n);
+    for (const h of this.holders.values()) void this.pushOne(h, n, own);
   }
 
-  private async pushOne(h: Holder, n: Numbered): Promise<void> {
+  private async pushOne(h: Holder, n: Numbered, own: boolean): Promise<void> {
     if (covers(h.has, n)) return;
-    const [f] = open(await h.ex.ask('news', [n], this.bounds.ask));
+    const [g, has] = open(own ? Right(false) : await h.ex.ask('has', { key: n.key, epoch: n.epoch, by: n.by, number: n.number }, this.bounds.ask));
+    const [f] = open(!g && has === true ? Right(true) : await h.ex.ask('news', [n], this.bounds.ask));
     if (f) {
       this.ports.log.warn({ step: 'push news', peer: h.member.name }, f.why);
       return;
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -117,7 +117,7 @@
 
 async function runController(ports: Ports, startup: Startup, slots: Slots, kept: KeptVotes): Promise<Outcome<Controller>> {
   const bounds = boundsOf(startup);
-  const hello: Hello = { version: WIRE_VERSION, name: startup.name, role: 'controller', at: startup.wire, zone: startup.zone };
+  const hello: Hello = { version: WIRE_VERSION, name: startup.name, role: 'controller', at: startup.wire, zone: startup.zone, disk: slots.disk };
   const heard = new Set<string>();
   const by = `${startup.name}.${ports.dice.id().slice(0, 8)}`;
   let stopped = false;
@@ -128,7 +128,7 @@
 
   function learned(n: Numbered): void {
     heard.add(n.key);
-    claims.push(n);
+    claims.push(n, n.by === by);
     if (n.key === KEYS.voters) reachAll();
   }
 
@@ -161,10 +161,12 @@
   function live(): string[] {
     const v = voters();
     if (!v) return [];
-    function up(x: Voter): boolean {
-      return isSelf(x) || helds.up(x.at) !== undefined;
-    }
-    return allVoters(v).filter(up).map(atOf);
+    return allVoters(v).filter(isUp).map(atOf);
+  }
+
+  /** Whether a voter is up with its own disk; an emptied one at its address is not that voter. */
+  function isUp(x: Voter): boolean {
+    return isSelf(x) || helds.up(x.at)?.hello?.disk === x.disk;
   }
 
   function picked(key: string): boolean {
@@ -317,7 +319,7 @@
   function hasMajority(): boolean {
     const v = voters();
     const disks = new Set<string>();
-    for (const x of v ? allVoters(v) : []) if (isSelf(x) || helds.up(x.at)) disks.add(x.disk);
+    for (const x of v ? allVoters(v) : []) if (isUp(x)) disks.add(x.disk);
     return v !== undefined && isQuorum(v, disks);
   }
 
--- a/src/data/api.ts
+++ b/src/data/api.ts
@@ -109,7 +109,7 @@
     if (c.key !== undefined) {
       const once = await holdKey(r.follower, c.key, run);
       if (!once.won) {
-        void tellRun(r.follower, c.key, run, 'released');
+        tellRun(r.follower, c.key, run, 'released');
         if (once.state === 'unreachable') return this.refuse(call, 503, 'no-core', 'the core gave no vote', r.bounds.pause * 5);
         r.counts.unknown++;
         return giveFault(call, 409, 'unknown', `key-${once.state}`, `this Idempotency-Key is taken: ${once.state}`, once.state === 'running' ? r.bounds.claim : undefined);
@@ -147,19 +147,19 @@
       r.counts.legs++;
       const o = await this.sendOn(call, c, p, run, urgent);
       if (o.done) {
-        if (c.key !== undefined) void tellRun(r.follower, c.key, run, o.fault ? 'unknown' : 'done');
+        if (c.key !== undefined) tellRun(r.follower, c.key, run, o.fault ? 'unknown' : 'done');
         return;
       }
       last = o.fault;
       if (o.fault && o.fault.sort !== 'refused' && !c.service.mayRepeat) {
-        if (c.key !== undefined) void tellRun(r.follower, c.key, run, 'unknown');
+        if (c.key !== undefined) tellRun(r.follower, c.key, run, 'unknown');
         r.counts.unknown++;
         return giveFault(call, 502, 'unknown', 'leg-lost', `${o.fault.step} at ${p.seen.engine.id}: ${o.fault.why}`);
       }
       avoid.add(p.seen.engine.id);
       if (o.fault?.code?.startsWith('status-')) r.engines.turnedAway(p.seen);
     }
-    if (c.key !== undefined) void tellRun(r.follower, c.key, run, 'released');
+    if (c.key !== undefined) tellRun(r.follower, c.key, run, 'released');
     if (last && last.sort !== 'refused') {
       r.counts.unknown++;
       return giveFault(call, clock.now() >= c.until ? 504 : 502, 'unknown', 'leg-lost', `${last.step}: ${last.why}`, r.bounds.pause * 5);
--- a/src/data/once.ts
+++ b/src/data/once.ts
@@ -50,6 +50,6 @@
 }
 
 /** Tells the disks what became of a run; `released` gives the key back, for a run that certainly never was. */
-export async function tellRun(follower: Follower, key: string, run: string, state: 'done' | 'unknown' | 'released'): Promise<void> {
-  await follower.coreAsk('run', { key, run, state });
+export function tellRun(follower: Follower, key: string, run: string, state: 'done' | 'unknown' | 'released'): void {
+  follower.coreTell('run', { key, run, state });
 }
--- a/src/index/indexer.ts
+++ b/src/index/indexer.ts
@@ -307,7 +307,11 @@
       const h = heard.get(id) ?? { epoch: '', seq: 0 };
       out.push({ id, kind: l.reg.kind, at: l.reg.at, ...l.view(), epoch: h.epoch, lastSeq: h.seq, ...(gapsOf.get(id) ?? { gaps: 0, repaired: 0 }) });
     }
-    return out;
+    return out.sort(byId);
+  }
+
+  function byId(a: ListenerView, b: ListenerView): number {
+    return a.id < b.id ? -1 : 1;
   }
 
   void follower.changes.observe(register);
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -22,6 +22,7 @@
   changes: Feed<Numbered>;
   membership: Feed<Member[]>;
   coreAsk(type: string, body: unknown): Promise<unknown[]>;
+  coreTell(type: string, body: unknown): void;
   askVoters<T>(type: string, body: unknown, yes: (r: T, v: Voter) => boolean): Promise<{ ok: boolean; got: T[] }>;
   leave(): Promise<void>;
   stop(): void;
@@ -31,8 +32,8 @@
   granted: boolean;
   disk: string;
   missing: Numbered[];
-  voters: Voters;
-  members: Member[];
+  voters?: Voters;
+  members?: Member[];
 }
 
 /** Makes the claim's ask for how far a node has applied each key. */
@@ -44,7 +45,7 @@
 
 /** Handlers of what the core and other followers say. */
 export class FollowEdge {
-  constructor(private readonly takeNews: (list: Numbered[]) => boolean, private readonly who: () => unknown, private readonly told: (v: Voters | undefined) => void) {}
+  constructor(private readonly takeNews: (list: Numbered[]) => boolean, private readonly who: () => unknown, private readonly told: (v: Voters | undefined) => void, private readonly applied: (n: Numbered) => boolean) {}
 
   /** Takes numbered changes; lower ones are ignored. */
   @message('news')
@@ -53,6 +54,12 @@
     return Right(true);
   }
 
+  /** Tells whether a change was applied here. */
+  @message('has')
+  async has(n: Numbered): Handled {
+    return Right(this.applied(n));
+  }
+
   /** Hears from a controller where the core is, for one that has this process among its seeds. */
   @message('here')
   async here(v: Voters): Handled {
@@ -103,11 +110,16 @@
     return any;
   }
 
+  function applied(n: Numbered): boolean {
+    const have = state.get(n.key);
+    return have !== undefined && comparePlaces(have, n) >= 0;
+  }
+
   function who(): unknown {
     return { voters: voters(), core: core() };
   }
 
-  edges.push(new FollowEdge(take, who, told));
+  edges.push(new FollowEdge(take, who, told, applied));
   const helds = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause, onUp, onRefused });
 
   function live(): boolean {
@@ -125,26 +137,34 @@
 
   async function renew(ex: Exchange): Promise<void> {
     let up = true;
+    let told = '';
+    let tellsAll = false;
     void ex.done.then(down);
     function down(): void {
       up = false;
     }
     while (up && !stopped) {
       const sent = ports.clock.now();
-      const [f, r] = open(await ex.ask('claim', { member, has: hasList(state.values()) }, bounds.ask));
+      const has = hasList(state.values());
+      const now = JSON.stringify(has);
+      const [f, r] = open(await ex.ask('claim', now === told && !tellsAll ? { member } : { member, has }, bounds.ask));
+      told = '';
       if (f) {
+        if (f.code === 'bad-shape') tellsAll = true;
+        if (f.code === 'tell-all' || f.code === 'bad-shape') continue;
         if (f.code === 'not-founded') await ports.clock.sleep(bounds.pause);
         else await ports.clock.sleep(bounds.renew * 0.5);
         continue;
       }
       const c = r as ClaimReturn;
-      founded = c.voters;
+      if (c.voters) founded = c.voters;
       if (!c.granted) {
         if (!take(c.missing)) await ports.clock.sleep(bounds.renew * 0.5);
         continue;
       }
       const before = JSON.stringify(members(''));
-      grants.set(c.disk, { until: sent + bounds.claim, members: c.members });
+      told = now;
+      grants.set(c.disk, { until: sent + bounds.claim, members: c.members ?? grants.get(c.disk)?.members ?? [] });
       refused.delete(ex.peer);
       const after = members('');
       if (JSON.stringify(after) !== before) membership.add(after);
@@ -201,6 +221,10 @@
     return Promise.all(out);
   }
 
+  function coreTell(type: string, body: unknown): void {
+    for (const at of helds.ats()) helds.up(at)?.tell(type, body);
+  }
+
   async function askVoters<T>(type: string, body: unknown, yes: (r: T, v: Voter) => boolean): Promise<{ ok: boolean; got: T[] }> {
     const v = voters();
     if (!v) return { ok: false, got: [] };
@@ -243,5 +267,5 @@
   }
 
   void findCore();
-  return { live, value, keys, members, voters, core, places, take, changes: changes.feed, membership: membership.feed, coreAsk, askVoters, leave, stop };
+  return { live, value, keys, members, voters, core, places, take, changes: changes.feed, membership: membership.feed, coreAsk, coreTell, askVoters, leave, stop };
 }
--- a/src/shared/streams.ts
+++ b/src/shared/streams.ts
@@ -13,6 +13,7 @@
   role: string;
   at: string;
   zone: string;
+  disk?: string;
 }
 
 /** Asks and returns over one stream, both ways. */
--- a/test/seeds.test.ts
+++ b/test/seeds.test.ts
@@ -68,6 +68,10 @@
   await clean(23, 'saffron-bay', 0, [fault(11882, 'seeds', 'core-3', 'index-core-2', 965), fault(26235, 'kill-ours', 'edge-4', 'edge-2', 1784)]);
 }
 
+async function emptiedOwner(): Promise<void> {
+  await clean(503, 'saffron-bay', 0, [fault(22166, 'release-all', 'edge-1', 'edge-2', 3052), fault(23575, 'wipe', 'core-2', 'core-1', 4935)]);
+}
+
 async function sameTrace(): Promise<void> {
   const a = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
   const b = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
@@ -86,3 +90,4 @@
 test('a router whose machine was suspended lets nothing in by the claim it had before', suspended);
 test('an engine that froze and was then known to leave begins nothing when it wakes', frozenLeaver);
 test('seeds exchanged for machines that know of nobody still lead to the core after all were killed', seedsExchanged);
+test('an emptied controller owns no key that the others leave to it', emptiedOwner);
