Indexers are told of a reuse only where it differs from what was said, or was in doubt

Cause: each return was told to each indexer with all its parts: the largest of what is said between our processes after claims and news. Ruled out: telling one replica only (the others would not mend). Conclusion: kept; affinity's placements, doubted parts and misses are still told.

--- a/src/data/api.ts
+++ b/src/data/api.ts
@@ -240,7 +240,7 @@
       r.engines.learnedLink(p.fetch.from, p.seen.engine.id, line.fetched.tokens, line.fetched.ms);
     }
     if (line.read !== undefined && line.prefillMs !== undefined) r.engines.learnedPrefill(p.seen, line.read, line.prefillMs);
-    r.placer.tellReused({ source: p.seen.engine.id, model: c.service.model, salt: c.salt, weights: p.weights, parts: c.parts, count: reused.length });
+    if (!p.sure || reused.length !== p.expected) r.placer.tellReused({ source: p.seen.engine.id, model: c.service.model, salt: c.salt, weights: p.weights, parts: c.parts, count: reused.length });
   }
 
   /** Whether this router takes requests. */
--- a/src/data/place.ts
+++ b/src/data/place.ts
@@ -46,6 +46,7 @@
   seen: Seen;
   weights: string;
   expected: number;
+  sure: boolean;
   fetch?: { from: string; at: string; hashes: string[]; tokens: number };
   indexed: boolean;
 }
@@ -145,7 +146,7 @@
     function byAffinity(s: Seen, weights: string): { cost: number; p: Placement } {
       const rank = ranks.indexOf(s.engine.id);
       const likely = rank === 0 ? HOME_READS : 1;
-      return { cost: waitOf(s) + all * s.msPerToken * likely + rank, p: { seen: s, weights, expected: 0, indexed: false } };
+      return { cost: waitOf(s) + all * s.msPerToken * likely + rank, p: { seen: s, weights, expected: 0, sure: false, indexed: false } };
     }
 
     function byIndex(s: Seen, weights: string, known: Overlap[]): { cost: number; p: Placement } {
@@ -153,7 +154,7 @@
       for (const o of known) if (o.source === s.engine.id) own = o;
       const held = own.tokens + own.doubted * DOUBTED;
       let cost = waitOf(s) + (all - held) * s.msPerToken + ranks.indexOf(s.engine.id) * RANK_MS;
-      const p: Placement = { seen: s, weights, expected: own.parts, indexed: true };
+      const p: Placement = { seen: s, weights, expected: own.parts, sure: own.doubted === 0, indexed: true };
       for (const o of known) {
         if (o.source === s.engine.id || o.parts <= own.parts) continue;
         const at = addressOf(o.source);
