--- a/tools/engine.ts
+++ b/tools/engine.ts
@@ -55,6 +55,7 @@
   ways: EngineWays;
   leave(): void;
   kept(): number;
+  overlap(salt: string, weights: string, parts: readonly Part[]): number;
   stop(): Promise<void>;
 }
 
@@ -121,6 +122,16 @@
     return this.tokens;
   }
 
+  /** How many tokens of a prompt are really held. */
+  overlap(salt: string, weights: string, parts: readonly Part[]): number {
+    let t = 0;
+    for (const p of parts) {
+      if (!this.cache.has(this.keyOf(salt, weights, p.hash))) break;
+      t += p.size;
+    }
+    return t;
+  }
+
   private async slot(urgent: boolean): Promise<void> {
     const { waiting } = this;
     if (this.running < this.ways.batch) {
@@ -344,7 +355,7 @@
     return edge.kept();
   }
   function up(l: Listening): StandInEngine {
-    return { ways, leave, kept, stop: l.close };
+    return { ways, leave, kept, overlap: edge.overlap.bind(edge), stop: l.close };
   }
   return (await ports.wire.serve(ways.at, takeCalls([edge], ports.log))).map(up);
 }
--- a/tools/simfleet.ts
+++ b/tools/simfleet.ts
@@ -3,7 +3,7 @@
 import { startDuties } from '../src/control/duties';
 import { startRouter } from '../src/data/router';
 import { serveIndex } from '../src/index/api';
-import { startIndexer } from '../src/index/indexer';
+import { Indexer, startIndexer } from '../src/index/indexer';
 import { askJson } from '../src/shared/lib';
 import { open, Outcome } from '../src/shared/errors';
 import { Ports } from '../src/shared/ports';
@@ -38,6 +38,7 @@
   marks: Mark[];
   standins: Map<string, StandInEngine>;
   lost: Set<string>;
+  indexers: Map<string, Indexer>;
   seeds: string[];
   stops: Map<string, () => Promise<void>>;
   spare: Deployment['core'][number];
@@ -100,6 +101,7 @@
   }
 
   const lost = new Set<string>(['core-4']);
+  const indexers = new Map<string, Indexer>();
   const spare = { ...d.core[0], name: 'core-4', wire: d.core[0].wire.replace('.1.1:', '.1.4:'), http: d.core[0].http.replace('.1.1:', '.1.4:') };
   for (const c of [...d.core, spare]) {
     add(c.name, ipOf(c.wire), startCore);
@@ -118,6 +120,7 @@
       const [f, ix] = open(await startIndexer(ports, startup(`index-${c.name}`, `${ixIp}:7001`, `${ixIp}:8001`, c.zone)));
       if (f) return;
       stops.set(`index-${c.name}`, ix.stop);
+      indexers.set(`index-${c.name}`, ix);
       await serveIndex(ix, ports);
     }
   }
@@ -189,7 +192,7 @@
     for (const [n, go] of starts) if (!lost.has(n)) go();
   }
 
-  return { w, net, d, ledger, engines, controllers, starts, core: d.core.map(nameOf), edge: d.edge.map(nameOf), ops, callers, startAll, startup, marks, standins, lost, spare, seeds, stops };
+  return { w, net, d, ledger, engines, controllers, starts, core: d.core.map(nameOf), edge: d.edge.map(nameOf), ops, callers, startAll, startup, marks, standins, lost, indexers, spare, seeds, stops };
 }
 
 function nameOf(x: { name: string }): string {
--- a/tools/simrun.ts
+++ b/tools/simrun.ts
@@ -15,6 +15,7 @@
   schedule?: Fault[];
   keepLines?: boolean;
   traffic?: Traffic;
+  watch?: (f: SimFleet, seen: readonly Seen[]) => void;
 }
 
 /** What came of a run. */
@@ -38,6 +39,7 @@
 const LAST_LOSS = 35000;
 const LATE_FROM = 44000;
 const END = 52000;
+const WATCH_EVERY = 100;
 
 /** Runs one seed and judges it by the ledgers. */
 export async function runSeed(seed: number, ways: RunWays): Promise<RunResult> {
@@ -58,6 +60,7 @@
   void operate();
   for (const x of schedule) w.after(x.at, inject(x));
   w.after(HEAL, heal);
+  if (ways.watch) w.after(FAULTS_FROM, watch);
   if (lastLoss) w.after(LAST_LOSS, loseOne);
   await w.run(END + 40000);
 
@@ -72,6 +75,11 @@
     healAll(f);
   }
 
+  function watch(): void {
+    ways.watch!(f, seen);
+    if (w.now() < END) w.after(WATCH_EVERY, watch);
+  }
+
   function loseOne(): void {
     const name = f.core[seed % 3];
     f.lost.add(name);
--- a/tools/without.ts
+++ b/tools/without.ts
@@ -6,6 +6,8 @@
 import { CallerApi } from '../src/data/api';
 import * as router from '../src/data/router';
 import * as once from '../src/data/once';
+import * as indexer from '../src/index/indexer';
+import * as tree from '../src/index/tree';
 import * as engine from '../src/shared/contracts/engine';
 import * as platform from '../src/shared/contracts/platform';
 import { Outcome } from '../src/shared/errors';
@@ -237,8 +239,36 @@
   proto.sendOn = late;
 }
 
+/** Index repair without one of its ways: peers' batches, engines' returns, doubt. */
+function noRepair(way: 'peers' | 'returns' | 'doubt'): () => void {
+  function patch(): void {
+    if (way === 'peers') {
+      async function none(): Promise<Outcome<unknown>> {
+        return Right([]);
+      }
+      (indexer.IndexEdge.prototype as unknown as Patch).missed = none;
+    } else if (way === 'returns') {
+      async function deaf(): Promise<Outcome<unknown>> {
+        return Right(undefined);
+      }
+      (indexer.IndexEdge.prototype as unknown as Patch).reused = deaf;
+    } else {
+      const real = tree.makeTrees;
+      function sure(most: number): tree.Trees {
+        function doubt(): number {
+          return 0;
+        }
+        return { ...real(most), doubt };
+      }
+      (tree as unknown as Patch).makeTrees = sure as never;
+    }
+  }
+  return patch;
+}
+
 /** Mechanisms that the simulator can leave out, to see that its checks catch what they prevent. */
 export const MECHANISMS: Record<string, () => void> = {
   votes: noVotes, effect: noEffect, claims: noClaims, salts: noSalts, 'weights-end': noWeightsEnd, leaving: noLeaving, sync: noSync, 'last-line': noLastLine, 'unknown-class': lateRefusal, budget: noBudget, suspension: noSuspension,
+  'repair-peers': noRepair('peers'), 'repair-returns': noRepair('returns'), 'repair-doubt': noRepair('doubt'),
   'order-check': noOrderCheck, 'router-whole': bends(skip), 'router-once': bends(repeat), 'router-own': bends(splice), fence: noFence, 'refused-is-sure': refusesLate,
 };
