The simulated operator reads what stands when its first file's outcome is unknown

A controller whose ownership another had just taken up has one voter (its own) accept the first file, and says 504 unknown; the new owner adopts it. The operator of the simulator went on applying on revision 0 for ever, and was told 409. Ruled out: the product (409 is right). Before: never configured.

--- a/tools/simrun.ts
+++ b/tools/simrun.ts
@@ -89,7 +89,8 @@
 
   async function configure(): Promise<boolean> {
     const r = await askCore(f, 'PUT', '/v1/intents', { basedOn: 0, intents: simIntents(f.d, 'probe-3', 0, []) });
-    if (r.status !== 200) return false;
+    const stands = r.status === 200 ? r : await askCore(f, 'GET', '/v1/intents');
+    if (stands.status !== 200 || (stands as { body: Record<string, unknown> }).body.revision !== 1) return false;
     ops.lastAcked = { revision: 1, service: 'probe-3' };
     for (const t of f.d.intents.tenants) {
       const k = await askCore(f, 'POST', `/v1/keys/${t.id}`, {});
