--- a/tools/simfaults.ts
+++ b/tools/simfaults.ts
@@ -21,14 +21,14 @@
 ] as const;
 
 /** Draws a schedule of faults. */
-export function drawFaults(f: SimFleet, dice: Dice, from: number, to: number, count: number, wipes: boolean): Fault[] {
+export function drawFaults(f: SimFleet, dice: Dice, from: number, to: number, count: number, wipes: boolean, only: readonly string[] = SIM_FAULTS): Fault[] {
   const out: Fault[] = [];
   const ours = [...f.core, ...f.edge, ...f.core.map(indexOf)];
   function any<T>(list: readonly T[]): T {
     return list[Math.floor(dice.next() * list.length)];
   }
   for (let i = 0; i < count; i++) {
-    let kind: string = any(SIM_FAULTS);
+    let kind: string = any(only);
     if (kind === 'wipe' && (!wipes || out.some(isWipe))) kind = 'power';
     const engine = any(f.d.engines).id;
     let who = any(ours);
--- a/tools/simrun.ts
+++ b/tools/simrun.ts
@@ -11,6 +11,9 @@
   deployment: string;
   faults: number;
   brief?: boolean;
+  only?: string[];
+  shortPerS?: number;
+  longPerS?: number;
   replace?: boolean;
   schedule?: Fault[];
   keepLines?: boolean;
@@ -30,6 +33,7 @@
   lateShare: number;
   backMs: number;
   secondTryShare: number;
+  reuse: number;
   lines: string[];
 }
 
@@ -53,9 +57,9 @@
   let report: Report | undefined;
   const lossy = Math.floor(w.dice.next() * f.d.engines.length);
   f.d.engines[lossy].loseEvents = 0.05;
-  const replaces = ways.replace ?? seed % 4 === 0;
-  const lastLoss = ways.schedule === undefined && !replaces && seed % 4 === 2;
-  const schedule = ways.schedule ?? drawFaults(f, seededDice(seed + 77777), FAULTS_FROM, FAULTS_TO, ways.faults, !replaces && !lastLoss);
+  const replaces = ways.replace ?? (seed % 4 === 0 && !ways.only);
+  const lastLoss = ways.schedule === undefined && !ways.only && !replaces && seed % 4 === 2;
+  const schedule = ways.schedule ?? drawFaults(f, seededDice(seed + 77777), FAULTS_FROM, FAULTS_TO, ways.faults, !replaces && !lastLoss, ways.only);
   f.startAll();
   void operate();
   for (const x of schedule) w.after(x.at, inject(x));
@@ -130,7 +134,7 @@
 
   async function call(): Promise<void> {
     const edges = f.d.edge.map(httpOf);
-    report = await runCallers(f.callers, { intents: f.d.intents, keys, edges, shortPerS: ways.brief ? f.d.rates.shortPerS : 12, longPerS: ways.brief ? f.d.rates.longPerS : 1.5, forMs: END - w.now(), retries: 3, patienceMs: 8000 }, note);
+    report = await runCallers(f.callers, { intents: f.d.intents, keys, edges, shortPerS: ways.shortPerS ?? (ways.brief ? f.d.rates.shortPerS : 12), longPerS: ways.longPerS ?? (ways.brief ? f.d.rates.longPerS : 1.5), forMs: END - w.now(), retries: 3, patienceMs: 8000 }, note);
     function note(s: Seen): void {
       seen.push(s);
     }
@@ -175,7 +179,27 @@
   if (!f.lost.has('core-4') && !ops.replaced) violations.push('the lost core machine was never replaced');
   const second = secondTries(f);
   if (second.share > 0.2) violations.push(`second tries of ${second.of} are ${second.share.toFixed(3)}`);
-  return { seed, violations, schedule, hash: f.w.traceHash(), report: r, verdict: v, ops, lateShare, backMs: firstBack - HEAL, secondTryShare: second.share, lines: f.w.lines };
+  return { seed, violations, schedule, hash: f.w.traceHash(), report: r, verdict: v, ops, lateShare, backMs: firstBack - HEAL, secondTryShare: second.share, reuse: reuseOf(f, r.seen), lines: f.w.lines };
+}
+
+/** Tokens that engines reused, of those they were asked to read. */
+function reuseOf(f: SimFleet, seen: readonly Seen[]): number {
+  const size = new Map<string, number>();
+  for (const s of seen) size.set(s.tag, s.parts.reduce(addSize, 0));
+  const asked = new Map<string, number>();
+  let needed = 0;
+  let reused = 0;
+  for (const e of f.ledger) {
+    if (e.kind === 'began') asked.set(e.request!, size.get(e.tag!) ?? 0);
+    if (e.kind !== 'ended') continue;
+    needed += asked.get(e.request!) ?? 0;
+    if (asked.get(e.request!)) reused += e.reused!.tokens;
+  }
+  return needed === 0 ? 0 : reused / needed;
+}
+
+function addSize(t: number, p: { size: number }): number {
+  return t + p.size;
 }
 
 /** Legs beyond the first that routers sent, of the service with the largest share. */
--- a/tools/without.ts
+++ b/tools/without.ts
@@ -4,6 +4,7 @@
 import * as duties from '../src/control/duties';
 import * as slots from '../src/control/slots';
 import { CallerApi } from '../src/data/api';
+import * as engines from '../src/data/engines';
 import * as router from '../src/data/router';
 import * as once from '../src/data/once';
 import * as indexer from '../src/index/indexer';
@@ -274,9 +275,20 @@
   (delta as unknown as Patch).makeDelta = none;
 }
 
+function noFetch(): void {
+  const real = engines.watchEngines;
+  function never(): number {
+    return Infinity;
+  }
+  function far(...x: Parameters<typeof engines.watchEngines>): engines.Engines {
+    return { ...real(...x), linkCost: never };
+  }
+  (engines as unknown as Patch).watchEngines = far as never;
+}
+
 /** Mechanisms that the simulator can leave out, to see that its checks catch what they prevent. */
 export const MECHANISMS: Record<string, () => void> = {
   votes: noVotes, effect: noEffect, claims: noClaims, salts: noSalts, 'weights-end': noWeightsEnd, leaving: noLeaving, sync: noSync, 'last-line': noLastLine, 'unknown-class': lateRefusal, budget: noBudget, suspension: noSuspension,
   'repair-peers': noRepair('peers'), 'repair-returns': noRepair('returns'), 'repair-doubt': noRepair('doubt'),
-  deltas: noDeltas, 'order-check': noOrderCheck, 'router-whole': bends(skip), 'router-once': bends(repeat), 'router-own': bends(splice), fence: noFence, 'refused-is-sure': refusesLate,
+  deltas: noDeltas, fetch: noFetch, 'order-check': noOrderCheck, 'router-whole': bends(skip), 'router-once': bends(repeat), 'router-own': bends(splice), fence: noFence, 'refused-is-sure': refusesLate,
 };
