--- a/src/index/tree.ts
+++ b/src/index/tree.ts
@@ -1,12 +1,17 @@
 import { Part, PartEvent } from '../shared/contracts/engine';
 
+interface Holding {
+  source: string;
+  weights: string;
+  doubted: boolean;
+}
+
 interface Node {
   hash: string;
   parent: string;
   size: number;
-  kids: Set<Node>;
-  holders: Map<string, Set<string>>;
-  doubts: Set<string>;
+  kids: number;
+  holdings: Holding[];
   tree: Tree;
 }
 
@@ -14,7 +19,7 @@
   model: string;
   salt: string;
   nodes: Map<string, Node>;
-  orphans: Map<string, Set<Node>>;
+  orphans: Map<string, number>;
 }
 
 /** What one source holds of a prompt. */
@@ -48,7 +53,7 @@
 
   function treeOf(model: string, salt: string): Tree {
     const k = JSON.stringify([model, salt]);
-    const t = trees.get(k) ?? { model, salt, nodes: new Map<string, Node>(), orphans: new Map<string, Set<Node>>() };
+    const t = trees.get(k) ?? { model, salt, nodes: new Map<string, Node>(), orphans: new Map<string, number>() };
     trees.set(k, t);
     return t;
   }
@@ -58,38 +63,44 @@
     recent.set(n, true);
   }
 
-  function kidsOf(t: Tree, parent: string): Set<Node> {
-    const known = t.nodes.get(parent)?.kids ?? t.orphans.get(parent);
-    if (known) return known;
-    const fresh = new Set<Node>();
-    t.orphans.set(parent, fresh);
-    return fresh;
+  /** Counts a part's kids, also while the part itself is not held. */
+  function addKids(t: Tree, parent: string, more: number): void {
+    const n = t.nodes.get(parent);
+    if (n) {
+      n.kids += more;
+      return;
+    }
+    const kids = (t.orphans.get(parent) ?? 0) + more;
+    if (kids > 0) t.orphans.set(parent, kids);
+    else t.orphans.delete(parent);
   }
 
   function remove(n: Node): void {
     n.tree.nodes.delete(n.hash);
     recent.delete(n);
-    const beside = kidsOf(n.tree, n.parent);
-    beside.delete(n);
-    if (beside.size === 0) n.tree.orphans.delete(n.parent);
-    if (n.kids.size > 0) n.tree.orphans.set(n.hash, n.kids);
-    for (const set of n.holders.values()) for (const s of set) held.get(s)?.delete(n);
+    addKids(n.tree, n.parent, -1);
+    if (n.kids > 0) n.tree.orphans.set(n.hash, n.kids);
+    for (const h of n.holdings) held.get(h.source)?.delete(n);
     if (n.tree.nodes.size === 0) trees.delete(JSON.stringify([n.tree.model, n.tree.salt]));
   }
 
+  function find(n: Node, source: string, weights: string): Holding | undefined {
+    for (const h of n.holdings) if (h.source === source && h.weights === weights) return h;
+    return undefined;
+  }
+
   function store(source: string, e: PartEvent): void {
     const t = treeOf(e.model, e.salt);
     let n = t.nodes.get(e.hash);
     if (!n) {
-      n = { hash: e.hash, parent: e.parent, size: e.size, kids: t.orphans.get(e.hash) ?? new Set(), holders: new Map(), doubts: new Set(), tree: t };
+      n = { hash: e.hash, parent: e.parent, size: e.size, kids: t.orphans.get(e.hash) ?? 0, holdings: [], tree: t };
       t.orphans.delete(e.hash);
       t.nodes.set(e.hash, n);
-      kidsOf(t, e.parent).add(n);
+      addKids(t, e.parent, 1);
     }
-    const set = n.holders.get(e.weights) ?? new Set<string>();
-    set.add(source);
-    n.doubts.delete(source);
-    n.holders.set(e.weights, set);
+    const have = find(n, source, e.weights);
+    if (have) have.doubted = false;
+    else n.holdings.push({ source, weights: e.weights, doubted: false });
     const h = held.get(source) ?? new Set<Node>();
     h.add(n);
     held.set(source, h);
@@ -99,7 +110,7 @@
 
   function evict(): void {
     for (const n of recent.keys()) {
-      if (n.kids.size > 0) continue;
+      if (n.kids > 0) continue;
       remove(n);
       evictedCount++;
       if (recent.size <= most) return;
@@ -111,20 +122,14 @@
     }
   }
 
-  function holds(n: Node, source: string): boolean {
-    for (const s of n.holders.values()) if (s.has(source)) return true;
-    return false;
-  }
-
   function release(source: string, weights: string, n: Node): void {
-    const set = n.holders.get(weights);
-    set?.delete(source);
-    if (set?.size === 0) n.holders.delete(weights);
-    if (!holds(n, source)) {
-      held.get(source)?.delete(n);
-      n.doubts.delete(source);
+    const have = find(n, source, weights);
+    if (have) n.holdings.splice(n.holdings.indexOf(have), 1);
+    if (!n.holdings.some(bySource)) held.get(source)?.delete(n);
+    if (n.holdings.length === 0) remove(n);
+    function bySource(h: Holding): boolean {
+      return h.source === source;
     }
-    if (n.holders.size === 0) remove(n);
   }
 
   function apply(source: string, e: PartEvent): void {
@@ -140,9 +145,9 @@
   function dropSource(source: string): number {
     let count = 0;
     for (const n of [...(held.get(source) ?? [])]) {
-      for (const [weights, set] of [...n.holders]) {
-        if (!set.has(source)) continue;
-        release(source, weights, n);
+      for (const h of [...n.holdings]) {
+        if (h.source !== source) continue;
+        release(source, h.weights, n);
         count++;
       }
     }
@@ -161,18 +166,18 @@
     const walked: Node[] = [];
     for (const p of parts) {
       const n = t.nodes.get(p.hash);
-      const set = n?.holders.get(weights);
-      if (!n || !set) break;
+      if (!n) break;
       const next = new Set<string>();
-      for (const s of set) if (!alive || alive.has(s)) next.add(s);
-      if (next.size === 0) break;
-      for (const s of next) {
-        const o = best.get(s) ?? { source: s, tokens: 0, doubted: 0, parts: 0 };
-        if (n.doubts.has(s)) o.doubted += n.size;
+      for (const h of n.holdings) {
+        if (h.weights !== weights || (alive && !alive.has(h.source))) continue;
+        next.add(h.source);
+        const o = best.get(h.source) ?? { source: h.source, tokens: 0, doubted: 0, parts: 0 };
+        if (h.doubted) o.doubted += n.size;
         else o.tokens += n.size;
         o.parts++;
-        best.set(s, o);
+        best.set(h.source, o);
       }
+      if (next.size === 0) break;
       alive = next;
       walked.push(n);
     }
@@ -181,14 +186,17 @@
   }
 
   function doubt(source: string): number {
-    for (const n of held.get(source) ?? []) n.doubts.add(source);
+    for (const n of held.get(source) ?? []) for (const h of n.holdings) if (h.source === source) h.doubted = true;
     return held.get(source)?.size ?? 0;
   }
 
   function doubted(source: string): number {
     let count = 0;
-    for (const n of held.get(source) ?? []) if (n.doubts.has(source)) count++;
+    for (const n of held.get(source) ?? []) if (n.holdings.some(inDoubt)) count++;
     return count;
+    function inDoubt(h: Holding): boolean {
+      return h.source === source && h.doubted;
+    }
   }
 
   function reused(source: string, model: string, salt: string, weights: string, parts: readonly Part[], count: number): { confirmed: number; dropped: number } {
@@ -198,7 +206,7 @@
       const e: PartEvent = { kind: 'stored', model, salt, weights, parent, hash: p.hash, size: p.size };
       const n = trees.get(JSON.stringify([model, salt]))?.nodes.get(p.hash);
       if (i < count) store(source, e);
-      else if (i === count && n?.doubts.has(source)) {
+      else if (i === count && n && find(n, source, weights)?.doubted) {
         release(source, weights, n);
         dropped++;
       }
@@ -210,7 +218,7 @@
   function dump(source?: string): { source: string; event: PartEvent }[] {
     const out: { source: string; event: PartEvent }[] = [];
     for (const n of recent.keys()) {
-      for (const [weights, set] of n.holders) for (const s of set) if (source === undefined || s === source) out.push({ source: s, event: eventOf(n, weights) });
+      for (const h of n.holdings) if (source === undefined || h.source === source) out.push({ source: h.source, event: eventOf(n, h.weights) });
     }
     return out;
   }
