--- a/tools/overlap.ts
+++ b/tools/overlap.ts
@@ -27,15 +27,16 @@
   ['all indexers killed', [{ kind: 'index-all', who: '', ms: 1000 }]],
   ['all indexers killed in turn', [{ kind: 'kill', who: 'index-core-1', ms: 1000 }, { kind: 'kill', who: 'index-core-2', ms: 3000 }, { kind: 'kill', who: 'index-core-3', ms: 5000 }]],
   ['indexer cut off 4 s', [{ kind: 'cut-off', who: 'index-core-1', ms: 4000 }]],
+  ['indexer cut off 4 s, feeds keep 4 batches', [...[1, 2, 3, 4].map(feed('feed-short', 6000)), { kind: 'cut-off', who: 'index-core-1', ms: 4000 }]],
   ['feeds change epoch', [1, 2, 3, 4].map(feed('feed-epoch'))],
   ['feeds go back', [1, 2, 3, 4].map(feed('feed-back'))],
   ['engine crashes', [{ kind: 'engine-crash', who: 'engine-1', ms: 1000 }]],
   ['store empties', [{ kind: 'store-empty', who: 'store-1', ms: 1000 }]],
 ];
 
-function feed(kind: string): (n: number) => Omit<Fault, 'at' | 'other'> {
+function feed(kind: string, ms = 2000): (n: number) => Omit<Fault, 'at' | 'other'> {
   function one(n: number): Omit<Fault, 'at' | 'other'> {
-    return { kind, who: `engine-${n}`, ms: 2000 };
+    return { kind, who: `engine-${n}`, ms };
   }
   return one;
 }
@@ -118,11 +119,12 @@
 }
 
 async function main(): Promise<void> {
-  const cmd = new Command('overlap').option('--deployment <name>', DEPLOYMENTS.join(' or '), 'saffron-bay').option('--seeds <list>', 'which seeds', '1,2,3').option('--without <mechanism>', 'leave a mechanism out').parse();
-  const o = cmd.opts() as { deployment: string; seeds: string; without?: string };
+  const cmd = new Command('overlap').option('--deployment <name>', DEPLOYMENTS.join(' or '), 'saffron-bay').option('--seeds <list>', 'which seeds', '1,2,3').option('--only <text>', 'only faults whose name has this').option('--without <mechanism>', 'leave a mechanism out').parse();
+  const o = cmd.opts() as { deployment: string; seeds: string; without?: string; only?: string };
   if (o.without) MECHANISMS[o.without]();
   process.stdout.write('| fault at 20 s | too little, of held | too much, of held | worst second | back under 0.05 after ms |\n| --- | --- | --- | --- | --- |\n');
   for (const [what, faults] of KINDS) {
+    if (o.only && !what.includes(o.only)) continue;
     const rows: ReturnType<typeof summarise>[] = [];
     for (const seed of o.seeds.split(',').map(Number)) {
       const samples: Sample[] = [];
--- a/tools/simfaults.ts
+++ b/tools/simfaults.ts
@@ -12,7 +12,7 @@
   ms: number;
 }
 
-/** The faults that the simulator draws; `engine-turns` (an engine turns all away) comes in given schedules only. */
+/** The faults that the simulator draws; `engine-turns` (an engine turns all away) and `feed-short` (a feed keeps few batches) come in given schedules only. */
 export const SIM_FAULTS = [
   'kill', 'power', 'kill-edge', 'kill-core', 'kill-ours', 'power-core', 'freeze', 'cut', 'cut-one-way', 'cut-off', 'split-core', 'core-from-edge',
   'slow-link', 'disk-slow', 'disk-full', 'disk-stall', 'wipe', 'leave', 'engine-crash', 'engine-vanish', 'engine-freeze', 'store-empty', 'index-all', 'release',
@@ -251,6 +251,7 @@
     }
     case 'engine-skips': case 'engine-repeats': case 'engine-splices': case 'engine-foreign': return ways({ odd: x.kind.slice(7) as EngineWays['odd'] }, { odd: undefined });
     case 'feed-repeats': case 'feed-back': case 'feed-epoch': return ways({ feed: x.kind.slice(5) as EngineWays['feed'] }, { feed: undefined });
+    case 'feed-short': return ways({ keepBatches: 4 }, { keepBatches: f.d.engines[0].keepBatches });
     case 'slow-engines': {
       for (const a of f.d.engines) for (const b of f.d.engines) if (a !== b) w.slow(proc(a.id).ip, proc(b.id).ip, 40);
       return;
