Data folders of version 0.1 are taken over; a hello without a disk counts as live

Cause: the new frames read an old folder as spoilt, so that a rolling upgrade would leave no voter. Ruled out: refusing to start (two of three at once would stop the fleet). Test: a folder written in the old frames keeps its disk id, its changes and its votes over four starts.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -172,7 +172,9 @@
 
   /** Whether a voter is up with its own disk; an emptied one at its address is not that voter. */
   function isUp(x: Voter): boolean {
-    return isSelf(x) || helds.up(x.at)?.hello?.disk === x.disk;
+    if (isSelf(x)) return true;
+    const ex = helds.up(x.at);
+    return ex !== undefined && (ex.hello?.disk ?? x.disk) === x.disk;
   }
 
   function picked(key: string): boolean {
--- a/src/control/frames.ts
+++ b/src/control/frames.ts
@@ -4,6 +4,7 @@
 import { guard } from '../shared/lib';
 
 const HEAD = 12;
+const OLD_HEAD = 8;
 
 /** Frames a value: its length, its checksum, a checksum of these two, and the packed value. */
 export function frame(v: unknown): Uint8Array {
@@ -16,9 +17,10 @@
   return out;
 }
 
-/** What a file of frames holds; `torn` where its end was never whole, `spoilt` where whole bytes have changed since. */
+/** What a file of frames holds; `torn` where its end was never whole, `spoilt` where whole bytes have changed since, `old` where version 0.1 wrote it. */
 export interface Unframed {
   values: unknown[];
+  old?: boolean;
   torn: boolean;
   spoilt: boolean;
 }
@@ -27,6 +29,8 @@
 export function unframe(bytes: Uint8Array | undefined): Unframed {
   const b = bytes ? Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length) : Buffer.alloc(0);
   const values: unknown[] = [];
+  const old = unframeOld(b);
+  if (old.length > 0) return { values: old, old: true, torn: false, spoilt: false };
   let at = 0;
   while (at < b.length) {
     const headed = at + HEAD <= b.length;
@@ -48,6 +52,19 @@
   return { values, torn: false, spoilt: false };
 }
 
+/** Reads the frames of version 0.1: a length, a checksum, and one line each. */
+function unframeOld(b: Buffer): unknown[] {
+  const values: unknown[] = [];
+  for (let at = 0; at + OLD_HEAD <= b.length; ) {
+    const end = at + OLD_HEAD + b.readUInt32BE(at);
+    const body = b.subarray(at + OLD_HEAD, end);
+    if (end > b.length || body.length === 0 || crc32(body) !== b.readUInt32BE(at + 4)) break;
+    values.push(unpack(body));
+    at = end;
+  }
+  return values;
+}
+
 function isZero(b: Uint8Array): boolean {
   for (const x of b) if (x !== 0) return false;
   return true;
--- a/src/control/slots.ts
+++ b/src/control/slots.ts
@@ -43,6 +43,7 @@
 interface Found {
   whole: Whole;
   spoilt: boolean;
+  old?: boolean;
 }
 
 /** Applies one line of the log to the cells. */
@@ -55,11 +56,12 @@
 }
 
 function genOf(log: Unframed): number {
+  if (log.old) return 0;
   return (log.values[0] as { gen?: number } | undefined)?.gen ?? 0;
 }
 
 function applyLog(w: Whole, cells: Map<string, Cell>, log: Unframed): void {
-  for (const batch of log.values.slice(1) as (Line & { founding?: unknown })[][]) {
+  for (const batch of (log.old ? [log.values] : log.values.slice(1)) as (Line & { founding?: unknown })[][]) {
     for (const l of batch) {
       if (l.founding !== undefined) w.founding = l.founding;
       else applyLine(cells, l);
@@ -77,13 +79,14 @@
   const next = logs[1 - i];
   const cells = new Map(best.cells);
   applyLog(best, cells, log);
-  let spoilt = genOf(log) !== best.gen || log.spoilt;
-  if (!wholes[1 - i]) {
+  const old = slots[i].old === true;
+  let spoilt = !old && (genOf(log) !== best.gen || log.spoilt);
+  if (!wholes[1 - i] && !old) {
     const follows = genOf(next) === best.gen + 1;
     if (follows) applyLog(best, cells, next);
     spoilt ||= next.spoilt || (follows && log.torn && next.values.length > 1);
   }
-  return { whole: { ...best, cells: [...cells] }, spoilt };
+  return { whole: { ...best, cells: [...cells] }, spoilt, old };
 }
 
 function wholeOf(slot: Unframed): Whole | undefined {
@@ -91,7 +94,7 @@
 }
 
 /** Opens the two slots and the logs between; torn tails are cut, and a disk whose synced data or votes are gone counts as a new one. */
-export async function openSlots(ports: Ports, mostLog: number, kept?: { disk: string; spoilt: boolean }): Promise<Outcome<Slots>> {
+export async function openSlots(ports: Ports, mostLog: number, kept?: { disk: string; spoilt: boolean; old?: boolean }): Promise<Outcome<Slots>> {
   const files: Unframed[] = [];
   for (const name of ['slot-0', 'slot-1', 'log-0', 'log-1']) {
     const [f, bytes] = open(await ports.disk.read(name));
@@ -100,7 +103,7 @@
   }
   const read = readWhole(files.slice(0, 2), files.slice(2));
   let state: Whole = read?.whole ?? { gen: 0, disk: ports.dice.id(), cells: [] };
-  const votesGone = kept !== undefined && (kept.spoilt || (kept.disk !== state.disk && state.cells.length > 0));
+  const votesGone = kept !== undefined && (kept.spoilt || (!kept.old && kept.disk !== state.disk && state.cells.length > 0));
   if (read?.spoilt || votesGone) {
     const was = state.disk;
     state = { ...state, disk: ports.dice.id(), spoilt: true };
@@ -123,6 +126,7 @@
     return Right(undefined);
   }
 
+  if (read?.old) await turn();
   const first = await turn();
   if (first.isLeft()) {
     torn = true;
--- a/src/control/votes.ts
+++ b/src/control/votes.ts
@@ -46,6 +46,7 @@
   gen: number;
   disk: string;
   spoilt: boolean;
+  old?: boolean;
 }
 
 function byGen(a: { gen: number }, b: { gen: number }): number {
@@ -66,7 +67,7 @@
     const u = unframe(bytes);
     spoilt ||= u.spoilt;
     const head = u.values[0] as { gen: number; disk: string } | undefined;
-    if (head) found.push({ i, ...head, batches: u.values.slice(1) as VoteLine[][] });
+    if (head) found.push({ i, ...head, batches: (u.old ? [u.values.slice(1)] : u.values.slice(1)) as VoteLine[][] });
   }
   found.sort(byGen);
   const votes = new Map<string, Vote>();
@@ -78,7 +79,7 @@
   }
   const last = found[found.length - 1];
   spoilt ||= found.length > 1 && last.gen - found[0].gen !== found.length - 1;
-  return Right({ votes: [...votes.values()], file: last?.i ?? 0, gen: last?.gen ?? 0, disk: last?.disk ?? '', spoilt });
+  return Right({ votes: [...votes.values()], file: last?.i ?? 0, gen: last?.gen ?? 0, disk: last?.disk ?? '', spoilt, old: last !== undefined && last.disk === undefined });
 }
 
 /** First-come votes for idempotency keys, synced before they are told; three files written in turn. */
@@ -102,7 +103,7 @@
 
   /** Takes what this disk had kept and starts a new file, so that a torn tail is never written on. */
   async begin(kept: KeptVotes): Promise<void> {
-    if (kept.disk === this.slots.disk) for (const vote of kept.votes) this.now.set(vote.key, vote);
+    if (kept.old || kept.disk === this.slots.disk) for (const vote of kept.votes) this.now.set(vote.key, vote);
     this.file = kept.file;
     this.gen = kept.gen;
     this.torn = (await this.turn(this.now)).isLeft();
--- a/test/disk.test.ts
+++ b/test/disk.test.ts
@@ -1,3 +1,5 @@
+import { crc32 } from 'node:zlib';
+import { pack } from 'msgpackr';
 import { Right } from 'purify-ts';
 import { Acceptor, makeOwner, Reach } from '../src/control/register';
 import { openSlots, Slots } from '../src/control/slots';
@@ -286,6 +288,38 @@
 test('a byte changed anywhere loses nothing, or makes it a new disk that does not vote', everySpoiltByte);
 test('a vote outlives restarts, and a released key can be run anew', voteKept);
 test('one epoch never carries two values, also when an owner forgot its promise and came back', oneEpoch);
+function oldFrame(v: unknown): Buffer {
+  const body = pack(v);
+  const head = Buffer.alloc(8);
+  head.writeUInt32BE(body.length, 0);
+  head.writeUInt32BE(crc32(body), 4);
+  return Buffer.concat([head, body]);
+}
+
+async function oldFolder(): Promise<void> {
+  const one = { key: 'k', epoch: 1, by: 'a', number: 1, value: 1 };
+  const vote = { key: 'x', run: 'r1', state: 'done' };
+  const files: Files = new Map([
+    ['slot-1', oldFrame({ gen: 1, disk: 'd', cells: [] })],
+    ['slot-0', oldFrame({ gen: 2, disk: 'd', cells: [['k', { promised: { epoch: 1, by: 'a' }, accepted: one }]] })],
+    ['log-1', Buffer.alloc(0)],
+    ['log-0', Buffer.concat([oldFrame(acceptedLine(5)), oldFrame({ key: 'k', learned: true })])],
+    ['votes-1', Buffer.concat([oldFrame({ gen: 4 }), oldFrame({ vote })])],
+    ['votes-0', oldFrame({ gen: 3 })],
+  ]);
+  for (let i = 0; i < 4; i++) {
+    const kept = (await readVotes(portsOn(files))).extract() as KeptVotes;
+    const [, s] = open(await openSlots(portsOn(files), 1 << 20, kept));
+    expect({ i, disk: s!.disk, spoilt: s!.spoilt, number: numberOf(s!), learned: s!.cells.get('k')?.learned?.number }).toEqual({ i, disk: 'd', spoilt: false, number: 5, learned: 5 });
+    const votes = new Votes(s!, portsOn(files), nobody, 1000);
+    await votes.begin(kept);
+    expect((await votes.held({ begins: 'x' })).extract()).toMatchObject({ votes: [vote] });
+  }
+  function nobody(): undefined {
+    return undefined;
+  }
+}
+
 async function noVotes(): Promise<void> {
   const files: Files = new Map();
   const s = await opened(files);
@@ -296,6 +330,7 @@
   }
 }
 
+test('a data folder of version 0.1 is taken over whole, and stays so', oldFolder);
 test('a disk whose votes files are gone counts as a new one', noVotes);
 test('an emptied disk at the address of a voter does not count as that voter, also while it joins', inPlace);
 test('nothing is answered before what it tells is synced, nor after a write that failed', toldWhenSynced);
