Routers are told which engines leave also where no majority takes the list

With one core machine lost and being replaced and another's disk stalled, the owner of the list had seen an engine leave and could not make it a change; routers keep claims (they need no disk) and went on. Ruled out: claims (granted as they should be), a late poll. Before: a leg began 3484 ms after the list was known. Ways weighed: no claims from a controller whose disk is unfit (stops all traffic); advice that routers obey until the next list: kept. It is safe without a majority, as it only keeps work away.

--- a/src/control/claims.ts
+++ b/src/control/claims.ts
@@ -115,6 +115,11 @@
     for (const h of this.holders.values()) void this.pushOne(h, n, own, delta);
   }
 
+  /** Tells every follower something that is no change. */
+  tell(type: string, body: unknown): void {
+    for (const h of this.holders.values()) h.ex.tell(type, body);
+  }
+
   private async pushOne(h: Holder, n: Numbered, own: boolean, delta: Delta | undefined): Promise<void> {
     if (covers(h.has, n)) return;
     const [g, has] = open(own ? Right(false) : await h.ex.ask('has', { key: n.key, epoch: n.epoch, by: n.by, number: n.number }, this.bounds.ask));
--- a/src/control/duties.ts
+++ b/src/control/duties.ts
@@ -24,7 +24,7 @@
   }
 }
 
-/** Watches the platform's list while this node owns the key `engines`; the register is the fence. */
+/** Watches the platform's list while this node owns the key `engines`; the register is the fence. Where no majority takes the list, routers are told all the same which engines leave. */
 export async function watchPlatform(c: Controller, ports: Ports): Promise<void> {
   while (!c.stopped()) {
     await ports.clock.sleep(c.bounds.platform);
@@ -38,10 +38,20 @@
     const next = list.sort(byId);
     if (JSON.stringify(now) === JSON.stringify(next)) continue;
     const [g] = open(await c.change({ kind: 'engines', engines: next }));
-    if (g) ports.log.warn({ step: g.step, peer: g.peer }, g.why);
+    if (!g) continue;
+    ports.log.warn({ step: g.step, peer: g.peer }, g.why);
+    c.claims.tell('leaving', next.filter(isLeaving).map(idOf));
   }
 }
 
+function isLeaving(e: Engine): boolean {
+  return e.leaving;
+}
+
+function idOf(e: Engine): string {
+  return e.id;
+}
+
 function byId(a: Engine, b: Engine): number {
   return a.id < b.id ? -1 : 1;
 }
--- a/src/data/engines.ts
+++ b/src/data/engines.ts
@@ -27,6 +27,7 @@
   ofModel(model: string): Seen[];
   get(id: string): Seen | undefined;
   fit(s: Seen): boolean;
+  leaves(s: Seen): boolean;
   began(s: Seen, tokens: number): void;
   ended(s: Seen, good: boolean): void;
   learnedPrefill(s: Seen, read: number, ms: number): void;
@@ -102,9 +103,13 @@
     return out;
   }
 
+  function leaves(s: Seen): boolean {
+    return s.engine.leaving || follower.leaving(s.engine.id);
+  }
+
   function fit(s: Seen): boolean {
     const now = ports.clock.now();
-    if (s.engine.leaving || !s.status || s.status.leaving || now - s.at > bounds.circuit * 4) return false;
+    if (leaves(s) || !s.status || s.status.leaving || now - s.at > bounds.circuit * 4) return false;
     if (now < s.turnedUntil) return false;
     if (s.openUntil === 0) return true;
     return now >= s.openUntil && !s.probing;
@@ -153,5 +158,5 @@
   }
 
   renew();
-  return { ofModel, get, fit, began, ended, learnedPrefill, turnedAway, linkCost, learnedLink, renew, stop };
+  return { ofModel, get, fit, leaves, began, ended, learnedPrefill, turnedAway, linkCost, learnedLink, renew, stop };
 }
--- a/src/data/router.ts
+++ b/src/data/router.ts
@@ -111,7 +111,7 @@
       const named = follower.value<NamedWeights>(KEYS.weights + l.model)?.value;
       const ended = named !== undefined && named.weights !== l.weights && !named.older.includes(l.weights) && !named.older.includes('*');
       if (ended || saltOf(l.tenant) !== l.salt) l.cut.abort();
-      else if (l.seen.engine.leaving && !l.watched) void cutSilent(l);
+      else if (engines.leaves(l.seen) && !l.watched) void cutSilent(l);
     }
   }
 
@@ -199,6 +199,7 @@
   }
 
   void follower.changes.observe(changed);
+  void follower.advice.observe(cutLegs);
   void follower.membership.observe(placer.reach);
   const parts: RouterParts = { ports, startup, bounds, follower, engines, placer, counts, metrics, firstTook, tenantOf, serviceOf, saltOf, freshWeights, allowSecond, earn, runId, underWay, draining };
   const api = new CallerApi(parts);
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -21,6 +21,8 @@
   places(): Numbered[];
   take(list: Numbered[]): boolean;
   changes: Feed<Numbered>;
+  leaving(id: string): boolean;
+  advice: Feed<string[]>;
   membership: Feed<Member[]>;
   coreAsk(type: string, body: unknown): Promise<unknown[]>;
   coreTell(type: string, body: unknown): void;
@@ -46,7 +48,7 @@
 
 /** Handlers of what the core and other followers say. */
 export class FollowEdge {
-  constructor(private readonly takeNews: (list: Numbered[]) => boolean, private readonly who: () => unknown, private readonly told: (v: Voters | undefined) => void, private readonly held: (key: string) => Numbered | undefined) {}
+  constructor(private readonly takeNews: (list: Numbered[]) => boolean, private readonly who: () => unknown, private readonly told: (v: Voters | undefined) => void, private readonly held: (key: string) => Numbered | undefined, private readonly advised: (ids: string[]) => void) {}
 
   /** Takes numbered changes; lower ones are ignored. */
   @message('news')
@@ -64,6 +66,13 @@
     return Right(true);
   }
 
+  /** Hears which engines leave, where the core could not make that a change. */
+  @message('leaving')
+  async leaving(ids: string[]): Handled {
+    this.advised(ids);
+    return Right(true);
+  }
+
   /** Tells whether a change was applied here. */
   @message('has')
   async has(n: Numbered): Handled {
@@ -92,6 +101,8 @@
   const refused = new Map<string, number>();
   const changes = makeFeed<Numbered>();
   const membership = makeFeed<Member[]>();
+  const advice = makeFeed<string[]>();
+  let advisedIds = new Set<string>();
   let founded: Voters | undefined;
   let stopped = false;
 
@@ -114,6 +125,7 @@
       const have = state.get(n.key);
       if (have && comparePlaces(n, have) <= 0) continue;
       state.set(n.key, n);
+      if (n.key === KEYS.engines) advisedIds = new Set();
       any = true;
       changes.add(n);
     }
@@ -121,11 +133,20 @@
     return any;
   }
 
+  function advised(ids: string[]): void {
+    advisedIds = new Set(ids);
+    advice.add(ids);
+  }
+
+  function leaving(id: string): boolean {
+    return advisedIds.has(id);
+  }
+
   function who(): unknown {
     return { voters: voters(), core: core() };
   }
 
-  edges.push(new FollowEdge(take, who, told, state.get.bind(state)));
+  edges.push(new FollowEdge(take, who, told, state.get.bind(state), advised));
   const helds = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause, onUp, onRefused });
 
   function live(): boolean {
@@ -273,5 +294,5 @@
   }
 
   void findCore();
-  return { live, value, keys, members, voters, core, places, take, changes: changes.feed, membership: membership.feed, coreAsk, coreTell, askVoters, leave, stop };
+  return { live, value, keys, members, voters, core, places, take, changes: changes.feed, leaving, advice: advice.feed, membership: membership.feed, coreAsk, coreTell, askVoters, leave, stop };
 }
--- a/test/seeds.test.ts
+++ b/test/seeds.test.ts
@@ -72,6 +72,13 @@
   await clean(503, 'saffron-bay', 0, [fault(22166, 'release-all', 'edge-1', 'edge-2', 3052), fault(23575, 'wipe', 'core-2', 'core-1', 4935)]);
 }
 
+async function noMajorityForTheList(): Promise<void> {
+  await clean(3236, 'atlas-ordre', 0, [
+    fault(19726, 'kill-edge', 'core-2', 'index-core-1', 3194), fault(20790, 'rolling', 'edge-4', 'platform', 495),
+    fault(27896, 'release-all', 'core-1', 'engine-4', 305), fault(29575, 'disk-stall', 'core-3', 'platform', 5501),
+  ]);
+}
+
 async function sameTrace(): Promise<void> {
   const a = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
   const b = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
@@ -91,3 +98,4 @@
 test('an engine that froze and was then known to leave begins nothing when it wakes', frozenLeaver);
 test('seeds exchanged for machines that know of nobody still lead to the core after all were killed', seedsExchanged);
 test('an emptied controller owns no key that the others leave to it', emptiedOwner);
+test('a leaving engine gets nothing new also while the core has no majority to take the list', noMajorityForTheList);
