--- a/tools/without.ts
+++ b/tools/without.ts
@@ -104,27 +104,33 @@
   (slots as unknown as Patch).openSlots = lazy as never;
 }
 
-function noLastLine(): void {
+/** Bends the lines that a router reads of each generate call. */
+function bendLines(make: (request: string) => (o: Outcome<engine.EngineLine>) => Outcome<engine.EngineLine>): void {
   const real = engine.generate;
-  async function padded(...x: Parameters<typeof engine.generate>): Promise<Outcome<engine.Generating>> {
+  async function bent(...x: Parameters<typeof engine.generate>): Promise<Outcome<engine.Generating>> {
     function wrap(g: engine.Generating): engine.Generating {
-      let n = 0;
-      function finish(): engine.EngineLine {
-        return { request: x[2].request, done: true, count: n };
-      }
-      function count(l: engine.EngineLine): engine.EngineLine {
-        if (!l.done) n++;
-        return l;
-      }
+      const bend = make(x[2].request);
       async function next(): Promise<Outcome<engine.EngineLine>> {
-        const o = (await g.next()).map(count);
-        return o.isLeft() && n > 0 ? Right(finish()) : o;
+        return bend(await g.next());
       }
       return { ...g, next };
     }
     return (await real(...x)).map(wrap);
   }
-  (engine as unknown as Patch).generate = padded as never;
+  (engine as unknown as Patch).generate = bent as never;
+}
+
+function noLastLine(): void {
+  function make(request: string): (o: Outcome<engine.EngineLine>) => Outcome<engine.EngineLine> {
+    let n = 0;
+    function pad(o: Outcome<engine.EngineLine>): Outcome<engine.EngineLine> {
+      if (o.isLeft()) return n > 0 ? Right({ request, done: true, count: n }) : o;
+      if (!(o.extract() as engine.EngineLine).done) n++;
+      return o;
+    }
+    return pad;
+  }
+  bendLines(make);
 }
 
 function lateRefusal(): void {
@@ -158,21 +164,17 @@
 }
 
 function noOrderCheck(): void {
-  const real = engine.generate;
-  async function blind(...x: Parameters<typeof engine.generate>): Promise<Outcome<engine.Generating>> {
-    function wrap(g: engine.Generating): engine.Generating {
-      let n = 0;
-      function fix(l: engine.EngineLine): engine.EngineLine {
-        return l.done ? { ...l, request: x[2].request, count: n } : { ...l, request: x[2].request, n: n++ };
-      }
-      async function next(): Promise<Outcome<engine.EngineLine>> {
-        return (await g.next()).map(fix);
-      }
-      return { ...g, next };
+  function make(request: string): (o: Outcome<engine.EngineLine>) => Outcome<engine.EngineLine> {
+    let n = 0;
+    function fix(l: engine.EngineLine): engine.EngineLine {
+      return l.done ? { ...l, request, count: n } : { ...l, request, n: n++ };
     }
-    return (await real(...x)).map(wrap);
+    function renumber(o: Outcome<engine.EngineLine>): Outcome<engine.EngineLine> {
+      return o.map(fix);
+    }
+    return renumber;
   }
-  (engine as unknown as Patch).generate = blind as never;
+  bendLines(make);
 }
 
 /** A data plane that bends the pieces of one call in twenty. */
