A router that starts lets no older weights serve that it did not hear named

All of ours were killed before older weights ended and came back after their bound; routers counted their time anew from the first news, and engines that had restarted under the old weights got work until the owner ended them. Ruled out: the owner (it ends at once what it did not hear live). A router without a claim at that news takes older weights as ended; it may refuse until engines have the new ones.

--- a/src/data/router.ts
+++ b/src/data/router.ts
@@ -102,7 +102,7 @@
   }
 
   function noteOlder(key: string, v: NamedWeights): void {
-    for (const w of v.older) if (!olderSince.has(`${key} ${w}`)) olderSince.set(`${key} ${w}`, ports.clock.now());
+    for (const w of v.older) if (!olderSince.has(`${key} ${w}`)) olderSince.set(`${key} ${w}`, follower.live() ? ports.clock.now() : -Infinity);
     for (const k of olderSince.keys()) if (k.startsWith(`${key} `) && !v.older.includes(k.slice(key.length + 1))) olderSince.delete(k);
   }
 
--- a/test/seeds.test.ts
+++ b/test/seeds.test.ts
@@ -79,6 +79,14 @@
   ]);
 }
 
+async function namedBeforeAllDied(): Promise<void> {
+  const crashes = [1, 2, 3, 4].map(crash);
+  function crash(n: number): Fault {
+    return fault(25000, 'engine-crash', `engine-${n}`, '', 1000);
+  }
+  await clean(2, 'atlas-ordre', 0, [fault(21000, 'kill-ours', '', '', 6500), ...crashes]);
+}
+
 async function sameTrace(): Promise<void> {
   const a = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
   const b = await runSeed(5, { deployment: 'atlas-ordre', faults: 3 });
@@ -99,3 +107,4 @@
 test('seeds exchanged for machines that know of nobody still lead to the core after all were killed', seedsExchanged);
 test('an emptied controller owns no key that the others leave to it', emptiedOwner);
 test('a leaving engine gets nothing new also while the core has no majority to take the list', noMajorityForTheList);
+test('weights that were named before all of ours were killed do not serve anew after it', namedBeforeAllDied);
