A delta is made only where someone is told by it; coreAsk is no longer offered

Cause: each controller compared old and new values for each change, also those whose followers had it from the owner; coreAsk had no outside user.

--- a/src/control/claims.ts
+++ b/src/control/claims.ts
@@ -111,8 +111,12 @@
   /** Pushes a change that is learned here down the held streams and counts the acknowledgements; another's change is sent whole only to those who don't have it from its owner. */
   push(n: Numbered, own = true, before?: Numbered): void {
     this.poke();
-    const delta = makeDelta(before, n);
-    for (const h of this.holders.values()) void this.pushOne(h, n, own, delta);
+    let made: { delta?: Delta } | undefined;
+    function once(): Delta | undefined {
+      made = made ?? { delta: makeDelta(before, n) };
+      return made.delta;
+    }
+    for (const h of this.holders.values()) void this.pushOne(h, n, own, once);
   }
 
   /** Tells every follower something that is no change. */
@@ -120,12 +124,13 @@
     for (const h of this.holders.values()) h.ex.tell(type, body);
   }
 
-  private async pushOne(h: Holder, n: Numbered, own: boolean, delta: Delta | undefined): Promise<void> {
+  private async pushOne(h: Holder, n: Numbered, own: boolean, deltaOf: () => Delta | undefined): Promise<void> {
     if (covers(h.has, n)) return;
     const [g, has] = open(own ? Right(false) : await h.ex.ask('has', { key: n.key, epoch: n.epoch, by: n.by, number: n.number }, this.bounds.ask));
     const held = h.has.get(n.key);
     let o: Outcome<unknown> = !g && has === true ? Right(true) : bad('push news', h.member.name, 'not there yet');
-    if (o.isLeft() && delta && held && comparePlaces(held, delta.base) === 0) o = await h.ex.ask('news-delta', delta, this.bounds.ask);
+    const delta = o.isLeft() ? deltaOf() : undefined;
+    if (delta && held && comparePlaces(held, delta.base) === 0) o = await h.ex.ask('news-delta', delta, this.bounds.ask);
     if (o.isLeft()) o = await h.ex.ask('news', [n], this.bounds.ask);
     const [f] = open(o);
     if (f) {
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -24,7 +24,6 @@
   leaving(id: string): boolean;
   advice: Feed<string[]>;
   membership: Feed<Member[]>;
-  coreAsk(type: string, body: unknown): Promise<unknown[]>;
   coreTell(type: string, body: unknown): void;
   askVoters<T>(type: string, body: unknown, yes: (r: T, v: Voter) => boolean): Promise<{ ok: boolean; got: T[] }>;
   leave(): Promise<void>;
@@ -294,5 +293,5 @@
   }
 
   void findCore();
-  return { live, value, keys, members, voters, core, places, take, changes: changes.feed, leaving, advice: advice.feed, membership: membership.feed, coreAsk, coreTell, askVoters, leave, stop };
+  return { live, value, keys, members, voters, core, places, take, changes: changes.feed, leaving, advice: advice.feed, membership: membership.feed, coreTell, askVoters, leave, stop };
 }
