--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,16 +1,16 @@
 import tseslint from 'typescript-eslint';
 import jsdoc from 'eslint-plugin-jsdoc';
 
-const TRADE = '/^(attempt|lease|route(?!r)|connection|setting|answer|forward|admit|timer|health|choose|load)|(Attempt|Lease|Route(?!r)|Connection|Setting|Answer|Forward|Admit|Timer|Health|Choose|Load)s?([A-Z]|$)/';
-const said = 'Use the word list of docs/decisions.md: leg, claim, rule, stream, startup, return, send on, allow, alarm, fitness, pick, occupancy.';
+const HOUSE = '/^(leg|claim|startup|alarm|fitness|pick|occupancy|sendOn)s?([A-Z]|$)|(Leg|Claim|Startup|Alarm|Fitness|Pick|Occupancy|SendOn)s?([A-Z]|$)/';
+const said = 'Use the terms of the field (docs/decisions.md): attempt, lease, settings, timer, health, choose, load, forward.';
 const words = [
-  `FunctionDeclaration > Identifier.id[name=${TRADE}]`,
-  `TSInterfaceDeclaration > Identifier.id[name=${TRADE}]`,
-  `TSTypeAliasDeclaration > Identifier.id[name=${TRADE}]`,
-  `TSPropertySignature > Identifier.key[name=${TRADE}]`,
-  `PropertyDefinition > Identifier.key[name=${TRADE}]`,
-  `MethodDefinition > Identifier.key[name=${TRADE}]`,
-  `ClassDeclaration > Identifier.id[name=${TRADE}]`,
+  `FunctionDeclaration > Identifier.id[name=${HOUSE}]`,
+  `TSInterfaceDeclaration > Identifier.id[name=${HOUSE}]`,
+  `TSTypeAliasDeclaration > Identifier.id[name=${HOUSE}]`,
+  `TSPropertySignature > Identifier.key[name=${HOUSE}]`,
+  `PropertyDefinition > Identifier.key[name=${HOUSE}]`,
+  `MethodDefinition > Identifier.key[name=${HOUSE}]`,
+  `ClassDeclaration > Identifier.id[name=${HOUSE}]`,
 ].map((selector) => ({ selector, message: said }));
 const style = [
   { selector: 'ArrowFunctionExpression', message: 'Function declarations only.' },
--- a/src/control/api.ts
+++ b/src/control/api.ts
@@ -60,7 +60,7 @@
   /** Applies a whole intents file on the revision it was based on. */
   @handles('PUT', '/v1/intents')
   async putIntents(call: Call): Promise<void> {
-    const a = await takeAs(call, ApplyAsk, this.c.startup.bodyMostBytes, 'apply');
+    const a = await takeAs(call, ApplyAsk, this.c.settings.bodyMostBytes, 'apply');
     if (!a) return;
     const checked = checkIntents(a.intents);
     if (checked.isLeft()) return giveJson(call, 400, { error: { class: 'refused', code: 'bad-intents', message: 'the file has faults' }, faults: checked.extract() });
@@ -81,7 +81,7 @@
     const name = key.replace(':', '/');
     const known = reached(this.c.value(name)?.place, p);
     const inEffect = known && (await this.c.effect(name, p, this.c.bounds.pause));
-    giveJson(call, 200, { change, committed: known, inEffect, routers: this.c.claims.applied(name) });
+    giveJson(call, 200, { change, committed: known, inEffect, routers: this.c.leases.applied(name) });
   }
 
   /** The tenants' key ids; hashes stay here. */
@@ -128,7 +128,7 @@
   @handles('PUT', '/v1/weights/:model')
   async putWeights(call: Call, model: string): Promise<void> {
     if (!isId(model)) return giveFault(call, 400, 'refused', 'bad-name', 'the model is not a name');
-    const a = await takeAs(call, WeightsAsk, this.c.startup.bodyMostBytes, 'name weights');
+    const a = await takeAs(call, WeightsAsk, this.c.settings.bodyMostBytes, 'name weights');
     if (!a) return;
     if (!isId(a.weights)) return giveFault(call, 400, 'refused', 'bad-name', 'the weights are not a name');
     await this.carry(call, KEYS.weights + model, { kind: 'weights', model, weights: a.weights }, { model, weights: a.weights });
@@ -137,7 +137,7 @@
   /** Replaces a lost core machine by an empty one. */
   @handles('POST', '/v1/voters')
   async postVoters(call: Call): Promise<void> {
-    const a = await takeAs(call, VotersAsk, this.c.startup.bodyMostBytes, 'replace voter');
+    const a = await takeAs(call, VotersAsk, this.c.settings.bodyMostBytes, 'replace voter');
     if (!a) return;
     const [g, v] = open(await replaceVoter(this.c, this.ports, a.out, a.into));
     if (g) return this.giveTrouble(call, g);
@@ -147,7 +147,7 @@
   /** Founds a blank fleet without founders that are not there. */
   @handles('POST', '/v1/found')
   async postFound(call: Call): Promise<void> {
-    const a = await takeAs(call, FoundAsk, this.c.startup.bodyMostBytes, 'found');
+    const a = await takeAs(call, FoundAsk, this.c.settings.bodyMostBytes, 'found');
     if (!a) return;
     const [g, v] = open(await this.c.found(a.without));
     if (g) return this.giveTrouble(call, g);
@@ -160,14 +160,14 @@
     const c = this.c;
     giveJson(call, 200, {
       controller: c.name, disk: c.slots.disk, diskFit: c.slots.fit(), diskSpoilt: c.slots.spoilt, voters: c.voters(), live: c.live(), majority: c.hasMajority(),
-      members: c.claims.members(), engines: c.value(KEYS.engines)?.value ?? [], revision: c.value(KEYS.intents)?.place.number ?? 0,
-      routers: c.claims.applied(KEYS.intents),
+      members: c.leases.members(), engines: c.value(KEYS.engines)?.value ?? [], revision: c.value(KEYS.intents)?.place.number ?? 0,
+      routers: c.leases.applied(KEYS.intents),
     });
   }
 
   /** Whether this controller stands in a majority with a fit disk. */
   @handles('GET', '/healthz')
-  async fitness(call: Call): Promise<void> {
+  async health(call: Call): Promise<void> {
     const ok = this.c.hasMajority() && this.c.slots.fit();
     giveJson(call, ok ? 200 : 503, { ok, majority: this.c.hasMajority(), diskFit: this.c.slots.fit() });
   }
@@ -177,7 +177,7 @@
   async metrics(call: Call): Promise<void> {
     const c = this.c;
     const rows = [
-      `plumhollow_controller_members ${c.claims.members().length}`,
+      `plumhollow_controller_members ${c.leases.members().length}`,
       `plumhollow_controller_live_voters ${c.live().length}`,
       `plumhollow_controller_disk_fit ${c.slots.fit() ? 1 : 0}`,
       `plumhollow_controller_intents_revision ${c.value(KEYS.intents)?.place.number ?? 0}`,
@@ -189,5 +189,5 @@
 
 /** Serves the operators' HTTP interface. */
 export function serveOperators(c: Controller, ports: Ports): Promise<Outcome<Listening>> {
-  return ports.wire.serve(c.startup.http, takeCalls([new OperatorApi(c, ports)], ports.log));
+  return ports.wire.serve(c.settings.http, takeCalls([new OperatorApi(c, ports)], ports.log));
 }
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -5,11 +5,11 @@
 import { hasList } from '../shared/follow';
 import { makeMetrics, Metrics, timedDisk } from '../shared/metrics';
 import { poll } from '../shared/poll';
-import { Listening, Ports, Stream } from '../shared/ports';
-import { Bounds, boundsOf, Startup } from '../shared/startup';
-import { askOnce, converse, Hello, HelloEdge, holdAll, noStream, WIRE_VERSION } from '../shared/streams';
+import { Listening, Ports, Connection } from '../shared/ports';
+import { Bounds, boundsOf, Settings } from '../shared/settings';
+import { askOnce, converse, Hello, HelloEdge, holdAll, noConnection, WIRE_VERSION } from '../shared/connections';
 import { allVoters, comparePlaces, isQuorum, isVoter, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
-import { Claims } from './claims';
+import { Leases } from './leases';
 import { keyOf, makeValue, Operation } from './operations';
 import { Acceptor, makeOwner, Owner, Reach } from './register';
 import { openSlots, Slots } from './slots';
@@ -30,17 +30,17 @@
   name: string;
   by: string;
   hello: Hello;
-  startup: Startup;
+  settings: Settings;
   bounds: Bounds;
   slots: Slots;
-  claims: Claims;
+  leases: Leases;
   votes: Votes;
   owner: Owner;
   metrics: Metrics;
   edges: object[];
   voters(): Voters | undefined;
   live(): string[];
-  picked(key: string): boolean;
+  chosen(key: string): boolean;
   change(op: Operation): Promise<Outcome<Changed>>;
   found(without: string[]): Promise<Outcome<Voters>>;
   effect(key: string, p: Place, within: number): Promise<boolean>;
@@ -109,23 +109,23 @@
   committed(): Numbered[];
 }
 
-/** Starts a controller: its disk, its votes, its claims, its streams. */
-export async function startController(given: Ports, startup: Startup): Promise<Outcome<Controller>> {
+/** Starts a controller: its disk, its votes, its leases, its connections. */
+export async function startController(given: Ports, settings: Settings): Promise<Outcome<Controller>> {
   const metrics = makeMetrics();
-  const synced = metrics.times('plumhollow_controller_sync_ms', 'time of a synced write', startup.changeBoundMs);
+  const synced = metrics.times('plumhollow_controller_sync_ms', 'time of a synced write', settings.changeBoundMs);
   const ports: Ports = { ...given, disk: timedDisk(given.disk, given.clock, synced) };
   const [f, kept] = open(await readVotes(ports));
   if (f) return Left(f);
   const [g, slots] = open(await openSlots(ports, 1 << 20, kept));
-  return g ? Left(g) : runController(ports, startup, slots, kept, metrics);
+  return g ? Left(g) : runController(ports, settings, slots, kept, metrics);
 }
 
-async function runController(ports: Ports, startup: Startup, slots: Slots, kept: KeptVotes, metrics: Metrics): Promise<Outcome<Controller>> {
-  const bounds = boundsOf(startup);
-  const hello: Hello = { version: WIRE_VERSION, name: startup.name, role: 'controller', at: startup.wire, zone: startup.zone, disk: slots.disk };
+async function runController(ports: Ports, settings: Settings, slots: Slots, kept: KeptVotes, metrics: Metrics): Promise<Outcome<Controller>> {
+  const bounds = boundsOf(settings);
+  const hello: Hello = { version: WIRE_VERSION, name: settings.name, role: 'controller', at: settings.wire, zone: settings.zone, disk: slots.disk };
   const heard = new Set<string>();
-  const by = `${startup.name}.${ports.dice.id().slice(0, 8)}`;
-  const effectTook = metrics.times('plumhollow_controller_change_to_effect_ms', 'from a change\'s arrival at its owner to its effect everywhere', startup.changeBoundMs);
+  const by = `${settings.name}.${ports.dice.id().slice(0, 8)}`;
+  const effectTook = metrics.times('plumhollow_controller_change_to_effect_ms', 'from a change\'s arrival at its owner to its effect everywhere', settings.changeBoundMs);
   let stopped = false;
 
   function voters(): Voters | undefined {
@@ -134,7 +134,7 @@
 
   function learned(n: Numbered, before?: Numbered): void {
     heard.add(n.key);
-    claims.push(n, n.by === by, before);
+    leases.push(n, n.by === by, before);
     if (n.key === KEYS.voters) reachAll();
   }
 
@@ -145,11 +145,11 @@
   async function askVoter(v: Voter, type: string, body: unknown, within: number): Promise<Outcome<unknown>> {
     if (isSelf(v)) return local(type, body);
     const ex = helds.up(v.at);
-    return ex ? ex.ask(type, body, within) : Left(noStream(type, v.at));
+    return ex ? ex.ask(type, body, within) : Left(noConnection(type, v.at));
   }
 
   function local(type: string, body: unknown): Handled {
-    return dispatch(edges, type, body, undefined, startup.name);
+    return dispatch(edges, type, body, undefined, settings.name);
   }
 
   const reach: Reach = { by, within: bounds.ask, voters, ask: askVoter, learned, learnHere };
@@ -157,11 +157,11 @@
     return acceptor.learn({ change: n });
   }
   const acceptor = new Acceptor(slots, reach, ports);
-  const claims = new Claims(slots, ports, bounds, voters);
+  const leases = new Leases(slots, ports, bounds, voters);
   const owner = makeOwner(slots, reach);
-  const votes = new Votes(slots, ports, voters, startup.onceKeepMs);
+  const votes = new Votes(slots, ports, voters, settings.onceKeepMs);
   await votes.begin(kept);
-  const edges: object[] = [new HelloEdge(hello), acceptor, claims, votes, new ControlEdge({ slots, acceptor, voters, changeHere, committed })];
+  const edges: object[] = [new HelloEdge(hello), acceptor, leases, votes, new ControlEdge({ slots, acceptor, voters, changeHere, committed })];
   const helds = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause });
 
   function live(): string[] {
@@ -177,8 +177,8 @@
     return ex !== undefined && (ex.hello?.disk ?? x.disk) === x.disk;
   }
 
-  function picked(key: string): boolean {
-    return rendezvous(key, live())[0] === startup.wire;
+  function chosen(key: string): boolean {
+    return rendezvous(key, live())[0] === settings.wire;
   }
 
   async function effect(key: string, p: Place, within: number): Promise<boolean> {
@@ -207,10 +207,10 @@
   async function change(op: Operation): Promise<Outcome<Changed>> {
     const key = keyOf(op);
     const at = rendezvous(key, live())[0];
-    if (at === undefined) return bad('change', startup.name, 'not founded', 'refused', 'not-founded');
-    if (at === startup.wire) return changeHere(op);
+    if (at === undefined) return bad('change', settings.name, 'not founded', 'refused', 'not-founded');
+    if (at === settings.wire) return changeHere(op);
     const ex = helds.up(at);
-    if (!ex) return Left(noStream('change', at));
+    if (!ex) return Left(noConnection('change', at));
     const [g, r] = open(await ex.ask('change', op, bounds.effect * 2));
     return g ? Left(g) : Right(r as Changed);
   }
@@ -224,28 +224,28 @@
   function reachAll(): void {
     const v = voters();
     function other(at: string): boolean {
-      return at !== startup.wire;
+      return at !== settings.wire;
     }
-    helds.want((v ? allVoters(v).map(atOf) : startup.founders).filter(other));
+    helds.want((v ? allVoters(v).map(atOf) : settings.founders).filter(other));
   }
 
   function peerHello(at: string, type: string): Promise<Outcome<unknown>> {
     const ex = helds.up(at);
-    return ex ? ex.ask(type, {}, bounds.ask) : Promise.resolve(Left<Fault, unknown>(noStream(type, at)));
+    return ex ? ex.ask(type, {}, bounds.ask) : Promise.resolve(Left<Fault, unknown>(noConnection(type, at)));
   }
 
   async function found(without: string[]): Promise<Outcome<Voters>> {
     const stood = voters();
     if (stood) return isVoter(stood, slots.disk) ? Right(stood) : bad('found', slots.disk, 'a fleet is founded, and this disk is not of it', 'refused', 'not-blank');
-    const founders = [...startup.founders].sort();
+    const founders = [...settings.founders].sort();
     function absent(at: string): boolean {
       return without.includes(at);
     }
     if (slots.spoilt) return bad('found', slots.disk, 'this disk was of a fleet', 'refused', 'not-blank');
-    if (absent(startup.wire) || founders.filter(absent).length * 2 >= founders.length) return bad('found', startup.name, 'a majority of the founders must be here', 'refused', 'no-quorum');
+    if (absent(settings.wire) || founders.filter(absent).length * 2 >= founders.length) return bad('found', settings.name, 'a majority of the founders must be here', 'refused', 'no-quorum');
     const set: Voter[] = [];
     for (const at of founders) {
-      if (at === startup.wire) {
+      if (at === settings.wire) {
         set.push({ disk: slots.disk, at });
         continue;
       }
@@ -256,7 +256,7 @@
       if (r && !r.blank) return bad('found', at, 'is not blank', 'refused', 'not-blank');
       set.push({ disk: r ? r.disk : `${ABSENT}${at}`, at });
     }
-    const [h] = open(voters() ? bad<void>('found', startup.name, 'another came first', 'refused', 'conflict') : await slots.found({ now: set }));
+    const [h] = open(voters() ? bad<void>('found', settings.name, 'another came first', 'refused', 'conflict') : await slots.found({ now: set }));
     return h ? Left(h) : Right({ now: set });
   }
 
@@ -267,13 +267,13 @@
     function make(now: Numbered | undefined): Outcome<unknown> {
       return Right(now?.value ?? v);
     }
-    if (picked(KEYS.voters)) await owner.change(KEYS.voters, make);
+    if (chosen(KEYS.voters)) await owner.change(KEYS.voters, make);
   }
 
   async function catchUp(): Promise<void> {
     const has = hasList(committed());
     async function from(at: string): Promise<void> {
-      const [g, list] = open((await helds.up(at)?.ask('missing', has, bounds.ask)) ?? Left(noStream('missing', at)));
+      const [g, list] = open((await helds.up(at)?.ask('missing', has, bounds.ask)) ?? Left(noConnection('missing', at)));
       if (g) return;
       for (const n of list as Numbered[]) {
         await acceptor.learn({ change: n });
@@ -287,15 +287,15 @@
   async function tellSeeds(): Promise<void> {
     while (!stopped) {
       const v = voters();
-      for (const at of startup.seeds) if (v && !allVoters(v).map(atOf).includes(at)) await askOnce(ports, hello, edges, at, 'here', v, bounds.dial);
-      await ports.clock.sleep(bounds.claim * (0.8 + 0.4 * ports.dice.next()));
+      for (const at of settings.seeds) if (v && !allVoters(v).map(atOf).includes(at)) await askOnce(ports, hello, edges, at, 'here', v, bounds.dial);
+      await ports.clock.sleep(bounds.lease * (0.8 + 0.4 * ports.dice.next()));
     }
   }
 
   async function tend(): Promise<void> {
     while (!stopped) {
       await catchUp();
-      if (!voters() && [...startup.founders].sort()[0] === startup.wire) await found([]);
+      if (!voters() && [...settings.founders].sort()[0] === settings.wire) await found([]);
       if (voters()) await spreadFounding();
       reachAll();
       if (voters()) await tendKeys();
@@ -305,15 +305,15 @@
 
   async function tendKeys(): Promise<void> {
     for (const key of new Set([...slots.cells.keys(), KEYS.engines, KEYS.intents])) {
-      if (!picked(key)) owner.disown(key);
+      if (!chosen(key)) owner.disown(key);
       else if (!owner.owns(key)) await owner.own(key);
     }
   }
 
-  const [g, listening] = open(await ports.wire.accept(startup.wire, taken));
+  const [g, listening] = open(await ports.wire.accept(settings.wire, taken));
   if (g) return Left(g);
 
-  function taken(s: Stream): void {
+  function taken(s: Connection): void {
     converse(ports, s, edges);
   }
 
@@ -347,7 +347,7 @@
   void tend();
   void tellSeeds();
   return Right({
-    name: startup.name, by, hello, startup, bounds, slots, claims, votes, owner, metrics, edges, voters, live, picked, change, found, effect, value,
+    name: settings.name, by, hello, settings, bounds, slots, leases, votes, owner, metrics, edges, voters, live, chosen, change, found, effect, value,
     heardLive, hasMajority, askVoter, peerHello, stop, stopped: isStopped,
   });
 }
--- a/src/control/duties.ts
+++ b/src/control/duties.ts
@@ -18,8 +18,8 @@
 /** Has a founder that was absent vote in its own place once it is here; nothing was ever promised there. */
 export async function joinAbsent(c: Controller, ports: Ports): Promise<void> {
   while (!c.stopped()) {
-    await ports.clock.sleep(c.bounds.claim);
-    if (!c.owner.owns(KEYS.voters) || !c.picked(KEYS.voters)) continue;
+    await ports.clock.sleep(c.bounds.lease);
+    if (!c.owner.owns(KEYS.voters) || !c.chosen(KEYS.voters)) continue;
     for (const v of c.voters()?.now ?? []) if (v.disk.startsWith(ABSENT) && (await c.peerHello(v.at, 'who')).isRight()) await replaceVoter(c, ports, v.disk, v.at);
   }
 }
@@ -28,8 +28,8 @@
 export async function watchPlatform(c: Controller, ports: Ports): Promise<void> {
   while (!c.stopped()) {
     await ports.clock.sleep(c.bounds.platform);
-    if (c.startup.platform === '' || !c.owner.owns(KEYS.engines) || !c.picked(KEYS.engines)) continue;
-    const [f, list] = open(await listEngines(ports.wire, c.startup.platform, c.bounds.status));
+    if (c.settings.platform === '' || !c.owner.owns(KEYS.engines) || !c.chosen(KEYS.engines)) continue;
+    const [f, list] = open(await listEngines(ports.wire, c.settings.platform, c.bounds.status));
     if (f) {
       ports.log.warn({ step: f.step, peer: f.peer }, f.why);
       continue;
@@ -40,7 +40,7 @@
     const [g] = open(await c.change({ kind: 'engines', engines: next }));
     if (!g) continue;
     ports.log.warn({ step: g.step, peer: g.peer }, g.why);
-    c.claims.tell('leaving', next.filter(isLeaving).map(idOf));
+    c.leases.tell('leaving', next.filter(isLeaving).map(idOf));
   }
 }
 
@@ -86,7 +86,7 @@
     for (const e of c.value<Engine[]>(KEYS.engines)?.value ?? []) {
       const key = `duty/${e.id}`;
       const named = c.value<NamedWeights>(KEYS.weights + e.model)?.value;
-      if (!c.picked(key) || e.leaving) {
+      if (!c.chosen(key) || e.leaving) {
         held.delete(e.id);
         continue;
       }
@@ -107,7 +107,7 @@
       return;
     }
     const now = ports.clock.now();
-    if (now - mine.since < c.bounds.claimHeld || now - asked > c.bounds.orderFresh) return;
+    if (now - mine.since < c.bounds.leaseHeld || now - asked > c.bounds.orderFresh) return;
     const [h] = open(await giveOrder(ports.wire, e.at, { epoch: r.place.epoch, by: r.place.by, weights: named.weights }, c.bounds.status));
     if (h) ports.log.warn({ step: h.step, peer: h.peer }, h.why);
   }
--- a/src/control/claims.ts
+++ b/src/control/leases.ts
@@ -3,13 +3,13 @@
 import { field, Handled, message } from '../shared/edge';
 import { bad, open, Outcome } from '../shared/errors';
 import { Ports } from '../shared/ports';
-import { Bounds } from '../shared/startup';
-import { Exchange } from '../shared/streams';
+import { Bounds } from '../shared/settings';
+import { Exchange } from '../shared/connections';
 import { comparePlaces, Member, Numbered, Place, Voters } from '../shared/words';
 import { Slots } from './slots';
 
-/** A follower's ask for a claim: who it is, and how far it has applied each key; left out where that is as it was in its last claim. */
-export class ClaimAsk {
+/** A follower's ask for a lease: who it is, and how far it has applied each key; left out where that is as it was in its last lease. */
+export class LeaseAsk {
   @field('object') member!: Member;
   @field('list', false) has?: [string, number, string, number][];
 }
@@ -43,8 +43,8 @@
   return a.name < b.name ? -1 : 1;
 }
 
-/** Claims that nodes hold at this controller, and the news they are sent. */
-export class Claims {
+/** Leases that nodes hold at this controller, and the news they are sent. */
+export class Leases {
   private readonly holders = new Map<string, Holder>();
   private readonly waiters = new Set<() => void>();
   private readonly startedAt: number;
@@ -53,13 +53,13 @@
     this.startedAt = ports.clock.now();
   }
 
-  /** The nodes whose claim here has not ended. */
+  /** The nodes whose lease here has not ended. */
   members(): Member[] {
     const now = this.ports.clock.now();
     const out: Member[] = [];
     for (const [life, h] of this.holders) {
       if (h.until > now) out.push(h.member);
-      else if (h.until + this.bounds.claim * 10 < now) this.holders.delete(life);
+      else if (h.until + this.bounds.lease * 10 < now) this.holders.delete(life);
     }
     return out.sort(byName);
   }
@@ -78,9 +78,9 @@
     return out;
   }
 
-  /** Grants or renews a claim, only to a node that has applied all that is known here. */
-  @message('claim', ClaimAsk)
-  async claim(m: ClaimAsk, ex: Exchange): Handled {
+  /** Grants or renews a lease, only to a node that has applied all that is known here. */
+  @message('claim', LeaseAsk)
+  async lease(m: LeaseAsk, ex: Exchange): Handled {
     const voters = this.voters();
     if (!voters) return bad('claim', m.member.name, 'not founded', 'refused', 'not-founded');
     const before = this.holders.get(lifeOf(m.member));
@@ -92,7 +92,7 @@
     for (const n of this.learned()) if (!covers(has, n)) missing.push(n);
     const disk = this.slots.disk;
     if (missing.length > 0) return Right({ granted: false, disk, missing, voters, members: [] });
-    const holder: Holder = { member: m.member, until: this.ports.clock.now() + this.bounds.claimHeld, has, ex, told: '' };
+    const holder: Holder = { member: m.member, until: this.ports.clock.now() + this.bounds.leaseHeld, has, ex, told: '' };
     this.holders.set(lifeOf(m.member), holder);
     this.poke();
     const members = this.members();
@@ -100,15 +100,15 @@
     return Right(same && holder.told === before!.told ? { granted: true, disk, missing } : { granted: true, disk, missing, voters, members });
   }
 
-  /** Ends a claim at once, when a node leaves by itself. */
-  @message('leave', ClaimAsk)
-  async leave(m: ClaimAsk): Handled {
+  /** Ends a lease at once, when a node leaves by itself. */
+  @message('leave', LeaseAsk)
+  async leave(m: LeaseAsk): Handled {
     this.holders.delete(lifeOf(m.member));
     this.poke();
     return Right(undefined);
   }
 
-  /** Pushes a change that is learned here down the held streams and counts the acknowledgements; another's change is sent whole only to those who don't have it from its owner. */
+  /** Pushes a change that is learned here down the held connections and counts the acknowledgements; another's change is sent whole only to those who don't have it from its owner. */
   push(n: Numbered, own = true, before?: Numbered): void {
     this.poke();
     let made: { delta?: Delta } | undefined;
@@ -148,19 +148,19 @@
   private inEffect(m: EffectAsk): boolean {
     const now = this.ports.clock.now();
     const learned = this.slots.cells.get(m.key)?.learned;
-    if (!learned || comparePlaces(learned, m) < 0 || now < this.startedAt + this.bounds.claimHeld) return false;
+    if (!learned || comparePlaces(learned, m) < 0 || now < this.startedAt + this.bounds.leaseHeld) return false;
     for (const h of this.holders.values()) if (h.member.role === 'router' && h.until > now && !covers(h.has, m)) return false;
     return true;
   }
 
   private nextEnd(): number {
     const now = this.ports.clock.now();
-    let end = now < this.startedAt + this.bounds.claimHeld ? this.startedAt + this.bounds.claimHeld : now + this.bounds.claim;
+    let end = now < this.startedAt + this.bounds.leaseHeld ? this.startedAt + this.bounds.leaseHeld : now + this.bounds.lease;
     for (const h of this.holders.values()) if (h.until > now) end = Math.min(end, h.until);
     return Math.max(1, end - now);
   }
 
-  /** Comes back when every router with a live claim has the change, or its claim has ended. */
+  /** Comes back when every router with a live lease has the change, or its lease has ended. */
   @message('effect', EffectAsk)
   async effect(m: EffectAsk): Handled {
     const until = this.ports.clock.now() + m.within;
@@ -174,7 +174,7 @@
   private next(within: number): Promise<void> {
     const { waiters, ports } = this;
     function wait(done: () => void): void {
-      const off = ports.clock.alarm(Math.max(1, within), go);
+      const off = ports.clock.timer(Math.max(1, within), go);
       function go(): void {
         off();
         waiters.delete(go);
--- a/src/control/voters.ts
+++ b/src/control/voters.ts
@@ -2,7 +2,7 @@
 import { bad, Fault, makeFault, open, Outcome } from '../shared/errors';
 import { poll } from '../shared/poll';
 import { Ports } from '../shared/ports';
-import { askOnce } from '../shared/streams';
+import { askOnce } from '../shared/connections';
 import { allVoters, KEYS, Voter, Voters } from '../shared/words';
 import { Controller } from './controller';
 import { Vote } from './votes';
--- a/src/data/api.ts
+++ b/src/data/api.ts
@@ -63,7 +63,7 @@
     const bearer = /^Bearer (.+)$/.exec(call.headers.authorization ?? '')?.[1];
     const tenant = bearer === undefined ? undefined : r.tenantOf(wholeHash(bearer));
     if (tenant === undefined) return this.refuse(call, 401, 'bad-key', 'the tenant key is not known');
-    const body = await takeJson(call, r.startup.bodyMostBytes);
+    const body = await takeJson(call, r.settings.bodyMostBytes);
     if (body === undefined) {
       r.counts.refused++;
       return undefined;
@@ -113,7 +113,7 @@
         tellRun(r.follower, c.key, run, 'released');
         if (once.state === 'unreachable') return this.refuse(call, 503, 'no-core', 'the core gave no vote', r.bounds.pause * 5);
         r.counts.unknown++;
-        return giveFault(call, 409, 'unknown', `key-${once.state}`, `this Idempotency-Key is taken: ${once.state}`, once.state === 'running' ? r.bounds.claim : undefined);
+        return giveFault(call, 409, 'unknown', `key-${once.state}`, `this Idempotency-Key is taken: ${once.state}`, once.state === 'running' ? r.bounds.lease : undefined);
       }
       set = once.set;
     }
@@ -122,12 +122,12 @@
     let last: Fault | undefined;
     let sentOnce = false;
     let refusedBy = 'no-engine';
-    for (let leg = 0; leg < 3; leg++) {
+    for (let attempt = 0; attempt < 3; attempt++) {
       const weights = r.freshWeights(c.service.model);
       const by = new Map<string, Overlap[] | undefined>();
       for (const w of weights.queried) by.set(w, await r.placer.overlaps(c.service.model, c.salt, w, c.parts));
       const wanted = { model: c.service.model, salt: c.salt, parts: c.parts, urgent, avoid };
-      const p = r.placer.pick({ ...wanted, weights: weights.now }, by) ?? (weights.old && r.placer.pick({ ...wanted, weights: weights.old }, by));
+      const p = r.placer.choose({ ...wanted, weights: weights.now }, by) ?? (weights.old && r.placer.choose({ ...wanted, weights: weights.old }, by));
       if (!p) break;
       if (sentOnce && !r.allowSecond(c.service)) {
         refusedBy = 'no-budget';
@@ -141,12 +141,12 @@
       if (c.key !== undefined && votersMark(r.follower) !== set) {
         set = (await holdKey(r.follower, c.key, run)).set;
         if (set === undefined) break;
-        leg--;
+        attempt--;
         continue;
       }
       sentOnce = true;
-      r.counts.legs++;
-      const o = await this.sendOn(call, c, p, run, urgent);
+      r.counts.attempts++;
+      const o = await this.forward(call, c, p, run, urgent);
       if (o.done) {
         if (c.key !== undefined) tellRun(r.follower, c.key, run, o.fault ? 'unknown' : 'done');
         return;
@@ -168,7 +168,7 @@
     return this.refuse(call, 503, refusedBy, last ? `${last.step}: ${last.why}` : 'no engine can take this now', r.bounds.pause * 5);
   }
 
-  private async sendOn(call: Call, c: Checked, p: Placement, run: string, urgent: boolean): Promise<{ done: boolean; fault?: Fault }> {
+  private async forward(call: Call, c: Checked, p: Placement, run: string, urgent: boolean): Promise<{ done: boolean; fault?: Fault }> {
     const { r } = this;
     const { clock } = r.ports;
     const unread = tokensOf(c.parts.slice(p.expected));
@@ -177,16 +177,16 @@
       repeatable: c.service.mayRepeat, fetch: p.fetch && { at: p.fetch.at, hashes: p.fetch.hashes },
     };
     r.engines.began(p.seen, unread);
-    const leg = { tenant: c.tenant, salt: c.salt, model: c.service.model, weights: p.weights, seen: p.seen, since: clock.now(), cut: new AbortController() };
-    r.underWay.add(leg);
-    const [f, g] = open(await generate(r.ports, p.seen.engine.at, q, Math.max(1, c.until - clock.now()), AbortSignal.any([call.gone, leg.cut.signal])));
+    const attempt = { tenant: c.tenant, salt: c.salt, model: c.service.model, weights: p.weights, seen: p.seen, since: clock.now(), cut: new AbortController() };
+    r.underWay.add(attempt);
+    const [f, g] = open(await generate(r.ports, p.seen.engine.at, q, Math.max(1, c.until - clock.now()), AbortSignal.any([call.gone, attempt.cut.signal])));
     if (f) {
-      r.underWay.delete(leg);
+      r.underWay.delete(attempt);
       r.engines.ended(p.seen, f.sort === 'refused' && f.code !== undefined && f.code.startsWith('status-'));
       return { done: false, fault: f };
     }
     const [h, line] = open(await g.next());
-    r.underWay.delete(leg);
+    r.underWay.delete(attempt);
     if (h) {
       r.engines.ended(p.seen, false);
       return { done: false, fault: h };
@@ -247,9 +247,9 @@
 
   /** Whether this router takes requests. */
   @handles('GET', '/healthz')
-  async fitness(call: Call): Promise<void> {
+  async health(call: Call): Promise<void> {
     const ok = this.r.follower.live() && !this.r.draining();
-    giveJson(call, ok ? 200 : 503, { ok, claim: this.r.follower.live(), draining: this.r.draining() });
+    giveJson(call, ok ? 200 : 503, { ok, lease: this.r.follower.live(), draining: this.r.draining() });
   }
 
   /** Figures in the text form that collectors read. */
--- a/src/data/engines.ts
+++ b/src/data/engines.ts
@@ -2,10 +2,10 @@
 import { open } from '../shared/errors';
 import { Follower } from '../shared/follow';
 import { Ports } from '../shared/ports';
-import { Bounds } from '../shared/startup';
+import { Bounds } from '../shared/settings';
 import { Engine, KEYS } from '../shared/words';
 
-/** What this router knows of one engine's fitness and occupancy. */
+/** What this router knows of one engine's health and load. */
 export interface Seen {
   engine: Engine;
   status?: EngineStatus;
@@ -22,7 +22,7 @@
   msPerToken: number;
 }
 
-/** The engines as the news lists them, with their fitness. */
+/** The engines as the news lists them, with their health. */
 export interface Engines {
   ofModel(model: string): Seen[];
   get(id: string): Seen | undefined;
--- a/src/data/once.ts
+++ b/src/data/once.ts
@@ -1,14 +1,14 @@
 import { Follower } from '../shared/follow';
 import { Member, Voter } from '../shared/words';
 
-interface VoteReturn {
+interface VoteAnswer {
   disk: string;
   run: string;
   state: string;
 }
 
 /** What came of asking for the right to run a key. */
-export interface OnceReturn {
+export interface OnceAnswer {
   won: boolean;
   state: 'running' | 'done' | 'unknown' | 'unreachable';
   set?: string;
@@ -20,12 +20,12 @@
 }
 
 /** Asks a majority of the core's disks for a key; only the run that has it may send anything on. */
-export async function holdKey(follower: Follower, key: string, run: string): Promise<OnceReturn> {
-  function yes(r: VoteReturn, v: Voter): boolean {
+export async function holdKey(follower: Follower, key: string, run: string): Promise<OnceAnswer> {
+  function yes(r: VoteAnswer, v: Voter): boolean {
     return r.disk === v.disk && r.run === run;
   }
   const set = votersMark(follower);
-  const { ok, got } = await follower.askVoters<VoteReturn>('vote', { key, run }, yes);
+  const { ok, got } = await follower.askVoters<VoteAnswer>('vote', { key, run }, yes);
   if (ok) return votersMark(follower) === set ? { won: true, state: 'running', set } : holdKey(follower, key, run);
   const others = new Map<string, { count: number; state: string }>();
   for (const r of got) {
@@ -36,7 +36,7 @@
     others.set(r.run, o);
   }
   if (others.size === 0) return { won: false, state: 'unreachable' };
-  for (const o of others.values()) if (o.state !== 'running') return { won: false, state: o.state as OnceReturn['state'] };
+  for (const o of others.values()) if (o.state !== 'running') return { won: false, state: o.state as OnceAnswer['state'] };
   for (const other of others.keys()) if (!follower.members('router').some(made(other))) return { won: false, state: 'unknown' };
   return { won: false, state: 'running' };
 }
--- a/src/data/place.ts
+++ b/src/data/place.ts
@@ -3,8 +3,8 @@
 import { Follower } from '../shared/follow';
 import { rendezvous } from '../shared/lib';
 import { Ports } from '../shared/ports';
-import { Bounds } from '../shared/startup';
-import { Hello, holdAll } from '../shared/streams';
+import { Bounds } from '../shared/settings';
+import { Hello, holdAll } from '../shared/connections';
 import { CacheStore, IntentsValue, KEYS, Member } from '../shared/words';
 import { Engines, Seen } from './engines';
 
@@ -54,13 +54,13 @@
 /** Asks indexers and works out placements. */
 export interface Placer {
   overlaps(model: string, salt: string, weights: string, parts: Part[]): Promise<Overlap[] | undefined>;
-  pick(w: Wanted, by: Map<string, Overlap[] | undefined>): Placement | undefined;
+  choose(w: Wanted, by: Map<string, Overlap[] | undefined>): Placement | undefined;
   tellReused(body: object): void;
   reach(members: Member[]): void;
   stop(): void;
 }
 
-/** Makes the placer; it keeps a stream up to each indexer. */
+/** Makes the placer; it keeps a connection up to each indexer. */
 export function makePlacer(ports: Ports, bounds: Bounds, follower: Follower, engines: Engines, hello: Hello, edges: object[], way: 'index' | 'affinity'): Placer {
   const helds = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause });
 
@@ -121,7 +121,7 @@
     return stores().find(named)?.at;
   }
 
-  function pick(w: Wanted, by: Map<string, Overlap[] | undefined>): Placement | undefined {
+  function choose(w: Wanted, by: Map<string, Overlap[] | undefined>): Placement | undefined {
     const all = total(w.parts);
     let best: { cost: number; p: Placement } | undefined;
     const prefix = w.parts.length > 1 ? w.parts[Math.min(w.parts.length - 2, PREFIX_PART)].hash : (w.parts[0]?.hash ?? '');
@@ -179,5 +179,5 @@
     for (const at of helds.ats()) helds.up(at)?.tell('reused', body);
   }
 
-  return { overlaps, pick, tellReused, reach, stop: helds.stop };
+  return { overlaps, choose, tellReused, reach, stop: helds.stop };
 }
--- a/src/data/router.ts
+++ b/src/data/router.ts
@@ -3,9 +3,9 @@
 import { takeCalls } from '../shared/edge';
 import { follow, Follower } from '../shared/follow';
 import { makeMetrics, Metrics } from '../shared/metrics';
-import { Ports, Stream } from '../shared/ports';
-import { Bounds, boundsOf, Startup } from '../shared/startup';
-import { converse, Hello, HelloEdge, WIRE_VERSION } from '../shared/streams';
+import { Ports, Connection } from '../shared/ports';
+import { Bounds, boundsOf, Settings } from '../shared/settings';
+import { converse, Hello, HelloEdge, WIRE_VERSION } from '../shared/connections';
 import { IntentsValue, KEYS, Member, Numbered, Rule, Service } from '../shared/words';
 import { CallerApi } from './api';
 import { Engines, Seen, watchEngines } from './engines';
@@ -17,7 +17,7 @@
   done: number;
   refused: number;
   unknown: number;
-  legs: number;
+  attempts: number;
   secondTries: number;
   needed: number;
   reused: number;
@@ -26,8 +26,8 @@
   fetched: number;
 }
 
-/** A leg whose first piece is still to come; it is cut when what it was placed under no longer holds. */
-export interface Leg {
+/** An attempt whose first piece is still to come; it is cut when what it was placed under no longer holds. */
+export interface Attempt {
   tenant: string;
   salt: string;
   model: string;
@@ -41,7 +41,7 @@
 /** All that a request needs on its way. */
 export interface RouterParts {
   ports: Ports;
-  startup: Startup;
+  settings: Settings;
   bounds: Bounds;
   follower: Follower;
   engines: Engines;
@@ -56,7 +56,7 @@
   allowSecond(service: Service): boolean;
   earn(service: Service): void;
   runId(): string;
-  underWay: Set<Leg>;
+  underWay: Set<Attempt>;
   draining(): boolean;
 }
 
@@ -73,32 +73,32 @@
 }
 
 /** Starts a router: it follows the core, watches engines, and takes callers. */
-export async function startRouter(ports: Ports, startup: Startup): Promise<Outcome<Router>> {
-  const bounds = boundsOf(startup);
-  const hello: Hello = { version: WIRE_VERSION, name: startup.name, role: 'router', at: startup.wire, zone: startup.zone };
-  const member: Member = { name: startup.name, role: 'router', at: startup.wire, http: startup.http, zone: startup.zone, life: ports.dice.id().slice(0, 8) };
+export async function startRouter(ports: Ports, settings: Settings): Promise<Outcome<Router>> {
+  const bounds = boundsOf(settings);
+  const hello: Hello = { version: WIRE_VERSION, name: settings.name, role: 'router', at: settings.wire, zone: settings.zone };
+  const member: Member = { name: settings.name, role: 'router', at: settings.wire, http: settings.http, zone: settings.zone, life: ports.dice.id().slice(0, 8) };
   const edges: object[] = [new HelloEdge(hello)];
-  const counts: RouterCounts = { asked: 0, done: 0, refused: 0, unknown: 0, legs: 0, secondTries: 0, needed: 0, reused: 0, expected: 0, unindexed: 0, fetched: 0 };
+  const counts: RouterCounts = { asked: 0, done: 0, refused: 0, unknown: 0, attempts: 0, secondTries: 0, needed: 0, reused: 0, expected: 0, unindexed: 0, fetched: 0 };
   const metrics = makeMetrics();
-  const firstTook = metrics.times('plumhollow_router_first_piece_ms', 'from a request\'s arrival to its first piece', startup.changeBoundMs);
+  const firstTook = metrics.times('plumhollow_router_first_piece_ms', 'from a request\'s arrival to its first piece', settings.changeBoundMs);
   const hashes = new Map<string, string>();
   const rules = new Map<string, string>();
   const services = new Map<string, Service>();
   const olderSince = new Map<string, number>();
   const budget = new Map<string, number>();
-  const underWay = new Set<Leg>();
+  const underWay = new Set<Attempt>();
   let runs = 0;
   let leaving = false;
-  const follower = follow(ports, bounds, hello, member, startup.seeds, edges);
+  const follower = follow(ports, bounds, hello, member, settings.seeds, edges);
   const engines = watchEngines(ports, bounds, follower);
-  const placer = makePlacer(ports, bounds, follower, engines, hello, edges, startup.placeBy);
+  const placer = makePlacer(ports, bounds, follower, engines, hello, edges, settings.placeBy);
 
   function changed(n: Numbered): void {
     if (n.key === KEYS.engines) engines.renew();
     else if (n.key === KEYS.intents) renewIntents((n.value as IntentsValue).doc);
     else if (n.key.startsWith(KEYS.tenantKeys)) renewKeys();
     else if (n.key.startsWith(KEYS.weights)) noteOlder(n.key, n.value as NamedWeights);
-    cutLegs();
+    cutAttempts();
   }
 
   function noteOlder(key: string, v: NamedWeights): void {
@@ -106,7 +106,7 @@
     for (const k of olderSince.keys()) if (k.startsWith(`${key} `) && !v.older.includes(k.slice(key.length + 1))) olderSince.delete(k);
   }
 
-  function cutLegs(): void {
+  function cutAttempts(): void {
     for (const l of underWay) {
       const named = follower.value<NamedWeights>(KEYS.weights + l.model)?.value;
       const ended = named !== undefined && named.weights !== l.weights && !named.older.includes(l.weights) && !named.older.includes('*');
@@ -115,8 +115,8 @@
     }
   }
 
-  /** Cuts a leg off that a leaving engine may not have begun: it has shown no turn since the leg was sent on. */
-  async function cutSilent(l: Leg): Promise<void> {
+  /** Cuts an attempt off that a leaving engine may not have begun: it has shown no turn since the attempt was sent on. */
+  async function cutSilent(l: Attempt): Promise<void> {
     l.watched = true;
     await ports.clock.sleep(bounds.leavingCut);
     if (underWay.has(l) && l.seen.shownAt <= l.since) l.cut.abort();
@@ -175,7 +175,7 @@
   }
 
   function shareOf(s: Service): number {
-    return Math.min(s.secondTries, startup.secondTryShare);
+    return Math.min(s.secondTries, settings.secondTryShare);
   }
 
   function earn(s: Service): void {
@@ -191,7 +191,7 @@
   }
 
   function runId(): string {
-    return `${startup.name}.${member.life}.${++runs}`;
+    return `${settings.name}.${member.life}.${++runs}`;
   }
 
   function draining(): boolean {
@@ -199,18 +199,18 @@
   }
 
   void follower.changes.observe(changed);
-  void follower.advice.observe(cutLegs);
+  void follower.advice.observe(cutAttempts);
   void follower.membership.observe(placer.reach);
-  const parts: RouterParts = { ports, startup, bounds, follower, engines, placer, counts, metrics, firstTook, tenantOf, serviceOf, saltOf, freshWeights, allowSecond, earn, runId, underWay, draining };
+  const parts: RouterParts = { ports, settings, bounds, follower, engines, placer, counts, metrics, firstTook, tenantOf, serviceOf, saltOf, freshWeights, allowSecond, earn, runId, underWay, draining };
   const api = new CallerApi(parts);
-  const [f, wire] = open(await ports.wire.accept(startup.wire, taken));
+  const [f, wire] = open(await ports.wire.accept(settings.wire, taken));
   if (f) return Left(f);
-  const [g, http] = open(await ports.wire.serve(startup.http, takeCalls([api], ports.log)));
+  const [g, http] = open(await ports.wire.serve(settings.http, takeCalls([api], ports.log)));
   if (g) return Left(g);
 
   const listening = [wire, http];
 
-  function taken(s: Stream): void {
+  function taken(s: Connection): void {
     converse(ports, s, edges);
   }
 
--- a/src/index/api.ts
+++ b/src/index/api.ts
@@ -17,7 +17,7 @@
   /** Tells per source how many tokens of a prompt match: text, token ids or parts. */
   @handles('POST', '/query')
   async query(call: Call): Promise<void> {
-    const q = await takeAs(call, QueryAsk, this.ix.startup.bodyMostBytes, 'query');
+    const q = await takeAs(call, QueryAsk, this.ix.settings.bodyMostBytes, 'query');
     if (!q) return;
     giveJson(call, 200, { scores: this.ix.query(q), parts: partsOf(q).length });
   }
@@ -25,7 +25,7 @@
   /** The same for part hashes; sizes are those that the trees know. */
   @handles('POST', '/query_by_hash')
   async queryByHash(call: Call): Promise<void> {
-    const q = await takeAs(call, HashAsk, this.ix.startup.bodyMostBytes, 'query by hash');
+    const q = await takeAs(call, HashAsk, this.ix.settings.bodyMostBytes, 'query by hash');
     if (!q) return;
     function part(hash: string): { hash: string; size: number } {
       return { hash, size: 0 };
@@ -47,7 +47,7 @@
 
   /** Whether the gate is open. */
   @handles('GET', '/healthz')
-  async fitness(call: Call): Promise<void> {
+  async health(call: Call): Promise<void> {
     giveJson(call, this.ix.gateOpen() ? 200 : 503, { ok: this.ix.gateOpen() });
   }
 
@@ -66,5 +66,5 @@
 
 /** Serves the index's HTTP interface. */
 export function serveIndex(ix: Indexer, ports: Ports): Promise<Outcome<Listening>> {
-  return ports.wire.serve(ix.startup.http, takeCalls([new IndexApi(ix)], ports.log));
+  return ports.wire.serve(ix.settings.http, takeCalls([new IndexApi(ix)], ports.log));
 }
--- a/src/index/indexer.ts
+++ b/src/index/indexer.ts
@@ -1,11 +1,11 @@
 import { Left, Right } from 'purify-ts';
-import { EventBatch, EventsReturn, Part, PartEvent, splitParts, tokenise } from '../shared/contracts/engine';
+import { EventBatch, EventsAnswer, Part, PartEvent, splitParts, tokenise } from '../shared/contracts/engine';
 import { field, Handled, message } from '../shared/edge';
 import { open, Outcome } from '../shared/errors';
 import { follow, Follower } from '../shared/follow';
-import { Ports, Stream } from '../shared/ports';
-import { Bounds, boundsOf, Startup } from '../shared/startup';
-import { converse, Exchange, Hello, HelloEdge, holdAll, WIRE_VERSION } from '../shared/streams';
+import { Ports, Connection } from '../shared/ports';
+import { Bounds, boundsOf, Settings } from '../shared/settings';
+import { converse, Exchange, Hello, HelloEdge, holdAll, WIRE_VERSION } from '../shared/connections';
 import { Engine, IntentsValue, KEYS, Member } from '../shared/words';
 import { BatchRing, Heard, Listener, ListenerView, listenTo, makeRing, Registration } from './listener';
 import { makeTrees, Overlap, Trees } from './tree';
@@ -88,7 +88,7 @@
 
 /** A running indexer. */
 export interface Indexer extends IndexParts {
-  startup: Startup;
+  settings: Settings;
   follower: Follower;
   trees: Trees;
   edges: object[];
@@ -110,23 +110,23 @@
 }
 
 /** Starts an indexer: listeners buffer, a peer's dump is applied, the gate opens, the buffer drains. */
-export async function startIndexer(ports: Ports, startup: Startup, edges: object[] = [], listens = true): Promise<Outcome<Indexer>> {
-  const bounds: Bounds = boundsOf(startup);
-  const hello: Hello = { version: WIRE_VERSION, name: startup.name, role: 'indexer', at: startup.wire, zone: startup.zone };
-  const member: Member = { name: startup.name, role: 'indexer', at: startup.wire, http: startup.http, zone: startup.zone, life: ports.dice.id().slice(0, 8) };
-  const trees = makeTrees(startup.indexMostParts);
+export async function startIndexer(ports: Ports, settings: Settings, edges: object[] = [], listens = true): Promise<Outcome<Indexer>> {
+  const bounds: Bounds = boundsOf(settings);
+  const hello: Hello = { version: WIRE_VERSION, name: settings.name, role: 'indexer', at: settings.wire, zone: settings.zone };
+  const member: Member = { name: settings.name, role: 'indexer', at: settings.wire, http: settings.http, zone: settings.zone, life: ports.dice.id().slice(0, 8) };
+  const trees = makeTrees(settings.indexMostParts);
   const heard = new Map<string, Heard>();
   const listeners = new Map<string, Listener>();
   const rings = new Map<string, BatchRing>();
   const gapsOf = new Map<string, { gaps: number; repaired: number }>();
   const peers = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause });
   const turns = new Map<string, Promise<void>>();
-  const buffered: { id: string; r: EventsReturn }[] = [];
+  const buffered: { id: string; r: EventsAnswer }[] = [];
   const counts: IndexCounts = { queries: 0, gaps: 0, repairedBatches: 0, lostBatches: 0, epochChanges: 0, confirmed: 0, dropped: 0 };
   let gate = false;
   let stopped = false;
   edges.push(new HelloEdge(hello), new IndexEdge({ query, dump, ring, reused }));
-  const follower = follow(ports, bounds, hello, member, startup.seeds, edges);
+  const follower = follow(ports, bounds, hello, member, settings.seeds, edges);
 
   function gateOpen(): boolean {
     return gate;
@@ -176,7 +176,7 @@
       const l = listenTo(ports, bounds, r, heard.get(id) ?? { epoch: '', seq: 0 }, gateOpen, onLong);
       listeners.set(id, l);
       void l.pulls.observe(pulled);
-      function pulled(e: EventsReturn): void {
+      function pulled(e: EventsAnswer): void {
         if (!gate) buffered.push({ id, r: e });
         else inTurn(id, e);
       }
@@ -186,7 +186,7 @@
     }
   }
 
-  function inTurn(id: string, r: EventsReturn): void {
+  function inTurn(id: string, r: EventsAnswer): void {
     const before = turns.get(id) ?? Promise.resolve();
     turns.set(id, before.then(run));
     function run(): Promise<void> {
@@ -194,7 +194,7 @@
     }
   }
 
-  async function take(id: string, r: EventsReturn): Promise<void> {
+  async function take(id: string, r: EventsAnswer): Promise<void> {
     if (!listeners.has(id)) return;
     let h = heard.get(id) ?? { epoch: '', seq: 0 };
     if (r.epoch !== h.epoch) {
@@ -257,7 +257,7 @@
   }
 
   function isPeer(m: Member): boolean {
-    return m.role === 'indexer' && m.name !== startup.name;
+    return m.role === 'indexer' && m.name !== settings.name;
   }
 
   function atOf(m: Member): string {
@@ -319,12 +319,12 @@
   let close: () => Promise<void> = nothing;
   async function nothing(): Promise<void> {}
   if (listens) {
-    const [f, listening] = open(await ports.wire.accept(startup.wire, taken));
+    const [f, listening] = open(await ports.wire.accept(settings.wire, taken));
     if (f) return Left(f);
     close = listening.close;
   }
 
-  function taken(s: Stream): void {
+  function taken(s: Connection): void {
     converse(ports, s, edges);
   }
 
@@ -338,5 +338,5 @@
   }
 
   void join();
-  return Right({ startup, follower, trees, edges, query, dump, ring, reused, gateOpen, listeners: views, counts, stop });
+  return Right({ settings, follower, trees, edges, query, dump, ring, reused, gateOpen, listeners: views, counts, stop });
 }
--- a/src/index/listener.ts
+++ b/src/index/listener.ts
@@ -1,10 +1,10 @@
 import { Stream as Feed } from 'most';
-import { EventBatch, EventsReturn, pullEvents } from '../shared/contracts/engine';
+import { EventBatch, EventsAnswer, pullEvents } from '../shared/contracts/engine';
 import { pullStoreEvents } from '../shared/contracts/store';
 import { open } from '../shared/errors';
 import { makeFeed } from '../shared/lib';
 import { Ports } from '../shared/ports';
-import { Bounds } from '../shared/startup';
+import { Bounds } from '../shared/settings';
 
 /** A registration derived from the platform's list or from a `cacheStore` service. */
 export interface Registration {
@@ -36,14 +36,14 @@
 /** A listener of one source. */
 export interface Listener {
   reg: Registration;
-  pulls: Feed<EventsReturn>;
+  pulls: Feed<EventsAnswer>;
   view(): { status: ListenerView['status']; lastError?: string };
   stop(): void;
 }
 
 /** Pulls one source's events for as long as it is registered, one task for each. */
 export function listenTo(ports: Ports, bounds: Bounds, reg: Registration, from: Heard, gateOpen: () => boolean, onLong: () => void): Listener {
-  const hand = makeFeed<EventsReturn>();
+  const hand = makeFeed<EventsAnswer>();
   const gone = new AbortController();
   let stopped = false;
   let epoch = from.epoch;
--- a/src/programs/common.ts
+++ b/src/programs/common.ts
@@ -4,7 +4,7 @@
 import { Ports } from '../shared/ports';
 import { realClock, realDice, realDisk, realLog } from '../shared/real';
 import { realWire } from '../shared/realwire';
-import { boundsOf, readStartup, Startup, startupFields } from '../shared/startup';
+import { boundsOf, readSettings, Settings, settingsFields } from '../shared/settings';
 
 /** The version that all programs tell. */
 export const VERSION = '0.1.0';
@@ -27,10 +27,10 @@
   return v.split(',').filter(Boolean);
 }
 
-/** Runs a daemon: flags and file to startup, ports, start, drain at SIGTERM, end at a second signal. */
-export function runDaemon(program: string, doc: string, need: string[], start: (ports: Ports, s: Startup) => Promise<Either<Fault, Running>>): void {
-  const cmd = new Command(program).description(doc).version(VERSION).option('--startup <file>', 'a JSON file of startup fields; flags win');
-  for (const f of startupFields()) {
+/** Runs a daemon: flags and file to settings, ports, start, drain at SIGTERM, end at a second signal. */
+export function runDaemon(program: string, doc: string, need: string[], start: (ports: Ports, s: Settings) => Promise<Either<Fault, Running>>): void {
+  const cmd = new Command(program).description(doc).version(VERSION).option('--settings <file>', 'a JSON file of settings fields; flags win');
+  for (const f of settingsFields()) {
     const text = f.list ? `${f.doc} (comma between)` : f.doc;
     if (f.list) cmd.option(`${flagOf(f.name)} <list>`, text, list);
     else if (f.number) cmd.option(`${flagOf(f.name)} <number>`, text, Number);
@@ -38,20 +38,20 @@
   }
   cmd.exitOverride(badUse);
   cmd.parse();
-  const { startup: file, ...flags } = cmd.opts() as { startup?: string };
-  const read = readStartup(file, flags, need);
+  const { settings: file, ...flags } = cmd.opts() as { settings?: string };
+  const read = readSettings(file, flags, need);
   if (read.isLeft()) {
     for (const f of read.extract() as string[]) process.stderr.write(`${program}: ${f}\n`);
     process.exit(2);
   }
-  void run(program, read.extract() as Startup, start);
+  void run(program, read.extract() as Settings, start);
 }
 
 function badUse(e: { exitCode: number }): never {
   process.exit(e.exitCode === 0 ? 0 : 2);
 }
 
-async function run(program: string, s: Startup, start: (ports: Ports, s: Startup) => Promise<Either<Fault, Running>>): Promise<void> {
+async function run(program: string, s: Settings, start: (ports: Ports, s: Settings) => Promise<Either<Fault, Running>>): Promise<void> {
   const log = realLog(program, s.name);
   const ports: Ports = { clock: realClock(), dice: realDice(), disk: realDisk(s.data), wire: realWire(boundsOf(s).dial, s.bind), log };
   const o = await start(ports, s);
--- a/src/programs/controller.ts
+++ b/src/programs/controller.ts
@@ -5,10 +5,10 @@
 import { startDuties } from '../control/duties';
 import { Fault, open, Outcome } from '../shared/errors';
 import { Ports } from '../shared/ports';
-import { Startup } from '../shared/startup';
+import { Settings } from '../shared/settings';
 import { runDaemon, Running } from './common';
 
-async function start(ports: Ports, s: Startup): Promise<Outcome<Running>> {
+async function start(ports: Ports, s: Settings): Promise<Outcome<Running>> {
   const [f, c] = open(await startController(ports, s));
   if (f) return Left<Fault, Running>(f);
   const [g] = open(await serveOperators(c, ports));
--- a/src/programs/indexer.ts
+++ b/src/programs/indexer.ts
@@ -4,10 +4,10 @@
 import { startIndexer } from '../index/indexer';
 import { Fault, open, Outcome } from '../shared/errors';
 import { Ports } from '../shared/ports';
-import { Startup } from '../shared/startup';
+import { Settings } from '../shared/settings';
 import { runDaemon, Running } from './common';
 
-async function start(ports: Ports, s: Startup): Promise<Outcome<Running>> {
+async function start(ports: Ports, s: Settings): Promise<Outcome<Running>> {
   const [f, ix] = open(await startIndexer(ports, s));
   if (f) return Left<Fault, Running>(f);
   const [g] = open(await serveIndex(ix, ports));
--- a/src/shared/streams.ts
+++ b/src/shared/connections.ts
@@ -1,12 +1,12 @@
 import { Left, Right } from 'purify-ts';
 import { bad, Fault, makeFault, open, Outcome } from './errors';
 import { dispatch, Handled, message } from './edge';
-import { Message, Ports, Stream } from './ports';
+import { Message, Ports, Connection } from './ports';
 
 /** The version of our wire messages; a peer more than one off is refused. */
 export const WIRE_VERSION = 1;
 
-/** What a process says first on a stream. */
+/** What a process says first on a connection. */
 export interface Hello {
   version: number;
   name: string;
@@ -16,9 +16,9 @@
   disk?: string;
 }
 
-/** Asks and returns over one stream, both ways. */
+/** Asks and returns over one connection, both ways. */
 export interface Exchange {
-  stream: Stream;
+  connection: Connection;
   peer: string;
   hello?: Hello;
   done: Promise<void>;
@@ -27,18 +27,18 @@
   close(): void;
 }
 
-/** Puts asks and returns on a stream; what arrives goes to the marked handlers. */
-export function converse(ports: Ports, stream: Stream, edges: readonly object[]): Exchange {
+/** Puts asks and returns on a connection; what arrives goes to the marked handlers. */
+export function converse(ports: Ports, connection: Connection, edges: readonly object[]): Exchange {
   const waiting = new Map<number, (o: Outcome<unknown>) => void>();
   let last = 0;
   let over = false;
-  const ex: Exchange = { stream, peer: stream.peer, done: stream.done, ask, tell, close: stream.close };
+  const ex: Exchange = { connection, peer: connection.peer, done: connection.done, ask, tell, close: connection.close };
 
   function ask(type: string, body: unknown, within: number): Promise<Outcome<unknown>> {
     const id = ++last;
     function wait(done: (o: Outcome<unknown>) => void): void {
       if (over) return done(bad(type, ex.peer, 'stream ended', 'refused', 'ended'));
-      const off = ports.clock.alarm(within, late);
+      const off = ports.clock.timer(within, late);
       function late(): void {
         waiting.delete(id);
         done(bad(type, ex.peer, 'no return in time', 'unknown', 'timeout'));
@@ -49,13 +49,13 @@
         done(o);
       }
       waiting.set(id, arrived);
-      stream.send({ id, type, body });
+      connection.send({ id, type, body });
     }
     return new Promise(wait);
   }
 
   function tell(type: string, body: unknown): boolean {
-    return !over && stream.send({ type, body });
+    return !over && connection.send({ type, body });
   }
 
   async function take(m: Message): Promise<void> {
@@ -67,7 +67,7 @@
     if (m.id === undefined) {
       if (f) ports.log.warn({ step: f.step, peer: f.peer }, f.why);
     } else {
-      stream.send(f ? { re: m.id, fault: f } : { re: m.id, body: v });
+      connection.send(f ? { re: m.id, fault: f } : { re: m.id, body: v });
     }
   }
 
@@ -80,30 +80,30 @@
     for (const [, done] of [...waiting]) done(bad('ask', ex.peer, 'stream ended', 'unknown', 'ended'));
   }
 
-  void stream.feed.observe(arrived);
-  void stream.done.then(ended);
+  void connection.feed.observe(arrived);
+  void connection.done.then(ended);
   return ex;
 }
 
-/** Asks a peer one thing over a stream of its own. */
+/** Asks a peer one thing over a connection of its own. */
 export async function askOnce(ports: Ports, hello: Hello, edges: readonly object[], at: string, type: string, body: unknown, within: number): Promise<Outcome<unknown>> {
-  const [f, stream] = open(await ports.wire.dial(at, within));
+  const [f, connection] = open(await ports.wire.dial(at, within));
   if (f) return Left(f);
-  const ex = converse(ports, stream, edges);
+  const ex = converse(ports, connection, edges);
   const h = await ex.ask('hello', hello, within);
   const o = h.isLeft() ? h : await ex.ask(type, body, within);
   ex.close();
   return o;
 }
 
-/** A stream that is kept up to one peer. */
+/** A connection that is kept up to one peer. */
 export interface Held {
   at: string;
   up(): Exchange | undefined;
   stop(): void;
 }
 
-/** How a held stream is kept up. */
+/** How a held connection is kept up. */
 export interface HoldWays {
   hello: Hello;
   edges: readonly object[];
@@ -122,27 +122,27 @@
   return Right(h);
 }
 
-/** Keeps a stream up to a peer, one task for each. */
+/** Keeps a connection up to a peer, one task for each. */
 export function hold(ports: Ports, at: string, ways: HoldWays): Held {
   let ex: Exchange | undefined;
   let stopped = false;
 
   async function keep(): Promise<void> {
     while (!stopped) {
-      const [f, stream] = open(await ports.wire.dial(at, ways.within));
+      const [f, connection] = open(await ports.wire.dial(at, ways.within));
       if (f) {
         ways.onRefused?.(f);
       } else if (stopped) {
-        stream.close();
+        connection.close();
       } else {
-        await live(stream);
+        await live(connection);
       }
       if (!stopped) await ports.clock.sleep(ways.pause * (0.5 + ports.dice.next()));
     }
   }
 
-  async function live(stream: Stream): Promise<void> {
-    const one = converse(ports, stream, ways.edges);
+  async function live(connection: Connection): Promise<void> {
+    const one = converse(ports, connection, ways.edges);
     one.peer = at;
     const [f, h] = open(await one.ask('hello', ways.hello, ways.within));
     if (f) {
@@ -180,7 +180,7 @@
   return { at, up, stop };
 }
 
-/** Streams that are kept up to all peers of a set that changes. */
+/** Connections that are kept up to all peers of a set that changes. */
 export interface Holds {
   want(ats: Iterable<string>): void;
   up(at: string): Exchange | undefined;
@@ -188,7 +188,7 @@
   stop(): void;
 }
 
-/** Keeps streams up to the wanted peers, and to no others. */
+/** Keeps connections up to the wanted peers, and to no others. */
 export function holdAll(ports: Ports, ways: HoldWays): Holds {
   const helds = new Map<string, Held>();
   let stopped = false;
@@ -220,8 +220,8 @@
   return { want, up, ats, stop };
 }
 
-/** A fault for a peer that has no stream up. */
-export function noStream(step: string, at: string): Fault {
+/** A fault for a peer that has no connection up. */
+export function noConnection(step: string, at: string): Fault {
   return makeFault(step, at, 'no stream up', 'refused', 'no-stream');
 }
 
--- a/src/shared/contracts/engine.ts
+++ b/src/shared/contracts/engine.ts
@@ -27,7 +27,7 @@
 }
 
 /** The return of `GET /api/kv-events`. */
-export interface EventsReturn {
+export interface EventsAnswer {
   epoch: string;
   lost: boolean;
   last: number;
@@ -133,13 +133,13 @@
 }
 
 /** Pulls the cache events after a number; the far side holds the call until there are some. */
-export async function pullEvents(wire: Wire, at: string, epoch: string, after: number, wait: number, gone: AbortSignal): Promise<Outcome<EventsReturn>> {
+export async function pullEvents(wire: Wire, at: string, epoch: string, after: number, wait: number, gone: AbortSignal): Promise<Outcome<EventsAnswer>> {
   const path = `/api/kv-events?after=${after}&epoch=${encodeURIComponent(epoch)}&wait=${Math.round(wait)}`;
   const [f, r] = open(await askJson(wire, { at, method: 'GET', path, within: wait * 2, gone }));
   if (f) return Left(f);
-  const b = r.body as Partial<EventsReturn> | undefined;
+  const b = r.body as Partial<EventsAnswer> | undefined;
   if (r.status !== 200 || typeof b?.epoch !== 'string' || !Array.isArray(b.batches)) return Left(makeFault('pull events', at, `status ${r.status}`, 'failed', 'bad-return'));
-  return Right(b as EventsReturn);
+  return Right(b as EventsAnswer);
 }
 
 /** Asks an engine how it stands. */
--- a/src/shared/contracts/store.ts
+++ b/src/shared/contracts/store.ts
@@ -1,8 +1,8 @@
 import { Outcome } from '../errors';
 import { Wire } from '../ports';
-import { EventsReturn, pullEvents } from './engine';
+import { EventsAnswer, pullEvents } from './engine';
 
 /** Pulls the store's events: the store tells of its parts as engines do. */
-export function pullStoreEvents(wire: Wire, at: string, epoch: string, after: number, wait: number, gone: AbortSignal): Promise<Outcome<EventsReturn>> {
+export function pullStoreEvents(wire: Wire, at: string, epoch: string, after: number, wait: number, gone: AbortSignal): Promise<Outcome<EventsAnswer>> {
   return pullEvents(wire, at, epoch, after, wait, gone);
 }
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -6,11 +6,11 @@
 import { makeFeed } from './lib';
 import { poll } from './poll';
 import { Ports } from './ports';
-import { Bounds } from './startup';
-import { askOnce, Exchange, Hello, holdAll, noStream } from './streams';
+import { Bounds } from './settings';
+import { askOnce, Exchange, Hello, holdAll, noConnection } from './connections';
 import { allVoters, comparePlaces, isQuorum, KEYS, Member, Numbered, Place, Voter, Voters } from './words';
 
-/** A node's view of the control state, kept up by news and claims. */
+/** A node's view of the control state, kept up by news and leases. */
 export interface Follower {
   live(): boolean;
   value<T>(key: string): { place: Place; value: T } | undefined;
@@ -30,7 +30,7 @@
   stop(): void;
 }
 
-interface ClaimReturn {
+interface LeaseAnswer {
   granted: boolean;
   disk: string;
   missing: Numbered[];
@@ -38,7 +38,7 @@
   members?: Member[];
 }
 
-/** Makes the claim's ask for how far a node has applied each key. */
+/** Makes the lease's ask for how far a node has applied each key. */
 export function hasList(state: Iterable<Numbered>): [string, number, string, number][] {
   const out: [string, number, string, number][] = [];
   for (const n of state) out.push([n.key, n.epoch, n.by, n.number]);
@@ -93,7 +93,7 @@
   }
 }
 
-/** Follows the core: finds it from the seeds, renews a claim at each controller, applies news. */
+/** Follows the core: finds it from the seeds, renews a lease at each controller, applies news. */
 export function follow(ports: Ports, bounds: Bounds, hello: Hello, member: Member, seeds: string[], edges: object[]): Follower {
   const state = new Map<string, Numbered>();
   const grants = new Map<string, { until: number; members: Member[] }>();
@@ -182,7 +182,7 @@
         else await ports.clock.sleep(bounds.renew * 0.5);
         continue;
       }
-      const c = r as ClaimReturn;
+      const c = r as LeaseAnswer;
       if (c.voters) founded = c.voters;
       if (!c.granted) {
         if (!take(c.missing)) await ports.clock.sleep(bounds.renew * 0.5);
@@ -190,7 +190,7 @@
       }
       const before = JSON.stringify(members(''));
       told = now;
-      grants.set(c.disk, { until: sent + bounds.claim, members: c.members ?? grants.get(c.disk)?.members ?? [] });
+      grants.set(c.disk, { until: sent + bounds.lease, members: c.members ?? grants.get(c.disk)?.members ?? [] });
       refused.delete(ex.peer);
       const after = members('');
       if (JSON.stringify(after) !== before) membership.add(after);
@@ -215,7 +215,7 @@
   }
 
   function onRefused(f: Fault): void {
-    if (f.code === 'ECONNREFUSED' && live()) refused.set(f.peer, ports.clock.now() + bounds.claim - bounds.dial);
+    if (f.code === 'ECONNREFUSED' && live()) refused.set(f.peer, ports.clock.now() + bounds.lease - bounds.dial);
   }
 
   function reach(): void {
@@ -257,7 +257,7 @@
     const got: T[] = [];
     async function one(x: Voter): Promise<Outcome<T>> {
       const ex = helds.up(x.at);
-      const r = (ex ? await ex.ask(type, body, bounds.ask) : Left(noStream(type, x.at))) as Outcome<T>;
+      const r = (ex ? await ex.ask(type, body, bounds.ask) : Left(noConnection(type, x.at))) as Outcome<T>;
       const [, g] = open(r);
       if (g !== undefined) got.push(g);
       return r;
--- a/src/shared/ports.ts
+++ b/src/shared/ports.ts
@@ -6,7 +6,7 @@
   now(): number;
   wall(): string;
   sleep(ms: number): Promise<void>;
-  alarm(ms: number, ring: () => void): () => void;
+  timer(ms: number, ring: () => void): () => void;
 }
 
 /** Randomness. */
@@ -31,8 +31,8 @@
   fault?: unknown;
 }
 
-/** A held stream between two of our processes. */
-export interface Stream {
+/** A held connection between two of our processes. */
+export interface Connection {
   peer: string;
   feed: Feed<Message>;
   done: Promise<void>;
@@ -84,8 +84,8 @@
 export interface Wire {
   serve(at: string, take: (call: Call) => Promise<void>): Promise<Outcome<Listening>>;
   ask(q: Ask): Promise<Outcome<Reply>>;
-  accept(at: string, take: (s: Stream) => void): Promise<Outcome<Listening>>;
-  dial(at: string, within: number): Promise<Outcome<Stream>>;
+  accept(at: string, take: (s: Connection) => void): Promise<Outcome<Listening>>;
+  dial(at: string, within: number): Promise<Outcome<Connection>>;
 }
 
 /** The log: a ring in memory, written out at `error`. */
--- a/src/shared/real.ts
+++ b/src/shared/real.ts
@@ -26,14 +26,14 @@
     }
     return new Promise(wait);
   }
-  function alarm(ms: number, ring: () => void): () => void {
+  function timer(ms: number, ring: () => void): () => void {
     const t = setTimeout(ring, ms);
     function off(): void {
       clearTimeout(t);
     }
     return off;
   }
-  return { now, wall, sleep, alarm };
+  return { now, wall, sleep, timer };
 }
 
 /** The machine's randomness. */
--- a/src/shared/realwire.ts
+++ b/src/shared/realwire.ts
@@ -4,7 +4,7 @@
 import { Agent, request } from 'undici';
 import { Left, Right } from 'purify-ts';
 import { makeFault, Outcome } from './errors';
-import { Ask, Call, Listening, Message, Reply, Stream, Wire } from './ports';
+import { Ask, Call, Listening, Message, Reply, Connection, Wire } from './ports';
 import { makeFeed } from './lib';
 
 function split(at: string): { host: string; port: number } {
@@ -96,7 +96,7 @@
   return listen(server, at, close);
 }
 
-function makeStream(socket: net.Socket): Stream {
+function makeConnection(socket: net.Socket): Connection {
   const out = new PackrStream({ useRecords: false });
   const inn = new UnpackrStream({ useRecords: false });
   const hand = makeFeed<Message>();
@@ -131,7 +131,7 @@
   return { peer, feed: hand.feed, done, send, close };
 }
 
-function accept(at: string, take: (s: Stream) => void): Promise<Outcome<Listening>> {
+function accept(at: string, take: (s: Connection) => void): Promise<Outcome<Listening>> {
   const held = new Set<net.Socket>();
   function arrived(socket: net.Socket): void {
     held.add(socket);
@@ -139,7 +139,7 @@
       held.delete(socket);
     }
     socket.on('close', left);
-    take(makeStream(socket));
+    take(makeConnection(socket));
   }
   const server = net.createServer(arrived);
   function close(): Promise<void> {
@@ -152,8 +152,8 @@
   return listen(server, at, close);
 }
 
-function dial(at: string, within: number, localAddress?: string): Promise<Outcome<Stream>> {
-  function wait(done: (o: Outcome<Stream>) => void): void {
+function dial(at: string, within: number, localAddress?: string): Promise<Outcome<Connection>> {
+  function wait(done: (o: Outcome<Connection>) => void): void {
     const socket = net.connect({ ...split(at), localAddress });
     function late(): void {
       socket.destroy();
@@ -167,7 +167,7 @@
     function up(): void {
       clearTimeout(t);
       socket.off('error', failed);
-      done(Right(makeStream(socket)));
+      done(Right(makeConnection(socket)));
     }
     socket.once('error', failed);
     socket.once('connect', up);
@@ -230,10 +230,10 @@
   function serveHere(at: string, take: (call: Call) => Promise<void>): Promise<Outcome<Listening>> {
     return serve(bound(at), take);
   }
-  function acceptHere(at: string, take: (s: Stream) => void): Promise<Outcome<Listening>> {
+  function acceptHere(at: string, take: (s: Connection) => void): Promise<Outcome<Listening>> {
     return accept(bound(at), take);
   }
-  function dialFrom(at: string, within: number): Promise<Outcome<Stream>> {
+  function dialFrom(at: string, within: number): Promise<Outcome<Connection>> {
     return dial(at, within, localAddress);
   }
   const agent = new Agent({ localAddress, connect: { timeout: connectWithin }, connections: 256, pipelining: 1, keepAliveTimeout: 4000, bodyTimeout: 0, headersTimeout: 0 });
--- a/src/shared/startup.ts
+++ b/src/shared/settings.ts
@@ -5,7 +5,7 @@
 import { guard } from './lib';
 
 /** What a process is told at its start. */
-export interface Startup {
+export interface Settings {
   name: string;
   zone: string;
   wire: string;
@@ -27,8 +27,8 @@
 
 /** Times that follow from the bounds; every constant is a ratio to one. */
 export interface Bounds {
-  claim: number;
-  claimHeld: number;
+  lease: number;
+  leaseHeld: number;
   renew: number;
   ask: number;
   dial: number;
@@ -47,12 +47,12 @@
 }
 
 /** Derives the times from the bounds. */
-export function boundsOf(s: Startup): Bounds {
-  const claim = s.changeBoundMs * 0.7;
+export function boundsOf(s: Settings): Bounds {
+  const lease = s.changeBoundMs * 0.7;
   return {
-    claim,
-    claimHeld: claim * 1.1,
-    renew: claim * 0.2,
+    lease,
+    leaseHeld: lease * 1.1,
+    renew: lease * 0.2,
     ask: s.changeBoundMs * 0.35,
     dial: s.changeBoundMs * 0.2,
     pause: s.changeBoundMs * 0.1,
@@ -65,7 +65,7 @@
     circuit: s.leavingBoundMs * 0.5,
     join: s.changeBoundMs * 0.5,
     drain: s.weightsBoundMs * 0.8,
-    orderFresh: claim * 0.2,
+    orderFresh: lease * 0.2,
     leavingCut: s.leavingBoundMs * 0.4,
   };
 }
@@ -90,16 +90,16 @@
   bodyMostBytes: { doc: 'the largest body taken', format: positive, default: 4194304 },
 };
 
-/** The names and texts of all startup fields, for flags and help. */
-export function startupFields(): { name: string; doc: string; list: boolean; number: boolean }[] {
+/** The names and texts of all settings fields, for flags and help. */
+export function settingsFields(): { name: string; doc: string; list: boolean; number: boolean }[] {
   function one([name, f]: [string, { doc: string; default: unknown }]): { name: string; doc: string; list: boolean; number: boolean } {
     return { name, doc: f.doc, list: Array.isArray(f.default), number: typeof f.default === 'number' };
   }
   return Object.entries(SHAPE).map(one);
 }
 
-/** Reads a startup from a file and flags; flags win; every fault is listed. */
-export function readStartup(file: string | undefined, flags: Record<string, unknown>, need: string[]): Either<string[], Startup> {
+/** Reads a settings from a file and flags; flags win; every fault is listed. */
+export function readSettings(file: string | undefined, flags: Record<string, unknown>, need: string[]): Either<string[], Settings> {
   const c = convict(SHAPE as never);
   const faults: string[] = [];
   if (file !== undefined) {
@@ -118,9 +118,9 @@
     return c.validate({ allowed: 'strict' });
   }
   if (checked.isLeft()) faults.push(...(checked.extract() as { why: string }).why.split('\n'));
-  const s = c.getProperties() as unknown as Startup;
+  const s = c.getProperties() as unknown as Settings;
   for (const n of need) {
-    const v = s[n as keyof Startup];
+    const v = s[n as keyof Settings];
     if (v === '' || (Array.isArray(v) && v.length === 0)) faults.push(`${n}: is needed`);
   }
   if (s.founders.length === 0) s.founders = s.seeds;
--- a/src/shared/words.ts
+++ b/src/shared/words.ts
@@ -36,7 +36,7 @@
   next?: Voter[];
 }
 
-/** A process that holds a claim at the core. */
+/** A process that holds a lease at the core. */
 export interface Member {
   name: string;
   role: string;
--- a/test/streams.test.ts
+++ b/test/connections.test.ts
@@ -1,6 +1,6 @@
 import { open } from '../src/shared/errors';
-import { Exchange, Hello, HelloEdge, converse, hold, WIRE_VERSION } from '../src/shared/streams';
-import { Stream } from '../src/shared/ports';
+import { Exchange, Hello, HelloEdge, converse, hold, WIRE_VERSION } from '../src/shared/connections';
+import { Connection } from '../src/shared/ports';
 import { makeNet } from '../tools/simwire';
 import { makeWorld } from '../tools/simworld';
 
@@ -16,7 +16,7 @@
   const at = '127.10.1.1:7000';
   let up: Exchange | undefined;
   let code: string | undefined;
-  function taken(s: Stream): void {
+  function taken(s: Connection): void {
     converse(server, s, [new HelloEdge(hello(WIRE_VERSION))]);
   }
   function onUp(ex: Exchange): void {
@@ -48,7 +48,7 @@
   const server = net.ports(p);
   const client = net.ports(w.proc('client', '127.10.1.2'));
   const at = '127.10.1.1:7000';
-  function taken(s: Stream): void {
+  function taken(s: Connection): void {
     converse(server, s, [new HelloEdge(hello(WIRE_VERSION))]);
   }
   await server.wire.accept(at, taken);
--- a/test/claims.test.ts
+++ b/test/leases.test.ts
@@ -1,27 +1,27 @@
-import { Claims } from '../src/control/claims';
+import { Leases } from '../src/control/leases';
 import { openSlots } from '../src/control/slots';
 import { open } from '../src/shared/errors';
-import { boundsOf } from '../src/shared/startup';
-import { Exchange } from '../src/shared/streams';
+import { boundsOf } from '../src/shared/settings';
+import { Exchange } from '../src/shared/connections';
 import { Numbered } from '../src/shared/words';
 import { makeSimFleet } from '../tools/simfleet';
 import { makeNet } from '../tools/simwire';
 import { makeWorld } from '../tools/simworld';
 
 interface Desk {
-  claims: Claims;
-  claim(life: string, has: number): Promise<boolean>;
+  leases: Leases;
+  lease(life: string, has: number): Promise<boolean>;
   leave(life: string): Promise<void>;
   learn(number: number): Promise<void>;
   effect(number: number): Promise<boolean>;
   pass(ms: number): Promise<void>;
 }
 
-/** One controller's claims under virtual time, old enough to speak of what is in effect. */
+/** One controller's leases under virtual time, old enough to speak of what is in effect. */
 async function desk(): Promise<Desk> {
   const w = makeWorld(1, false);
   const ports = makeNet(w).ports(w.proc('node', '127.10.1.1'));
-  const bounds = boundsOf(makeSimFleet(1, 'saffron-bay', 1, 1, false).startup('c', '', '', ''));
+  const bounds = boundsOf(makeSimFleet(1, 'saffron-bay', 1, 1, false).settings('c', '', '', ''));
   let upTo = 0;
   async function pass(ms: number): Promise<void> {
     await w.run((upTo += ms));
@@ -39,7 +39,7 @@
   function voters(): { now: [] } {
     return { now: [] };
   }
-  const claims = new Claims(slots!, ports, bounds, voters);
+  const leases = new Leases(slots!, ports, bounds, voters);
   const deaf = { ask: never } as unknown as Exchange;
   function never(): Promise<never> {
     return new Promise(nothing);
@@ -48,35 +48,35 @@
   function place(number: number): { key: string; epoch: number; by: string; number: number } {
     return { key: 'k', epoch: 1, by: 'a', number };
   }
-  function asks(life: string, has: number): Parameters<Claims['claim']>[0] {
+  function asks(life: string, has: number): Parameters<Leases['lease']>[0] {
     return { member: { name: 'edge-1', role: 'router', at: '', http: '', zone: '', life }, has: [['k', 1, 'a', has]] };
   }
-  async function claim(life: string, has: number): Promise<boolean> {
-    return ((await claims.claim(asks(life, has), deaf)).extract() as { granted: boolean }).granted;
+  async function lease(life: string, has: number): Promise<boolean> {
+    return ((await leases.lease(asks(life, has), deaf)).extract() as { granted: boolean }).granted;
   }
   async function leave(life: string): Promise<void> {
-    await claims.leave(asks(life, 0));
+    await leases.leave(asks(life, 0));
   }
   async function learn(number: number): Promise<void> {
     const n: Numbered = { ...place(number), value: number };
     await drive(slots!.put({ key: 'k', learned: n }));
-    claims.push(n);
+    leases.push(n);
   }
   async function effect(number: number): Promise<boolean> {
-    return (await drive(claims.effect({ ...place(number), within: 20 }))).isRight();
+    return (await drive(leases.effect({ ...place(number), within: 20 }))).isRight();
   }
-  await pass(bounds.claimHeld + 10);
-  return { claims, claim, leave, learn, effect, pass };
+  await pass(bounds.leaseHeld + 10);
+  return { leases, lease, leave, learn, effect, pass };
 }
 
 async function twoLives(): Promise<void> {
   const d = await desk();
   await d.learn(1);
-  expect(await d.claim('frozen', 1)).toBe(true);
+  expect(await d.lease('frozen', 1)).toBe(true);
   await d.learn(2);
-  expect(await d.claim('new', 2)).toBe(true);
+  expect(await d.lease('new', 2)).toBe(true);
   expect(await d.effect(2)).toBe(false);
-  expect(d.claims.members()).toHaveLength(2);
+  expect(d.leases.members()).toHaveLength(2);
   await d.leave('new');
   expect(await d.effect(2)).toBe(false);
   await d.pass(1600);
--- a/test/realwire.test.ts
+++ b/test/realwire.test.ts
@@ -19,7 +19,7 @@
   async function source(call: Call): Promise<void> {
     call.head(200, {});
     for (; given < PIECES; given++) {
-      const off = clock.alarm(300, blocked);
+      const off = clock.timer(300, blocked);
       const ok = await call.piece(PIECE);
       off();
       if (!ok) return stuck('broken');
--- a/test/seeds.test.ts
+++ b/test/seeds.test.ts
@@ -19,7 +19,7 @@
   await clean(48, 'saffron-bay', 6);
 }
 
-async function lapsedClaim(): Promise<void> {
+async function lapsedLease(): Promise<void> {
   await clean(1063, 'saffron-bay', 0, [
     fault(12700, 'kill-ours', 'index-core-2', 'index-core-3', 486),
     fault(26790, 'core-from-edge', 'index-core-1', 'index-core-2', 4947),
@@ -95,7 +95,7 @@
 
 test('a controller whose disk was emptied still learns what is committed', emptiedController);
 test('weights that were superseded twice still end by their own time', namedTwice);
-test('a claim that lapsed while cut off is not revived by a core that refuses', lapsedClaim);
+test('a claim that lapsed while cut off is not revived by a core that refuses', lapsedLease);
 test('a leg that waits in a frozen engine is cut when its tenant is walled off', wokenEngine);
 test('an old holder of a duty stops before a new one orders', oneHolder);
 test('a lost core machine is replaced by an empty one under traffic', replaced);
--- a/tools/callers.ts
+++ b/tools/callers.ts
@@ -24,7 +24,7 @@
   tenant: string;
   long: boolean;
   repeatable: boolean;
-  legs: { edge: string; status: number; sort: string; at: number; refused?: boolean }[];
+  attempts: { edge: string; status: number; sort: string; at: number; refused?: boolean }[];
   end: 'whole' | 'incomplete' | 'refused' | 'unknown' | 'failed';
   firstMs?: number;
   wrong: string[];
@@ -72,7 +72,7 @@
   const going: Promise<void>[] = [];
   let serial = 0;
 
-  function pickTenant(): number {
+  function chooseTenant(): number {
     const r = dice.next();
     return r < 0.3 ? 1 : r < 0.5 ? 2 : r < 0.65 ? 6 : 1 + Math.floor(dice.next() * 8);
   }
@@ -93,19 +93,19 @@
   }
 
   async function one(long: boolean): Promise<void> {
-    const t = pickTenant();
+    const t = chooseTenant();
     const service = serviceOf(t, long);
     const tokens = promptOf(t, long);
     const parts = splitParts(service.model, tokens);
-    const seen: Seen = { tag: parts[parts.length - 1].hash, parts, sentAt: clock.now(), tenant: service.tenant, long, repeatable: service.mayRepeat, legs: [], end: 'refused', wrong: [] };
+    const seen: Seen = { tag: parts[parts.length - 1].hash, parts, sentAt: clock.now(), tenant: service.tenant, long, repeatable: service.mayRepeat, attempts: [], end: 'refused', wrong: [] };
     const key = dice.id();
     const body = JSON.stringify({ label: long ? 'long' : 'short', tokens, maxTokens: service.maxTokens });
     const started = clock.now();
-    for (let leg = 0; leg <= w.retries; leg++) {
+    for (let attempt = 0; attempt <= w.retries; attempt++) {
       const edge = w.edges[Math.floor(dice.next() * w.edges.length)];
       const again = await once(edge, service, seen, key, body, started);
       if (again === undefined) break;
-      if (leg < w.retries) await clock.sleep(again);
+      if (attempt < w.retries) await clock.sleep(again);
     }
     all.push(seen);
     onSeen?.(seen);
@@ -116,7 +116,7 @@
     const at = clock.now();
     const [f, r] = open(await ports.wire.ask({ at: edge, method: 'POST', path: '/v1/generate', headers, body, within: w.patienceMs ?? service.deadlineMs * 1.5 }));
     if (f) {
-      seen.legs.push({ edge, status: 0, sort: f.sort, at, refused: f.sort === 'refused' });
+      seen.attempts.push({ edge, status: 0, sort: f.sort, at, refused: f.sort === 'refused' });
       seen.end = f.sort;
       return f.sort === 'refused' || service.mayRepeat ? 300 : 1000;
     }
@@ -126,8 +126,8 @@
       const e = (parseJson(text ?? '', 'read', edge).orDefault({}) as { error?: { class?: string; code?: string } }).error;
       r.cancel();
       const sort = (e?.class ?? 'unknown') as 'refused' | 'unknown' | 'failed';
-      seen.legs.push({ edge, status: r.status, sort: e?.code ?? sort, at, refused: sort === 'refused' });
-      const taken = r.status === 409 && seen.legs.length > 1;
+      seen.attempts.push({ edge, status: r.status, sort: e?.code ?? sort, at, refused: sort === 'refused' });
+      const taken = r.status === 409 && seen.attempts.length > 1;
       seen.end = taken ? 'unknown' : sort;
       if (taken) return undefined;
       if (r.status === 503) return Number(r.headers['retry-after'] ?? 1) * 1000;
@@ -139,14 +139,14 @@
       const v = text === undefined ? undefined : (parseJson(text, 'read', edge).orDefault(undefined) as { n?: number; text?: string; done?: boolean; count?: number } | undefined);
       if (g || v === undefined || v.n === undefined && !v.done) {
         r.cancel();
-        seen.legs.push({ edge, status: 200, sort: 'incomplete', at });
+        seen.attempts.push({ edge, status: 200, sort: 'incomplete', at });
         seen.end = 'incomplete';
         return undefined;
       }
       if (v.done) {
         if (v.count !== n) seen.wrong.push(`count ${v.count} after ${n}`);
         if (n !== service.maxTokens) seen.wrong.push(`short: ${n} of ${service.maxTokens}`);
-        seen.legs.push({ edge, status: 200, sort: 'whole', at });
+        seen.attempts.push({ edge, status: 200, sort: 'whole', at });
         seen.end = 'whole';
         return undefined;
       }
@@ -178,7 +178,7 @@
   const long: number[] = [];
   for (const s of all) {
     r[s.end]++;
-    r.callerRetries += s.legs.length - 1;
+    r.callerRetries += s.attempts.length - 1;
     r.wrong.push(...s.wrong);
     if (s.firstMs !== undefined) (s.long ? long : short).push(s.firstMs);
   }
--- a/tools/engine.ts
+++ b/tools/engine.ts
@@ -303,7 +303,7 @@
   private more(within: number, gone: AbortSignal): Promise<void> {
     const { waiters, ports } = this;
     function wait(done: () => void): void {
-      const off = ports.clock.alarm(within, go);
+      const off = ports.clock.timer(within, go);
       gone.addEventListener('abort', go, { once: true });
       function go(): void {
         off();
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -251,7 +251,7 @@
 
 function sortsOf(seen: Report['seen']): Record<string, number> {
   const by: Record<string, number> = {};
-  for (const s of seen) for (const l of s.legs) if (l.sort !== 'whole') by[`${l.status} ${l.sort}`] = (by[`${l.status} ${l.sort}`] ?? 0) + 1;
+  for (const s of seen) for (const l of s.attempts) if (l.sort !== 'whole') by[`${l.status} ${l.sort}`] = (by[`${l.status} ${l.sort}`] ?? 0) + 1;
   return by;
 }
 
--- a/tools/ledger.ts
+++ b/tools/ledger.ts
@@ -10,7 +10,7 @@
   crossedWeights: string[];
   unfenced: string[];
   wrongPieces: string[];
-  legsPerRequest: number;
+  attemptsPerRequest: number;
 }
 
 /** The names of the routers by where callers reach them. */
@@ -23,7 +23,7 @@
 /** Reads the ledgers: nothing here asks the product for its opinion. */
 export function judge(ledger: readonly LedgerEntry[], report: Report, walled: ReadonlySet<string>, edges: ReadonlyMap<string, string>): Verdict {
   const began = new Map<string, LedgerEntry[]>();
-  const v: Verdict = { runs: 0, twice: [], refusedButRan: [], crossedWalls: [], crossedWeights: [], unfenced: [], wrongPieces: report.wrong.slice(0, 20), legsPerRequest: 0 };
+  const v: Verdict = { runs: 0, twice: [], refusedButRan: [], crossedWalls: [], crossedWeights: [], unfenced: [], wrongPieces: report.wrong.slice(0, 20), attemptsPerRequest: 0 };
   for (const e of ledger) {
     if (e.kind === 'began' && e.tag) began.set(e.tag, [...(began.get(e.tag) ?? []), e]);
     if (e.kind === 'began') v.runs++;
@@ -33,18 +33,18 @@
     for (const w of e.reused?.madeWeights ?? []) if (w !== e.weights) v.crossedWeights.push(`${e.engine} ${e.request}: ${e.weights} used a part of ${w}`);
   }
   for (const s of report.seen) judgeOne(s, began.get(s.tag) ?? [], v, edges);
-  v.legsPerRequest = report.asked === 0 ? 0 : Math.round((v.runs / report.asked) * 1000) / 1000;
+  v.attemptsPerRequest = report.asked === 0 ? 0 : Math.round((v.runs / report.asked) * 1000) / 1000;
   return v;
 }
 
 function judgeOne(s: Seen, runs: LedgerEntry[], v: Verdict, edges: ReadonlyMap<string, string>): void {
-  if (!s.repeatable && runs.length > 1) v.twice.push(`${s.tag}: ${runs.map(where).join(', ')}; ${JSON.stringify(s.legs)}`);
+  if (!s.repeatable && runs.length > 1) v.twice.push(`${s.tag}: ${runs.map(where).join(', ')}; ${JSON.stringify(s.attempts)}`);
   for (const r of runs) {
-    const told = s.legs.filter(byRouter);
+    const told = s.attempts.filter(byRouter);
     function byRouter(l: { edge: string }): boolean {
       return r.request!.startsWith(`${edges.get(l.edge)}.`);
     }
-    if (told.every(wasRefused)) v.refusedButRan.push(`${s.tag}: ${where(r)}; ${JSON.stringify(s.legs)}`);
+    if (told.every(wasRefused)) v.refusedButRan.push(`${s.tag}: ${where(r)}; ${JSON.stringify(s.attempts)}`);
   }
 }
 
--- a/tools/simfleet.ts
+++ b/tools/simfleet.ts
@@ -7,7 +7,7 @@
 import { askJson } from '../src/shared/lib';
 import { open, Outcome } from '../src/shared/errors';
 import { Ports } from '../src/shared/ports';
-import { Startup } from '../src/shared/startup';
+import { Settings } from '../src/shared/settings';
 import { Engine, Intents } from '../src/shared/words';
 import { Deployment, listed, makeDeployment } from './deploy';
 import { EngineWays, LedgerEntry, StandInEngine, startEngine } from './engine';
@@ -43,7 +43,7 @@
   stops: Map<string, () => Promise<void>>;
   spare: Deployment['core'][number];
   startAll(): void;
-  startup(name: string, wire: string, http: string, zone: string): Startup;
+  settings(name: string, wire: string, http: string, zone: string): Settings;
 }
 
 /** Makes the intents of a simulated run: the deployment's, and the prober's. */
@@ -78,7 +78,7 @@
     return c.wire;
   }
 
-  function startup(n: string, wire: string, http: string, zone: string): Startup {
+  function settings(n: string, wire: string, http: string, zone: string): Settings {
     return {
       name: n, zone, wire, http, bind: '', seeds, founders, data: n, platform: d.platform, changeBoundMs: 2000, leavingBoundMs: 3000, weightsBoundMs: d.weightsBoundMs,
       secondTryShare: 0.18, onceKeepMs: 600000, indexMostParts: 100000, bodyMostBytes: 1 << 22, placeBy: 'index',
@@ -106,7 +106,7 @@
   for (const c of [...d.core, spare]) {
     add(c.name, ipOf(c.wire), startCore);
     async function startCore(_: Proc, ports: Ports): Promise<void> {
-      const [f, ctl] = open(await startController(ports, startup(c.name, c.wire, c.http, c.zone)));
+      const [f, ctl] = open(await startController(ports, settings(c.name, c.wire, c.http, c.zone)));
       if (f) return w.trace(`${c.name} did not start: ${f.why}`);
       controllers.set(c.name, ctl);
       stops.set(c.name, ctl.stop);
@@ -117,7 +117,7 @@
     const ixIp = ipOf(c.wire).replace('.1.', '.5.');
     add(`index-${c.name}`, ixIp, startIx);
     async function startIx(_: Proc, ports: Ports): Promise<void> {
-      const [f, ix] = open(await startIndexer(ports, startup(`index-${c.name}`, `${ixIp}:7001`, `${ixIp}:8001`, c.zone)));
+      const [f, ix] = open(await startIndexer(ports, settings(`index-${c.name}`, `${ixIp}:7001`, `${ixIp}:8001`, c.zone)));
       if (f) return;
       stops.set(`index-${c.name}`, ix.stop);
       indexers.set(`index-${c.name}`, ix);
@@ -127,7 +127,7 @@
   for (const e of d.edge) {
     add(e.name, ipOf(e.wire), startEdge);
     async function startEdge(_: Proc, ports: Ports): Promise<void> {
-      const [f, r] = open(await startRouter(ports, startup(e.name, e.wire, e.http, e.zone)));
+      const [f, r] = open(await startRouter(ports, settings(e.name, e.wire, e.http, e.zone)));
       if (!f) stops.set(e.name, leave);
       async function leave(): Promise<void> {
         await r!.drain();
@@ -192,7 +192,7 @@
     for (const [n, go] of starts) if (!lost.has(n)) go();
   }
 
-  return { w, net, d, ledger, engines, controllers, starts, core: d.core.map(nameOf), edge: d.edge.map(nameOf), ops, callers, startAll, startup, marks, standins, lost, indexers, spare, seeds, stops };
+  return { w, net, d, ledger, engines, controllers, starts, core: d.core.map(nameOf), edge: d.edge.map(nameOf), ops, callers, startAll, settings, marks, standins, lost, indexers, spare, seeds, stops };
 }
 
 function nameOf(x: { name: string }): string {
--- a/tools/simrun.ts
+++ b/tools/simrun.ts
@@ -168,7 +168,7 @@
   const late = { asked: 0, whole: 0 };
   let firstBack = Infinity;
   for (const s of r.seen) {
-    const at = s.legs[0]?.at ?? 0;
+    const at = s.attempts[0]?.at ?? 0;
     if (s.end === 'whole' && at > HEAL) firstBack = Math.min(firstBack, at);
     if (at < LATE_FROM) continue;
     late.asked++;
@@ -202,20 +202,20 @@
   return t + p.size;
 }
 
-/** Legs beyond the first that routers sent, of the service with the largest share. */
+/** Attempts beyond the first that routers sent, of the service with the largest share. */
 function secondTries(f: SimFleet): { share: number; of: string } {
-  const by = new Map<string, { legs: number; runs: Set<string> }>();
+  const by = new Map<string, { attempts: number; runs: Set<string> }>();
   for (const x of f.net.sent) {
     const m = /^\{"request":"([^"]+)","tenant":"([^"]+)"/.exec(x.body)!;
     const service = m[2] + x.body.slice(-1);
-    const b = by.get(service) ?? { legs: 0, runs: new Set<string>() };
-    b.legs++;
+    const b = by.get(service) ?? { attempts: 0, runs: new Set<string>() };
+    b.attempts++;
     b.runs.add(m[1]);
     by.set(service, b);
   }
   const most = { share: 0, of: '' };
   for (const [of, b] of by) {
-    const share = (b.legs - b.runs.size) / b.runs.size;
+    const share = (b.attempts - b.runs.size) / b.runs.size;
     if (b.runs.size >= 20 && share > most.share) Object.assign(most, { share, of });
   }
   return most;
--- a/tools/simwire.ts
+++ b/tools/simwire.ts
@@ -1,7 +1,7 @@
 import { Left, Right } from 'purify-ts';
 import { makeFault, Outcome } from '../src/shared/errors';
 import { makeFeed } from '../src/shared/lib';
-import { Ask, Call, Listening, Message, Ports, Reply, Stream, Wire } from '../src/shared/ports';
+import { Ask, Call, Listening, Message, Ports, Reply, Connection, Wire } from '../src/shared/ports';
 import { Proc, World } from './simworld';
 import { Traffic } from './traffic';
 
@@ -9,7 +9,7 @@
   proc: Proc;
   life: number;
   takeCall?: (c: Call) => Promise<void>;
-  takeStream?: (s: Stream) => void;
+  takeConnection?: (s: Connection) => void;
 }
 
 interface Pipe {
@@ -28,7 +28,7 @@
   ports(p: Proc): Ports;
 }
 
-/** Makes the network: orderly streams that lose nothing until they break, as TCP's do. */
+/** Makes the network: orderly connections that lose nothing until they break, as TCP's do. */
 export function makeNet(w: World): SimNet {
   const listeners = new Map<string, Listener>();
   const pipes = new Set<{ a: Proc; b: Proc; end: (who: Proc) => void }>();
@@ -92,7 +92,7 @@
     return { send, broken, breakOff };
   }
 
-  function makePair(a: Proc, b: Proc): [Stream, Stream] {
+  function makePair(a: Proc, b: Proc): [Connection, Connection] {
     const ends = new Map<Proc, () => void>();
     const rec = { a, b, end };
     pipes.add(rec);
@@ -105,7 +105,7 @@
     function end(who: Proc): void {
       ends.get(who)?.();
     }
-    function side(me: Proc, out: Pipe, back: Pipe): Stream {
+    function side(me: Proc, out: Pipe, back: Pipe): Connection {
       const hand = makeFeed<Message>();
       let over = false;
       const life = me.life;
@@ -189,10 +189,10 @@
       return Right({ at, close });
     }
 
-    function dial(at: string, within: number): Promise<Outcome<Stream>> {
+    function dial(at: string, within: number): Promise<Outcome<Connection>> {
       const to = w.procAt(ipOf(at));
-      function wait(done: (o: Outcome<Stream>) => void): void {
-        function finish(o: Outcome<Stream>): void {
+      function wait(done: (o: Outcome<Connection>) => void): void {
+        function finish(o: Outcome<Connection>): void {
           function tell(): void {
             if (mine()) done(o);
           }
@@ -208,10 +208,10 @@
             return;
           }
           const l = listeners.get(at);
-          if (!l?.takeStream || !l.proc.alive) return finish(Left(makeFault('dial', at, 'refused', 'refused', 'ECONNREFUSED')));
+          if (!l?.takeConnection || !l.proc.alive) return finish(Left(makeFault('dial', at, 'refused', 'refused', 'ECONNREFUSED')));
           const [a, b] = makePair(p, l.proc);
           function take(): void {
-            if (l!.proc.alive && l!.proc.life === l!.life) l!.takeStream!(b);
+            if (l!.proc.alive && l!.proc.life === l!.life) l!.takeConnection!(b);
           }
           w.onProc(l.proc, take);
           finish(Right(a));
@@ -233,7 +233,7 @@
         const got: Outcome<string | undefined>[] = [];
         let want: ((o: Outcome<string | undefined>) => void) | undefined;
         let back: Pipe | undefined;
-        const drop = clock.alarm(q.within, late);
+        const drop = clock.timer(q.within, late);
         q.gone?.addEventListener('abort', late, { once: true });
         function off(): void {
           drop();
@@ -381,8 +381,8 @@
       return listen(at, { takeCall });
     }
 
-    function accept(at: string, takeStream: (s: Stream) => void): Promise<Outcome<Listening>> {
-      return listen(at, { takeStream });
+    function accept(at: string, takeConnection: (s: Connection) => void): Promise<Outcome<Listening>> {
+      return listen(at, { takeConnection });
     }
 
     const wire: Wire = { serve, ask, accept, dial };
--- a/tools/simworld.ts
+++ b/tools/simworld.ts
@@ -137,7 +137,7 @@
 
   function clock(p: Proc): Clock {
     const life = p.life;
-    function alarm(ms: number, ring: () => void): () => void {
+    function timer(ms: number, ring: () => void): () => void {
       let off = false;
       const drop = after(ms, go);
       function go(): void {
@@ -154,7 +154,7 @@
     }
     function sleep(ms: number): Promise<void> {
       function wait(done: () => void): void {
-        alarm(ms, done);
+        timer(ms, done);
       }
       return new Promise(wait);
     }
@@ -167,7 +167,7 @@
     function coarse(): number {
       return Math.floor(time / 10) * 10;
     }
-    return { now: withSuspension(monotonic, coarse), wall, sleep, alarm };
+    return { now: withSuspension(monotonic, coarse), wall, sleep, timer };
   }
 
   function disk(p: Proc): Disk {
--- a/tools/without.ts
+++ b/tools/without.ts
@@ -1,5 +1,5 @@
 import { Right } from 'purify-ts';
-import * as claims from '../src/control/claims';
+import * as leases from '../src/control/leases';
 import type { Controller } from '../src/control/controller';
 import * as duties from '../src/control/duties';
 import * as slots from '../src/control/slots';
@@ -16,7 +16,7 @@
 import * as clock from '../src/shared/clock';
 import * as follow from '../src/shared/follow';
 import { Call, Ports } from '../src/shared/ports';
-import * as startup from '../src/shared/startup';
+import * as settings from '../src/shared/settings';
 import { Engine, Intents } from '../src/shared/words';
 import * as operations from '../src/control/operations';
 
@@ -27,7 +27,7 @@
 }
 
 function noVotes(): void {
-  async function won(): Promise<once.OnceReturn> {
+  async function won(): Promise<once.OnceAnswer> {
     return { won: true, state: 'running' };
   }
   function mark(): undefined {
@@ -41,10 +41,10 @@
   async function atOnce(this: { slots: { disk: string } }): Promise<Outcome<unknown>> {
     return Right({ disk: this.slots.disk });
   }
-  (claims.Claims.prototype as unknown as Patch).effect = atOnce;
+  (leases.Leases.prototype as unknown as Patch).effect = atOnce;
 }
 
-function noClaims(): void {
+function noLeases(): void {
   const real = follow.follow;
   function lasting(...x: Parameters<typeof follow.follow>): follow.Follower {
     return { ...real(...x), live: always };
@@ -66,12 +66,12 @@
 }
 
 function noWeightsEnd(): void {
-  const real = startup.boundsOf;
-  function endless(s: startup.Startup): startup.Bounds {
+  const real = settings.boundsOf;
+  function endless(s: settings.Settings): settings.Bounds {
     return { ...real(s), weightsStop: Infinity };
   }
   async function nothing(): Promise<void> {}
-  (startup as unknown as Patch).boundsOf = endless as never;
+  (settings as unknown as Patch).boundsOf = endless as never;
   (duties as unknown as Patch).endOldWeights = nothing;
 }
 
@@ -214,18 +214,18 @@
 function noFence(): void {
   const real = duties.startDuties;
   function loose(c: Controller, ports: Ports): void {
-    function picked(key: string): boolean {
-      return key.startsWith('duty/') || c.picked(key);
+    function chosen(key: string): boolean {
+      return key.startsWith('duty/') || c.chosen(key);
     }
     async function change(op: operations.Operation): ReturnType<Controller['change']> {
       return op.kind === 'duty' ? Right({ place: { epoch: 1, by: c.by, number: 1 }, inEffect: false, value: undefined }) : c.change(op);
     }
-    real({ ...c, picked, change }, ports);
+    real({ ...c, chosen, change }, ports);
   }
   (duties as unknown as Patch).startDuties = loose as never;
 }
 
-/** A router that lets a leg run on after it told the caller that it refused. */
+/** A router that lets an attempt run on after it told the caller that it refused. */
 function refusesLate(): void {
   const proto = CallerApi.prototype as unknown as { sendOn(...x: unknown[]): Promise<{ done: boolean; fault?: object }> };
   const real = proto.sendOn;
@@ -290,7 +290,7 @@
 
 /** Mechanisms that the simulator can leave out, to see that its checks catch what they prevent. */
 export const MECHANISMS: Record<string, () => void> = {
-  votes: noVotes, effect: noEffect, claims: noClaims, salts: noSalts, 'weights-end': noWeightsEnd, leaving: noLeaving, sync: noSync, 'last-line': noLastLine, 'unknown-class': lateRefusal, budget: noBudget, suspension: noSuspension,
+  votes: noVotes, effect: noEffect, leases: noLeases, salts: noSalts, 'weights-end': noWeightsEnd, leaving: noLeaving, sync: noSync, 'last-line': noLastLine, 'unknown-class': lateRefusal, budget: noBudget, suspension: noSuspension,
   'repair-peers': noRepair('peers'), 'repair-returns': noRepair('returns'), 'repair-doubt': noRepair('doubt'),
   deltas: noDeltas, fetch: noFetch, 'order-check': noOrderCheck, 'router-whole': bends(skip), 'router-once': bends(repeat), 'router-own': bends(splice), fence: noFence, 'refused-is-sure': refusesLate,
 };
