Seams for other manners of speaking: deployment words and the dialect's types

Cause: the caller's side, prompts as text, engine lines and the operators' file are written into the planes; a second manner of speaking needs seams first. Types only; behaviour as before.

--- /dev/null
+++ b/src/shared/dialect.ts
@@ -0,0 +1,154 @@
+import { Either } from 'purify-ts';
+import { CallerRequest, Deployment, NamedChange } from './deployment';
+import { Settings } from './settings';
+import { Engine } from './words';
+
+/** A header list as it stands on the wire: name, value, name, value. */
+export type RawHeaders = string[];
+
+/** A request that a dialect words; the product sends it. */
+export interface Worded {
+  method: string;
+  target: string;
+  headers: RawHeaders;
+  body?: string | Uint8Array;
+}
+
+/** What one attempt at an engine carries beside the caller's own request. */
+export interface AttemptTerms {
+  /** The engine's instance that alone may run it. */
+  instance: string;
+  /** Ms that are left. */
+  deadlineMs: number;
+  tenant?: string;
+  /** The text under which the engine keeps and finds parts. */
+  salt?: string;
+  /** The weights that alone may run it. */
+  weights?: string;
+  /** 0 goes first, 9 last. */
+  urgency?: number;
+  /** Where the engine first takes parts from. */
+  fetchFrom?: string;
+  /** Where the engine sends parts that it read. */
+  storeAt?: string;
+  /** The last event that was passed on, where a stream goes on at another engine. */
+  lastEvent?: string;
+}
+
+/** How an engine's answer begins: `answer` is the engine's own answer, whatever its status; `not-run` is its word that it did not and will not run it; `doubt` is anything else. */
+export interface EngineHead {
+  verdict: 'answer' | 'not-run' | 'other-instance' | 'other-weights' | 'doubt';
+  /** The id of the try that is answered, where the answer tells it. */
+  id?: string;
+  /** Whether the answer carries the engine's stamp. */
+  sealed: boolean;
+  /** The weights that it runs with, by model. */
+  weights: Record<string, string>;
+  /** Whether the engine wants the connection closed. */
+  closing: boolean;
+  /** Seconds that the connection may stay idle. */
+  keepS?: number;
+}
+
+/** One whole event of a stream: its bytes as they came, its id, and weights where they changed. */
+export interface StreamEvent {
+  bytes: Uint8Array;
+  id?: string;
+  weights?: string;
+}
+
+/** Cuts a stream's bytes into whole events; what is not whole yet is held back. */
+export interface EventCutter {
+  take(bytes: Uint8Array): StreamEvent[];
+  /** Bytes of an event that is not whole. */
+  rest(): number;
+}
+
+/** How an engine says that it stands. */
+export interface EngineReport {
+  models: { name: string; weights: string }[];
+  busy: boolean;
+  orders: number;
+  waiting: number;
+  running: number;
+  cacheUsed: number;
+  cacheTotal: number;
+}
+
+/** One thing that a source of kept parts tells: a part came or went, under a salt and a model. */
+export interface KeptEvent {
+  seq: number;
+  kind: 'stored' | 'removed';
+  model: string;
+  salt: string;
+  hash: string;
+  /** Tokens that are kept of it now. */
+  size: number;
+}
+
+/** What a source of kept parts has told since a number. */
+export interface KeptFeed {
+  epoch: string;
+  next: number;
+  lost: boolean;
+  events: KeptEvent[];
+}
+
+/** All that a source keeps, as of a number. */
+export interface KeptList {
+  epoch: string;
+  next: number;
+  held: { salt: string; hash: string; size: number; model: string }[];
+}
+
+/** An order to an engine to take up weights; `fence` is unique to the holder's term and rises. */
+export interface WeightsOrder {
+  model: string;
+  weights: string;
+  method: 'queue' | 'preempt' | 'retain';
+  holder: string;
+  fence: number;
+}
+
+/** What became of an order. */
+export type OrderAnswer = 'taken' | 'holds' | 'busy' | 'fenced' | 'bad' | 'other-instance' | 'unknown';
+
+/** One page of the platform's list. */
+export interface EnginePage {
+  engines: Engine[];
+  next?: string;
+}
+
+/** How the product is spoken to and speaks at its edges: names, formats and calls. It decides nothing. */
+export interface Dialect {
+  name: string;
+  /** Reads a settings file's text into settings; unknown fields are passed over. */
+  settings(text: string): Either<string[], Settings>;
+  /** Reads an operator's document into our words; faults by path. */
+  deployment(doc: unknown): Either<string[], Deployment>;
+  /** Reads an operator's named change. */
+  namedChange(doc: unknown): Either<string[], NamedChange>;
+  callers: {
+    /** Reads what a caller asks for; a string says what is wrong with it. */
+    read(method: string, target: string, headers: Record<string, string | undefined>): Either<string, CallerRequest>;
+    readinessPath: string;
+  };
+  engines: {
+    /** Words an attempt from the caller's own method, target, headers and body. */
+    attempt(q: { method: string; target: string; headers: RawHeaders; body: Uint8Array }, terms: AttemptTerms): Worded;
+    head(status: number, headers: Record<string, string | undefined>): EngineHead;
+    /** Headers of an engine's answer that go back to the caller. */
+    passBack(headers: RawHeaders): RawHeaders;
+    events(): EventCutter;
+    report: { ask(): Worded; read(status: number, body: unknown): Either<string, EngineReport> };
+    feed: { ask(since: number, waitMs: number): Worded; read(status: number, body: unknown): Either<string, KeptFeed> };
+    list: { ask(): Worded; read(status: number, body: unknown): Either<string, KeptList> };
+    order: { ask(o: WeightsOrder): Worded; read(status: number, body: unknown): OrderAnswer };
+  };
+  instances: { ask(zone: string | undefined, page: string | undefined): Worded; read(status: number, body: unknown): Either<string, EnginePage> };
+  operators: {
+    paths: { replace: string; update: string; describe: string; weights: string };
+    baseVersion(headers: Record<string, string | undefined>): number | undefined;
+    weights(doc: unknown): Either<string, { model: string; weights: string }>;
+  };
+}
--- a/src/shared/words.ts
+++ b/src/shared/words.ts
@@ -54,6 +54,12 @@
   model: string;
   weights: string;
   leaving: boolean;
+  /** The pool it serves in, its batch, and how much longer it is slow from its start, in ms; where the platform tells them. */
+  pool?: string;
+  batch?: number;
+  warmMs?: number;
+  /** All its models with their weights; `model` and `weights` are the first. */
+  models?: { name: string; weights: string }[];
 }
 
 /** A tenant: walled off, or in a named sharing group. */
@@ -99,7 +105,7 @@
 }
 
 /** The names of control keys. */
-export const KEYS = { voters: 'voters', intents: 'intents', engines: 'engines', tenantKeys: 'keys/', weights: 'weights/' } as const;
+export const KEYS = { voters: 'voters', intents: 'intents', engines: 'engines', tenantKeys: 'keys/', weights: 'weights/', deployment: 'deployment' } as const;
 
 /** The committed value of the intents: the file, and what the system set from it. */
 export interface IntentsValue {
