--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -25,6 +25,7 @@
   { selector: "CallExpression[callee.name=/^(setTimeout|setInterval)$/]", message: 'Time by the clock port.' },
   { selector: "CallExpression[callee.object.name='Math'][callee.property.name='random']", message: 'Randomness by the dice port.' },
 ];
+const names = { selector: 'Literal[value=/plumhollow-(attempt|deadline|expect|instance|weight|tenant|model|token|prompt|request|response|not-exec|cache|base)/i]', message: 'The platform\'s names stand in platform/ only.' };
 const lib = core.filter((r) => !/clock port|dice port/.test(r.message ?? ''));
 const tryless = [...core, { selector: 'TryStatement', message: 'Catch only where a library is called: shared/real*, shared/lib.' }];
 
@@ -32,6 +33,7 @@
   return { 'no-restricted-imports': ['error', { patterns: [
     { group: planes.map((p) => `**/${p}/**`), message: 'Planes import only shared.' },
     { group: ['**/programs/**', '**/tools/**'], message: 'Libraries import no program.' },
+    { group: ['**/platform/**'], message: 'Only programs know the platform.' },
     { group: ['node:child_process', 'child_process', 'node:cluster', 'cluster', 'node:worker_threads'], message: 'A product process starts no other.' },
   ] }] };
 }
@@ -50,9 +52,10 @@
       'jsdoc/require-jsdoc': ['error', { publicOnly: true, contexts: ['TSInterfaceDeclaration', 'TSTypeAliasDeclaration', 'FunctionDeclaration', 'ClassDeclaration'] }],
     },
   },
-  { files: ['src/**/*.ts'], rules: { 'no-restricted-syntax': ['error', ...tryless] } },
-  { files: ['src/shared/real*.ts', 'src/shared/lib.ts'], rules: { 'no-restricted-syntax': ['error', ...lib] } },
+  { files: ['src/**/*.ts'], rules: { 'no-restricted-syntax': ['error', ...tryless, names] } },
+  { files: ['src/shared/real*.ts', 'src/shared/lib.ts'], rules: { 'no-restricted-syntax': ['error', ...lib, names] } },
   { files: ['src/shared/formats.ts'], rules: { 'no-restricted-syntax': ['error', ...style] } },
+  { files: ['platform/**/*.ts'], rules: { 'no-restricted-syntax': ['error', ...tryless], ...fence('control', 'data', 'index') } },
   { files: ['src/shared/**'], rules: fence('control', 'data', 'index') },
   { files: ['src/control/**'], rules: fence('data', 'index') },
   { files: ['src/data/**'], rules: fence('control', 'index') },
