--- a/test/connections.test.ts
+++ b/test/connections.test.ts
@@ -1,8 +1,8 @@
 import { open } from '../src/shared/errors';
 import { Exchange, Hello, HelloEdge, converse, hold, WIRE_VERSION } from '../src/shared/connections';
 import { Connection } from '../src/shared/ports';
-import { makeNet } from '../tools/simwire';
-import { makeWorld } from '../tools/simworld';
+import { makeNet } from '../tools/sim/simwire';
+import { makeWorld } from '../tools/sim/simworld';
 
 function hello(version: number, more: object = {}): Hello {
   return { version, name: `v${version}`, role: 'router', at: '', zone: '', ...more };
--- a/test/disk.test.ts
+++ b/test/disk.test.ts
@@ -8,9 +8,9 @@
 import { bad, open, Outcome } from '../src/shared/errors';
 import { Ports } from '../src/shared/ports';
 import { Voter, Voters } from '../src/shared/words';
-import { seededDice } from '../tools/dice';
-import { makeNet } from '../tools/simwire';
-import { makeWorld } from '../tools/simworld';
+import { seededDice } from '../tools/sim/dice';
+import { makeNet } from '../tools/sim/simwire';
+import { makeWorld } from '../tools/sim/simworld';
 
 type Files = Map<string, Uint8Array>;
 
--- a/test/leases.test.ts
+++ b/test/leases.test.ts
@@ -4,9 +4,9 @@
 import { boundsOf } from '../src/shared/settings';
 import { Exchange } from '../src/shared/connections';
 import { Numbered } from '../src/shared/words';
-import { makeSimFleet } from '../tools/simfleet';
-import { makeNet } from '../tools/simwire';
-import { makeWorld } from '../tools/simworld';
+import { makeSimFleet } from '../tools/sim/simfleet';
+import { makeNet } from '../tools/sim/simwire';
+import { makeWorld } from '../tools/sim/simworld';
 
 interface Desk {
   leases: Leases;
--- a/test/seeds.test.ts
+++ b/test/seeds.test.ts
@@ -1,5 +1,5 @@
-import { Fault } from '../tools/simfaults';
-import { runSeed } from '../tools/simrun';
+import { Fault } from '../tools/sim/simfaults';
+import { runSeed } from '../tools/sim/simrun';
 
 function fault(at: number, kind: string, who: string, other: string, ms: number): Fault {
   return { at, kind, who, other, ms };
--- a/test/smoke.test.ts
+++ b/test/smoke.test.ts
@@ -1,10 +1,10 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { runCallers } from '../tools/callers';
-import { Deployment, makeDeployment } from '../tools/deploy';
-import { allReady, configure, makeFleet, readLedgers, startAll, stopAll, until } from '../tools/fleet';
-import { edgeNames, judge } from '../tools/ledger';
+import { runCallers } from '../tools/standins/callers';
+import { Deployment, makeDeployment } from '../tools/standins/deploy';
+import { allReady, configure, makeFleet, readLedgers, startAll, stopAll, until } from '../tools/fleet/fleet';
+import { edgeNames, judge } from '../tools/standins/ledger';
 
 /** A small deployment on loopback addresses of this process's own, so that no port has to be found and freed. */
 function small(): Deployment {
--- a/test/transcripts.test.ts
+++ b/test/transcripts.test.ts
@@ -1,6 +1,6 @@
 import { open } from '../src/shared/errors';
 import { Ports } from '../src/shared/ports';
-import { askCore, makeSimFleet, SimFleet, simIntents } from '../tools/simfleet';
+import { askCore, makeSimFleet, SimFleet, simIntents } from '../tools/sim/simfleet';
 
 interface Scene {
   f: SimFleet;
--- a/tools/faults.ts
+++ b/tools/fleet/faults.ts
@@ -1,6 +1,6 @@
 import { rmSync } from 'node:fs';
-import { askJson } from '../src/shared/lib';
-import { listed } from './deploy';
+import { askJson } from '../../src/shared/lib';
+import { listed } from '../standins/deploy';
 import { controlOf, type Fleet, type Proc } from './fleet';
 
 /** The faults that the runner brings about on real processes. */
--- a/tools/fleet.ts
+++ b/tools/fleet/fleet.ts
@@ -2,17 +2,17 @@
 import { existsSync, mkdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { join, resolve } from 'node:path';
 import { Command } from 'commander';
-import { askJson } from '../src/shared/lib';
-import { open } from '../src/shared/errors';
-import { Ports } from '../src/shared/ports';
-import { realClock, realDice, realDisk, realLog } from '../src/shared/real';
-import { realWire } from '../src/shared/realwire';
-import { Report, runCallers } from './callers';
-import { Deployment, DEPLOYMENTS, listed, makeDeployment } from './deploy';
-import { LedgerEntry } from './engine';
+import { askJson } from '../../src/shared/lib';
+import { open } from '../../src/shared/errors';
+import { Ports } from '../../src/shared/ports';
+import { realClock, realDice, realDisk, realLog } from '../../src/shared/real';
+import { realWire } from '../../src/shared/realwire';
+import { Report, runCallers } from '../standins/callers';
+import { Deployment, DEPLOYMENTS, listed, makeDeployment } from '../standins/deploy';
+import { LedgerEntry } from '../standins/engine';
 import { FAULTS, injectFault } from './faults';
-import { boundOf } from './links';
-import { edgeNames, isClean, judge } from './ledger';
+import { boundOf } from '../standins/links';
+import { edgeNames, isClean, judge } from '../standins/ledger';
 
 /** A process that the runner started. */
 export interface Proc {
@@ -33,7 +33,7 @@
   cli(args: string[]): Promise<{ code: number; out: string }>;
 }
 
-const ROOT = resolve(__dirname, '..');
+const ROOT = resolve(__dirname, '../..');
 
 function waitUp(child: ChildProcess, name: string): Promise<void> {
   function wait(done: () => void): void {
@@ -103,7 +103,7 @@
     return c.wire;
   }
   const ups: Promise<void>[] = [];
-  const standin = join(ROOT, 'tools/standin.js');
+  const standin = join(ROOT, 'tools/standins/standin.js');
   if (linked) {
     const ats = [...d.engines.map(atOf), d.store.at];
     for (const c of d.core) ats.push(c.wire, c.http, c.indexWire, c.indexHttp);
--- a/tools/overlap.ts
+++ b/tools/sim/overlap.ts
@@ -1,7 +1,7 @@
 import { Command } from 'commander';
-import { IntentsValue, KEYS } from '../src/shared/words';
-import { Seen } from './callers';
-import { DEPLOYMENTS } from './deploy';
+import { IntentsValue, KEYS } from '../../src/shared/words';
+import { Seen } from '../standins/callers';
+import { DEPLOYMENTS } from '../standins/deploy';
 import { Fault } from './simfaults';
 import { SimFleet } from './simfleet';
 import { runSeed } from './simrun';
--- a/tools/sim.ts
+++ b/tools/sim/sim.ts
@@ -1,7 +1,7 @@
 import { Command } from 'commander';
 import { fork } from 'node:child_process';
 import { cpus } from 'node:os';
-import { DEPLOYMENTS } from './deploy';
+import { DEPLOYMENTS } from '../standins/deploy';
 import { Fault } from './simfaults';
 import { RunResult, runSeed, RunWays } from './simrun';
 import { makeTraffic } from './traffic';
--- a/tools/simfaults.ts
+++ b/tools/sim/simfaults.ts
@@ -1,5 +1,5 @@
-import { Dice } from '../src/shared/ports';
-import { EngineWays } from './engine';
+import { Dice } from '../../src/shared/ports';
+import { EngineWays } from '../standins/engine';
 import { SimFleet } from './simfleet';
 import { Proc } from './simworld';
 
--- a/tools/simops.ts
+++ b/tools/sim/simops.ts
@@ -1,5 +1,5 @@
-import { open } from '../src/shared/errors';
-import { askJson, lineReader, parseJson } from '../src/shared/lib';
+import { open } from '../../src/shared/errors';
+import { askJson, lineReader, parseJson } from '../../src/shared/lib';
 import { askCore, SimFleet, simIntents } from './simfleet';
 
 /** What operators were told, and what that lets us expect. */
--- a/tools/simrun.ts
+++ b/tools/sim/simrun.ts
@@ -1,5 +1,5 @@
-import { Report, runCallers, Seen } from './callers';
-import { edgeNames, judge, Verdict } from './ledger';
+import { Report, runCallers, Seen } from '../standins/callers';
+import { edgeNames, judge, Verdict } from '../standins/ledger';
 import { seededDice } from './dice';
 import { askCore, makeSimFleet, SimFleet, simIntents } from './simfleet';
 import { drawFaults, Fault, healAll, injectSim } from './simfaults';
--- a/tools/simwire.ts
+++ b/tools/sim/simwire.ts
@@ -1,7 +1,7 @@
 import { Left, Right } from 'purify-ts';
-import { makeFault, Outcome } from '../src/shared/errors';
-import { makeFeed } from '../src/shared/lib';
-import { Ask, Call, Listening, Message, Ports, Reply, Connection, Wire } from '../src/shared/ports';
+import { makeFault, Outcome } from '../../src/shared/errors';
+import { makeFeed } from '../../src/shared/lib';
+import { Ask, Call, Listening, Message, Ports, Reply, Connection, Wire } from '../../src/shared/ports';
 import { Proc, World } from './simworld';
 import { Traffic } from './traffic';
 
--- a/tools/callers.ts
+++ b/tools/standins/callers.ts
@@ -1,8 +1,8 @@
-import { Part, splitParts } from '../src/shared/contracts/engine';
-import { open } from '../src/shared/errors';
-import { lineReader, parseJson } from '../src/shared/lib';
-import { Ports } from '../src/shared/ports';
-import { Intents, Service } from '../src/shared/words';
+import { Part, splitParts } from '../../src/shared/contracts/engine';
+import { open } from '../../src/shared/errors';
+import { lineReader, parseJson } from '../../src/shared/lib';
+import { Ports } from '../../src/shared/ports';
+import { Intents, Service } from '../../src/shared/words';
 
 /** How callers behave. */
 export interface CallerWays {
--- a/tools/engine.ts
+++ b/tools/standins/engine.ts
@@ -1,9 +1,9 @@
-import { EngineLine, EngineOrder, EventBatch, GenerateAsk, Part, PartEvent } from '../src/shared/contracts/engine';
-import { giveFault, giveJson, handles, takeCalls, takeJson } from '../src/shared/edge';
-import { Outcome } from '../src/shared/errors';
-import { askJson } from '../src/shared/lib';
-import { Call, Listening, Ports } from '../src/shared/ports';
-import { compareEpochs } from '../src/shared/words';
+import { EngineLine, EngineOrder, EventBatch, GenerateAsk, Part, PartEvent } from '../../src/shared/contracts/engine';
+import { giveFault, giveJson, handles, takeCalls, takeJson } from '../../src/shared/edge';
+import { Outcome } from '../../src/shared/errors';
+import { askJson } from '../../src/shared/lib';
+import { Call, Listening, Ports } from '../../src/shared/ports';
+import { compareEpochs } from '../../src/shared/words';
 
 /** How a stand-in engine behaves. */
 export interface EngineWays {
