Settings for deployments that tell more: contact, grace, retries, leases, platform

Cause: another manner of speaking tells bounds, limits and a role that the settings had no place for. Own defaults stay as they are; checking is apart from reading a file, so that a settings file in another manner goes through the same checks.

--- a/src/programs/common.ts
+++ b/src/programs/common.ts
@@ -27,13 +27,18 @@
   return v.split(',').filter(Boolean);
 }
 
+function isTrue(v: string): boolean {
+  return v === 'true';
+}
+
 /** Runs a daemon: flags and file to settings, ports, start, drain at SIGTERM, end at a second signal. */
 export function runDaemon(program: string, doc: string, need: string[], start: (ports: Ports, s: Settings) => Promise<Either<Fault, Running>>): void {
   const cmd = new Command(program).description(doc).version(VERSION).option('--settings <file>', 'a JSON file of settings fields; flags win');
   for (const f of settingsFields()) {
-    const text = f.list ? `${f.doc} (comma between)` : f.doc;
-    if (f.list) cmd.option(`${flagOf(f.name)} <list>`, text, list);
-    else if (f.number) cmd.option(`${flagOf(f.name)} <number>`, text, Number);
+    const text = f.sort === 'list' ? `${f.doc} (comma between)` : f.doc;
+    if (f.sort === 'list') cmd.option(`${flagOf(f.name)} <list>`, text, list);
+    else if (f.sort === 'number') cmd.option(`${flagOf(f.name)} <number>`, text, Number);
+    else if (f.sort === 'boolean') cmd.option(`${flagOf(f.name)} <true|false>`, text, isTrue);
     else cmd.option(`${flagOf(f.name)} <value>`, text);
   }
   cmd.exitOverride(badUse);
--- a/src/shared/formats.ts
+++ b/src/shared/formats.ts
@@ -22,6 +22,17 @@
   if (typeof v !== 'number' || !(v > 0)) complain('must be a number above 0');
 }
 
+/** A number of 0 or above. */
+export function notNegative(v: unknown): void {
+  if (typeof v !== 'number' || !(v >= 0)) complain('must be a number of 0 or above');
+}
+
+/** The region of each zone, by name. */
+export function regions(v: unknown): void {
+  if (typeof v !== 'object' || v === null || Array.isArray(v)) complain('must hold a region for each zone');
+  for (const r of Object.values(v as object)) if (typeof r !== 'string') complain('must hold a region for each zone');
+}
+
 /** A share that stays under a fifth. */
 export function share(v: unknown): void {
   if (typeof v !== 'number' || !(v >= 0 && v <= 0.2)) complain('must be between 0 and 0.2');
--- a/src/shared/settings.ts
+++ b/src/shared/settings.ts
@@ -1,7 +1,7 @@
 import convict from 'convict';
 import { Either, Left, Right } from 'purify-ts';
 import { readFileSync } from 'node:fs';
-import { address, addresses, ipOrNone, positive, share } from './formats';
+import { address, addresses, ipOrNone, notNegative, positive, regions, share } from './formats';
 import { guard } from './lib';
 
 /** What a process is told at its start. */
@@ -23,6 +23,48 @@
   indexMostParts: number;
   bodyMostBytes: number;
   placeBy: 'index' | 'affinity';
+  /** How the edges are spoken to: our own manner, or another's. */
+  dialect: 'own' | 'platform';
+  /** The role that the deployment gives this process. */
+  role: string;
+  region: string;
+  /** Where it is asked whether it takes connections; empty where that is asked at `http`. */
+  readiness: string;
+  /** Whether a router serves only while a majority's leases last; otherwise it needs them once in its life. */
+  strict: boolean;
+  /** Whether this start may found a fleet. */
+  bootstrap: boolean;
+  /** Whether its loss counts among `tolerated`. */
+  quorumMember: boolean;
+  /** Machines with a disk that may be lost at once. */
+  tolerated: number;
+  contactMs: number;
+  ackMs: number;
+  graceMs: number;
+  transitMs: number;
+  retryRatio: number;
+  retryWindowMs: number;
+  /** Further tries that a window allows beside its share, over the whole fleet. */
+  retrySlack: number;
+  lossSlackMs: number;
+  leaseMs: number;
+  fencing: boolean;
+  catchUpMs: number;
+  recoveryMs: number;
+  rollbackSlackMs: number;
+  skewMs: number;
+  thawSlackMs: number;
+  /** An engine's address is not given to another within this. */
+  reuseMs: number;
+  revokeMs: number;
+  /** Calls a second that the platform takes from the whole fleet. */
+  platformRate: number;
+  platformLagMs: number;
+  memoryMb: number;
+  /** Processor cores' worth of work that this process gets. */
+  cores: number;
+  /** The region of each zone. */
+  zones: Record<string, string>;
 }
 
 /** Times that follow from the bounds; every constant is a ratio to one. */
@@ -88,32 +130,81 @@
   indexMostParts: { doc: 'parts kept in the trees at the most', format: positive, default: 2000000 },
   placeBy: { doc: 'place by the index, or by affinity only', format: ['index', 'affinity'], default: 'index' },
   bodyMostBytes: { doc: 'the largest body taken', format: positive, default: 4194304 },
+  dialect: { doc: 'how callers, engines, operators and the platform are spoken to', format: ['own', 'platform'], default: 'own' },
+  role: { doc: 'the role that the deployment gives this process', format: String, default: '' },
+  region: { doc: 'the region it stands in', format: String, default: '' },
+  readiness: { doc: 'where it is asked whether it takes connections', format: address, default: '' },
+  strict: { doc: 'serve only while the leases of a majority last', format: Boolean, default: true },
+  bootstrap: { doc: 'whether this start may found a fleet', format: Boolean, default: true },
+  quorumMember: { doc: 'whether its loss counts among those tolerated', format: Boolean, default: true },
+  tolerated: { doc: 'machines with a disk that may be lost at once', format: notNegative, default: 1 },
+  contactMs: { doc: 'bounds hold for machines in touch for this long', format: positive, default: 3000 },
+  ackMs: { doc: 'a proper change is acknowledged within this', format: positive, default: 4000 },
+  graceMs: { doc: 'a process is killed this long after it is told to end', format: positive, default: 8000 },
+  transitMs: { doc: 'an event of a stream reaches its caller within this', format: positive, default: 120 },
+  retryRatio: { doc: 'further tries of the whole fleet as a share of requests', format: notNegative, default: 0.2 },
+  retryWindowMs: { doc: 'the window in which further tries are counted', format: positive, default: 10000 },
+  retrySlack: { doc: 'further tries that a window allows beside its share', format: notNegative, default: 5 },
+  lossSlackMs: { doc: 'a connection with a request that was read does not end later than this', format: positive, default: 200 },
+  leaseMs: { doc: 'holders of a duty do not take turns within this', format: positive, default: 3000 },
+  fencing: { doc: 'whether engines refuse lower fences', format: Boolean, default: true },
+  catchUpMs: { doc: 'a machine that returns counts as lost for this long', format: positive, default: 4000 },
+  recoveryMs: { doc: 'after a loss of all, requests are served again within this', format: positive, default: 12000 },
+  rollbackSlackMs: { doc: 'no older version serves this long after a newer one did', format: positive, default: 250 },
+  skewMs: { doc: 'how far the times of day may be apart', format: positive, default: 5000 },
+  thawSlackMs: { doc: 'an order is not counted this long after its sender was thawed', format: positive, default: 300 },
+  reuseMs: { doc: 'an engine\'s address is not given to another within this', format: positive, default: 2000 },
+  revokeMs: { doc: 'a withdrawn key is refused within this', format: positive, default: 5000 },
+  platformRate: { doc: 'calls a second that the platform takes from the whole fleet', format: positive, default: 50 },
+  platformLagMs: { doc: 'how far the platform\'s list lags', format: positive, default: 800 },
+  memoryMb: { doc: 'memory that the process may use', format: positive, default: 512 },
+  cores: { doc: 'cores\' worth of work that the process gets', format: positive, default: 1 },
+  zones: { doc: 'the region of each zone', format: regions, default: {} as Record<string, string> },
 };
 
-/** The names and texts of all settings fields, for flags and help. */
-export function settingsFields(): { name: string; doc: string; list: boolean; number: boolean }[] {
-  function one([name, f]: [string, { doc: string; default: unknown }]): { name: string; doc: string; list: boolean; number: boolean } {
-    return { name, doc: f.doc, list: Array.isArray(f.default), number: typeof f.default === 'number' };
+/** A field of the settings that a flag may set. */
+export interface SettingsField {
+  name: string;
+  doc: string;
+  sort: 'string' | 'number' | 'boolean' | 'list';
+}
+
+/** The fields of the settings that flags may set, with their texts. */
+export function settingsFields(): SettingsField[] {
+  function one([name, f]: [string, { doc: string; default: unknown }]): SettingsField {
+    return { name, doc: f.doc, sort: Array.isArray(f.default) ? 'list' : (typeof f.default as SettingsField['sort']) };
   }
-  return Object.entries(SHAPE).map(one);
+  function isFlag([, f]: [string, { default: unknown }]): boolean {
+    return typeof f.default !== 'object' || Array.isArray(f.default);
+  }
+  return Object.entries(SHAPE).filter(isFlag).map(one);
+}
+
+/** The settings where nothing is told. */
+export function defaultSettings(): Settings {
+  return convict(SHAPE as never).getProperties() as unknown as Settings;
 }
 
-/** Reads a settings from a file and flags; flags win; every fault is listed. */
+/** Reads settings from a file and flags; flags win; every fault is listed. */
 export function readSettings(file: string | undefined, flags: Record<string, unknown>, need: string[]): Either<string[], Settings> {
+  if (file === undefined) return checkSettings({}, flags, need);
+  const o = guard('read settings', file, read);
+  function read(): unknown {
+    return JSON.parse(readFileSync(file!, 'utf8'));
+  }
+  if (o.isLeft()) return Left([`${file}: ${(o.extract() as { why: string }).why}`]);
+  const v = o.extract();
+  if (typeof v !== 'object' || v === null || Array.isArray(v)) return Left([`${file}: must hold an object`]);
+  return checkSettings(v as Record<string, unknown>, flags, need);
+}
+
+/** Checks fields, those of `over` before those of `under`, and fills in what is left out; every fault is listed. */
+export function checkSettings(under: Record<string, unknown>, over: Record<string, unknown>, need: string[]): Either<string[], Settings> {
   const c = convict(SHAPE as never);
   const faults: string[] = [];
-  if (file !== undefined) {
-    const o = guard('read startup', file, read);
-    function read(): unknown {
-      return JSON.parse(readFileSync(file!, 'utf8'));
-    }
-    if (o.isLeft()) return Left([`${file}: ${(o.extract() as { why: string }).why}`]);
-    const v = o.extract();
-    if (typeof v !== 'object' || v === null || Array.isArray(v)) return Left([`${file}: must hold an object`]);
-    c.load(v as never);
-  }
-  c.load(flags as never);
-  const checked = guard('check startup', file ?? 'flags', check);
+  c.load(under as never);
+  c.load(over as never);
+  const checked = guard('check settings', 'settings', check);
   function check(): unknown {
     return c.validate({ allowed: 'strict' });
   }
--- a/tools/sim/simfleet.ts
+++ b/tools/sim/simfleet.ts
@@ -7,7 +7,7 @@
 import { askJson } from '../../src/shared/lib';
 import { open, Outcome } from '../../src/shared/errors';
 import { Ports } from '../../src/shared/ports';
-import { Settings } from '../../src/shared/settings';
+import { defaultSettings, Settings } from '../../src/shared/settings';
 import { Engine, Intents } from '../../src/shared/words';
 import { Deployment, listed, makeDeployment } from '../standins/deploy';
 import { EngineWays, LedgerEntry, StandInEngine, startEngine } from '../standins/engine';
@@ -80,7 +80,7 @@
 
   function settings(n: string, wire: string, http: string, zone: string): Settings {
     return {
-      name: n, zone, wire, http, bind: '', seeds, founders, data: n, platform: d.platform, changeBoundMs: 2000, leavingBoundMs: 3000, weightsBoundMs: d.weightsBoundMs,
+      ...defaultSettings(), name: n, zone, wire, http, bind: '', seeds, founders, data: n, platform: d.platform, changeBoundMs: 2000, leavingBoundMs: 3000, weightsBoundMs: d.weightsBoundMs,
       secondTryShare: 0.18, onceKeepMs: 600000, indexMostParts: 100000, bodyMostBytes: 1 << 22, placeBy: 'index',
     };
   }
