Routers keep a book of which engine runs with which weights, and what to expect of it

A fresh request must be sent under the weights that its engine has, and older ones may serve only for a time after the newer naming was heard. The book takes every source (list, answers, word from the core that an engine is about to take up weights) and believes the newest, since an engine's weights never fall within one life: a list that lags cannot take an answer back. Whole numbers are ordered by size, other names by the order of their naming. A salt holds the weights besides the wall. Eight tests, none on real time.

--- a/src/control/api.ts
+++ b/src/control/api.ts
@@ -6,7 +6,8 @@
 import { IntentsValue, KEYS, Place } from '../shared/words';
 import { checkIntents } from './intents';
 import { Changed, Controller, reached } from './controller';
-import { NamedWeights, Operation, TenantKeys } from './operations';
+import { NamedWeights } from '../shared/weights';
+import { Operation, TenantKeys } from './operations';
 import { replaceVoter } from './voters';
 
 class ApplyAsk {
--- a/src/control/check.ts
+++ b/src/control/check.ts
@@ -1,7 +1,7 @@
 import { askJson } from '../shared/lib';
 import { Wire } from '../shared/ports';
 import { Engine, Intents, Member } from '../shared/words';
-import { NamedWeights } from './operations';
+import { NamedWeights } from '../shared/weights';
 
 /** Where a file of intents and the fleet as it is don't fit. */
 export interface Finding {
--- a/src/control/duties.ts
+++ b/src/control/duties.ts
@@ -4,7 +4,7 @@
 import { Ports } from '../shared/ports';
 import { Engine, KEYS } from '../shared/words';
 import { ABSENT, Controller } from './controller';
-import { NamedWeights } from './operations';
+import { NamedWeights } from '../shared/weights';
 import { replaceVoter } from './voters';
 
 /** Starts all duties of a controller. */
--- a/src/control/operations.ts
+++ b/src/control/operations.ts
@@ -1,5 +1,6 @@
 import { Left, Right } from 'purify-ts';
 import { bad, makeFault, Outcome } from '../shared/errors';
+import { NamedWeights } from '../shared/weights';
 import { Engine, Intents, IntentsValue, KEYS, Numbered, setSalts, Voters } from '../shared/words';
 import { checkIntents } from './intents';
 
@@ -9,13 +10,6 @@
   keys: { id: string; hash: string }[];
 }
 
-/** The named weights of a model, and the older ones that may still serve fresh requests; `*` stands for all from before the first naming. */
-export interface NamedWeights {
-  model: string;
-  weights: string;
-  older: string[];
-}
-
 /** A change as operators or duties ask for it. */
 export type Operation =
   | { kind: 'intents'; basedOn: number; doc: unknown }
--- /dev/null
+++ b/test/weights.test.ts
@@ -0,0 +1,123 @@
+import { makeWeightsBook, saltUnder, WeightsBook } from '../src/data/gateway/weights';
+import { Clock } from '../src/shared/ports';
+import { compareWeights, lacks } from '../src/shared/weights';
+import { Engine } from '../src/shared/words';
+
+const STOP = 6000;
+
+interface Desk {
+  book: WeightsBook;
+  pass(ms: number): void;
+}
+
+function desk(): Desk {
+  let t = 1000;
+  function now(): number {
+    return t;
+  }
+  function pass(ms: number): void {
+    t += ms;
+  }
+  return { book: makeWeightsBook({ now } as Clock, STOP), pass };
+}
+
+function engine(id: string, ...weights: string[]): Engine {
+  function model(w: string, i: number): { name: string; weights: string } {
+    return { name: `m${i + 1}`, weights: w };
+  }
+  return { id, at: `${id}:1`, zone: 'z', model: 'm1', weights: weights[0], leaving: false, models: weights.map(model) };
+}
+
+function ordersWeights(): void {
+  expect(compareWeights('9', '10')).toBeLessThan(0);
+  expect(compareWeights('10', '10')).toBe(0);
+  const named = { model: 'm', weights: 'blue', older: ['red', 'green'] };
+  expect(compareWeights('green', 'red', named)).toBeGreaterThan(0);
+  expect(lacks('never named', named)).toBe(true);
+  expect(lacks('12', { model: 'm', weights: '11', older: ['*'] })).toBe(false);
+}
+
+function servesOldForATime(): void {
+  const { book, pass } = desk();
+  book.listed([engine('a', '1'), engine('b', '2')]);
+  expect(book.expect('a', 'm1')).toEqual({ weights: '1', kind: 'now' });
+  book.named({ model: 'm1', weights: '2', older: ['*'] }, true);
+  expect(book.expect('a', 'm1')).toEqual({ weights: '1', kind: 'old' });
+  expect(book.expect('b', 'm1')).toEqual({ weights: '2', kind: 'now' });
+  pass(STOP - 1);
+  expect(book.expect('a', 'm1')?.kind).toBe('old');
+  pass(1);
+  expect(book.expect('a', 'm1')).toBeUndefined();
+  expect(book.expect('b', 'm1')).toEqual({ weights: '2', kind: 'now' });
+}
+
+function eachByItsOwnTime(): void {
+  const { book, pass } = desk();
+  book.listed([engine('a', '1'), engine('b', '2')]);
+  book.named({ model: 'm1', weights: '2', older: ['*'] }, true);
+  pass(STOP / 2);
+  book.named({ model: 'm1', weights: '3', older: ['*', '2'] }, true);
+  pass(STOP / 2);
+  expect(book.expect('a', 'm1')).toBeUndefined();
+  expect(book.expect('b', 'm1')?.kind).toBe('old');
+  pass(STOP / 2);
+  expect(book.expect('b', 'm1')).toBeUndefined();
+}
+
+function caughtUpIsTooLate(): void {
+  const { book } = desk();
+  book.listed([engine('a', '1')]);
+  book.named({ model: 'm1', weights: '2', older: ['*'] }, false);
+  expect(book.expect('a', 'm1')).toBeUndefined();
+}
+
+function endedIsTooLate(): void {
+  const { book } = desk();
+  book.listed([engine('a', '1')]);
+  book.named({ model: 'm1', weights: '2', older: ['*'] }, true);
+  book.named({ model: 'm1', weights: '2', older: [] }, true);
+  expect(book.expect('a', 'm1')).toBeUndefined();
+}
+
+function answersGoBeforeTheList(): void {
+  const { book } = desk();
+  book.listed([engine('a', '1', '7')]);
+  book.named({ model: 'm1', weights: '2', older: ['*'] }, true);
+  book.told('a', { m1: '2' });
+  book.listed([engine('a', '1', '7')]);
+  expect(book.expect('a', 'm1')).toEqual({ weights: '2', kind: 'now' });
+  expect(book.expect('a', 'm2')).toEqual({ weights: '7', kind: 'now' });
+  book.told('a', { m1: '3' });
+  expect(book.expect('a', 'm1')).toEqual({ weights: '3', kind: 'now' });
+  book.listed([]);
+  book.listed([engine('a', '1', '7')]);
+  expect(book.expect('a', 'm1')).toEqual({ weights: '1', kind: 'old' });
+}
+
+function loadingIsLeftAlone(): void {
+  const { book, pass } = desk();
+  book.listed([engine('a', '1', '7'), engine('b', '1')]);
+  book.named({ model: 'm1', weights: '2', older: ['*'] }, true);
+  book.loading(['a'], 900);
+  expect(book.expect('a', 'm1')).toEqual({ weights: '2', kind: 'loading' });
+  expect(book.expect('a', 'm2')).toEqual({ weights: '7', kind: 'now' });
+  expect(book.expect('b', 'm1')?.kind).toBe('old');
+  pass(900);
+  expect(book.expect('a', 'm1')?.kind).toBe('old');
+  book.loading(['a'], 900);
+  book.told('a', { m1: '2' });
+  expect(book.expect('a', 'm1')?.kind).toBe('now');
+}
+
+function saltsHoldWeights(): void {
+  expect(saltUnder('w', '1')).not.toBe(saltUnder('w', '2'));
+}
+
+test('whole numbers rise by size, others by their naming', ordersWeights);
+test('older weights serve until the time after the naming was heard', servesOldForATime);
+test('each older weights end by their own time', eachByItsOwnTime);
+test('a naming heard on catching up ends the older ones at once', caughtUpIsTooLate);
+test('what the core has ended serves no more', endedIsTooLate);
+test('what an engine answers goes before a list that lags', answersGoBeforeTheList);
+test('an engine that takes up weights is left alone until it has them or the time is over', loadingIsLeftAlone);
+test('parts of other weights stand under another text', saltsHoldWeights);
