--- a/src/shared/dialect.ts
+++ b/src/shared/dialect.ts
@@ -103,11 +103,15 @@
 
 /** An order to an engine to take up weights; `fence` is unique to the holder's term and rises. */
 export interface WeightsOrder {
+  /** The engine's instance that alone may take it. */
+  instance: string;
   model: string;
   weights: string;
   method: 'queue' | 'preempt' | 'retain';
   holder: string;
   fence: number;
+  /** How many orders the engine has taken, where that is known: it takes this one only if that is so. */
+  expected?: number;
 }
 
 /** What became of an order. */
