The gateway: a router's request path for other manners of speaking, in thin form

Cause: on the users' platform a router serves routes by host and prefix, with raw bodies and headers; the product's own interface knows prompts only. One function takes a request from reading to its answer; routes, budget, kept connections and the choice of an engine are parts of their own. Raw HTTP is a port of its own (Node's http, one agent a connection, so that the product says which connection is used again); undici is loaded only where it is asked by, since a router needs it no longer. Ruled out: Node's shared agent (no say over surplus bytes, or over which kept connection may be stale), and undici at the router (its start-up). The choice of an engine is a simple one behind the seam that a shared one will take.

--- /dev/null
+++ b/src/data/gateway/forward.ts
@@ -0,0 +1,146 @@
+import { CallerRequest, HttpRoute, TenantAccess } from '../../shared/deployment';
+import { RawHeaders, StreamEvent } from '../../shared/dialect';
+import { open } from '../../shared/errors';
+import { HttpConnection, RawCall, RawReply } from '../../shared/ports';
+import { Chosen, Load } from './choose';
+import type { GatewayParts } from './request';
+
+/** What became of an attempt: `not-sent` never reached an engine; `not-run` is the engine's word; `doubt` may have run and gave nothing; `broken` gave a part. */
+export type Attempted = 'answered' | 'not-sent' | 'not-run' | 'doubt' | 'broken' | 'caller-gone';
+
+/** A request on its way, over all its attempts. */
+export interface Taken {
+  request: CallerRequest;
+  route: HttpRoute;
+  tenant?: TenantAccess;
+  body: Uint8Array;
+  until: number;
+  /** Whether the caller has been given the head of an answer. */
+  headSent: boolean;
+  /** Whether an attempt may have run. */
+  doubted?: boolean;
+  /** The last event that went to the caller. */
+  lastEvent?: string;
+}
+
+/** Sends a request to an engine and passes its answer back. */
+export async function forward(g: GatewayParts, call: RawCall, x: Taken, c: Chosen, connection: HttpConnection, load: Load): Promise<Attempted> {
+  const { clock } = g.ports;
+  const began = clock.now();
+  const left = x.until - began;
+  const worded = g.dialect.engines.attempt({ method: call.method, target: call.target, headers: call.headers, body: x.body }, {
+    instance: c.engine.id, deadlineMs: left, tenant: x.tenant?.name, salt: c.salt, weights: c.weights, urgency: c.urgency, fetchFrom: c.fetchFrom, storeAt: c.storeAt, lastEvent: x.lastEvent,
+  });
+  const [f, reply] = open(await connection.ask(worded, left, call.gone));
+  if (f) {
+    load.ended(f.code === 'caller-gone' ? 'caller-gone' : f.sort === 'refused' ? 'not-run' : 'doubt');
+    if (f.code === 'caller-gone') return 'caller-gone';
+    if (f.sort === 'refused') return 'not-sent';
+    return doubt(x);
+  }
+  const head = g.dialect.engines.head(reply.status, reply.fields);
+  if (head.id !== x.request.id) {
+    g.connections.garbles(c.engine);
+    reply.cancel();
+    load.ended('doubt');
+    return doubt(x);
+  }
+  g.connections.told(c.engine, head.keepS);
+  load.told(byModel(x, head.weights));
+  const verdict = head.verdict === 'other-instance' && head.instance === c.engine.id ? 'other-weights' : head.verdict;
+  if (verdict === 'not-run' || verdict === 'other-instance' || verdict === 'other-weights') {
+    void readOut(reply);
+    load.turnedAway(verdict);
+    load.ended('not-run');
+    return 'not-run';
+  }
+  if (verdict === 'doubt' || (x.headSent && !isSuccess(reply.status))) {
+    reply.cancel();
+    load.ended('doubt');
+    return doubt(x);
+  }
+  function first(): void {
+    load.firstEvent(clock.now() - began);
+  }
+  const o = await passBack(g, call, x, reply, load, first);
+  load.ended(o === 'answered' ? 'done' : o === 'caller-gone' ? 'caller-gone' : 'doubt');
+  return o;
+}
+
+/** Weights by model; what names no model is the request's. */
+function byModel(x: Taken, weights: Record<string, string>): Record<string, string> {
+  const { '': own, ...named } = weights;
+  return own === undefined || x.request.model === undefined ? named : { ...named, [x.request.model]: own };
+}
+
+function doubt(x: Taken): Attempted {
+  x.doubted = true;
+  return x.headSent ? 'broken' : 'doubt';
+}
+
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
+
+/** Reads an answer that nobody wants to its end, so that its connection can be used again. */
+async function readOut(reply: RawReply): Promise<void> {
+  for (;;) {
+    const [f, p] = open(await reply.next());
+    if (f || p === undefined) return;
+  }
+}
+
+/** Passes an answer back as it comes; of a stream that may be taken up elsewhere, whole events only. */
+async function passBack(g: GatewayParts, call: RawCall, x: Taken, reply: RawReply, load: Load, first: () => void): Promise<Attempted> {
+  const cutter = x.route.resumable && isSuccess(reply.status) ? g.dialect.engines.events() : undefined;
+  const headers = g.dialect.engines.passBack(reply.headers);
+  let any = false;
+  for (;;) {
+    const [f, p] = open(await reply.next());
+    if (call.gone.aborted) {
+      reply.cancel();
+      return 'caller-gone';
+    }
+    if (f) return doubt(x);
+    if (p === undefined) break;
+    if (!any) first();
+    any = true;
+    const bytes = cutter ? wholeEvents(x, cutter.take(p), load) : p;
+    if (bytes === undefined) {
+      reply.cancel();
+      return doubt(x);
+    }
+    if (bytes.length === 0) continue;
+    giveHead(call, x, reply.status, headers);
+    if (await call.piece(bytes)) continue;
+    reply.cancel();
+    return 'caller-gone';
+  }
+  if (cutter && cutter.rest() > 0) return doubt(x);
+  giveHead(call, x, reply.status, headers);
+  call.end();
+  return 'answered';
+}
+
+/** The bytes of whole events; nothing where an event came that was passed on already. */
+function wholeEvents(x: Taken, events: StreamEvent[], load: Load): Uint8Array | undefined {
+  for (const e of events) {
+    if (e.id !== undefined && x.lastEvent !== undefined && Number(e.id) <= Number(x.lastEvent)) return undefined;
+    x.lastEvent = e.id ?? x.lastEvent;
+    if (e.weights !== undefined) load.told(byModel(x, { '': e.weights }));
+  }
+  function bytesOf(e: { bytes: Uint8Array }): Uint8Array {
+    return e.bytes;
+  }
+  return events.length === 1 ? events[0].bytes : Buffer.concat(events.map(bytesOf));
+}
+
+/** Gives the head once; a stream that may be taken up elsewhere tells no length. */
+function giveHead(call: RawCall, x: Taken, status: number, headers: RawHeaders): void {
+  if (x.headSent) return;
+  x.headSent = true;
+  if (!x.route.resumable) return call.head(status, headers);
+  const out: RawHeaders = [];
+  for (let i = 0; i < headers.length; i += 2) if (headers[i].toLowerCase() !== 'content-length') out.push(headers[i], headers[i + 1]);
+  call.head(status, out);
+}
--- /dev/null
+++ b/src/data/gateway/gateway.ts
@@ -0,0 +1,162 @@
+import { Left, Right } from 'purify-ts';
+import { Deployment, DeploymentValue, Pool } from '../../shared/deployment';
+import { Dialect } from '../../shared/dialect';
+import { bad, open, Outcome } from '../../shared/errors';
+import { Follower } from '../../shared/follow';
+import { HttpWire, Ports, RawCall, ServeLimits } from '../../shared/ports';
+import { Settings } from '../../shared/settings';
+import { NamedWeights } from '../../shared/weights';
+import { Engine, KEYS, Numbered } from '../../shared/words';
+import { makeRetryBudget } from './budget';
+import { makeChooser } from './choose';
+import { keepConnections } from './pools';
+import { GatewayCounts, GatewayParts, serveRequest } from './request';
+import { makeRouteTable, RouteTable } from './routes';
+import { makeWeightsBook } from './weights';
+
+/** The request path of a router that speaks by a dialect. */
+export interface Gateway {
+  counts: GatewayCounts;
+  /** Whether it takes connections. */
+  ready(): boolean;
+  drain(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+/** Limits until the deployment tells them, as shares of `contactMs`. */
+const FIRST_LIMITS = { header: 1, idle: 5 };
+/** Older weights serve fresh requests for this share of the bound. */
+const OLDER = 0.6;
+/** How much of the grace a drain takes at the most. */
+const DRAIN = 0.8;
+/** A router without new connections and requests for this share of `contactMs` is out of the callers' list. */
+const QUIET = 0.85;
+/** How often a router that serves, or drains, looks at itself, as a share of `contactMs`. */
+const LOOK = 0.02;
+
+/** Starts the request path: readiness, then callers. */
+export async function startGateway(ports: Ports, settings: Settings, follower: Follower, dialect: Dialect): Promise<Outcome<Gateway>> {
+  if (!ports.http) return bad('start gateway', settings.http, 'no raw HTTP here');
+  const http: HttpWire = ports.http;
+  const { clock } = ports;
+  const counts: GatewayCounts = { asked: 0, done: 0, refused: 0, unknown: 0, attempts: 0, furtherAttempts: 0, resumed: 0, callersGone: 0 };
+  let current: RouteTable | undefined;
+  let leased = false;
+  let leaving = false;
+  let stopped = false;
+  let underWay = 0;
+  let routersSeen: number | undefined;
+
+  /** The routers that are live, where a majority's leases tell them; otherwise the most that were ever told. */
+  function routers(): number | undefined {
+    const n = follower.members('router').length;
+    if (n > 0 && follower.live()) routersSeen = n;
+    else if (n > (routersSeen ?? 0)) routersSeen = n;
+    return routersSeen;
+  }
+
+  function pool(name: string): Pool | undefined {
+    return current?.pool(name);
+  }
+
+  function table(): RouteTable | undefined {
+    return serves() ? current : undefined;
+  }
+
+  function serves(): boolean {
+    if (!leased && follower.live()) leased = true;
+    if (settings.strict && !follower.live()) return false;
+    return leased && current !== undefined && follower.value(KEYS.engines) !== undefined;
+  }
+
+  function ready(): boolean {
+    return serves() && !leaving;
+  }
+
+  const weights = makeWeightsBook(clock, settings.weightsBoundMs * OLDER);
+  const connections = keepConnections(clock, http, settings, routers);
+  const chooser = makeChooser({ ports, settings, follower, weights, pool });
+  const budget = makeRetryBudget(clock, settings, routers);
+  const parts: GatewayParts = { ports, settings, dialect, chooser, connections, budget, counts, table };
+
+  function limits(): ServeLimits {
+    const l = current?.limits;
+    return { headerTimeoutMs: l?.headerTimeoutMs ?? settings.contactMs * FIRST_LIMITS.header, idleTimeoutMs: l?.idleTimeoutMs ?? settings.contactMs * FIRST_LIMITS.idle, closing: leaving };
+  }
+
+  async function taken(call: RawCall): Promise<void> {
+    underWay++;
+    await serveRequest(parts, call);
+    underWay--;
+  }
+
+  async function asked(call: RawCall): Promise<void> {
+    const is = call.method === 'GET' && call.target.split('?', 1)[0] === dialect.callers.readinessPath;
+    call.head(is ? (ready() ? 200 : 503) : 404, ['Content-Length', '0']);
+    call.end();
+  }
+
+  const [f, server] = open(await http.serve(settings.http, limits(), taken));
+  if (f) return Left(f);
+  const [h, readiness] = open(await http.serve(settings.readiness, limits(), asked));
+  if (h) return Left(h);
+
+  function changed(n: Numbered): void {
+    if (n.key === KEYS.engines) renewEngines(n.value as Engine[]);
+    if (n.key.startsWith(KEYS.weights)) weights.named(n.value as NamedWeights, leased);
+    if (n.key === KEYS.deployment) renew((n.value as DeploymentValue).doc);
+  }
+
+  function renewEngines(list: Engine[]): void {
+    connections.renew(new Set(list.map(idOf)));
+    weights.listed(list);
+  }
+
+  function idOf(e: Engine): string {
+    return e.id;
+  }
+
+  function renew(doc: unknown): void {
+    const d = dialect.deployment(doc);
+    if (d.isLeft()) return ports.log.error({ step: 'read deployment', peer: settings.name }, (d.extract() as string[]).join('; '));
+    current = makeRouteTable(d.extract() as Deployment);
+    connections.idleMs(current.limits.idleTimeoutMs);
+    server!.limit(limits());
+  }
+
+  async function drain(): Promise<void> {
+    leaving = true;
+    server!.limit(limits());
+    const began = clock.now();
+    let seen = server!.arrivals();
+    let quiet = began;
+    while (clock.now() - began < settings.graceMs * DRAIN) {
+      await clock.sleep(settings.contactMs * LOOK);
+      if (server!.arrivals() !== seen) quiet = clock.now();
+      seen = server!.arrivals();
+      if (underWay === 0 && clock.now() - quiet > settings.contactMs * QUIET) break;
+    }
+  }
+
+  async function stop(): Promise<void> {
+    leaving = true;
+    stopped = true;
+    chooser.stop();
+    connections.stop();
+    await server!.close();
+    await readiness!.close();
+  }
+
+  async function look(): Promise<void> {
+    while (!stopped) {
+      serves();
+      routers();
+      await clock.sleep(settings.contactMs * LOOK * 5);
+    }
+  }
+
+  void follower.changes.observe(changed);
+  for (const n of follower.places()) changed(n);
+  void look();
+  return Right({ counts, ready, drain, stop });
+}
--- /dev/null
+++ b/src/data/gateway/pools.ts
@@ -0,0 +1,137 @@
+import { Left, Right } from 'purify-ts';
+import { makeFault, open, Outcome } from '../../shared/errors';
+import { Clock, HttpConnection, HttpWire } from '../../shared/ports';
+import { Settings } from '../../shared/settings';
+import { Engine } from '../../shared/words';
+
+/** The share of an engine's connections that routers take together. */
+const SHARE = 0.8;
+/** A kept connection is used again up to this share of the time that the engine tells. */
+const KEEP = 0.6;
+/** The time taken where an engine tells none, as a share of what callers' connections may idle. */
+const UNTOLD = 0.25;
+/** How long an engine that sent surplus bytes gets fresh connections only, as a share of `contactMs`. */
+const GARBLED = 2;
+/** The longest that a connection may take to come up, as a share of `contactMs`. */
+const CONNECT = 0.15;
+
+/** Kept connections to engines; what was used last is used first. */
+export interface EngineConnections {
+  /** Takes a connection to an engine; `most` is what the engine takes from all callers. */
+  take(e: Engine, most: number): Promise<Outcome<HttpConnection>>;
+  /** Takes back a connection that was not used. */
+  giveBack(e: Engine, c: HttpConnection): void;
+  /** Hears for how long an engine keeps an idle connection. */
+  told(e: Engine, keepS: number | undefined): void;
+  /** Hears that an engine mixes answers up. */
+  garbles(e: Engine): void;
+  /** Hears which engines there are. */
+  renew(ids: ReadonlySet<string>): void;
+  idleMs(ms: number): void;
+  stop(): void;
+}
+
+interface Kept {
+  at: string;
+  open: number;
+  idle: { c: HttpConnection; since: number }[];
+  keepMs?: number;
+  freshUntil: number;
+}
+
+/** Makes the kept connections; `routers` tells how many routers share the engines. */
+export function keepConnections(clock: Clock, http: HttpWire, s: Settings, routers: () => number | undefined): EngineConnections {
+  const engines = new Map<string, Kept>();
+  let untoldMs = s.contactMs;
+  let stopped = false;
+
+  function at(e: Engine): Kept {
+    const had = engines.get(e.id);
+    if (had) return had;
+    const k: Kept = { at: e.at, open: 0, idle: [], freshUntil: 0 };
+    engines.set(e.id, k);
+    return k;
+  }
+
+  function lastsMs(k: Kept): number {
+    return (k.keepMs ?? untoldMs) * KEEP;
+  }
+
+  function trim(k: Kept): void {
+    const now = clock.now();
+    const fresh = now < k.freshUntil;
+    function lasts(x: { c: HttpConnection; since: number }): boolean {
+      const ok = !fresh && x.c.fit() && now - x.since < lastsMs(k);
+      if (!ok) x.c.close();
+      return ok;
+    }
+    k.idle = k.idle.filter(lasts);
+  }
+
+  async function take(e: Engine, most: number): Promise<Outcome<HttpConnection>> {
+    const k = at(e);
+    trim(k);
+    const kept = k.idle.pop();
+    if (kept) return Right(kept.c);
+    if (k.open >= Math.max(1, Math.floor((most * SHARE) / (routers() ?? 1)))) return Left(makeFault('connect', e.at, 'no connection is free', 'refused', 'no-connection'));
+    k.open++;
+    const [f, c] = open(await http.connect(e.at, s.contactMs * CONNECT));
+    if (f) {
+      k.open--;
+      return Left(f);
+    }
+    c.onIdle(idle);
+    void c.done.then(closed);
+    function idle(): void {
+      if (stopped || engines.get(e.id) !== k) c!.close();
+      else k.idle.push({ c: c!, since: clock.now() });
+    }
+    function closed(v: { surplus: boolean }): void {
+      k.open--;
+      if (v.surplus) garbles(e);
+    }
+    return Right(c);
+  }
+
+  function giveBack(e: Engine, c: HttpConnection): void {
+    at(e).idle.push({ c, since: clock.now() });
+  }
+
+  function told(e: Engine, keepS: number | undefined): void {
+    if (keepS !== undefined) at(e).keepMs = keepS * 1000;
+  }
+
+  function garbles(e: Engine): void {
+    const k = at(e);
+    k.freshUntil = clock.now() + s.contactMs * GARBLED;
+    trim(k);
+  }
+
+  function drop(id: string, k: Kept): void {
+    engines.delete(id);
+    for (const x of k.idle) x.c.close();
+  }
+
+  function renew(ids: ReadonlySet<string>): void {
+    for (const [id, k] of engines) if (!ids.has(id)) drop(id, k);
+  }
+
+  function idleMs(ms: number): void {
+    untoldMs = ms * UNTOLD;
+  }
+
+  async function trimAll(): Promise<void> {
+    while (!stopped) {
+      await clock.sleep(s.contactMs * KEEP);
+      for (const k of engines.values()) trim(k);
+    }
+  }
+
+  function stop(): void {
+    stopped = true;
+    for (const [id, k] of engines) drop(id, k);
+  }
+
+  void trimAll();
+  return { take, giveBack, told, garbles, renew, idleMs, stop };
+}
--- /dev/null
+++ b/src/data/gateway/request.ts
@@ -0,0 +1,161 @@
+import { open } from '../../shared/errors';
+import { CallerRequest, HttpRoute, TenantAccess } from '../../shared/deployment';
+import { Dialect } from '../../shared/dialect';
+import { Ports, RawCall } from '../../shared/ports';
+import { Settings } from '../../shared/settings';
+import { RetryBudget } from './budget';
+import { Chooser, Refusal, Wanted } from './choose';
+import { Attempted, forward, Taken } from './forward';
+import { EngineConnections } from './pools';
+import { drawPool, RouteTable } from './routes';
+
+/** What a router counts on the request path. */
+export interface GatewayCounts {
+  asked: number;
+  done: number;
+  refused: number;
+  unknown: number;
+  attempts: number;
+  furtherAttempts: number;
+  resumed: number;
+  callersGone: number;
+}
+
+/** All that a request needs on its way. */
+export interface GatewayParts {
+  ports: Ports;
+  settings: Settings;
+  dialect: Dialect;
+  chooser: Chooser;
+  connections: EngineConnections;
+  budget: RetryBudget;
+  counts: GatewayCounts;
+  /** The deployment's look-ups, once this router may serve. */
+  table(): RouteTable | undefined;
+}
+
+/** Connections to engines that may fail before a request is given up, as a multiple of its attempts. */
+const CONNECTS = 3;
+/** When a request may come again that could not be sent, as a share of `contactMs`. */
+const AGAIN = 0.1;
+
+/** A request that was read: what it asks for, whole. */
+interface Read {
+  request: CallerRequest;
+  body: Uint8Array;
+}
+
+/** A request that the deployment allows. */
+interface Allowed {
+  route: HttpRoute;
+  tenant?: TenantAccess;
+  pool: string;
+}
+
+/** Serves one request: read, allow, route, choose, forward, events back. */
+export async function serveRequest(g: GatewayParts, call: RawCall): Promise<void> {
+  const { clock } = g.ports;
+  const since = clock.now();
+  g.counts.asked++;
+  const q = await read(g, call);
+  if (!q) return;
+  const table = g.table();
+  if (!table) return refuse(g, call, { status: 503, why: 'this router has no deployment yet', retryAfterMs: g.settings.contactMs * AGAIN });
+  const a = allow(g, call, table, q.request);
+  if (!a) return;
+  const until = since + Math.min(q.request.deadlineMs ?? a.route.timeoutMs, a.route.timeoutMs);
+  g.budget.asked(a.pool);
+  const x: Taken = { request: q.request, route: a.route, tenant: a.tenant, body: q.body, until, headSent: false, lastEvent: undefined };
+  const avoid = new Set<string>();
+  const repeatable = a.route.kind === 'safe' || a.route.resumable;
+  let sent = 0;
+  let last: Attempted | undefined;
+  let refusal: Refusal = { status: 503, why: 'no engine can be reached', retryAfterMs: g.settings.contactMs * AGAIN };
+
+  for (let tried = 0; sent < a.route.maxAttempts && tried < a.route.maxAttempts * CONNECTS; tried++) {
+    if (call.gone.aborted || clock.now() >= until) break;
+    const w: Wanted = { request: q.request, route: a.route, pool: a.pool, tenant: a.tenant, since, until, avoid, again: sent };
+    const chosen = await g.chooser.choose(w);
+    if (chosen.isLeft()) {
+      refusal = chosen.extract() as Refusal;
+      break;
+    }
+    const c = chosen.unsafeCoerce();
+    const load = g.chooser.began(c, w);
+    avoid.add(c.engine.id);
+    const [f, connection] = open(await g.connections.take(c.engine, table.pool(a.pool)?.maxConnections ?? 1));
+    if (f) {
+      load.ended('not-run');
+      continue;
+    }
+    if (clock.now() >= until || (sent > 0 && !g.budget.spend(a.pool))) {
+      load.ended('caller-gone');
+      g.connections.giveBack(c.engine, connection);
+      break;
+    }
+    g.counts.attempts++;
+    if (sent > 0) g.counts.furtherAttempts++;
+    if (x.headSent) g.counts.resumed++;
+    last = await forward(g, call, x, c, connection, load);
+    if (last !== 'not-sent') sent++;
+    if (last === 'answered' || last === 'caller-gone' || (last === 'broken' && !canResume(x)) || (last === 'doubt' && !repeatable)) break;
+  }
+
+  if (last === 'answered') g.counts.done++;
+  else if (last === 'caller-gone' || call.gone.aborted) g.counts.callersGone++;
+  else if (x.headSent) breakOff(g, call);
+  else if (x.doubted) giveUp(g, call, clock.now() >= until ? 504 : 502);
+  else refuse(g, call, refusal);
+}
+
+function canResume(x: Taken): boolean {
+  return x.route.resumable && (!x.headSent || x.lastEvent !== undefined);
+}
+
+async function read(g: GatewayParts, call: RawCall): Promise<Read | undefined> {
+  const limits = g.table()?.limits;
+  const [f, body] = open(await call.body(limits?.maxBodyBytes ?? g.settings.bodyMostBytes));
+  if (f) return answer(g, call, f.code === 'too-large' ? 413 : 400, f.why);
+  const r = g.dialect.callers.read(call.method, call.target, call.fields);
+  if (r.isLeft()) return answer(g, call, 400, r.extract() as string);
+  return { request: r.extract() as CallerRequest, body };
+}
+
+function allow(g: GatewayParts, call: RawCall, table: RouteTable, q: CallerRequest): Allowed | undefined {
+  const route = table.find(q.host, q.path);
+  if (!route) return answer(g, call, 404, 'no route');
+  const tenant = q.credential === undefined ? undefined : table.tenantOf(q.credential);
+  if (!route.public && !tenant) return answer(g, call, 401, 'the key is not known');
+  const pool = drawPool(route, g.ports.dice.next());
+  if (pool === undefined) return answer(g, call, 404, 'the route has no target');
+  return { route, tenant, pool };
+}
+
+function say(call: RawCall, status: number, why: string, more: string[] = []): void {
+  const bytes = Buffer.from(JSON.stringify({ error: why }) + '\n');
+  call.head(status, ['Content-Type', 'application/json', 'Content-Length', String(bytes.length), ...more]);
+  call.end(bytes);
+}
+
+function answer(g: GatewayParts, call: RawCall, status: number, why: string): undefined {
+  g.counts.refused++;
+  say(call, status, why);
+  return undefined;
+}
+
+/** Refuses what has not run and never will, with a time to come again. */
+function refuse(g: GatewayParts, call: RawCall, r: Refusal): void {
+  g.counts.refused++;
+  say(call, r.status, r.why, ['Retry-After', (r.retryAfterMs / 1000).toFixed(3)]);
+}
+
+/** Gives up what may have run. */
+function giveUp(g: GatewayParts, call: RawCall, status: number): void {
+  g.counts.unknown++;
+  say(call, status, 'the engine was lost; the request may have run');
+}
+
+function breakOff(g: GatewayParts, call: RawCall): void {
+  g.counts.unknown++;
+  call.breakOff();
+}
--- a/src/data/router.ts
+++ b/src/data/router.ts
@@ -7,8 +7,10 @@
 import { Bounds, boundsOf, Settings } from '../shared/settings';
 import { converse, Hello, HelloEdge, WIRE_VERSION } from '../shared/connections';
 import { IntentsValue, KEYS, Member, Numbered, Rule, Service } from '../shared/words';
+import { Dialect } from '../shared/dialect';
 import { CallerApi } from './api';
 import { Engines, Seen, watchEngines } from './engines';
+import { startGateway } from './gateway/gateway';
 import { makePlacer, Placer } from './place';
 
 /** What a router counts, for metrics. */
@@ -72,6 +74,37 @@
   older: string[];
 }
 
+/** A running router of either manner of speaking. */
+export interface RunningRouter {
+  stop(): Promise<void>;
+  drain(): Promise<void>;
+}
+
+/** Starts a router that speaks by a dialect: it follows the core, and its gateway takes callers. */
+export async function startDialectRouter(ports: Ports, settings: Settings, dialect: Dialect): Promise<Outcome<RunningRouter>> {
+  const bounds = boundsOf(settings);
+  const hello: Hello = { version: WIRE_VERSION, name: settings.name, role: 'router', at: settings.wire, zone: settings.zone };
+  const member: Member = { name: settings.name, role: 'router', at: settings.wire, http: settings.http, zone: settings.zone, life: ports.dice.id().slice(0, 8) };
+  const edges: object[] = [new HelloEdge(hello)];
+  const follower = follow(ports, bounds, hello, member, settings.seeds, edges);
+  function taken(s: Connection): void {
+    converse(ports, s, edges);
+  }
+  const [f, wire] = open(await ports.wire.accept(settings.wire, taken));
+  if (f) return Left(f);
+  const [h, gateway] = open(await startGateway(ports, settings, follower, dialect));
+  if (h) return Left(h);
+
+  async function stop(): Promise<void> {
+    await follower.leave();
+    follower.stop();
+    await gateway!.stop();
+    await wire!.close();
+  }
+
+  return Right({ stop, drain: gateway.drain });
+}
+
 /** Starts a router: it follows the core, watches engines, and takes callers. */
 export async function startRouter(ports: Ports, settings: Settings): Promise<Outcome<Router>> {
   const bounds = boundsOf(settings);
--- a/src/programs/common.ts
+++ b/src/programs/common.ts
@@ -3,6 +3,7 @@
 import { Fault, sayFault } from '../shared/errors';
 import { Ports } from '../shared/ports';
 import { realClock, realDice, realDisk, realLog } from '../shared/real';
+import { realHttp } from '../shared/realhttp';
 import { realWire } from '../shared/realwire';
 import { boundsOf, readSettings, Settings, settingsFields } from '../shared/settings';
 
@@ -58,7 +59,7 @@
 
 async function run(program: string, s: Settings, start: (ports: Ports, s: Settings) => Promise<Either<Fault, Running>>): Promise<void> {
   const log = realLog(program, s.name);
-  const ports: Ports = { clock: realClock(), dice: realDice(), disk: realDisk(s.data), wire: realWire(boundsOf(s).dial, s.bind), log };
+  const ports: Ports = { clock: realClock(), dice: realDice(), disk: realDisk(s.data), wire: realWire(boundsOf(s).dial, s.bind), log, http: realHttp(s.bind) };
   const o = await start(ports, s);
   if (o.isLeft()) {
     const f = o.extract() as Fault;
--- a/src/shared/dialect.ts
+++ b/src/shared/dialect.ts
@@ -1,10 +1,11 @@
 import { Either } from 'purify-ts';
 import { CallerRequest, Deployment, NamedChange } from './deployment';
+import { HeaderList } from './ports';
 import { Settings } from './settings';
 import { Engine } from './words';
 
 /** A header list as it stands on the wire: name, value, name, value. */
-export type RawHeaders = string[];
+export type RawHeaders = HeaderList;
 
 /** A request that a dialect words; the product sends it. */
 export interface Worded {
@@ -40,6 +41,8 @@
   verdict: 'answer' | 'not-run' | 'other-instance' | 'other-weights' | 'doubt';
   /** The id of the try that is answered, where the answer tells it. */
   id?: string;
+  /** The instance that answers, where the answer tells it. */
+  instance?: string;
   /** Whether the answer carries the engine's stamp. */
   sealed: boolean;
   /** The weights that it runs with, by model. */
--- a/src/shared/ports.ts
+++ b/src/shared/ports.ts
@@ -88,6 +88,81 @@
   dial(at: string, within: number): Promise<Outcome<Connection>>;
 }
 
+/** Headers as they stand on the wire: name, value, name, value. */
+export type HeaderList = string[];
+
+/** An HTTP request that reached us, its bytes and headers untouched. */
+export interface RawCall {
+  method: string;
+  target: string;
+  headers: HeaderList;
+  /** Headers by name in lower case. */
+  fields: Record<string, string | undefined>;
+  peer: string;
+  /** Aborted when the caller goes away before its answer is whole. */
+  gone: AbortSignal;
+  body(most: number): Promise<Outcome<Uint8Array>>;
+  /** The head goes out with the first piece or the end. */
+  head(status: number, headers: HeaderList): void;
+  piece(bytes: Uint8Array): Promise<boolean>;
+  end(bytes?: Uint8Array): void;
+  breakOff(): void;
+}
+
+/** How a raw server treats its callers' connections; it may change while it listens. */
+export interface ServeLimits {
+  headerTimeoutMs: number;
+  idleTimeoutMs: number;
+  /** Whether each answer closes its connection. */
+  closing: boolean;
+}
+
+/** A raw server that listens. */
+export interface RawListening extends Listening {
+  limit(l: ServeLimits): void;
+  /** Connections and requests that have come so far. */
+  arrivals(): number;
+}
+
+/** The answer to a raw request; pieces are pulled, undefined is a whole end. */
+export interface RawReply {
+  status: number;
+  headers: HeaderList;
+  fields: Record<string, string | undefined>;
+  next(): Promise<Outcome<Uint8Array | undefined>>;
+  cancel(): void;
+}
+
+/** A raw request of ours. */
+export interface RawAsk {
+  method: string;
+  target: string;
+  headers: HeaderList;
+  body?: Uint8Array | string;
+}
+
+/** A kept HTTP connection of ours: one request at a time. */
+export interface HttpConnection {
+  at: string;
+  /** Whether it is up, idle, and no byte came that nobody asked for. */
+  fit(): boolean;
+  /** Requests that it was used for. */
+  uses(): number;
+  /** A fault of sort `refused` says that no byte was written; the answer must be whole within the ms. */
+  ask(q: RawAsk, within: number, gone: AbortSignal): Promise<Outcome<RawReply>>;
+  /** Called each time that it is idle again. */
+  onIdle(told: () => void): void;
+  /** Comes when it is closed: whether bytes came that nobody asked for. */
+  done: Promise<{ surplus: boolean }>;
+  close(): void;
+}
+
+/** HTTP with untouched bytes and headers, and a say over connections. */
+export interface HttpWire {
+  serve(at: string, limits: ServeLimits, take: (call: RawCall) => Promise<void>): Promise<Outcome<RawListening>>;
+  connect(at: string, within: number): Promise<Outcome<HttpConnection>>;
+}
+
 /** The log: a ring in memory, written out at `error`. */
 export interface Log {
   info(fields: object, text: string): void;
@@ -102,4 +177,6 @@
   disk: Disk;
   wire: Wire;
   log: Log;
+  /** Raw HTTP, where the process serves by another manner of speaking than our own. */
+  http?: HttpWire;
 }
--- a/src/shared/realwire.ts
+++ b/src/shared/realwire.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import net from 'node:net';
 import { PackrStream, UnpackrStream } from 'msgpackr';
-import { Agent, request } from 'undici';
+import type { Agent } from 'undici';
 import { Left, Right } from 'purify-ts';
 import { makeFault, Outcome } from './errors';
 import { Ask, Call, Listening, Message, Reply, Connection, Wire } from './ports';
@@ -177,8 +177,11 @@
 
 const SURE = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
-function askWith(agent: Agent): (q: Ask) => Promise<Outcome<Reply>> {
+function askWith(makeAgent: (undici: typeof import('undici')) => Agent): (q: Ask) => Promise<Outcome<Reply>> {
+  let agent: Agent | undefined;
   async function ask(q: Ask): Promise<Outcome<Reply>> {
+    const undici = await import('undici');
+    agent ??= makeAgent(undici);
     const step = `${q.method} ${q.path}`;
     const cut = new AbortController();
     const t = setTimeout(cutOff, q.within);
@@ -192,7 +195,7 @@
       q.gone?.removeEventListener('abort', cutOff);
     }
     try {
-      const res = await request(`http://${q.at}${q.path}`, { dispatcher: agent, method: q.method as 'GET', headers: q.headers, body: q.body, signal: cut.signal });
+      const res = await undici.request(`http://${q.at}${q.path}`, { dispatcher: agent, method: q.method as 'GET', headers: q.headers, body: q.body, signal: cut.signal });
       const it = res.body[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
       const text = new TextDecoder();
       async function next(): Promise<Outcome<string | undefined>> {
@@ -221,7 +224,7 @@
   return ask;
 }
 
-/** The machine's network: Node's http, undici, and msgpackr over net. */
+/** The machine's network: Node's http, undici once it is first asked by, and msgpackr over net. */
 export function realWire(connectWithin: number, bind = ''): Wire {
   const localAddress = bind === '' ? undefined : bind;
   function bound(at: string): string {
@@ -236,6 +239,8 @@
   function dialFrom(at: string, within: number): Promise<Outcome<Connection>> {
     return dial(at, within, localAddress);
   }
-  const agent = new Agent({ localAddress, connect: { timeout: connectWithin }, connections: 256, pipelining: 1, keepAliveTimeout: 4000, bodyTimeout: 0, headersTimeout: 0 });
-  return { serve: serveHere, ask: askWith(agent), accept: acceptHere, dial: dialFrom };
+  function makeAgent(undici: typeof import('undici')): Agent {
+    return new undici.Agent({ localAddress, connect: { timeout: connectWithin }, connections: 256, pipelining: 1, keepAliveTimeout: 4000, bodyTimeout: 0, headersTimeout: 0 });
+  }
+  return { serve: serveHere, ask: askWith(makeAgent), accept: acceptHere, dial: dialFrom };
 }
--- /dev/null
+++ b/test/gatewayrig.ts
@@ -0,0 +1,239 @@
+import http from 'node:http';
+import net from 'node:net';
+import { Left, Right } from 'purify-ts';
+import { platform } from '../platform/dialect';
+import { Gateway, startGateway } from '../src/data/gateway/gateway';
+import { Deployment, HttpRoute } from '../src/shared/deployment';
+import { Follower } from '../src/shared/follow';
+import { makeFeed } from '../src/shared/lib';
+import { Ports } from '../src/shared/ports';
+import { realClock } from '../src/shared/real';
+import { realHttp } from '../src/shared/realhttp';
+import { defaultSettings, Settings } from '../src/shared/settings';
+import { Engine, KEYS, Numbered } from '../src/shared/words';
+
+/** What a stand-in engine was asked, and its answer to be given. */
+export interface EngineCall {
+  req: http.IncomingMessage;
+  res: http.ServerResponse;
+  body: string;
+  /** Requests that came before this one. */
+  before: number;
+}
+
+/** A stand-in engine whose answers a test writes; it notes what it ran. */
+export interface StandIn {
+  id: string;
+  at: string;
+  zone: string;
+  calls: http.IncomingMessage[];
+  bodies: string[];
+  connections: number;
+  close(): void;
+}
+
+/** Starts an engine that answers by `answer`. */
+export async function startStandIn(id: string, answer: (c: EngineCall) => void, zone = 'zone-a'): Promise<StandIn> {
+  const server = http.createServer(asked);
+  const e: StandIn = { id, at: '', zone, calls: [], bodies: [], connections: 0, close };
+  function asked(req: http.IncomingMessage, res: http.ServerResponse): void {
+    let body = '';
+    function data(p: Buffer): void {
+      body += p.toString('latin1');
+    }
+    function whole(): void {
+      e.calls.push(req);
+      e.bodies.push(body);
+      answer({ req, res, body, before: e.calls.length - 1 });
+    }
+    req.on('data', data);
+    req.on('end', whole);
+  }
+  function connected(): void {
+    e.connections++;
+  }
+  function close(): void {
+    server.close();
+    server.closeAllConnections();
+  }
+  server.on('connection', connected);
+  function wait(done: () => void): void {
+    server.listen(0, '127.0.0.1', done);
+  }
+  await new Promise<void>(wait);
+  e.at = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+  return e;
+}
+
+/** Headers that an engine's own answer to a request has. */
+export function sealed(c: EngineCall, more: Record<string, string> = {}): Record<string, string> {
+  return { 'Plumhollow-Attempt-Id': String(c.req.headers['plumhollow-attempt-id']), 'Plumhollow-Response-Seal': 's.1', 'Plumhollow-Weight-Versions': 'm:1', ...more };
+}
+
+/** Answers with a stream of numbered events from where the caller left off. */
+export function streams(events: number): (c: EngineCall) => void {
+  function answer(c: EngineCall): void {
+    c.res.writeHead(200, sealed(c, { 'Content-Type': 'text/event-stream' }));
+    for (let i = Number(c.req.headers['last-event-id'] ?? 0) + 1; i <= events; i++) c.res.write(`id: ${i}\ndata: piece ${i}\n\n`);
+    c.res.end();
+  }
+  return answer;
+}
+
+/** Turns a request away. */
+export function turnsAway(c: EngineCall): void {
+  c.res.writeHead(503, { 'Plumhollow-Attempt-Id': String(c.req.headers['plumhollow-attempt-id']), 'Plumhollow-Not-Executed': '1' });
+  c.res.end('full\n');
+}
+
+/** Closes the connection without an answer. */
+export function resets(c: EngineCall): void {
+  c.req.socket.resetAndDestroy();
+}
+
+/** A route of the tests' host with some of it set. */
+export function route(more: Partial<HttpRoute>): HttpRoute {
+  return { name: 'r', host: 'desk.example', prefix: '/a/', kind: 'streaming', timeoutMs: 3000, aimMs: 300, gapAimMs: 250, priority: 0, targets: [{ pool: 'p', weight: 1 }], maxAttempts: 2, public: false, affinity: false, resumable: false, ...more };
+}
+
+/** A deployment of two tenants and one pool with some of it set. */
+export function deployment(routes: HttpRoute[], more: Partial<Deployment> = {}): Deployment {
+  return {
+    revision: 1, routes, stores: [],
+    pools: [{ name: 'p', healthPath: '/health', maxConnections: 100, batch: 4, cacheTokens: 1000, tokenBytes: 10, linkMbps: 100, feedCalls: 4, models: ['m'] }],
+    tenants: [{ name: 'walled', keys: ['k1'], priority: 1, isolated: true }, { name: 'open', keys: ['k2', 'k3'], priority: 0, isolated: false }],
+    limits: { maxHeaderBytes: 16384, maxBodyBytes: 100000, headerTimeoutMs: 3000, idleTimeoutMs: 15000 }, ...more,
+  };
+}
+
+/** A gateway with a follower whose news a test tells. */
+export interface Rig {
+  gateway: Gateway;
+  at: string;
+  readiness: string;
+  tell(key: string, value: unknown): void;
+  tellEngines(list: Partial<Engine>[]): void;
+  live(on: boolean): void;
+  close(): Promise<void>;
+}
+
+/** What a rig starts with. */
+export interface RigWays {
+  engines?: (StandIn & Partial<Engine>)[];
+  deployment?: Deployment;
+  settings?: Partial<Settings>;
+  routers?: number;
+  clock?: Ports['clock'];
+}
+
+async function freePort(): Promise<string> {
+  const s = net.createServer();
+  function listen(done: () => void): void {
+    s.listen(0, '127.0.0.1', done);
+  }
+  await new Promise<void>(listen);
+  const { port } = s.address() as net.AddressInfo;
+  function close(done: () => void): void {
+    s.close(done as () => void);
+  }
+  await new Promise<void>(close);
+  return `127.0.0.1:${port}`;
+}
+
+function readDeployment(doc: unknown): ReturnType<typeof platform.deployment> {
+  return doc === undefined ? Left(['nothing']) : Right(doc as Deployment);
+}
+
+/** Starts a gateway on loopback sockets. */
+export async function startRig(ways: RigWays): Promise<Rig> {
+  const state = new Map<string, Numbered>();
+  const changes = makeFeed<Numbered>();
+  let live = true;
+  let number = 0;
+  function tell(key: string, value: unknown): void {
+    const n: Numbered = { key, value, epoch: 1, by: 'core', number: ++number };
+    state.set(key, n);
+    changes.add(n);
+  }
+  function tellEngines(list: Partial<Engine>[]): void {
+    function whole(e: Partial<Engine>): Engine {
+      return { id: e.id!, at: e.at!, zone: e.zone ?? 'zone-a', model: 'm', weights: '1', models: e.models ?? [{ name: 'm', weights: '1' }], leaving: e.leaving ?? false, pool: e.pool ?? 'p', batch: 4 };
+    }
+    tell(KEYS.engines, list.map(whole));
+  }
+  function setLive(on: boolean): void {
+    live = on;
+  }
+  function isLive(): boolean {
+    return live;
+  }
+  function value(key: string): unknown {
+    const n = state.get(key);
+    return n && { place: n, value: n.value };
+  }
+  function places(): Numbered[] {
+    return [...state.values()];
+  }
+  function members(): unknown[] {
+    return new Array(ways.routers ?? 1).fill({});
+  }
+  function leaving(): boolean {
+    return false;
+  }
+  if (ways.engines) tellEngines(ways.engines);
+  if (ways.deployment) tell(KEYS.deployment, { revision: 1, doc: ways.deployment });
+  function sink(): void {}
+  const log = { info: sink, warn: sink, error: sink };
+  const follower = { live: isLive, value, places, members, leaving, changes: changes.feed, advice: makeFeed<string[]>().feed, membership: makeFeed<never>().feed } as unknown as Follower;
+  const settings: Settings = { ...defaultSettings(), name: 'edge-1', zone: 'zone-a', strict: false, http: await freePort(), readiness: await freePort(), ...ways.settings };
+  const ports = { clock: ways.clock ?? realClock(), dice: { next: Math.random, id: String }, log, http: realHttp() } as unknown as Ports;
+  const gateway = (await startGateway(ports, settings, follower, { ...platform, deployment: readDeployment })).unsafeCoerce();
+  async function close(): Promise<void> {
+    await gateway.stop();
+    for (const e of ways.engines ?? []) e.close();
+  }
+  return { gateway, at: settings.http, readiness: settings.readiness, tell, tellEngines, live: setLive, close };
+}
+
+/** What a caller got. */
+export interface Got {
+  status: number;
+  headers: http.IncomingHttpHeaders;
+  body: string;
+  /** Whether the answer came whole. */
+  whole: boolean;
+}
+
+let ids = 0;
+
+/** Asks as a caller does; a connection that ends without a head is status 0. */
+export function ask(at: string, more: { path?: string; host?: string; key?: string; method?: string; body?: string; headers?: Record<string, string>; agent?: http.Agent; onPiece?: (text: string, req: http.ClientRequest) => void } = {}): Promise<Got & { id: string }> {
+  const id = `try-${++ids}`;
+  const [host, port] = at.split(':');
+  const headers: Record<string, string> = { Host: more.host ?? 'desk.example', 'Plumhollow-Attempt-Id': id, 'Plumhollow-Model': 'm', 'Plumhollow-Deadline-Ms': '2000', ...more.headers };
+  if (more.key !== '') headers.Authorization = `Token ${more.key ?? 'k1'}`;
+  function wait(done: (g: Got & { id: string }) => void): void {
+    const req = http.request({ host, port, method: more.method ?? 'POST', path: more.path ?? '/a/x', headers, agent: more.agent ?? false, setHost: false });
+    function failed(): void {
+      done({ id, status: 0, headers: {}, body: '', whole: false });
+    }
+    function answered(res: http.IncomingMessage): void {
+      let body = '';
+      function data(p: Buffer): void {
+        body += p.toString('latin1');
+        more.onPiece?.(body, req);
+      }
+      function closed(): void {
+        done({ id, status: res.statusCode!, headers: res.headers, body, whole: res.complete });
+      }
+      function nothing(): void {}
+      res.on('data', data);
+      res.on('error', nothing);
+      res.on('close', closed);
+    }
+    req.on('error', failed);
+    req.on('response', answered);
+    req.end(more.body ?? 'hello');
+  }
+  return new Promise(wait);
+}
