--- /dev/null
+++ b/test/seeds.ts
@@ -0,0 +1,14 @@
+import { Fault } from '../tools/sim/simfaults';
+import { runSeed } from '../tools/sim/simrun';
+
+/** One fault of a written schedule. */
+export function fault(at: number, kind: string, who: string, other: string, ms: number): Fault {
+  return { at, kind, who, other, ms };
+}
+
+/** Runs a seed whole, and sees that it served and broke nothing. */
+export async function clean(seed: number, deployment: string, faults: number, schedule?: Fault[]): Promise<void> {
+  const r = await runSeed(seed, { deployment, faults, schedule });
+  expect({ seed, violations: r.violations }).toEqual({ seed, violations: [] });
+  expect(r.report.asked).toBeGreaterThan(300);
+}
