The platform's settings, operators and list of engines; one bundled file a program

Cause: the product is to run natively on the users' platform. Each program reads the file that PLUMHOLLOW_SETTINGS names by the dialect; the controller takes whole deployments and named changes in its register's turn, remembers what was taken by hash so that a call sent again is known, reads by a majority's places, and lists engines page by page. A change is acknowledged once a majority's disks have it where revocation is not strict. Our HTTP client is Node's own; undici is no longer loaded.

--- /dev/null
+++ b/deploy/absent.cjs
@@ -0,0 +1,1 @@
+module.exports = undefined;
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -39,7 +39,7 @@
 }
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', 'eslint.config.mjs', 'test/approved.cjs'] },
+  { ignores: ['dist/', 'target/', 'node_modules/', 'deploy/absent.cjs', 'eslint.config.mjs', 'test/approved.cjs'] },
   ...tseslint.configs.recommended,
   {
     plugins: { jsdoc },
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -9,8 +9,10 @@
 import { Bounds, boundsOf, Settings } from '../shared/settings';
 import { askOnce, converse, Hello, HelloEdge, holdAll, noConnection, WIRE_VERSION } from '../shared/connections';
 import { allVoters, comparePlaces, isQuorum, isVoter, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
+import { DocumentReader, mayBeStale } from './deployment';
 import { Leases } from './leases';
 import { keyOf, makeValue, Operation } from './operations';
+import { ReadEdge, ReadParts, readNewest } from './read';
 import { Acceptor, makeOwner, Owner, Reach } from './register';
 import { openSlots, Slots } from './slots';
 import { KeptVotes, readVotes, Votes } from './votes';
@@ -45,6 +47,8 @@
   found(without: string[]): Promise<Outcome<Voters>>;
   effect(key: string, p: Place, within: number): Promise<boolean>;
   value<T>(key: string): { place: Numbered; value: T } | undefined;
+  /** What is committed of a key, never older than what was acknowledged before the call. */
+  newest(key: string): Promise<Outcome<Numbered | undefined>>;
   heardLive(key: string): boolean;
   hasMajority(): boolean;
   askVoter(v: Voter, type: string, body: unknown, within: number): Promise<Outcome<unknown>>;
@@ -110,17 +114,17 @@
 }
 
 /** Starts a controller: its disk, its votes, its leases, its connections. */
-export async function startController(given: Ports, settings: Settings): Promise<Outcome<Controller>> {
+export async function startController(given: Ports, settings: Settings, reader?: DocumentReader): Promise<Outcome<Controller>> {
   const metrics = makeMetrics();
   const synced = metrics.times('plumhollow_controller_sync_ms', 'time of a synced write', settings.changeBoundMs);
   const ports: Ports = { ...given, disk: timedDisk(given.disk, given.clock, synced) };
   const [f, kept] = open(await readVotes(ports));
   if (f) return Left(f);
   const [g, slots] = open(await openSlots(ports, 1 << 20, kept));
-  return g ? Left(g) : runController(ports, settings, slots, kept, metrics);
+  return g ? Left(g) : runController(ports, settings, slots, kept, metrics, reader);
 }
 
-async function runController(ports: Ports, settings: Settings, slots: Slots, kept: KeptVotes, metrics: Metrics): Promise<Outcome<Controller>> {
+async function runController(ports: Ports, settings: Settings, slots: Slots, kept: KeptVotes, metrics: Metrics, reader?: DocumentReader): Promise<Outcome<Controller>> {
   const bounds = boundsOf(settings);
   const hello: Hello = { version: WIRE_VERSION, name: settings.name, role: 'controller', at: settings.wire, zone: settings.zone, disk: slots.disk };
   const heard = new Set<string>();
@@ -148,6 +152,10 @@
     return ex ? ex.ask(type, body, within) : Left(noConnection(type, v.at));
   }
 
+  function askShortly(v: Voter, type: string, body: unknown): Promise<Outcome<unknown>> {
+    return askVoter(v, type, body, bounds.ask);
+  }
+
   function local(type: string, body: unknown): Handled {
     return dispatch(edges, type, body, undefined, settings.name);
   }
@@ -162,6 +170,8 @@
   const votes = new Votes(slots, ports, voters, settings.onceKeepMs);
   await votes.begin(kept);
   const edges: object[] = [new HelloEdge(hello), acceptor, leases, votes, new ControlEdge({ slots, acceptor, voters, changeHere, committed })];
+  const reads: ReadParts = { slots, owner, voters, askVoter: askShortly, ofOwner };
+  edges.push(new ReadEdge(reads));
   const helds = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause });
 
   function live(): string[] {
@@ -194,25 +204,32 @@
     const key = keyOf(op);
     const began = ports.clock.now();
     function make(now: Numbered | undefined): Outcome<unknown> {
-      return makeValue(op, now);
+      return makeValue(op, now, reader);
     }
-    const [g, c] = open(await owner.change(key, make));
+    const first = await owner.change(key, make);
+    if (mayBeStale(op, first)) owner.disown(key);
+    const [g, c] = open(mayBeStale(op, first) ? await owner.change(key, make) : first);
     if (g) return Left(g);
-    const waits = op.kind !== 'engines' && op.kind !== 'duty';
+    const waits = settings.strict && op.kind !== 'engines' && op.kind !== 'duty';
     const inEffect = waits && (await effect(key, c, bounds.effect));
     if (inEffect) effectTook(ports.clock.now() - began);
     return Right({ place: { epoch: c.epoch, by: c.by, number: c.number }, inEffect, value: c.value });
   }
 
-  async function change(op: Operation): Promise<Outcome<Changed>> {
-    const key = keyOf(op);
+  async function ofOwner(key: string, type: string, body: unknown): Promise<Outcome<unknown>> {
     const at = rendezvous(key, live())[0];
-    if (at === undefined) return bad('change', settings.name, 'not founded', 'refused', 'not-founded');
-    if (at === settings.wire) return changeHere(op);
+    if (at === undefined) return bad(type, settings.name, 'not founded', 'refused', 'not-founded');
+    if (at === settings.wire) return local(type, body);
     const ex = helds.up(at);
-    if (!ex) return Left(noConnection('change', at));
-    const [g, r] = open(await ex.ask('change', op, bounds.effect * 2));
-    return g ? Left(g) : Right(r as Changed);
+    return ex ? ex.ask(type, body, settings.strict ? bounds.effect * 2 : bounds.ask) : Left(noConnection(type, at));
+  }
+
+  function change(op: Operation): Promise<Outcome<Changed>> {
+    return ofOwner(keyOf(op), 'change', op) as Promise<Outcome<Changed>>;
+  }
+
+  function newest(key: string): Promise<Outcome<Numbered | undefined>> {
+    return readNewest(reads, key);
   }
 
   function committed(): Numbered[] {
@@ -304,7 +321,7 @@
   }
 
   async function tendKeys(): Promise<void> {
-    for (const key of new Set([...slots.cells.keys(), KEYS.engines, KEYS.intents])) {
+    for (const key of new Set([...slots.cells.keys(), KEYS.engines, reader ? KEYS.deployment : KEYS.intents])) {
       if (!chosen(key)) owner.disown(key);
       else if (!owner.owns(key)) await owner.own(key);
     }
@@ -347,7 +364,7 @@
   void tend();
   void tellSeeds();
   return Right({
-    name: settings.name, by, hello, settings, bounds, slots, leases, votes, owner, metrics, edges, voters, live, chosen, change, found, effect, value,
+    name: settings.name, by, hello, settings, bounds, slots, leases, votes, owner, metrics, edges, voters, live, chosen, change, found, effect, value, newest,
     heardLive, hasMajority, askVoter, peerHello, stop, stopped: isStopped,
   });
 }
--- /dev/null
+++ b/src/control/deployment-api.ts
@@ -0,0 +1,78 @@
+import { Dialect } from '../shared/dialect';
+import { giveFault, giveJson, takeCalls, takeJson } from '../shared/edge';
+import { Fault, open, Outcome } from '../shared/errors';
+import { Call, Listening, Ports } from '../shared/ports';
+import { DeploymentValue } from '../shared/deployment';
+import { KEYS } from '../shared/words';
+import { OperatorApi } from './api';
+import { Changed, Controller } from './controller';
+import { Operation } from './operations';
+
+/** How long a call is worked on before its caller goes on to another controller, as a share of `ackMs`. */
+const ANSWER = 0.2;
+
+/** Serves operators who speak by a dialect, and our own interface beside. */
+export function serveDeployment(c: Controller, ports: Ports, dialect: Dialect): Promise<Outcome<Listening>> {
+  const { paths } = dialect.operators;
+  const own = takeCalls([new OperatorApi(c, ports)], ports.log);
+
+  async function take(call: Call): Promise<void> {
+    if (call.path === paths.replace || call.path === paths.update) return put(call);
+    if (call.path === paths.weights) return nameWeights(call);
+    if (call.path === paths.describe) return describe(call);
+    return own(call);
+  }
+
+  /** Brings a change about; one whose fate is open is tried again, since one that was taken is known again. */
+  async function change(op: Operation): Promise<Outcome<Changed>> {
+    const until = ports.clock.now() + c.settings.ackMs * ANSWER;
+    for (;;) {
+      const o = await c.change(op);
+      const [f] = open(o);
+      if (!f || isClear(f) || ports.clock.now() + c.bounds.pause > until) return o;
+      await ports.clock.sleep(c.bounds.pause * (0.3 + 0.4 * ports.dice.next()));
+    }
+  }
+
+  function refuse(call: Call, f: Fault): void {
+    if (f.code === 'conflict') return giveFault(call, 412, 'refused', 'conflict', f.why);
+    if (f.code === 'bad-deployment') return giveFault(call, 400, 'refused', 'bad-deployment', f.why);
+    giveFault(call, 503, f.sort, f.code ?? 'unknown', `${f.step} at ${f.peer}: ${f.why}`, c.bounds.pause);
+  }
+
+  async function put(call: Call): Promise<void> {
+    if (call.method !== 'POST') return giveFault(call, 405, 'refused', 'bad-method', call.method);
+    const body = await takeJson(call, c.settings.bodyMostBytes);
+    if (body === undefined) return;
+    const base = dialect.operators.baseVersion(call.headers);
+    if (base === undefined) return giveFault(call, 400, 'refused', 'no-base', 'the version that this builds on is missing');
+    const [f] = open(await change({ kind: 'deployment', base, ...(call.path === paths.update ? { change: body } : { doc: body }) }));
+    if (f && f.code !== 'stands') return refuse(call, f);
+    giveJson(call, 200, { taken: true });
+  }
+
+  async function nameWeights(call: Call): Promise<void> {
+    if (call.method !== 'POST') return giveFault(call, 405, 'refused', 'bad-method', call.method);
+    const body = await takeJson(call, c.settings.bodyMostBytes);
+    if (body === undefined) return;
+    const w = dialect.operators.weights(body);
+    if (w.isLeft()) return giveFault(call, 400, 'refused', 'bad-weights', String(w.extract()));
+    const { model, weights, rank } = w.extract() as { model: string; weights: string; rank: number };
+    const [f] = open(await change({ kind: 'weights', model, weights, rank }));
+    if (f && f.code !== 'stands') return refuse(call, f);
+    giveJson(call, 200, { model, weights });
+  }
+
+  async function describe(call: Call): Promise<void> {
+    const [f, n] = open(await c.newest(KEYS.deployment));
+    if (f) return refuse(call, f);
+    if (!n) return giveFault(call, 404, 'refused', 'none', 'there is no deployment yet');
+    giveJson(call, 200, (n.value as DeploymentValue).doc);
+  }
+
+  return ports.wire.serve(c.settings.http, take);
+}
+
+function isClear(f: Fault): boolean {
+  return f.code === 'stands' || f.code === 'conflict' || f.code === 'bad-deployment';
+}
--- a/src/control/duties.ts
+++ b/src/control/duties.ts
@@ -1,17 +1,18 @@
 import { open } from '../shared/errors';
 import { engineStatus, giveOrder } from '../shared/contracts/engine';
-import { listEngines } from '../shared/contracts/platform';
+import { Dialect } from '../shared/dialect';
 import { Ports } from '../shared/ports';
 import { Engine, KEYS } from '../shared/words';
 import { ABSENT, Controller } from './controller';
+import { listAll, settleWarm } from './instances';
 import { NamedWeights } from '../shared/weights';
 import { replaceVoter } from './voters';
 
 /** Starts all duties of a controller. */
-export function startDuties(c: Controller, ports: Ports): void {
-  void watchPlatform(c, ports);
+export function startDuties(c: Controller, ports: Ports, dialect?: Dialect): void {
+  void watchPlatform(c, ports, dialect);
   void endOldWeights(c, ports);
-  void orderWeights(c, ports);
+  if (!dialect) void orderWeights(c, ports);
   void joinAbsent(c, ports);
 }
 
@@ -25,17 +26,17 @@
 }
 
 /** Watches the platform's list while this node owns the key `engines`; the register is the fence. Where no majority takes the list, routers are told all the same which engines leave. */
-export async function watchPlatform(c: Controller, ports: Ports): Promise<void> {
+export async function watchPlatform(c: Controller, ports: Ports, dialect?: Dialect): Promise<void> {
   while (!c.stopped()) {
     await ports.clock.sleep(c.bounds.platform);
     if (c.settings.platform === '' || !c.owner.owns(KEYS.engines) || !c.chosen(KEYS.engines)) continue;
-    const [f, list] = open(await listEngines(ports.wire, c.settings.platform, c.bounds.status));
+    const [f, list] = open(await listAll(ports, c.settings.platform, c.bounds.status, dialect));
     if (f) {
       ports.log.warn({ step: f.step, peer: f.peer }, f.why);
       continue;
     }
     const now = c.value<Engine[]>(KEYS.engines)?.value;
-    const next = list.sort(byId);
+    const next = settleWarm(now ?? [], list.sort(byId));
     if (JSON.stringify(now) === JSON.stringify(next)) continue;
     const [g] = open(await c.change({ kind: 'engines', engines: next }));
     if (!g) continue;
--- a/src/control/operations.ts
+++ b/src/control/operations.ts
@@ -2,6 +2,7 @@
 import { bad, makeFault, Outcome } from '../shared/errors';
 import { NamedWeights } from '../shared/weights';
 import { Engine, Intents, IntentsValue, KEYS, Numbered, setSalts, Voters } from '../shared/words';
+import { DeploymentOperation, DocumentReader, makeDeployment } from './deployment';
 import { checkIntents } from './intents';
 
 /** The hashes of one tenant's keys. */
@@ -15,7 +16,8 @@
   | { kind: 'intents'; basedOn: number; doc: unknown }
   | { kind: 'key-add'; tenant: string; id: string; hash: string }
   | { kind: 'key-drop'; tenant: string; id: string }
-  | { kind: 'weights'; model: string; weights: string }
+  | { kind: 'weights'; model: string; weights: string; rank?: number }
+  | DeploymentOperation
   | { kind: 'weights-end'; model: string; ended: string[] }
   | { kind: 'engines'; engines: Engine[] }
   | { kind: 'duty'; duty: string; holder: string }
@@ -27,6 +29,7 @@
     case 'intents': return KEYS.intents;
     case 'key-add': case 'key-drop': return KEYS.tenantKeys + op.tenant;
     case 'weights': case 'weights-end': return KEYS.weights + op.model;
+    case 'deployment': return KEYS.deployment;
     case 'engines': return KEYS.engines;
     case 'duty': return `duty/${op.duty}`;
     case 'voters': return KEYS.voters;
@@ -38,7 +41,7 @@
 }
 
 /** Works out the new value of a key from an operation and the value that stands. */
-export function makeValue(op: Operation, now: Numbered | undefined): Outcome<unknown> {
+export function makeValue(op: Operation, now: Numbered | undefined, reader?: DocumentReader): Outcome<unknown> {
   switch (op.kind) {
     case 'intents': {
       const at = now?.number ?? 0;
@@ -57,12 +60,13 @@
     }
     case 'weights': {
       const v = now?.value as NamedWeights | undefined;
+      if (v?.rank !== undefined && op.rank !== undefined && op.rank <= v.rank) return bad('name weights', op.model, `${v.weights} are named already`, 'refused', 'stands');
       if (v?.weights === op.weights) return Right(v);
       const before = v ? [...v.older, v.weights] : ['*'];
       function others(w: string): boolean {
         return op.kind === 'weights' && w !== op.weights;
       }
-      return Right({ model: op.model, weights: op.weights, older: before.filter(others) } as NamedWeights);
+      return Right({ model: op.model, weights: op.weights, older: before.filter(others), ...(op.rank === undefined ? {} : { rank: op.rank }) } as NamedWeights);
     }
     case 'weights-end': {
       const v = now?.value as NamedWeights | undefined;
@@ -72,6 +76,7 @@
       if (!v) return bad('end old weights', op.model, 'no weights are named', 'refused', 'conflict');
       return Right({ ...v, older: v.older.filter(stays) });
     }
+    case 'deployment': return makeDeployment(op, now, reader);
     case 'engines': return Right(op.engines);
     case 'duty': return Right({ holder: op.holder });
     case 'voters': {
--- a/src/programs/common.ts
+++ b/src/programs/common.ts
@@ -1,11 +1,14 @@
-import { Command } from 'commander';
-import { Either } from 'purify-ts';
-import { Fault, sayFault } from '../shared/errors';
+import { readFileSync } from 'node:fs';
+import { Either, Left } from 'purify-ts';
+import { platform } from '../../platform/dialect';
+import { Dialect } from '../shared/dialect';
+import { Fault, open, sayFault } from '../shared/errors';
+import { guard } from '../shared/lib';
 import { Ports } from '../shared/ports';
 import { realClock, realDice, realDisk, realLog } from '../shared/real';
 import { realHttp } from '../shared/realhttp';
 import { realWire } from '../shared/realwire';
-import { boundsOf, readSettings, Settings, settingsFields } from '../shared/settings';
+import { boundsOf, Settings } from '../shared/settings';
 
 /** The version that all programs tell. */
 export const VERSION = '0.1.0';
@@ -16,51 +19,34 @@
   stop(): Promise<void>;
 }
 
-function flagOf(name: string): string {
-  return '--' + name.replace(/[A-Z]/g, lower);
-}
-
-function lower(c: string): string {
-  return '-' + c.toLowerCase();
-}
-
-function list(v: string): string[] {
-  return v.split(',').filter(Boolean);
-}
+/** Starts a program's library; without a dialect it speaks our own manner. */
+export type Start = (ports: Ports, s: Settings, dialect: Dialect | undefined) => Promise<Either<Fault, Running>>;
 
-function isTrue(v: string): boolean {
-  return v === 'true';
+/** Reads a settings file that is worded in a dialect. */
+function readWorded(dialect: Dialect, file: string): Either<string[], Settings> {
+  const [f, text] = open(guard('read settings', file, read));
+  function read(): string {
+    return readFileSync(file, 'utf8');
+  }
+  return f ? Left([sayFault(f)]) : dialect.settings(text);
 }
 
-/** Runs a daemon: flags and file to settings, ports, start, drain at SIGTERM, end at a second signal. */
-export function runDaemon(program: string, doc: string, need: string[], start: (ports: Ports, s: Settings) => Promise<Either<Fault, Running>>): void {
-  const cmd = new Command(program).description(doc).version(VERSION).option('--settings <file>', 'a JSON file of settings fields; flags win');
-  for (const f of settingsFields()) {
-    const text = f.sort === 'list' ? `${f.doc} (comma between)` : f.doc;
-    if (f.sort === 'list') cmd.option(`${flagOf(f.name)} <list>`, text, list);
-    else if (f.sort === 'number') cmd.option(`${flagOf(f.name)} <number>`, text, Number);
-    else if (f.sort === 'boolean') cmd.option(`${flagOf(f.name)} <true|false>`, text, isTrue);
-    else cmd.option(`${flagOf(f.name)} <value>`, text);
-  }
-  cmd.exitOverride(badUse);
-  cmd.parse();
-  const { settings: file, ...flags } = cmd.opts() as { settings?: string };
-  const read = readSettings(file, flags, need);
+/** Runs a daemon: settings, ports, start, drain at SIGTERM, end at a second signal. The platform names its settings file in a variable; otherwise flags and a file of our own are read. */
+export async function runDaemon(program: string, doc: string, need: string[], start: Start): Promise<void> {
+  const file = process.env.PLUMHOLLOW_SETTINGS;
+  const read = file ? readWorded(platform, file) : (await import('./flags')).readFlags(program, doc, VERSION, need);
   if (read.isLeft()) {
     for (const f of read.extract() as string[]) process.stderr.write(`${program}: ${f}\n`);
     process.exit(2);
   }
-  void run(program, read.extract() as Settings, start);
-}
-
-function badUse(e: { exitCode: number }): never {
-  process.exit(e.exitCode === 0 ? 0 : 2);
+  const s = read.extract() as Settings;
+  await run(program, s, start, s.dialect === 'platform' ? platform : undefined);
 }
 
-async function run(program: string, s: Settings, start: (ports: Ports, s: Settings) => Promise<Either<Fault, Running>>): Promise<void> {
+async function run(program: string, s: Settings, start: Start, dialect: Dialect | undefined): Promise<void> {
   const log = realLog(program, s.name);
   const ports: Ports = { clock: realClock(), dice: realDice(), disk: realDisk(s.data), wire: realWire(boundsOf(s).dial, s.bind), log, http: realHttp(s.bind) };
-  const o = await start(ports, s);
+  const o = await start(ports, s, dialect);
   if (o.isLeft()) {
     const f = o.extract() as Fault;
     log.error({ step: f.step, peer: f.peer }, f.why);
--- a/src/programs/controller.ts
+++ b/src/programs/controller.ts
@@ -2,21 +2,23 @@
 import { Left, Right } from 'purify-ts';
 import { startController } from '../control/controller';
 import { serveOperators } from '../control/api';
+import { serveDeployment } from '../control/deployment-api';
 import { startDuties } from '../control/duties';
+import { Dialect } from '../shared/dialect';
 import { Fault, open, Outcome } from '../shared/errors';
 import { Ports } from '../shared/ports';
 import { Settings } from '../shared/settings';
 import { runDaemon, Running } from './common';
 
-async function start(ports: Ports, s: Settings): Promise<Outcome<Running>> {
-  const [f, c] = open(await startController(ports, s));
+async function start(ports: Ports, s: Settings, dialect: Dialect | undefined): Promise<Outcome<Running>> {
+  const [f, c] = open(await startController(ports, s, dialect));
   if (f) return Left<Fault, Running>(f);
-  const [g] = open(await serveOperators(c, ports));
+  const [g] = open(await (dialect ? serveDeployment(c, ports, dialect) : serveOperators(c, ports)));
   if (g) return Left<Fault, Running>(g);
-  startDuties(c, ports);
+  startDuties(c, ports, dialect);
   return Right({ drain: nothing, stop: c.stop });
 }
 
 async function nothing(): Promise<void> {}
 
-runDaemon('plumhollow-controller', 'Holds claims and control keys, pushes changes, keeps duties.', ['name', 'wire', 'http', 'seeds'], start);
+void runDaemon('plumhollow-controller', 'Holds leases and control keys, pushes changes, keeps duties.', ['name', 'wire', 'http', 'seeds'], start);
--- a/src/programs/indexer.ts
+++ b/src/programs/indexer.ts
@@ -10,10 +10,10 @@
 async function start(ports: Ports, s: Settings): Promise<Outcome<Running>> {
   const [f, ix] = open(await startIndexer(ports, s));
   if (f) return Left<Fault, Running>(f);
-  const [g] = open(await serveIndex(ix, ports));
+  const [g] = open(s.http === '' ? Right(undefined) : await serveIndex(ix, ports));
   return g ? Left<Fault, Running>(g) : Right({ drain: nothing, stop: ix.stop });
 }
 
 async function nothing(): Promise<void> {}
 
-runDaemon('plumhollow-indexer', 'Listens to engines and stores, keeps the trees of kept parts, is asked for overlaps.', ['name', 'wire', 'http', 'seeds'], start);
+void runDaemon('plumhollow-indexer', 'Listens to engines and stores, keeps the trees of kept parts, is asked for overlaps.', ['name', 'wire', 'seeds'], start);
--- a/src/programs/router.ts
+++ b/src/programs/router.ts
@@ -1,14 +1,15 @@
 #!/usr/bin/env node
 import { Left, Right } from 'purify-ts';
-import { startRouter } from '../data/router';
+import { startDialectRouter, startRouter } from '../data/router';
+import { Dialect } from '../shared/dialect';
 import { Fault, open, Outcome } from '../shared/errors';
 import { Ports } from '../shared/ports';
 import { Settings } from '../shared/settings';
 import { runDaemon, Running } from './common';
 
-async function start(ports: Ports, s: Settings): Promise<Outcome<Running>> {
-  const [f, r] = open(await startRouter(ports, s));
+async function start(ports: Ports, s: Settings, dialect: Dialect | undefined): Promise<Outcome<Running>> {
+  const [f, r] = open<Running>(await (dialect ? startDialectRouter(ports, s, dialect) : startRouter(ports, s)));
   return f ? Left<Fault, Running>(f) : Right({ drain: r.drain, stop: r.stop });
 }
 
-runDaemon('plumhollow-router', 'Takes callers\' requests, places them and gives the pieces back.', ['name', 'wire', 'http', 'seeds'], start);
+void runDaemon('plumhollow-router', 'Takes callers\' requests, places them and gives the pieces back.', ['name', 'wire', 'http', 'seeds'], start);
--- a/src/shared/deployment.ts
+++ b/src/shared/deployment.ts
@@ -77,10 +77,11 @@
   limits: CallerLimits;
 }
 
-/** The committed value of the control key `deployment`: the operators' document as it was sent, which the dialect reads. */
+/** The committed value of the control key `deployment`: the operators' document as it was sent, which the dialect reads, and the changes that were taken last, by the hash of what was sent. */
 export interface DeploymentValue {
   revision: number;
   doc: unknown;
+  taken: { revision: number; sum: string }[];
 }
 
 /** A named change of lists of named items: items to add or to replace, and names to remove, by list. */
--- a/src/shared/dialect.ts
+++ b/src/shared/dialect.ts
@@ -156,6 +156,7 @@
   operators: {
     paths: { replace: string; update: string; describe: string; weights: string };
     baseVersion(headers: Record<string, string | undefined>): number | undefined;
-    weights(doc: unknown): Either<string, { model: string; weights: string }>;
+    /** Reads named weights; a higher rank is newer. */
+    weights(doc: unknown): Either<string, { model: string; weights: string; rank: number }>;
   };
 }
--- /dev/null
+++ b/src/shared/realask.ts
@@ -0,0 +1,92 @@
+import http from 'node:http';
+import { Left, Right } from 'purify-ts';
+import { makeFault, Outcome } from './errors';
+import { Ask, Reply } from './ports';
+
+const SURE = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ECONNTIMEOUT']);
+const MOST_CONNECTIONS = 256;
+const KEPT_IDLE = 4000;
+
+/** Makes the client side of HTTP: connections are kept, and one that isn't up within the ms is given up. */
+export function askBy(connectWithin: number, localAddress: string | undefined): (q: Ask) => Promise<Outcome<Reply>> {
+  const agent = new http.Agent({ keepAlive: true, maxSockets: MOST_CONNECTIONS, timeout: KEPT_IDLE });
+
+  function ask(q: Ask): Promise<Outcome<Reply>> {
+    const step = `${q.method} ${q.path}`;
+    const colon = q.at.lastIndexOf(':');
+    let fate: { sort: 'refused' | 'unknown'; code: string } | undefined;
+    let connected = false;
+
+    function wait(done: (o: Outcome<Reply>) => void): void {
+      const headers: Record<string, string | number> = { ...q.headers };
+      if (q.body !== undefined) headers['content-length'] = Buffer.byteLength(q.body);
+      const req = http.request({ host: q.at.slice(0, colon), port: Number(q.at.slice(colon + 1)), method: q.method, path: q.path, headers, agent, localAddress });
+      const late = setTimeout(cut, q.within, 'timeout');
+      let dialled: ReturnType<typeof setTimeout> | undefined;
+
+      function cut(code: string): void {
+        fate = fate ?? { sort: connected ? 'unknown' : 'refused', code };
+        req.destroy(new Error(`given up: ${code}`));
+      }
+
+      function gone(): void {
+        cut('timeout');
+      }
+
+      function over(): void {
+        clearTimeout(late);
+        clearTimeout(dialled);
+        q.gone?.removeEventListener('abort', gone);
+      }
+
+      function failed(e: Error & { code?: string }): void {
+        over();
+        const code = fate?.code ?? e.code;
+        const sort = fate?.sort ?? (code !== undefined && SURE.has(code) ? 'refused' : 'unknown');
+        done(Left(makeFault(step, q.at, e, sort, code)));
+      }
+
+      function up(): void {
+        connected = true;
+        clearTimeout(dialled);
+      }
+
+      function given(socket: import('node:net').Socket): void {
+        if (!socket.connecting) return up();
+        dialled = setTimeout(cut, connectWithin, 'ECONNTIMEOUT');
+        socket.once('connect', up);
+      }
+
+      function answered(res: http.IncomingMessage): void {
+        const pieces = res[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+        const text = new TextDecoder();
+        async function next(): Promise<Outcome<string | undefined>> {
+          try {
+            const p = await pieces.next();
+            if (!p.done) return Right(text.decode(p.value, { stream: true }));
+            over();
+            return Right(undefined);
+          } catch (e) {
+            over();
+            return Left(makeFault(step, q.at, e, 'unknown', fate?.code ?? (e as { code?: string }).code));
+          }
+        }
+        function cancel(): void {
+          over();
+          res.on('error', over);
+          res.destroy();
+        }
+        done(Right({ status: res.statusCode ?? 0, headers: res.headers as Record<string, string | undefined>, next, cancel }));
+      }
+
+      req.on('error', failed);
+      req.on('socket', given);
+      req.on('response', answered);
+      if (q.gone?.aborted) cut('timeout');
+      q.gone?.addEventListener('abort', gone, { once: true });
+      req.end(q.body);
+    }
+    return new Promise(wait);
+  }
+  return ask;
+}
--- a/src/shared/realwire.ts
+++ b/src/shared/realwire.ts
@@ -1,10 +1,10 @@
 import http from 'node:http';
 import net from 'node:net';
 import { PackrStream, UnpackrStream } from 'msgpackr';
-import type { Agent } from 'undici';
 import { Left, Right } from 'purify-ts';
 import { makeFault, Outcome } from './errors';
-import { Ask, Call, Listening, Message, Reply, Connection, Wire } from './ports';
+import { Call, Listening, Message, Connection, Wire } from './ports';
+import { askBy } from './realask';
 import { makeFeed } from './lib';
 
 function split(at: string): { host: string; port: number } {
@@ -175,56 +175,7 @@
   return new Promise(wait);
 }
 
-const SURE = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
-
-function askWith(makeAgent: (undici: typeof import('undici')) => Agent): (q: Ask) => Promise<Outcome<Reply>> {
-  let agent: Agent | undefined;
-  async function ask(q: Ask): Promise<Outcome<Reply>> {
-    const undici = await import('undici');
-    agent ??= makeAgent(undici);
-    const step = `${q.method} ${q.path}`;
-    const cut = new AbortController();
-    const t = setTimeout(cutOff, q.within);
-    function cutOff(): void {
-      cut.abort();
-    }
-    if (q.gone?.aborted) cut.abort();
-    q.gone?.addEventListener('abort', cutOff, { once: true });
-    function over(): void {
-      clearTimeout(t);
-      q.gone?.removeEventListener('abort', cutOff);
-    }
-    try {
-      const res = await undici.request(`http://${q.at}${q.path}`, { dispatcher: agent, method: q.method as 'GET', headers: q.headers, body: q.body, signal: cut.signal });
-      const it = res.body[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
-      const text = new TextDecoder();
-      async function next(): Promise<Outcome<string | undefined>> {
-        try {
-          const p = await it.next();
-          if (!p.done) return Right(text.decode(p.value, { stream: true }));
-          over();
-          return Right(undefined);
-        } catch (e) {
-          over();
-          return Left(makeFault(step, q.at, e, 'unknown', (e as { code?: string }).code));
-        }
-      }
-      function cancel(): void {
-        over();
-        res.body.on('error', over);
-        res.body.destroy();
-      }
-      return Right({ status: res.statusCode, headers: res.headers as Record<string, string | undefined>, next, cancel });
-    } catch (e) {
-      over();
-      const code = (e as { code?: string }).code;
-      return Left(makeFault(step, q.at, e, code && SURE.has(code) ? 'refused' : 'unknown', cut.signal.aborted ? 'timeout' : code));
-    }
-  }
-  return ask;
-}
-
-/** The machine's network: Node's http, undici once it is first asked by, and msgpackr over net. */
+/** The machine's network: Node's http, and msgpackr over net. */
 export function realWire(connectWithin: number, bind = ''): Wire {
   const localAddress = bind === '' ? undefined : bind;
   function bound(at: string): string {
@@ -239,8 +190,5 @@
   function dialFrom(at: string, within: number): Promise<Outcome<Connection>> {
     return dial(at, within, localAddress);
   }
-  function makeAgent(undici: typeof import('undici')): Agent {
-    return new undici.Agent({ localAddress, connect: { timeout: connectWithin }, connections: 256, pipelining: 1, keepAliveTimeout: 4000, bodyTimeout: 0, headersTimeout: 0 });
-  }
-  return { serve: serveHere, ask: askWith(makeAgent), accept: acceptHere, dial: dialFrom };
+  return { serve: serveHere, ask: askBy(connectWithin, localAddress), accept: acceptHere, dial: dialFrom };
 }
--- a/src/shared/settings.ts
+++ b/src/shared/settings.ts
@@ -98,7 +98,7 @@
     ask: s.changeBoundMs * 0.35,
     dial: s.changeBoundMs * 0.2,
     pause: s.changeBoundMs * 0.1,
-    platform: s.leavingBoundMs * 0.12,
+    platform: s.leavingBoundMs * (s.strict ? 0.12 : 0.2),
     effect: s.changeBoundMs * 0.95,
     weightsStop: s.weightsBoundMs * 0.75,
     query: s.changeBoundMs * 0.025,
--- a/src/shared/weights.ts
+++ b/src/shared/weights.ts
@@ -3,6 +3,8 @@
   model: string;
   weights: string;
   older: string[];
+  /** Where names rise: a lower rank never follows a higher one. */
+  rank?: number;
 }
 
 const WHOLE = /^\d+$/;
