The gateway takes streams up elsewhere, watches silence, drains, and keeps doubt apart from refusals

Cause: a request that may have run is never sent again nor told as refused; what may be repeated goes on at another engine inside the same answer. Each further attempt is paid from a sliding window's budget. An engine is taken for lost only where it is silent on all its connections here for several of the route's aims. An engine is looked up again just before a request is sent, so that none that leaves gets one that waited. A leaving router refuses new requests in the second half of its grace only.

--- a/src/data/gateway/budget.ts
+++ b/src/data/gateway/budget.ts
@@ -10,6 +10,8 @@
 export interface RetryBudget {
   /** Counts a request for a pool. */
   asked(pool: string): void;
+  /** Whether one further attempt is left. */
+  left(pool: string): boolean;
   /** Spends one further attempt, where one is left. */
   spend(pool: string): boolean;
 }
@@ -54,12 +56,17 @@
     return n === undefined || clock.now() - began < s.retryWindowMs ? 0 : (s.retrySlack * SHARE) / n;
   }
 
+  function left(pool: string): boolean {
+    const w = at(pool);
+    return sum(w.spent) + 1 <= s.retryRatio * SHARE * sum(w.asked) + slack();
+  }
+
   function spend(pool: string): boolean {
+    if (!left(pool)) return false;
     const w = at(pool);
-    if (sum(w.spent) + 1 > s.retryRatio * SHARE * sum(w.asked) + slack()) return false;
     w.spent[w.slot % (SLOTS + 1)]++;
     return true;
   }
 
-  return { asked, spend };
+  return { asked, left, spend };
 }
--- a/src/data/gateway/choose.ts
+++ b/src/data/gateway/choose.ts
@@ -39,8 +39,8 @@
   retryAfterMs: number;
 }
 
-/** How an attempt ended. */
-export type AttemptEnd = 'done' | 'not-run' | 'doubt' | 'caller-gone';
+/** How an attempt ended; `late` was under way when its time was up. */
+export type AttemptEnd = 'done' | 'not-run' | 'doubt' | 'late' | 'caller-gone';
 
 /** An attempt as a load on its engine. */
 export interface Load {
--- a/src/data/gateway/forward.ts
+++ b/src/data/gateway/forward.ts
@@ -1,43 +1,90 @@
 import { CallerRequest, HttpRoute, TenantAccess } from '../../shared/deployment';
 import { RawHeaders, StreamEvent } from '../../shared/dialect';
-import { open } from '../../shared/errors';
+import { Fault, open } from '../../shared/errors';
 import { HttpConnection, RawCall, RawReply } from '../../shared/ports';
-import { Chosen, Load } from './choose';
+import { AttemptEnd, Chosen, Load } from './choose';
 import type { GatewayParts } from './request';
 
-/** What became of an attempt: `not-sent` never reached an engine; `not-run` is the engine's word; `doubt` may have run and gave nothing; `broken` gave a part. */
-export type Attempted = 'answered' | 'not-sent' | 'not-run' | 'doubt' | 'broken' | 'caller-gone';
+/** What became of an attempt: `not-sent` never reached an engine; `not-run` is the engine's word; `doubt` may have run and gave nothing; `broken` gave a part; `late` was under way when the time was up. */
+export type Attempted = 'answered' | 'not-sent' | 'not-run' | 'doubt' | 'broken' | 'late' | 'caller-gone';
 
 /** A request on its way, over all its attempts. */
 export interface Taken {
   request: CallerRequest;
   route: HttpRoute;
   tenant?: TenantAccess;
+  pool: string;
   body: Uint8Array;
   until: number;
+  /** When its last attempt began. */
+  sentAt: number;
+  /** Whether it may run more than once, or be taken up where it broke off. */
+  repeatable: boolean;
   /** Whether the caller has been given the head of an answer. */
   headSent: boolean;
   /** Whether an attempt may have run. */
-  doubted?: boolean;
+  doubted: boolean;
   /** The last event that went to the caller. */
   lastEvent?: string;
 }
 
-/** Sends a request to an engine and passes its answer back. */
-export async function forward(g: GatewayParts, call: RawCall, x: Taken, c: Chosen, connection: HttpConnection, load: Load): Promise<Attempted> {
+/** How long an engine may be silent on all its connections before what may be repeated goes elsewhere, as multiples of the route's aims. */
+const SILENT = { aim: 3, gap: 6 };
+
+/** Sends a request to an engine and passes its answer back; `more` says whether another attempt may follow. */
+export async function forward(g: GatewayParts, call: RawCall, x: Taken, c: Chosen, connection: HttpConnection, load: Load, more: boolean): Promise<Attempted> {
   const { clock } = g.ports;
   const began = clock.now();
   const left = x.until - began;
+  x.sentAt = began;
   const worded = g.dialect.engines.attempt({ method: call.method, target: call.target, headers: call.headers, body: x.body }, {
     instance: c.engine.id, deadlineMs: left, tenant: x.tenant?.name, salt: c.salt, weights: c.weights, urgency: c.urgency, fetchFrom: c.fetchFrom, storeAt: c.storeAt, lastEvent: x.lastEvent,
   });
-  const [f, reply] = open(await connection.ask(worded, left, call.gone));
+  const watch = x.repeatable && more ? watchSilence(g, call, x, c) : undefined;
+  const [f, reply] = open(await connection.ask(worded, left, watch?.signal ?? call.gone));
   if (f) {
-    load.ended(f.code === 'caller-gone' ? 'caller-gone' : f.sort === 'refused' ? 'not-run' : 'doubt');
-    if (f.code === 'caller-gone') return 'caller-gone';
-    if (f.sort === 'refused') return 'not-sent';
-    return doubt(x);
+    watch?.stop();
+    return lost(call, x, load, f);
+  }
+  g.connections.heard(c.engine);
+  const o = await takeAnswer(g, call, x, c, reply, load, more);
+  watch?.stop();
+  return o;
+}
+
+/** What became of an attempt that gave no whole answer. */
+function lost(call: RawCall, x: Taken, load: Load, f: Fault): Attempted {
+  if (call.gone.aborted) {
+    load.ended('caller-gone');
+    return 'caller-gone';
+  }
+  if (f.sort === 'refused') {
+    load.ended('not-run');
+    return 'not-sent';
+  }
+  load.ended(f.code === 'timeout' ? 'late' : 'doubt');
+  return f.code === 'timeout' ? late(x) : doubt(x);
+}
+
+/** Watches an engine for as long as an attempt lasts; it is taken for lost when it is silent on all its connections. */
+function watchSilence(g: GatewayParts, call: RawCall, x: Taken, c: Chosen): { signal: AbortSignal; stop(): void } {
+  const { clock } = g.ports;
+  const began = clock.now();
+  const most = Math.max(x.route.aimMs * SILENT.aim, x.route.gapAimMs * SILENT.gap);
+  const gone = new AbortController();
+  let off = clock.timer(most, look);
+  function look(): void {
+    const silent = clock.now() - Math.max(began, g.connections.heardAt(c.engine));
+    if (silent < most || !g.budget.left(x.pool)) off = clock.timer(Math.max(most - silent, most * 0.1), look);
+    else gone.abort();
+  }
+  function stop(): void {
+    off();
   }
+  return { signal: AbortSignal.any([call.gone, gone.signal]), stop };
+}
+
+async function takeAnswer(g: GatewayParts, call: RawCall, x: Taken, c: Chosen, reply: RawReply, load: Load, more: boolean): Promise<Attempted> {
   const head = g.dialect.engines.head(reply.status, reply.fields);
   if (head.id !== x.request.id) {
     g.connections.garbles(c.engine);
@@ -59,14 +106,23 @@
     load.ended('doubt');
     return doubt(x);
   }
-  function first(): void {
-    load.firstEvent(clock.now() - began);
+  if (reply.status >= 500 && x.repeatable && more && g.budget.left(x.pool)) {
+    void readOut(reply);
+    load.ended('doubt');
+    return doubt(x);
   }
-  const o = await passBack(g, call, x, reply, load, first);
-  load.ended(o === 'answered' ? 'done' : o === 'caller-gone' ? 'caller-gone' : 'doubt');
+  const o = await passBack(g, call, x, c, reply, load);
+  load.ended(ENDS[o]);
   return o;
 }
 
+const ENDS: Record<Attempted, AttemptEnd> = { answered: 'done', 'not-sent': 'not-run', 'not-run': 'not-run', doubt: 'doubt', broken: 'doubt', late: 'late', 'caller-gone': 'caller-gone' };
+
+function late(x: Taken): Attempted {
+  x.doubted = true;
+  return 'late';
+}
+
 /** Weights by model; what names no model is the request's. */
 function byModel(x: Taken, weights: Record<string, string>): Record<string, string> {
   const { '': own, ...named } = weights;
@@ -91,7 +147,7 @@
 }
 
 /** Passes an answer back as it comes; of a stream that may be taken up elsewhere, whole events only. */
-async function passBack(g: GatewayParts, call: RawCall, x: Taken, reply: RawReply, load: Load, first: () => void): Promise<Attempted> {
+async function passBack(g: GatewayParts, call: RawCall, x: Taken, c: Chosen, reply: RawReply, load: Load): Promise<Attempted> {
   const cutter = x.route.resumable && isSuccess(reply.status) ? g.dialect.engines.events() : undefined;
   const headers = g.dialect.engines.passBack(reply.headers);
   let any = false;
@@ -101,9 +157,10 @@
       reply.cancel();
       return 'caller-gone';
     }
-    if (f) return doubt(x);
+    if (f) return f.code === 'timeout' ? late(x) : doubt(x);
     if (p === undefined) break;
-    if (!any) first();
+    g.connections.heard(c.engine);
+    if (!any) load.firstEvent(g.ports.clock.now() - x.sentAt);
     any = true;
     const bytes = cutter ? wholeEvents(x, cutter.take(p), load) : p;
     if (bytes === undefined) {
--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -28,7 +28,9 @@
 /** Older weights serve fresh requests for this share of the bound. */
 const OLDER = 0.6;
 /** How much of the grace a drain takes at the most. */
-const DRAIN = 0.8;
+const DRAIN = 0.85;
+/** A router that leaves takes new requests for this share of the grace. */
+const TAKES = 0.5;
 /** A router without new connections and requests for this share of `contactMs` is out of the callers' list. */
 const QUIET = 0.85;
 /** How often a router that serves, or drains, looks at itself, as a share of `contactMs`. */
@@ -43,8 +45,9 @@
   let current: RouteTable | undefined;
   let leased = false;
   let leaving = false;
-  let stopped = false;
   let underWay = 0;
+  let leftAt = 0;
+  let listed = new Set<string>();
   let routersSeen: number | undefined;
 
   /** The routers that are live, where a majority's leases tell them; otherwise the most that were ever told. */
@@ -73,11 +76,19 @@
     return serves() && !leaving;
   }
 
+  function stands(e: Engine): boolean {
+    return listed.has(e.id) && !follower.leaving(e.id);
+  }
+
+  function closed(): boolean {
+    return leaving && clock.now() - leftAt > settings.graceMs * TAKES;
+  }
+
   const weights = makeWeightsBook(clock, settings.weightsBoundMs * OLDER);
   const connections = keepConnections(clock, http, settings, routers);
   const chooser = makeChooser({ ports, settings, follower, weights, pool });
   const budget = makeRetryBudget(clock, settings, routers);
-  const parts: GatewayParts = { ports, settings, dialect, chooser, connections, budget, counts, table };
+  const parts: GatewayParts = { ports, settings, dialect, chooser, connections, budget, counts, table, stands, closed };
 
   function limits(): ServeLimits {
     const l = current?.limits;
@@ -86,8 +97,12 @@
 
   async function taken(call: RawCall): Promise<void> {
     underWay++;
-    await serveRequest(parts, call);
+    await serveRequest(parts, call).catch(broke);
     underWay--;
+    function broke(e: Error): void {
+      ports.log.error({ step: 'serve request', peer: call.peer }, e.stack ?? e.message);
+      call.breakOff();
+    }
   }
 
   async function asked(call: RawCall): Promise<void> {
@@ -108,6 +123,10 @@
   }
 
   function renewEngines(list: Engine[]): void {
+    function stays(e: Engine): boolean {
+      return !e.leaving;
+    }
+    listed = new Set(list.filter(stays).map(idOf));
     connections.renew(new Set(list.map(idOf)));
     weights.listed(list);
   }
@@ -126,11 +145,11 @@
 
   async function drain(): Promise<void> {
     leaving = true;
+    leftAt = clock.now();
     server!.limit(limits());
-    const began = clock.now();
     let seen = server!.arrivals();
-    let quiet = began;
-    while (clock.now() - began < settings.graceMs * DRAIN) {
+    let quiet = leftAt;
+    while (clock.now() - leftAt < settings.graceMs * DRAIN) {
       await clock.sleep(settings.contactMs * LOOK);
       if (server!.arrivals() !== seen) quiet = clock.now();
       seen = server!.arrivals();
@@ -140,23 +159,21 @@
 
   async function stop(): Promise<void> {
     leaving = true;
-    stopped = true;
+    off();
     chooser.stop();
     connections.stop();
     await server!.close();
     await readiness!.close();
   }
 
-  async function look(): Promise<void> {
-    while (!stopped) {
-      serves();
-      routers();
-      await clock.sleep(settings.contactMs * LOOK * 5);
-    }
+  function look(): void {
+    serves();
+    routers();
+    off = clock.timer(settings.contactMs * LOOK * 5, look);
   }
 
   void follower.changes.observe(changed);
   for (const n of follower.places()) changed(n);
-  void look();
+  let off = clock.timer(0, look);
   return Right({ counts, ready, drain, stop });
 }
--- a/src/data/gateway/pools.ts
+++ b/src/data/gateway/pools.ts
@@ -23,6 +23,10 @@
   giveBack(e: Engine, c: HttpConnection): void;
   /** Hears for how long an engine keeps an idle connection. */
   told(e: Engine, keepS: number | undefined): void;
+  /** Hears that bytes came from an engine. */
+  heard(e: Engine): void;
+  /** When bytes last came from an engine on any connection. */
+  heardAt(e: Engine): number;
   /** Hears that an engine mixes answers up. */
   garbles(e: Engine): void;
   /** Hears which engines there are. */
@@ -37,6 +41,7 @@
   idle: { c: HttpConnection; since: number }[];
   keepMs?: number;
   freshUntil: number;
+  heardAt: number;
 }
 
 /** Makes the kept connections; `routers` tells how many routers share the engines. */
@@ -48,7 +53,7 @@
   function at(e: Engine): Kept {
     const had = engines.get(e.id);
     if (had) return had;
-    const k: Kept = { at: e.at, open: 0, idle: [], freshUntil: 0 };
+    const k: Kept = { at: e.at, open: 0, idle: [], freshUntil: 0, heardAt: -Infinity };
     engines.set(e.id, k);
     return k;
   }
@@ -101,6 +106,14 @@
     if (keepS !== undefined) at(e).keepMs = keepS * 1000;
   }
 
+  function heard(e: Engine): void {
+    at(e).heardAt = clock.now();
+  }
+
+  function heardAt(e: Engine): number {
+    return at(e).heardAt;
+  }
+
   function garbles(e: Engine): void {
     const k = at(e);
     k.freshUntil = clock.now() + s.contactMs * GARBLED;
@@ -120,18 +133,17 @@
     untoldMs = ms * UNTOLD;
   }
 
-  async function trimAll(): Promise<void> {
-    while (!stopped) {
-      await clock.sleep(s.contactMs * KEEP);
-      for (const k of engines.values()) trim(k);
-    }
+  function trimAll(): void {
+    for (const k of engines.values()) trim(k);
+    off = clock.timer(s.contactMs * KEEP, trimAll);
   }
 
   function stop(): void {
     stopped = true;
+    off();
     for (const [id, k] of engines) drop(id, k);
   }
 
-  void trimAll();
-  return { take, giveBack, told, garbles, renew, idleMs, stop };
+  let off = clock.timer(s.contactMs * KEEP, trimAll);
+  return { take, giveBack, told, heard, heardAt, garbles, renew, idleMs, stop };
 }
--- a/src/data/gateway/request.ts
+++ b/src/data/gateway/request.ts
@@ -3,6 +3,7 @@
 import { Dialect } from '../../shared/dialect';
 import { Ports, RawCall } from '../../shared/ports';
 import { Settings } from '../../shared/settings';
+import { Engine } from '../../shared/words';
 import { RetryBudget } from './budget';
 import { Chooser, Refusal, Wanted } from './choose';
 import { Attempted, forward, Taken } from './forward';
@@ -32,12 +33,18 @@
   counts: GatewayCounts;
   /** The deployment's look-ups, once this router may serve. */
   table(): RouteTable | undefined;
+  /** Whether an engine is still listed and not leaving. */
+  stands(e: Engine): boolean;
+  /** Whether this router is so far into its leaving that it takes nothing new. */
+  closed(): boolean;
 }
 
 /** Connections to engines that may fail before a request is given up, as a multiple of its attempts. */
 const CONNECTS = 3;
-/** When a request may come again that could not be sent, as a share of `contactMs`. */
-const AGAIN = 0.1;
+/** When a request may come again that could not be sent, as a share of its route's aim; of `contactMs` where no route is known. */
+const AGAIN = { aim: 0.25, contact: 0.1 };
+/** The least time that is worth another attempt, as a share of `transitMs`. */
+const WORTH = 0.1;
 
 /** A request that was read: what it asks for, whole. */
 interface Read {
@@ -60,20 +67,21 @@
   const q = await read(g, call);
   if (!q) return;
   const table = g.table();
-  if (!table) return refuse(g, call, { status: 503, why: 'this router has no deployment yet', retryAfterMs: g.settings.contactMs * AGAIN });
+  if (!table) return refuse(g, call, { status: 503, why: 'this router has no deployment yet', retryAfterMs: g.settings.contactMs * AGAIN.contact });
+  if (g.closed()) return refuse(g, call, { status: 503, why: 'this router is leaving', retryAfterMs: g.settings.contactMs * AGAIN.contact });
   const a = allow(g, call, table, q.request);
   if (!a) return;
   const until = since + Math.min(q.request.deadlineMs ?? a.route.timeoutMs, a.route.timeoutMs);
   g.budget.asked(a.pool);
-  const x: Taken = { request: q.request, route: a.route, tenant: a.tenant, body: q.body, until, headSent: false, lastEvent: undefined };
-  const avoid = new Set<string>();
   const repeatable = a.route.kind === 'safe' || a.route.resumable;
+  const x: Taken = { request: q.request, route: a.route, tenant: a.tenant, pool: a.pool, body: q.body, until, sentAt: since, repeatable, headSent: false, doubted: false, lastEvent: undefined };
+  const avoid = new Set<string>();
   let sent = 0;
   let last: Attempted | undefined;
-  let refusal: Refusal = { status: 503, why: 'no engine can be reached', retryAfterMs: g.settings.contactMs * AGAIN };
+  let refusal: Refusal = { status: 503, why: 'no engine can be reached', retryAfterMs: a.route.aimMs * AGAIN.aim };
 
   for (let tried = 0; sent < a.route.maxAttempts && tried < a.route.maxAttempts * CONNECTS; tried++) {
-    if (call.gone.aborted || clock.now() >= until) break;
+    if (call.gone.aborted || until - clock.now() < g.settings.transitMs * WORTH) break;
     const w: Wanted = { request: q.request, route: a.route, pool: a.pool, tenant: a.tenant, since, until, avoid, again: sent };
     const chosen = await g.chooser.choose(w);
     if (chosen.isLeft()) {
@@ -88,7 +96,12 @@
       load.ended('not-run');
       continue;
     }
-    if (clock.now() >= until || (sent > 0 && !g.budget.spend(a.pool))) {
+    if (!g.stands(c.engine)) {
+      load.ended('not-run');
+      g.connections.giveBack(c.engine, connection);
+      continue;
+    }
+    if (clock.now() >= until || call.gone.aborted || (sent > 0 && !g.budget.spend(a.pool))) {
       load.ended('caller-gone');
       g.connections.giveBack(c.engine, connection);
       break;
@@ -96,15 +109,15 @@
     g.counts.attempts++;
     if (sent > 0) g.counts.furtherAttempts++;
     if (x.headSent) g.counts.resumed++;
-    last = await forward(g, call, x, c, connection, load);
+    last = await forward(g, call, x, c, connection, load, sent + 1 < a.route.maxAttempts);
     if (last !== 'not-sent') sent++;
-    if (last === 'answered' || last === 'caller-gone' || (last === 'broken' && !canResume(x)) || (last === 'doubt' && !repeatable)) break;
+    if (last === 'answered' || last === 'caller-gone' || last === 'late' || (last === 'broken' && !canResume(x)) || (last === 'doubt' && !repeatable)) break;
   }
 
   if (last === 'answered') g.counts.done++;
   else if (last === 'caller-gone' || call.gone.aborted) g.counts.callersGone++;
   else if (x.headSent) breakOff(g, call);
-  else if (x.doubted) giveUp(g, call, clock.now() >= until ? 504 : 502);
+  else if (x.doubted) giveUp(g, call, last === 'late' || clock.now() >= until ? 504 : 502);
   else refuse(g, call, refusal);
 }
 
--- a/src/data/router.ts
+++ b/src/data/router.ts
@@ -96,9 +96,9 @@
   if (h) return Left(h);
 
   async function stop(): Promise<void> {
+    await gateway!.stop();
     await follower.leave();
     follower.stop();
-    await gateway!.stop();
     await wire!.close();
   }
 
--- a/src/shared/realhttp.ts
+++ b/src/shared/realhttp.ts
@@ -139,7 +139,7 @@
   return res.headers['content-length'] !== undefined || /\bchunked\b/i.test(res.headers['transfer-encoding'] ?? '') || method === 'HEAD' || s === 204 || s === 304;
 }
 
-function makeReply(at: string, q: RawAsk, req: http.ClientRequest, res: http.IncomingMessage, over: () => void): RawReply {
+function makeReply(at: string, q: RawAsk, req: http.ClientRequest, res: http.IncomingMessage, over: () => void, cut: () => string | undefined): RawReply {
   const step = `${q.method} ${q.target}`;
   const queue: Buffer[] = [];
   const framed = isFramed(q.method, res);
@@ -166,7 +166,7 @@
     finish(res.complete && framed ? Right(undefined) : broken('ended without its end'));
   }
   function broken(why: unknown): Outcome<undefined> {
-    return Left(makeFault(step, at, why, 'unknown', 'broken'));
+    return Left(makeFault(step, at, why, 'unknown', cut() ?? 'broken'));
   }
   function failed(e: Error): void {
     finish(broken(e));
@@ -258,6 +258,9 @@
       let cut: string | undefined;
       const req = http.request({ agent, ...split(at), method: q.method, path: q.target, headers: q.headers as never, setHost: false });
       const t = setTimeout(late, within);
+      function cutBy(): string | undefined {
+        return cut;
+      }
       function late(): void {
         cut = 'timeout';
         req.destroy(new Error('no answer in time'));
@@ -281,7 +284,7 @@
           whole = res.complete;
         }
         res.on('end', ended);
-        done(Right(makeReply(at, q, req, res, over)));
+        done(Right(makeReply(at, q, req, res, over, cutBy)));
       }
       gone.addEventListener('abort', left, { once: true });
       req.on('error', failed);
--- /dev/null
+++ b/test/gateway-leave.test.ts
@@ -0,0 +1,165 @@
+import http from 'node:http';
+import { ask, deployment, EngineCall, Got, route, sealed, startRig, startStandIn, streams } from './gatewayrig';
+
+async function statusAt(at: string, path = '/api/readiness'): Promise<number> {
+  return (await ask(at, { method: 'GET', path, body: '' })).status;
+}
+
+async function beforeDeployment(): Promise<void> {
+  const e = await startStandIn('e1', streams(1));
+  const rig = await startRig({ live: false });
+  expect(await statusAt(rig.readiness)).toBe(503);
+  const early = await ask(rig.at);
+  expect(early.status).toBe(503);
+  expect(Number(early.headers['retry-after'])).toBeGreaterThan(0);
+  rig.tell('deployment', { revision: 1, doc: deployment([route({})]) });
+  rig.tellEngines([e]);
+  expect(await statusAt(rig.readiness)).toBe(503);
+  rig.live(true);
+  expect(await statusAt(rig.readiness)).toBe(200);
+  rig.live(false);
+  expect(await statusAt(rig.readiness)).toBe(200);
+  expect((await ask(rig.at)).status).toBe(200);
+  expect(await statusAt(rig.readiness, '/other')).toBe(404);
+  await rig.close();
+  e.close();
+}
+
+async function leavingEngine(): Promise<void> {
+  const a = await startStandIn('e1', streams(1));
+  const b = await startStandIn('e2', streams(1));
+  const rig = await startRig({ engines: [a, b], deployment: deployment([route({})]) });
+  rig.tellEngines([{ ...a, leaving: true }, b]);
+  for (let i = 0; i < 6; i++) expect((await ask(rig.at)).status).toBe(200);
+  expect({ a: a.calls.length, b: b.calls.length }).toEqual({ a: 0, b: 6 });
+  rig.tellEngines([b]);
+  for (let i = 0; i < 3; i++) expect((await ask(rig.at)).status).toBe(200);
+  rig.tellEngines([]);
+  expect((await ask(rig.at)).status).toBe(503);
+  expect(a.calls.length).toBe(0);
+  await rig.close();
+}
+
+async function drains(): Promise<void> {
+  let finish: () => void = nothing;
+  function nothing(): void {}
+  let began: () => void;
+  function wait(done: () => void): void {
+    began = done;
+  }
+  const running = new Promise<void>(wait);
+  function onPiece(): void {
+    began();
+  }
+  function slow(c: EngineCall): void {
+    c.res.writeHead(200, sealed(c));
+    c.res.write('id: 1\ndata: x\n\n');
+    function end(): void {
+      c.res.end('id: 2\ndata: y\n\n');
+    }
+    finish = end;
+  }
+  const e = await startStandIn('e1', slow);
+  const rig = await startRig({ engines: [e], deployment: deployment([route({})]), settings: { contactMs: 100, graceMs: 5000 } });
+  const agent = new http.Agent({ keepAlive: true });
+  const first = ask(rig.at, { agent, onPiece });
+  await running;
+  const over = rig.gateway.drain();
+  expect(await statusAt(rig.readiness)).toBe(503);
+  finish();
+  const got = await first;
+  expect(got).toMatchObject({ status: 200, whole: true });
+  expect(got.headers.connection).toBe('keep-alive');
+  const late = ask(rig.at, { agent });
+  function whole(g: Got): void {
+    expect(g).toMatchObject({ status: 200, whole: true });
+    expect(g.headers.connection).toBe('close');
+  }
+  void late.then(whole);
+  function waitAgain(done: () => void): void {
+    function look(): void {
+      if (e.calls.length < 2) return void setImmediate(look);
+      done();
+    }
+    look();
+  }
+  await new Promise<void>(waitAgain);
+  finish();
+  await late;
+  await over;
+  agent.destroy();
+  await rig.close();
+}
+
+async function keys(): Promise<void> {
+  const e = await startStandIn('e1', streams(1));
+  const d = deployment([route({}), route({ name: 'open', prefix: '/open/', public: true })]);
+  const rig = await startRig({ engines: [e], deployment: d });
+  expect((await ask(rig.at, { key: 'unknown' })).status).toBe(401);
+  expect((await ask(rig.at, { key: '' })).status).toBe(401);
+  expect((await ask(rig.at, { key: '', path: '/open/x', headers: { 'Plumhollow-Tenant': 'forged' } })).status).toBe(200);
+  expect(e.calls[0].headers['plumhollow-tenant']).toBeUndefined();
+  expect((await ask(rig.at, { key: 'k1' })).status).toBe(200);
+  expect(e.calls[1].headers).toMatchObject({ 'plumhollow-tenant': 'walled', 'plumhollow-cache-salt': 'walled:1' });
+  rig.tell('deployment', { revision: 2, doc: { ...d, tenants: [{ ...d.tenants[0], keys: [] }, d.tenants[1]] } });
+  expect((await ask(rig.at, { key: 'k1' })).status).toBe(401);
+  await rig.close();
+}
+
+async function routes(): Promise<void> {
+  const a = await startStandIn('e1', streams(1));
+  const b = await startStandIn('e2', streams(1));
+  const d = deployment([
+    route({ name: 'all', prefix: '/', targets: [{ pool: 'p', weight: 1 }] }),
+    route({ name: 'deep', prefix: '/a/b/', targets: [{ pool: 'q', weight: 1 }] }),
+    route({ name: 'split', prefix: '/split/', targets: [{ pool: 'p', weight: 3 }, { pool: 'q', weight: 1 }, { pool: 'p', weight: 0 }] }),
+  ]);
+  const rig = await startRig({ deployment: { ...d, pools: [...d.pools, { ...d.pools[0], name: 'q' }] } });
+  rig.tellEngines([a, { ...b, pool: 'q' }]);
+  const went: string[] = [];
+  for (const path of ['/', '/a', '/a/b', '/a/b/', '/a/b/c?d=/x/', '/a/bc/d', '/z/a/b/']) {
+    const before = a.calls.length;
+    expect((await ask(rig.at, { path })).status).toBe(200);
+    went.push(a.calls.length > before ? 'p' : 'q');
+  }
+  expect(went).toEqual(['p', 'p', 'p', 'q', 'q', 'p', 'p']);
+  expect((await ask(rig.at, { path: '/a/b/', host: 'other.example' })).status).toBe(404);
+  expect((await ask(rig.at, { path: '/a/b/', host: 'DESK.example:80' })).status).toBe(200);
+  const before = { a: a.calls.length, b: b.calls.length };
+  for (let i = 0; i < 200; i++) await ask(rig.at, { path: '/split/x' });
+  const share = (b.calls.length - before.b) / (a.calls.length - before.a + b.calls.length - before.b);
+  expect(share).toBeGreaterThan(0.1);
+  expect(share).toBeLessThan(0.45);
+  await rig.close();
+  a.close();
+  b.close();
+}
+
+async function bounds(): Promise<void> {
+  const e = await startStandIn('e1', streams(1));
+  const rig = await startRig({ engines: [e], deployment: deployment([route({})]) });
+  expect((await ask(rig.at, { body: 'x'.repeat(200000) })).status).toBe(413);
+  expect((await ask(rig.at, { headers: { 'Plumhollow-Attempt-Id': '' } })).status).toBe(400);
+  expect(e.calls.length).toBe(0);
+  const big = 'y'.repeat(99000);
+  expect((await ask(rig.at, { body: big, headers: { 'Transfer-Encoding': 'chunked' } })).status).toBe(200);
+  expect(e.bodies[0]).toBe(big);
+  expect(e.calls[0].headers['content-length']).toBe('99000');
+  await rig.close();
+}
+
+async function keepsConnections(): Promise<void> {
+  const e = await startStandIn('e1', streams(1));
+  const rig = await startRig({ engines: [e], deployment: deployment([route({})]) });
+  for (let i = 0; i < 10; i++) expect((await ask(rig.at)).status).toBe(200);
+  expect(e.connections).toBe(1);
+  await rig.close();
+}
+
+test('a router is ready once it has a deployment, engines and a lease, and serves on without', beforeDeployment);
+test('an engine that leaves or is gone gets nothing more', leavingEngine);
+test('a router that leaves serves on, closes its connections, and ends when none come', drains);
+test('keys open routes to their tenants, and are never shown to engines', keys);
+test('the longest prefix of the host takes a request, and weights split it', routes);
+test('what callers may send is bounded', bounds);
+test('connections to engines are used again', keepsConnections);
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -20,7 +20,7 @@
 
 async function secondEngine(): Promise<void> {
   const a = await startStandIn('e1', turnsAway);
-  const b = await startStandIn('e2', streams(3));
+  const b = await startStandIn('e2', streams(3), 'zone-b');
   const rig = await startRig({ engines: [a, b], deployment: deployment([route({})]), settings: { retryWindowMs: 1, retrySlack: 100 } });
   for (let i = 0; i < 6; i++) {
     const got = await ask(rig.at);
--- a/test/gatewayrig.ts
+++ b/test/gatewayrig.ts
@@ -123,6 +123,8 @@
   deployment?: Deployment;
   settings?: Partial<Settings>;
   routers?: number;
+  /** Whether it holds a majority's leases from the start. */
+  live?: boolean;
   clock?: Ports['clock'];
 }
 
@@ -148,7 +150,7 @@
 export async function startRig(ways: RigWays): Promise<Rig> {
   const state = new Map<string, Numbered>();
   const changes = makeFeed<Numbered>();
-  let live = true;
+  let live = ways.live ?? true;
   let number = 0;
   function tell(key: string, value: unknown): void {
     const n: Numbered = { key, value, epoch: 1, by: 'core', number: ++number };
