--- /dev/null
+++ b/src/data/gateway/loads.ts
@@ -0,0 +1,127 @@
+import { EngineLoad } from '../../shared/loads';
+
+/** One request in flight at an engine. */
+export interface Flight {
+  engine: string;
+  /** Prompt tokens that the engine is taken to have to read for it. */
+  unread: number;
+  /** Tokens of memory that it takes. */
+  memory: number;
+  sentAt: number;
+  /** Ms to its first event as reckoned. */
+  dueMs: number;
+  /** Ms that a move of parts to its engine takes. */
+  moveMs: number;
+  firstAt?: number;
+}
+
+/** What runs at one engine. */
+export interface Load {
+  running: number;
+  /** Prompt tokens still to be read. */
+  unread: number;
+  /** Requests whose first event is still awaited, of this router's own. */
+  awaiting: number;
+  memory: number;
+  moveMs: number;
+}
+
+/** Requests in flight by engine: this router's own, and those of all others as the load board told them. */
+export interface Loads {
+  began(f: Flight): void;
+  first(f: Flight): void;
+  ended(f: Flight): void;
+  of(engine: string): Load;
+  /** Own loads for the board. */
+  own(): EngineLoad[];
+  /** Takes what the board told of all others. */
+  others(list: EngineLoad[], full: boolean): void;
+  /** Forgets what the board told, as it is silent. */
+  noBoard(): void;
+  hasBoard(): boolean;
+}
+
+/** The least of a request's unread tokens that counts until its first event comes. */
+const LEAST_LEFT = 0.15;
+
+/** Makes the books. */
+export function makeLoads(now: () => number): Loads {
+  const flights = new Map<string, Set<Flight>>();
+  const told = new Map<string, { running: number; unread: number; at: number }>();
+  let board = false;
+
+  function began(f: Flight): void {
+    const set = flights.get(f.engine) ?? new Set<Flight>();
+    set.add(f);
+    flights.set(f.engine, set);
+  }
+
+  function first(f: Flight): void {
+    if (f.firstAt === undefined) f.firstAt = now();
+  }
+
+  function ended(f: Flight): void {
+    const set = flights.get(f.engine);
+    set?.delete(f);
+    if (set?.size === 0) flights.delete(f.engine);
+  }
+
+  function left(f: Flight, t: number): number {
+    if (f.firstAt !== undefined) return 0;
+    return f.unread * Math.max(LEAST_LEFT, 1 - (t - f.sentAt) / Math.max(1, f.dueMs));
+  }
+
+  function ownOf(engine: string): Load {
+    const t = now();
+    const l: Load = { running: 0, unread: 0, awaiting: 0, memory: 0, moveMs: 0 };
+    for (const f of flights.get(engine) ?? []) {
+      l.running++;
+      l.unread += left(f, t);
+      if (f.firstAt === undefined) l.awaiting++;
+      l.memory += f.memory;
+      l.moveMs += Math.max(0, f.moveMs - (t - f.sentAt));
+    }
+    return l;
+  }
+
+  function of(engine: string): Load {
+    const l = ownOf(engine);
+    const o = told.get(engine);
+    if (!o) return l;
+    const perRequest = l.running > 0 ? l.memory / l.running : 0;
+    l.running += o.running;
+    l.unread += o.unread;
+    l.memory += Math.max(o.unread, o.running * perRequest);
+    return l;
+  }
+
+  function own(): EngineLoad[] {
+    const out: EngineLoad[] = [];
+    for (const engine of flights.keys()) {
+      const l = ownOf(engine);
+      out.push([engine, l.running, Math.round(l.unread)]);
+    }
+    return out;
+  }
+
+  function others(list: EngineLoad[], full: boolean): void {
+    board = true;
+    const t = now();
+    if (full) told.clear();
+    for (const [engine, running, unread] of list) {
+      if (running === 0 && unread === 0) told.delete(engine);
+      else told.set(engine, { running, unread, at: t });
+    }
+  }
+
+  function noBoard(): void {
+    board = false;
+    told.clear();
+  }
+
+  function hasBoard(): boolean {
+    return board;
+  }
+
+  return { began, first, ended, of, own, others, noBoard, hasBoard };
+}
--- /dev/null
+++ b/src/data/gateway/pace.ts
@@ -0,0 +1,105 @@
+/** How fast an engine is taken to be: ms to a first event = baseMs + msPerToken x own tokens read + msPerPair x pairs of tokens attended to + msPerAhead x unread tokens of others. */
+export interface Pace {
+  baseMs: number;
+  msPerToken: number;
+  msPerPair: number;
+  msPerAhead: number;
+  /** Ms for which a request keeps its place. */
+  placeMs: number;
+}
+
+/** What was seen of one request: ms to its first event, the tokens and pairs that were to be read for it, and the unread tokens of others there when it was sent. */
+export interface PaceSeen {
+  ms: number;
+  tokens: number;
+  pairs: number;
+  ahead: number;
+}
+
+/** Learns how fast engines are from what attempts show. */
+export interface Paces {
+  of(pool: string, engine: string): Pace;
+  learn(pool: string, engine: string, seen: PaceSeen): void;
+  /** Ms for which a request kept its place. */
+  learnPlace(pool: string, ms: number): void;
+  /** Forgets engines that are gone. */
+  keep(engines: ReadonlySet<string>): void;
+}
+
+/** First guesses, left after a few answers. */
+const FIRST: Pace = { baseMs: 25, msPerToken: 0.02, msPerPair: 3e-7, msPerAhead: 0.015, placeMs: 150 };
+/** The share of an error that the pool's figures take up, at first and in the long run. */
+const POOL_FIRST = 0.4;
+const POOL_LAST = 0.02;
+/** The same for one engine's factor. */
+const ENGINE_STEP = 0.06;
+/** An error counts up to this share of what was reckoned: one slow answer is no slow engine. */
+const MOST_ERROR = 0.5;
+/** An engine's factor goes back by this share of its logarithm with each answer. */
+const FADE = 0.01;
+const LEAST = 0.05;
+const MOST = 50;
+
+interface PoolPace {
+  /** Multiples of the first guesses. */
+  base: number;
+  token: number;
+  pair: number;
+  ahead: number;
+  count: number;
+  placeMs: number;
+}
+
+/** Makes the learner: robust steps on the parts of the time, and one factor for each engine, as engines of one pool differ in speed. */
+export function makePaces(): Paces {
+  const pools = new Map<string, PoolPace>();
+  const factors = new Map<string, number>();
+
+  function poolOf(pool: string): PoolPace {
+    let p = pools.get(pool);
+    if (!p) {
+      p = { base: 1, token: 1, pair: 1, ahead: 1, count: 0, placeMs: FIRST.placeMs };
+      pools.set(pool, p);
+    }
+    return p;
+  }
+
+  function of(pool: string, engine: string): Pace {
+    const p = poolOf(pool);
+    const f = factors.get(engine) ?? 1;
+    return { baseMs: FIRST.baseMs * p.base * f, msPerToken: FIRST.msPerToken * p.token * f, msPerPair: FIRST.msPerPair * p.pair * f, msPerAhead: FIRST.msPerAhead * p.ahead * f, placeMs: p.placeMs };
+  }
+
+  function within(x: number, least: number, most: number): number {
+    return Math.min(most, Math.max(least, x));
+  }
+
+  function learn(pool: string, engine: string, seen: PaceSeen): void {
+    const p = poolOf(pool);
+    const f = factors.get(engine) ?? 1;
+    const xs = [FIRST.baseMs, FIRST.msPerToken * seen.tokens, FIRST.msPerPair * seen.pairs, FIRST.msPerAhead * seen.ahead];
+    const due = xs[0] * p.base + xs[1] * p.token + xs[2] * p.pair + xs[3] * p.ahead;
+    const error = within(seen.ms / f - due, -MOST_ERROR * due, MOST_ERROR * due);
+    const step = Math.max(POOL_LAST, POOL_FIRST / (1 + p.count / 8));
+    const norm = xs[0] * xs[0] + xs[1] * xs[1] + xs[2] * xs[2] + xs[3] * xs[3];
+    p.count++;
+    p.base = within(p.base + (step * error * xs[0]) / norm, LEAST, MOST);
+    p.token = within(p.token + (step * error * xs[1]) / norm, LEAST, MOST);
+    p.pair = within(p.pair + (step * error * xs[2]) / norm, LEAST, MOST);
+    p.ahead = within(p.ahead + (step * error * xs[3]) / norm, LEAST, MOST);
+    const ratio = within(seen.ms / (due * f), 1 - MOST_ERROR, 1 + MOST_ERROR);
+    const log = Math.log(f) * (1 - FADE) + ENGINE_STEP * Math.log(ratio);
+    factors.set(engine, within(Math.exp(log), 1 / 4, 4));
+  }
+
+  function learnPlace(pool: string, ms: number): void {
+    const p = poolOf(pool);
+    p.placeMs += ENGINE_STEP * within(ms - p.placeMs, -p.placeMs, p.placeMs * 2);
+  }
+
+  function keep(engines: ReadonlySet<string>): void {
+    for (const id of factors.keys()) if (!engines.has(id)) factors.delete(id);
+  }
+
+  return { of, learn, learnPlace, keep };
+}
--- /dev/null
+++ b/src/data/gateway/placement.ts
@@ -0,0 +1,305 @@
+import { Either, Left, Right } from 'purify-ts';
+import { Part } from '../../shared/contracts/engine';
+import { OverlapAnswer } from '../../shared/loads';
+import { Homes, makeHomes } from './homes';
+import { Links, makeLinks, Side } from './links';
+import { Flight, Loads, makeLoads } from './loads';
+import { makePaces, Paces } from './pace';
+import { Able, KeptAt, Prompt, reckon, Reckoned, Source } from './reckon';
+import { Ending, makeStandings, Standings } from './standing';
+
+/** An engine of the pool, as the list has it. */
+export interface EngineSpot {
+  id: string;
+  at: string;
+  zone: string;
+  region?: string;
+  batch?: number;
+}
+
+/** A store of kept parts. */
+export interface StoreSpot {
+  name: string;
+  at: string;
+  zone: string;
+  region?: string;
+  linkMbps: number;
+}
+
+/** A pool as placement sees it. */
+export interface PoolView {
+  name: string;
+  batch: number;
+  cacheTokens: number;
+  tokenBytes: number;
+  linkMbps: number;
+  engines: EngineSpot[];
+  stores: StoreSpot[];
+}
+
+/** One request that wants an engine. */
+export interface PlaceAsk {
+  pool: PoolView;
+  salt: string;
+  parts: readonly Part[];
+  tokensIn: number;
+  tokensOut: number;
+  /** Ms of its aim that are left, and of the time that it may take. */
+  aimMs: number;
+  leftMs: number;
+  /** Ranks; 0 is the highest. */
+  routePriority: number;
+  tenantPriority: number;
+  tenant?: string;
+  repeatable: boolean;
+  avoid: ReadonlySet<string>;
+}
+
+/** Where a request goes. */
+export interface Placed {
+  ask: PlaceAsk;
+  reckoned: Reckoned;
+  urgency: number;
+  home: string;
+}
+
+/** Why a request is refused at once, and in how many ms a place is to be expected. */
+export interface NoPlace {
+  why: 'no-engine' | 'full' | 'too-late';
+  retryAfterMs: number;
+}
+
+/** A request under way at its engine. */
+export interface Underway {
+  first(): void;
+  ended(how: Ending): void;
+}
+
+/** How engines are compared: `full` reckons all that is known, `affinity` takes the home, `least-busy` the engine with the least at work. */
+export type PlaceWay = 'full' | 'affinity' | 'least-busy';
+
+/** Places requests at engines. */
+export interface Placement {
+  /** Whether an index is worth asking for this request. */
+  wantsIndex(ask: PlaceAsk): boolean;
+  place(ask: PlaceAsk, kept: OverlapAnswer | undefined): Either<NoPlace, Placed>;
+  began(p: Placed): Underway;
+  loads: Loads;
+  paces: Paces;
+  links: Links;
+  standings: Standings;
+  /** Forgets engines and stores that are gone. */
+  keep(names: ReadonlySet<string>): void;
+}
+
+/** What placement stands on. */
+export interface PlaceWays {
+  now: () => number;
+  spread: () => number;
+  /** The zone that requests are sent from. */
+  zone: string;
+  /** The first rest of an engine that failed, in ms. */
+  pause: number;
+  way?: PlaceWay;
+}
+
+/** A prompt that reads in under this share of its aim is placed without asking an index. */
+const QUICK = 0.08;
+/** What a prompt's home is taken to keep of its shared parts where no index answered, and an engine where one was placed before. */
+const HOME_KEEPS = 0.6;
+const PLACED_KEEPS = 0.8;
+/** Prompts whose engines are remembered. */
+const MOST_RECENT = 4096;
+const MOST_ENGINES = 4;
+/** Costs are spread by this share, so that routers do not all choose the same. */
+const SPREAD = 0.02;
+/** A request that fetched shows a slow link only by taking this many times what was reckoned. */
+const SLOW = 1.5;
+/** Where more than this share of the time is waiting, it shows nothing of a link. */
+const MUCH = 0.3;
+/** The least urgent, for requests that can't make their aim. */
+const LATE = 9;
+/** The share of a pool's places that must be taken before a request that can't make its aim is refused. */
+const PRESSED = 0.9;
+/** A tenant with more than this many fair shares of what is under way gives way first. */
+const FAIR = 1.5;
+
+/** Makes the placement. */
+export function makePlacement(ways: PlaceWays): Placement {
+  const homes: Homes = makeHomes();
+  const paces = makePaces();
+  const links = makeLinks();
+  const loads = makeLoads(ways.now);
+  const standings = makeStandings(ways.now, ways.spread, ways.pause);
+  const recent = new Map<string, string[]>();
+  const tenants = new Map<string, number>();
+  const way = ways.way ?? 'full';
+
+  function sharedOf(parts: readonly Part[]): number {
+    let t = 0;
+    for (let i = 0; i < parts.length - 1; i++) t += parts[i].size;
+    return t;
+  }
+
+  function wantsIndex(ask: PlaceAsk): boolean {
+    if (way !== 'full' || ask.parts.length === 0) return false;
+    return ask.tokensIn * paces.of(ask.pool.name, '').msPerToken > QUICK * ask.aimMs;
+  }
+
+  function homeOf(ask: PlaceAsk): string {
+    return `${ask.salt} ${ask.parts[0]?.hash ?? ''}`;
+  }
+
+  function sideOf(e: EngineSpot | StoreSpot, name: string, mbps: number): Side {
+    return { name, zone: e.zone, region: e.region, mbps };
+  }
+
+  function guess(ask: PlaceAsk, home: string, ranks: Map<string, number>): (name: string) => KeptAt {
+    const shared = sharedOf(ask.parts);
+    const placed = recent.get(home) ?? [];
+    function keptAt(name: string): KeptAt {
+      if (placed.includes(name)) return { kept: shared * PLACED_KEEPS, coming: 0 };
+      return { kept: ranks.get(name) === 0 ? shared * HOME_KEEPS : 0, coming: 0 };
+    }
+    return keptAt;
+  }
+
+  function told(kept: OverlapAnswer): (name: string) => KeptAt {
+    const m = new Map<string, KeptAt>();
+    for (const [source, k, coming] of kept) m.set(source, { kept: k, coming });
+    function keptAt(name: string): KeptAt {
+      return m.get(name) ?? { kept: 0, coming: 0 };
+    }
+    return keptAt;
+  }
+
+  function sourcesOf(ask: PlaceAsk, keptAt: (name: string) => KeptAt): Source[] {
+    const out: Source[] = [];
+    const up = new Set(standings.able(ask.pool.engines.map(idOf), false));
+    for (const e of ask.pool.engines) {
+      const { kept } = keptAt(e.id);
+      if (kept > 0 && up.has(e.id)) out.push({ side: sideOf(e, e.id, ask.pool.linkMbps), at: e.at, kept });
+    }
+    for (const s of ask.pool.stores) {
+      const { kept } = keptAt(s.name);
+      if (kept > 0) out.push({ side: sideOf(s, s.name, s.linkMbps), at: s.at, kept });
+    }
+    return out;
+  }
+
+  function idOf(e: EngineSpot): string {
+    return e.id;
+  }
+
+  function cost(r: Reckoned): number {
+    if (way === 'affinity') return r.able.rank;
+    if (way === 'least-busy') return r.able.load.running + r.able.load.unread / Math.max(1, r.able.cacheTokens);
+    return r.cost * (1 + SPREAD * ways.spread());
+  }
+
+  function place(ask: PlaceAsk, kept: OverlapAnswer | undefined): Either<NoPlace, Placed> {
+    const names: string[] = [];
+    for (const e of ask.pool.engines) if (!ask.avoid.has(e.id)) names.push(e.id);
+    const fit = new Set(standings.able(names, ask.repeatable));
+    if (fit.size === 0) return Left({ why: 'no-engine', retryAfterMs: Math.max(ways.pause, standings.nextIn(names)) });
+    const home = homeOf(ask);
+    const ranks = homes.ranks(home, ask.pool.engines.map(idOf));
+    const able: Able[] = [];
+    for (const e of ask.pool.engines) {
+      if (!fit.has(e.id)) continue;
+      able.push({
+        side: sideOf(e, e.id, ask.pool.linkMbps), at: e.at, batch: Math.max(1, e.batch ?? ask.pool.batch), cacheTokens: ask.pool.cacheTokens,
+        load: loads.of(e.id), pace: paces.of(ask.pool.name, e.id), rank: ranks.get(e.id)!,
+      });
+    }
+    const prompt: Prompt = { tokensIn: ask.tokensIn, tokensOut: ask.tokensOut, tokenBytes: ask.pool.tokenBytes, aimMs: ask.aimMs, zone: ways.zone };
+    const keptAt = kept && way === 'full' ? told(kept) : guess(ask, home, ranks);
+    const sources = way === 'full' ? sourcesOf(ask, keptAt) : [];
+    let best: { r: Reckoned; cost: number } | undefined;
+    for (const r of reckon(prompt, able, keptAt, sources, links.moveMs)) {
+      const c = cost(r);
+      if (!best || c < best.cost) best = { r, cost: c };
+    }
+    const no = refusal(ask, able, best!.r);
+    if (no) return Left(no);
+    return Right({ ask, reckoned: best!.r, urgency: urgencyOf(ask, best!.r), home });
+  }
+
+  /** A request is refused only where places are taken, and its time would pass in waiting for one. */
+  function refusal(ask: PlaceAsk, able: readonly Able[], r: Reckoned): NoPlace | undefined {
+    let running = 0;
+    let places = 0;
+    for (const a of able) {
+      running += Math.min(a.batch, a.load.running);
+      places += a.batch;
+    }
+    if (running < places * PRESSED || r.able.load.running < r.able.batch) return undefined;
+    const own = r.firstMs - r.waitMs;
+    if (own < ask.leftMs && r.firstMs >= ask.leftMs) return { why: 'full', retryAfterMs: r.waitMs };
+    if (own >= ask.aimMs || r.firstMs < ask.aimMs) return undefined;
+    return r.waitMs > ask.aimMs * (overShare(ask.tenant) ? 1 : 2) ? { why: 'too-late', retryAfterMs: r.waitMs } : undefined;
+  }
+
+  function overShare(tenant: string | undefined): boolean {
+    let all = 0;
+    for (const n of tenants.values()) all += n;
+    return (tenants.get(tenant ?? '') ?? 0) * tenants.size > all * FAIR;
+  }
+
+  function urgencyOf(ask: PlaceAsk, r: Reckoned): number {
+    if (r.firstMs > ask.aimMs) return LATE;
+    return Math.min(LATE - 1, ask.routePriority * 2 + Math.min(1, ask.tenantPriority));
+  }
+
+  function remember(home: string, engine: string): void {
+    const was = recent.get(home) ?? [];
+    recent.delete(home);
+    recent.set(home, [engine, ...was.filter(other)].slice(0, MOST_ENGINES));
+    if (recent.size > MOST_RECENT) recent.delete(recent.keys().next().value!);
+    function other(id: string): boolean {
+      return id !== engine;
+    }
+  }
+
+  function began(p: Placed): Underway {
+    const { ask, reckoned: r } = p;
+    const engine = r.able.side.name;
+    const tenant = ask.tenant ?? '';
+    const f: Flight = { engine, unread: r.unread, memory: ask.tokensIn + ask.tokensOut, sentAt: ways.now(), dueMs: r.firstMs, moveMs: r.fetch?.ms ?? 0 };
+    loads.began(f);
+    standings.began(engine);
+    tenants.set(tenant, (tenants.get(tenant) ?? 0) + 1);
+    remember(p.home, engine);
+    let over = false;
+
+    function first(): void {
+      if (f.firstAt !== undefined) return;
+      loads.first(f);
+      const ms = f.firstAt! - f.sentAt;
+      if (r.fetch && r.waitMs > r.firstMs * MUCH) return;
+      if (r.fetch) links.learn(r.fetch.source.side.name, engine, ms > r.firstMs * SLOW + r.fetch.ms);
+      else paces.learn(ask.pool.name, engine, { ms, tokens: r.unread, pairs: r.pairs, ahead: r.ahead });
+    }
+
+    function ended(how: Ending): void {
+      if (over) return;
+      over = true;
+      loads.ended(f);
+      standings.ended(engine, how, f.sentAt);
+      const left = (tenants.get(tenant) ?? 1) - 1;
+      if (left > 0) tenants.set(tenant, left);
+      else tenants.delete(tenant);
+      if (how === 'answered') paces.learnPlace(ask.pool.name, ways.now() - f.sentAt);
+    }
+
+    return { first, ended };
+  }
+
+  function keep(names: ReadonlySet<string>): void {
+    paces.keep(names);
+    links.keep(names);
+    standings.keep(names);
+  }
+
+  return { wantsIndex, place, began, loads, paces, links, standings, keep };
+}
--- /dev/null
+++ b/tools/sim/placing.ts
@@ -0,0 +1,371 @@
+import { Command } from 'commander';
+import { Part } from '../../src/shared/contracts/engine';
+import { EngineLoad, OverlapAnswer } from '../../src/shared/loads';
+import { EngineSpot, makePlacement, PlaceAsk, Placement, PlaceWay, Placed, PoolView, Underway } from '../../src/data/gateway/placement';
+import { Dice } from '../../src/shared/ports';
+import { seededDice } from './dice';
+
+/** What is played: a pool, its routers, and the requests that come. */
+export interface PlacingWorld {
+  engines: number;
+  routers: number;
+  zones: number;
+  seconds: number;
+  longPerS: number;
+  shortPerS: number;
+  things: number;
+  batch: number;
+  cacheTokens: number;
+  /** Ms by which what indexers and the load board tell is late. */
+  lagMs: number;
+  /** Every third engine is slower by this. */
+  slow: number;
+  store: boolean;
+  /** When an engine looks for what it keeps of a prompt. */
+  looksAt: 'admission' | 'reading';
+}
+
+/** What came of one way of placing. */
+export interface PlacingResult {
+  way: PlaceWay;
+  requests: number;
+  refused: number;
+  /** Shares inside the aim. */
+  longInAim: number;
+  shortInAim: number;
+  /** Ms to the first event. */
+  longMean: number;
+  long95: number;
+  shortMean: number;
+  short95: number;
+  /** Tokens of shared parts that were read although an engine or the store kept them. */
+  readAgain: number;
+  moved: number;
+}
+
+interface Job {
+  parts: readonly Part[];
+  tokensIn: number;
+  out: number;
+  urgency: number;
+  cameAt: number;
+  long: boolean;
+  engine: SimEngine;
+  done: number;
+  given: number;
+  looked: boolean;
+  readyAt: number;
+  firstAt?: number;
+  placed: Placed;
+  under: Underway;
+}
+
+interface SimEngine {
+  spot: EngineSpot;
+  pace: number;
+  running: Job[];
+  waiting: Job[];
+  kept: Map<string, number>;
+  keptTokens: number;
+  moveUntil: number;
+  stepping: boolean;
+}
+
+const STEP_MS = 3.4;
+const PER_SLOT_MS = 0.011;
+const TOKENS_PER_MS = 61;
+const PAIRS_MS = 3.2e-7;
+const CHUNK = 1024;
+const SETUP_MS = 8;
+const LONG_AIM = 600;
+const SHORT_AIM = 300;
+
+/** The usual world: one small fleet. */
+export const USUAL: PlacingWorld = { engines: 13, routers: 9, zones: 3, seconds: 40, longPerS: 19, shortPerS: 165, things: 200, batch: 12, cacheTokens: 140000, lagMs: 120, slow: 1.3, store: true, looksAt: 'reading' };
+
+/** Plays one way of placing in a world. */
+export function playPlacing(world: PlacingWorld, way: PlaceWay, seed: number): PlacingResult {
+  const dice: Dice = seededDice(seed);
+  const queue: { at: number; n: number; run: () => void }[] = [];
+  let now = 0;
+  let count = 0;
+  const engines: SimEngine[] = [];
+  for (let i = 0; i < world.engines; i++) {
+    engines.push({ spot: { id: `e${i}`, at: `10.0.0.${i}:80`, zone: `z${i % world.zones}` }, pace: i % 3 === 2 ? world.slow : 1, running: [], waiting: [], kept: new Map(), keptTokens: 0, moveUntil: 0, stepping: false });
+  }
+  const storeKept = new Map<string, number>();
+  const everRead = new Set<string>();
+  const pool: PoolView = { name: 'p', batch: world.batch, cacheTokens: world.cacheTokens, tokenBytes: 163840, linkMbps: 1.1e6, engines: engines.map(spotOf), stores: world.store ? [{ name: 's', at: '10.0.1.1:80', zone: 'z1', linkMbps: 4e5 }] : [] };
+  const routers: Placement[] = [];
+  for (let i = 0; i < world.routers; i++) routers.push(makePlacement({ now: clock, spread: dice.next, zone: `z${i % world.zones}`, pause: 300, way }));
+  const things: Part[] = [];
+  for (let i = 0; i < world.things; i++) things.push({ hash: `t${i}`, size: Math.round(Math.min(39900, lognormal(13300, 0.7))) });
+  const longs: number[] = [];
+  const shorts: number[] = [];
+  let refused = 0;
+  let readAgain = 0;
+  let moved = 0;
+  let requests = 0;
+
+  function clock(): number {
+    return now;
+  }
+
+  function spotOf(e: SimEngine): EngineSpot {
+    return e.spot;
+  }
+
+  function lognormal(mean: number, spread: number): number {
+    const u = Math.sqrt(-2 * Math.log(1 - dice.next())) * Math.cos(2 * Math.PI * dice.next());
+    return mean * Math.exp(spread * u - (spread * spread) / 2);
+  }
+
+  function at(t: number, run: () => void): void {
+    const x = { at: t, n: count++, run };
+    let i = queue.length;
+    queue.push(x);
+    while (i > 0) {
+      const up = (i - 1) >> 1;
+      if (before(queue[up], x)) break;
+      queue[i] = queue[up];
+      i = up;
+    }
+    queue[i] = x;
+  }
+
+  function before(a: { at: number; n: number }, b: { at: number; n: number }): boolean {
+    return a.at < b.at || (a.at === b.at && a.n < b.n);
+  }
+
+  function pop(): { at: number; n: number; run: () => void } | undefined {
+    const top = queue[0];
+    const last = queue.pop();
+    if (!last || queue.length === 0) return top;
+    let i = 0;
+    for (;;) {
+      let kid = 2 * i + 1;
+      if (kid >= queue.length) break;
+      if (kid + 1 < queue.length && before(queue[kid + 1], queue[kid])) kid++;
+      if (before(last, queue[kid])) break;
+      queue[i] = queue[kid];
+      i = kid;
+    }
+    queue[i] = last;
+    return top;
+  }
+
+  function keptOf(kept: Map<string, number>, parts: readonly Part[]): number {
+    let t = 0;
+    for (const p of parts) {
+      if (!kept.has(p.hash)) break;
+      t += p.size;
+    }
+    return t;
+  }
+
+  function overlap(parts: readonly Part[]): OverlapAnswer {
+    const out: OverlapAnswer = [];
+    for (const e of engines) {
+      const kept = keptOf(e.kept, parts);
+      let coming = 0;
+      for (const j of [...e.running, ...e.waiting]) if (j.parts[0].hash === parts[0].hash && j.done < j.tokensIn) coming = Math.max(coming, parts[0].size - kept);
+      if (kept + coming > 0) out.push([e.spot.id, kept, coming]);
+    }
+    const inStore = keptOf(storeKept, parts);
+    if (inStore > 0) out.push(['s', inStore, 0]);
+    return out;
+  }
+
+  function keep(e: SimEngine, p: Part): void {
+    if (e.kept.delete(p.hash)) e.keptTokens -= p.size;
+    e.kept.set(p.hash, p.size);
+    e.keptTokens += p.size;
+    let used = e.keptTokens;
+    for (const j of e.running) used += j.tokensIn + j.given;
+    for (const [hash, size] of e.kept) {
+      if (used <= world.cacheTokens) break;
+      e.kept.delete(hash);
+      e.keptTokens -= size;
+      used -= size;
+    }
+  }
+
+  function arrive(): void {
+    const long = dice.next() < world.longPerS / (world.longPerS + world.shortPerS);
+    at(now + (-Math.log(1 - dice.next()) * 1000) / (world.longPerS + world.shortPerS), arrive);
+    if (now > world.seconds * 1000) return;
+    const own = Math.round(Math.max(16, Math.min(long ? 53200 : 1830, lognormal(long ? 3720 : 291, long ? 1.1 : 1.4))));
+    const shared = long ? things[Math.floor(world.things * dice.next() ** 1.3)] : { hash: `s${Math.floor(8 * dice.next())}`, size: 55 };
+    const parts = [shared, { hash: `own${count}`, size: own }];
+    const r = routers[Math.floor(dice.next() * routers.length)];
+    const out = Math.max(1, Math.round(Math.min(long ? 68 : 26, lognormal(long ? 17 : 6.4, 1.4))));
+    const ask: PlaceAsk = { pool, salt: '', parts, tokensIn: shared.size + own, tokensOut: out, aimMs: long ? LONG_AIM : SHORT_AIM, leftMs: 6000, routePriority: long ? 1 : 0, tenantPriority: 0, repeatable: !long, avoid: new Set() };
+    requests++;
+    const kept = r.wantsIndex(ask) ? overlap(parts) : undefined;
+    at(now + (kept ? 3 : 1), go);
+    function go(): void {
+      const o = r.place(ask, kept);
+      if (o.isLeft()) {
+        refused++;
+        (long ? longs : shorts).push(Infinity);
+        return;
+      }
+      const placed = o.extract() as Placed;
+      const engine = engines.find(same)!;
+      function same(e: SimEngine): boolean {
+        return e.spot.id === placed.reckoned.able.side.name;
+      }
+      const job: Job = { parts, tokensIn: ask.tokensIn, out, urgency: placed.urgency, cameAt: now, long, engine, done: 0, given: 0, looked: false, readyAt: now + SETUP_MS, placed, under: r.began(placed) };
+      const fetch = placed.reckoned.fetch;
+      if (fetch) {
+        const from = fetch.source.side.name === 's' ? storeKept : engines.find(bySource)!.kept;
+        const has = keptOf(from, parts) - keptOf(engine.kept, parts);
+        if (has > 0) {
+          const far = fetch.source.side.zone === engine.spot.zone ? 1 : 2;
+          engine.moveUntil = Math.max(now, engine.moveUntil) + (has * pool.tokenBytes * 8 * far) / (fetch.source.side.mbps * 1000);
+          job.readyAt = engine.moveUntil + SETUP_MS;
+          moved += has;
+          at(engine.moveUntil, gotParts);
+        }
+      }
+      function bySource(e: SimEngine): boolean {
+        return e.spot.id === fetch!.source.side.name;
+      }
+      function gotParts(): void {
+        keep(engine, shared);
+      }
+      engine.waiting.push(job);
+      at(job.readyAt, wake);
+      function wake(): void {
+        step(engine);
+      }
+    }
+  }
+
+  function admit(e: SimEngine): void {
+    e.waiting.sort(byUrgency);
+    for (const j of [...e.waiting]) {
+      if (e.running.length >= world.batch) return;
+      if (j.readyAt > now) continue;
+      let used = 0;
+      for (const x of e.running) used += x.tokensIn + x.given;
+      if (e.running.length > 0 && used + j.tokensIn + j.out > world.cacheTokens) return;
+      if (world.looksAt === 'admission') look(e, j);
+      e.waiting.splice(e.waiting.indexOf(j), 1);
+      e.running.push(j);
+    }
+  }
+
+  function look(e: SimEngine, j: Job): void {
+    j.looked = true;
+    j.done = Math.min(j.tokensIn - 1, keptOf(e.kept, j.parts));
+    if (j.done < j.parts[0].size && everRead.has(j.parts[0].hash)) readAgain += j.parts[0].size - j.done;
+  }
+
+  function byUrgency(a: Job, b: Job): number {
+    return a.urgency - b.urgency || a.cameAt - b.cameAt;
+  }
+
+  function step(e: SimEngine): void {
+    if (e.stepping) return;
+    admit(e);
+    if (e.running.length === 0) return;
+    e.stepping = true;
+    let ms = STEP_MS + PER_SLOT_MS * e.running.length;
+    let budget = CHUNK;
+    for (const j of e.running) {
+      if (j.done >= j.tokensIn || budget <= 0) continue;
+      if (!j.looked) look(e, j);
+      const n = Math.min(budget, j.tokensIn - j.done);
+      ms += n / TOKENS_PER_MS + n * j.done * PAIRS_MS;
+      j.done += n;
+      budget -= n;
+    }
+    at(now + ms * e.pace, stepped);
+    function stepped(): void {
+      e.stepping = false;
+      for (const j of [...e.running]) if (j.done >= j.tokensIn) give(e, j);
+      step(e);
+    }
+  }
+
+  function give(e: SimEngine, j: Job): void {
+    j.given++;
+    if (j.firstAt === undefined) {
+      for (const p of j.parts.slice(0, -1)) {
+        keep(e, p);
+        everRead.add(p.hash);
+        if (world.store) storeKept.set(p.hash, p.size);
+      }
+      j.firstAt = now;
+      j.under.first();
+      (j.long ? longs : shorts).push(now - j.cameAt);
+    }
+    if (j.given < j.out) return;
+    e.running.splice(e.running.indexOf(j), 1);
+    j.under.ended('answered');
+  }
+
+  function board(): void {
+    const all = routers.map(ownOf);
+    function ownOf(r: Placement): EngineLoad[] {
+      return r.loads.own();
+    }
+    at(now + world.lagMs * 0.5, tell);
+    at(now + world.lagMs * 0.5, board);
+    function tell(): void {
+      for (const [i, r] of routers.entries()) {
+        const sum = new Map<string, [number, number]>();
+        for (const [k, list] of all.entries()) {
+          if (k === i) continue;
+          for (const [id, running, unread] of list) {
+            const s = sum.get(id) ?? [0, 0];
+            sum.set(id, [s[0] + running, s[1] + unread]);
+          }
+        }
+        const out: EngineLoad[] = [];
+        for (const [id, s] of sum) out.push([id, s[0], s[1]]);
+        r.loads.others(out, true);
+      }
+    }
+  }
+
+  at(0, arrive);
+  at(0, board);
+  for (let x = pop(); x && x.at < world.seconds * 1000 + 6000; x = pop()) {
+    now = x.at;
+    x.run();
+  }
+  const l = tally(longs, LONG_AIM);
+  const s = tally(shorts, SHORT_AIM);
+  return { way, requests, refused, longInAim: l.inAim, shortInAim: s.inAim, longMean: l.mean, long95: l.p95, shortMean: s.mean, short95: s.p95, readAgain, moved };
+}
+
+function tally(list: number[], aim: number): { inAim: number; mean: number; p95: number } {
+  const s = list.sort(up);
+  let sum = 0;
+  let inAim = 0;
+  for (const x of s) {
+    sum += Math.min(x, 6000);
+    if (x <= aim) inAim++;
+  }
+  return { inAim: inAim / s.length, mean: sum / s.length, p95: s[Math.floor(s.length * 0.95)] };
+}
+
+function up(a: number, b: number): number {
+  return a - b;
+}
+
+function say(r: PlacingResult): string {
+  return `${r.way.padEnd(11)} long: mean ${Math.round(r.longMean)} ms, 95 % ${Math.round(r.long95)} ms, in aim ${r.longInAim.toFixed(3)}; short: mean ${Math.round(r.shortMean)} ms, 95 % ${Math.round(r.short95)} ms, in aim ${r.shortInAim.toFixed(3)}; read again ${r.readAgain}, moved ${r.moved}, refused ${r.refused} of ${r.requests}`;
+}
+
+function main(): void {
+  const c = new Command('placing').description('plays ways of placing requests against a model of engines').option('--seeds <n>', 'seeds', '3').option('--load <x>', 'load as a multiple of the usual', '1').option('--no-store', 'without a store').option('--engines <n>', 'engines', String(USUAL.engines));
+  c.parse();
+  const o = c.opts<{ seeds: string; load: string; store: boolean; engines: string }>();
+  const world = { ...USUAL, longPerS: USUAL.longPerS * Number(o.load), shortPerS: USUAL.shortPerS * Number(o.load), store: o.store, engines: Number(o.engines) };
+  for (const way of ['full', 'affinity', 'least-busy'] as const) for (let seed = 1; seed <= Number(o.seeds); seed++) console.log(say(playPlacing(world, way, seed)));
+}
+
+if (require.main === module) main();
