--- a/src/data/gateway/choose.ts
+++ b/src/data/gateway/choose.ts
@@ -1,10 +1,14 @@
 import { Either, Left, Right } from 'purify-ts';
-import { CallerRequest, HttpRoute, Pool, TenantAccess } from '../../shared/deployment';
+import { Hello, WIRE_VERSION } from '../../shared/connections';
+import { CallerRequest, HttpRoute, PartStore, Pool, TenantAccess } from '../../shared/deployment';
 import { Follower } from '../../shared/follow';
-import { rendezvous } from '../../shared/lib';
+import { OverlapAnswer, WirePart } from '../../shared/loads';
 import { Ports } from '../../shared/ports';
-import { Settings } from '../../shared/settings';
+import { boundsOf, Settings } from '../../shared/settings';
 import { Engine, KEYS } from '../../shared/words';
+import { reachIndexers } from './indexers';
+import { EngineSpot, makePlacement, NoPlace, PlaceAsk, Placed, StoreSpot } from './placement';
+import { Ending } from './standing';
 import { Expected, saltUnder, WeightsBook } from './weights';
 
 /** What an engine is wanted for. Times are of the clock port. */
@@ -67,6 +71,9 @@
   follower: Follower;
   weights: WeightsBook;
   pool(name: string): Pool | undefined;
+  stores(): readonly PartStore[];
+  /** How many routers there are, as far as it is known. */
+  routers(): number | undefined;
 }
 
 /** The wall behind which engines keep a tenant's parts: its own where it is isolated, one for all others. */
@@ -74,112 +81,152 @@
   return tenant?.isolated ? tenant.name : '';
 }
 
-interface Seen {
-  inFlight: number;
-  pausedUntil: number;
-  pauses: number;
-  gone: boolean;
+/** The first pause of an engine that failed or turned a request away, as a share of `contactMs`. */
+const PAUSE = 0.05;
+/** How long an indexer's answer is waited for, as a share of the aim. */
+const INDEX_WAIT = 0.06;
+/** The least time after which a refused request may come again, as a share of its route's aim. */
+const AGAIN = 0.1;
+
+/** What was chosen, and what placement reckoned. */
+interface ChosenHere extends Chosen {
+  placed: Placed;
+  indexed: boolean;
 }
 
-/** The first pause of an engine that failed or turned a request away, as a share of `contactMs`; it doubles up to `contactMs`. */
-const PAUSE = 0.02;
-/** When a refused request may come again, as a share of its route's aim. */
-const AGAIN = 0.5;
-
-/** Makes a chooser that knows this router's own loads only. */
+/** Makes a chooser that reckons, for each engine, the time to a first event. */
 export function makeChooser(p: ChooserParts): Chooser {
-  const { clock } = p.ports;
-  const seen = new Map<string, Seen>();
+  const { clock, dice } = p.ports;
+  const bounds = boundsOf(p.settings);
+  const placement = makePlacement({ now: clock.now, spread: dice.next, zone: p.settings.zone, pause: p.settings.contactMs * PAUSE });
+  const hello: Hello = { version: WIRE_VERSION, name: p.settings.name, role: 'router', at: p.settings.wire, zone: p.settings.zone };
+  const indexers = reachIndexers(p.ports, bounds, p.follower, hello, placement.loads, p.routers);
+  const gone = new Set<string>();
   let listed: Engine[] | undefined;
+  let byPool = new Map<string, Engine[]>();
 
-  function of(e: Engine): Seen {
-    const had = seen.get(e.id);
-    if (had) return had;
-    const s: Seen = { inFlight: 0, pausedUntil: 0, pauses: 0, gone: false };
-    seen.set(e.id, s);
-    return s;
+  function engines(pool: string): Engine[] {
+    const list = p.follower.value<Engine[]>(KEYS.engines)?.value ?? [];
+    if (list !== listed) renew(list);
+    return byPool.get(pool) ?? [];
   }
 
-  function engines(): Engine[] {
-    const list = p.follower.value<Engine[]>(KEYS.engines)?.value ?? [];
-    if (list === listed) return list;
+  function renew(list: Engine[]): void {
     listed = list;
-    const ids = new Set<string>();
+    byPool = new Map();
+    gone.clear();
+    const names = new Set<string>();
+    for (const s of p.stores()) names.add(s.name);
     for (const e of list) {
-      ids.add(e.id);
-      of(e).gone = false;
+      names.add(e.id);
+      const of = byPool.get(e.pool ?? '') ?? [];
+      of.push(e);
+      byPool.set(e.pool ?? '', of);
     }
-    for (const id of seen.keys()) if (!ids.has(id)) seen.delete(id);
-    return list;
+    placement.keep(names);
   }
 
   function expected(e: Engine, model: string | undefined): Expected | undefined {
     return model === undefined ? { weights: '', kind: 'now' } : p.weights.expect(e.id, model);
   }
 
-  function fits(e: Engine, w: Wanted): boolean {
-    const s = of(e);
-    if (e.pool !== w.pool || e.leaving || p.follower.leaving(e.id) || s.gone || w.avoid.has(e.id) || clock.now() < s.pausedUntil) return false;
-    const x = expected(e, w.request.model);
-    return x !== undefined && x.kind !== 'loading';
+  function regionOf(zone: string): string | undefined {
+    return p.settings.zones[zone];
   }
 
-  async function choose(w: Wanted): Promise<Either<Refusal, Chosen>> {
-    const able: Engine[] = [];
-    for (const e of engines()) if (fits(e, w)) able.push(e);
-    const engine = choseFrom(able, w);
-    if (!engine) return Left({ status: 503, why: 'no engine can take this now', retryAfterMs: w.route.aimMs * AGAIN });
-    const weights = expected(engine, w.request.model)?.weights;
-    const rank = w.tenant?.priority ?? 0;
-    return Right({ engine, weights: weights === '' ? undefined : weights, salt: saltUnder(wallOf(w.tenant), weights ?? ''), urgency: Math.max(0, Math.min(9, rank * 3 + w.route.priority)) });
+  /** The engines that may serve, each with the text that its parts are kept under. */
+  function spots(w: Wanted): { spots: EngineSpot[]; weights: Map<string, string>; named: string } {
+    const out: EngineSpot[] = [];
+    const weights = new Map<string, string>();
+    let named = '';
+    for (const e of engines(w.pool)) {
+      if (e.leaving || p.follower.leaving(e.id) || gone.has(e.id)) continue;
+      const x = expected(e, w.request.model);
+      if (x === undefined || x.kind === 'loading') continue;
+      if (x.kind === 'now') named = x.weights;
+      weights.set(e.id, x.weights);
+      out.push({ id: e.id, at: e.at, zone: e.zone, region: regionOf(e.zone), batch: e.batch, salt: saltUnder(wallOf(w.tenant), x.weights) });
+    }
+    return { spots: out, weights, named };
+  }
+
+  function storeSpots(): StoreSpot[] {
+    const out: StoreSpot[] = [];
+    for (const s of p.stores()) out.push({ name: s.name, at: s.at, zone: s.zone, region: regionOf(s.zone), linkMbps: s.linkMbps });
+    return out;
+  }
+
+  function askOf(w: Wanted, at: EngineSpot[], named: string): PlaceAsk {
+    const pool = p.pool(w.pool);
+    const now = clock.now();
+    return {
+      pool: { name: w.pool, batch: pool?.batch ?? 1, cacheTokens: pool?.cacheTokens ?? Infinity, tokenBytes: pool?.tokenBytes ?? 0, linkMbps: pool?.linkMbps ?? 0, engines: at, stores: storeSpots() },
+      wall: saltUnder(wallOf(w.tenant), named), parts: w.request.parts, tokensIn: w.request.tokensIn, tokensOut: w.request.tokensOut,
+      aimMs: Math.max(1, w.route.aimMs - (now - w.since)), leftMs: w.until - now, routePriority: w.route.priority, tenantPriority: w.tenant?.priority ?? 0, tenant: w.tenant?.name,
+      repeatable: w.route.kind === 'safe' || w.route.resumable, avoid: w.avoid,
+    };
   }
 
-  function choseFrom(able: Engine[], w: Wanted): Engine | undefined {
-    const batch = p.pool(w.pool)?.batch ?? 1;
-    function byLoad(a: Engine, b: Engine): number {
-      const l = of(a).inFlight - of(b).inFlight;
-      if (l !== 0) return l;
-      return Number(b.zone === p.settings.zone) - Number(a.zone === p.settings.zone);
+  async function choose(w: Wanted): Promise<Either<Refusal, Chosen>> {
+    const s = spots(w);
+    const ask = askOf(w, s.spots, s.named);
+    const kept = new Map<string, OverlapAnswer>();
+    await Promise.all(placement.wantsIndex(ask).map(overlap));
+    async function overlap(salt: string): Promise<void> {
+      const answer = await indexers.overlap({ model: w.request.model ?? '', salt, parts: wireParts(w) }, w.route.aimMs * INDEX_WAIT);
+      if (answer) kept.set(salt, answer);
     }
-    if (w.route.affinity && w.request.parts.length > 0) {
-      function id(e: Engine): string {
-        return e.id;
-      }
-      const home = rendezvous(w.request.parts[0].hash, able.map(id))[0];
-      for (const e of able) if (e.id === home && of(e).inFlight < batch) return e;
+    const o = placement.place(ask, kept);
+    if (o.isLeft()) return Left(refusalOf(o.extract() as NoPlace, w));
+    const placed = o.extract() as Placed;
+    const { able, fetch } = placed.reckoned;
+    const engine = engines(w.pool).find(same);
+    if (!engine) return Left(refusalOf({ why: 'no-engine', retryAfterMs: 0 }, w));
+    function same(e: Engine): boolean {
+      return e.id === able.side.name;
     }
-    return able.sort(byLoad)[0];
+    const weights = s.weights.get(engine.id);
+    const salt = saltUnder(wallOf(w.tenant), weights ?? '');
+    const c: ChosenHere = { engine, weights: weights === '' ? undefined : weights, salt, urgency: placed.urgency, fetchFrom: fetch?.source.at, placed, indexed: placement.wantsIndex(ask).length > 0 };
+    return Right(c);
   }
 
-  function pause(s: Seen): void {
-    s.pausedUntil = clock.now() + Math.min(p.settings.contactMs, p.settings.contactMs * PAUSE * 2 ** s.pauses) * (0.75 + 0.5 * p.ports.dice.next());
-    s.pauses = Math.min(s.pauses + 1, 10);
+  function wireParts(w: Wanted): WirePart[] {
+    const out: WirePart[] = [];
+    for (const x of w.request.parts) out.push([x.hash, x.size]);
+    return out;
   }
 
-  function began(c: Chosen): Load {
-    const s = of(c.engine);
-    let over = false;
-    s.inFlight++;
-    function firstEvent(): void {
-      s.pauses = 0;
-    }
+  function refusalOf(no: NoPlace, w: Wanted): Refusal {
+    return { status: 503, why: no.why === 'no-engine' ? 'no engine can take this now' : 'every place is taken', retryAfterMs: Math.max(no.retryAfterMs, w.route.aimMs * AGAIN) };
+  }
+
+  function began(chosen: Chosen, w: Wanted): Load {
+    const c = chosen as ChosenHere;
+    const u = placement.began(c.placed);
+    if (c.indexed) indexers.placed({ model: w.request.model ?? '', salt: c.salt ?? '', engine: c.engine.id, parts: wireParts(w) });
+    let how: Ending | undefined;
+
     function told(weights: Record<string, string>): void {
       p.weights.told(c.engine.id, weights);
     }
+
     function turnedAway(verdict: 'not-run' | 'other-instance' | 'other-weights'): void {
-      if (verdict === 'other-instance') s.gone = true;
+      how = verdict === 'not-run' ? 'turned-away' : 'given-up';
+      if (verdict === 'other-instance') gone.add(c.engine.id);
     }
-    function ended(how: AttemptEnd): void {
-      if (over) return;
-      over = true;
-      s.inFlight--;
-      if (how === 'not-run' || how === 'doubt') pause(s);
+
+    function ended(end: AttemptEnd): void {
+      if (end === 'done') u.ended('answered');
+      else if (end === 'caller-gone') u.ended('given-up');
+      else u.ended(end === 'not-run' && how ? how : 'failed');
     }
-    return { firstEvent, told, turnedAway, ended };
+
+    return { firstEvent: u.first, told, turnedAway, ended };
   }
 
   function stop(): void {
-    seen.clear();
+    indexers.stop();
   }
 
   return { choose, began, stop };
--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -1,5 +1,5 @@
 import { Left, Right } from 'purify-ts';
-import { Deployment, DeploymentValue, Pool } from '../../shared/deployment';
+import { Deployment, DeploymentValue, PartStore, Pool } from '../../shared/deployment';
 import { Dialect } from '../../shared/dialect';
 import { bad, open, Outcome } from '../../shared/errors';
 import { Follower } from '../../shared/follow';
@@ -62,6 +62,10 @@
     return current?.pool(name);
   }
 
+  function stores(): readonly PartStore[] {
+    return current?.stores ?? [];
+  }
+
   function table(): RouteTable | undefined {
     return serves() ? current : undefined;
   }
@@ -86,7 +90,7 @@
 
   const weights = makeWeightsBook(clock, settings.weightsBoundMs * OLDER);
   const connections = keepConnections(clock, http, settings, routers);
-  const chooser = makeChooser({ ports, settings, follower, weights, pool });
+  const chooser = makeChooser({ ports, settings, follower, weights, pool, stores, routers });
   const budget = makeRetryBudget(clock, settings, routers);
   const parts: GatewayParts = { ports, settings, dialect, chooser, connections, budget, counts, table, stands, closed };
 
--- /dev/null
+++ b/src/data/gateway/indexers.ts
@@ -0,0 +1,119 @@
+import { Hello, holdAll } from '../../shared/connections';
+import { open } from '../../shared/errors';
+import { Follower } from '../../shared/follow';
+import { rendezvous } from '../../shared/lib';
+import { EngineLoad, LoadsAnswer, OverlapAnswer, OverlapAsk, PlacedTell } from '../../shared/loads';
+import { Ports } from '../../shared/ports';
+import { Bounds } from '../../shared/settings';
+import { Member } from '../../shared/words';
+import { Loads } from './loads';
+
+/** What a router says to indexers. */
+export interface Indexers {
+  /** Asks how much of a prompt each source keeps; nothing where no indexer answers in time. */
+  overlap(q: OverlapAsk, withinMs: number): Promise<OverlapAnswer | undefined>;
+  /** Tells all indexers of a request that was placed. */
+  placed(p: PlacedTell): void;
+  stop(): void;
+}
+
+/** Answers that may stay out, one after the other, before an indexer is left alone for a while. */
+const MISSES = 3;
+/** How many routers share the board at the usual pace; more tell it less often, in proportion. */
+const ROUTERS = 16;
+
+/** Keeps connections to indexers; tells one of them, the same for all routers, this router's loads, and takes those of the others. */
+export function reachIndexers(ports: Ports, bounds: Bounds, follower: Follower, hello: Hello, loads: Loads, routers: () => number | undefined): Indexers {
+  const helds = holdAll(ports, { hello, edges: [], within: bounds.dial, pause: bounds.pause });
+  const misses = new Map<string, { count: number; until: number }>();
+  let zones = new Map<string, string>();
+  let board: { at: string; connection: object; said: Map<string, string> } | undefined;
+  let stopped = false;
+
+  function reach(): void {
+    zones = new Map();
+    for (const m of follower.members('indexer')) zones.set(m.at, m.zone);
+    if (zones.size > 0) helds.want(zones.keys());
+  }
+
+  function changed(list: Member[]): void {
+    void list;
+    reach();
+  }
+
+  /** Indexers in the order in which they are asked: those of the own zone first. */
+  function inOrder(): string[] {
+    const order = rendezvous(hello.name, helds.ats());
+    function byZone(a: string, b: string): number {
+      return Number(zones.get(b) === hello.zone) - Number(zones.get(a) === hello.zone);
+    }
+    return order.sort(byZone);
+  }
+
+  async function overlap(q: OverlapAsk, withinMs: number): Promise<OverlapAnswer | undefined> {
+    for (const at of inOrder()) {
+      const ex = helds.up(at);
+      const m = misses.get(at);
+      if (!ex || (m && m.count >= MISSES && ports.clock.now() < m.until)) continue;
+      const [f, answer] = open(await ex.ask('overlap', q, withinMs));
+      if (!f) {
+        misses.delete(at);
+        return answer as OverlapAnswer;
+      }
+      misses.set(at, { count: (m?.count ?? 0) + 1, until: ports.clock.now() + bounds.status });
+      return undefined;
+    }
+    return undefined;
+  }
+
+  function placed(p: PlacedTell): void {
+    for (const at of helds.ats()) helds.up(at)?.tell('placed', p);
+  }
+
+  /** Tells the board what changed since the last tell on this connection. */
+  async function tell(): Promise<void> {
+    for (const at of rendezvous('loads', helds.ats())) {
+      const ex = helds.up(at);
+      if (!ex) continue;
+      const full = board?.connection !== ex.connection;
+      if (full) board = { at, connection: ex.connection, said: new Map() };
+      const own: EngineLoad[] = [];
+      const now = new Map<string, string>();
+      for (const l of loads.own()) {
+        const text = `${l[1]} ${l[2]}`;
+        now.set(l[0], text);
+        if (full || board!.said.get(l[0]) !== text) own.push(l);
+      }
+      for (const id of board!.said.keys()) if (!now.has(id)) own.push([id, 0, 0]);
+      const [f, a] = open(await ex.ask('loads', { full, own }, bounds.status));
+      if (f) {
+        board = undefined;
+        loads.noBoard();
+        return;
+      }
+      board!.said = now;
+      const answer = a as LoadsAnswer;
+      loads.others(answer.others, answer.full);
+      return;
+    }
+    board = undefined;
+    loads.noBoard();
+  }
+
+  async function tellOn(): Promise<void> {
+    while (!stopped) {
+      reach();
+      await tell();
+      await ports.clock.sleep(bounds.query * Math.max(1, (routers() ?? 1) / ROUTERS) * (0.8 + 0.4 * ports.dice.next()));
+    }
+  }
+
+  function stop(): void {
+    stopped = true;
+    helds.stop();
+  }
+
+  void follower.membership.observe(changed);
+  void tellOn();
+  return { overlap, placed, stop };
+}
--- a/src/data/gateway/loads.ts
+++ b/src/data/gateway/loads.ts
@@ -24,6 +24,8 @@
   awaiting: number;
   memory: number;
   moveMs: number;
+  /** Ms for which an awaited first event has been overdue without any word from the engine. */
+  silentMs: number;
 }
 
 /** Requests in flight by engine: this router's own, and those of all others as the load board told them. */
@@ -38,6 +40,8 @@
   others(list: EngineLoad[], full: boolean): void;
   /** Forgets what the board told, as it is silent. */
   noBoard(): void;
+  /** Forgets engines that are gone. */
+  keep(names: ReadonlySet<string>): void;
   hasBoard(): boolean;
 }
 
@@ -47,6 +51,7 @@
 /** Makes the books. */
 export function makeLoads(now: () => number): Loads {
   const flights = new Map<string, Set<Flight>>();
+  const heard = new Map<string, number>();
   const told = new Map<string, { running: number; unread: number; at: number }>();
   let board = false;
 
@@ -58,6 +63,7 @@
 
   function first(f: Flight): void {
     if (f.firstAt === undefined) f.firstAt = now();
+    heard.set(f.engine, now());
   }
 
   function ended(f: Flight): void {
@@ -73,11 +79,14 @@
 
   function ownOf(engine: string): Load {
     const t = now();
-    const l: Load = { running: 0, unread: 0, awaiting: 0, memory: 0, moveMs: 0 };
+    const l: Load = { running: 0, unread: 0, awaiting: 0, memory: 0, moveMs: 0, silentMs: 0 };
     for (const f of flights.get(engine) ?? []) {
       l.running++;
       l.unread += left(f, t);
-      if (f.firstAt === undefined) l.awaiting++;
+      if (f.firstAt === undefined) {
+        l.awaiting++;
+        l.silentMs = Math.max(l.silentMs, t - Math.max(f.sentAt, heard.get(engine) ?? 0) - f.dueMs);
+      }
       l.memory += f.memory;
       l.moveMs += Math.max(0, f.moveMs - (t - f.sentAt));
     }
@@ -123,5 +132,10 @@
     return board;
   }
 
-  return { began, first, ended, of, own, others, noBoard, hasBoard };
+  function keep(names: ReadonlySet<string>): void {
+    for (const id of heard.keys()) if (!names.has(id)) heard.delete(id);
+    for (const id of told.keys()) if (!names.has(id)) told.delete(id);
+  }
+
+  return { began, first, ended, of, own, others, noBoard, hasBoard, keep };
 }
--- a/src/data/gateway/placement.ts
+++ b/src/data/gateway/placement.ts
@@ -15,6 +15,8 @@
   zone: string;
   region?: string;
   batch?: number;
+  /** The text under which it keeps and finds this request's parts. */
+  salt: string;
 }
 
 /** A store of kept parts. */
@@ -40,7 +42,8 @@
 /** One request that wants an engine. */
 export interface PlaceAsk {
   pool: PoolView;
-  salt: string;
+  /** Stands for the wall and the weights that are named. */
+  wall: string;
   parts: readonly Part[];
   tokensIn: number;
   tokensOut: number;
@@ -80,9 +83,10 @@
 
 /** Places requests at engines. */
 export interface Placement {
-  /** Whether an index is worth asking for this request. */
-  wantsIndex(ask: PlaceAsk): boolean;
-  place(ask: PlaceAsk, kept: OverlapAnswer | undefined): Either<NoPlace, Placed>;
+  /** The salts under which an index is worth asking for this request. */
+  wantsIndex(ask: PlaceAsk): string[];
+  /** Places a request; `kept` is what an index answered by salt. */
+  place(ask: PlaceAsk, kept: ReadonlyMap<string, OverlapAnswer>): Either<NoPlace, Placed>;
   began(p: Placed): Underway;
   loads: Loads;
   paces: Paces;
@@ -141,13 +145,16 @@
     return t;
   }
 
-  function wantsIndex(ask: PlaceAsk): boolean {
-    if (way !== 'full' || ask.parts.length === 0) return false;
-    return ask.tokensIn * paces.of(ask.pool.name, '').msPerToken > QUICK * ask.aimMs;
+  function wantsIndex(ask: PlaceAsk): string[] {
+    if (way !== 'full' || ask.parts.length === 0) return [];
+    if (ask.tokensIn * paces.of(ask.pool.name, '').msPerToken <= QUICK * ask.aimMs) return [];
+    const salts = new Set<string>();
+    for (const e of ask.pool.engines) salts.add(e.salt);
+    return [...salts];
   }
 
   function homeOf(ask: PlaceAsk): string {
-    return `${ask.salt} ${ask.parts[0]?.hash ?? ''}`;
+    return `${ask.wall} ${ask.parts[0]?.hash ?? ''}`;
   }
 
   function sideOf(e: EngineSpot | StoreSpot, name: string, mbps: number): Side {
@@ -173,12 +180,12 @@
     return keptAt;
   }
 
-  function sourcesOf(ask: PlaceAsk, keptAt: (name: string) => KeptAt): Source[] {
+  function sourcesOf(ask: PlaceAsk, salt: string, keptAt: (name: string) => KeptAt): Source[] {
     const out: Source[] = [];
     const up = new Set(standings.able(ask.pool.engines.map(idOf), false));
     for (const e of ask.pool.engines) {
       const { kept } = keptAt(e.id);
-      if (kept > 0 && up.has(e.id)) out.push({ side: sideOf(e, e.id, ask.pool.linkMbps), at: e.at, kept });
+      if (kept > 0 && e.salt === salt && up.has(e.id)) out.push({ side: sideOf(e, e.id, ask.pool.linkMbps), at: e.at, kept });
     }
     for (const s of ask.pool.stores) {
       const { kept } = keptAt(s.name);
@@ -197,30 +204,36 @@
     return r.cost * (1 + SPREAD * ways.spread());
   }
 
-  function place(ask: PlaceAsk, kept: OverlapAnswer | undefined): Either<NoPlace, Placed> {
+  function place(ask: PlaceAsk, kept: ReadonlyMap<string, OverlapAnswer>): Either<NoPlace, Placed> {
     const names: string[] = [];
     for (const e of ask.pool.engines) if (!ask.avoid.has(e.id)) names.push(e.id);
     const fit = new Set(standings.able(names, ask.repeatable));
     if (fit.size === 0) return Left({ why: 'no-engine', retryAfterMs: Math.max(ways.pause, standings.nextIn(names)) });
     const home = homeOf(ask);
     const ranks = homes.ranks(home, ask.pool.engines.map(idOf));
-    const able: Able[] = [];
+    const bySalt = new Map<string, Able[]>();
+    const all: Able[] = [];
     for (const e of ask.pool.engines) {
       if (!fit.has(e.id)) continue;
-      able.push({
+      const a: Able = {
         side: sideOf(e, e.id, ask.pool.linkMbps), at: e.at, batch: Math.max(1, e.batch ?? ask.pool.batch), cacheTokens: ask.pool.cacheTokens,
         load: loads.of(e.id), pace: paces.of(ask.pool.name, e.id), rank: ranks.get(e.id)!,
-      });
+      };
+      all.push(a);
+      bySalt.set(e.salt, [...(bySalt.get(e.salt) ?? []), a]);
     }
     const prompt: Prompt = { tokensIn: ask.tokensIn, tokensOut: ask.tokensOut, tokenBytes: ask.pool.tokenBytes, aimMs: ask.aimMs, zone: ways.zone };
-    const keptAt = kept && way === 'full' ? told(kept) : guess(ask, home, ranks);
-    const sources = way === 'full' ? sourcesOf(ask, keptAt) : [];
     let best: { r: Reckoned; cost: number } | undefined;
-    for (const r of reckon(prompt, able, keptAt, sources, links.moveMs)) {
-      const c = cost(r);
-      if (!best || c < best.cost) best = { r, cost: c };
+    for (const [salt, able] of bySalt) {
+      const answer = way === 'full' ? kept.get(salt) : undefined;
+      const keptAt = answer ? told(answer) : guess(ask, home, ranks);
+      const sources = way === 'full' ? sourcesOf(ask, salt, keptAt) : [];
+      for (const r of reckon(prompt, able, keptAt, sources, links.moveMs)) {
+        const c = cost(r);
+        if (!best || c < best.cost) best = { r, cost: c };
+      }
     }
-    const no = refusal(ask, able, best!.r);
+    const no = refusal(ask, all, best!.r);
     if (no) return Left(no);
     return Right({ ask, reckoned: best!.r, urgency: urgencyOf(ask, best!.r), home });
   }
@@ -299,6 +312,7 @@
     paces.keep(names);
     links.keep(names);
     standings.keep(names);
+    loads.keep(names);
   }
 
   return { wantsIndex, place, began, loads, paces, links, standings, keep };
--- a/src/data/gateway/reckon.ts
+++ b/src/data/gateway/reckon.ts
@@ -85,7 +85,7 @@
 
 function waitFor(a: Able, p: Prompt): number {
   const { load, pace } = a;
-  let ms = load.unread * pace.msPerAhead;
+  let ms = load.unread * pace.msPerAhead + load.silentMs;
   const over = load.running + 1 - a.batch;
   if (over > 0) ms += (over * pace.placeMs) / a.batch;
   const need = load.memory + p.tokensIn + p.tokensOut - a.cacheTokens * ROOM;
--- a/src/data/gateway/request.ts
+++ b/src/data/gateway/request.ts
@@ -93,6 +93,7 @@
     avoid.add(c.engine.id);
     const [f, connection] = open(await g.connections.take(c.engine, table.pool(a.pool)?.maxConnections ?? 1));
     if (f) {
+      if (f.code === 'no-connection') load.turnedAway('not-run');
       load.ended('not-run');
       continue;
     }
--- a/src/data/gateway/routes.ts
+++ b/src/data/gateway/routes.ts
@@ -1,4 +1,4 @@
-import { CallerLimits, Deployment, HttpRoute, Pool, TenantAccess } from '../../shared/deployment';
+import { CallerLimits, Deployment, HttpRoute, PartStore, Pool, TenantAccess } from '../../shared/deployment';
 
 /** A deployment made ready for look-ups. */
 export interface RouteTable {
@@ -7,6 +7,7 @@
   find(host: string, path: string): HttpRoute | undefined;
   tenantOf(key: string): TenantAccess | undefined;
   pool(name: string): Pool | undefined;
+  stores: readonly PartStore[];
 }
 
 /** Makes the look-ups of a deployment. */
@@ -33,7 +34,7 @@
     return undefined;
   }
 
-  return { limits: d.limits, find, tenantOf: keys.get.bind(keys), pool: pools.get.bind(pools) };
+  return { limits: d.limits, find, tenantOf: keys.get.bind(keys), pool: pools.get.bind(pools), stores: d.stores };
 }
 
 /** Draws a target of a route by weight; `draw` is from 0 to under 1. */
--- a/tools/sim/placing.ts
+++ b/tools/sim/placing.ts
@@ -91,7 +91,7 @@
   let count = 0;
   const engines: SimEngine[] = [];
   for (let i = 0; i < world.engines; i++) {
-    engines.push({ spot: { id: `e${i}`, at: `10.0.0.${i}:80`, zone: `z${i % world.zones}` }, pace: i % 3 === 2 ? world.slow : 1, running: [], waiting: [], kept: new Map(), keptTokens: 0, moveUntil: 0, stepping: false });
+    engines.push({ spot: { id: `e${i}`, at: `10.0.0.${i}:80`, zone: `z${i % world.zones}`, salt: '' }, pace: i % 3 === 2 ? world.slow : 1, running: [], waiting: [], kept: new Map(), keptTokens: 0, moveUntil: 0, stepping: false });
   }
   const storeKept = new Map<string, number>();
   const everRead = new Set<string>();
@@ -199,10 +199,11 @@
     const parts = [shared, { hash: `own${count}`, size: own }];
     const r = routers[Math.floor(dice.next() * routers.length)];
     const out = Math.max(1, Math.round(Math.min(long ? 68 : 26, lognormal(long ? 17 : 6.4, 1.4))));
-    const ask: PlaceAsk = { pool, salt: '', parts, tokensIn: shared.size + own, tokensOut: out, aimMs: long ? LONG_AIM : SHORT_AIM, leftMs: 6000, routePriority: long ? 1 : 0, tenantPriority: 0, repeatable: !long, avoid: new Set() };
+    const ask: PlaceAsk = { pool, wall: '', parts, tokensIn: shared.size + own, tokensOut: out, aimMs: long ? LONG_AIM : SHORT_AIM, leftMs: 6000, routePriority: long ? 1 : 0, tenantPriority: 0, repeatable: !long, avoid: new Set() };
     requests++;
-    const kept = r.wantsIndex(ask) ? overlap(parts) : undefined;
-    at(now + (kept ? 3 : 1), go);
+    const kept = new Map<string, OverlapAnswer>();
+    for (const salt of r.wantsIndex(ask)) kept.set(salt, overlap(parts));
+    at(now + (kept.size > 0 ? 3 : 1), go);
     function go(): void {
       const o = r.place(ask, kept);
       if (o.isLeft()) {
