--- a/src/data/gateway/choose.ts
+++ b/src/data/gateway/choose.ts
@@ -218,7 +218,7 @@
 
     function ended(end: AttemptEnd): void {
       if (end === 'done') u.ended('answered');
-      else if (end === 'caller-gone') u.ended('given-up');
+      else if (end === 'caller-gone' || end === 'late') u.ended('given-up');
       else u.ended(end === 'not-run' && how ? how : 'failed');
     }
 
--- a/src/data/gateway/indexers.ts
+++ b/src/data/gateway/indexers.ts
@@ -33,7 +33,7 @@
   function reach(): void {
     zones = new Map();
     for (const m of follower.members('indexer')) zones.set(m.at, m.zone);
-    if (zones.size > 0) helds.want(zones.keys());
+    helds.want(zones.keys());
   }
 
   function changed(list: Member[]): void {
--- a/test/gatewayrig.ts
+++ b/test/gatewayrig.ts
@@ -176,8 +176,8 @@
   function places(): Numbered[] {
     return [...state.values()];
   }
-  function members(): unknown[] {
-    return new Array(ways.routers ?? 1).fill({});
+  function members(role: string): unknown[] {
+    return role === 'router' ? new Array(ways.routers ?? 1).fill({}) : [];
   }
   function leaving(): boolean {
     return false;
