Files that are written on stay open; time is read from one clock where nothing is suspended

Cause: each append opened its file and synced the folder too, two syncs where one holds the data; and each look at the clock read the time since boot, which is needed only where a machine is suspended with its steady clock. The folder is now synced only where a name is new.

--- a/src/programs/common.ts
+++ b/src/programs/common.ts
@@ -45,7 +45,7 @@
 
 async function run(program: string, s: Settings, start: Start, dialect: Dialect | undefined): Promise<void> {
   const log = realLog(program, s.name);
-  const ports: Ports = { clock: realClock(), dice: realDice(), disk: realDisk(s.data), wire: realWire(boundsOf(s).dial, s.bind), log, http: realHttp(s.bind) };
+  const ports: Ports = { clock: realClock(s.suspends), dice: realDice(), disk: realDisk(s.data), wire: realWire(boundsOf(s).dial, s.bind), log, http: realHttp(s.bind) };
   const o = await start(ports, s, dialect);
   if (o.isLeft()) {
     const f = o.extract() as Fault;
--- a/src/shared/real.ts
+++ b/src/shared/real.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto';
-import { open as openFile, readFile, mkdir } from 'node:fs/promises';
+import { FileHandle, open as openFile, readFile, mkdir } from 'node:fs/promises';
 import { uptime } from 'node:os';
 import { join } from 'node:path';
 import { performance } from 'node:perf_hooks';
@@ -13,10 +13,10 @@
   return uptime() * 1000;
 }
 
-/** The machine's monotonic clock, with the time it was suspended. */
-export function realClock(): Clock {
+/** The machine's monotonic clock, with the time it was suspended where it may be. */
+export function realClock(suspends = true): Clock {
   const monotonic = performance.now.bind(performance);
-  const now = process.platform === 'linux' ? withSuspension(monotonic, sinceBoot) : monotonic;
+  const now = suspends && process.platform === 'linux' ? withSuspension(monotonic, sinceBoot) : monotonic;
   function wall(): string {
     return new Date().toISOString();
   }
@@ -41,29 +41,40 @@
   return { next: Math.random, id: randomUUID };
 }
 
-/** One data folder on the machine's disk. */
+/** One data folder on the machine's disk; files that are written on stay open, and the folder is synced where a name is new. */
 export function realDisk(folder: string): Disk {
-  async function put(step: string, name: string, bytes: Uint8Array, flags: string): Promise<Outcome<void>> {
+  const kept = new Map<string, FileHandle>();
+  const named = new Set<string>();
+
+  async function syncFolder(): Promise<void> {
+    const d = await openFile(folder, 'r');
+    try {
+      await d.sync();
+    } finally {
+      await d.close();
+    }
+  }
+
+  async function openTo(name: string, flags: string): Promise<FileHandle> {
+    await kept.get(name)?.close();
+    kept.delete(name);
+    if (!named.has(name)) await mkdir(folder, { recursive: true });
+    const f = await openFile(join(folder, name), flags);
+    kept.set(name, f);
+    return f;
+  }
+
+  async function put(step: string, name: string, run: () => Promise<void>): Promise<Outcome<void>> {
     try {
-      await mkdir(folder, { recursive: true });
-      const f = await openFile(join(folder, name), flags);
-      try {
-        await f.writeFile(bytes);
-        await f.sync();
-      } finally {
-        await f.close();
-      }
-      const d = await openFile(folder, 'r');
-      try {
-        await d.sync();
-      } finally {
-        await d.close();
-      }
+      await run();
+      if (!named.has(name)) await syncFolder();
+      named.add(name);
       return Right(undefined);
     } catch (e) {
       return Left(makeFault(step, name, e, 'failed', 'disk'));
     }
   }
+
   async function read(name: string): Promise<Outcome<Uint8Array | undefined>> {
     try {
       return Right(await readFile(join(folder, name)));
@@ -72,11 +83,23 @@
       return Left(makeFault('read file', name, e, 'failed', 'disk'));
     }
   }
+
   function write(name: string, bytes: Uint8Array): Promise<Outcome<void>> {
-    return put('write file', name, bytes, 'w');
+    async function run(): Promise<void> {
+      const f = await openTo(name, 'w');
+      await f.writeFile(bytes);
+      await f.sync();
+    }
+    return put('write file', name, run);
   }
+
   function append(name: string, bytes: Uint8Array): Promise<Outcome<void>> {
-    return put('append file', name, bytes, 'a');
+    async function run(): Promise<void> {
+      const f = kept.get(name) ?? (await openTo(name, 'a'));
+      await f.writeFile(bytes);
+      await f.datasync();
+    }
+    return put('append file', name, run);
   }
   return { read, write, append };
 }
--- a/src/shared/settings.ts
+++ b/src/shared/settings.ts
@@ -25,6 +25,8 @@
   placeBy: 'index' | 'affinity';
   /** How the edges are spoken to: our own manner, or another's. */
   dialect: 'own' | 'platform';
+  /** Whether the machine may be suspended while its steady clock stands still. */
+  suspends: boolean;
   /** The role that the deployment gives this process. */
   role: string;
   region: string;
@@ -131,6 +133,7 @@
   placeBy: { doc: 'place by the index, or by affinity only', format: ['index', 'affinity'], default: 'index' },
   bodyMostBytes: { doc: 'the largest body taken', format: positive, default: 4194304 },
   dialect: { doc: 'how callers, engines, operators and the platform are spoken to', format: ['own', 'platform'], default: 'own' },
+  suspends: { doc: 'whether the machine may be suspended while its steady clock stands still', format: Boolean, default: true },
   role: { doc: 'the role that the deployment gives this process', format: String, default: '' },
   region: { doc: 'the region it stands in', format: String, default: '' },
   readiness: { doc: 'where it is asked whether it takes connections', format: address, default: '' },
