--- /dev/null
+++ b/test/deploymentrig.ts
@@ -0,0 +1,115 @@
+import { Controller, startController } from '../src/control/controller';
+import { serveDeployment } from '../src/control/deployment-api';
+import { open } from '../src/shared/errors';
+import { askJson } from '../src/shared/lib';
+import { defaultSettings, Settings } from '../src/shared/settings';
+import { platform } from '../platform/dialect';
+import { makeNet } from '../tools/sim/simwire';
+import { makeWorld, Proc, World } from '../tools/sim/simworld';
+
+/** What an operator hears. */
+export interface Heard {
+  status: number;
+  body: Record<string, unknown>;
+}
+
+/** Three controllers in a simulated world, and an operator who speaks as the platform's do. */
+export interface CoreRig {
+  w: World;
+  core: Proc[];
+  controllers: Map<string, Controller>;
+  start(p: Proc): void;
+  /** Runs virtual time on. */
+  pass(ms: number): Promise<void>;
+  /** Runs virtual time on until a promise is settled. */
+  settled<T>(p: Promise<T>, most?: number): Promise<T | undefined>;
+  /** Calls one controller; nothing comes where it is silent for a second. */
+  call(p: Proc, method: string, path: string, base?: number, body?: unknown): Promise<Heard | undefined>;
+  /** Calls on and on as operators do, from a first controller over to the others, until an answer is clear. */
+  insist(first: number, path: string, base: number, body: unknown, most: number): Promise<Heard | undefined>;
+}
+
+/** The paths that operators call. */
+export const PATHS = platform.operators.paths;
+
+const SILENCE = 1000;
+
+function settingsOf(name: string, ip: string, seeds: string[], bootstrap: boolean): Settings {
+  return { ...defaultSettings(), name, dialect: 'platform', strict: false, suspends: false, zone: name, wire: `${ip}:7000`, http: `${ip}:8000`, seeds, founders: seeds, data: name, weightsBoundMs: 8000, bootstrap };
+}
+
+/** A whole document with some routes to one service. */
+export function documentOf(revision: number, prefixes: string[], more: object = {}): Record<string, unknown> {
+  function route(prefix: string): object {
+    return { name: `r${prefix.replaceAll('/', '-')}`, hostname: 'desk.example', pathPrefix: prefix, routeType: 'safe', timeoutMs: 4000, service: 'engines' };
+  }
+  return { revision, routes: prefixes.map(route), services: [{ name: 'engines', healthCheckPath: '/health', maxConnections: 10 }], tenants: [], limits: {}, ...more };
+}
+
+/** Makes the world and starts the controllers. */
+export function makeCore(seed: number): CoreRig {
+  const w = makeWorld(seed, true);
+  const net = makeNet(w);
+  const core = [1, 2, 3].map(coreProc);
+  const operator = w.proc('operator', '10.9.0.1');
+  const seeds = core.map(wireOf);
+  const controllers = new Map<string, Controller>();
+  const started = new Set<string>();
+
+  function coreProc(i: number): Proc {
+    return w.proc(`core-${i}`, `10.1.0.${i}`);
+  }
+
+  function wireOf(p: Proc): string {
+    return `${p.ip}:7000`;
+  }
+
+  function start(p: Proc): void {
+    void run();
+    async function run(): Promise<void> {
+      const ports = net.ports(p);
+      const [f, c] = open(await startController(ports, settingsOf(p.name, p.ip, seeds, !started.has(p.name)), platform));
+      started.add(p.name);
+      if (f) return w.trace(`${p.name} did not start: ${f.why}`);
+      controllers.set(p.name, c);
+      await serveDeployment(c, ports, platform);
+    }
+  }
+
+  async function pass(ms: number): Promise<void> {
+    await w.run(w.now() + ms);
+  }
+
+  async function settled<T>(p: Promise<T>, most = 30000): Promise<T | undefined> {
+    const until = w.now() + most;
+    let got: { v: T } | undefined;
+    function told(v: T): void {
+      got = { v };
+    }
+    void p.then(told);
+    while (!got && w.now() < until) await w.run(w.now() + 5);
+    return got?.v;
+  }
+
+  async function call(p: Proc, method: string, path: string, base?: number, body?: unknown): Promise<Heard | undefined> {
+    const headers: Record<string, string> = base === undefined ? {} : { 'plumhollow-base-version': String(base) };
+    const at = `${p.ip}:8000`;
+    const text = typeof body === 'string' ? body : JSON.stringify(body);
+    const [f, r] = open(await askJson(net.ports(operator).wire, { at, method, path, headers, body: body === undefined ? undefined : text, within: SILENCE }));
+    return f ? undefined : { status: r.status, body: (r.body ?? {}) as Record<string, unknown> };
+  }
+
+  async function insist(first: number, path: string, base: number, body: unknown, most: number): Promise<Heard | undefined> {
+    const clock = w.clock(operator);
+    const until = w.now() + most;
+    for (let i = first; w.now() < until; i++) {
+      const r = await call(core[i % core.length], 'POST', path, base, body);
+      if (r && r.status < 500) return r;
+      await clock.sleep(100);
+    }
+    return undefined;
+  }
+
+  for (const p of core) start(p);
+  return { w, core, controllers, start, pass, settled, call, insist };
+}
