Index: parts kept in part or coming, compact rows, and the board of loads

Cause: on the users' platform an event tells how much of a part is kept now and names no parent, events lag, and routers must know what others have in flight. The trees keep tokens per holding and learn where parts stand from queries. A router's note makes parts 'coming' at an engine until an event tells of them, the router's connection ends or time passes; notes are bounded. Loads go as differences both ways; a silent router does not count. Ruled out: routers telling each other (cost grows with their square), and asking engines (priced, and stale by some hundred ms).

--- /dev/null
+++ b/src/index/overlap.ts
@@ -0,0 +1,98 @@
+import { Right } from 'purify-ts';
+import { Exchange } from '../shared/connections';
+import { Handled, message } from '../shared/edge';
+import { LoadsShape, LoadsTell, OverlapAnswer, OverlapAsk, OverlapShape, PlacedShape, PlacedTell, WirePart } from '../shared/loads';
+import { Coming } from './coming';
+import { Loads } from './loads';
+import { Trees } from './tree';
+
+interface Walk {
+  kept: number;
+  coming: number;
+  /** Whether all so far is kept whole. */
+  whole: boolean;
+}
+
+/** Walks a prompt from its front: what each source keeps of it, and what is on its way there beyond that. */
+export function overlapOf(trees: Trees, coming: Coming, q: OverlapAsk, reached: (source: string) => boolean = always): OverlapAnswer {
+  const walks = new Map<string, Walk>();
+  let alive = new Set<string>();
+  for (const [i, [hash, size]] of q.parts.entries()) {
+    const next = new Set<string>();
+    const comes = coming.at(q.model, q.salt, hash);
+    for (const h of trees.holders(q.model, q.salt, hash) ?? []) step(h.source, h.kept);
+    for (const source of comes?.keys() ?? []) if (!next.has(source)) step(source, 0);
+    if (next.size === 0) break;
+    alive = next;
+
+    function step(source: string, kept: number): void {
+      if (i > 0 && !alive.has(source)) return;
+      const w = walks.get(source) ?? { kept: 0, coming: 0, whole: true };
+      walks.set(source, w);
+      const has = Math.min(kept, size);
+      if (w.whole) w.kept += has;
+      else if (has === size) w.coming += size;
+      if (has === size) {
+        next.add(source);
+        return;
+      }
+      if (!comes?.has(source)) return;
+      w.coming += w.whole ? size - has : size;
+      w.whole = false;
+      next.add(source);
+    }
+  }
+  trees.learn(q.model, q.salt, q.parts);
+  const out: OverlapAnswer = [];
+  for (const [source, w] of walks) if ((w.kept > 0 || w.coming > 0) && reached(source)) out.push([source, w.kept, w.coming]);
+  return out;
+}
+
+function always(): boolean {
+  return true;
+}
+
+/** What routers say to an indexer about prompts and loads. */
+export class OverlapEdge {
+  private readonly watched = new WeakSet<object>();
+
+  constructor(private readonly trees: Trees, private readonly coming: Coming, private readonly loads: Loads, private readonly reached: (source: string) => boolean) {}
+
+  private watch(ex: Exchange): void {
+    if (this.watched.has(ex)) return;
+    this.watched.add(ex);
+    void ex.done.then(this.gone.bind(this, ex));
+  }
+
+  private gone(ex: Exchange): void {
+    this.coming.dropRouter(ex);
+    this.loads.drop(ex);
+  }
+
+  /** Tells how much of a prompt each source keeps. */
+  @message('overlap', OverlapShape)
+  async overlap(q: OverlapAsk): Handled {
+    return Right(overlapOf(this.trees, this.coming, q, this.reached));
+  }
+
+  /** Takes a router's note of a request that it placed. */
+  @message('placed', PlacedShape)
+  async placed(p: PlacedTell, ex: Exchange): Handled {
+    const trees = this.trees;
+    function keeps([hash, size]: WirePart): boolean {
+      for (const h of trees.holders(p.model, p.salt, hash) ?? []) if (h.source === p.engine) return h.kept >= size;
+      return false;
+    }
+    trees.learn(p.model, p.salt, p.parts);
+    this.coming.placed(ex, p, keeps);
+    this.watch(ex);
+    return Right(undefined);
+  }
+
+  /** Takes a router's loads and tells those of the others. */
+  @message('loads', LoadsShape)
+  async load(t: LoadsTell, ex: Exchange): Handled {
+    this.watch(ex);
+    return Right(this.loads.tell(ex, ex.hello?.name ?? ex.peer, t));
+  }
+}
--- a/src/index/tree.ts
+++ b/src/index/tree.ts
@@ -1,8 +1,11 @@
 import { Part, PartEvent } from '../shared/contracts/engine';
+import { WirePart } from '../shared/loads';
 
 interface Holding {
   source: string;
   weights: string;
+  /** Tokens that are kept of the part. */
+  kept: number;
   doubted: boolean;
 }
 
@@ -30,6 +33,15 @@
   parts: number;
 }
 
+/** One row of a compact dump: hash, parent, size, source by its index, weights, tokens kept, and whether that is doubted. */
+export type Row = [hash: string, parent: string, size: number, source: number, weights: string, kept: number, doubted: boolean];
+
+/** The whole of the trees in little room. */
+export interface Rows {
+  sources: string[];
+  trees: [model: string, salt: string, rows: Row[]][];
+}
+
 /** The trees of all (model, salt) pairs; weights are kept apart inside. */
 export interface Trees {
   apply(source: string, e: PartEvent): void;
@@ -39,6 +51,16 @@
   reused(source: string, model: string, salt: string, weights: string, parts: readonly Part[], count: number): { confirmed: number; dropped: number };
   query(model: string, salt: string, weights: string, parts: readonly Part[]): Overlap[];
   dump(source?: string): { source: string; event: PartEvent }[];
+  /** Tokens that each source keeps of one part. */
+  holders(model: string, salt: string, hash: string): { source: string; kept: number }[] | undefined;
+  /** Takes where parts stand in a prompt from a prompt that names them in order, and marks them as used. */
+  learn(model: string, salt: string, parts: readonly WirePart[]): void;
+  /** The trees, or what one source keeps of them, as rows. */
+  rows(source?: string): Rows;
+  /** Takes rows of the sources that pass. */
+  takeRows(r: Rows, wanted: (source: string) => boolean): void;
+  /** Makes what is kept at a source equal to a list; gives how many holdings that changed. */
+  replace(source: string, held: readonly PartEvent[]): number;
   size(): number;
   holding(source: string): number;
   evicted(): number;
@@ -89,7 +111,7 @@
     return undefined;
   }
 
-  function store(source: string, e: PartEvent): void {
+  function store(source: string, e: PartEvent): Node {
     const t = treeOf(e.model, e.salt);
     let n = t.nodes.get(e.hash);
     if (!n) {
@@ -99,13 +121,19 @@
       addKids(t, e.parent, 1);
     }
     const have = find(n, source, e.weights);
-    if (have) have.doubted = false;
-    else n.holdings.push({ source, weights: e.weights, doubted: false });
+    n.size = Math.max(n.size, e.size);
+    if (have) {
+      have.doubted = false;
+      have.kept = e.size;
+    } else {
+      n.holdings.push({ source, weights: e.weights, kept: e.size, doubted: false });
+    }
     const h = held.get(source) ?? new Set<Node>();
     h.add(n);
     held.set(source, h);
     touch(n);
     if (recent.size > most) evict();
+    return n;
   }
 
   function evict(): void {
@@ -133,7 +161,10 @@
   }
 
   function apply(source: string, e: PartEvent): void {
-    if (e.kind === 'stored') return store(source, e);
+    if (e.kind === 'stored') {
+      store(source, e);
+      return;
+    }
     if (e.kind === 'cleared') {
       dropSource(source);
       return;
@@ -223,6 +254,71 @@
     return out;
   }
 
+  function holders(model: string, salt: string, hash: string): { source: string; kept: number }[] | undefined {
+    return trees.get(JSON.stringify([model, salt]))?.nodes.get(hash)?.holdings;
+  }
+
+  function learn(model: string, salt: string, parts: readonly WirePart[]): void {
+    const t = trees.get(JSON.stringify([model, salt]));
+    if (!t) return;
+    for (let i = parts.length - 1; i >= 0; i--) {
+      const n = t.nodes.get(parts[i][0]);
+      if (!n) continue;
+      n.size = Math.max(n.size, parts[i][1]);
+      if (n.parent === '') {
+        addKids(t, '', -1);
+        n.parent = i === 0 ? model : parts[i - 1][0];
+        addKids(t, n.parent, 1);
+      }
+      touch(n);
+    }
+  }
+
+  function rows(source?: string): Rows {
+    const at = new Map<string, number>();
+    const by = new Map<Tree, Row[]>();
+    for (const n of recent.keys()) {
+      for (const h of n.holdings) {
+        if (source !== undefined && h.source !== source) continue;
+        if (!at.has(h.source)) at.set(h.source, at.size);
+        const list = by.get(n.tree) ?? [];
+        by.set(n.tree, list);
+        list.push([n.hash, n.parent, n.size, at.get(h.source)!, h.weights, h.kept, h.doubted]);
+      }
+    }
+    const out: Rows = { sources: [...at.keys()], trees: [] };
+    for (const [t, list] of by) out.trees.push([t.model, t.salt, list]);
+    return out;
+  }
+
+  function takeRows(r: Rows, wanted: (source: string) => boolean): void {
+    for (const [model, salt, list] of r.trees) {
+      for (const [hash, parent, size, at, weights, kept, doubted] of list) {
+        const source = r.sources[at];
+        if (!wanted(source)) continue;
+        const n = store(source, { kind: 'stored', model, salt, weights, parent, hash, size: kept });
+        n.size = Math.max(n.size, size);
+        find(n, source, weights)!.doubted = doubted;
+      }
+    }
+  }
+
+  function replace(source: string, list: readonly PartEvent[]): number {
+    const there = new Set<Node>();
+    let changed = 0;
+    for (const e of list) {
+      const have = trees.get(JSON.stringify([e.model, e.salt]))?.nodes.get(e.hash);
+      if (!have || find(have, source, e.weights)?.kept !== e.size) changed++;
+      there.add(store(source, e));
+    }
+    for (const n of [...(held.get(source) ?? [])]) {
+      if (there.has(n)) continue;
+      for (const h of [...n.holdings]) if (h.source === source) release(source, h.weights, n);
+      changed++;
+    }
+    return changed;
+  }
+
   function size(): number {
     return recent.size;
   }
@@ -235,5 +331,5 @@
     return evictedCount;
   }
 
-  return { apply, dropSource, doubt, doubted, reused, query, dump, size, holding, evicted };
+  return { apply, dropSource, doubt, doubted, reused, query, dump, holders, learn, rows, takeRows, replace, size, holding, evicted };
 }
--- a/src/shared/loads.ts
+++ b/src/shared/loads.ts
@@ -3,7 +3,7 @@
 /** What runs at one engine: its id, requests in flight, and prompt tokens that it has not yet read. */
 export type EngineLoad = [engineId: string, running: number, unreadTokens: number];
 
-/** Message 'loads', asked: a router's own loads that differ from its last tell on this connection, or all of them where `full`. A load that ended is told as 0, 0. */
+/** Message 'loads', asked: a router's own loads that differ from its last tell on this connection, or all of them where `full`. A load that ended is told as 0, 0. A router that got no answer tells `full` next, as the answer that it missed is not told again. */
 export interface LoadsTell {
   full: boolean;
   own: EngineLoad[];
