The indexer runs on its own contracts or on a dialect, and repairs what events did not tell

Cause: the platform's feed loses events, tells late, keeps only the newest and offers no replay; the only whole answer, a list, holds the engine's work up and is priced. How sources are found, asked and listed is parted from the rest (sources.ts). Lost numbers are counted by source; from a tenth of what is kept there on, the source is brought back from a replica that is not in doubt, else by its list: one at a time, replicas part the sources among them, and each at most once in five change bounds. Replicas pass on what they lack with a dump; without that, one that joined from a replica in doubt passed for whole. The product's own contracts are heard as before; the wire messages of the old dump stay for older replicas. Fifteen tests against a stand-in source: gaps, lost flag, epochs, late events, partial parts, a store that returns empty, two replicas, all restarting at once, bounded memory.

--- a/src/index/api.ts
+++ b/src/index/api.ts
@@ -1,7 +1,8 @@
 import { field, giveJson, handles, takeAs, takeCalls } from '../shared/edge';
 import { Outcome } from '../shared/errors';
 import { Call, Listening, Ports } from '../shared/ports';
-import { Indexer, partsOf, QueryAsk } from './indexer';
+import { Indexer } from './indexer';
+import { partsOf, QueryAsk } from './messages';
 
 class HashAsk {
   @field('string') model!: string;
--- a/src/index/indexer.ts
+++ b/src/index/indexer.ts
@@ -1,91 +1,21 @@
 import { Left, Right } from 'purify-ts';
-import { EventBatch, EventsAnswer, Part, PartEvent, splitParts, tokenise } from '../shared/contracts/engine';
-import { field, Handled, message } from '../shared/edge';
+import { EventBatch, EventsAnswer } from '../shared/contracts/engine';
 import { open, Outcome } from '../shared/errors';
 import { follow, Follower } from '../shared/follow';
 import { Ports, Connection } from '../shared/ports';
 import { Bounds, boundsOf, Settings } from '../shared/settings';
 import { converse, Exchange, Hello, HelloEdge, holdAll, WIRE_VERSION } from '../shared/connections';
-import { Engine, IntentsValue, KEYS, Member } from '../shared/words';
-import { BatchRing, Heard, Listener, ListenerView, listenTo, makeRing, Registration } from './listener';
+import { Dialect } from '../shared/dialect';
+import { Member } from '../shared/words';
+import { Coming, makeComing, Unheard } from './coming';
+import { BatchRing, Heard, Listener, ListenerView, listenTo, makeRing } from './listener';
+import { makeLoads } from './loads';
+import { CompactDump, Dump, IndexEdge, IndexParts, partsOf, QueryAsk, ReusedTell } from './messages';
+import { OverlapEdge } from './overlap';
+import { makeRepair, Repair } from './repair';
+import { dialectSources, ownSources, Registration, Sources } from './sources';
 import { makeTrees, Overlap, Trees } from './tree';
 
-/** A query for how much of a prompt each source holds. */
-export class QueryAsk {
-  @field('string') model!: string;
-  @field('string') salt!: string;
-  @field('string') weights!: string;
-  @field('list', false) parts?: Part[];
-  @field('list', false) tokens?: number[];
-  @field('string', false) text?: string;
-}
-
-class MissedAsk {
-  @field('string') source!: string;
-  @field('string') epoch!: string;
-  @field('number') from!: number;
-  @field('number') to!: number;
-}
-
-class ReusedTell {
-  @field('string') source!: string;
-  @field('string') model!: string;
-  @field('string') salt!: string;
-  @field('string') weights!: string;
-  @field('list') parts!: Part[];
-  @field('number') count!: number;
-}
-
-/** The whole of what an indexer knows, for a starting replica. */
-export interface Dump {
-  open: boolean;
-  heard: [string, Heard][];
-  events: { source: string; event: PartEvent }[];
-}
-
-/** Parts of a query, however it was given. */
-export function partsOf(q: QueryAsk): Part[] {
-  if (q.parts) return q.parts;
-  return splitParts(q.model, q.tokens ?? tokenise(q.text ?? ''));
-}
-
-/** What indexers and routers say to an indexer. */
-export class IndexEdge {
-  constructor(private readonly ix: IndexParts) {}
-
-  /** Tells how much of a prompt each source holds. */
-  @message('query', QueryAsk)
-  async query(q: QueryAsk): Handled {
-    return Right(this.ix.query(q));
-  }
-
-  /** Gives the whole of the trees. */
-  @message('dump')
-  async dump(): Handled {
-    return Right(this.ix.dump());
-  }
-
-  /** Gives the batches that a peer missed. */
-  @message('missed', MissedAsk)
-  async missed(m: MissedAsk): Handled {
-    return Right(this.ix.ring(m.source).between(m.epoch, m.from, m.to));
-  }
-
-  /** Takes what an engine's return said that it had really reused. */
-  @message('reused', ReusedTell)
-  async reused(m: ReusedTell): Handled {
-    this.ix.reused(m);
-    return Right(undefined);
-  }
-}
-
-interface IndexParts {
-  query(q: QueryAsk): Overlap[];
-  dump(): Dump;
-  ring(source: string): BatchRing;
-  reused(m: ReusedTell): void;
-}
-
 /** A running indexer. */
 export interface Indexer extends IndexParts {
   settings: Settings;
@@ -95,6 +25,10 @@
   gateOpen(): boolean;
   listeners(): ListenerView[];
   counts: IndexCounts;
+  coming: Coming;
+  /** Whether a source's feed can be reached. */
+  reached(source: string): boolean;
+  repair: Repair;
   stop(): Promise<void>;
 }
 
@@ -109,8 +43,11 @@
   dropped: number;
 }
 
-/** Starts an indexer: listeners buffer, a peer's dump is applied, the gate opens, the buffer drains. */
-export async function startIndexer(ports: Ports, settings: Settings, edges: object[] = [], listens = true): Promise<Outcome<Indexer>> {
+/** Notes of parts on their way, as a share of the parts that are kept at the most. */
+const COMING_SHARE = 0.1;
+
+/** Starts an indexer on the product's own contracts or on a dialect: listeners buffer, a peer's dump is applied, the gate opens, the buffer drains. */
+export async function startIndexer(ports: Ports, settings: Settings, dialect?: Dialect, edges: object[] = [], listens = true): Promise<Outcome<Indexer>> {
   const bounds: Bounds = boundsOf(settings);
   const hello: Hello = { version: WIRE_VERSION, name: settings.name, role: 'indexer', at: settings.wire, zone: settings.zone };
   const member: Member = { name: settings.name, role: 'indexer', at: settings.wire, http: settings.http, zone: settings.zone, life: ports.dice.id().slice(0, 8) };
@@ -125,7 +62,11 @@
   const counts: IndexCounts = { queries: 0, gaps: 0, repairedBatches: 0, lostBatches: 0, epochChanges: 0, confirmed: 0, dropped: 0 };
   let gate = false;
   let stopped = false;
-  edges.push(new HelloEdge(hello), new IndexEdge({ query, dump, ring, reused }));
+  const sources: Sources = dialect ? dialectSources(ports, bounds, dialect) : ownSources(ports, bounds);
+  const coming = makeComing(ports.clock.now, bounds.coming, Math.ceil(settings.indexMostParts * COMING_SHARE), unheard);
+  const loads = makeLoads(ports.clock.now, bounds.loadsSilent);
+  const repair = makeRepair({ ports, bounds, sources, trees, peers, at: settings.wire, registration: registrationOf, heard: heard.get.bind(heard), adopt });
+  edges.push(new HelloEdge(hello), new IndexEdge({ query, dump, dumpRows, ring, reused }), new OverlapEdge(trees, coming, loads, reached), repair.edge);
   const follower = follow(ports, bounds, hello, member, settings.seeds, edges);
 
   function gateOpen(): boolean {
@@ -133,7 +74,7 @@
   }
 
   function ring(source: string): BatchRing {
-    const r = rings.get(source) ?? makeRing(512);
+    const r = rings.get(source) ?? makeRing(sources.ringMost);
     rings.set(source, r);
     return r;
   }
@@ -154,38 +95,71 @@
     counts.dropped += r.dropped;
   }
 
-  function registrations(): Registration[] {
-    const out: Registration[] = [];
-    for (const e of follower.value<Engine[]>(KEYS.engines)?.value ?? []) out.push({ id: e.id, kind: 'engine', at: e.at, paused: e.leaving });
-    for (const s of follower.value<IntentsValue>(KEYS.intents)?.value.doc.cacheStores ?? []) out.push({ id: s.id, kind: 'store', at: s.at, paused: false });
-    return out;
+  function dumpRows(): CompactDump {
+    return { open: gate, heard: [...heard], owed: repair.owedAll(), rows: trees.rows() };
+  }
+
+  function registrationOf(source: string): Registration | undefined {
+    const r = listeners.get(source)?.reg;
+    return r?.paused ? undefined : r;
+  }
+
+  function reached(source: string): boolean {
+    return listeners.get(source)?.reached() ?? false;
+  }
+
+  /** A part that was to come is taken for kept where numbers were lost meanwhile, as its event may be one of them. */
+  function unheard(u: Unheard): void {
+    if (registrationOf(u.source) && repair.owed(u.source) > 0) trees.apply(u.source, { kind: 'stored', model: u.model, weights: '', salt: u.salt, parent: '', hash: u.hash, size: u.size });
+  }
+
+  function adopt(source: string, epoch: string, seq: number, takeOver: () => void): void {
+    takeOver();
+    const h = heard.get(source);
+    if (h?.epoch === epoch && h.seq > seq) for (const b of ring(source).between(epoch, seq + 1, h.seq)) applyEvents(source, b);
+    else heard.set(source, { epoch, seq });
+  }
+
+  function drop(source: string): void {
+    trees.dropSource(source);
+    coming.dropSource(source);
+    repair.clear(source);
   }
 
   function register(): void {
     const want = new Map<string, Registration>();
-    for (const r of registrations()) want.set(r.id, r);
+    for (const r of sources.registrations(follower)) want.set(r.id, r);
     for (const [id, l] of listeners) {
       const w = want.get(id);
       if (w && w.at === l.reg.at && w.paused === l.reg.paused) continue;
       l.stop();
       listeners.delete(id);
-      if (!w || w.paused || w.at !== l.reg.at) trees.dropSource(id);
+      if (!w || w.paused || w.at !== l.reg.at) drop(id);
+      if (!w && dialect) forget(id);
     }
     for (const [id, r] of want) {
       if (listeners.has(id)) continue;
-      const l = listenTo(ports, bounds, r, heard.get(id) ?? { epoch: '', seq: 0 }, gateOpen, onLong);
+      const l = listenTo(ports, bounds, sources, r, heard.get(id) ?? { epoch: '', seq: 0 }, gateOpen, onLong);
       listeners.set(id, l);
+      if ((heard.get(id)?.seq ?? 0) > 0 && trees.holding(id) === 0) repair.lost(id, undefined);
       void l.pulls.observe(pulled);
       function pulled(e: EventsAnswer): void {
         if (!gate) buffered.push({ id, r: e });
         else inTurn(id, e);
       }
       function onLong(): void {
-        trees.dropSource(id);
+        if (!dialect) trees.dropSource(id);
       }
     }
   }
 
+  /** How far it was heard stays, as it may be registered again. */
+  function forget(id: string): void {
+    rings.delete(id);
+    turns.delete(id);
+    gapsOf.delete(id);
+  }
+
   function inTurn(id: string, r: EventsAnswer): void {
     const before = turns.get(id) ?? Promise.resolve();
     turns.set(id, before.then(run));
@@ -199,26 +173,40 @@
     let h = heard.get(id) ?? { epoch: '', seq: 0 };
     if (r.epoch !== h.epoch) {
       if (h.epoch !== '') counts.epochChanges++;
-      trees.dropSource(id);
+      drop(id);
       h = { epoch: r.epoch, seq: 0 };
+      heard.set(id, h);
     }
+    let gap = false;
     for (const b of r.batches) {
       if (b.seq <= h.seq) continue;
-      if (b.seq > h.seq + 1) await mend(id, h, b.seq);
+      if (b.seq > h.seq + 1) {
+        gap = true;
+        await mend(id, h, b.seq);
+      }
       applyBatch(id, r.epoch, b);
       h = { epoch: r.epoch, seq: b.seq };
       heard.set(id, h);
     }
     if (r.last > h.seq) {
+      gap = true;
       await mend(id, h, r.last + 1);
       h = { epoch: r.epoch, seq: r.last };
     }
     heard.set(id, h);
+    if (r.lost && !gap) repair.lost(id, undefined);
   }
 
   function applyBatch(id: string, epoch: string, b: EventBatch): void {
     ring(id).add(epoch, b);
-    for (const e of b.events) trees.apply(id, e);
+    applyEvents(id, b);
+  }
+
+  function applyEvents(id: string, b: EventBatch): void {
+    for (const e of b.events) {
+      trees.apply(id, e);
+      if (e.kind === 'stored') coming.heard(e.model, e.salt, e.hash, id);
+    }
   }
 
   async function mend(id: string, h: Heard, next: number): Promise<void> {
@@ -240,6 +228,7 @@
     const lost = next - 1 - h.seq - found.size;
     if (lost > 0) {
       trees.doubt(id);
+      repair.lost(id, lost);
       ports.log.warn({ step: 'mend gap', peer: id }, `${lost} batches are lost after ${h.seq}`);
     }
     for (const n of [...found.keys()].sort(byNumber)) applyBatch(id, h.epoch, found.get(n)!);
@@ -265,12 +254,12 @@
   }
 
   async function join(): Promise<void> {
-    await ports.clock.sleep(bounds.join);
+    await ports.clock.sleep(dialect ? bounds.joinSoon : bounds.join);
     while (!stopped && !follower.live()) await ports.clock.sleep(bounds.pause);
     for (const p of await upPeers()) {
-      const [f, d] = open(await p.ask('dump', {}, bounds.ask));
-      if (f || !(d as Dump).open) continue;
-      applyDump(d as Dump);
+      const [f, d] = open(await p.ask('dump-rows', {}, bounds.ask));
+      if (f || !(d as CompactDump).open) continue;
+      applyDump(d as CompactDump);
       break;
     }
     gate = true;
@@ -287,10 +276,11 @@
     }
   }
 
-  function applyDump(d: Dump): void {
-    const known = new Set<string>(registrations().filter(serves).map(idOf));
+  function applyDump(d: CompactDump): void {
+    const known = new Set<string>(sources.registrations(follower).filter(serves).map(idOf));
     for (const [id, h] of d.heard) if (known.has(id)) heard.set(id, h);
-    for (const e of d.events) if (known.has(e.source)) trees.apply(e.source, e.event);
+    trees.takeRows(d.rows, known.has.bind(known));
+    for (const [id, n] of d.owed) if (known.has(id)) repair.lost(id, n);
   }
 
   function serves(r: Registration): boolean {
@@ -338,5 +328,5 @@
   }
 
   void join();
-  return Right({ settings, follower, trees, edges, query, dump, ring, reused, gateOpen, listeners: views, counts, stop });
+  return Right({ settings, follower, trees, edges, query, dump, dumpRows, ring, reused, gateOpen, listeners: views, counts, coming, reached, repair, stop });
 }
--- a/src/index/listener.ts
+++ b/src/index/listener.ts
@@ -1,18 +1,10 @@
 import { Stream as Feed } from 'most';
-import { EventBatch, EventsAnswer, pullEvents } from '../shared/contracts/engine';
-import { pullStoreEvents } from '../shared/contracts/store';
+import { EventBatch, EventsAnswer } from '../shared/contracts/engine';
 import { open } from '../shared/errors';
 import { makeFeed } from '../shared/lib';
 import { Ports } from '../shared/ports';
 import { Bounds } from '../shared/settings';
-
-/** A registration derived from the platform's list or from a `cacheStore` service. */
-export interface Registration {
-  id: string;
-  kind: 'engine' | 'store';
-  at: string;
-  paused: boolean;
-}
+import { Registration, Sources } from './sources';
 
 /** Where a listener stands. */
 export interface ListenerView {
@@ -38,11 +30,13 @@
   reg: Registration;
   pulls: Feed<EventsAnswer>;
   view(): { status: ListenerView['status']; lastError?: string };
+  /** Whether its last call reached the source, or none has failed yet. */
+  reached(): boolean;
   stop(): void;
 }
 
 /** Pulls one source's events for as long as it is registered, one task for each. */
-export function listenTo(ports: Ports, bounds: Bounds, reg: Registration, from: Heard, gateOpen: () => boolean, onLong: () => void): Listener {
+export function listenTo(ports: Ports, bounds: Bounds, sources: Sources, reg: Registration, from: Heard, gateOpen: () => boolean, onLong: () => void): Listener {
   const hand = makeFeed<EventsAnswer>();
   const gone = new AbortController();
   let stopped = false;
@@ -51,15 +45,16 @@
   let connected = false;
   let lastError: string | undefined;
   let failedAt: number | undefined;
+  let unreached = false;
 
   async function pull(): Promise<void> {
-    const ask = reg.kind === 'store' ? pullStoreEvents : pullEvents;
     while (!stopped) {
-      const [f, r] = open(await ask(ports.wire, reg.at, epoch, after, bounds.feedWait, gone.signal));
+      const [f, r] = open(await sources.pull(reg, epoch, after, gone.signal));
       if (stopped) return;
       if (f) {
         lastError = `${f.step}: ${f.why}`;
         failedAt = failedAt ?? ports.clock.now();
+        unreached = f.code !== 'bad-return';
         if (ports.clock.now() - failedAt > bounds.feedWait * 0.3) onLong();
         await ports.clock.sleep(bounds.pause * (0.5 + ports.dice.next()));
         continue;
@@ -67,13 +62,20 @@
       connected = true;
       lastError = undefined;
       failedAt = undefined;
+      unreached = false;
       if (r.epoch !== epoch) {
+        const anew = sources.asksAnew && after > 0;
         epoch = r.epoch;
         after = 0;
+        if (anew) {
+          hand.add({ epoch, lost: false, last: 0, batches: [] });
+          continue;
+        }
       }
       for (const b of r.batches) after = Math.max(after, b.seq);
-      if (r.batches.length === 0) after = Math.max(after, r.last);
+      if (r.batches.length === 0 || sources.asksAnew) after = Math.max(after, r.last);
       hand.add(r);
+      if (sources.gatherMs > 0) await ports.clock.sleep(sources.gatherMs * (0.8 + 0.4 * ports.dice.next()));
     }
   }
 
@@ -83,6 +85,10 @@
     return { status: connected && gateOpen() ? 'active' : 'pending', lastError };
   }
 
+  function reached(): boolean {
+    return !unreached;
+  }
+
   function stop(): void {
     stopped = true;
     gone.abort();
@@ -90,7 +96,7 @@
   }
 
   if (!reg.paused) void pull();
-  return { reg, pulls: hand.feed, view, stop };
+  return { reg, pulls: hand.feed, view, reached, stop };
 }
 
 /** The newest batches of a source, kept for peers that missed some. */
--- a/src/shared/settings.ts
+++ b/src/shared/settings.ts
@@ -88,6 +88,13 @@
   drain: number;
   orderFresh: number;
   leavingCut: number;
+  feedHold: number;
+  gather: number;
+  coming: number;
+  loadsSilent: number;
+  repairTurn: number;
+  repairEach: number;
+  joinSoon: number;
 }
 
 /** Derives the times from the bounds. */
@@ -111,6 +118,13 @@
     drain: s.weightsBoundMs * 0.8,
     orderFresh: lease * 0.2,
     leavingCut: s.leavingBoundMs * 0.4,
+    feedHold: s.changeBoundMs * 0.5,
+    gather: s.leavingBoundMs * 0.02,
+    coming: s.changeBoundMs * 0.75,
+    loadsSilent: s.contactMs * 0.3,
+    repairTurn: s.changeBoundMs * 0.2,
+    repairEach: s.changeBoundMs * 5,
+    joinSoon: s.changeBoundMs * 0.15,
   };
 }
 
--- a/tools/sim/without.ts
+++ b/tools/sim/without.ts
@@ -7,7 +7,7 @@
 import * as engines from '../../src/data/engines';
 import * as router from '../../src/data/router';
 import * as once from '../../src/data/once';
-import * as indexer from '../../src/index/indexer';
+import * as indexMessages from '../../src/index/messages';
 import * as tree from '../../src/index/tree';
 import * as engine from '../../src/shared/contracts/engine';
 import * as platform from '../../src/shared/contracts/platform';
@@ -250,12 +250,12 @@
       async function none(): Promise<Outcome<unknown>> {
         return Right([]);
       }
-      (indexer.IndexEdge.prototype as unknown as Patch).missed = none;
+      (indexMessages.IndexEdge.prototype as unknown as Patch).missed = none;
     } else if (way === 'returns') {
       async function deaf(): Promise<Outcome<unknown>> {
         return Right(undefined);
       }
-      (indexer.IndexEdge.prototype as unknown as Patch).reused = deaf;
+      (indexMessages.IndexEdge.prototype as unknown as Patch).reused = deaf;
     } else {
       const real = tree.makeTrees;
       function sure(most: number): tree.Trees {
