--- a/src/programs/indexer.ts
+++ b/src/programs/indexer.ts
@@ -2,13 +2,14 @@
 import { Left, Right } from 'purify-ts';
 import { serveIndex } from '../index/api';
 import { startIndexer } from '../index/indexer';
+import { Dialect } from '../shared/dialect';
 import { Fault, open, Outcome } from '../shared/errors';
 import { Ports } from '../shared/ports';
 import { Settings } from '../shared/settings';
 import { runDaemon, Running } from './common';
 
-async function start(ports: Ports, s: Settings): Promise<Outcome<Running>> {
-  const [f, ix] = open(await startIndexer(ports, s));
+async function start(ports: Ports, s: Settings, dialect: Dialect | undefined): Promise<Outcome<Running>> {
+  const [f, ix] = open(await startIndexer(ports, s, dialect));
   if (f) return Left<Fault, Running>(f);
   const [g] = open(s.http === '' ? Right(undefined) : await serveIndex(ix, ports));
   return g ? Left<Fault, Running>(g) : Right({ drain: nothing, stop: ix.stop });
