The voter set follows the machines by itself; changes find another who makes them

Cause: a core machine that lost its disk, or came at another address, voted only once an operator named it; a half-done joint set waited for the operator's repeat; an owner that froze or was cut off held changes up until its connection fell. What stands: a quorum member that does not vote asks to join; the owner of the voters takes an emptied machine in at once, puts one that is here in the place of one that leaves or is unreachable for half the catch-up bound, grows to 2 x tolerated + 1 in odd numbers, and ends or takes back a joint set that another left. Keys are carried over 16 at once, votes in as few piles as they need. A controller that is asked for a change makes it itself where the owner does not answer within a tenth of the ack bound; a change that met another owner is made anew only if it certainly did not stand. Connections are pinged when silent, taken ones closed after the contact bound. Founding goes by what comes up, and by a majority where foundBy says that this is vouched for. Ruled out: taking out a voter that is only frozen or cut (kept until another machine waits and the others miss it, too); waiting for routers where the old disk is gone for good (its votes can meet no new majority without one that kept them).

--- a/src/control/api.ts
+++ b/src/control/api.ts
@@ -5,9 +5,11 @@
 import { Call, Listening, Ports } from '../shared/ports';
 import { IntentsValue, KEYS, Place } from '../shared/words';
 import { checkIntents } from './intents';
-import { Changed, Controller, reached } from './controller';
+import { Changed } from './changes';
+import { Controller } from './controller';
 import { NamedWeights } from '../shared/weights';
 import { Operation, TenantKeys } from './operations';
+import { reached } from './peers';
 import { replaceVoter } from './voters';
 
 class ApplyAsk {
--- /dev/null
+++ b/src/control/changes.ts
@@ -0,0 +1,112 @@
+import { isDeepStrictEqual } from 'node:util';
+import { Left, Right } from 'purify-ts';
+import { bad, Fault, open, Outcome } from '../shared/errors';
+import { rendezvous } from '../shared/lib';
+import { Exchange, noConnection } from '../shared/connections';
+import { Bounds, Settings } from '../shared/settings';
+import { Intents, IntentsValue, Numbered, Place, Voters } from '../shared/words';
+import { DocumentReader, mayBeStale } from './deployment';
+import { checkIntents } from './intents';
+import { keyOf, makeValue, Operation } from './operations';
+import { Owner } from './register';
+
+/** What became of a change. */
+export interface Changed {
+  place: Place;
+  inEffect: boolean;
+  value: unknown;
+}
+
+interface Parts {
+  settings: Settings;
+  bounds: Bounds;
+  owner: Owner;
+  reader: DocumentReader | undefined;
+  voters(): Voters | undefined;
+  live(): string[];
+  up(at: string): Exchange | undefined;
+  local(type: string, body: unknown): Promise<Outcome<unknown>>;
+}
+
+/** How changes are made, here or by the key's owner. */
+export interface Changes {
+  /** Makes a change here, as the key's owner. */
+  here(op: Operation, tries?: number, inDoubt?: boolean): Promise<Outcome<Changed>>;
+  /** Has the key's owner make a change, and makes it here where that one does not. */
+  commit(op: Operation): Promise<Outcome<Changed>>;
+  /** Asks a key's owner; where that one does not answer, this node takes its place. */
+  ofOwner(key: string, type: string, body: unknown): Promise<Outcome<unknown>>;
+}
+
+const TRIES = 3;
+const PEER_CODES = new Set(['no-stream', 'timeout', 'ended', 'no-quorum', 'no-voter', 'not-founded', 'disk']);
+
+/** Whether a fault tells of the one that was asked rather than of what it was asked for, so that another may do it. */
+export function isOfPeer(f: Fault): boolean {
+  return f.sort === 'unknown' || PEER_CODES.has(f.code ?? '');
+}
+
+/** Whether the value that stands is what a change on a base has made of it. */
+function isMade(op: Operation, now: Numbered | undefined): boolean {
+  if (!now || (op.kind !== 'voters' && op.kind !== 'intents') || now.number !== op.basedOn + 1) return false;
+  if (op.kind === 'voters') return isDeepStrictEqual(now.value, op.voters);
+  return isDeepStrictEqual((now.value as IntentsValue).doc, checkIntents(op.doc).extract() as Intents);
+}
+
+/** Makes the changes of one controller. */
+export function makeChanges(p: Parts): Changes {
+  const { settings, bounds, owner } = p;
+
+  /** Another may have made the change already; a conflict with what stands may then be with the change itself. */
+  function makeAgain(op: Operation, now: Numbered | undefined): Outcome<unknown> {
+    const o = makeValue(op, now, p.reader);
+    const [f] = open(o);
+    return f?.code === 'conflict' && op.kind !== 'deployment' ? bad(f.step, f.peer, f.why, 'unknown', 'in-doubt') : o;
+  }
+
+  async function here(op: Operation, tries = 1, inDoubt = false): Promise<Outcome<Changed>> {
+    const key = keyOf(op);
+    function make(now: Numbered | undefined): Outcome<unknown> {
+      return inDoubt ? makeAgain(op, now) : makeValue(op, now, p.reader);
+    }
+    const first = await owner.change(key, make, tries);
+    if (mayBeStale(op, first)) owner.disown(key);
+    return (mayBeStale(op, first) ? await owner.change(key, make, tries) : first).map(changed);
+  }
+
+  function changed(n: Numbered): Changed {
+    return { place: { epoch: n.epoch, by: n.by, number: n.number }, inEffect: false, value: n.value };
+  }
+
+  function nobody(step: string): Fault {
+    return { step, peer: settings.name, why: 'no voter is here', sort: 'refused', code: p.voters() ? 'no-quorum' : 'not-founded' };
+  }
+
+  async function ask(at: string, type: string, body: unknown): Promise<Outcome<unknown>> {
+    return p.up(at)?.ask(type, body, bounds.handOver) ?? Left(noConnection(type, at));
+  }
+
+  async function commit(op: Operation): Promise<Outcome<Changed>> {
+    const key = keyOf(op);
+    const at = rendezvous(key, p.live())[0];
+    if (at === undefined) return Left(nobody('change'));
+    if (at === settings.wire) return here(op, TRIES);
+    const [f, r] = open(await ask(at, 'change', op));
+    if (!f) return Right(r as Changed);
+    if (!isOfPeer(f)) return Left(f);
+    const [g, now] = open(await owner.own(key));
+    if (g) return Left({ ...g, sort: f.sort });
+    return isMade(op, now) ? Right(changed(now!)) : here(op, TRIES, f.sort === 'unknown');
+  }
+
+  async function ofOwner(key: string, type: string, body: unknown): Promise<Outcome<unknown>> {
+    const at = rendezvous(key, p.live())[0];
+    if (at === undefined) return Left(nobody(type));
+    if (at === settings.wire) return p.local(type, body);
+    const o = await ask(at, type, body);
+    const [f] = open(o);
+    return f && isOfPeer(f) ? p.local(type, body) : o;
+  }
+
+  return { here, commit, ofOwner };
+}
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -1,32 +1,27 @@
 import { Left, Right } from 'purify-ts';
-import { dispatch, Handled, message } from '../shared/edge';
-import { bad, Fault, open, Outcome } from '../shared/errors';
+import { dispatch, Handled } from '../shared/edge';
+import { Fault, open, Outcome } from '../shared/errors';
 import { rendezvous } from '../shared/lib';
 import { hasList } from '../shared/follow';
 import { makeMetrics, Metrics, timedDisk } from '../shared/metrics';
 import { poll } from '../shared/poll';
 import { Listening, Ports, Connection } from '../shared/ports';
 import { Bounds, boundsOf, Settings } from '../shared/settings';
-import { askOnce, converse, Hello, HelloEdge, holdAll, noConnection, WIRE_VERSION } from '../shared/connections';
-import { allVoters, comparePlaces, isQuorum, isVoter, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
-import { DocumentReader, mayBeStale } from './deployment';
+import { askOnce, closeSilent, converse, Exchange, Hello, HelloEdge, holdAll, noConnection, WIRE_VERSION } from '../shared/connections';
+import { makeWaker, Waker } from '../shared/waker';
+import { allVoters, isQuorum, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
+import { Changed, makeChanges } from './changes';
+import { DocumentReader } from './deployment';
+import { makeFounding } from './founding';
 import { Leases } from './leases';
-import { keyOf, makeValue, Operation } from './operations';
+import { keyOf, Operation } from './operations';
+import { ControlEdge } from './peers';
 import { ReadEdge, ReadParts, readNewest } from './read';
 import { Acceptor, makeOwner, Owner, Reach } from './register';
+import { RosterEdge } from './roster';
 import { openSlots, Slots } from './slots';
 import { KeptVotes, readVotes, Votes } from './votes';
 
-/** How the disk of a founder is named that was not there. */
-export const ABSENT = 'absent ';
-
-/** What became of a change. */
-export interface Changed {
-  place: Place;
-  inEffect: boolean;
-  value: unknown;
-}
-
 /** A running controller. */
 export interface Controller {
   name: string;
@@ -38,10 +33,17 @@
   leases: Leases;
   votes: Votes;
   owner: Owner;
+  roster: RosterEdge;
+  /** Makes a waker that wakes when a peer has come or gone, or the voters have changed. */
+  addWaker(): Waker;
   metrics: Metrics;
   edges: object[];
   voters(): Voters | undefined;
   live(): string[];
+  isUp(x: Voter): boolean;
+  /** Whether a voter's machine is there with another disk, so that its own is gone. */
+  isEmptied(x: Voter): boolean;
+  isLeaving(x: Voter): boolean;
   chosen(key: string): boolean;
   change(op: Operation): Promise<Outcome<Changed>>;
   found(without: string[]): Promise<Outcome<Voters>>;
@@ -52,67 +54,11 @@
   heardLive(key: string): boolean;
   hasMajority(): boolean;
   askVoter(v: Voter, type: string, body: unknown, within: number): Promise<Outcome<unknown>>;
-  peerHello(at: string, type: string): Promise<Outcome<unknown>>;
+  leave(): Promise<void>;
   stop(): Promise<void>;
   stopped(): boolean;
 }
 
-/** What one controller says to another beside votes. */
-export class ControlEdge {
-  constructor(private readonly c: ControlParts) {}
-
-  /** Takes a change that this node, as the key's owner, is to make. */
-  @message('change')
-  async change(op: Operation): Handled {
-    return this.c.changeHere(op);
-  }
-
-  /** Gives what is committed here and not yet at the asker, who tells its places. */
-  @message('missing')
-  async missing(has: [string, number, string, number][]): Handled {
-    const places = new Map<string, Place>();
-    for (const [key, epoch, by, number] of has) places.set(key, { epoch, by, number });
-    function later(n: Numbered): boolean {
-      return !reached(places.get(n.key), n);
-    }
-    return Right(this.c.committed().filter(later));
-  }
-
-  /** Tells whether this disk is blank, which one it is, and the voters. */
-  @message('who')
-  async who(): Handled {
-    const v = this.c.voters();
-    return Right({ disk: this.c.slots.disk, blank: v === undefined && !this.c.slots.spoilt, voters: v, core: v ? allVoters(v).map(atOf) : [] });
-  }
-
-  /** Agrees to a founding, once. */
-  @message('found')
-  async found(v: Voters): Handled {
-    const now = this.c.voters();
-    if (now) return JSON.stringify(this.c.slots.founding()) === JSON.stringify(v) ? Right(true) : bad('found', this.c.slots.disk, 'already of a fleet', 'refused', 'not-blank');
-    const { disk, spoilt } = this.c.slots;
-    if (spoilt) return bad('found', disk, 'this disk was of a fleet', 'refused', 'not-blank');
-    function mine(x: Voter): boolean {
-      return x.disk === disk;
-    }
-    if (!v.now.some(mine)) return bad('found', disk, 'not of these founders', 'refused', 'not-founder');
-    const o = await this.c.slots.found(v);
-    return o;
-  }
-}
-
-function atOf(x: { at: string }): string {
-  return x.at;
-}
-
-interface ControlParts {
-  slots: Slots;
-  acceptor: Acceptor;
-  voters(): Voters | undefined;
-  changeHere(op: Operation): Promise<Outcome<unknown>>;
-  committed(): Numbered[];
-}
-
 /** Starts a controller: its disk, its votes, its leases, its connections. */
 export async function startController(given: Ports, settings: Settings, reader?: DocumentReader): Promise<Outcome<Controller>> {
   const metrics = makeMetrics();
@@ -130,8 +76,22 @@
   const heard = new Set<string>();
   const by = `${settings.name}.${ports.dice.id().slice(0, 8)}`;
   const effectTook = metrics.times('plumhollow_controller_change_to_effect_ms', 'from a change\'s arrival at its owner to its effect everywhere', settings.changeBoundMs);
+  const taking = new Set<Exchange>();
+  const upSince = new Map<string, number>();
+  const wakers: Waker[] = [];
+  let hints: string[] = [];
+  let leaving = false;
   let stopped = false;
 
+  function addWaker(): Waker {
+    wakers.push(makeWaker(ports.clock));
+    return wakers[wakers.length - 1];
+  }
+
+  function wake(): void {
+    for (const w of wakers) w.wake();
+  }
+
   function voters(): Voters | undefined {
     return ((slots.cells.get(KEYS.voters)?.learned?.value ?? slots.founding()) as Voters | undefined) ?? undefined;
   }
@@ -139,7 +99,10 @@
   function learned(n: Numbered, before?: Numbered): void {
     heard.add(n.key);
     leases.push(n, n.by === by, before);
-    if (n.key === KEYS.voters) reachAll();
+    if (n.by !== by) owner.passed(n.key, n.epoch);
+    if (n.key !== KEYS.voters) return;
+    reachAll();
+    wake();
   }
 
   function isSelf(v: Voter): boolean {
@@ -169,15 +132,50 @@
   const owner = makeOwner(slots, reach);
   const votes = new Votes(slots, ports, voters, settings.onceKeepMs);
   await votes.begin(kept);
-  const edges: object[] = [new HelloEdge(hello), acceptor, leases, votes, new ControlEdge({ slots, acceptor, voters, changeHere, committed })];
-  const reads: ReadParts = { slots, owner, voters, askVoter: askShortly, ofOwner };
-  edges.push(new ReadEdge(reads));
-  const helds = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause });
+  const roster = new RosterEdge(ports, bounds, voters, joined);
+  const changes = makeChanges({ settings, bounds, owner, reader, voters, live, up, local });
+  const peers = new ControlEdge({ slots, mayFound: settings.bootstrap, voters, changeHere: changes.here, committed, hinted, isUp, wake });
+  const reads: ReadParts = { slots, owner, voters, askVoter: askShortly, ofOwner: changes.ofOwner };
+  const edges: object[] = [new HelloEdge(hello), acceptor, leases, votes, roster, peers, new ReadEdge(reads)];
+  const helds = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause, onUp, onDown: wake });
+  const founding = makeFounding({ settings, bounds, clock: ports.clock, slots, voters, who });
+
+  function up(at: string): Exchange | undefined {
+    return helds.up(at);
+  }
+
+  function onUp(ex: Exchange): void {
+    upSince.set(ex.peer, ports.clock.now());
+    wake();
+  }
+
+  function joined(): void {
+    reachAll();
+    wake();
+  }
+
+  function hinted(ats: string[]): void {
+    hints = ats;
+    reachAll();
+  }
 
   function live(): string[] {
     const v = voters();
     if (!v) return [];
-    return allVoters(v).filter(isUp).map(atOf);
+    return allVoters(v).filter(isHere).map(atOf);
+  }
+
+  function isHere(x: Voter): boolean {
+    return isUp(x) && !isLeaving(x);
+  }
+
+  function isLeaving(x: Voter): boolean {
+    return isSelf(x) ? leaving : roster.isLeaving(x.disk, upSince.get(x.at));
+  }
+
+  function isEmptied(x: Voter): boolean {
+    const disk = helds.up(x.at)?.hello?.disk;
+    return disk !== undefined && disk !== x.disk;
   }
 
   /** Whether a voter is up with its own disk; an emptied one at its address is not that voter. */
@@ -200,32 +198,14 @@
     return (await poll(v, one)).isRight();
   }
 
-  async function changeHere(op: Operation): Promise<Outcome<Changed>> {
-    const key = keyOf(op);
+  async function change(op: Operation): Promise<Outcome<Changed>> {
     const began = ports.clock.now();
-    function make(now: Numbered | undefined): Outcome<unknown> {
-      return makeValue(op, now, reader);
-    }
-    const first = await owner.change(key, make);
-    if (mayBeStale(op, first)) owner.disown(key);
-    const [g, c] = open(mayBeStale(op, first) ? await owner.change(key, make) : first);
-    if (g) return Left(g);
-    const waits = settings.strict && op.kind !== 'engines' && op.kind !== 'duty';
-    const inEffect = waits && (await effect(key, c, bounds.effect));
+    const [f, r] = open(await changes.commit(op));
+    if (f) return Left(f);
+    const waits = settings.strict && op.kind !== 'engines' && op.kind !== 'duty' && op.kind !== 'voters';
+    const inEffect = waits && (await effect(keyOf(op), r.place, bounds.effect));
     if (inEffect) effectTook(ports.clock.now() - began);
-    return Right({ place: { epoch: c.epoch, by: c.by, number: c.number }, inEffect, value: c.value });
-  }
-
-  async function ofOwner(key: string, type: string, body: unknown): Promise<Outcome<unknown>> {
-    const at = rendezvous(key, live())[0];
-    if (at === undefined) return bad(type, settings.name, 'not founded', 'refused', 'not-founded');
-    if (at === settings.wire) return local(type, body);
-    const ex = helds.up(at);
-    return ex ? ex.ask(type, body, settings.strict ? bounds.effect * 2 : bounds.ask) : Left(noConnection(type, at));
-  }
-
-  function change(op: Operation): Promise<Outcome<Changed>> {
-    return ofOwner(keyOf(op), 'change', op) as Promise<Outcome<Changed>>;
+    return Right({ ...r, inEffect });
   }
 
   function newest(key: string): Promise<Outcome<Numbered | undefined>> {
@@ -238,49 +218,28 @@
     return out;
   }
 
+  /** Holds connections to the voters and to those that would be; to the founders and to where others said that the core is, while it knows no voters. */
   function reachAll(): void {
     const v = voters();
     function other(at: string): boolean {
       return at !== settings.wire;
     }
-    helds.want((v ? allVoters(v).map(atOf) : settings.founders).filter(other));
+    const core = v ? [...allVoters(v), ...roster.joiners()].map(atOf) : [...settings.founders, ...settings.seeds, ...hints];
+    helds.want(core.filter(other));
   }
 
-  function peerHello(at: string, type: string): Promise<Outcome<unknown>> {
+  function who(at: string): Promise<Outcome<unknown>> {
     const ex = helds.up(at);
-    return ex ? ex.ask(type, {}, bounds.ask) : Promise.resolve(Left<Fault, unknown>(noConnection(type, at)));
-  }
-
-  async function found(without: string[]): Promise<Outcome<Voters>> {
-    const stood = voters();
-    if (stood) return isVoter(stood, slots.disk) ? Right(stood) : bad('found', slots.disk, 'a fleet is founded, and this disk is not of it', 'refused', 'not-blank');
-    const founders = [...settings.founders].sort();
-    function absent(at: string): boolean {
-      return without.includes(at);
-    }
-    if (slots.spoilt) return bad('found', slots.disk, 'this disk was of a fleet', 'refused', 'not-blank');
-    if (absent(settings.wire) || founders.filter(absent).length * 2 >= founders.length) return bad('found', settings.name, 'a majority of the founders must be here', 'refused', 'no-quorum');
-    const set: Voter[] = [];
-    for (const at of founders) {
-      if (at === settings.wire) {
-        set.push({ disk: slots.disk, at });
-        continue;
-      }
-      const [g, w] = open(await peerHello(at, 'who'));
-      const r = w as { disk: string; blank: boolean } | undefined;
-      if (absent(at) && r) return bad('found', at, 'is named as absent, and is here', 'refused', 'conflict');
-      if (!absent(at) && g) return Left({ ...g, sort: 'refused' });
-      if (r && !r.blank) return bad('found', at, 'is not blank', 'refused', 'not-blank');
-      set.push({ disk: r ? r.disk : `${ABSENT}${at}`, at });
-    }
-    const [h] = open(voters() ? bad<void>('found', settings.name, 'another came first', 'refused', 'conflict') : await slots.found({ now: set }));
-    return h ? Left(h) : Right({ now: set });
+    return ex ? ex.ask('who', {}, bounds.ask) : Promise.resolve(Left<Fault, unknown>(noConnection('who', at)));
   }
 
   async function spreadFounding(): Promise<void> {
     const v = slots.founding() as Voters | undefined;
     if (!v || slots.cells.get(KEYS.voters)?.learned) return;
-    for (const x of v.now) if (!isSelf(x)) await helds.up(x.at)?.ask('found', v, bounds.ask);
+    async function tell(x: Voter): Promise<void> {
+      if (!isSelf(x)) await helds.up(x.at)?.ask('found', v, bounds.ask);
+    }
+    await Promise.all(v.now.map(tell));
     function make(now: Numbered | undefined): Outcome<unknown> {
       return Right(now?.value ?? v);
     }
@@ -290,48 +249,67 @@
   async function catchUp(): Promise<void> {
     const has = hasList(committed());
     async function from(at: string): Promise<void> {
-      const [g, list] = open((await helds.up(at)?.ask('missing', has, bounds.ask)) ?? Left(noConnection('missing', at)));
-      if (g) return;
-      for (const n of list as Numbered[]) {
-        await acceptor.learn({ change: n });
-        heard.delete(n.key);
-      }
+      await take((await helds.up(at)?.ask('missing', has, bounds.ask)) ?? Left(noConnection('missing', at)));
     }
     await Promise.all(helds.ats().map(from));
   }
 
-  /** Tells the seeds that are not of the core where it is: they are asked first, and may be machines that know of nobody. */
+  async function take(o: Outcome<unknown>): Promise<void> {
+    const [f, list] = open(o);
+    if (f) return;
+    for (const n of list as Numbered[]) {
+      await acceptor.learn({ change: n });
+      heard.delete(n.key);
+    }
+  }
+
+  /** Tells the seeds that are not of the core where it is: they are asked first, and may be machines that know of nobody. A node that has lost the core asks them. */
   async function tellSeeds(): Promise<void> {
     while (!stopped) {
       const v = voters();
-      for (const at of settings.seeds) if (v && !allVoters(v).map(atOf).includes(at)) await askOnce(ports, hello, edges, at, 'here', v, bounds.dial);
+      function isOther(at: string): boolean {
+        return at !== settings.wire && !helds.up(at);
+      }
+      for (const at of settings.seeds.filter(isOther)) {
+        if (v && !hasMajority()) await take(await askOnce(ports, hello, edges, at, 'missing', hasList(committed()), bounds.dial));
+        else if (v && !allVoters(v).map(atOf).includes(at)) await askOnce(ports, hello, edges, at, 'here', v, bounds.dial);
+      }
       await ports.clock.sleep(bounds.lease * (0.8 + 0.4 * ports.dice.next()));
     }
   }
 
   async function tend(): Promise<void> {
+    const tending = addWaker();
     while (!stopped) {
       await catchUp();
-      if (!voters() && [...settings.founders].sort()[0] === settings.wire) await found([]);
+      if (!voters()) await founding.foundByItself();
       if (voters()) await spreadFounding();
       reachAll();
       if (voters()) await tendKeys();
-      await ports.clock.sleep(bounds.renew * (0.8 + 0.4 * ports.dice.next()));
+      await tending.wait(bounds.renew * (0.8 + 0.4 * ports.dice.next()), bounds.pause * 0.1);
     }
   }
 
+  /** Owns the keys that fall to this node, and leaves the others. */
   async function tendKeys(): Promise<void> {
+    const take: Promise<unknown>[] = [];
     for (const key of new Set([...slots.cells.keys(), KEYS.engines, reader ? KEYS.deployment : KEYS.intents])) {
       if (!chosen(key)) owner.disown(key);
-      else if (!owner.owns(key)) await owner.own(key);
+      else if (!owner.owns(key)) take.push(owner.own(key));
     }
+    await Promise.all(take);
   }
 
   const [g, listening] = open(await ports.wire.accept(settings.wire, taken));
   if (g) return Left(g);
 
   function taken(s: Connection): void {
-    converse(ports, s, edges);
+    const ex = converse(ports, s, edges);
+    taking.add(ex);
+    void ex.done.then(over);
+    function over(): void {
+      taking.delete(ex);
+    }
   }
 
   function value<T>(key: string): { place: Numbered; value: T } | undefined {
@@ -350,8 +328,19 @@
     return v !== undefined && isQuorum(v, disks);
   }
 
+  /** Tells the other controllers that this one ends, so that they take its keys over at once. */
+  async function leave(): Promise<void> {
+    leaving = true;
+    const v = voters();
+    function tell(x: Voter): Promise<unknown> | undefined {
+      return isSelf(x) ? undefined : helds.up(x.at)?.ask('core-leave', { disk: slots.disk, at: settings.wire }, bounds.dial);
+    }
+    if (v) await Promise.all(allVoters(v).map(tell));
+  }
+
   async function stop(): Promise<void> {
     stopped = true;
+    wake();
     helds.stop();
     await (listening as Listening).close();
   }
@@ -363,13 +352,13 @@
   reachAll();
   void tend();
   void tellSeeds();
+  void closeSilent(ports, taking, bounds.silence, isStopped);
   return Right({
-    name: settings.name, by, hello, settings, bounds, slots, leases, votes, owner, metrics, edges, voters, live, chosen, change, found, effect, value, newest,
-    heardLive, hasMajority, askVoter, peerHello, stop, stopped: isStopped,
+    name: settings.name, by, hello, settings, bounds, slots, leases, votes, owner, roster, addWaker, metrics, edges, voters, live, isUp, isEmptied, isLeaving, chosen, change,
+    found: founding.found, effect, value, newest, heardLive, hasMajority, askVoter, leave, stop, stopped: isStopped,
   });
 }
 
-/** Whether one place is at or past another. */
-export function reached(have: Place | undefined, want: Place): boolean {
-  return have !== undefined && comparePlaces(have, want) >= 0;
+function atOf(x: { at: string }): string {
+  return x.at;
 }
--- a/src/control/deployment-api.ts
+++ b/src/control/deployment-api.ts
@@ -5,7 +5,8 @@
 import { DeploymentValue } from '../shared/deployment';
 import { KEYS } from '../shared/words';
 import { OperatorApi } from './api';
-import { Changed, Controller } from './controller';
+import { Changed } from './changes';
+import { Controller } from './controller';
 import { Operation } from './operations';
 
 /** How long a call is worked on before its caller goes on to another controller, as a share of `ackMs`. */
--- a/src/control/duties.ts
+++ b/src/control/duties.ts
@@ -3,26 +3,18 @@
 import { Dialect } from '../shared/dialect';
 import { Ports } from '../shared/ports';
 import { Engine, KEYS } from '../shared/words';
-import { ABSENT, Controller } from './controller';
+import { Controller } from './controller';
 import { listAll, settleWarm } from './instances';
 import { NamedWeights } from '../shared/weights';
-import { replaceVoter } from './voters';
+import { askToJoin, followMachines } from './roster';
 
 /** Starts all duties of a controller. */
 export function startDuties(c: Controller, ports: Ports, dialect?: Dialect): void {
   void watchPlatform(c, ports, dialect);
   void endOldWeights(c, ports);
   if (!dialect) void orderWeights(c, ports);
-  void joinAbsent(c, ports);
-}
-
-/** Has a founder that was absent vote in its own place once it is here; nothing was ever promised there. */
-export async function joinAbsent(c: Controller, ports: Ports): Promise<void> {
-  while (!c.stopped()) {
-    await ports.clock.sleep(c.bounds.lease);
-    if (!c.owner.owns(KEYS.voters) || !c.chosen(KEYS.voters)) continue;
-    for (const v of c.voters()?.now ?? []) if (v.disk.startsWith(ABSENT) && (await c.peerHello(v.at, 'who')).isRight()) await replaceVoter(c, ports, v.disk, v.at);
-  }
+  void askToJoin(c, ports);
+  void followMachines(c, ports);
 }
 
 /** Watches the platform's list while this node owns the key `engines`; the register is the fence. Where no majority takes the list, routers are told all the same which engines leave. */
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util';
 import { Left, Right } from 'purify-ts';
 import { Delta, makeDelta, readDelta } from '../shared/delta';
 import { field, Handled, message } from '../shared/edge';
@@ -132,10 +133,13 @@
 
 /** The owner's side: one turn at a time for each key. */
 export interface Owner {
-  change(key: string, make: (now: Numbered | undefined) => Outcome<unknown>): Promise<Outcome<Numbered>>;
+  /** Makes a change; where another owner came between, it is made anew up to `tries` times if it certainly did not stand. */
+  change(key: string, make: (now: Numbered | undefined) => Outcome<unknown>, tries?: number): Promise<Outcome<Numbered>>;
   own(key: string): Promise<Outcome<Numbered | undefined>>;
   owns(key: string): boolean;
   disown(key: string): void;
+  /** Takes note that another owns the key under an epoch. */
+  passed(key: string, epoch: number): void;
 }
 
 /** Makes the owner's side of the registers. */
@@ -194,10 +198,11 @@
     return o;
   }
 
-  async function acquire(key: string): Promise<Outcome<Owned>> {
+  /** Has a higher epoch promised; once more where it was refused for one that was not known here. */
+  async function acquire(key: string, again = true): Promise<Outcome<Owned>> {
     const epoch = Math.max(highest.get(key) ?? 0, slots.cells.get(key)?.promised.epoch ?? 0) + 1;
     const [f, got] = open(await ask(key, 'prepare', { key, epoch, by: reach.by }));
-    if (f) return Left(f);
+    if (f) return again && (highest.get(key) ?? 0) >= epoch ? acquire(key, false) : Left(f);
     let best: Numbered | undefined;
     for (const p of got) if (p.accepted && (!best || comparePlaces(p.accepted, best) > 0)) best = p.accepted;
     const mine: Owned = { epoch };
@@ -238,16 +243,27 @@
     return Right(v);
   }
 
-  function change(key: string, make: (now: Numbered | undefined) => Outcome<unknown>): Promise<Outcome<Numbered>> {
-    async function run(): Promise<Outcome<Numbered>> {
+  function change(key: string, make: (now: Numbered | undefined) => Outcome<unknown>, tries = 1): Promise<Outcome<Numbered>> {
+    async function once(left: number): Promise<Outcome<Numbered>> {
       const [f, o] = open(await ensure(key));
       if (f) return Left({ ...f, sort: 'refused' });
       const [g, value] = open(make(o.current));
       if (g) return Left(g);
-      const [h, c] = open(await commit(key, o, (o.current?.number ?? 0) + 1, value));
-      if (h) return Left(h);
-      o.current = c;
-      return Right(c);
+      const number = (o.current?.number ?? 0) + 1;
+      const [h, c] = open(await commit(key, o, number, value));
+      if (!h) {
+        o.current = c;
+        return Right(c);
+      }
+      if (left <= 1) return Left(h);
+      const [i, again] = open(await ensure(key));
+      if (i) return Left(h);
+      const stands = again.current;
+      if (stands && stands.number === number && isDeepStrictEqual(stands.value, value)) return Right(stands);
+      return (stands?.number ?? 0) < number ? once(left - 1) : Left(h);
+    }
+    function run(): Promise<Outcome<Numbered>> {
+      return once(tries);
     }
     return inTurn(key, run);
   }
@@ -270,5 +286,10 @@
     owned.delete(key);
   }
 
-  return { change, own, owns, disown };
+  function passed(key: string, epoch: number): void {
+    highest.set(key, Math.max(highest.get(key) ?? 0, epoch));
+    if ((owned.get(key)?.epoch ?? Infinity) <= epoch) owned.delete(key);
+  }
+
+  return { change, own, owns, disown, passed };
 }
--- a/src/control/voters.ts
+++ b/src/control/voters.ts
@@ -3,11 +3,12 @@
 import { poll } from '../shared/poll';
 import { Ports } from '../shared/ports';
 import { askOnce } from '../shared/connections';
-import { allVoters, KEYS, Voter, Voters } from '../shared/words';
+import { isVoter, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
 import { Controller } from './controller';
 import { Vote } from './votes';
 
-const HEX = '0123456789abcdef';
+const HEX = [...'0123456789abcdef'];
+const AT_ONCE = 16;
 
 function sameSet(a: readonly Voter[], b: readonly Voter[]): boolean {
   function text(v: Voter): string {
@@ -36,69 +37,133 @@
   if (!v.next && v.now.some(isNew) && !v.now.some(isOut)) return Right(v);
   if (!v.now.some(isOut)) return bad('replace voter', out, 'is no voter', 'refused', 'no-voter');
   if (v.now.some(isNew)) return bad('replace voter', into, 'is a voter already', 'refused', 'conflict');
-  const next = [...v.now.filter(stays), { disk, at: into }];
-  if (v.next && !sameSet(v.next, next)) return bad('replace voter', into, 'another replacement is under way', 'refused', 'conflict');
-  const joint: Voters = { now: v.now, next };
-  let number = stood.place.number;
-  if (!v.next) {
-    const [g, r] = open(await c.change({ kind: 'voters', voters: joint, basedOn: number }));
+  return moveVoters(c, ports, [...v.now.filter(stays), { disk, at: into }]);
+}
+
+/** Brings the fleet to another voter set through a joint one; safe to repeat, and to be gone on with by another controller. */
+export async function moveVoters(c: Controller, ports: Ports, next: Voter[]): Promise<Outcome<Voters>> {
+  const stood = c.value<Voters>(KEYS.voters);
+  if (!stood) return bad('move voters', c.name, 'the fleet is not founded', 'refused', 'not-founded');
+  const v = stood.value;
+  if (v.next && !sameSet(v.next, next)) return bad('move voters', c.name, 'another change of the voters is under way', 'refused', 'conflict');
+  if (v.next) return settleVoters(c, ports, stood.place);
+  const [g, r] = open(await c.change({ kind: 'voters', voters: { now: v.now, next }, basedOn: stood.place.number }));
+  return g ? Left(g) : settleVoters(c, ports, r.place);
+}
+
+/** Ends a joint set by going back to the one that stood before; all that was committed meanwhile has its majority, too. */
+export async function returnVoters(c: Controller, stood: { place: Place; value: Voters }): Promise<Outcome<Voters>> {
+  return endJoint(c, stood.place.number, stood.value.now);
+}
+
+async function endJoint(c: Controller, number: number, now: Voter[]): Promise<Outcome<Voters>> {
+  const [f] = open(await c.change({ kind: 'voters', voters: { now }, basedOn: number }));
+  return f ? Left(f) : Right({ now });
+}
+
+/** Brings the new disks all that the old set holds: votes first, then every key under both majorities. Then the new set stands alone. */
+async function settleVoters(c: Controller, ports: Ports, place: Place): Promise<Outcome<Voters>> {
+  const [f, joint] = open(await knownHere(c, ports, place));
+  if (f) return Left(f);
+  const { now, next } = joint;
+  function isFresh(x: Voter): boolean {
+    return !isVoter({ now }, x.disk);
+  }
+  function isOut(x: Voter): boolean {
+    return !isVoter({ now: next }, x.disk);
+  }
+  if (now.length !== next.length || !now.filter(isOut).every(c.isEmptied)) {
+    const [g] = open(await inEffectAt(c, joint, place));
+    if (g) return Left({ ...g, step: 'tell the joint set' });
+  }
+  const [h, held] = open(await gather(c, now, place));
+  if (h) return Left({ ...h, step: 'gather from the old set' });
+  for (const x of next.filter(isFresh)) {
+    const [g] = open(await copyVotes(c, x, held.votes));
     if (g) return Left(g);
-    number = r.place.number;
   }
-  const [h] = open(await settleJoint(c, ports, joint, disk, number));
-  if (h) return Left(h);
-  const [i] = open(await c.change({ kind: 'voters', voters: { now: next }, basedOn: number }));
-  return i ? Left(i) : Right({ now: next });
+  const [i] = open(await carryKeys(c, [...held.keys]));
+  return i ? Left(i) : endJoint(c, place.number, next);
 }
 
-/** The first digits of keys, which cut the votes into piles that one message carries well. */
-function piles(): string[] {
-  const out: string[] = [];
-  for (const a of HEX) for (const b of HEX) out.push(a + b);
-  return out;
+async function knownHere(c: Controller, ports: Ports, place: Place): Promise<Outcome<{ now: Voter[]; next: Voter[] }>> {
+  for (let i = 0; (c.value(KEYS.voters)?.place.number ?? 0) < place.number; i++) {
+    if (i > 20) return bad('move voters', c.name, 'the joint set is not known here yet', 'unknown', 'pending');
+    await ports.clock.sleep(c.bounds.renew * 0.1 * (i + 1));
+  }
+  const known = c.value<Voters>(KEYS.voters)!;
+  if (known.place.number !== place.number || !known.value.next) return bad('move voters', c.name, 'another change came first', 'refused', 'conflict');
+  return Right({ now: known.value.now, next: known.value.next });
 }
 
-/** Brings the new disk all that the old set holds: votes first, then every key under both majorities. */
-async function settleJoint(c: Controller, ports: Ports, joint: Voters, disk: string, number: number): Promise<Outcome<void>> {
-  for (let i = 0; (c.value(KEYS.voters)?.place.number ?? 0) < number; i++) {
-    if (i > 20) return bad('replace voter', c.name, 'the joint set is not known here yet', 'unknown', 'pending');
-    await ports.clock.sleep(c.bounds.renew);
-  }
-  const place = c.value(KEYS.voters)!.place;
-  if (place.number !== number) return bad('replace voter', c.name, 'another change came first', 'refused', 'conflict');
-  const votes = new Map<string, Vote>();
-  const keys = new Set<string>();
-  async function gather(v: Voter): Promise<Outcome<{ disk: string }>> {
-    const [f] = open(await c.askVoter(v, 'effect', { key: KEYS.voters, epoch: place.epoch, by: place.by, number, within: c.bounds.effect }, c.bounds.effect * 1.1));
+/** Comes back when no router goes by the old set alone. */
+function inEffectAt(c: Controller, joint: Voters, place: Place): Promise<Outcome<unknown[]>> {
+  const body = { key: KEYS.voters, epoch: place.epoch, by: place.by, number: place.number, within: c.bounds.effect };
+  function one(v: Voter): Promise<Outcome<unknown>> {
+    return c.askVoter(v, 'effect', body, c.bounds.effect * 1.1);
+  }
+  return poll({ now: joint.now }, one);
+}
+
+interface Held {
+  votes: Map<string, Vote>;
+  keys: Set<string>;
+}
+
+/** What a majority of the old set holds; each first learns the joint set, so that it takes nothing more from an owner that goes by the old one. */
+async function gather(c: Controller, now: Voter[], place: Place): Promise<Outcome<Held>> {
+  const held: Held = { votes: new Map(), keys: new Set() };
+  const change: Numbered = { key: KEYS.voters, epoch: place.epoch, by: place.by, number: place.number, value: c.value(KEYS.voters)!.value };
+  async function pile(v: Voter, begins: string): Promise<Outcome<{ disk: string }>> {
+    const [f, r] = open(await c.askVoter(v, 'held', { begins, some: true }, c.bounds.ask));
     if (f) return Left(f);
-    let at = '';
-    for (const begins of piles()) {
-      const [g, r] = open(await c.askVoter(v, 'held', { begins }, c.bounds.ask));
-      if (g) return Left(g);
-      const held = r as { disk: string; votes: Vote[]; keys: string[] };
-      for (const x of held.votes) votes.set(x.key, x);
-      for (const k of held.keys) keys.add(k);
-      at = held.disk;
+    const got = r as { disk: string; votes: Vote[]; keys: string[]; more?: boolean };
+    for (const k of got.keys) held.keys.add(k);
+    if (!got.more) for (const x of got.votes) held.votes.set(x.key, x);
+    if (got.more) {
+      for (const x of HEX) {
+        const [g] = open(await pile(v, begins + x));
+        if (g) return Left(g);
+      }
     }
-    return Right({ disk: at });
+    return Right({ disk: got.disk });
   }
-  const [f] = open(await poll({ now: joint.now }, gather));
-  if (f) return Left({ ...f, step: 'gather from the old set' });
-  const target = allVoters(joint).find(isTarget)!;
-  function isTarget(x: Voter): boolean {
-    return x.disk === disk;
+  async function one(v: Voter): Promise<Outcome<{ disk: string }>> {
+    const [f] = open(await c.askVoter(v, 'learn', { change }, c.bounds.ask));
+    return f ? Left(f) : pile(v, '');
   }
+  return (await poll({ now }, one)).map(whole);
+  function whole(): Held {
+    return held;
+  }
+}
+
+async function copyVotes(c: Controller, into: Voter, votes: Held['votes']): Promise<Outcome<unknown>> {
   const byPile = new Map<string, Vote[]>();
   for (const x of votes.values()) byPile.set(x.key.slice(0, 2), [...(byPile.get(x.key.slice(0, 2)) ?? []), x]);
   for (const pile of byPile.values()) {
-    const [g] = open(await c.askVoter(target, 'copy', pile, c.bounds.effect));
-    if (g) return Left(g);
+    const [f] = open(await c.askVoter(into, 'copy', pile, c.bounds.effect));
+    if (f) return Left(f);
   }
-  for (const key of keys) {
-    if (key === KEYS.voters) continue;
+  return Right(undefined);
+}
+
+/** Commits every key anew, some at once. */
+async function carryKeys(c: Controller, keys: string[]): Promise<Outcome<unknown>> {
+  async function one(key: string): Promise<Outcome<unknown>> {
     c.owner.disown(key);
-    const [g] = open(await c.owner.own(key));
-    if (g) return Left(makeFault(`carry ${key} over`, g.peer, g.why, 'unknown', g.code));
+    return c.owner.own(key);
+  }
+  const rest = keys.filter(isOther);
+  for (let i = 0; i < rest.length; i += AT_ONCE) {
+    for (const o of await Promise.all(rest.slice(i, i + AT_ONCE).map(one))) {
+      const [f] = open(o);
+      if (f) return Left(makeFault(f.step, f.peer, f.why, 'unknown', f.code));
+    }
   }
   return Right(undefined);
 }
+
+function isOther(key: string): boolean {
+  return key !== KEYS.voters;
+}
--- a/src/control/votes.ts
+++ b/src/control/votes.ts
@@ -26,8 +26,12 @@
 
 class HeldAsk {
   @field('string') begins!: string;
+  @field('boolean', false) some?: boolean;
 }
 
+/** Votes that one message carries well. */
+const PILE = 500;
+
 class RunTell {
   @field('string') key!: string;
   @field('string') run!: string;
@@ -176,12 +180,13 @@
     return f ? bad('note run', this.slots.disk, f.why, 'failed', f.code) : Right({ disk: this.slots.disk });
   }
 
-  /** Gives a pile of what a disk that is to become a voter must hold: the votes whose key begins so, and the names of the control keys. */
+  /** Gives a pile of what a disk that is to become a voter must hold: the votes whose key begins so, and the names of the control keys; an asker who wants some only is told where there are more. */
   @message('held', HeldAsk)
   async held(m: HeldAsk): Handled {
     const votes: Vote[] = [];
     for (const kept of [this.before, this.now]) for (const v of kept.values()) if (v.key.startsWith(m.begins)) votes.push(v);
-    return Right({ disk: this.slots.disk, votes, keys: [...this.slots.cells.keys()] });
+    const keys = [...this.slots.cells.keys()];
+    return Right(m.some && votes.length > PILE ? { disk: this.slots.disk, votes: [], keys, more: true } : { disk: this.slots.disk, votes, keys });
   }
 
   /** Takes votes that the old set had given; those that stand here stay. */
--- a/src/programs/controller.ts
+++ b/src/programs/controller.ts
@@ -16,9 +16,7 @@
   const [g] = open(await (dialect ? serveDeployment(c, ports, dialect) : serveOperators(c, ports)));
   if (g) return Left<Fault, Running>(g);
   startDuties(c, ports, dialect);
-  return Right({ drain: nothing, stop: c.stop });
+  return Right({ drain: c.leave, stop: c.stop });
 }
 
-async function nothing(): Promise<void> {}
-
 void runDaemon('plumhollow-controller', 'Holds leases and control keys, pushes changes, keeps duties.', ['name', 'wire', 'http', 'seeds'], start);
--- a/src/shared/connections.ts
+++ b/src/shared/connections.ts
@@ -22,6 +22,8 @@
   peer: string;
   hello?: Hello;
   done: Promise<void>;
+  /** When something last came from the peer, by the clock port. */
+  heard(): number;
   ask(type: string, body: unknown, within: number): Promise<Outcome<unknown>>;
   tell(type: string, body: unknown): boolean;
   close(): void;
@@ -32,7 +34,12 @@
   const waiting = new Map<number, (o: Outcome<unknown>) => void>();
   let last = 0;
   let over = false;
-  const ex: Exchange = { connection, peer: connection.peer, done: connection.done, ask, tell, close: connection.close };
+  let heardAt = ports.clock.now();
+  const ex: Exchange = { connection, peer: connection.peer, done: connection.done, heard, ask, tell, close: connection.close };
+
+  function heard(): number {
+    return heardAt;
+  }
 
   function ask(type: string, body: unknown, within: number): Promise<Outcome<unknown>> {
     const id = ++last;
@@ -72,6 +79,7 @@
   }
 
   function arrived(m: Message): void {
+    heardAt = ports.clock.now();
     void take(m);
   }
 
@@ -159,10 +167,16 @@
     ways.onDown?.(one);
   }
 
+  /** Pings a peer that has been silent; one that does not return it has no connection any more, whatever its machine's TCP says. */
   async function beat(one: Exchange): Promise<void> {
     while (!stopped && ex === one) {
-      await ports.clock.sleep(ways.pause * 2 * (0.8 + 0.4 * ports.dice.next()));
-      const [f] = open(await one.ask('ping', {}, ways.within * 1.5));
+      const silence = ways.pause * 2 * (0.8 + 0.4 * ports.dice.next());
+      const left = one.heard() + silence - ports.clock.now();
+      if (left > 0) {
+        await ports.clock.sleep(left);
+        continue;
+      }
+      const [f] = open(await one.ask('ping', {}, ways.within * 1.25));
       if (f) one.close();
     }
   }
@@ -220,6 +234,20 @@
   return { want, up, ats, stop };
 }
 
+/** Closes taken connections that have been silent, as a peer that holds one never is; it ends with the process. */
+export async function closeSilent(ports: Ports, taken: ReadonlySet<Exchange>, silence: number, stopped: () => boolean): Promise<void> {
+  const pace = silence / 3;
+  let before = ports.clock.now();
+  while (!stopped()) {
+    await ports.clock.sleep(pace);
+    const now = ports.clock.now();
+    const late = now - before > pace * 2;
+    before = now;
+    if (late) continue;
+    for (const ex of taken) if (now - ex.heard() > silence) ex.close();
+  }
+}
+
 /** A fault for a peer that has no connection up. */
 export function noConnection(step: string, at: string): Fault {
   return makeFault(step, at, 'no stream up', 'refused', 'no-stream');
--- a/src/shared/settings.ts
+++ b/src/shared/settings.ts
@@ -36,6 +36,8 @@
   strict: boolean;
   /** Whether this start may found a fleet. */
   bootstrap: boolean;
+  /** Which founders must be here to found: all of them, or a majority, where it is vouched that an empty disk that may found never was of a fleet. */
+  foundBy: 'all' | 'majority';
   /** Whether its loss counts among `tolerated`. */
   quorumMember: boolean;
   /** Machines with a disk that may be lost at once. */
@@ -95,6 +97,14 @@
   repairTurn: number;
   repairEach: number;
   joinSoon: number;
+  /** Whoever is asked to make a change in another's place waits this long for it. */
+  handOver: number;
+  /** A voter that is unreachable for this long gives way to a machine that is here. */
+  lost: number;
+  /** A majority of the founders waits this long for the rest, where it may found. */
+  foundWait: number;
+  /** A taken connection that is silent for this long is closed. */
+  silence: number;
 }
 
 /** Derives the times from the bounds. */
@@ -125,6 +135,10 @@
     repairTurn: s.changeBoundMs * 0.2,
     repairEach: s.changeBoundMs * 5,
     joinSoon: s.changeBoundMs * 0.15,
+    handOver: s.ackMs * 0.1,
+    lost: s.catchUpMs * 0.5,
+    foundWait: s.contactMs * 0.25,
+    silence: s.contactMs,
   };
 }
 
@@ -153,6 +167,7 @@
   readiness: { doc: 'where it is asked whether it takes connections', format: address, default: '' },
   strict: { doc: 'serve only while the leases of a majority last', format: Boolean, default: true },
   bootstrap: { doc: 'whether this start may found a fleet', format: Boolean, default: true },
+  foundBy: { doc: 'which founders must be here to found', format: ['all', 'majority'], default: 'all' },
   quorumMember: { doc: 'whether its loss counts among those tolerated', format: Boolean, default: true },
   tolerated: { doc: 'machines with a disk that may be lost at once', format: notNegative, default: 1 },
   contactMs: { doc: 'bounds hold for machines in touch for this long', format: positive, default: 3000 },
--- /dev/null
+++ b/src/shared/waker.ts
@@ -0,0 +1,36 @@
+import { Clock } from './ports';
+
+/** Waits that end at their time, or sooner where something has come up meanwhile. */
+export interface Waker {
+  /** Comes back after `ms`, or `least` after it was woken. */
+  wait(ms: number, least: number): Promise<void>;
+  wake(): void;
+}
+
+/** Makes a waker for one loop. */
+export function makeWaker(clock: Clock): Waker {
+  let woken = false;
+  let end: (() => void) | undefined;
+
+  function wake(): void {
+    woken = true;
+    end?.();
+  }
+
+  async function wait(ms: number, least: number): Promise<void> {
+    function run(done: () => void): void {
+      const off = clock.timer(ms, over);
+      function over(): void {
+        off();
+        end = undefined;
+        done();
+      }
+      end = over;
+    }
+    if (!woken) await new Promise<void>(run);
+    if (woken) await clock.sleep(least);
+    woken = false;
+  }
+
+  return { wait, wake };
+}
--- a/tools/sim/sim.ts
+++ b/tools/sim/sim.ts
@@ -126,8 +126,8 @@
 
 async function main(): Promise<void> {
   const cmd = new Command('sim').option('--seeds <n>', 'how many seeds', '20').option('--from <n>', 'the first seed', '1').option('--seed <n>', 'one seed only').option('--faults <n>', 'faults in each run', '6')
-    .option('--deployment <name>', DEPLOYMENTS.join(' or '), 'saffron-bay').option('--without <mechanism>', `leave a mechanism out: ${Object.keys(MECHANISMS).join(', ')}`).option('--brief', 'at the brief\'s sizes and rates').option('--only <kinds>', 'draw only these faults').option('--short <n>', 'short requests a second').option('--long <n>', 'long requests a second').option('--traffic', 'with --seed: messages and kB between our processes for 1,000 requests').option('--trace', 'with --seed: print the trace').parse();
-  const o = cmd.opts() as { seeds: string; from: string; seed?: string; faults: string; deployment: string; trace?: boolean; without?: string; brief?: boolean; traffic?: boolean; only?: string; short?: string; long?: string };
+    .option('--deployment <name>', DEPLOYMENTS.join(' or '), 'saffron-bay').option('--without <mechanism>', `leave a mechanism out: ${Object.keys(MECHANISMS).join(', ')}`).option('--brief', 'at the brief\'s sizes and rates').option('--only <kinds>', 'draw only these faults').option('--short <n>', 'short requests a second').option('--long <n>', 'long requests a second').option('--jobs <n>', 'processes at once; one less than the processors where left out').option('--traffic', 'with --seed: messages and kB between our processes for 1,000 requests').option('--trace', 'with --seed: print the trace').parse();
+  const o = cmd.opts() as { seeds: string; from: string; seed?: string; faults: string; deployment: string; trace?: boolean; without?: string; brief?: boolean; traffic?: boolean; only?: string; short?: string; long?: string; jobs?: string };
   if (!DEPLOYMENTS.includes(o.deployment) || (o.without !== undefined && !(o.without in MECHANISMS))) {
     process.stderr.write(`sim: there is no ${o.without ?? o.deployment}\n`);
     return process.exit(2);
@@ -135,7 +135,7 @@
   const ways: RunWays = { deployment: o.deployment, faults: Number(o.faults), brief: o.brief === true, only: o.only?.split(','), shortPerS: rate(o.short), longPerS: rate(o.long) };
   if (o.without) MECHANISMS[o.without]();
   if (o.seed !== undefined) return one(Number(o.seed), ways, o.trace === true, o.traffic === true);
-  const n = Math.max(1, cpus().length - 1);
+  const n = Math.max(1, o.jobs === undefined ? cpus().length - 1 : Number(o.jobs));
   const piles: string[][] = [];
   for (let i = 0; i < n; i++) piles.push([]);
   for (let i = 0; i < Number(o.seeds); i++) piles[i % n].push(String(Number(o.from) + i));
--- a/tools/sim/simfleet.ts
+++ b/tools/sim/simfleet.ts
@@ -42,6 +42,8 @@
   seeds: string[];
   stops: Map<string, () => Promise<void>>;
   spare: Deployment['core'][number];
+  /** What processes are told from now on at their start, beside what they are told always. */
+  told: Partial<Settings>;
   startAll(): void;
   settings(name: string, wire: string, http: string, zone: string): Settings;
 }
@@ -59,18 +61,26 @@
   return { ...base, tenants: [...base.tenants.map(wall), { id: 'probe', sharing: 'walled' }], services, rules };
 }
 
-/** Builds the fleet: three core machines, some edges and engines of the deployment. */
-export function makeSimFleet(seed: number, name: string, edges: number, engineCount: number, keepLines: boolean): SimFleet {
+/** Builds the fleet: three core machines that found it or more, some edges and engines of the deployment. */
+export function makeSimFleet(seed: number, name: string, edges: number, engineCount: number, keepLines: boolean, coreCount = 3): SimFleet {
   const w = makeWorld(seed, keepLines);
   const net = makeNet(w);
   const full = makeDeployment(name)!;
-  const d: Deployment = { ...full, edge: full.edge.slice(0, edges), engines: full.engines.slice(0, engineCount) };
+  const core = full.core.slice();
+  while (core.length < coreCount) core.push(coreMachine(core.length + 1));
+  const d: Deployment = { ...full, core, edge: full.edge.slice(0, edges), engines: full.engines.slice(0, engineCount) };
   const ledger: LedgerEntry[] = [];
   const engines = d.engines.map(listed);
   const controllers = new Map<string, Controller>();
   const starts = new Map<string, () => void>();
   const standins = new Map<string, StandInEngine>();
-  const founders = d.core.map(wireOf);
+  const founders = full.core.map(wireOf);
+  const told: Partial<Settings> = {};
+
+  function coreMachine(n: number): Deployment['core'][number] {
+    const c = full.core[0];
+    return { ...c, name: `core-${n}`, zone: full.core[(n - 1) % 3].zone, wire: c.wire.replace('.1.1:', `.1.${n}:`), http: c.http.replace('.1.1:', `.1.${n}:`) };
+  }
   const seeds = [...founders];
   const stops = new Map<string, () => Promise<void>>();
 
@@ -81,7 +91,7 @@
   function settings(n: string, wire: string, http: string, zone: string): Settings {
     return {
       ...defaultSettings(), name: n, zone, wire, http, bind: '', seeds, founders, data: n, platform: d.platform, changeBoundMs: 2000, leavingBoundMs: 3000, weightsBoundMs: d.weightsBoundMs,
-      secondTryShare: 0.18, onceKeepMs: 600000, indexMostParts: 100000, bodyMostBytes: 1 << 22, placeBy: 'index',
+      secondTryShare: 0.18, onceKeepMs: 600000, indexMostParts: 100000, bodyMostBytes: 1 << 22, placeBy: 'index', ...told,
     };
   }
 
@@ -100,9 +110,9 @@
     starts.set(n, go);
   }
 
-  const lost = new Set<string>(['core-4']);
+  const spare = coreMachine(coreCount + 1);
+  const lost = new Set<string>([spare.name]);
   const indexers = new Map<string, Indexer>();
-  const spare = { ...d.core[0], name: 'core-4', wire: d.core[0].wire.replace('.1.1:', '.1.4:'), http: d.core[0].http.replace('.1.1:', '.1.4:') };
   for (const c of [...d.core, spare]) {
     add(c.name, ipOf(c.wire), startCore);
     async function startCore(_: Proc, ports: Ports): Promise<void> {
@@ -192,7 +202,7 @@
     for (const [n, go] of starts) if (!lost.has(n)) go();
   }
 
-  return { w, net, d, ledger, engines, controllers, starts, core: d.core.map(nameOf), edge: d.edge.map(nameOf), ops, callers, startAll, settings, marks, standins, lost, indexers, spare, seeds, stops };
+  return { w, net, d, ledger, engines, controllers, starts, core: d.core.map(nameOf), edge: d.edge.map(nameOf), ops, callers, startAll, settings, marks, standins, lost, indexers, spare, told, seeds, stops };
 }
 
 function nameOf(x: { name: string }): string {
@@ -200,13 +210,13 @@
 }
 
 /** Asks the controllers in turn, as the operators' command line does. */
-export async function askCore(f: SimFleet, method: string, path: string, body?: unknown, first = 0): Promise<{ status: number; body: Record<string, unknown> } | { status: 0; sure: boolean }> {
+export async function askCore(f: SimFleet, method: string, path: string, body?: unknown, first = 0, patience = 6000): Promise<{ status: number; body: Record<string, unknown> } | { status: 0; sure: boolean }> {
   const ats = [...f.d.core, f.spare];
   const n = ats.length;
   let sure = true;
   for (let i = 0; i < n; i++) {
     const at = ats[(first + i) % n].http;
-    const [g, r] = open(await askJson(f.ops.wire, { at, method, path, body: body === undefined ? undefined : JSON.stringify(body), within: 6000 }));
+    const [g, r] = open(await askJson(f.ops.wire, { at, method, path, body: body === undefined ? undefined : JSON.stringify(body), within: patience }));
     if (!g) return { status: r.status, body: r.body as Record<string, unknown> };
     if (g.sort !== 'refused') {
       sure = false;
