Capacity: a hollow fleet of real controllers and indexers is measured at growing sizes

What each role costs at a size was known for one size only (docs/measurements.md). The tool starts real controllers and indexers on a real wire and disk, nodes that only follow the core and sources whose parts are made up, many in a process, and reads processor time, bytes of sockets, messages, memory and synced writes of each process.

--- /dev/null
+++ b/tools/capacity/role.ts
@@ -0,0 +1,173 @@
+import { startController, Controller } from '../../src/control/controller';
+import { serveOperators } from '../../src/control/api';
+import { startDuties } from '../../src/control/duties';
+import { Router, startRouter } from '../../src/data/router';
+import { startIndexer, Indexer } from '../../src/index/indexer';
+import { open } from '../../src/shared/errors';
+import { follow, Follower } from '../../src/shared/follow';
+import { HelloEdge, WIRE_VERSION } from '../../src/shared/connections';
+import { Ports } from '../../src/shared/ports';
+import { realClock, realDice, realDisk, realLog } from '../../src/shared/real';
+import { realWire } from '../../src/shared/realwire';
+import { boundsOf, Settings } from '../../src/shared/settings';
+import { Numbered } from '../../src/shared/words';
+import { Figures, startMeter } from './meter';
+import { SourceWays, startSource } from './sources';
+
+/** What a process of the hollow fleet is to be: a real controller or indexer, some nodes that only follow the core, some whole routers, or some hollow sources. */
+export type RoleWays =
+  | { role: 'controller' | 'indexer'; settings: Settings }
+  | { role: 'nodes' | 'routers'; settings: Settings[] }
+  | { role: 'sources'; sources: SourceWays[] };
+
+/** What the runner asks of a process; `gc` has it free what is unused first. */
+export interface RoleAsk {
+  n: number;
+  gc?: boolean;
+}
+
+/** Its return. */
+export interface RoleAnswer {
+  n: number;
+  figures: Figures;
+}
+
+const ways = JSON.parse(process.argv[2]) as RoleWays;
+const meter = startMeter();
+
+function portsFor(name: string, data: string, dial: number): Ports {
+  return meter.ports({ clock: realClock(), dice: realDice(), disk: realDisk(data), wire: realWire(dial), log: realLog(ways.role, name, 20) });
+}
+
+type More = () => Record<string, number>;
+
+function broke(why: string): never {
+  process.stderr.write(`${ways.role}: ${why}\n`);
+  process.exit(1);
+}
+
+async function controller(s: Settings): Promise<More> {
+  const ports = portsFor(s.name, s.data, boundsOf(s).dial);
+  const [f, c] = open(await startController(ports, s));
+  if (f) return broke(f.why);
+  const [g] = open(await serveOperators(c, ports));
+  if (g) return broke(g.why);
+  startDuties(c, ports);
+  return controllerMore(c);
+}
+
+function controllerMore(c: Controller): More {
+  function more(): Record<string, number> {
+    let owned = 0;
+    for (const k of c.slots.cells.keys()) if (c.owner.owns(k)) owned++;
+    return { keys: c.slots.cells.size, owned, members: c.leases.members().length, majority: c.hasMajority() ? 1 : 0 };
+  }
+  return more;
+}
+
+async function indexer(s: Settings): Promise<More> {
+  const [f, ix] = open(await startIndexer(portsFor(s.name, s.data, boundsOf(s).dial), s));
+  if (f) return broke(f.why);
+  return indexerMore(ix);
+}
+
+function indexerMore(ix: Indexer): More {
+  function more(): Record<string, number> {
+    let seqs = 0;
+    for (const l of ix.listeners()) seqs += l.lastSeq;
+    return { parts: ix.trees.size(), batches: seqs, queries: ix.counts.queries, open: ix.gateOpen() ? 1 : 0, listeners: ix.listeners().length };
+  }
+  return more;
+}
+
+async function nodes(list: Settings[]): Promise<More> {
+  const all: Follower[] = [];
+  let changes = 0;
+  function changed(n: Numbered): void {
+    if (n.number > 0) changes++;
+  }
+  for (const s of list) {
+    const ports = portsFor(s.name, s.data, boundsOf(s).dial);
+    const hello = { version: WIRE_VERSION, name: s.name, role: 'router', at: s.wire, zone: s.zone };
+    const f = follow(ports, boundsOf(s), hello, { ...hello, http: s.http, life: ports.dice.id().slice(0, 8) }, s.seeds, [new HelloEdge(hello)]);
+    void f.changes.observe(changed);
+    all.push(f);
+  }
+  return followersMore(all, changed_);
+  function changed_(): number {
+    return changes;
+  }
+}
+
+function followersMore(all: Follower[], changes: () => number): More {
+  function more(): Record<string, number> {
+    let live = 0;
+    let keys = Infinity;
+    let known = Infinity;
+    for (const f of all) {
+      if (f.live()) live++;
+      keys = Math.min(keys, f.places().length);
+      known = Math.min(known, f.members('').length);
+    }
+    return { live, keys, known, changes: changes() };
+  }
+  return more;
+}
+
+async function routers(list: Settings[]): Promise<More> {
+  const all: Router[] = [];
+  for (const s of list) {
+    const [f, r] = open(await startRouter(portsFor(s.name, s.data, boundsOf(s).dial), s));
+    if (f) return broke(f.why);
+    all.push(r);
+  }
+  function followerOf(r: Router): Follower {
+    return r.parts.follower;
+  }
+  function done(): number {
+    let n = 0;
+    for (const r of all) n += r.parts.counts.done;
+    return n;
+  }
+  return followersMore(all.map(followerOf), done);
+}
+
+async function sources(list: SourceWays[]): Promise<More> {
+  const ports = portsFor('sources', '.', 1000);
+  for (const w of list) {
+    const o = await startSource(ports, w);
+    if (o.isLeft()) return broke(JSON.stringify(o.extract()));
+  }
+  return none;
+}
+
+function none(): Record<string, number> {
+  return {};
+}
+
+async function start(): Promise<More> {
+  switch (ways.role) {
+    case 'controller': return controller(ways.settings);
+    case 'indexer': return indexer(ways.settings);
+    case 'nodes': return nodes(ways.settings);
+    case 'routers': return routers(ways.settings);
+    case 'sources': return sources(ways.sources);
+  }
+}
+
+async function run(): Promise<void> {
+  const more = await start();
+  function asked(a: RoleAsk): void {
+    if (a.gc) (globalThis as { gc?: () => void }).gc?.();
+    process.send!({ n: a.n, figures: meter.read(more()) } as RoleAnswer);
+  }
+  process.on('message', asked);
+  process.send!({ n: 0 });
+}
+
+function leave(): void {
+  process.exit(0);
+}
+
+process.on('disconnect', leave);
+void run();
