--- a/src/programs/common.ts
+++ b/src/programs/common.ts
@@ -40,9 +40,24 @@
     process.exit(2);
   }
   const s = read.extract() as Settings;
+  if (file) void reread(s, file);
   await run(program, s, start, s.dialect === 'platform' ? platform : undefined);
 }
 
+/** Takes over the seeds that the file names now; it may change with a signal or without one. */
+async function reread(s: Settings, file: string): Promise<never> {
+  const clock = realClock(s.suspends);
+  function again(): void {
+    const now = readWorded(platform, file);
+    if (now.isRight()) s.seeds.splice(0, s.seeds.length, ...(now.extract() as Settings).seeds);
+  }
+  process.on('SIGHUP', again);
+  for (;;) {
+    await clock.sleep(s.contactMs);
+    again();
+  }
+}
+
 async function run(program: string, s: Settings, start: Start, dialect: Dialect | undefined): Promise<void> {
   const log = realLog(program, s.name);
   const ports: Ports = { clock: realClock(s.suspends), dice: realDice(), disk: realDisk(s.data), wire: realWire(boundsOf(s).dial, s.bind), log, http: realHttp(s.bind) };
--- a/src/shared/settings.ts
+++ b/src/shared/settings.ts
@@ -246,6 +246,6 @@
     const v = s[n as keyof Settings];
     if (v === '' || (Array.isArray(v) && v.length === 0)) faults.push(`${n}: is needed`);
   }
-  if (s.founders.length === 0) s.founders = s.seeds;
+  if (s.founders.length === 0) s.founders = [...s.seeds];
   return faults.length > 0 ? Left(faults) : Right(s);
 }
