Events gather for a tenth of the leaving bound between two calls to a source

What is placed meanwhile is known from routers' notes, which is why the longer wait costs nothing there.

--- a/src/shared/settings.ts
+++ b/src/shared/settings.ts
@@ -129,7 +129,7 @@
     orderFresh: lease * 0.2,
     leavingCut: s.leavingBoundMs * 0.4,
     feedHold: s.changeBoundMs * 0.5,
-    gather: s.leavingBoundMs * 0.02,
+    gather: s.leavingBoundMs * 0.1,
     coming: s.changeBoundMs * 0.75,
     loadsSilent: s.contactMs * 0.3,
     repairTurn: s.changeBoundMs * 0.2,
