Reading shared parts again is reckoned as dear; the store gets what is read first

So a move, also a slow one, goes before reading again; what the index knows no store to keep is written there; the home is by the last shared part, so that short requests of one subject meet.

--- a/src/data/gateway/choose.ts
+++ b/src/data/gateway/choose.ts
@@ -187,7 +187,7 @@
     }
     const weights = s.weights.get(engine.id);
     const salt = saltUnder(wallOf(w.tenant), weights ?? '');
-    const c: ChosenHere = { engine, weights: weights === '' ? undefined : weights, salt, urgency: placed.urgency, fetchFrom: fetch?.source.at, placed, indexed: placement.wantsIndex(ask).length > 0 };
+    const c: ChosenHere = { engine, weights: weights === '' ? undefined : weights, salt, urgency: placed.urgency, fetchFrom: fetch?.source.at, storeAt: placed.storeAt, placed, indexed: placement.wantsIndex(ask).length > 0 };
     return Right(c);
   }
 
--- a/src/data/gateway/placement.ts
+++ b/src/data/gateway/placement.ts
@@ -63,6 +63,8 @@
   ask: PlaceAsk;
   reckoned: Reckoned;
   urgency: number;
+  /** The store that is to get the parts that are read. */
+  storeAt?: string;
   home: string;
 }
 
@@ -112,6 +114,8 @@
 /** What a prompt's home is taken to keep of its shared parts where no index answered, and an engine where one was placed before. */
 const HOME_KEEPS = 0.6;
 const PLACED_KEEPS = 0.8;
+/** What a source that is only guessed counts of that. */
+const GUESSED = 0.8;
 /** Prompts whose engines are remembered. */
 const MOST_RECENT = 4096;
 const MOST_ENGINES = 4;
@@ -154,7 +158,7 @@
   }
 
   function homeOf(ask: PlaceAsk): string {
-    return `${ask.wall} ${ask.parts[0]?.hash ?? ''}`;
+    return `${ask.wall} ${ask.parts[Math.max(0, ask.parts.length - 2)]?.hash ?? ''}`;
   }
 
   function sideOf(e: EngineSpot | StoreSpot, name: string, mbps: number): Side {
@@ -180,16 +184,16 @@
     return keptAt;
   }
 
-  function sourcesOf(ask: PlaceAsk, salt: string, keptAt: (name: string) => KeptAt): Source[] {
+  function sourcesOf(ask: PlaceAsk, salt: string, keptAt: (name: string) => KeptAt, trust: number): Source[] {
     const out: Source[] = [];
     const up = new Set(standings.able(ask.pool.engines.map(idOf), false));
     for (const e of ask.pool.engines) {
       const { kept } = keptAt(e.id);
-      if (kept > 0 && e.salt === salt && up.has(e.id)) out.push({ side: sideOf(e, e.id, ask.pool.linkMbps), at: e.at, kept });
+      if (kept > 0 && e.salt === salt && up.has(e.id)) out.push({ side: sideOf(e, e.id, ask.pool.linkMbps), at: e.at, kept: kept * trust });
     }
     for (const s of ask.pool.stores) {
       const { kept } = keptAt(s.name);
-      if (kept > 0) out.push({ side: sideOf(s, s.name, s.linkMbps), at: s.at, kept });
+      if (kept > 0) out.push({ side: sideOf(s, s.name, s.linkMbps), at: s.at, kept: kept * trust });
     }
     return out;
   }
@@ -222,20 +226,43 @@
       all.push(a);
       bySalt.set(e.salt, [...(bySalt.get(e.salt) ?? []), a]);
     }
-    const prompt: Prompt = { tokensIn: ask.tokensIn, tokensOut: ask.tokensOut, tokenBytes: ask.pool.tokenBytes, aimMs: ask.aimMs, zone: ways.zone };
     let best: { r: Reckoned; cost: number } | undefined;
     for (const [salt, able] of bySalt) {
       const answer = way === 'full' ? kept.get(salt) : undefined;
       const keptAt = answer ? told(answer) : guess(ask, home, ranks);
-      const sources = way === 'full' ? sourcesOf(ask, salt, keptAt) : [];
-      for (const r of reckon(prompt, able, keptAt, sources, links.moveMs)) {
+      const sources = way === 'full' ? sourcesOf(ask, salt, keptAt, answer ? 1 : GUESSED) : [];
+      for (const r of reckon(promptOf(ask, answer), able, keptAt, sources, links.moveMs)) {
         const c = cost(r);
         if (!best || c < best.cost) best = { r, cost: c };
       }
     }
     const no = refusal(ask, all, best!.r);
     if (no) return Left(no);
-    return Right({ ask, reckoned: best!.r, urgency: urgencyOf(ask, best!.r), home });
+    const salt = ask.pool.engines.find(isBest)!.salt;
+    return Right({ ask, reckoned: best!.r, urgency: urgencyOf(ask, best!.r), storeAt: storeFor(ask, home, kept.get(salt)), home });
+    function isBest(e: EngineSpot): boolean {
+      return e.id === best!.r.able.side.name;
+    }
+  }
+
+  /** The prompt, with how much of what it shares was read before: as an index told, or all where none did. */
+  function promptOf(ask: PlaceAsk, answer: OverlapAnswer | undefined): Prompt {
+    const shared = sharedOf(ask.parts);
+    let known = answer ? 0 : shared;
+    for (const [, k, coming] of answer ?? []) known = Math.max(known, k + coming);
+    return { tokensIn: ask.tokensIn, tokensOut: ask.tokensOut, shared, known, tokenBytes: ask.pool.tokenBytes, aimMs: ask.aimMs, zone: ways.zone };
+  }
+
+  /** The store that lacks something of what the prompt shares: the same one for a part at every router. */
+  function storeFor(ask: PlaceAsk, home: string, answer: OverlapAnswer | undefined): string | undefined {
+    if (!answer || ask.pool.stores.length === 0) return undefined;
+    const ranks = homes.ranks(home, ask.pool.stores.map(nameOf));
+    for (const s of ask.pool.stores) if (ranks.get(s.name) === 0) return told(answer)(s.name).kept < sharedOf(ask.parts) ? s.at : undefined;
+    return undefined;
+  }
+
+  function nameOf(s: StoreSpot): string {
+    return s.name;
   }
 
   /** A request is refused only where places are taken, and its time would pass in waiting for one. */
--- a/src/data/gateway/reckon.ts
+++ b/src/data/gateway/reckon.ts
@@ -33,6 +33,9 @@
 export interface Prompt {
   tokensIn: number;
   tokensOut: number;
+  /** Tokens of the parts that others may share, and how many of them some source has been known to read. */
+  shared: number;
+  known: number;
   tokenBytes: number;
   aimMs: number;
   /** The zone that it is sent from. */
@@ -52,14 +55,18 @@
   /** Unread tokens of others that are ahead of it. */
   ahead: number;
   fetch?: { source: Source; tokens: number; ms: number };
+  /** Tokens of shared parts that would be read although they were read before. */
+  again: number;
   /** What is compared: the time, and what it costs others. */
   cost: number;
 }
 
 /** What each ms of an engine's reading costs others that wait there. */
 const READING = 0.6;
+/** What each ms counts that is spent on reading shared parts again: it is the dearest that an engine does. */
+const AGAIN = 16;
 /** What each ms of moving costs beside the time. */
-const MOVING = 0.5;
+const MOVING = 0.1;
 /** The share of the aim that going to another zone must gain. */
 const FAR = 0.05;
 /** The share of the aim by which equals are kept in the order of their homes. */
@@ -68,7 +75,9 @@
 /** What parts that are coming count of kept ones. */
 const COMING = 0.9;
 /** A move is worth it where it saves this much of the reading. */
-const SAVES = 0.2;
+const SAVES = 0.1;
+/** Ms that setting a move up takes beside the bytes. */
+const SETUP_MS = 2;
 /** The share of an engine's memory that requests at work may fill before one more is taken to wait. */
 const ROOM = 0.95;
 
@@ -101,17 +110,18 @@
   function by(kept: number, fetch?: Reckoned['fetch']): Reckoned {
     const unread = Math.max(0, p.tokensIn - kept);
     const pairs = pairsOf(p.tokensIn, unread);
+    const again = Math.max(0, Math.min(p.shared, p.known) - kept);
     const reading = readMs(a.pace, unread, pairs);
     const moving = fetch?.ms ?? 0;
     const firstMs = a.pace.baseMs + waitMs + moving + reading;
-    return { able: a, firstMs, waitMs, unread, pairs, ahead: a.load.unread, fetch, cost: firstMs + reading * READING + moving * MOVING + beside };
+    return { able: a, firstMs, waitMs, unread, pairs, ahead: a.load.unread, fetch, again, cost: firstMs + reading * READING + moving * MOVING + again * a.pace.msPerToken * AGAIN + beside };
   }
   let best = by(held);
   const plain = readMs(a.pace, best.unread, best.pairs);
   for (const s of sources) {
     const more = Math.min(p.tokensIn, s.kept) - held;
     if (more <= 0 || s.side.name === a.side.name) continue;
-    const ms = a.load.moveMs + moveMs(s.side, a.side, more * p.tokenBytes);
+    const ms = SETUP_MS + a.load.moveMs + moveMs(s.side, a.side, more * p.tokenBytes);
     const r = by(held + more, { source: s, tokens: more, ms });
     if (r.cost < best.cost - SAVES * (plain - readMs(a.pace, r.unread, r.pairs))) best = r;
   }
