An engine that is silent on all its connections is asked by a new one whether it is there

Cause: of requests sent while four engines were dark, what may be repeated waited 1.5 s for each, and again whenever a kept connection was used. Now an engine that is silent for an aim is connected to anew: where that fails, its kept connections are closed and its attempts go elsewhere. A connection may take 0.05 of contactMs to come up, not 0.15. Ruled out: a shorter limit of silence alone, since a full engine may be silent while it is well.

--- a/src/data/gateway/forward.ts
+++ b/src/data/gateway/forward.ts
@@ -28,7 +28,7 @@
   lastEvent?: string;
 }
 
-/** How long an engine may be silent on all its connections before what may be repeated goes elsewhere, as multiples of the route's aims. */
+/** How long an engine that is there may be silent on all its connections before what may be repeated goes elsewhere, as multiples of the route's aims. */
 const SILENT = { aim: 3, gap: 6 };
 
 /** Sends a request to an engine and passes its answer back; `more` says whether another attempt may follow. */
@@ -66,19 +66,30 @@
   return f.code === 'timeout' ? late(x) : doubt(x);
 }
 
-/** Watches an engine for as long as an attempt lasts; it is taken for lost when it is silent on all its connections. */
+/** Watches an engine for as long as an attempt lasts: where it is silent on all its connections for an aim, it is asked whether it is still there; where it stays silent, it is taken for lost. */
 function watchSilence(g: GatewayParts, call: RawCall, x: Taken, c: Chosen): { signal: AbortSignal; stop(): void } {
   const { clock } = g.ports;
   const began = clock.now();
+  const soon = Math.max(x.route.aimMs, x.route.gapAimMs);
   const most = Math.max(x.route.aimMs * SILENT.aim, x.route.gapAimMs * SILENT.gap);
   const gone = new AbortController();
-  let off = clock.timer(most, look);
+  let stopped = false;
+  let off = clock.timer(soon, look);
+  function silent(): number {
+    return clock.now() - Math.max(began, g.connections.heardAt(c.engine));
+  }
   function look(): void {
-    const silent = clock.now() - Math.max(began, g.connections.heardAt(c.engine));
-    if (silent < most || !g.budget.left(x.pool)) off = clock.timer(Math.max(most - silent, most * 0.1), look);
-    else gone.abort();
+    if (silent() < soon) off = clock.timer(soon - silent(), look);
+    else void judge();
+  }
+  async function judge(): Promise<void> {
+    const there = silent() < most && (await g.connections.reaches(c.engine));
+    if (stopped) return;
+    if (!there && silent() >= soon && g.budget.left(x.pool)) gone.abort();
+    else off = clock.timer(soon, look);
   }
   function stop(): void {
+    stopped = true;
     off();
   }
   return { signal: AbortSignal.any([call.gone, gone.signal]), stop };
--- a/src/data/gateway/pools.ts
+++ b/src/data/gateway/pools.ts
@@ -13,7 +13,7 @@
 /** How long an engine that sent surplus bytes gets fresh connections only, as a share of `contactMs`. */
 const GARBLED = 2;
 /** The longest that a connection may take to come up, as a share of `contactMs`. */
-const CONNECT = 0.15;
+const CONNECT = 0.05;
 
 /** Kept connections to engines; what was used last is used first. */
 export interface EngineConnections {
@@ -27,6 +27,8 @@
   heard(e: Engine): void;
   /** When bytes last came from an engine on any connection. */
   heardAt(e: Engine): number;
+  /** Asks, by a new connection, whether an engine's machine is still there. */
+  reaches(e: Engine): Promise<boolean>;
   /** Hears that an engine mixes answers up. */
   garbles(e: Engine): void;
   /** Hears which engines there are. */
@@ -42,6 +44,7 @@
   keepMs?: number;
   freshUntil: number;
   heardAt: number;
+  reaching?: Promise<boolean>;
 }
 
 /** Makes the kept connections; `routers` tells how many routers share the engines. */
@@ -79,6 +82,10 @@
     const kept = k.idle.pop();
     if (kept) return Right(kept.c);
     if (k.open >= Math.max(1, Math.floor((most * SHARE) / (routers() ?? 1)))) return Left(makeFault('connect', e.at, 'no connection is free', 'refused', 'no-connection'));
+    return connect(e, k);
+  }
+
+  async function connect(e: Engine, k: Kept): Promise<Outcome<HttpConnection>> {
     k.open++;
     const [f, c] = open(await http.connect(e.at, s.contactMs * CONNECT));
     if (f) {
@@ -98,6 +105,24 @@
     return Right(c);
   }
 
+  function reaches(e: Engine): Promise<boolean> {
+    const k = at(e);
+    async function reach(): Promise<boolean> {
+      const [f, c] = open(await connect(e, k));
+      k.reaching = undefined;
+      if (f) closeIdle(k);
+      else k.idle.push({ c, since: clock.now() });
+      return f === undefined;
+    }
+    k.reaching ??= reach();
+    return k.reaching;
+  }
+
+  function closeIdle(k: Kept): void {
+    for (const x of k.idle) x.c.close();
+    k.idle = [];
+  }
+
   function giveBack(e: Engine, c: HttpConnection): void {
     at(e).idle.push({ c, since: clock.now() });
   }
@@ -122,7 +147,7 @@
 
   function drop(id: string, k: Kept): void {
     engines.delete(id);
-    for (const x of k.idle) x.c.close();
+    closeIdle(k);
   }
 
   function renew(ids: ReadonlySet<string>): void {
@@ -145,5 +170,5 @@
   }
 
   let off = clock.timer(s.contactMs * KEEP, trimAll);
-  return { take, giveBack, told, heard, heardAt, garbles, renew, idleMs, stop };
+  return { take, giveBack, told, heard, heardAt, reaches, garbles, renew, idleMs, stop };
 }
--- /dev/null
+++ b/test/gateway-connections.test.ts
@@ -0,0 +1,169 @@
+import { keepConnections } from '../src/data/gateway/pools';
+import { makeRetryBudget } from '../src/data/gateway/budget';
+import { bad, open, Outcome } from '../src/shared/errors';
+import { Clock, HttpConnection, HttpWire } from '../src/shared/ports';
+import { Right } from 'purify-ts';
+import { defaultSettings } from '../src/shared/settings';
+import { Engine } from '../src/shared/words';
+
+interface Hand extends HttpConnection {
+  idle(): void;
+  end(surplus: boolean): void;
+}
+
+const engine: Engine = { id: 'e1', at: '10.0.0.1:80', zone: 'z', model: 'm', weights: '1', leaving: false };
+
+/** A clock that a test moves, and connections that it ends. */
+function hands(): { clock: Clock; http: HttpWire; made: Hand[]; move(ms: number): void; dark(on: boolean): void } {
+  let time = 0;
+  let isDark = false;
+  let timers: { at: number; ring: () => void }[] = [];
+  const made: Hand[] = [];
+  function now(): number {
+    return time;
+  }
+  function timer(ms: number, ring: () => void): () => void {
+    const t = { at: time + ms, ring };
+    timers.push(t);
+    function off(): void {
+      timers = timers.filter(other);
+    }
+    function other(x: object): boolean {
+      return x !== t;
+    }
+    return off;
+  }
+  function move(ms: number): void {
+    time += ms;
+    for (const t of timers.filter(due)) t.ring();
+    function due(t: { at: number }): boolean {
+      return t.at <= time;
+    }
+    timers = timers.filter(later);
+    function later(t: { at: number }): boolean {
+      return t.at > time;
+    }
+  }
+  async function connect(at: string): Promise<Outcome<HttpConnection>> {
+    if (isDark) return bad('connect', at, 'no connection in time', 'refused', 'timeout');
+    let fits = true;
+    let told: () => void;
+    let end: (v: { surplus: boolean }) => void;
+    function wait(done: (v: { surplus: boolean }) => void): void {
+      end = done;
+    }
+    function fit(): boolean {
+      return fits;
+    }
+    function onIdle(tell: () => void): void {
+      told = tell;
+    }
+    function close(): void {
+      fits = false;
+      end({ surplus: false });
+    }
+    function idle(): void {
+      told();
+    }
+    function endWith(surplus: boolean): void {
+      fits = false;
+      end({ surplus });
+    }
+    const h: Hand = { at, fit, uses: now, ask: undefined as never, onIdle, done: new Promise(wait), close, idle, end: endWith };
+    made.push(h);
+    return Right(h);
+  }
+  function dark(on: boolean): void {
+    isDark = on;
+  }
+  const clock: Clock = { now, wall: String, sleep: undefined as never, timer };
+  return { clock, http: { connect, serve: undefined as never }, made, move, dark };
+}
+
+function two(): number {
+  return 2;
+}
+
+async function usedAgain(): Promise<void> {
+  const w = hands();
+  const k = keepConnections(w.clock, w.http, { ...defaultSettings(), contactMs: 3000 }, two);
+  k.told(engine, 2);
+  const a = (await k.take(engine, 100)).unsafeCoerce();
+  const b = (await k.take(engine, 100)).unsafeCoerce();
+  w.made[0].idle();
+  w.made[1].idle();
+  expect((await k.take(engine, 100)).unsafeCoerce()).toBe(b);
+  expect((await k.take(engine, 100)).unsafeCoerce()).toBe(a);
+  w.made[0].idle();
+  w.move(1300);
+  expect((await k.take(engine, 100)).unsafeCoerce()).toBe(w.made[2]);
+  w.made[2].idle();
+  w.made[2].end(true);
+  await w.made[2].done;
+  w.made[1].idle();
+  expect((await k.take(engine, 100)).unsafeCoerce()).toBe(w.made[3]);
+  k.stop();
+}
+
+async function shared(): Promise<void> {
+  const w = hands();
+  const k = keepConnections(w.clock, w.http, defaultSettings(), two);
+  for (let i = 0; i < 4; i++) expect((await k.take(engine, 10)).isRight()).toBe(true);
+  const [f] = open(await k.take(engine, 10));
+  expect(f).toMatchObject({ sort: 'refused', code: 'no-connection' });
+  k.renew(new Set());
+  w.made[0].idle();
+  expect(w.made[0].fit()).toBe(false);
+  k.stop();
+}
+
+async function darkMachine(): Promise<void> {
+  const w = hands();
+  const k = keepConnections(w.clock, w.http, defaultSettings(), two);
+  await k.take(engine, 100);
+  w.made[0].idle();
+  expect(await k.reaches(engine)).toBe(true);
+  expect(w.made.length).toBe(2);
+  w.dark(true);
+  const both = [k.reaches(engine), k.reaches(engine)];
+  expect(both[0]).toBe(both[1]);
+  expect(await Promise.all(both)).toEqual([false, false]);
+  expect(w.made.map(isFit)).toEqual([false, false]);
+  expect((await k.take(engine, 100)).isLeft()).toBe(true);
+  k.stop();
+}
+
+function isFit(h: Hand): boolean {
+  return h.fit();
+}
+
+function slides(): void {
+  const w = hands();
+  let routers: number | undefined = 10;
+  function known(): number | undefined {
+    return routers;
+  }
+  const b = makeRetryBudget(w.clock, { ...defaultSettings(), retryWindowMs: 10000, retryRatio: 0.2, retrySlack: 50 }, known);
+  for (let i = 0; i < 50; i++) b.asked('p');
+  expect(spendAll(b)).toBe(8);
+  w.move(10501);
+  expect(spendAll(b)).toBe(4);
+  w.move(9000);
+  expect(spendAll(b)).toBe(0);
+  w.move(2000);
+  expect(spendAll(b)).toBe(4);
+  routers = undefined;
+  w.move(11000);
+  expect(spendAll(b)).toBe(0);
+}
+
+function spendAll(b: { spend(pool: string): boolean; left(pool: string): boolean }): number {
+  let n = 0;
+  while (b.left('p') && b.spend('p')) n++;
+  return n;
+}
+
+test('kept connections are used again, the last one first, and not for long', usedAgain);
+test('routers share an engine\'s connections', shared);
+test('an engine whose machine is dark loses its kept connections', darkMachine);
+test('further attempts are paid from a sliding window, and its slack from a later one', slides);
