Two controllers that take a key over at once give way to each other and try again

Cause: where a key's owner was gone, its next owner and the controller that was asked both had a higher epoch promised at the same moment, and the operator was told 504. Now the one that was refused hands the change on again after a moment, as often as it would make a change anew; a change that was in doubt once stays so.

--- a/src/control/changes.ts
+++ b/src/control/changes.ts
@@ -3,6 +3,7 @@
 import { bad, Fault, open, Outcome } from '../shared/errors';
 import { rendezvous } from '../shared/lib';
 import { Exchange, noConnection } from '../shared/connections';
+import { Clock, Dice } from '../shared/ports';
 import { Bounds, Settings } from '../shared/settings';
 import { Intents, IntentsValue, Numbered, Place, Voters } from '../shared/words';
 import { DocumentReader, mayBeStale } from './deployment';
@@ -18,6 +19,8 @@
 }
 
 interface Parts {
+  clock: Clock;
+  dice: Dice;
   settings: Settings;
   bounds: Bounds;
   owner: Owner;
@@ -86,17 +89,20 @@
     return p.up(at)?.ask(type, body, bounds.handOver) ?? Left(noConnection(type, at));
   }
 
-  async function commit(op: Operation): Promise<Outcome<Changed>> {
+  async function commit(op: Operation, rounds = TRIES, inDoubt = false): Promise<Outcome<Changed>> {
     const key = keyOf(op);
     const at = rendezvous(key, p.live())[0];
     if (at === undefined) return Left(nobody('change'));
-    if (at === settings.wire) return here(op, TRIES);
+    if (at === settings.wire) return here(op, TRIES, inDoubt);
     const [f, r] = open(await ask(at, 'change', op));
     if (!f) return Right(r as Changed);
-    if (!isOfPeer(f)) return Left(f);
+    if (!isOfPeer(f)) return Left(inDoubt && f.code === 'conflict' && op.kind !== 'deployment' ? { ...f, sort: 'unknown', code: 'in-doubt' } : f);
+    const doubted = inDoubt || f.sort === 'unknown';
     const [g, now] = open(await owner.own(key));
-    if (g) return Left({ ...g, sort: f.sort });
-    return isMade(op, now) ? Right(changed(now!)) : here(op, TRIES, f.sort === 'unknown');
+    if (!g) return doubted && isMade(op, now) ? Right(changed(now!)) : here(op, TRIES, doubted);
+    if (rounds <= 1) return Left({ ...g, sort: doubted ? 'unknown' : 'refused' });
+    await p.clock.sleep(bounds.pause * (0.05 + 0.15 * p.dice.next()));
+    return commit(op, rounds - 1, doubted);
   }
 
   async function ofOwner(key: string, type: string, body: unknown): Promise<Outcome<unknown>> {
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -133,7 +133,7 @@
   const votes = new Votes(slots, ports, voters, settings.onceKeepMs);
   await votes.begin(kept);
   const roster = new RosterEdge(ports, bounds, voters, joined);
-  const changes = makeChanges({ settings, bounds, owner, reader, voters, live, up, local });
+  const changes = makeChanges({ clock: ports.clock, dice: ports.dice, settings, bounds, owner, reader, voters, live, up, local });
   const peers = new ControlEdge({ slots, mayFound: settings.bootstrap, voters, changeHere: changes.here, committed, hinted, isUp, wake });
   const reads: ReadParts = { slots, owner, voters, askVoter: askShortly, ofOwner: changes.ofOwner };
   const edges: object[] = [new HelloEdge(hello), acceptor, leases, votes, roster, peers, new ReadEdge(reads)];
--- a/tools/sim/simcore.ts
+++ b/tools/sim/simcore.ts
@@ -101,11 +101,11 @@
 }
 
 /** Sends changes as the operator does, one after the other, to the next controller after each failure; keeps what was acknowledged. */
-export function makeOperator(f: SimFleet): { acked: () => number; longest: () => number; put: () => Promise<boolean>; go: () => void; halt: () => void; newest: () => number } {
+export function makeOperator(f: SimFleet, at = 0): { acked: () => number; longest: () => number; put: () => Promise<boolean>; go: () => void; halt: () => void; newest: () => number } {
   let acked = 0;
   let longest = 0;
   let going = false;
-  let first = 0;
+  let first = at;
 
   async function put(): Promise<boolean> {
     const sent = f.w.now();
@@ -120,7 +120,7 @@
         longest = Math.max(longest, f.w.now() - sent);
         return true;
       }
-      first++;
+      first = (first + 1) % f.core.length;
       await f.ops.clock.sleep(50);
     }
     return false;
