--- a/tools/fleet/fleet.ts
+++ b/tools/fleet/fleet.ts
@@ -13,6 +13,7 @@
 import { FAULTS, injectFault } from './faults';
 import { boundOf } from '../standins/links';
 import { edgeNames, isClean, judge } from '../standins/ledger';
+import { PlatformOptions, runPlatform } from './platform';
 
 /** A process that the runner started. */
 export interface Proc {
@@ -292,8 +293,9 @@
 }
 
 async function main(): Promise<void> {
-  const cmd = new Command('fleet').argument('<deployment>', DEPLOYMENTS.join(' or ')).option('--seconds <n>', 'how long callers call', '20').option('--fault <name>', `a fault halfway, or \`all\` in turn: ${FAULTS.join(', ')}`).option('--net <n>', 'second number of the loopback addresses', '10').option('--place-by <way>', 'index or affinity', 'index').option('--scale <x>', 'callers\' rate against the brief\'s', '1').parse();
-  const o = cmd.opts() as RunnerWays;
+  const cmd = new Command('fleet').argument('[deployment]', DEPLOYMENTS.join(' or ')).option('--platform [site]', 'on the users\' platform instead: sbr or aoc').option('--edges <n>', 'edge machines on the platform', '4').option('--engines <n>', 'engines on the platform', '4').option('--seconds <n>', 'how long callers call', '20').option('--fault <name>', `a fault halfway, or \`all\` in turn: ${FAULTS.join(', ')}`).option('--net <n>', 'second number of the loopback addresses', '10').option('--place-by <way>', 'index or affinity', 'index').option('--scale <x>', 'callers\' rate against the brief\'s', '1').parse();
+  const o = cmd.opts() as RunnerWays & Partial<PlatformOptions>;
+  if (o.platform !== undefined) process.exit((await runPlatform(o as PlatformOptions)) ? 0 : 1);
   const d = makeDeployment(cmd.args[0], Number(o.net));
   if (!d || (o.fault !== undefined && o.fault !== 'all' && !FAULTS.includes(o.fault))) {
     process.stderr.write(`fleet: there is no ${d ? o.fault : cmd.args[0]}\n`);
--- /dev/null
+++ b/tools/fleet/machines.ts
@@ -0,0 +1,159 @@
+import { ChildProcess, spawn } from 'node:child_process';
+import { mkdirSync, rmSync, writeFileSync } from 'node:fs';
+import { join, resolve } from 'node:path';
+import { Clock } from '../../src/shared/ports';
+import { Book, troubled } from '../standins/platform/book';
+import { kept } from '../standins/platform/serve';
+import { SettingsOf, settingsText, Site } from '../standins/platform/site';
+
+/** A process of ours, in its present life. */
+export interface Proc {
+  of: SettingsOf;
+  /** What it is called in a book of troubles: an edge machine's IP number, or `core`. */
+  who: string;
+  child?: ChildProcess;
+  life: number;
+  /** It ended by itself, with this code or signal. */
+  ended: string[];
+  log: string[];
+}
+
+/** All processes of ours on the machines of a site. */
+export interface Machines {
+  procs: Map<string, Proc>;
+  startAll(): Promise<void>;
+  /** Kills a process, and starts it again after the pause. */
+  kill(name: string, pauseMs: number): Promise<void>;
+  /** Stops a process by SIGTERM, with SIGKILL after the grace, and starts it again. */
+  roll(name: string): Promise<void>;
+  freeze(name: string, ms: number): Promise<void>;
+  /** Kills a process whose disk is lost with it. */
+  wipe(name: string, pauseMs: number): Promise<void>;
+  lifeOf(ip: string): number;
+  stopAll(): Promise<void>;
+}
+
+const ROOT = resolve(__dirname, '../..');
+const START_MS = 30000;
+
+/** Makes the machines of a site; nothing runs yet. */
+export function makeMachines(site: Site, clock: Clock, book: Book, folder: string): Machines {
+  const procs = new Map<string, Proc>();
+  const seeds = site.cores.map(controlOf);
+  function controlOf(c: { control: string }): string {
+    return c.control;
+  }
+  function add(of: SettingsOf, who: string): void {
+    procs.set(of.name + ' ' + of.role, { of, who, life: 0, ended: [], log: [] });
+  }
+  for (const c of site.cores) {
+    add({ name: c.name, ip: c.ip, zone: c.zone, role: 'controller', on: 'core', serves: ['control_plane'], bootstrap: true, data: join(c.data, 'controller'), seeds }, 'core');
+    add({ name: c.name, ip: c.ip, zone: c.zone, role: 'indexer', on: 'core', serves: [], bootstrap: true, data: join(c.data, 'indexer'), seeds }, 'index');
+  }
+  for (const e of site.edges) add({ name: e.name, ip: e.ip, zone: e.zone, role: 'router', on: 'edge', serves: ['edge'], bootstrap: true, seeds }, e.ip);
+
+  async function start(name: string): Promise<void> {
+    const p = procs.get(name)!;
+    const file = join(folder, `${name.replace(' ', '-')}.toml`);
+    mkdirSync(folder, { recursive: true });
+    if (p.of.data !== undefined) mkdirSync(p.of.data, { recursive: true });
+    writeFileSync(file, settingsText(site, { ...p.of, bootstrap: p.life === 0 }));
+    p.life++;
+    const child = spawn(process.execPath, [join(ROOT, 'src/programs', `${p.of.role}.js`)], { stdio: ['ignore', 'pipe', 'pipe'], cwd: folder, env: { PATH: process.env.PATH, HOME: process.env.HOME, PLUMHOLLOW_SETTINGS: file } });
+    p.child = child;
+    const up = kept<void>();
+    function said(b: Buffer): void {
+      if (String(b).includes('is up')) up.keep();
+    }
+    function complained(b: Buffer): void {
+      p.log.push(String(b));
+      writeFileSync(join(folder, `${name.replace(' ', '-')}.log`), p.log.join(''));
+    }
+    function over(code: number | null, signal: string | null): void {
+      if (p.child === child) p.ended.push(`life ${p.life}: ${signal ?? code}`);
+      up.keep();
+    }
+    child.stdout.on('data', said);
+    child.stderr.on('data', complained);
+    child.on('exit', over);
+    const off = clock.timer(START_MS, up.keep);
+    await up.promise;
+    off();
+  }
+
+  async function startAll(): Promise<void> {
+    await Promise.all([...procs.keys()].map(start));
+  }
+
+  /** Ends a life on purpose; a promise of its end. */
+  function end(p: Proc, signal: NodeJS.Signals): Promise<void> {
+    const child = p.child;
+    p.child = undefined;
+    const k = kept<void>();
+    if (!child || child.exitCode !== null || child.signalCode !== null) return Promise.resolve();
+    child.once('exit', gone);
+    child.kill(signal);
+    function gone(): void {
+      off();
+      k.keep();
+    }
+    function force(): void {
+      child!.kill('SIGKILL');
+    }
+    const off = clock.timer(site.bounds.graceS * 1000, force);
+    return k.promise;
+  }
+
+  async function kill(name: string, pauseMs: number): Promise<void> {
+    const p = procs.get(name)!;
+    const over = troubled(book, 'kill', p.who);
+    await end(p, 'SIGKILL');
+    await clock.sleep(pauseMs);
+    await start(name);
+    over();
+  }
+
+  async function wipe(name: string, pauseMs: number): Promise<void> {
+    const p = procs.get(name)!;
+    const over = troubled(book, 'wipe', p.who);
+    await end(p, 'SIGKILL');
+    if (p.of.data !== undefined) rmSync(p.of.data, { recursive: true, force: true });
+    await clock.sleep(pauseMs);
+    await start(name);
+    over();
+  }
+
+  async function roll(name: string): Promise<void> {
+    const p = procs.get(name)!;
+    const over = troubled(book, 'term', p.who, true);
+    await end(p, 'SIGTERM');
+    await clock.sleep(200);
+    await start(name);
+    over();
+  }
+
+  async function freeze(name: string, ms: number): Promise<void> {
+    const p = procs.get(name)!;
+    const over = troubled(book, 'freeze', p.who);
+    p.child?.kill('SIGSTOP');
+    await clock.sleep(ms);
+    p.child?.kill('SIGCONT');
+    over();
+  }
+
+  function lifeOf(ip: string): number {
+    for (const p of procs.values()) if (p.who === ip) return p.life;
+    return 0;
+  }
+
+  async function stopAll(): Promise<void> {
+    const ends: Promise<void>[] = [];
+    for (const p of procs.values()) {
+      p.child?.kill('SIGCONT');
+      ends.push(end(p, 'SIGTERM'));
+    }
+    await Promise.all(ends);
+  }
+
+  return { procs, startAll, kill, roll, freeze, wipe, lifeOf, stopAll };
+}
--- /dev/null
+++ b/tools/fleet/platform.ts
@@ -0,0 +1,124 @@
+import { mkdirSync, rmSync } from 'node:fs';
+import { resolve } from 'node:path';
+import { Clock } from '../../src/shared/ports';
+import { realClock } from '../../src/shared/real';
+import { seededDice } from '../sim/dice';
+import { Day, startDay } from '../standins/platform/day';
+import { Entry } from '../standins/platform/entry';
+import { DayReport, reportDay } from '../standins/platform/ledger';
+import { makeSite, Site, SITES } from '../standins/platform/site';
+import { makeMachines } from './machines';
+import { Played, TROUBLES } from './troubles';
+
+/** How a day is played on real processes. */
+export interface PlayWays {
+  site: Site;
+  folder: string;
+  seconds: number;
+  /** Troubles in turn, evenly over the day; each is waited for. */
+  troubles: readonly string[];
+  seed: number;
+}
+
+/** What a played day came to. */
+export interface PlayedDay extends DayReport {
+  site: string;
+  troubles: readonly string[];
+  /** Ms until the first configuration was acknowledged, and until every node was ready. */
+  ackMs: number;
+  readyMs: number;
+  allReady: boolean;
+  /** Processes that ended by themselves. */
+  ended: string[];
+}
+
+const UP_MS = 30000;
+
+async function untilReady(clock: Clock, entry: Entry): Promise<boolean> {
+  const end = clock.now() + UP_MS;
+  while (clock.now() < end) {
+    if (entry.allReady()) return true;
+    await clock.sleep(50);
+  }
+  return false;
+}
+
+async function bring(p: Played, ways: PlayWays): Promise<void> {
+  const { clock } = p.day.ground;
+  const pause = (ways.seconds * 1000) / (ways.troubles.length + 1);
+  const begun = clock.now();
+  for (const [i, name] of ways.troubles.entries()) {
+    await clock.sleep(Math.max(0, begun + pause * (i + 1) - clock.now()));
+    await TROUBLES[name](p);
+  }
+}
+
+/** Plays one day: real processes of ours, and stand-ins for everything around. */
+export async function playDay(ways: PlayWays): Promise<PlayedDay> {
+  const clock = realClock();
+  rmSync(ways.folder, { recursive: true, force: true });
+  mkdirSync(ways.folder, { recursive: true });
+  const day: Day = await startDay(ways.site, clock, seededDice(ways.seed));
+  const machines = makeMachines(ways.site, clock, day.book, ways.folder);
+  try {
+    const begun = clock.now();
+    await machines.startAll();
+    const entry = day.openEntry();
+    const first = await day.operator.replace(day.config, 0, UP_MS);
+    const ready = await untilReady(clock, entry);
+    const readyMs = Math.round(clock.now() - begun);
+    const clients = day.clients(entry, ways.seconds * 1000, machines.lifeOf);
+    const played: Played = { day, machines, clients };
+    await Promise.all([clients.run(), bring(played, ways)]);
+    await day.operator.readBack(ways.site.bounds.contactMs);
+    const ended: string[] = [];
+    for (const [name, p] of machines.procs) for (const e of p.ended) ended.push(`${name} ${e}`);
+    return { ...reportDay(day.book, ways.site.bounds), site: ways.site.name, troubles: ways.troubles, ackMs: Math.round((first.ackAt ?? NaN) - begun), readyMs, allReady: ready, ended };
+  } finally {
+    await machines.stopAll();
+    await day.close();
+  }
+}
+
+/** What the command line gives. */
+export interface PlatformOptions {
+  platform: string | true;
+  seconds: string;
+  fault?: string;
+  net: string;
+  scale: string;
+  edges: string;
+  engines: string;
+}
+
+/** Plays days from the command line; whether no rule was broken. */
+export async function runPlatform(o: PlatformOptions): Promise<boolean> {
+  const name = o.platform === true ? SITES[0] : o.platform;
+  const folder = resolve('fleet-data', `platform-${name}`);
+  const all = o.fault === 'all' ? Object.keys(TROUBLES) : (o.fault?.split(',') ?? []);
+  const unknown = all.find(notThere);
+  function notThere(x: string): boolean {
+    return TROUBLES[x] === undefined;
+  }
+  const size = { edges: Number(o.edges), engines: Number(o.engines), scale: Number(o.scale) };
+  const site = makeSite(name, size, Number(o.net), folder);
+  if (!site || unknown !== undefined) {
+    process.stderr.write(`fleet: there is no ${unknown ?? name}; sites are ${SITES.join(', ')}, faults are ${Object.keys(TROUBLES).join(', ')}\n`);
+    process.exit(2);
+  }
+  let clean = true;
+  const rows: string[] = [];
+  const plays = o.fault === 'all' ? all.map(alone) : [all];
+  function alone(x: string): string[] {
+    return [x];
+  }
+  for (const troubles of plays) {
+    const r = await playDay({ site, folder, seconds: Number(o.seconds), troubles, seed: 1 });
+    const ok = Object.keys(r.broken).length === 0 && r.ended.length === 0;
+    clean = clean && ok;
+    if (plays.length === 1 || !ok) process.stdout.write(JSON.stringify(r, null, 2) + '\n');
+    rows.push(`| ${troubles.join(', ') || 'none'} | ${r.served} of ${r.asked} | ${r.inAim} | ${r.firstMs.join(' / ')} | ${r.reused} | ${Object.keys(r.broken).join(', ') || '-'} |`);
+  }
+  process.stdout.write(['| fault | served | in the aim | ms to the first event, half / nine tenths | reused | broken |', '| --- | --- | --- | --- | --- | --- |', ...rows].join('\n') + '\n');
+  return clean;
+}
