An owner that another has followed refuses nothing by the value that it held

Cause: a change that conflicts is refused before any voter is asked, so an owner whose key another has taken meanwhile went on refusing by its old value, for as long as nothing else was changed through it (seen as a duty that nobody could confirm for 60 s after two cuts and a kill; an operator would have been told of a conflict that there is none). Now such an owner owns the key anew before it says so. Ruled out: comparing with what is learned here only, since a controller that was cut off may not have learned it. Test: two owners of one key in turn; it failed before.

--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -245,9 +245,11 @@
 
   function change(key: string, make: (now: Numbered | undefined) => Outcome<unknown>, tries = 1): Promise<Outcome<Numbered>> {
     async function once(left: number): Promise<Outcome<Numbered>> {
+      const stood = owned.has(key);
       const [f, o] = open(await ensure(key));
       if (f) return Left({ ...f, sort: 'refused' });
       const [g, value] = open(make(o.current));
+      if (g?.code === 'conflict' && stood) return onceAnew(left);
       if (g) return Left(g);
       const number = (o.current?.number ?? 0) + 1;
       const [h, c] = open(await commit(key, o, number, value));
@@ -262,6 +264,11 @@
       if (stands && stands.number === number && isDeepStrictEqual(stands.value, value)) return Right(stands);
       return (stands?.number ?? 0) < number ? once(left - 1) : Left(h);
     }
+    /** What conflicts with the value that an owner holds may fit the one that stands: another may own the key by now, which no refusal would show. */
+    function onceAnew(left: number): Promise<Outcome<Numbered>> {
+      owned.delete(key);
+      return once(left);
+    }
     function run(): Promise<Outcome<Numbered>> {
       return once(tries);
     }
