Roll-out of weights by one duty for the fleet, a few engines at a time

Cause: engines of deployments take one priced order each, some loading at once slow each other, and a holder must not act within a lease of another. One duty for all engines in place of one each: a confirmation is a majority write, and one serves all orders of the next 0.05 of a lease. A term's fence is the number of the change that began it, which no other term gets. Each confirmation commits a new number, so a controller that sees the number stand still for 1.2 leases knows that nothing of the holder is on its way; it then takes the duty by a change based on that number and acts at once. A naming after a quiet time is waited for by nobody. Who holds a duty is no longer told to routers, whom it does not concern. Ruled out: the holder's place in the epoch order as its fence (two may share an epoch), and a wait after taking (it would follow each naming).

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -98,7 +98,7 @@
 
   function learned(n: Numbered, before?: Numbered): void {
     heard.add(n.key);
-    leases.push(n, n.by === by, before);
+    if (!n.key.startsWith(KEYS.duty)) leases.push(n, n.by === by, before);
     if (n.by !== by) owner.passed(n.key, n.epoch);
     if (n.key !== KEYS.voters) return;
     reachAll();
--- a/src/control/duties.ts
+++ b/src/control/duties.ts
@@ -77,7 +77,7 @@
   while (!c.stopped()) {
     await ports.clock.sleep(c.bounds.platform);
     for (const e of c.value<Engine[]>(KEYS.engines)?.value ?? []) {
-      const key = `duty/${e.id}`;
+      const key = KEYS.duty + e.id;
       const named = c.value<NamedWeights>(KEYS.weights + e.model)?.value;
       if (!c.chosen(key) || e.leaving) {
         held.delete(e.id);
--- a/src/control/leases.ts
+++ b/src/control/leases.ts
@@ -5,7 +5,7 @@
 import { Ports } from '../shared/ports';
 import { Bounds } from '../shared/settings';
 import { Exchange } from '../shared/connections';
-import { comparePlaces, Member, Numbered, Place, Voters } from '../shared/words';
+import { comparePlaces, KEYS, Member, Numbered, Place, Voters } from '../shared/words';
 import { Slots } from './slots';
 
 /** A follower's ask for a lease: who it is, and how far it has applied each key; left out where that is as it was in its last lease. */
@@ -72,9 +72,10 @@
     return out.sort(byName);
   }
 
+  /** What followers are told: all but who holds which duty, which is no concern of theirs and changes often. */
   private learned(): Numbered[] {
     const out: Numbered[] = [];
-    for (const c of this.slots.cells.values()) if (c.learned) out.push(c.learned);
+    for (const c of this.slots.cells.values()) if (c.learned && !c.learned.key.startsWith(KEYS.duty)) out.push(c.learned);
     return out;
   }
 
--- a/src/control/operations.ts
+++ b/src/control/operations.ts
@@ -4,6 +4,7 @@
 import { Engine, Intents, IntentsValue, KEYS, Numbered, setSalts, Voters } from '../shared/words';
 import { DeploymentOperation, DocumentReader, makeDeployment } from './deployment';
 import { checkIntents } from './intents';
+import { DutyValue } from './term';
 
 /** The hashes of one tenant's keys. */
 export interface TenantKeys {
@@ -20,7 +21,7 @@
   | DeploymentOperation
   | { kind: 'weights-end'; model: string; ended: string[] }
   | { kind: 'engines'; engines: Engine[] }
-  | { kind: 'duty'; duty: string; holder: string }
+  | { kind: 'duty'; duty: string; holder: string; at?: string; basedOn?: number }
   | { kind: 'voters'; voters: Voters; basedOn: number };
 
 /** The control key that an operation changes. */
@@ -31,7 +32,7 @@
     case 'weights': case 'weights-end': return KEYS.weights + op.model;
     case 'deployment': return KEYS.deployment;
     case 'engines': return KEYS.engines;
-    case 'duty': return `duty/${op.duty}`;
+    case 'duty': return KEYS.duty + op.duty;
     case 'voters': return KEYS.voters;
   }
 }
@@ -78,7 +79,13 @@
     }
     case 'deployment': return makeDeployment(op, now, reader);
     case 'engines': return Right(op.engines);
-    case 'duty': return Right({ holder: op.holder });
+    case 'duty': {
+      const v = now?.value as DutyValue | undefined;
+      if (v?.holder === op.holder) return Right(v);
+      const at = now?.number ?? 0;
+      if (op.at !== undefined && op.basedOn !== at) return bad('take duty', op.duty, `held by ${v?.holder}`, 'refused', 'conflict');
+      return Right({ holder: op.holder, at: op.at, fence: at + 1 } as DutyValue);
+    }
     case 'voters': {
       if (op.basedOn !== (now?.number ?? 0)) return bad('change voters', KEYS.voters, 'another change came first', 'refused', 'conflict');
       return Right(op.voters);
--- /dev/null
+++ b/src/control/rollout.ts
@@ -0,0 +1,180 @@
+import { Dialect, EngineReport, OrderAnswer } from '../shared/dialect';
+import { open } from '../shared/errors';
+import { Ports } from '../shared/ports';
+import { compareWeights, lacks, NamedWeights } from '../shared/weights';
+import { askWorded } from '../shared/worded';
+import { Engine, KEYS } from '../shared/words';
+import { Controller } from './controller';
+import { holdTerm } from './term';
+
+/** Engines of a model that take up weights at once, as a share of them all. */
+const AT_ONCE = 0.25;
+/** Weight of the last engine's time in the usual one. */
+const SMOOTH = 0.3;
+/** Reports without an answer after which an engine is left to the list. */
+const MOST_SILENT = 3;
+
+interface Task {
+  engine: Engine;
+  model: string;
+  named: NamedWeights;
+}
+
+interface Sent {
+  at: number;
+  sure: boolean;
+}
+
+/** Brings all engines of each model to its named weights: a few at a time, each ordered once, under the fence of one duty for the whole fleet. */
+export async function rollOut(c: Controller, ports: Ports, speak: Pick<Dialect['engines'], 'order' | 'report'>): Promise<void> {
+  const { clock, wire, log } = ports;
+  const { bounds } = c;
+  const term = holdTerm(c, ports, 'weights');
+  const known = new Map<string, string>();
+  const since = new Map<string, { weights: string; at: number }>();
+  const underWay = new Map<string, string>();
+  const notBefore = new Map<string, { tries: number; at: number }>();
+  let usual = bounds.loadGuess;
+  let waiting: number | undefined;
+
+  while (!c.stopped()) {
+    await clock.sleep(bounds.termFresh * 0.5);
+    term.watch();
+    const next: Task[] = [];
+    let any = false;
+    for (const named of namedModels()) {
+      const all = lacking(named);
+      any ||= all.length > 0;
+      next.push(...nextOf(named, all));
+    }
+    waiting = any ? (waiting ?? clock.now()) : undefined;
+    if (waiting === undefined || (next.length === 0 && term.lasts())) continue;
+    if ((await term.fence(clock.now() - waiting)) !== undefined) for (const t of next) void bring(t);
+  }
+
+  function namedModels(): NamedWeights[] {
+    const out: NamedWeights[] = [];
+    for (const key of c.slots.cells.keys()) {
+      const v = key.startsWith(KEYS.weights) ? c.value<NamedWeights>(key)?.value : undefined;
+      if (!v) continue;
+      const s = since.get(v.model);
+      if (s?.weights !== v.weights) since.set(v.model, { weights: v.weights, at: clock.now() - (c.heardLive(key) ? 0 : bounds.rollOut * 0.5) });
+      out.push(v);
+    }
+    return out;
+  }
+
+  function enginesOf(model: string): Engine[] {
+    const out: Engine[] = [];
+    for (const e of c.value<Engine[]>(KEYS.engines)?.value ?? []) if (!e.leaving && listedWeights(e, model) !== undefined) out.push(e);
+    return out;
+  }
+
+  function listedWeights(e: Engine, model: string): string | undefined {
+    for (const m of e.models ?? [{ name: e.model, weights: e.weights }]) if (m.name === model) return m.weights;
+    return undefined;
+  }
+
+  /** What an engine runs with: the newest of what the list and its own answers say, for its weights never fall. */
+  function weightsOf(e: Engine, named: NamedWeights): string {
+    const listed = listedWeights(e, named.model)!;
+    const own = known.get(`${e.id} ${named.model}`);
+    return own !== undefined && compareWeights(own, listed, named) > 0 ? own : listed;
+  }
+
+  function lacking(named: NamedWeights): Task[] {
+    const out: Task[] = [];
+    for (const engine of enginesOf(named.model)) if (lacks(weightsOf(engine, named), named)) out.push({ engine, model: named.model, named });
+    return out;
+  }
+
+  /** How many engines may take up weights at once: a share of them, or as many as it takes for all to be done in time. */
+  function atOnce(named: NamedWeights, left: number): number {
+    const timeLeft = bounds.rollOut - (clock.now() - since.get(named.model)!.at);
+    const needed = Math.ceil((left * usual) / Math.max(usual, timeLeft - usual / 2));
+    return Math.max(1, Math.floor(enginesOf(named.model).length * AT_ONCE), needed);
+  }
+
+  /** The engines of a model to be brought to its weights now. */
+  function nextOf(named: NamedWeights, all: readonly Task[]): Task[] {
+    let room = atOnce(named, all.length);
+    for (const m of underWay.values()) if (m === named.model) room--;
+    return all.filter(isFree).slice(0, Math.max(0, room));
+    function isFree(t: Task): boolean {
+      return !underWay.has(t.engine.id) && clock.now() >= (notBefore.get(t.engine.id)?.at ?? 0);
+    }
+  }
+
+  /** Brings one engine to the weights: tells routers, orders, and looks until it has them. */
+  async function bring(t: Task): Promise<void> {
+    const { engine, model } = t;
+    const began = clock.now();
+    underWay.set(engine.id, model);
+    c.leases.tell('loading', { engines: [engine.id], within: bounds.loadMost });
+    await clock.sleep(bounds.termFresh * 0.25);
+    const done = await orderAndLook(t);
+    underWay.delete(engine.id);
+    if (done) {
+      usual += SMOOTH * (clock.now() - began - usual);
+      notBefore.delete(engine.id);
+      known.set(`${engine.id} ${model}`, t.named.weights);
+      c.leases.tell('loaded', { engine: engine.id, weights: { [model]: t.named.weights } });
+      return;
+    }
+    c.leases.tell('loading', { engines: [engine.id], within: 0 });
+    const tries = (notBefore.get(engine.id)?.tries ?? 0) + 1;
+    notBefore.set(engine.id, { tries, at: clock.now() + bounds.reportAge * Math.min(8, 2 ** (tries - 1)) });
+  }
+
+  async function orderAndLook(t: Task): Promise<boolean> {
+    let sent = await order(t, undefined);
+    let silent = 0;
+    while (sent !== 'holds' && sent !== 'not taken') {
+      await clock.sleep(Math.max(bounds.termFresh * 0.6, clock.now() - sent.at < usual * 0.5 ? usual * 0.5 : 0));
+      const r = await report(t);
+      if (r === undefined) silent++;
+      else silent = 0;
+      if (silent >= MOST_SILENT || clock.now() - sent.at > bounds.loadMost || !isListed(t)) return false;
+      if (r === undefined) continue;
+      if (has(r, t)) return true;
+      if (r.busy || clock.now() - sent.at < bounds.reportAge * 2) continue;
+      if (sent.sure) return false;
+      sent = await order(t, r.orders);
+    }
+    return sent === 'holds';
+  }
+
+  /** Gives the order, under a fence that a majority confirmed just now; what got no clear answer may have been taken. */
+  async function order(t: Task, expected: number | undefined): Promise<Sent | 'holds' | 'not taken'> {
+    const fence = await term.fence(0);
+    if (fence === undefined || !term.fresh()) return 'not taken';
+    const { engine, model, named } = t;
+    const q = speak.order.ask({ instance: engine.id, model, weights: named.weights, method: 'queue', holder: c.by, fence, expected });
+    const at = clock.now();
+    const [f, r] = open(await askWorded(wire, engine.at, q, bounds.order));
+    const answer: OrderAnswer = f ? 'unknown' : speak.order.read(r.status, r.body);
+    log.info({ step: 'order weights', peer: engine.at }, `${engine.id} ${model} ${named.weights}: ${f ? f.why : answer}`);
+    if (f?.sort === 'refused') return 'not taken';
+    if (answer === 'holds') return 'holds';
+    if (answer === 'taken' || answer === 'busy') return { at, sure: true };
+    return answer === 'unknown' ? { at, sure: false } : 'not taken';
+  }
+
+  async function report(t: Task): Promise<EngineReport | undefined> {
+    const [f, r] = open(await askWorded(wire, t.engine.at, speak.report.ask(), bounds.order));
+    const read = f ? undefined : speak.report.read(r.status, r.body);
+    return read?.isRight() ? (read.extract() as EngineReport) : undefined;
+  }
+
+  function has(r: EngineReport, t: Task): boolean {
+    for (const m of r.models) if (m.name === t.model) return !lacks(m.weights, t.named);
+    return false;
+  }
+
+  function isListed(t: Task): boolean {
+    function same(e: Engine): boolean {
+      return e.id === t.engine.id;
+    }
+    return enginesOf(t.model).some(same);
+  }
+}
--- /dev/null
+++ b/src/control/term.ts
@@ -0,0 +1,93 @@
+import { open } from '../shared/errors';
+import { rendezvous } from '../shared/lib';
+import { Ports } from '../shared/ports';
+import { KEYS } from '../shared/words';
+import { Controller } from './controller';
+
+/** The committed value of a duty: who holds it, where, and the fence of that term: the number of the change that began it. */
+export interface DutyValue {
+  holder: string;
+  at?: string;
+  fence: number;
+}
+
+/** A duty that one controller at a time holds, by terms that end a whole lease before the next one acts. */
+export interface Term {
+  /** Notes what is known of the duty by now; called often, so that the time of each change is known. */
+  watch(): void;
+  /** The fence, where this node holds the duty and a majority said so just now; takes the duty where it is free. Nothing where another holds it. `waitedMs` is how long its work has waited. */
+  fence(waitedMs: number): Promise<number | undefined>;
+  /** Whether the fence may still be acted under, at this very moment. */
+  fresh(): boolean;
+  /** Whether the last confirmation is recent enough that no other may soon take the duty for free. */
+  lasts(): boolean;
+}
+
+/** Holds a duty for this node's life. A change of the duty's register stands for every sign of its holder: each confirmation commits a new number, and only one who has seen the newest number for longer than a lease, and what a confirmation allows beside it, may take the duty. */
+export function holdTerm(c: Controller, ports: Ports, duty: string): Term {
+  const key = KEYS.duty + duty;
+  const { clock } = ports;
+  let seen = { number: -1, at: 0 };
+  let asked = -Infinity;
+  let held: number | undefined;
+  let asking: Promise<number | undefined> | undefined;
+
+  function watch(): void {
+    const number = c.value<DutyValue>(key)?.place.number ?? 0;
+    if (number !== seen.number) seen = { number, at: clock.now() };
+  }
+
+  function fresh(): boolean {
+    return clock.now() - asked <= c.bounds.termFresh;
+  }
+
+  function lasts(): boolean {
+    return clock.now() - asked <= c.bounds.termFree * 0.3;
+  }
+
+  /** Whether this node is the one to take the duty: its holder is gone, or leaves work undone for long. */
+  function isNext(v: DutyValue | undefined, waitedMs: number): boolean {
+    const { live, settings, bounds } = c;
+    if (!v?.at) return rendezvous(key, live())[0] === settings.wire;
+    const still = clock.now() - seen.at;
+    if (still < bounds.termFree) return false;
+    if (v.at === settings.wire) return true;
+    if (live().includes(v.at) && waitedMs < bounds.termFree) return false;
+    return rendezvous(key, live().filter(isOther))[0] === settings.wire;
+    function isOther(at: string): boolean {
+      return at !== v!.at;
+    }
+  }
+
+  async function ask(waitedMs: number): Promise<number | undefined> {
+    watch();
+    const v = c.value<DutyValue>(key)?.value;
+    const mine = v?.holder === c.by;
+    if (!mine && !isNext(v, waitedMs)) return undefined;
+    const sent = clock.now();
+    const [f, r] = open(await c.change({ kind: 'duty', duty, holder: c.by, at: c.settings.wire, basedOn: mine ? undefined : seen.number }));
+    if (f) {
+      ports.log.info({ step: f.step, peer: f.peer }, f.why);
+      return undefined;
+    }
+    const now = r.value as DutyValue;
+    if (now.holder !== c.by) return undefined;
+    asked = sent;
+    held = now.fence;
+    return held;
+  }
+
+  async function fence(waitedMs: number): Promise<number | undefined> {
+    function over(): void {
+      asking = undefined;
+    }
+    if (fresh()) return held;
+    if (!asking) {
+      asking = ask(waitedMs);
+      void asking.then(over);
+    }
+    return asking;
+  }
+
+  return { watch, fence, fresh, lasts };
+}
--- a/src/shared/settings.ts
+++ b/src/shared/settings.ts
@@ -105,6 +105,20 @@
   foundWait: number;
   /** A taken connection that is silent for this long is closed. */
   silence: number;
+  /** How long a duty's holder may act on what a majority confirmed. */
+  termFresh: number;
+  /** How long a duty stands still before another may take it: a lease, and what its last holder may still have on its way. */
+  termFree: number;
+  /** The longest that an order to an engine is on its way. */
+  order: number;
+  /** How long an engine may take over new weights until it is looked at anew. */
+  loadMost: number;
+  /** What an engine needs for new weights, before that was seen. */
+  loadGuess: number;
+  /** How old an engine's report may be. */
+  reportAge: number;
+  /** All engines have new weights within this. */
+  rollOut: number;
 }
 
 /** Derives the times from the bounds. */
@@ -139,6 +153,13 @@
     lost: s.catchUpMs * 0.5,
     foundWait: s.contactMs * 0.25,
     silence: s.contactMs,
+    termFresh: s.leaseMs * 0.05,
+    termFree: s.leaseMs * 1.2,
+    order: s.leaseMs * 0.1,
+    loadMost: s.weightsBoundMs * 0.4,
+    loadGuess: s.weightsBoundMs * 0.1,
+    reportAge: s.weightsBoundMs * 0.04,
+    rollOut: s.weightsBoundMs * 0.65,
   };
 }
 
--- a/src/shared/words.ts
+++ b/src/shared/words.ts
@@ -105,7 +105,7 @@
 }
 
 /** The names of control keys. */
-export const KEYS = { voters: 'voters', intents: 'intents', engines: 'engines', tenantKeys: 'keys/', weights: 'weights/', deployment: 'deployment' } as const;
+export const KEYS = { voters: 'voters', intents: 'intents', engines: 'engines', tenantKeys: 'keys/', weights: 'weights/', deployment: 'deployment', duty: 'duty/' } as const;
 
 /** The committed value of the intents: the file, and what the system set from it. */
 export interface IntentsValue {
