Controllers that speak by a dialect roll weights out, and tell routers of it ahead of the list

Cause: the list tells of an engine's weights up to its lag after they are there, and an engine that loads turns requests away, each a further try of the shared budget. The holder of the duty tells all routers before it orders an engine and as soon as the engine has them. Older weights leave the key once no engine has them, in place of by time: a controller that started anew would otherwise end them at once, in the middle of a roll-out. A router that only caught up on a naming was not in touch, and lets older ones serve for 0.7 of contactMs. Older weights serve for 0.7 of the bound, the roll-out aims at 0.6.

--- a/src/control/duties.ts
+++ b/src/control/duties.ts
@@ -2,17 +2,18 @@
 import { engineStatus, giveOrder } from '../shared/contracts/engine';
 import { Dialect } from '../shared/dialect';
 import { Ports } from '../shared/ports';
+import { NamedWeights } from '../shared/weights';
 import { Engine, KEYS } from '../shared/words';
 import { Controller } from './controller';
 import { listAll, settleWarm } from './instances';
-import { NamedWeights } from '../shared/weights';
+import { rollOut } from './rollout';
 import { askToJoin, followMachines } from './roster';
 
 /** Starts all duties of a controller. */
 export function startDuties(c: Controller, ports: Ports, dialect?: Dialect): void {
   void watchPlatform(c, ports, dialect);
-  void endOldWeights(c, ports);
-  if (!dialect) void orderWeights(c, ports);
+  void (dialect ? rollOut(c, ports, dialect.engines) : orderWeights(c, ports));
+  if (!dialect) void endOldWeights(c, ports);
   void askToJoin(c, ports);
   void followMachines(c, ports);
 }
--- a/src/control/rollout.ts
+++ b/src/control/rollout.ts
@@ -46,6 +46,7 @@
       const all = lacking(named);
       any ||= all.length > 0;
       next.push(...nextOf(named, all));
+      if (all.length === 0) await endOlder(named);
     }
     waiting = any ? (waiting ?? clock.now()) : undefined;
     if (waiting === undefined || (next.length === 0 && term.lasts())) continue;
@@ -64,6 +65,14 @@
     return out;
   }
 
+  /** Ends the older weights of a model once none of its engines has them, or they are long over at every router. */
+  async function endOlder(named: NamedWeights): Promise<void> {
+    const s = since.get(named.model)!;
+    if (named.older.length === 0 || !c.owner.owns(KEYS.weights + named.model) || clock.now() - s.at < bounds.weightsStop) return;
+    s.at = clock.now();
+    await c.change({ kind: 'weights-end', model: named.model, ended: named.older });
+  }
+
   function enginesOf(model: string): Engine[] {
     const out: Engine[] = [];
     for (const e of c.value<Engine[]>(KEYS.engines)?.value ?? []) if (!e.leaving && listedWeights(e, model) !== undefined) out.push(e);
--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -12,7 +12,7 @@
 import { keepConnections } from './pools';
 import { GatewayCounts, GatewayParts, serveRequest } from './request';
 import { makeRouteTable, RouteTable } from './routes';
-import { makeWeightsBook } from './weights';
+import { makeWeightsBook, WeightsEdge } from './weights';
 
 /** The request path of a router that speaks by a dialect. */
 export interface Gateway {
@@ -26,7 +26,9 @@
 /** Limits until the deployment tells them, as shares of `contactMs`. */
 const FIRST_LIMITS = { header: 1, idle: 5 };
 /** Older weights serve fresh requests for this share of the bound. */
-const OLDER = 0.6;
+const OLDER = 0.7;
+/** Where their naming is only caught up on, this router was not in touch: they serve for this share of `contactMs`. */
+const OUT_OF_TOUCH = 0.7;
 /** How much of the grace a drain takes at the most. */
 const DRAIN = 0.85;
 /** A router that leaves takes new requests for this share of the grace. */
@@ -36,8 +38,8 @@
 /** How often a router that serves, or drains, looks at itself, as a share of `contactMs`. */
 const LOOK = 0.02;
 
-/** Starts the request path: readiness, then callers. */
-export async function startGateway(ports: Ports, settings: Settings, follower: Follower, dialect: Dialect): Promise<Outcome<Gateway>> {
+/** Starts the request path: readiness, then callers; what it takes of our own messages is added to `edges`. */
+export async function startGateway(ports: Ports, settings: Settings, follower: Follower, dialect: Dialect, edges: object[] = []): Promise<Outcome<Gateway>> {
   if (!ports.http) return bad('start gateway', settings.http, 'no raw HTTP here');
   const http: HttpWire = ports.http;
   const { clock } = ports;
@@ -88,7 +90,8 @@
     return leaving && clock.now() - leftAt > settings.graceMs * TAKES;
   }
 
-  const weights = makeWeightsBook(clock, settings.weightsBoundMs * OLDER);
+  const weights = makeWeightsBook(clock, settings.weightsBoundMs * OLDER, settings.contactMs * OUT_OF_TOUCH);
+  edges.push(new WeightsEdge(weights));
   const connections = keepConnections(clock, http, settings, routers);
   const chooser = makeChooser({ ports, settings, follower, weights, pool, stores, routers });
   const budget = makeRetryBudget(clock, settings, routers);
@@ -122,7 +125,7 @@
 
   function changed(n: Numbered): void {
     if (n.key === KEYS.engines) renewEngines(n.value as Engine[]);
-    if (n.key.startsWith(KEYS.weights)) weights.named(n.value as NamedWeights, leased);
+    if (n.key.startsWith(KEYS.weights)) weights.named(n.value as NamedWeights, follower.live());
     if (n.key === KEYS.deployment) renew((n.value as DeploymentValue).doc);
   }
 
--- a/src/data/gateway/weights.ts
+++ b/src/data/gateway/weights.ts
@@ -1,3 +1,5 @@
+import { Right } from 'purify-ts';
+import { field, Handled, message } from '../../shared/edge';
 import { Clock } from '../../shared/ports';
 import { compareWeights, lacks, NamedWeights } from '../../shared/weights';
 import { Engine } from '../../shared/words';
@@ -22,8 +24,8 @@
   expect(instance: string, model: string): Expected | undefined;
 }
 
-/** Makes the book. Older weights serve fresh requests for `stopMs` from when the newer naming was heard. An engine's weights never fall within one life, so the newest that any source tells are what it has. */
-export function makeWeightsBook(clock: Clock, stopMs: number): WeightsBook {
+/** Makes the book. Older weights serve fresh requests for `stopMs` from when the newer naming was heard, or for `lateMs` where it was only caught up on. An engine's weights never fall within one life, so the newest that any source tells are what it has. */
+export function makeWeightsBook(clock: Clock, stopMs: number, lateMs: number): WeightsBook {
   const names = new Map<string, NamedWeights>();
   const since = new Map<string, number>();
   const has = new Map<string, Map<string, string>>();
@@ -31,7 +33,7 @@
 
   function named(v: NamedWeights, live: boolean): void {
     names.set(v.model, v);
-    for (const w of v.older) if (!since.has(keyOf(v.model, w))) since.set(keyOf(v.model, w), live ? clock.now() : -Infinity);
+    for (const w of v.older) if (!since.has(keyOf(v.model, w))) since.set(keyOf(v.model, w), clock.now() - (live ? 0 : stopMs - lateMs));
     for (const k of since.keys()) if (k.startsWith(`${v.model} `) && !v.older.includes(k.slice(v.model.length + 1))) since.delete(k);
   }
 
@@ -86,6 +88,35 @@
   return { named, listed, told, loading, expect };
 }
 
+class LoadingTold {
+  @field('list') engines!: string[];
+  @field('number') within!: number;
+}
+
+class LoadedTold {
+  @field('string') engine!: string;
+  @field('object') weights!: Record<string, string>;
+}
+
+/** What the core says of engines that take up weights, ahead of the list. */
+export class WeightsEdge {
+  constructor(private readonly book: WeightsBook) {}
+
+  /** Hears that engines are about to take up weights; within 0 they no longer are. */
+  @message('loading', LoadingTold)
+  async loading(m: LoadingTold): Handled {
+    this.book.loading(m.engines, m.within);
+    return Right(true);
+  }
+
+  /** Hears that an engine has them. */
+  @message('loaded', LoadedTold)
+  async loaded(m: LoadedTold): Handled {
+    this.book.told(m.engine, m.weights);
+    return Right(true);
+  }
+}
+
 /** The text under which an engine keeps and finds parts: parts of other weights or of another wall are never found. */
 export function saltUnder(wall: string, weights: string): string {
   return `${wall}:${weights}`;
--- a/src/data/router.ts
+++ b/src/data/router.ts
@@ -92,7 +92,7 @@
   }
   const [f, wire] = open(await ports.wire.accept(settings.wire, taken));
   if (f) return Left(f);
-  const [h, gateway] = open(await startGateway(ports, settings, follower, dialect));
+  const [h, gateway] = open(await startGateway(ports, settings, follower, dialect, edges));
   if (h) return Left(h);
 
   async function stop(): Promise<void> {
--- a/src/shared/settings.ts
+++ b/src/shared/settings.ts
@@ -159,7 +159,7 @@
     loadMost: s.weightsBoundMs * 0.4,
     loadGuess: s.weightsBoundMs * 0.1,
     reportAge: s.weightsBoundMs * 0.04,
-    rollOut: s.weightsBoundMs * 0.65,
+    rollOut: s.weightsBoundMs * 0.6,
   };
 }
 
