A roll-out counts from the naming where this node was in touch, however it heard of it

Cause: a controller that got a naming on catching up, within 0.3 s, took half of the time as gone and loaded 7 of 8 engines at once. Now it goes by whether it took its turns and saw a majority for a lease.

--- a/src/control/rollout.ts
+++ b/src/control/rollout.ts
@@ -36,10 +36,13 @@
   const notBefore = new Map<string, { tries: number; at: number }>();
   let usual = bounds.loadGuess;
   let waiting: number | undefined;
+  let passed = -Infinity;
+  let inTouchSince = Infinity;
 
   while (!c.stopped()) {
     await clock.sleep(bounds.termFresh * 0.5);
     term.watch();
+    noteTouch();
     const next: Task[] = [];
     let any = false;
     for (const named of namedModels()) {
@@ -53,13 +56,21 @@
     if ((await term.fence(clock.now() - waiting)) !== undefined) for (const t of next) void bring(t);
   }
 
+  /** Notes since when this node has taken its turns and seen a majority: what it hears meanwhile, it hears as it is made. */
+  function noteTouch(): void {
+    const now = clock.now();
+    if (now - passed > bounds.lease || !c.hasMajority()) inTouchSince = now;
+    passed = now;
+  }
+
+  /** The named weights of each model, and since when they are named; where that is not known, half of the time is taken as gone. */
   function namedModels(): NamedWeights[] {
     const out: NamedWeights[] = [];
     for (const key of c.slots.cells.keys()) {
       const v = key.startsWith(KEYS.weights) ? c.value<NamedWeights>(key)?.value : undefined;
       if (!v) continue;
       const s = since.get(v.model);
-      if (s?.weights !== v.weights) since.set(v.model, { weights: v.weights, at: clock.now() - (c.heardLive(key) ? 0 : bounds.rollOut * 0.5) });
+      if (s?.weights !== v.weights) since.set(v.model, { weights: v.weights, at: clock.now() - (clock.now() - inTouchSince > bounds.lease ? 0 : bounds.rollOut * 0.5) });
       out.push(v);
     }
     return out;
