Peers that are away are tried again soon at first, and seeds are asked side by side

Cause: after all lost power a router dialled a core machine that was still starting every 100 to 300 ms, and asked its seeds one after the other.

--- a/src/shared/connections.ts
+++ b/src/shared/connections.ts
@@ -6,6 +6,11 @@
 /** The version of our wire messages; a peer more than one off is refused. */
 export const WIRE_VERSION = 1;
 
+/** The first pause before a peer is tried again, as a share of `pause`; each further one is twice as long, up to the longest. */
+export const FIRST_PAUSE = 0.1;
+/** The longest pause before a peer is tried again. */
+export const LONGEST_PAUSE = 0.4;
+
 /** What a process says first on a connection. */
 export interface Hello {
   version: number;
@@ -136,6 +141,7 @@
   let stopped = false;
 
   async function keep(): Promise<void> {
+    let pause = ways.pause * FIRST_PAUSE;
     while (!stopped) {
       const [f, connection] = open(await ports.wire.dial(at, ways.within));
       if (f) {
@@ -143,9 +149,12 @@
       } else if (stopped) {
         connection.close();
       } else {
+        const began = ports.clock.now();
         await live(connection);
+        if (ports.clock.now() - began > ways.pause) pause = ways.pause * FIRST_PAUSE;
       }
-      if (!stopped) await ports.clock.sleep(ways.pause * (0.5 + ports.dice.next()));
+      if (!stopped) await ports.clock.sleep(pause * (0.5 + ports.dice.next()));
+      pause = Math.min(pause * 2, ways.pause * LONGEST_PAUSE);
     }
   }
 
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -7,7 +7,7 @@
 import { poll } from './poll';
 import { Ports } from './ports';
 import { Bounds } from './settings';
-import { askOnce, Exchange, Hello, holdAll, noConnection } from './connections';
+import { askOnce, Exchange, FIRST_PAUSE, Hello, holdAll, LONGEST_PAUSE, noConnection } from './connections';
 import { allVoters, comparePlaces, isQuorum, KEYS, Member, Numbered, Place, Voter, Voters } from './words';
 
 /** A node's view of the control state, kept up by news and leases. */
@@ -223,10 +223,17 @@
     if (want.length > 0) helds.want(want);
   }
 
+  /** Asks all seeds side by side, at first soon again: after a loss of power they come up one by one. */
   async function findCore(): Promise<void> {
-    while (!stopped && core().length === 0) {
-      for (const at of seeds) await askSeed(at);
-      if (core().length === 0) await ports.clock.sleep(bounds.pause * (0.5 + ports.dice.next()));
+    const asking = new Set<string>();
+    async function one(at: string): Promise<void> {
+      asking.add(at);
+      await askSeed(at);
+      asking.delete(at);
+    }
+    for (let pause = bounds.pause * FIRST_PAUSE; !stopped && core().length === 0; pause = Math.min(pause * 2, bounds.pause * LONGEST_PAUSE)) {
+      for (const at of seeds) if (!asking.has(at)) void one(at);
+      await ports.clock.sleep(pause * (0.5 + ports.dice.next()));
     }
   }
 
--- a/test/deploymentrig.ts
+++ b/test/deploymentrig.ts
@@ -4,7 +4,7 @@
 import { askJson } from '../src/shared/lib';
 import { defaultSettings, Settings } from '../src/shared/settings';
 import { platform } from '../platform/dialect';
-import { makeNet } from '../tools/sim/simwire';
+import { makeNet, SimNet } from '../tools/sim/simwire';
 import { makeWorld, Proc, World } from '../tools/sim/simworld';
 
 /** What an operator hears. */
@@ -16,6 +16,7 @@
 /** Three controllers in a simulated world, and an operator who speaks as the platform's do. */
 export interface CoreRig {
   w: World;
+  net: SimNet;
   core: Proc[];
   controllers: Map<string, Controller>;
   start(p: Proc): void;
@@ -111,5 +112,5 @@
   }
 
   for (const p of core) start(p);
-  return { w, core, controllers, start, pass, settled, call, insist };
+  return { w, net, core, controllers, start, pass, settled, call, insist };
 }
