--- a/src/index/indexer.ts
+++ b/src/index/indexer.ts
@@ -26,6 +26,7 @@
   listeners(): ListenerView[];
   counts: IndexCounts;
   coming: Coming;
+  sources: Sources;
   /** Whether a source's feed can be reached. */
   reached(source: string): boolean;
   repair: Repair;
@@ -328,5 +329,5 @@
   }
 
   void join();
-  return Right({ settings, follower, trees, edges, query, dump, dumpRows, ring, reused, gateOpen, listeners: views, counts, coming, reached, repair, stop });
+  return Right({ settings, follower, trees, edges, query, dump, dumpRows, ring, reused, gateOpen, listeners: views, counts, coming, sources, reached, repair, stop });
 }
--- a/src/index/repair.ts
+++ b/src/index/repair.ts
@@ -10,7 +10,7 @@
 import { Rows, Trees } from './tree';
 
 /** Lost numbers are worth a repair from this share of what is kept there on. */
-const WORTH = 0.1;
+const WORTH = 0.25;
 /** Turns after which a source that another replica lists is asked for again. */
 const PEER_TURNS = 3;
 
