--- a/src/control/changes.ts
+++ b/src/control/changes.ts
@@ -6,7 +6,7 @@
 import { Clock, Dice } from '../shared/ports';
 import { Bounds, Settings } from '../shared/settings';
 import { Intents, IntentsValue, Numbered, Place, Voters } from '../shared/words';
-import { DocumentReader, mayBeStale } from './deployment';
+import { DocumentReader } from './deployment';
 import { checkIntents } from './intents';
 import { keyOf, makeValue, Operation } from './operations';
 import { Owner } from './register';
@@ -72,9 +72,7 @@
     function make(now: Numbered | undefined): Outcome<unknown> {
       return inDoubt ? makeAgain(op, now) : makeValue(op, now, p.reader);
     }
-    const first = await owner.change(key, make, tries);
-    if (mayBeStale(op, first)) owner.disown(key);
-    return (mayBeStale(op, first) ? await owner.change(key, make, tries) : first).map(changed);
+    return (await owner.change(key, make, tries)).map(changed);
   }
 
   function changed(n: Numbered): Changed {
--- a/src/control/deployment.ts
+++ b/src/control/deployment.ts
@@ -1,7 +1,7 @@
 import { Either, Left, Right } from 'purify-ts';
 import { Deployment, DeploymentValue, NamedChange } from '../shared/deployment';
 import { Dialect } from '../shared/dialect';
-import { bad, open, Outcome } from '../shared/errors';
+import { bad, Outcome } from '../shared/errors';
 import { shortHash } from '../shared/lib';
 import { KEYS, Numbered } from '../shared/words';
 import { checkDeployment } from './deployment-check';
@@ -72,9 +72,3 @@
   }
   return reader.namedChange(op.change).map(apply);
 }
-
-/** Whether a fault may be of a view that is no longer the newest, so that it is worth a look at what a majority holds. */
-export function mayBeStale(op: { kind: string }, o: Outcome<unknown>): boolean {
-  const [f] = open(o);
-  return op.kind === 'deployment' && (f?.code === 'conflict' || f?.code === 'bad-deployment');
-}
