A caller that asks for its connection to be closed has it closed; transcripts of the gateway

Cause: the first transcript of a whole exchange showed `Connection: keep-alive` in answer to `Connection: close`, and the connection stayed open until it had idled out. The router tells keep-alive only where the caller wants it. Headers over the deployment's limit get 431. Ruled out: the engine's own header (it does not go back).

--- a/src/data/gateway/pools.ts
+++ b/src/data/gateway/pools.ts
@@ -111,6 +111,7 @@
       const [f, c] = open(await connect(e, k));
       k.reaching = undefined;
       if (f) closeIdle(k);
+      else if (stopped || engines.get(e.id) !== k) c.close();
       else k.idle.push({ c, since: clock.now() });
       return f === undefined;
     }
--- a/src/data/gateway/request.ts
+++ b/src/data/gateway/request.ts
@@ -128,6 +128,7 @@
 
 async function read(g: GatewayParts, call: RawCall): Promise<Read | undefined> {
   const limits = g.table()?.limits;
+  if (limits && headerBytes(call) > limits.maxHeaderBytes) return answer(g, call, 431, 'the headers are too large');
   const [f, body] = open(await call.body(limits?.maxBodyBytes ?? g.settings.bodyMostBytes));
   if (f) return answer(g, call, f.code === 'too-large' ? 413 : 400, f.why);
   const r = g.dialect.callers.read(call.method, call.target, call.fields);
@@ -135,6 +136,13 @@
   return { request: r.extract() as CallerRequest, body };
 }
 
+/** Bytes of a request's head, its lines with their ends. */
+function headerBytes(call: RawCall): number {
+  let n = call.method.length + call.target.length + 12;
+  for (const x of call.headers) n += x.length + 2;
+  return n;
+}
+
 function allow(g: GatewayParts, call: RawCall, table: RouteTable, q: CallerRequest): Allowed | undefined {
   const route = table.find(q.host, q.path);
   if (!route) return answer(g, call, 404, 'no route');
--- a/src/shared/realhttp.ts
+++ b/src/shared/realhttp.ts
@@ -51,7 +51,7 @@
   function head(status: number, headers: string[]): void {
     if (res.headersSent) return;
     const l = limits();
-    if (l.closing || gone.signal.aborted) {
+    if (l.closing || !res.shouldKeepAlive) {
       res.shouldKeepAlive = false;
       res.writeHead(status, headers);
     } else {
--- a/test/gateway-leave.test.ts
+++ b/test/gateway-leave.test.ts
@@ -140,6 +140,7 @@
   const rig = await startRig({ engines: [e], deployment: deployment([route({})]) });
   expect((await ask(rig.at, { body: 'x'.repeat(200000) })).status).toBe(413);
   expect((await ask(rig.at, { headers: { 'Plumhollow-Attempt-Id': '' } })).status).toBe(400);
+  expect((await ask(rig.at, { headers: { 'X-Long': 'z'.repeat(17000) } })).status).toBe(431);
   expect(e.calls.length).toBe(0);
   const big = 'y'.repeat(99000);
   expect((await ask(rig.at, { body: big, headers: { 'Transfer-Encoding': 'chunked' } })).status).toBe(200);
