--- a/test/rollout.test.ts
+++ b/test/rollout.test.ts
@@ -165,6 +165,42 @@
   expect(d.orders.length).toBeLessThan(13 + 8);
 }
 
+/** Strikes controllers and engines at random while weights roll out, and names newer ones on every other seed. */
+async function swept(seed: number): Promise<void> {
+  const d = await makeRollOutDesk(seed, 13, 3);
+  const { dice } = d.w;
+  await d.name(2);
+  for (let k = 0; k < 4; k++) {
+    await d.at(d.w.now() + 100 + dice.next() * 1800);
+    const who = dice.next() < 0.6 ? (d.holder() ?? 'core-1') : `core-${1 + Math.floor(dice.next() * 3)}`;
+    if (d.proc(who).alive && !d.proc(who).frozen) strikeOne(d, who, Math.floor(dice.next() * 5), 300 + dice.next() * 4500);
+  }
+  const goal = seed % 2 === 0 ? 3 : 2;
+  if (goal === 3) await d.name(3);
+  const took = await d.until(allAt(d, goal), 30000);
+  await d.at(d.w.now() + 5000);
+  expect({ seed, conflicts: conflicts(d.orders) }).toEqual({ seed, conflicts: [] });
+  expect(took).toBeLessThan(13000);
+}
+
+function strikeOne(d: RollOutDesk, who: string, kind: number, ms: number): void {
+  const other = `core-${1 + (Number(who.slice(-1)) % 3)}`;
+  const e = d.engines[Math.floor(ms) % d.engines.length];
+  if (kind === 0) d.kill(who, ms);
+  if (kind === 1) d.freeze(who, ms);
+  if (kind === 2 || kind === 3) d.cut(who, other, ms);
+  if (kind === 3) d.cut(other, who, ms);
+  if (kind === 4) e.mute = true;
+  if (kind === 4) d.w.after(ms, speaks);
+  function speaks(): void {
+    e.mute = false;
+  }
+}
+
+async function sweep(): Promise<void> {
+  for (let seed = 1; seed <= 24; seed++) await swept(seed);
+}
+
 test('one holder killed: another goes on after a lease, and no fence is shared', killed);
 test('one holder frozen: it gives no order when it wakes', frozen);
 test('one holder cut off in one way from another controller', halfCut);
@@ -174,3 +210,4 @@
 test('an engine that is busy with another order is waited for', busyWithAnother);
 test('weights named while others roll out: engines that have not begun skip the older ones', oneAfterAnother);
 test('in calm all engines have new weights in time, some at once, each by one order', calm);
+test('four troubles at random: no two holders within a lease, and all engines done in time', sweep);
