--- a/tools/fleet/platform.ts
+++ b/tools/fleet/platform.ts
@@ -5,6 +5,7 @@
 import { seededDice } from '../sim/dice';
 import { Day, startDay } from '../standins/platform/day';
 import { Entry } from '../standins/platform/entry';
+import { Guarantees } from '../standins/platform/ground';
 import { DayReport, reportDay } from '../standins/platform/ledger';
 import { makeSite, Site, SITES } from '../standins/platform/site';
 import { makeMachines } from './machines';
@@ -18,6 +19,8 @@
   /** Troubles in turn, evenly over the day; each is waited for. */
   troubles: readonly string[];
   seed: number;
+  /** Bounds that the ledger judges by, where they are others than those that the processes are told. */
+  judged?: Guarantees;
 }
 
 /** What a played day came to. */
@@ -73,7 +76,7 @@
     await day.operator.readBack(ways.site.bounds.contactMs);
     const ended: string[] = [];
     for (const [name, p] of machines.procs) for (const e of p.ended) ended.push(`${name} ${e}`);
-    return { ...reportDay(day.book, ways.site.bounds), site: ways.site.name, troubles: ways.troubles, ackMs: Math.round((first.ackAt ?? NaN) - begun), readyMs, allReady: ready, ended };
+    return { ...reportDay(day.book, ways.judged ?? ways.site.bounds), site: ways.site.name, troubles: ways.troubles, ackMs: Math.round((first.ackAt ?? NaN) - begun), readyMs, allReady: ready, ended };
   } finally {
     await machines.stopAll();
     await day.close();
--- a/tools/fleet/troubles.ts
+++ b/tools/fleet/troubles.ts
@@ -12,6 +12,8 @@
   clients: Clients;
 }
 
+const WHILE = 2000;
+
 type Trouble = (p: Played) => Promise<void>;
 
 /** The engines that generate, in their present lives. */
@@ -192,7 +194,7 @@
   const { day } = p;
   const over = troubled(day.book, 'events', 'events');
   for (const e of day.engines.values()) Object.assign(e.keeper.ways, { lost: 0.3, lateMs: 400 });
-  await day.ground.clock.sleep(3000);
+  await day.ground.clock.sleep(WHILE);
   for (const e of day.engines.values()) Object.assign(e.keeper.ways, { lost: 0, lateMs: 20 });
   over();
 }
@@ -209,7 +211,7 @@
 async function slowLinks(p: Played): Promise<void> {
   const { day } = p;
   day.ground.links.slow = 200;
-  await day.ground.clock.sleep(3000);
+  await day.ground.clock.sleep(WHILE);
   day.ground.links.slow = 1;
 }
 
@@ -217,7 +219,7 @@
   const { day } = p;
   const over = troubled(day.book, 'down', 'list');
   day.list.troubles.down = true;
-  await day.ground.clock.sleep(3000);
+  await day.ground.clock.sleep(WHILE);
   day.list.troubles.down = false;
   over();
 }
@@ -227,7 +229,7 @@
   'kill-controller': kills('controller', 500), 'kill-core': kills('controller', 500, 3), 'kill-indexers': kills('indexer', 500, 3), 'kill-router': kills('router', 500), 'kill-routers': kills('router', 500, Infinity),
   'wipe-controller': wipes, 'freeze-controller': freezes('controller', 4000), 'freeze-router': freezes('router', 4000), 'roll-router': rolls('router', 1), 'roll-routers': rolls('router', 3), 'roll-controller': rolls('controller', 1),
   'crash-engine': crashes('reset'), 'dark-engine': crashes('dark'), release, 'version-bump': bump, revoke, config, race, 'bad-config': badConfig,
-  garble: engines('garble', { garble: 0.3 }, 3000), 'lost-answers': engines('lost', { lost: 0.3 }, 3000), 'break-off': engines('break', { breakOff: 0.3 }, 3000), 'no-answer': engines('garbage', { noAnswer: 0.3 }, 3000),
-  fails: engines('grey', { fails: 0.5 }, 3000), silent: engines('silent', { silent: 0.5 }, 3000), 'close-idle': engines('idle', { closeIdle: true }, 3000, 2), 'slow-engine': engines('slow', { slow: 8 }, 3000),
-  full: engines('full', { full: true }, 3000), 'lying-health': engines('lying', { full: true, lyingHealth: true }, 3000), 'events-lost': eventsLost, 'empty-store': emptyStore, 'slow-links': slowLinks, 'list-down': listDown,
+  garble: engines('garble', { garble: 0.3 }, WHILE), 'lost-answers': engines('lost', { lost: 0.3 }, WHILE), 'break-off': engines('break', { breakOff: 0.3 }, WHILE), 'no-answer': engines('garbage', { noAnswer: 0.3 }, WHILE),
+  fails: engines('grey', { fails: 0.5 }, WHILE), silent: engines('silent', { silent: 0.5 }, WHILE), 'close-idle': engines('idle', { closeIdle: true }, WHILE, 2), 'slow-engine': engines('slow', { slow: 8 }, WHILE),
+  full: engines('full', { full: true }, WHILE), 'lying-health': engines('lying', { full: true, lyingHealth: true }, WHILE), 'events-lost': eventsLost, 'empty-store': emptyStore, 'slow-links': slowLinks, 'list-down': listDown,
 };
