What is sent on to a store is noted; only prompts that are mostly shared go there

By the events, parts were gone from engines and never in the store: within the events' lag several routers had the same parts sent there, with prompts' own parts along, 2.4 to 3 times what its link takes, and moves that would wait are not begun. Ruled out: repeated reads by a wrong index (2 of 11 such reads had a holder that an index knew; both were asked of an indexer whose gate was still closed) and by sources that lost the part (13 of 164). A note now names the store, so its parts are coming there too; a prompt goes to a store where half of it is shared. An indexer refuses overlaps until its gate is open, and a router asks the next.

--- a/src/data/gateway/choose.ts
+++ b/src/data/gateway/choose.ts
@@ -191,6 +191,11 @@
     return Right(c);
   }
 
+  function storeName(at: string | undefined): string | undefined {
+    for (const s of p.stores()) if (s.at === at) return s.name;
+    return undefined;
+  }
+
   function wireParts(w: Wanted): WirePart[] {
     const out: WirePart[] = [];
     for (const x of w.request.parts) out.push([x.hash, x.size]);
@@ -204,7 +209,7 @@
   function began(chosen: Chosen, w: Wanted): Load {
     const c = chosen as ChosenHere;
     const u = placement.began(c.placed);
-    if (c.indexed) indexers.placed({ model: w.request.model ?? '', salt: c.salt ?? '', engine: c.engine.id, parts: wireParts(w) });
+    if (c.indexed) indexers.placed({ model: w.request.model ?? '', salt: c.salt ?? '', engine: c.engine.id, parts: wireParts(w), store: storeName(c.storeAt) });
     let how: Ending | undefined;
 
     function told(weights: Record<string, string>): void {
--- a/src/data/gateway/indexers.ts
+++ b/src/data/gateway/indexers.ts
@@ -60,6 +60,7 @@
         misses.delete(at);
         return answer as OverlapAnswer;
       }
+      if (f.code === 'not-ready') continue;
       misses.set(at, { count: (m?.count ?? 0) + 1, until: ports.clock.now() + bounds.status });
       return undefined;
     }
--- a/src/data/gateway/placement.ts
+++ b/src/data/gateway/placement.ts
@@ -121,6 +121,8 @@
 const MOST_ENGINES = 4;
 /** Costs are spread by this share, so that routers do not all choose the same. */
 const SPREAD = 0.02;
+/** A prompt goes to a store where this share of it is shared: its own part goes along, and fills the store's link and room. */
+const STORED = 0.5;
 /** A request that fetched shows a slow link only by taking this many times what was reckoned. */
 const SLOW = 1.5;
 /** Where more than this share of the time is waiting, it shows nothing of a link. */
@@ -257,7 +259,13 @@
   function storeFor(ask: PlaceAsk, home: string, answer: OverlapAnswer | undefined): string | undefined {
     if (!answer || ask.pool.stores.length === 0) return undefined;
     const ranks = homes.ranks(home, ask.pool.stores.map(nameOf));
-    for (const s of ask.pool.stores) if (ranks.get(s.name) === 0) return told(answer)(s.name).kept < sharedOf(ask.parts) ? s.at : undefined;
+    const shared = sharedOf(ask.parts);
+    if (shared < ask.tokensIn * STORED) return undefined;
+    for (const s of ask.pool.stores) {
+      if (ranks.get(s.name) !== 0) continue;
+      const { kept, coming } = told(answer)(s.name);
+      return kept + coming < shared ? s.at : undefined;
+    }
     return undefined;
   }
 
--- a/src/index/indexer.ts
+++ b/src/index/indexer.ts
@@ -67,7 +67,7 @@
   const coming = makeComing(ports.clock.now, bounds.coming, Math.ceil(settings.indexMostParts * COMING_SHARE), unheard);
   const loads = makeLoads(ports.clock.now, bounds.loadsSilent);
   const repair = makeRepair({ ports, bounds, sources, trees, peers, at: settings.wire, registration: registrationOf, heard: heard.get.bind(heard), adopt });
-  edges.push(new HelloEdge(hello), new IndexEdge({ query, dump, dumpRows, ring, reused }), new OverlapEdge(trees, coming, loads, reached), repair.edge);
+  edges.push(new HelloEdge(hello), new IndexEdge({ query, dump, dumpRows, ring, reused }), new OverlapEdge(trees, coming, loads, reached, gateOpen), repair.edge);
   const follower = follow(ports, bounds, hello, member, settings.seeds, edges);
 
   function gateOpen(): boolean {
--- a/src/index/overlap.ts
+++ b/src/index/overlap.ts
@@ -1,6 +1,7 @@
 import { Right } from 'purify-ts';
 import { Exchange } from '../shared/connections';
 import { Handled, message } from '../shared/edge';
+import { bad } from '../shared/errors';
 import { LoadsShape, LoadsTell, OverlapAnswer, OverlapAsk, OverlapShape, PlacedShape, PlacedTell, WirePart } from '../shared/loads';
 import { Coming } from './coming';
 import { Loads } from './loads';
@@ -56,7 +57,7 @@
 export class OverlapEdge {
   private readonly watched = new WeakSet<object>();
 
-  constructor(private readonly trees: Trees, private readonly coming: Coming, private readonly loads: Loads, private readonly reached: (source: string) => boolean) {}
+  constructor(private readonly trees: Trees, private readonly coming: Coming, private readonly loads: Loads, private readonly reached: (source: string) => boolean, private readonly ready: () => boolean) {}
 
   private watch(ex: Exchange): void {
     if (this.watched.has(ex)) return;
@@ -64,27 +65,33 @@
     void ex.done.then(this.gone.bind(this, ex));
   }
 
+  private note(ex: Exchange, p: PlacedTell): void {
+    const trees = this.trees;
+    function keeps([hash, size]: WirePart): boolean {
+      for (const h of trees.holders(p.model, p.salt, hash) ?? []) if (h.source === p.engine) return h.kept >= size;
+      return false;
+    }
+    this.coming.placed(ex, p, keeps);
+  }
+
   private gone(ex: Exchange): void {
     this.coming.dropRouter(ex);
     this.loads.drop(ex);
   }
 
-  /** Tells how much of a prompt each source keeps. */
+  /** Tells how much of a prompt each source keeps; refused until the gate is open. */
   @message('overlap', OverlapShape)
   async overlap(q: OverlapAsk): Handled {
+    if (!this.ready()) return bad('overlap', '', 'the gate is not open yet', 'refused', 'not-ready');
     return Right(overlapOf(this.trees, this.coming, q, this.reached));
   }
 
   /** Takes a router's note of a request that it placed. */
   @message('placed', PlacedShape)
   async placed(p: PlacedTell, ex: Exchange): Handled {
-    const trees = this.trees;
-    function keeps([hash, size]: WirePart): boolean {
-      for (const h of trees.holders(p.model, p.salt, hash) ?? []) if (h.source === p.engine) return h.kept >= size;
-      return false;
-    }
-    trees.learn(p.model, p.salt, p.parts);
-    this.coming.placed(ex, p, keeps);
+    this.trees.learn(p.model, p.salt, p.parts);
+    this.note(ex, p);
+    if (p.store !== undefined) this.note(ex, { ...p, engine: p.store });
     this.watch(ex);
     return Right(undefined);
   }
--- a/src/shared/loads.ts
+++ b/src/shared/loads.ts
@@ -38,6 +38,8 @@
   salt: string;
   engine: string;
   parts: WirePart[];
+  /** The store that the engine was told to send the parts to once it has them. */
+  store?: string;
 }
 
 /** The shape of 'loads' at the edge. */
@@ -59,4 +61,5 @@
   @field('string') salt!: string;
   @field('string') engine!: string;
   @field('list') parts!: WirePart[];
+  @field('string', false) store?: string;
 }
--- a/test/index-loads.test.ts
+++ b/test/index-loads.test.ts
@@ -1,6 +1,7 @@
 import { makeComing, Unheard } from '../src/index/coming';
 import { makeLoads } from '../src/index/loads';
-import { overlapOf } from '../src/index/overlap';
+import { OverlapEdge, overlapOf } from '../src/index/overlap';
+import { Exchange } from '../src/shared/connections';
 import { makeTrees, Trees } from '../src/index/tree';
 import { EngineLoad, WirePart } from '../src/shared/loads';
 
@@ -158,6 +159,28 @@
   expect(coming.size()).toBe(0);
 }
 
+/** What goes on to a store is coming there too, so that it is sent once; before its gate opens an indexer says nothing of overlaps. */
+async function comesToStores(): Promise<void> {
+  time = 0;
+  const trees = makeTrees(1000);
+  const coming = makeComing(now, 1500, 100, none);
+  let open = false;
+  function ready(): boolean {
+    return open;
+  }
+  function reached(): boolean {
+    return true;
+  }
+  function never(): void {}
+  const router = { done: new Promise<void>(never), peer: 'r1' } as unknown as Exchange;
+  const edge = new OverlapEdge(trees, coming, makeLoads(now, 900), reached, ready);
+  keep(trees, 'store', 'a', 800);
+  await edge.placed({ ...ask(), engine: 'e1', store: 'store' }, router);
+  expect((await edge.overlap(ask())).extract()).toMatchObject({ sort: 'refused', code: 'not-ready' });
+  open = true;
+  expect((await edge.overlap(ask())).extract()).toEqual([['store', 800, 650], ['e1', 0, 1450]]);
+}
+
 function hashOf(u: Unheard): string {
   return u.hash;
 }
@@ -219,6 +242,7 @@
 function overlaps(): void {
   test('counts from the front, up to the first part that is not whole', keptFromTheFront);
   test('a placed part comes until it is told of, its router goes or time passes', comesUntilTold);
+  test('what is sent on to a store is coming there, and a closed gate says so', comesToStores);
   test('notes are bounded', notesAreBounded);
   test('the end of a prompt gives way first', evictsFromTheEnd);
   test('compact rows carry the trees', rowsCarryAll);
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -213,6 +213,10 @@
   const p = placement();
   expect(placed(p, long(), told([])).storeAt).toBe('10.0.1.1:80');
   expect(placed(p, long()).storeAt).toBeUndefined();
+  expect(placed(p, long(), told([['store', 4000, 6000]])).storeAt).toBeUndefined();
+  expect(placed(p, long(), told([['store', 4000, 5000]])).storeAt).toBe('10.0.1.1:80');
+  const mostlyOwn = long({ parts: [{ hash: 'shared', size: 10000 }, { hash: 'own', size: 12000 }], tokensIn: 22000 });
+  expect(placed(p, mostlyOwn, told([])).storeAt).toBeUndefined();
 }
 
 function homeWithoutIndex(): void {
