Leases, catching up and owning cost by what changed, not by how many keys and nodes there are

Each renewal told and checked every key, made and sorted the list of members twice at the node and once at the controller, and resent it whole when one joined; each controller sent the places of all keys to each other one five times a lease, and hashed all keys for their owners; a claim that met news on its way was sent the value whole; a router took all tenants' keys anew for each that changed. Each of these grows with nodes x nodes, nodes x keys or keys for each change.

A peer of another version is told and asked as before.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -13,6 +13,7 @@
 import { Changed, makeChanges } from './changes';
 import { DocumentReader } from './deployment';
 import { makeFounding } from './founding';
+import { makeKeeper } from './keep';
 import { Leases } from './leases';
 import { keyOf, Operation } from './operations';
 import { ControlEdge } from './peers';
@@ -134,7 +135,7 @@
   await votes.begin(kept);
   const roster = new RosterEdge(ports, bounds, voters, joined);
   const changes = makeChanges({ clock: ports.clock, dice: ports.dice, settings, bounds, owner, reader, voters, live, up, local });
-  const peers = new ControlEdge({ slots, mayFound: settings.bootstrap, voters, changeHere: changes.here, committed, hinted, isUp, wake });
+  const peers = new ControlEdge({ by, slots, mayFound: settings.bootstrap, voters, changeHere: changes.here, committed, hinted, isUp, wake });
   const reads: ReadParts = { slots, owner, voters, askVoter: askShortly, ofOwner: changes.ofOwner };
   const edges: object[] = [new HelloEdge(hello), acceptor, leases, votes, roster, peers, new ReadEdge(reads)];
   const helds = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause, onUp, onDown: wake });
@@ -246,13 +247,8 @@
     if (chosen(KEYS.voters)) await owner.change(KEYS.voters, make);
   }
 
-  async function catchUp(): Promise<void> {
-    const has = hasList(committed());
-    async function from(at: string): Promise<void> {
-      await take((await helds.up(at)?.ask('missing', has, bounds.ask)) ?? Left(noConnection('missing', at)));
-    }
-    await Promise.all(helds.ats().map(from));
-  }
+  const always = [KEYS.engines, reader ? KEYS.deployment : KEYS.intents];
+  const keeper = makeKeeper({ wire: settings.wire, always, slots, owner, bounds, helds, live, committed, learn: acceptor.learn.bind(acceptor), forget: heard.delete.bind(heard) });
 
   async function take(o: Outcome<unknown>): Promise<void> {
     const [f, list] = open(o);
@@ -281,25 +277,15 @@
   async function tend(): Promise<void> {
     const tending = addWaker();
     while (!stopped) {
-      await catchUp();
+      await keeper.catchUp();
       if (!voters()) await founding.foundByItself();
       if (voters()) await spreadFounding();
       reachAll();
-      if (voters()) await tendKeys();
+      if (voters()) await keeper.tendKeys();
       await tending.wait(bounds.renew * (0.8 + 0.4 * ports.dice.next()), bounds.pause * 0.1);
     }
   }
 
-  /** Owns the keys that fall to this node, and leaves the others. */
-  async function tendKeys(): Promise<void> {
-    const take: Promise<unknown>[] = [];
-    for (const key of new Set([...slots.cells.keys(), KEYS.engines, reader ? KEYS.deployment : KEYS.intents])) {
-      if (!chosen(key)) owner.disown(key);
-      else if (!owner.owns(key)) take.push(owner.own(key));
-    }
-    await Promise.all(take);
-  }
-
   const [g, listening] = open(await ports.wire.accept(settings.wire, taken));
   if (g) return Left(g);
 
--- /dev/null
+++ b/src/control/keep.ts
@@ -0,0 +1,106 @@
+import { Right } from 'purify-ts';
+import { Exchange, Holds } from '../shared/connections';
+import { open, Outcome } from '../shared/errors';
+import { hasList } from '../shared/follow';
+import { rendezvous } from '../shared/lib';
+import { Bounds } from '../shared/settings';
+import { comparePlaces, Numbered } from '../shared/words';
+import { Owner } from './register';
+import { Slots } from './slots';
+
+type Has = [string, number, string, number];
+
+/** Which keys a controller learned after a count of its life; without `has` where the asker counted in another life, or too long ago. */
+export interface LearnedAfter {
+  life: string;
+  count: number;
+  has?: Has[];
+}
+
+/** What the keeper works with. */
+export interface KeeperParts {
+  wire: string;
+  /** Keys that are owned also before they have a value. */
+  always: string[];
+  slots: Slots;
+  owner: Owner;
+  bounds: Bounds;
+  helds: Holds;
+  live(): string[];
+  committed(): Numbered[];
+  learn(m: { change: Numbered }): Promise<Outcome<unknown>>;
+  /** Notes that a change was not heard as it was made. */
+  forget(key: string): void;
+}
+
+/** Keeps a controller's keys up: what it missed, and which ones it owns. */
+export interface Keeper {
+  catchUp(): Promise<void>;
+  tendKeys(): Promise<void>;
+}
+
+/** Keys that are taken over at once; their writes share syncs. */
+const OWN_AT_ONCE = 64;
+
+/** Makes the keeper; each of its rounds costs by what changed, not by how many keys there are. */
+export function makeKeeper(p: KeeperParts): Keeper {
+  const caught = new Map<string, LearnedAfter>();
+  let tended = { under: '', seen: new Set<string>(), mine: new Set<string>() };
+
+  /** Asks each other controller for what it learned since it was asked last, and the first time for all that is not here. */
+  async function catchUp(): Promise<void> {
+    await Promise.all(p.helds.ats().map(from));
+  }
+
+  async function from(at: string): Promise<void> {
+    const ex = p.helds.up(at);
+    if (!ex) return;
+    const seen = caught.get(at);
+    const [f, r] = open(await ex.ask('learned-after', { life: seen?.life ?? '', count: seen?.count ?? 0 }, p.bounds.ask));
+    if (f && f.code !== 'not-known') return;
+    const told = r as LearnedAfter | undefined;
+    const [g, list] = open(await lacking(ex, told));
+    if (g) return;
+    for (const n of list as Numbered[]) {
+      if ((await p.learn({ change: n })).isLeft()) return;
+      p.forget(n.key);
+    }
+    if (told) caught.set(at, told);
+  }
+
+  async function lacking(ex: Exchange, told: LearnedAfter | undefined): Promise<Outcome<unknown>> {
+    if (!told?.has) return ex.ask('missing', hasList(p.committed()), p.bounds.ask);
+    const keys = told.has.filter(isLacking).map(keyOf);
+    return keys.length === 0 ? Right([]) : ex.ask('committed', keys, p.bounds.ask);
+  }
+
+  function isLacking([key, epoch, by, number]: Has): boolean {
+    const have = p.slots.cells.get(key)?.learned;
+    return !have || comparePlaces(have, { epoch, by, number }) < 0;
+  }
+
+  function keyOf(x: Has): string {
+    return x[0];
+  }
+
+  /** Owns the keys that are this controller's under the voters that are up, some at once, and no others. */
+  async function tendKeys(): Promise<void> {
+    const up = p.live();
+    const under = up.join(' ');
+    if (under !== tended.under) tended = { under, seen: new Set(), mine: new Set() };
+    for (const key of [...p.always, ...p.slots.cells.keys()]) {
+      if (tended.seen.has(key)) continue;
+      tended.seen.add(key);
+      if (rendezvous(key, up)[0] === p.wire) tended.mine.add(key);
+    }
+    for (const key of p.owner.owned()) if (!tended.mine.has(key)) p.owner.disown(key);
+    const wanted = [...tended.mine].filter(notOwned);
+    for (let i = 0; i < wanted.length; i += OWN_AT_ONCE) await Promise.all(wanted.slice(i, i + OWN_AT_ONCE).map(p.owner.own));
+  }
+
+  function notOwned(key: string): boolean {
+    return !p.owner.owns(key);
+  }
+
+  return { catchUp, tendKeys };
+}
--- a/src/control/leases.ts
+++ b/src/control/leases.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util';
 import { Left, Right } from 'purify-ts';
 import { Delta, makeDelta } from '../shared/delta';
 import { field, Handled, message } from '../shared/edge';
@@ -8,10 +9,13 @@
 import { comparePlaces, KEYS, Member, Numbered, Place, Voters } from '../shared/words';
 import { Slots } from './slots';
 
-/** A follower's ask for a lease: who it is, and how far it has applied each key; left out where that is as it was in its last lease. */
+/** A follower's ask for a lease: who it is, and how far it has applied each key: whole, or what changed since its last ask on this stream. */
 export class LeaseAsk {
   @field('object') member!: Member;
   @field('list', false) has?: [string, number, string, number][];
+  @field('list', false) changed?: [string, number, string, number][];
+  /** Whether members may be told as who joined and who left. */
+  @field('boolean', false) deltas?: boolean;
 }
 
 class EffectAsk {
@@ -27,7 +31,17 @@
   until: number;
   has: Map<string, Place>;
   ex: Exchange;
-  told: string;
+  /** The count of keys learned here that `has` covers. */
+  upTo: number;
+  /** Changes that are on their way to it. */
+  onWay: Set<Promise<void>>;
+  told?: { voters: Voters; view: View };
+}
+
+/** The members at one time; it stands for as long as nobody joins, leaves, or could have let a lease end. */
+interface View {
+  list: Member[];
+  until: number;
 }
 
 function covers(has: Map<string, Place>, n: Place & { key: string }): boolean {
@@ -43,11 +57,24 @@
   return a.name < b.name ? -1 : 1;
 }
 
+/** Who joined and which lives left between two lists; one that tells something else of itself joins anew. */
+function difference(before: readonly Member[], now: readonly Member[]): { joined: Member[]; left: string[] } {
+  const had = new Map<string, Member>();
+  for (const m of before) had.set(lifeOf(m), m);
+  const joined: Member[] = [];
+  for (const m of now) {
+    if (had.get(lifeOf(m)) !== m) joined.push(m);
+    had.delete(lifeOf(m));
+  }
+  return { joined, left: [...had.keys()] };
+}
+
 /** Leases that nodes hold at this controller, and the news they are sent. */
 export class Leases {
   private readonly holders = new Map<string, Holder>();
   private readonly waiters = new Set<() => void>();
   private readonly startedAt: number;
+  private view: View = { list: [], until: -Infinity };
 
   constructor(private readonly slots: Slots, private readonly ports: Ports, private readonly bounds: Bounds, private readonly voters: () => Voters | undefined) {
     this.startedAt = ports.clock.now();
@@ -55,13 +82,24 @@
 
   /** The nodes whose lease here has not ended. */
   members(): Member[] {
+    return this.viewNow().list;
+  }
+
+  private viewNow(): View {
     const now = this.ports.clock.now();
-    const out: Member[] = [];
+    if (now < this.view.until) return this.view;
+    const list: Member[] = [];
+    let until = Infinity;
     for (const [life, h] of this.holders) {
-      if (h.until > now) out.push(h.member);
-      else if (h.until + this.bounds.lease * 10 < now) this.holders.delete(life);
+      if (h.until > now) {
+        list.push(h.member);
+        until = Math.min(until, h.until);
+      } else if (h.until + this.bounds.lease * 10 < now) this.holders.delete(life);
     }
-    return out.sort(byName);
+    list.sort(byName);
+    if (isDeepStrictEqual(list, this.view.list)) this.view.until = until;
+    else this.view = { list, until };
+    return this.view;
   }
 
   /** How far each live router has applied a key. */
@@ -72,10 +110,20 @@
     return out.sort(byName);
   }
 
-  /** What followers are told: all but who holds which duty, which is no concern of theirs and changes often. */
-  private learned(): Numbered[] {
+  /** What is learned here of some keys, or of all, and told to followers: all but who holds which duty, which is no concern of theirs and changes often. */
+  private learned(keys: Iterable<string> = this.slots.cells.keys()): Numbered[] {
     const out: Numbered[] = [];
-    for (const c of this.slots.cells.values()) if (c.learned && !c.learned.key.startsWith(KEYS.duty)) out.push(c.learned);
+    for (const k of keys) {
+      const n = this.slots.cells.get(k)?.learned;
+      if (n && !k.startsWith(KEYS.duty)) out.push(n);
+    }
+    return out;
+  }
+
+  /** What a node lacks of all that is learned here, or of what was learned after a count up to which it lacks nothing. */
+  private missing(has: Map<string, Place>, upTo: number | undefined): Numbered[] {
+    const out: Numbered[] = [];
+    for (const n of this.learned(upTo === undefined ? undefined : this.slots.learned.after(upTo))) if (!covers(has, n)) out.push(n);
     return out;
   }
 
@@ -84,27 +132,35 @@
   async lease(m: LeaseAsk, ex: Exchange): Handled {
     const voters = this.voters();
     if (!voters) return bad('claim', m.member.name, 'not founded', 'refused', 'not-founded');
-    const before = this.holders.get(lifeOf(m.member));
+    const life = lifeOf(m.member);
+    const before = this.holders.get(life);
     const same = m.has === undefined;
     if (same && before?.ex !== ex) return bad('claim', m.member.name, 'no claim on this stream to go by', 'refused', 'tell-all');
     const has = same ? before!.has : new Map<string, Place>();
-    for (const [key, epoch, by, number] of m.has ?? []) has.set(key, { epoch, by, number });
-    const missing: Numbered[] = [];
-    for (const n of this.learned()) if (!covers(has, n)) missing.push(n);
+    for (const [key, epoch, by, number] of m.has ?? m.changed ?? []) has.set(key, { epoch, by, number });
+    if (before?.ex === ex && before.onWay.size > 0) await Promise.all(before.onWay);
+    const upTo = this.slots.learned.count();
+    const missing = this.missing(has, same ? before!.upTo : undefined);
     const disk = this.slots.disk;
     if (missing.length > 0) return Right({ granted: false, disk, missing, voters, members: [] });
-    const holder: Holder = { member: m.member, until: this.ports.clock.now() + this.bounds.leaseHeld, has, ex, told: '' };
-    this.holders.set(lifeOf(m.member), holder);
+    const now = this.ports.clock.now();
+    const member = before && isDeepStrictEqual(before.member, m.member) ? before.member : m.member;
+    if (!before || before.until <= now || before.member !== member) this.view.until = -Infinity;
+    const holder: Holder = { member, until: now + this.bounds.leaseHeld, has, ex, upTo, onWay: before?.ex === ex ? before.onWay : new Set() };
+    this.holders.set(life, holder);
     this.poke();
-    const members = this.members();
-    holder.told = JSON.stringify([voters, members]);
-    return Right(same && holder.told === before!.told ? { granted: true, disk, missing } : { granted: true, disk, missing, voters, members });
+    const view = this.viewNow();
+    holder.told = { voters, view };
+    const told = same ? before!.told : undefined;
+    if (!told || told.voters !== voters || !(m.deltas || told.view === view)) return Right({ granted: true, disk, missing, voters, members: view.list });
+    return Right(told.view === view ? { granted: true, disk, missing } : { granted: true, disk, missing, ...difference(told.view.list, view.list) });
   }
 
   /** Ends a lease at once, when a node leaves by itself. */
   @message('leave', LeaseAsk)
   async leave(m: LeaseAsk): Handled {
     this.holders.delete(lifeOf(m.member));
+    this.view.until = -Infinity;
     this.poke();
     return Right(undefined);
   }
@@ -117,7 +173,14 @@
       made = made ?? { delta: makeDelta(before, n) };
       return made.delta;
     }
-    for (const h of this.holders.values()) void this.pushOne(h, n, own, once);
+    for (const h of this.holders.values()) {
+      const sent = this.pushOne(h, n, own, once);
+      h.onWay.add(sent);
+      void sent.then(arrived);
+      function arrived(): void {
+        h.onWay.delete(sent);
+      }
+    }
   }
 
   /** Tells every follower something that is no change. */
--- a/src/control/peers.ts
+++ b/src/control/peers.ts
@@ -1,7 +1,9 @@
 import { Right } from 'purify-ts';
 import { Handled, message } from '../shared/edge';
 import { bad, Outcome } from '../shared/errors';
+import { hasList } from '../shared/follow';
 import { allVoters, comparePlaces, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
+import { LearnedAfter } from './keep';
 import { Operation } from './operations';
 import { Slots } from './slots';
 
@@ -26,6 +28,27 @@
     return Right(this.c.committed().filter(later));
   }
 
+  /** Tells which keys were learned here after a count of this life; none are told to one that counted in another life, or too long ago. */
+  @message('learned-after')
+  async learnedAfter(m: { life: string; count: number }): Handled {
+    const { learned, cells } = this.c.slots;
+    const keys = m.life === this.c.by ? learned.after(m.count) : undefined;
+    const has: Numbered[] = [];
+    for (const k of keys ?? []) has.push(cells.get(k)!.learned!);
+    return Right({ life: this.c.by, count: learned.count(), has: keys && hasList(has) } as LearnedAfter);
+  }
+
+  /** Gives what is committed here of some keys. */
+  @message('committed')
+  async committed(keys: string[]): Handled {
+    const out: Numbered[] = [];
+    for (const k of keys) {
+      const n = this.c.slots.cells.get(k)?.learned;
+      if (n) out.push(n);
+    }
+    return Right(out);
+  }
+
   /** Tells whether this disk is blank, which one it is, and whether it may found, and the voters with their place where they are committed. */
   @message('who')
   async who(): Handled {
@@ -70,6 +93,7 @@
 }
 
 interface ControlParts {
+  by: string;
   slots: Slots;
   mayFound: boolean;
   voters(): Voters | undefined;
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -137,6 +137,7 @@
   change(key: string, make: (now: Numbered | undefined) => Outcome<unknown>, tries?: number): Promise<Outcome<Numbered>>;
   own(key: string): Promise<Outcome<Numbered | undefined>>;
   owns(key: string): boolean;
+  owned(): string[];
   disown(key: string): void;
   /** Takes note that another owns the key under an epoch. */
   passed(key: string, epoch: number): void;
@@ -289,6 +290,10 @@
     return owned.has(key);
   }
 
+  function ownedKeys(): string[] {
+    return [...owned.keys()];
+  }
+
   function disown(key: string): void {
     owned.delete(key);
   }
@@ -298,5 +303,5 @@
     if ((owned.get(key)?.epoch ?? Infinity) <= epoch) owned.delete(key);
   }
 
-  return { change, own, owns, disown, passed };
+  return { change, own, owns, owned: ownedKeys, disown, passed };
 }
--- a/src/control/slots.ts
+++ b/src/control/slots.ts
@@ -1,6 +1,7 @@
 import { Left, Right } from 'purify-ts';
 import { bad, open, Outcome } from '../shared/errors';
 import { Ports } from '../shared/ports';
+import { Journal, makeJournal } from '../shared/journal';
 import { Numbered } from '../shared/words';
 import { frame, Unframed, unframe } from './frames';
 import { makeGroup } from './group';
@@ -24,6 +25,8 @@
 export interface Slots {
   disk: string;
   cells: Map<string, Cell>;
+  /** The keys that were learned in this life, in order. */
+  learned: Journal;
   founding(): unknown;
   found(v: unknown): Promise<Outcome<void>>;
   put(l: Line): Promise<Outcome<void>>;
@@ -110,6 +113,7 @@
     ports.log.error({ step: 'open slots', peer: 'disk' }, `synced data of disk ${was} is gone; this node counts as a new disk ${state.disk} and does not vote until it is named in the place of the old one`);
   }
   const cells = new Map<string, Cell>(state.cells);
+  const learned = makeJournal();
   let logBytes = 0;
   let torn = false;
 
@@ -161,6 +165,7 @@
 
   function put(l: Line): Promise<Outcome<void>> {
     applyLine(cells, l);
+    if (l.learned) learned.add(l.key);
     return group.add(l);
   }
 
@@ -177,5 +182,5 @@
     return !torn;
   }
 
-  return Right({ disk: state.disk, cells, founding, found, put, settled: group.settled, fit, spoilt: state.spoilt === true });
+  return Right({ disk: state.disk, cells, learned, founding, found, put, settled: group.settled, fit, spoilt: state.spoilt === true });
 }
--- a/src/data/router.ts
+++ b/src/data/router.ts
@@ -115,6 +115,7 @@
   const metrics = makeMetrics();
   const firstTook = metrics.times('plumhollow_router_first_piece_ms', 'from a request\'s arrival to its first piece', settings.changeBoundMs);
   const hashes = new Map<string, string>();
+  const held = new Map<string, string[]>();
   const rules = new Map<string, string>();
   const services = new Map<string, Service>();
   const olderSince = new Map<string, number>();
@@ -129,7 +130,7 @@
   function changed(n: Numbered): void {
     if (n.key === KEYS.engines) engines.renew();
     else if (n.key === KEYS.intents) renewIntents((n.value as IntentsValue).doc);
-    else if (n.key.startsWith(KEYS.tenantKeys)) renewKeys();
+    else if (n.key.startsWith(KEYS.tenantKeys)) renewKeys(n.value as { tenant: string; keys: { hash: string }[] });
     else if (n.key.startsWith(KEYS.weights)) noteOlder(n.key, n.value as NamedWeights);
     cutAttempts();
   }
@@ -162,12 +163,13 @@
     for (const r of doc.rules) rules.set(`${r.tenant} ${r.label}`, r.service);
   }
 
-  function renewKeys(): void {
-    hashes.clear();
-    for (const k of follower.keys(KEYS.tenantKeys)) {
-      const v = follower.value<{ tenant: string; keys: { hash: string }[] }>(k)!.value;
-      for (const x of v.keys) hashes.set(x.hash, v.tenant);
-    }
+  /** Takes one tenant's keys; those of all others stay. */
+  function renewKeys(v: { tenant: string; keys: { hash: string }[] }): void {
+    for (const h of held.get(v.tenant) ?? []) if (hashes.get(h) === v.tenant) hashes.delete(h);
+    const now: string[] = [];
+    for (const x of v.keys) now.push(x.hash);
+    for (const h of now) hashes.set(h, v.tenant);
+    held.set(v.tenant, now);
   }
 
   function tenantOf(hash: string): string | undefined {
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -3,6 +3,7 @@
 import { Handled, message } from './edge';
 import { Delta, readDelta } from './delta';
 import { bad, Fault, open, Outcome } from './errors';
+import { makeJournal } from './journal';
 import { makeFeed } from './lib';
 import { poll } from './poll';
 import { Ports } from './ports';
@@ -36,6 +37,13 @@
   missing: Numbered[];
   voters?: Voters;
   members?: Member[];
+  joined?: Member[];
+  left?: string[];
+}
+
+interface Grant {
+  until: number;
+  members: Map<string, Member>;
 }
 
 /** Makes the lease's ask for how far a node has applied each key. */
@@ -96,7 +104,8 @@
 /** Follows the core: finds it from the seeds, renews a lease at each controller, applies news. */
 export function follow(ports: Ports, bounds: Bounds, hello: Hello, member: Member, seeds: string[], edges: object[]): Follower {
   const state = new Map<string, Numbered>();
-  const grants = new Map<string, { until: number; members: Member[] }>();
+  const grants = new Map<string, Grant>();
+  const applied = makeJournal();
   const refused = new Map<string, number>();
   const changes = makeFeed<Numbered>();
   const membership = makeFeed<Member[]>();
@@ -104,6 +113,7 @@
   let advisedIds = new Set<string>();
   let founded: Voters | undefined;
   let stopped = false;
+  const shown = { by: '', text: '[]', list: [] as Member[], until: -Infinity };
 
   function voters(): Voters | undefined {
     return (state.get(KEYS.voters)?.value as Voters | undefined) ?? founded;
@@ -124,6 +134,7 @@
       const have = state.get(n.key);
       if (have && comparePlaces(n, have) <= 0) continue;
       state.set(n.key, n);
+      applied.add(n.key);
       if (n.key === KEYS.engines) advisedIds = new Set();
       any = true;
       changes.add(n);
@@ -161,22 +172,31 @@
     return isQuorum(v, good) || dead.size === allVoters(v).length;
   }
 
+  /** How far the keys have been applied that changed after a count; undefined where that is too long ago. */
+  function changedAfter(count: number): ReturnType<typeof hasList> | undefined {
+    const out: Numbered[] = [];
+    const keys = applied.after(count);
+    for (const k of keys ?? []) out.push(state.get(k)!);
+    return keys && hasList(out);
+  }
+
   async function renew(ex: Exchange): Promise<void> {
     let up = true;
-    let told = '';
-    let tellsAll = false;
+    let told: number | undefined;
+    let whole = false;
     void ex.done.then(down);
     function down(): void {
       up = false;
     }
     while (up && !stopped) {
       const sent = ports.clock.now();
-      const has = hasList(state.values());
-      const now = JSON.stringify(has);
-      const [f, r] = open(await ex.ask('claim', now === told && !tellsAll ? { member } : { member, has }, bounds.ask));
-      told = '';
+      const now = applied.count();
+      const changed = told === undefined || whole ? undefined : changedAfter(told);
+      const ask = changed === undefined ? { member, has: hasList(state.values()) } : { member, deltas: true, ...(changed.length > 0 ? { changed } : {}) };
+      const [f, r] = open(await ex.ask('claim', ask, bounds.ask));
+      told = undefined;
       if (f) {
-        if (f.code === 'bad-shape') tellsAll = true;
+        if (f.code === 'bad-shape') whole = true;
         if (f.code === 'tell-all' || f.code === 'bad-shape') continue;
         if (f.code === 'not-founded') await ports.clock.sleep(bounds.pause);
         else await ports.clock.sleep(bounds.renew * 0.5);
@@ -186,24 +206,71 @@
       if (c.voters) founded = c.voters;
       if (!c.granted) {
         if (!take(c.missing)) await ports.clock.sleep(bounds.renew * 0.5);
+        else if (changed) told = now;
         continue;
       }
-      const before = JSON.stringify(members(''));
       told = now;
-      grants.set(c.disk, { until: sent + bounds.lease, members: c.members ?? grants.get(c.disk)?.members ?? [] });
       refused.delete(ex.peer);
-      const after = members('');
-      if (JSON.stringify(after) !== before) membership.add(after);
+      granted(c, sent);
       reach();
       await ports.clock.sleep(bounds.renew * (0.8 + 0.4 * ports.dice.next()));
     }
   }
 
-  function members(role: string): Member[] {
+  function granted(c: LeaseAnswer, sent: number): void {
+    const before = grants.get(c.disk)?.members ?? new Map<string, Member>();
+    const now = c.members ? new Map(c.members.map(byLife)) : before;
+    if (c.joined || c.left) {
+      for (const life of c.left ?? []) now.delete(life);
+      for (const m of c.joined ?? []) now.set(lifeOf(m), m);
+    }
+    grants.set(c.disk, { until: sent + bounds.lease, members: now });
+    show(c.members !== undefined || c.joined !== undefined || c.left !== undefined);
+  }
+
+  /** Tells who the members are where that may have changed: by what was told, or by which grants last. */
+  function show(changed: boolean): void {
+    const at = ports.clock.now();
+    let by = '';
+    for (const [disk, g] of grants) if (g.until > at) by += `${disk} `;
+    if (!changed && by === shown.by) return;
+    shown.until = -Infinity;
+    const list = members('');
+    const text = JSON.stringify(list);
+    if (text !== shown.text) membership.add(list);
+    shown.by = by;
+    shown.text = text;
+  }
+
+  function lifeOf(m: Member): string {
+    return `${m.name} ${m.life}`;
+  }
+
+  function byLife(m: Member): [string, Member] {
+    return [lifeOf(m), m];
+  }
+
+  /** The members that lasting grants tell of, by name; made anew where one was told, or could have ended. */
+  function everyone(): Member[] {
     const now = ports.clock.now();
-    const m = new Map<string, Member>();
-    for (const g of grants.values()) if (g.until > now) for (const x of g.members) if (role === '' || x.role === role) m.set(`${x.name} ${x.life}`, x);
-    return [...m.values()].sort(byName);
+    if (now < shown.until) return shown.list;
+    const all = new Map<string, Member>();
+    let until = Infinity;
+    for (const g of grants.values()) {
+      if (g.until <= now) continue;
+      until = Math.min(until, g.until);
+      for (const [life, x] of g.members) all.set(life, x);
+    }
+    shown.until = until === Infinity ? -Infinity : until;
+    shown.list = [...all.values()].sort(byName);
+    return shown.list;
+  }
+
+  function members(role: string): Member[] {
+    function isOf(x: Member): boolean {
+      return role === '' || x.role === role;
+    }
+    return everyone().filter(isOf);
   }
 
   function byName(a: Member, b: Member): number {
