--- a/tools/capacity/capacity.ts
+++ b/tools/capacity/capacity.ts
@@ -2,14 +2,7 @@
 import { resolve } from 'node:path';
 import { Command } from 'commander';
 import { AXES } from './axes';
-
-/** One run at one size, as it is kept. */
-export interface Run {
-  mark: string;
-  axis: string;
-  size: number;
-  values: Record<string, number>;
-}
+import { planTable, plotAll, readRuns, Run, slopesTable } from './report';
 
 /** Where runs are kept, a line each. */
 export const RUNS = resolve(__dirname, '../../../docs/capacity/runs.jsonl');
@@ -30,6 +23,12 @@
   process.exit(0);
 }
 
+async function report(o: { mark: string; plots: boolean }): Promise<void> {
+  const runs = readRuns(RUNS);
+  process.stdout.write(`${slopesTable(runs, o.mark)}\n\n${planTable(runs)}\n`);
+  if (o.plots) await plotAll(runs, resolve(RUNS, '..'));
+}
+
 function nameOf(a: { name: string }): string {
   return a.name;
 }
@@ -37,6 +36,7 @@
 function main(): void {
   const cmd = new Command('capacity').description('Measures what each role costs at growing sizes, and works out larger ones.');
   cmd.command('run').argument('<axes...>', AXES.map(nameOf).join(', ')).option('--runs <n>', 'runs at each size', '3').option('--mark <name>', 'what the code stands at', 'now').option('--net <n>', 'second number of the loopback addresses', '6').option('--sizes <list>', 'other sizes, comma between').action(runAxes);
+  cmd.command('report').description('prints the slopes and what follows from them, and draws them').option('--mark <name>', 'whose slopes', 'now').option('--no-plots', 'draw nothing').action(report);
   cmd.parse();
 }
 
--- a/tools/capacity/hollow.ts
+++ b/tools/capacity/hollow.ts
@@ -8,6 +8,7 @@
 import { Engine } from '../../src/shared/words';
 import { startPlatform } from '../standins/platform';
 import { Figures, Rates, ratesOf } from './meter';
+import { startList } from './platform';
 import { RoleAnswer, RoleWays } from './role';
 
 /** The sizes of a hollow fleet. */
@@ -26,10 +27,12 @@
   /** Engines that are on the platform's list and answer nothing. */
   listed: number;
   changeBoundMs: number;
+  /** Whether the edges speak the platform's manner. */
+  platform: boolean;
 }
 
 /** A fleet without faults, callers or engines. */
-export const EMPTY: HollowSizes = { controllers: 3, indexers: 0, nodes: 0, routers: 0, engines: 0, holds: 0, eventsPerS: 0, listed: 0, changeBoundMs: 2000 };
+export const EMPTY: HollowSizes = { controllers: 3, indexers: 0, nodes: 0, routers: 0, engines: 0, holds: 0, eventsPerS: 0, listed: 0, changeBoundMs: 2000, platform: false };
 
 /** One process of the fleet. */
 export interface HollowProc {
@@ -58,6 +61,8 @@
 /** Processes that nodes are shared out to, at the most. */
 const NODE_PROCS = 6;
 const SOURCE_PROCS = 3;
+/** Settings of a fleet whose edges speak the platform's manner. */
+const PLATFORM: Partial<Settings> = { dialect: 'platform', strict: false, bootstrap: true, foundBy: 'majority' };
 /** The model and the salt of all hollow parts. */
 export const MODEL = 'roster';
 export const SALT = 'w:tenant-1';
@@ -114,13 +119,13 @@
     return c.wire;
   }
   function settingsOf(name: string, wire: string, http: string, more: Partial<Settings> = {}): Settings {
-    const flags = { name, wire, http, seeds, zone: 'zone-1', changeBoundMs: sizes.changeBoundMs, ...more };
+    const flags = { name, wire, http, seeds, zone: 'zone-1', changeBoundMs: sizes.changeBoundMs, ...(sizes.platform ? PLATFORM : {}), ...more };
     return readSettings(undefined, flags, ['name', 'wire', 'http', 'seeds']).orDefault(undefined as never);
   }
-  const listening = await startPlatform(ports, platform, engines);
+  const listening = await (sizes.platform ? startList : startPlatform)(ports, platform, engines);
   const ups: Promise<HollowProc>[] = [];
   for (const [i, c] of controllers.entries()) {
-    ups.push(spawnRole({ role: 'controller', settings: settingsOf(`core-${i + 1}`, c.wire, c.http, { platform, data: join(resolve(folder), `core-${i + 1}`) }) }, 1));
+    ups.push(spawnRole({ role: 'controller', settings: settingsOf(`core-${i + 1}`, c.wire, c.http, { platform, ...(sizes.platform ? { quorumMember: true, tolerated: (sizes.controllers - 1) / 2 } : {}), data: join(resolve(folder), `core-${i + 1}`) }) }, 1));
   }
   for (const [i, c] of indexers.entries()) ups.push(spawnRole({ role: 'indexer', settings: settingsOf(`index-${i + 1}`, c.wire, c.http, { indexMostParts: 8000000 }) }, 1));
   const alike: Settings[] = [];
@@ -138,7 +143,7 @@
     function sourceOf(e: Engine): { id: string; at: string; model: string; salt: string; holds: number; eventsPerS: number } {
       return { id: e.id, at: e.at, model: MODEL, salt: SALT, holds: sizes.holds, eventsPerS: sizes.eventsPerS / sizes.engines };
     }
-    ups.push(spawnRole({ role: 'sources', sources: list.map(sourceOf) }, list.length));
+    ups.push(spawnRole({ role: 'sources', dialect: sizes.platform ? 'platform' : 'own', sources: list.map(sourceOf) }, list.length));
   }
   procs.push(...(await Promise.all(ups)));
 
@@ -199,12 +204,12 @@
   const { sizes } = h;
   async function test(): Promise<boolean> {
     for (const c of await h.read('controller')) if (c.more.majority !== 1 || c.more.members < sizes.nodes + sizes.routers + sizes.indexers) return false;
-    for (const role of ['nodes', 'routers']) {
+    for (const role of sizes.platform ? ['nodes'] : ['nodes', 'routers']) {
       let live = 0;
       for (const f of await h.read(role)) live += f.more.live;
       if (live < (role === 'nodes' ? sizes.nodes : sizes.routers)) return false;
     }
-    for (const f of await h.read('indexer')) if (f.more.open !== 1 || f.more.listeners < sizes.engines || f.more.batches < sizes.engines * Math.ceil(sizes.holds / 20)) return false;
+    for (const f of await h.read('indexer')) if (f.more.open !== 1 || f.more.listeners < sizes.engines || f.more.batches < sizes.engines * (sizes.platform ? sizes.holds : Math.ceil(sizes.holds / 20))) return false;
     return true;
   }
   return h.until(within, test);
--- a/tools/capacity/load.ts
+++ b/tools/capacity/load.ts
@@ -74,3 +74,42 @@
   }
   return make;
 }
+
+/** The question for how much of a prompt each source keeps, as routers of a dialect ask it. */
+export function overlapOf(h: Hollow): (n: number) => { type: string; body: unknown } {
+  const ask = promptOf(h);
+  function make(n: number): { type: string; body: unknown } {
+    return { type: 'overlap', body: { model: MODEL, salt: SALT, parts: ask(n) } };
+  }
+  return make;
+}
+
+/** The word that a prompt was placed. */
+export function placedOf(h: Hollow): (n: number) => { type: string; body: unknown } {
+  const ask = promptOf(h);
+  function make(n: number): { type: string; body: unknown } {
+    return { type: 'placed', body: { model: MODEL, salt: SALT, engine: h.engines[n % h.sizes.engines].id, parts: ask(n) } };
+  }
+  return make;
+}
+
+function promptOf(h: Hollow): (n: number) => [string, number][] {
+  const prompts = Math.max(1, Math.floor(h.sizes.holds / CHAIN));
+  function make(n: number): [string, number][] {
+    const e = h.engines[n % h.sizes.engines];
+    const parts: [string, number][] = [];
+    for (let i = 0; i < CHAIN; i++) parts.push([hollowHash(e.id, 1 + ((n * 7) % prompts), i), 64]);
+    return parts;
+  }
+  return make;
+}
+
+/** A router's loads: some of so many engines have changed since its last tell. */
+export function boardOf(engines: number, changed: number): (n: number) => { type: string; body: unknown } {
+  function make(n: number): { type: string; body: unknown } {
+    const own: [string, number, number][] = [];
+    for (let i = 0; i < Math.min(engines, changed); i++) own.push([`engine-${(n * 13 + i) % engines}`, 1 + ((n + i) % 5), 100 * ((n + i) % 7)]);
+    return { type: 'loads', body: { full: false, own } };
+  }
+  return make;
+}
--- a/tools/capacity/role.ts
+++ b/tools/capacity/role.ts
@@ -1,24 +1,29 @@
+import { platform } from '../../platform/dialect';
 import { startController, Controller } from '../../src/control/controller';
 import { serveOperators } from '../../src/control/api';
+import { serveDeployment } from '../../src/control/deployment-api';
 import { startDuties } from '../../src/control/duties';
-import { Router, startRouter } from '../../src/data/router';
+import { Router, startDialectRouter, startRouter } from '../../src/data/router';
+import { Dialect } from '../../src/shared/dialect';
 import { startIndexer, Indexer } from '../../src/index/indexer';
 import { open } from '../../src/shared/errors';
 import { follow, Follower } from '../../src/shared/follow';
 import { HelloEdge, WIRE_VERSION } from '../../src/shared/connections';
 import { Ports } from '../../src/shared/ports';
 import { realClock, realDice, realDisk, realLog } from '../../src/shared/real';
+import { realHttp } from '../../src/shared/realhttp';
 import { realWire } from '../../src/shared/realwire';
 import { boundsOf, Settings } from '../../src/shared/settings';
 import { Numbered } from '../../src/shared/words';
 import { Figures, startMeter } from './meter';
+import { startPlatformSource } from './platform';
 import { SourceWays, startSource } from './sources';
 
 /** What a process of the hollow fleet is to be: a real controller or indexer, some nodes that only follow the core, some whole routers, or some hollow sources. */
 export type RoleWays =
   | { role: 'controller' | 'indexer'; settings: Settings }
   | { role: 'nodes' | 'routers'; settings: Settings[] }
-  | { role: 'sources'; sources: SourceWays[] };
+  | { role: 'sources'; dialect: string; sources: SourceWays[] };
 
 /** What the runner asks of a process; `gc` has it free what is unused first. */
 export interface RoleAsk {
@@ -36,7 +41,11 @@
 const meter = startMeter();
 
 function portsFor(name: string, data: string, dial: number): Ports {
-  return meter.ports({ clock: realClock(), dice: realDice(), disk: realDisk(data), wire: realWire(dial), log: realLog(ways.role, name, 20) });
+  return meter.ports({ clock: realClock(), dice: realDice(), disk: realDisk(data), wire: realWire(dial), log: realLog(ways.role, name, 20), http: realHttp() });
+}
+
+function dialectOf(name: string): Dialect | undefined {
+  return name === 'platform' ? platform : undefined;
 }
 
 type More = () => Record<string, number>;
@@ -48,11 +57,11 @@
 
 async function controller(s: Settings): Promise<More> {
   const ports = portsFor(s.name, s.data, boundsOf(s).dial);
-  const [f, c] = open(await startController(ports, s));
+  const [f, c] = open(await startController(ports, s, dialectOf(s.dialect)));
   if (f) return broke(f.why);
-  const [g] = open(await serveOperators(c, ports));
+  const [g] = open(await (s.dialect === 'platform' ? serveDeployment(c, ports, platform) : serveOperators(c, ports)));
   if (g) return broke(g.why);
-  startDuties(c, ports);
+  startDuties(c, ports, dialectOf(s.dialect));
   return controllerMore(c);
 }
 
@@ -66,7 +75,7 @@
 }
 
 async function indexer(s: Settings): Promise<More> {
-  const [f, ix] = open(await startIndexer(portsFor(s.name, s.data, boundsOf(s).dial), s));
+  const [f, ix] = open(await startIndexer(portsFor(s.name, s.data, boundsOf(s).dial), s, dialectOf(s.dialect)));
   if (f) return broke(f.why);
   return indexerMore(ix);
 }
@@ -117,6 +126,11 @@
 async function routers(list: Settings[]): Promise<More> {
   const all: Router[] = [];
   for (const s of list) {
+    if (s.dialect === 'platform') {
+      const [g] = open(await startDialectRouter(portsFor(s.name, s.data, boundsOf(s).dial), s, platform));
+      if (g) return broke(g.why);
+      continue;
+    }
     const [f, r] = open(await startRouter(portsFor(s.name, s.data, boundsOf(s).dial), s));
     if (f) return broke(f.why);
     all.push(r);
@@ -132,10 +146,10 @@
   return followersMore(all.map(followerOf), done);
 }
 
-async function sources(list: SourceWays[]): Promise<More> {
+async function sources(dialect: string, list: SourceWays[]): Promise<More> {
   const ports = portsFor('sources', '.', 1000);
   for (const w of list) {
-    const o = await startSource(ports, w);
+    const o = await (dialect === 'platform' ? startPlatformSource(ports, w) : startSource(ports, w));
     if (o.isLeft()) return broke(JSON.stringify(o.extract()));
   }
   return none;
@@ -151,7 +165,7 @@
     case 'indexer': return indexer(ways.settings);
     case 'nodes': return nodes(ways.settings);
     case 'routers': return routers(ways.settings);
-    case 'sources': return sources(ways.sources);
+    case 'sources': return sources(ways.dialect, ways.sources);
   }
 }
 
