--- a/src/control/keep.ts
+++ b/src/control/keep.ts
@@ -56,10 +56,12 @@
     const ex = p.helds.up(at);
     if (!ex) return;
     const seen = caught.get(at);
-    const [f, r] = open(await ex.ask('learned-after', { life: seen?.life ?? '', count: seen?.count ?? 0 }, p.bounds.ask));
+    const asked = ex.ask('learned-after', { life: seen?.life ?? '', count: seen?.count ?? 0 }, p.bounds.ask);
+    const all = seen ? undefined : missing(ex);
+    const [f, r] = open(await asked);
     if (f && f.code !== 'not-known') return;
     const told = r as LearnedAfter | undefined;
-    const [g, list] = open(await lacking(ex, told));
+    const [g, list] = open(await (all ?? lacking(ex, told)));
     if (g) return;
     for (const n of list as Numbered[]) {
       if ((await p.learn({ change: n })).isLeft()) return;
@@ -68,8 +70,12 @@
     if (told) caught.set(at, told);
   }
 
+  function missing(ex: Exchange): Promise<Outcome<unknown>> {
+    return ex.ask('missing', hasList(p.committed()), p.bounds.ask);
+  }
+
   async function lacking(ex: Exchange, told: LearnedAfter | undefined): Promise<Outcome<unknown>> {
-    if (!told?.has) return ex.ask('missing', hasList(p.committed()), p.bounds.ask);
+    if (!told?.has) return missing(ex);
     const keys = told.has.filter(isLacking).map(keyOf);
     return keys.length === 0 ? Right([]) : ex.ask('committed', keys, p.bounds.ask);
   }
@@ -88,7 +94,7 @@
     const up = p.live();
     const under = up.join(' ');
     if (under !== tended.under) tended = { under, seen: new Set(), mine: new Set() };
-    for (const key of [...p.always, ...p.slots.cells.keys()]) {
+    for (const key of [...p.slots.cells.keys(), ...p.always]) {
       if (tended.seen.has(key)) continue;
       tended.seen.add(key);
       if (rendezvous(key, up)[0] === p.wire) tended.mine.add(key);
--- /dev/null
+++ b/test/lease-costs.test.ts
@@ -0,0 +1,136 @@
+import { Right } from 'purify-ts';
+import { LeaseAsk, Leases } from '../src/control/leases';
+import { ControlEdge } from '../src/control/peers';
+import { Slots } from '../src/control/slots';
+import { Exchange } from '../src/shared/connections';
+import { open } from '../src/shared/errors';
+import { makeJournal } from '../src/shared/journal';
+import { Ports } from '../src/shared/ports';
+import { boundsOf, defaultSettings } from '../src/shared/settings';
+import { Member, Numbered, Voters } from '../src/shared/words';
+
+interface Answer {
+  granted: boolean;
+  missing: Numbered[];
+  voters?: Voters;
+  members?: Member[];
+  joined?: Member[];
+  left?: string[];
+}
+
+function numbered(key: string, number: number): Numbered {
+  return { key, epoch: 1, by: 'core', number, value: `${key} ${number}` };
+}
+
+function memberOf(name: string): Member {
+  return { name, role: 'router', at: '', http: '', zone: 'z', life: 'one' };
+}
+
+/** Leases over made-up slots and a clock that stands until it is moved. */
+function rig(keys: number): { leases: Leases; slots: Slots; learn(n: Numbered): void; move(ms: number): void; ask(m: Partial<LeaseAsk> & { member: Member }, ex: Exchange): Promise<Answer> } {
+  const learned = makeJournal();
+  const slots = { disk: 'd', cells: new Map(), learned } as unknown as Slots;
+  let now = 0;
+  function clockNow(): number {
+    return now;
+  }
+  function move(ms: number): void {
+    now += ms;
+  }
+  function learn(n: Numbered): void {
+    slots.cells.set(n.key, { promised: { epoch: 1, by: 'core' }, learned: n });
+    learned.add(n.key);
+  }
+  for (let i = 0; i < keys; i++) learn(numbered(`k${i}`, 1));
+  const voters: Voters = { now: [{ disk: 'd', at: 'a' }] };
+  function votersOf(): Voters {
+    return voters;
+  }
+  const leases = new Leases(slots, { clock: { now: clockNow }, log: { warn: clockNow } } as unknown as Ports, boundsOf(defaultSettings()), votersOf);
+  async function ask(m: Partial<LeaseAsk> & { member: Member }, ex: Exchange): Promise<Answer> {
+    const [, a] = open(await leases.lease(m as LeaseAsk, ex));
+    return a as Answer;
+  }
+  return { leases, slots, learn, move, ask };
+}
+
+function exchange(): Exchange {
+  return {} as Exchange;
+}
+
+function hasOf(n: Numbered): [string, number, string, number] {
+  return [n.key, n.epoch, n.by, n.number];
+}
+
+async function namesWhatChanged(): Promise<void> {
+  const r = rig(2);
+  const ex = exchange();
+  const member = memberOf('edge-1');
+  expect(await r.ask({ member, has: [hasOf(numbered('k0', 1)), hasOf(numbered('k1', 1))] }, ex)).toMatchObject({ granted: true, members: [member] });
+  expect(await r.ask({ member, deltas: true }, ex)).toEqual({ granted: true, disk: 'd', missing: [] });
+  r.learn(numbered('k1', 2));
+  expect(await r.ask({ member, deltas: true }, ex)).toMatchObject({ granted: false, missing: [numbered('k1', 2)] });
+  expect(await r.ask({ member, deltas: true, changed: [hasOf(numbered('k1', 2))] }, ex)).toEqual({ granted: true, disk: 'd', missing: [] });
+  expect(await r.ask({ member, deltas: true }, ex)).toEqual({ granted: true, disk: 'd', missing: [] });
+}
+
+async function checksAllAfterLong(): Promise<void> {
+  const r = rig(1);
+  const ex = exchange();
+  const member = memberOf('edge-1');
+  await r.ask({ member, has: [hasOf(numbered('k0', 1))] }, ex);
+  r.learn(numbered('lost', 1));
+  for (let i = 0; i < 20000; i++) r.learn(numbered('k0', 1));
+  expect(await r.ask({ member, deltas: true }, ex)).toMatchObject({ granted: false, missing: [numbered('lost', 1)] });
+}
+
+async function tellsWhoJoinedAndLeft(): Promise<void> {
+  const r = rig(0);
+  const ex = exchange();
+  const other = exchange();
+  const old = exchange();
+  const [a, b, c] = [memberOf('a'), memberOf('b'), memberOf('c')];
+  await r.ask({ member: a, has: [] }, ex);
+  await r.ask({ member: b, has: [] }, other);
+  expect(await r.ask({ member: { ...a }, deltas: true }, ex)).toEqual({ granted: true, disk: 'd', missing: [], joined: [b], left: [] });
+  await r.ask({ member: c, has: [] }, old);
+  expect(await r.ask({ member: { ...a }, deltas: true }, ex)).toMatchObject({ joined: [c], left: [] });
+  expect(await r.ask({ member: { ...c } }, old)).toEqual({ granted: true, disk: 'd', missing: [] });
+  await r.leases.leave({ member: b });
+  expect(await r.ask({ member: { ...a }, deltas: true }, ex)).toMatchObject({ joined: [], left: ['b one'] });
+  expect(await r.ask({ member: { ...c } }, old)).toMatchObject({ members: [a, c] });
+  r.move(boundsOf(defaultSettings()).leaseHeld - 1);
+  await r.ask({ member: { ...a }, deltas: true }, ex);
+  r.move(2);
+  expect(await r.ask({ member: { ...a }, deltas: true }, ex)).toMatchObject({ joined: [], left: ['c one'] });
+  expect(r.leases.members()).toEqual([a]);
+}
+
+async function wholeOnAnotherStream(): Promise<void> {
+  const r = rig(0);
+  const member = memberOf('a');
+  await r.ask({ member, has: [] }, exchange());
+  const [f] = open(await r.leases.lease({ member, deltas: true }, exchange()));
+  expect(f?.code).toBe('tell-all');
+}
+
+async function learnedAfter(): Promise<void> {
+  const r = rig(3);
+  function unused(): never {
+    throw new Error('not asked here');
+  }
+  const edge = new ControlEdge({ by: 'life-1', slots: r.slots, mayFound: false, voters: unused, changeHere: unused, committed: unused, hinted: unused, isUp: unused, wake: unused });
+  const first = (await edge.learnedAfter({ life: '', count: 0 })).extract() as { life: string; count: number };
+  expect(first).toEqual({ life: 'life-1', count: 3, has: undefined });
+  expect(await edge.learnedAfter(first)).toEqual(Right({ life: 'life-1', count: 3, has: [] }));
+  r.learn(numbered('k1', 2));
+  r.learn(numbered('k1', 3));
+  expect(await edge.learnedAfter(first)).toEqual(Right({ life: 'life-1', count: 5, has: [hasOf(numbered('k1', 3))] }));
+  expect(await edge.committed(['k1', 'none'])).toEqual(Right([numbered('k1', 3)]));
+}
+
+test('a renewal names and checks only what changed', namesWhatChanged);
+test('a node that was told of too long ago is checked whole', checksAllAfterLong);
+test('members are told as who joined and who left, and whole to one that asks as before', tellsWhoJoinedAndLeft);
+test('a renewal in short on another connection is asked to tell all', wholeOnAnotherStream);
+test('controllers tell what they learned after a count of their life', learnedAfter);
