--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -67,7 +67,9 @@
   /** Takes a change told as the difference to the one that is held. */
   @message('news-delta')
   async newsDelta(d: Delta): Handled {
-    const n = readDelta(this.held(d.key), d);
+    const have = this.held(d.key);
+    if (have && comparePlaces(have, d) >= 0) return Right(true);
+    const n = readDelta(have, d);
     if (!n) return bad('news', d.key, 'not the base here', 'refused', 'whole');
     this.takeNews([n]);
     return Right(true);
--- a/test/lease-costs.test.ts
+++ b/test/lease-costs.test.ts
@@ -4,6 +4,7 @@
 import { Slots } from '../src/control/slots';
 import { Exchange } from '../src/shared/connections';
 import { open } from '../src/shared/errors';
+import { FollowEdge } from '../src/shared/follow';
 import { makeJournal } from '../src/shared/journal';
 import { Ports } from '../src/shared/ports';
 import { boundsOf, defaultSettings } from '../src/shared/settings';
@@ -129,6 +130,28 @@
   expect(await edge.committed(['k1', 'none'])).toEqual(Right([numbered('k1', 3)]));
 }
 
+async function newsThatIsThere(): Promise<void> {
+  const held = numbered('k0', 3);
+  const took: Numbered[] = [];
+  function take(list: Numbered[]): boolean {
+    took.push(...list);
+    return true;
+  }
+  function none(): undefined {
+    return undefined;
+  }
+  function heldOf(): Numbered {
+    return held;
+  }
+  const edge = new FollowEdge(take, none, none, heldOf, none);
+  const delta = { key: 'k0', epoch: 1, by: 'core', number: 3, base: { epoch: 1, by: 'core', number: 2 }, patch: { put: 'k0 3' }, sum: '' };
+  expect(await edge.newsDelta(delta)).toEqual(Right(true));
+  const [f] = open(await edge.newsDelta({ ...delta, number: 5, base: { epoch: 1, by: 'core', number: 4 } }));
+  expect(f?.code).toBe('whole');
+  expect(took).toEqual([]);
+}
+
+test('a difference that another controller has brought already is not asked for whole', newsThatIsThere);
 test('a renewal names and checks only what changed', namesWhatChanged);
 test('a node that was told of too long ago is checked whole', checksAllAfterLong);
 test('members are told as who joined and who left, and whole to one that asks as before', tellsWhoJoinedAndLeft);
