--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -50,6 +50,12 @@
   voters?: Numbered;
 }
 
+/** What a disk knows to be accepted: what it accepted itself, or what it learned, which a majority has accepted. */
+function newestOf(c: { accepted?: Numbered; learned?: Numbered } | undefined): Numbered | undefined {
+  if (!c?.accepted || !c.learned) return c?.accepted ?? c?.learned;
+  return comparePlaces(c.learned, c.accepted) > 0 ? c.learned : c.accepted;
+}
+
 /** The part of a register that each voter's disk plays. */
 export class Acceptor {
   constructor(private readonly slots: Slots, private readonly reach: Reach, private readonly ports: Ports) {}
@@ -73,7 +79,7 @@
     if (!this.votes()) return bad('prepare', this.slots.disk, 'not a voter', 'refused', 'no-voter');
     if (m.epoch <= seen.epoch) return Right({ ok: false, seen } as Promised);
     const promised = { epoch: m.epoch, by: m.by };
-    const accepted = this.slots.cells.get(m.key)?.accepted;
+    const accepted = newestOf(this.slots.cells.get(m.key));
     const [f] = open(await this.slots.put({ key: m.key, promised }));
     if (f) return Left(f);
     return Right({ ok: true, seen: promised, accepted } as Promised);
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -306,9 +306,25 @@
     }
   }
 
+  /** Asks the seeds again where no controller has been here for the contact bound: all that were known may have been exchanged. */
+  async function findCoreAnew(): Promise<void> {
+    function isUp(at: string): boolean {
+      return helds.up(at) !== undefined;
+    }
+    let since = ports.clock.now();
+    while (!stopped) {
+      await ports.clock.sleep(bounds.lease * (0.8 + 0.4 * ports.dice.next()));
+      if (core().length === 0 || helds.ats().some(isUp)) since = ports.clock.now();
+      else if (ports.clock.now() - since > bounds.silence) await Promise.all(seeds.map(askSeed));
+    }
+  }
+
   async function askSeed(at: string): Promise<void> {
     const [f, w] = open(await askOnce(ports, hello, edges, at, 'who', {}, bounds.dial));
-    if (!f) told((w as { voters?: Voters }).voters);
+    if (f) return;
+    const { voters: v, stands } = w as { voters?: Voters; stands?: Numbered };
+    told(v);
+    if (stands) take([stands]);
   }
 
   function told(v: Voters | undefined): void {
@@ -369,5 +385,6 @@
   }
 
   void findCore();
+  void findCoreAnew();
   return { live, value, keys, members, voters, core, places, take, changes: changes.feed, leaving, advice: advice.feed, membership: membership.feed, coreTell, askVoters, leave, stop };
 }
