--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -313,7 +313,7 @@
     }
     let since = ports.clock.now();
     while (!stopped) {
-      await ports.clock.sleep(bounds.lease * (0.8 + 0.4 * ports.dice.next()));
+      await ports.clock.sleep(bounds.lease);
       if (core().length === 0 || helds.ats().some(isUp)) since = ports.clock.now();
       else if (ports.clock.now() - since > bounds.silence) await Promise.all(seeds.map(askSeed));
     }
