Histograms are prom-client's again, loaded at the first reading of /metrics

Cause: took prom-client out for the time that its loading took, and wrote histograms here; a well-known library is wanted for them. Only its histogram and registry are loaded now, at the first reading of /metrics or when 256 times wait; until then times wait in a list. The text at /metrics is the library's, as before.

Ruled out: Node's own histogram for the times that wait, it keeps three digits and no exact sum.

The bundled router's /metrics was read and has its buckets.

--- a/src/control/api.ts
+++ b/src/control/api.ts
@@ -186,7 +186,7 @@
       `plumhollow_controller_intents_revision ${c.value(KEYS.intents)?.place.number ?? 0}`,
     ];
     call.head(200, { 'content-type': 'text/plain; version=0.0.4' });
-    call.end(c.metrics.text(rows));
+    call.end(await c.metrics.text(rows));
   }
 }
 
--- a/src/data/api.ts
+++ b/src/data/api.ts
@@ -259,6 +259,6 @@
     for (const [k, v] of Object.entries(this.r.counts)) rows.push(`plumhollow_router_${k.replace(/[A-Z]/g, '_$&').toLowerCase()}_total ${v}`);
     rows.push(`plumhollow_router_under_way ${this.underWay}`);
     call.head(200, { 'content-type': 'text/plain; version=0.0.4' });
-    call.end(this.r.metrics.text(rows));
+    call.end(await this.r.metrics.text(rows));
   }
 }
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -1,52 +1,59 @@
+import type { Histogram, Registry } from 'prom-client';
 import { Clock, Disk } from './ports';
 
 /** Figures of one process in the text form that collectors read. */
 export interface Metrics {
   times(name: string, help: string, bound: number): (ms: number) => void;
-  text(rows: string[]): string;
+  text(rows: string[]): Promise<string>;
+}
+
+/** A histogram to be, and the times that wait for it. */
+interface Times {
+  name: string;
+  help: string;
+  buckets: number[];
+  waiting: number[];
+  histogram?: Histogram;
 }
 
 const RATIOS = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
+const MOST_WAITING = 256;
 
-/** Makes the figures; buckets are ratios to the bound that a time is held against. */
+/** Makes the figures; buckets are ratios to the bound that a time is held against. The library is loaded at the first reading, or when many times wait: a start doesn't pay for it. */
 export function makeMetrics(): Metrics {
-  const all: (() => string[])[] = [];
+  const all: Times[] = [];
+  let registry: Registry | undefined;
 
-  function times(name: string, help: string, bound: number): (ms: number) => void {
-    const counts = RATIOS.map(zero);
-    let sum = 0;
-    let count = 0;
-
-    function zero(): number {
-      return 0;
+  async function load(): Promise<Registry> {
+    const { default: Registry } = await import('prom-client/lib/registry');
+    const { default: Histogram } = await import('prom-client/lib/histogram');
+    registry ??= new Registry();
+    for (const t of all) {
+      if (t.histogram) continue;
+      t.histogram = new Histogram({ name: t.name, help: t.help, buckets: t.buckets, registers: [registry] });
+      for (const ms of t.waiting.splice(0)) t.histogram.observe(ms);
     }
+    return registry;
+  }
 
+  function times(name: string, help: string, bound: number): (ms: number) => void {
     function upTo(ratio: number): number {
       return Math.round(ratio * bound * 1000) / 1000;
     }
 
     function observe(ms: number): void {
-      for (const [i, ratio] of RATIOS.entries()) if (ms <= upTo(ratio)) counts[i]++;
-      sum += ms;
-      count++;
-    }
-
-    function row(ratio: number, i: number): string {
-      return `${name}_bucket{le="${upTo(ratio)}"} ${counts[i]}`;
-    }
-
-    function rows(): string[] {
-      return [`# HELP ${name} ${help}`, `# TYPE ${name} histogram`, ...RATIOS.map(row), `${name}_bucket{le="+Inf"} ${count}`, `${name}_sum ${sum}`, `${name}_count ${count}`];
+      if (t.histogram) t.histogram.observe(ms);
+      else if (t.waiting.push(ms) === MOST_WAITING) void load();
     }
 
-    all.push(rows);
+    const t: Times = { name, help, buckets: RATIOS.map(upTo), waiting: [] };
+    all.push(t);
     return observe;
   }
 
-  function text(rows: string[]): string {
-    const out = [...rows];
-    for (const histogram of all) out.push(...histogram());
-    return `${out.join('\n')}\n`;
+  async function text(rows: string[]): Promise<string> {
+    const r = await load();
+    return `${rows.join('\n')}\n${await r.metrics()}`;
   }
 
   return { times, text };
