--- a/test/platform-rig.ts
+++ b/test/platform-rig.ts
@@ -16,10 +16,26 @@
   return site;
 }
 
-/** Plays a short day on real processes. */
+const running = new Set<() => Promise<void>>();
+
+/** Plays a short day on real processes; what is left of it ends with the test, also where that failed or ran out of time. */
 export async function shortDay(name: string, seconds: number, troubles: readonly string[]): Promise<PlayedDay> {
   const folder = mkdtempSync(join(tmpdir(), 'plumhollow-day-'));
-  const day = await playDay({ site: small(name, folder), folder, seconds, troubles, seed: 3, judged: WIDE });
-  rmSync(folder, { recursive: true, force: true });
-  return day;
+  function begun(end: () => Promise<void>): void {
+    running.add(over);
+    async function over(): Promise<void> {
+      await end();
+      rmSync(folder, { recursive: true, force: true });
+    }
+  }
+  return playDay({ site: small(name, folder), folder, seconds, troubles, seed: 3, judged: WIDE, begun });
+}
+
+async function cleanUp(): Promise<void> {
+  for (const over of running) {
+    running.delete(over);
+    await over();
+  }
 }
+
+afterEach(cleanUp);
--- a/test/smoke.test.ts
+++ b/test/smoke.test.ts
@@ -3,9 +3,11 @@
 import { join } from 'node:path';
 import { runCallers } from '../tools/standins/callers';
 import { Deployment, makeDeployment } from '../tools/standins/deploy';
-import { allReady, configure, makeFleet, readLedgers, startAll, stopAll, until } from '../tools/fleet/fleet';
+import { allReady, configure, Fleet, makeFleet, readLedgers, startAll, stopAll, until } from '../tools/fleet/fleet';
 import { edgeNames, judge } from '../tools/standins/ledger';
 
+const fleets: Fleet[] = [];
+
 /** A small deployment on loopback addresses of this process's own, so that no port has to be found and freed. */
 function small(): Deployment {
   const d = makeDeployment('atlas-ordre', 20 + (process.pid % 230))!;
@@ -15,6 +17,7 @@
 async function servesForReal(): Promise<void> {
   const folder = mkdtempSync(join(tmpdir(), 'plumhollow-'));
   const f = makeFleet(small(), folder);
+  fleets.push(f);
   await startAll(f);
   const edges = f.d.edge.map(httpOf);
   function httpOf(e: { http: string }): string {
@@ -41,7 +44,6 @@
     exits.push(code ?? 99);
   }
   await stopAll(f);
-  rmSync(folder, { recursive: true, force: true });
   expect(report.whole).toBe(report.asked);
   expect(report.asked).toBeGreaterThan(10);
   expect({ twice: v.twice, walls: v.crossedWalls, wrong: v.wrongPieces, runs: v.runs }).toEqual({ twice: [], walls: [], wrong: [], runs: report.asked });
@@ -58,4 +60,13 @@
   return 0;
 }
 
+/** Nothing runs on, also after a test that failed or ran out of time. */
+async function cleanUp(): Promise<void> {
+  for (const f of fleets.splice(0)) {
+    await stopAll(f);
+    rmSync(f.folder, { recursive: true, force: true });
+  }
+}
+
+afterEach(cleanUp);
 test('real processes start, are configured, serve, and leave at SIGTERM', servesForReal);
--- a/tools/fleet/fleet.ts
+++ b/tools/fleet/fleet.ts
@@ -270,6 +270,15 @@
   rmSync(folder, { recursive: true, force: true });
   mkdirSync(folder, { recursive: true });
   const f = makeFleet(d, folder);
+  try {
+    return await runOn(f, o, fault);
+  } finally {
+    await stopAll(f);
+  }
+}
+
+async function runOn(f: Fleet, o: RunnerWays, fault: string | undefined): Promise<{ clean: boolean; row: string }> {
+  const { d } = f;
   await startAll(f, o.placeBy, fault?.startsWith('cut-') ? { told: o.net, bound: String(Number(o.net) + 1) } : undefined);
   const edges = d.edge.map(httpOf);
   async function ready(): Promise<boolean> {
@@ -288,7 +297,6 @@
   }
   const report = await calls;
   const clean = sayReport(f, report, await sumMetrics(f));
-  await stopAll(f);
   return { clean, row: `| ${fault ?? 'none'} | ${report.whole} of ${report.asked} | ${report.refused} | ${report.unknown + report.incomplete} | ${report.callerRetries} | ${clean ? 0 : 'yes'} |` };
 }
 
--- a/tools/fleet/machines.ts
+++ b/tools/fleet/machines.ts
@@ -30,6 +30,7 @@
   /** Kills a process whose disk is lost with it. */
   wipe(name: string, pauseMs: number): Promise<void>;
   lifeOf(ip: string): number;
+  /** Ends every process; none starts after it. */
   stopAll(): Promise<void>;
 }
 
@@ -39,6 +40,8 @@
 /** Makes the machines of a site; nothing runs yet. */
 export function makeMachines(site: Site, clock: Clock, book: Book, folder: string): Machines {
   const procs = new Map<string, Proc>();
+  const ending = new Set<Promise<void>>();
+  let stopped = false;
   const seeds = site.cores.map(controlOf);
   function controlOf(c: { control: string }): string {
     return c.control;
@@ -53,6 +56,7 @@
   for (const e of site.edges) add({ name: e.name, ip: e.ip, zone: e.zone, role: 'router', on: 'edge', serves: ['edge'], bootstrap: true, seeds }, e.ip);
 
   async function start(name: string): Promise<void> {
+    if (stopped) return;
     const p = procs.get(name)!;
     const file = join(folder, `${name.replace(' ', '-')}.toml`);
     mkdirSync(folder, { recursive: true });
@@ -91,9 +95,11 @@
     p.child = undefined;
     const k = kept<void>();
     if (!child || child.exitCode !== null || child.signalCode !== null) return Promise.resolve();
+    ending.add(k.promise);
     child.once('exit', gone);
     child.kill(signal);
     function gone(): void {
+      ending.delete(k.promise);
       off();
       k.keep();
     }
@@ -147,12 +153,12 @@
   }
 
   async function stopAll(): Promise<void> {
-    const ends: Promise<void>[] = [];
+    stopped = true;
     for (const p of procs.values()) {
       p.child?.kill('SIGCONT');
-      ends.push(end(p, 'SIGTERM'));
+      void end(p, 'SIGTERM');
     }
-    await Promise.all(ends);
+    await Promise.all(ending);
   }
 
   return { procs, startAll, kill, roll, freeze, wipe, lifeOf, stopAll };
--- a/tools/fleet/platform.ts
+++ b/tools/fleet/platform.ts
@@ -21,6 +21,8 @@
   seed: number;
   /** Bounds that the ledger judges by, where they are others than those that the processes are told. */
   judged?: Guarantees;
+  /** Is given what ends the day's processes and stand-ins, before any runs on. */
+  begun?: (end: () => Promise<void>) => void;
 }
 
 /** What a played day came to. */
@@ -63,6 +65,15 @@
   mkdirSync(ways.folder, { recursive: true });
   const day: Day = await startDay(ways.site, clock, seededDice(ways.seed));
   const machines = makeMachines(ways.site, clock, day.book, ways.folder);
+  let ending: Promise<void> | undefined;
+  async function endAll(): Promise<void> {
+    await machines.stopAll();
+    await day.close();
+  }
+  function end(): Promise<void> {
+    return (ending ??= endAll());
+  }
+  ways.begun?.(end);
   try {
     const begun = clock.now();
     await machines.startAll();
@@ -78,8 +89,7 @@
     for (const [name, p] of machines.procs) for (const e of p.ended) ended.push(`${name} ${e}`);
     return { ...reportDay(day.book, ways.judged ?? ways.site.bounds), site: ways.site.name, troubles: ways.troubles, ackMs: Math.round((first.ackAt ?? NaN) - begun), readyMs, allReady: ready, ended };
   } finally {
-    await machines.stopAll();
-    await day.close();
+    await end();
   }
 }
 
