The ledger tells an attempt an engine already held from one it got while leaving

Cause: engines freeze, then are known to leave. The stand-in engine looks at a call for 2 ms before it enters it as begun. An attempt that it had taken within these 2 ms before it froze waits in its hands; at waking its timer rings before it sees that the router closed the call, so it begins. The ledger judged by the beginning alone and called this new work, though the engine held it before anyone knew that it leaves.

Ruled out: attempts sent after the news, closes that reach the frozen machine too late, a wrong moment of "known". The product is unchanged: nothing it can send reaches an engine that froze before the news.

The check now leaves out an attempt only where both hold: the engine's process took it before the engine was known to leave, and its router gave it up within 3 s of that. What reaches a frozen engine and is begun at waking counts as before.

--- a/test/seeds-engines.test.ts
+++ b/test/seeds-engines.test.ts
@@ -1,6 +1,6 @@
 import { Fault } from '../tools/sim/simfaults';
 import { runSeed } from '../tools/sim/simrun';
-import { clean, fault } from './seeds';
+import { clean, fault, frozenLeavers } from './seeds';
 
 async function secondTries(): Promise<void> {
   const turned: Fault[] = [];
@@ -11,9 +11,7 @@
 }
 
 async function frozenLeaver(): Promise<void> {
-  const schedule: Fault[] = [];
-  for (let i = 0; i < 4; i++) schedule.push(fault(8900 + i * 5000, 'engine-freeze', `engine-${i + 1}`, '', 6000), fault(9000 + i * 5000, 'leave', `engine-${i + 1}`, '', 4000));
-  await clean(2, 'saffron-bay', 0, schedule);
+  await clean(2, 'saffron-bay', 0, frozenLeavers());
 }
 
 async function noMajorityForTheList(): Promise<void> {
--- a/test/seeds.ts
+++ b/test/seeds.ts
@@ -12,3 +12,10 @@
   expect({ seed, violations: r.violations }).toEqual({ seed, violations: [] });
   expect(r.report.asked).toBeGreaterThan(300);
 }
+
+/** Each engine in turn freezes, and a moment later the platform lists it as leaving. */
+export function frozenLeavers(): Fault[] {
+  const schedule: Fault[] = [];
+  for (let i = 0; i < 4; i++) schedule.push(fault(8900 + i * 5000, 'engine-freeze', `engine-${i + 1}`, '', 6000), fault(9000 + i * 5000, 'leave', `engine-${i + 1}`, '', 4000));
+  return schedule;
+}
--- a/tools/sim/simrun.ts
+++ b/tools/sim/simrun.ts
@@ -1,4 +1,5 @@
 import { Report, runCallers, Seen } from '../standins/callers';
+import { LedgerEntry } from '../standins/engine';
 import { edgeNames, judge, Verdict } from '../standins/ledger';
 import { seededDice } from './dice';
 import { askCore, makeSimFleet, SimFleet, simIntents } from './simfleet';
@@ -44,6 +45,7 @@
 const LATE_FROM = 44000;
 const END = 52000;
 const WATCH_EVERY = 100;
+const LEAVING_BOUND = 3000;
 
 /** Runs one seed and judges it by the ledgers. */
 export async function runSeed(seed: number, ways: RunWays): Promise<RunResult> {
@@ -221,13 +223,27 @@
   return most;
 }
 
+/** Whether an engine held an attempt before it was known to leave, and its router gave the attempt up in time: a frozen engine may begin it before it looks at the close. */
+function takenBefore(f: SimFleet, e: LedgerEntry, knownAt: number): boolean {
+  if (e.takenAt! >= knownAt) return false;
+  const { at } = f.d.engines.find(isIt)!;
+  const x = f.net.sent.find(isSent);
+  return x?.givenUpAt !== undefined && x.givenUpAt <= knownAt + LEAVING_BOUND;
+  function isIt(x: { id: string }): boolean {
+    return x.id === e.engine;
+  }
+  function isSent(x: { at: string; body: string }): boolean {
+    return x.at === at && x.body.startsWith(`{"request":"${e.request}"`);
+  }
+}
+
 /** Work that engines began although they were known to leave, or under weights that were no longer to serve, or across a new wall. */
 function lateWork(f: SimFleet, ops: OpsLog): string[] {
   const out: string[] = [];
   const marks = f.marks;
   for (const e of f.ledger) {
     if (e.kind !== 'began') continue;
-    for (const m of marks) if (m.engine === e.engine && m.knownAt !== undefined && e.at > m.knownAt + 3000 && e.at < m.until) out.push(`leaving: ${e.engine} got ${e.request} ${(e.at - m.knownAt).toFixed(0)} ms after it was known to leave`);
+    for (const m of marks) if (m.engine === e.engine && m.knownAt !== undefined && e.at > m.knownAt + LEAVING_BOUND && e.at < m.until && !takenBefore(f, e, m.knownAt)) out.push(`leaving: ${e.engine} got ${e.request} ${(e.at - m.knownAt).toFixed(0)} ms after it was known to leave`);
     const allowed = new Set<string>();
     let last = 0;
     for (const [i, w] of ops.weights.entries()) if (w.ackAt !== undefined && Math.max(w.sentAt, w.ackAt - 2500) + f.d.weightsBoundMs < e.at) last = i;
--- a/tools/sim/simwire.ts
+++ b/tools/sim/simwire.ts
@@ -23,7 +23,7 @@
 
 /** The simulated network over a world. */
 export interface SimNet {
-  sent: { at: string; body: string }[];
+  sent: { at: string; body: string; givenUpAt?: number }[];
   traffic?: Traffic;
   ports(p: Proc): Ports;
 }
@@ -224,7 +224,8 @@
     function ask(q: Ask): Promise<Outcome<Reply>> {
       const to = w.procAt(ipOf(q.at));
       const step = `${q.method} ${q.path}`;
-      if (q.path === '/api/generate') sent.push({ at: q.at, body: q.body!.slice(0, 120) + (q.body!.includes('"urgent":true') ? '+' : '-') });
+      const attempt: SimNet['sent'][0] | undefined = q.path === '/api/generate' ? { at: q.at, body: q.body!.slice(0, 120) + (q.body!.includes('"urgent":true') ? '+' : '-') } : undefined;
+      if (attempt) sent.push(attempt);
       function wait(done: (o: Outcome<Reply>) => void): void {
         const asked = w.now();
         let headed = false;
@@ -242,6 +243,7 @@
         if (q.gone?.aborted) w.after(0, late);
 
         function cancelFar(): void {
+          if (attempt) attempt.givenUpAt = w.now();
           if (!to) return;
           function far(): void {
             if (to!.alive) w.onProc(to!, abort);
--- a/tools/sim/without.ts
+++ b/tools/sim/without.ts
@@ -89,6 +89,14 @@
   (platform as unknown as Patch).listEngines = list as never;
 }
 
+function noLeavingCut(): void {
+  const real = settings.boundsOf;
+  function uncut(s: settings.Settings): settings.Bounds {
+    return { ...real(s), leavingCut: Infinity };
+  }
+  (settings as unknown as Patch).boundsOf = uncut as never;
+}
+
 function noSync(): void {
   const real = slots.openSlots;
   async function lazy(...x: Parameters<typeof slots.openSlots>): Promise<Outcome<slots.Slots>> {
@@ -290,7 +298,7 @@
 
 /** Mechanisms that the simulator can leave out, to see that its checks catch what they prevent. */
 export const MECHANISMS: Record<string, () => void> = {
-  votes: noVotes, effect: noEffect, leases: noLeases, salts: noSalts, 'weights-end': noWeightsEnd, leaving: noLeaving, sync: noSync, 'last-line': noLastLine, 'unknown-class': lateRefusal, budget: noBudget, suspension: noSuspension,
+  votes: noVotes, effect: noEffect, leases: noLeases, salts: noSalts, 'weights-end': noWeightsEnd, leaving: noLeaving, 'leaving-cut': noLeavingCut, sync: noSync, 'last-line': noLastLine, 'unknown-class': lateRefusal, budget: noBudget, suspension: noSuspension,
   'repair-peers': noRepair('peers'), 'repair-returns': noRepair('returns'), 'repair-doubt': noRepair('doubt'),
   deltas: noDeltas, fetch: noFetch, 'order-check': noOrderCheck, 'router-whole': bends(skip), 'router-once': bends(repeat), 'router-own': bends(splice), fence: noFence, 'refused-is-sure': refusesLate,
 };
--- a/tools/standins/engine.ts
+++ b/tools/standins/engine.ts
@@ -30,6 +30,7 @@
   kind: 'began' | 'ended' | 'broke' | 'turned' | 'order' | 'fenced';
   engine: string;
   at: number;
+  takenAt?: number;
   request?: string;
   tenant?: string;
   salt?: string;
@@ -167,6 +168,7 @@
 
   @handles('POST', '/api/generate')
   async generate(call: Call): Promise<void> {
+    const takenAt = this.ports.clock.now();
     const q = (await takeJson(call, 1 << 24)) as GenerateAsk | undefined;
     if (!q) return;
     const { ways, ports } = this;
@@ -177,7 +179,7 @@
     if (this.leaving) return this.turn(call, turned, 503, 'leaving', 'this engine is leaving');
     if (q.model !== ways.model || q.weights !== weights) return this.turn(call, turned, 409, 'weights', `weights here are ${weights}`);
     if (this.waiting.length >= ways.queue) return this.turn(call, turned, 429, 'busy', 'the queue is full');
-    const began: LedgerEntry = { kind: 'began', engine: ways.id, at: ports.clock.now(), request: q.request, tenant: q.tenant, salt: q.salt, weights, repeatable: q.repeatable, urgent: q.urgent, tag: q.parts[q.parts.length - 1]?.hash };
+    const began: LedgerEntry = { kind: 'began', engine: ways.id, at: ports.clock.now(), takenAt, request: q.request, tenant: q.tenant, salt: q.salt, weights, repeatable: q.repeatable, urgent: q.urgent, tag: q.parts[q.parts.length - 1]?.hash };
     ways.ledger(began);
     let unread = 0;
     for (const p of q.parts) unread += p.size;
