--- a/tools/sim/placing.ts
+++ b/tools/sim/placing.ts
@@ -20,7 +20,8 @@
   lagMs: number;
   /** Every third engine is slower by this. */
   slow: number;
-  store: boolean;
+  /** Tokens that the store holds; none where there is no store. */
+  storeTokens: number;
   /** When an engine looks for what it keeps of a prompt. */
   looksAt: 'admission' | 'reading';
 }
@@ -86,7 +87,7 @@
 const SHORT_AIM = 300;
 
 /** The usual world: one small fleet. */
-export const USUAL: PlacingWorld = { engines: 13, routers: 9, zones: 3, seconds: 40, longPerS: 19, shortPerS: 165, things: 200, batch: 12, cacheTokens: 140000, lagMs: 120, slow: 1.3, store: true, looksAt: 'reading' };
+export const USUAL: PlacingWorld = { engines: 13, routers: 9, zones: 3, seconds: 40, longPerS: 19, shortPerS: 165, things: 200, batch: 12, cacheTokens: 140000, lagMs: 120, slow: 1.3, storeTokens: 1900000, looksAt: 'reading' };
 
 /** Plays one way of placing in a world. */
 export function playPlacing(world: PlacingWorld, way: PlaceWay, seed: number): PlacingResult {
@@ -99,8 +100,9 @@
     engines.push({ spot: { id: `e${i}`, at: `10.0.0.${i}:80`, zone: `z${i % world.zones}`, salt: '' }, pace: i % 3 === 2 ? world.slow : 1, running: [], waiting: [], kept: new Map(), keptTokens: 0, moveUntil: 0, stepping: false });
   }
   const storeKept = new Map<string, number>();
+  let storeUsed = 0;
   const everRead = new Set<string>();
-  const pool: PoolView = { name: 'p', batch: world.batch, cacheTokens: world.cacheTokens, tokenBytes: 163840, linkMbps: 1.1e6, engines: engines.map(spotOf), stores: world.store ? [{ name: 's', at: '10.0.1.1:80', zone: 'z1', linkMbps: 4e5 }] : [] };
+  const pool: PoolView = { name: 'p', batch: world.batch, cacheTokens: world.cacheTokens, tokenBytes: 163840, linkMbps: 1.1e6, engines: engines.map(spotOf), stores: world.storeTokens > 0 ? [{ name: 's', at: '10.0.1.1:80', zone: 'z1', linkMbps: 4e5 }] : [] };
   const routers: Placement[] = [];
   for (let i = 0; i < world.routers; i++) routers.push(makePlacement({ now: clock, spread: dice.next, zone: `z${i % world.zones}`, pause: 300, way }));
   const things: Part[] = [];
@@ -195,6 +197,17 @@
     }
   }
 
+  function put(p: Part): void {
+    if (storeKept.delete(p.hash)) storeUsed -= p.size;
+    storeKept.set(p.hash, p.size);
+    storeUsed += p.size;
+    for (const [hash, size] of storeKept) {
+      if (storeUsed <= world.storeTokens) break;
+      storeKept.delete(hash);
+      storeUsed -= size;
+    }
+  }
+
   function arrive(): void {
     const long = dice.next() < world.longPerS / (world.longPerS + world.shortPerS);
     at(now + (-Math.log(1 - dice.next()) * 1000) / (world.longPerS + world.shortPerS), arrive);
@@ -243,7 +256,11 @@
         return e.spot.id === fetch!.source.side.name;
       }
       function gotParts(): void {
-        for (const x of parts.slice(0, -1)) if (from.has(x.hash)) keep(engine, x);
+        for (const x of parts) {
+          if (!from.has(x.hash)) break;
+          keep(engine, x);
+          if (from === storeKept) put(x);
+        }
       }
       engine.waiting.push(job);
       at(job.readyAt, wake);
@@ -307,10 +324,10 @@
   function give(e: SimEngine, j: Job): void {
     j.given++;
     if (j.firstAt === undefined) {
-      for (const p of j.parts.slice(0, -1)) {
+      for (const [i, p] of j.parts.entries()) {
         keep(e, p);
-        everRead.add(p.hash);
-        if (j.placed.storeAt) storeKept.set(p.hash, p.size);
+        if (i < j.parts.length - 1) everRead.add(p.hash);
+        if (j.placed.storeAt) put(p);
       }
       j.firstAt = now;
       j.under.first();
@@ -382,7 +399,7 @@
   const c = new Command('placing').description('plays ways of placing requests against a model of engines').option('--seeds <n>', 'seeds', '3').option('--load <x>', 'load as a multiple of the usual', '1').option('--no-store', 'without a store').option('--engines <n>', 'engines', String(USUAL.engines));
   c.parse();
   const o = c.opts<{ seeds: string; load: string; store: boolean; engines: string }>();
-  const world = { ...USUAL, longPerS: USUAL.longPerS * Number(o.load), shortPerS: USUAL.shortPerS * Number(o.load), store: o.store, engines: Number(o.engines) };
+  const world = { ...USUAL, longPerS: USUAL.longPerS * Number(o.load), shortPerS: USUAL.shortPerS * Number(o.load), storeTokens: o.store ? USUAL.storeTokens : 0, engines: Number(o.engines) };
   for (const way of ['full', 'affinity', 'least-busy'] as const) for (let seed = 1; seed <= Number(o.seeds); seed++) console.log(say(playPlacing(world, way, seed)));
 }
 
