--- a/src/data/gateway/placement.ts
+++ b/src/data/gateway/placement.ts
@@ -112,10 +112,10 @@
 /** A prompt that reads in under this share of its aim is placed without asking an index. */
 const QUICK = 0.08;
 /** What a prompt's home is taken to keep of its shared parts where no index answered, and an engine where one was placed before. */
-const HOME_KEEPS = 0.6;
-const PLACED_KEEPS = 0.8;
-/** What a source that is only guessed counts of that. */
-const GUESSED = 0.8;
+const HOME_KEEPS = 0.4;
+const PLACED_KEEPS = 0.9;
+/** The same of a home that parts are fetched from: a miss costs little. */
+const GUESSED = 0.7;
 /** Prompts whose engines are remembered. */
 const MOST_RECENT = 4096;
 const MOST_ENGINES = 4;
@@ -167,14 +167,34 @@
     return { name, zone: e.zone, region: e.region, mbps };
   }
 
-  function guess(ask: PlaceAsk, home: string, ranks: Map<string, number>): (name: string) => KeptAt {
+  /** How far each engine stands from the home of its zone: a prompt has one home in each, so that it need not cross zones. */
+  function ranksOf(ask: PlaceAsk, home: string): Map<string, number> {
+    const all = homes.ranks(home, ask.pool.engines.map(idOf));
+    const order = [...ask.pool.engines].sort(byRank);
+    const count = new Map<string, number>();
+    const out = new Map<string, number>();
+    for (const e of order) {
+      const n = count.get(e.zone) ?? 0;
+      count.set(e.zone, n + 1);
+      out.set(e.id, n);
+    }
+    return out;
+    function byRank(a: EngineSpot, b: EngineSpot): number {
+      return all.get(a.id)! - all.get(b.id)!;
+    }
+  }
+
+  function guess(ask: PlaceAsk, home: string, ranks: Map<string, number>): { here: (name: string) => KeptAt; there: (name: string) => KeptAt } {
     const shared = sharedOf(ask.parts);
     const placed = recent.get(home) ?? [];
-    function keptAt(name: string): KeptAt {
-      if (placed.includes(name)) return { kept: shared * PLACED_KEEPS, coming: 0 };
-      return { kept: ranks.get(name) === 0 ? shared * HOME_KEEPS : 0, coming: 0 };
+    function by(home: number): (name: string) => KeptAt {
+      function keptAt(name: string): KeptAt {
+        if (placed.includes(name)) return { kept: shared * PLACED_KEEPS, coming: 0 };
+        return { kept: ranks.get(name) === 0 ? shared * home : 0, coming: 0 };
+      }
+      return keptAt;
     }
-    return keptAt;
+    return { here: by(HOME_KEEPS), there: by(GUESSED) };
   }
 
   function told(kept: OverlapAnswer): (name: string) => KeptAt {
@@ -186,16 +206,16 @@
     return keptAt;
   }
 
-  function sourcesOf(ask: PlaceAsk, salt: string, keptAt: (name: string) => KeptAt, trust: number): Source[] {
+  function sourcesOf(ask: PlaceAsk, salt: string, keptAt: (name: string) => KeptAt): Source[] {
     const out: Source[] = [];
     const up = new Set(standings.able(ask.pool.engines.map(idOf), false));
     for (const e of ask.pool.engines) {
       const { kept } = keptAt(e.id);
-      if (kept > 0 && e.salt === salt && up.has(e.id)) out.push({ side: sideOf(e, e.id, ask.pool.linkMbps), at: e.at, kept: kept * trust });
+      if (kept > 0 && e.salt === salt && up.has(e.id)) out.push({ side: sideOf(e, e.id, ask.pool.linkMbps), at: e.at, kept });
     }
     for (const s of ask.pool.stores) {
       const { kept } = keptAt(s.name);
-      if (kept > 0) out.push({ side: sideOf(s, s.name, s.linkMbps), at: s.at, kept: kept * trust });
+      if (kept > 0) out.push({ side: sideOf(s, s.name, s.linkMbps), at: s.at, kept });
     }
     return out;
   }
@@ -216,7 +236,7 @@
     const fit = new Set(standings.able(names, ask.repeatable));
     if (fit.size === 0) return Left({ why: 'no-engine', retryAfterMs: Math.max(ways.pause, standings.nextIn(names)) });
     const home = homeOf(ask);
-    const ranks = homes.ranks(home, ask.pool.engines.map(idOf));
+    const ranks = ranksOf(ask, home);
     const bySalt = new Map<string, Able[]>();
     const all: Able[] = [];
     for (const e of ask.pool.engines) {
@@ -231,9 +251,10 @@
     let best: { r: Reckoned; cost: number } | undefined;
     for (const [salt, able] of bySalt) {
       const answer = way === 'full' ? kept.get(salt) : undefined;
-      const keptAt = answer ? told(answer) : guess(ask, home, ranks);
-      const sources = way === 'full' ? sourcesOf(ask, salt, keptAt, answer ? 1 : GUESSED) : [];
-      for (const r of reckon(promptOf(ask, answer), able, keptAt, sources, links.moveMs)) {
+      const by = answer ? told(answer) : undefined;
+      const { here, there } = by ? { here: by, there: by } : guess(ask, home, ranks);
+      const sources = way === 'full' ? sourcesOf(ask, salt, there) : [];
+      for (const r of reckon(promptOf(ask, answer), able, here, sources, links.moveMs)) {
         const c = cost(r);
         if (!best || c < best.cost) best = { r, cost: c };
       }
