Short requests are kept apart from long ones; the board is told and asked at once

Cause: an engine reads prompts one after the other, so 63 of 5,791 short requests (sbr) and 229 of 5,711 (aoc) were late behind a long one that another router had just placed. Long prompts rather go to three quarters of a zone's engines, short ones to the rest. The board hears of a long prompt at once and is asked before one is placed. Ruled out: a fixed cost for long prompts on the other side, which kept them from where their parts are kept (read again up by a third in the model).

--- a/src/data/gateway/choose.ts
+++ b/src/data/gateway/choose.ts
@@ -171,7 +171,8 @@
     const s = spots(w);
     const ask = askOf(w, s.spots, s.named);
     const kept = new Map<string, OverlapAnswer>();
-    await Promise.all(placement.wantsIndex(ask).map(overlap));
+    const salts = placement.wantsIndex(ask);
+    if (salts.length > 0) await Promise.all([indexers.renewLoads(w.route.aimMs * INDEX_WAIT), ...salts.map(overlap)]);
     async function overlap(salt: string): Promise<void> {
       const answer = await indexers.overlap({ model: w.request.model ?? '', salt, parts: wireParts(w) }, w.route.aimMs * INDEX_WAIT);
       if (answer) kept.set(salt, answer);
@@ -187,7 +188,7 @@
     }
     const weights = s.weights.get(engine.id);
     const salt = saltUnder(wallOf(w.tenant), weights ?? '');
-    const c: ChosenHere = { engine, weights: weights === '' ? undefined : weights, salt, urgency: placed.urgency, fetchFrom: fetch?.source.at, storeAt: placed.storeAt, placed, indexed: placement.wantsIndex(ask).length > 0 };
+    const c: ChosenHere = { engine, weights: weights === '' ? undefined : weights, salt, urgency: placed.urgency, fetchFrom: fetch?.source.at, storeAt: placed.storeAt, placed, indexed: salts.length > 0 };
     return Right(c);
   }
 
--- a/src/data/gateway/indexers.ts
+++ b/src/data/gateway/indexers.ts
@@ -12,13 +12,17 @@
 export interface Indexers {
   /** Asks how much of a prompt each source keeps; nothing where no indexer answers in time. */
   overlap(q: OverlapAsk, withinMs: number): Promise<OverlapAnswer | undefined>;
-  /** Tells all indexers of a request that was placed. */
+  /** Tells all indexers of a request that was placed, and the board of what it adds to its engine. */
   placed(p: PlacedTell): void;
+  /** Brings what is known of other routers' loads up to now; waits no longer than that. */
+  renewLoads(withinMs: number): Promise<void>;
   stop(): void;
 }
 
 /** Answers that may stay out, one after the other, before an indexer is left alone for a while. */
 const MISSES = 3;
+/** The usual pause between tells, as a share of the bound of a query. */
+const PACE = 0.4;
 /** How many routers share the board at the usual pace; more tell it less often, in proportion. */
 const ROUTERS = 16;
 
@@ -27,7 +31,7 @@
   const helds = holdAll(ports, { hello, edges: [], within: bounds.dial, pause: bounds.pause });
   const misses = new Map<string, { count: number; until: number }>();
   let zones = new Map<string, string>();
-  let board: { at: string; connection: object; said: Map<string, string> } | undefined;
+  let board: { connection: object; said: Map<string, string> } | undefined;
   let stopped = false;
 
   function reach(): void {
@@ -69,6 +73,11 @@
 
   function placed(p: PlacedTell): void {
     for (const at of helds.ats()) helds.up(at)?.tell('placed', p);
+    void tell();
+  }
+
+  async function renewLoads(withinMs: number): Promise<void> {
+    await Promise.race([tell(), ports.clock.sleep(withinMs)]);
   }
 
   /** Tells the board what changed since the last tell on this connection. */
@@ -77,22 +86,24 @@
       const ex = helds.up(at);
       if (!ex) continue;
       const full = board?.connection !== ex.connection;
-      if (full) board = { at, connection: ex.connection, said: new Map() };
+      if (full) board = { connection: ex.connection, said: new Map() };
+      const to = board!;
       const own: EngineLoad[] = [];
       const now = new Map<string, string>();
       for (const l of loads.own()) {
         const text = `${l[1]} ${l[2]}`;
         now.set(l[0], text);
-        if (full || board!.said.get(l[0]) !== text) own.push(l);
+        if (full || to.said.get(l[0]) !== text) own.push(l);
       }
-      for (const id of board!.said.keys()) if (!now.has(id)) own.push([id, 0, 0]);
+      for (const id of to.said.keys()) if (!now.has(id)) own.push([id, 0, 0]);
+      to.said = now;
       const [f, a] = open(await ex.ask('loads', { full, own }, bounds.status));
+      if (board !== to) return;
       if (f) {
         board = undefined;
         loads.noBoard();
         return;
       }
-      board!.said = now;
       const answer = a as LoadsAnswer;
       loads.others(answer.others, answer.full);
       return;
@@ -105,7 +116,7 @@
     while (!stopped) {
       reach();
       await tell();
-      await ports.clock.sleep(bounds.query * Math.max(1, (routers() ?? 1) / ROUTERS) * (0.8 + 0.4 * ports.dice.next()));
+      await ports.clock.sleep(bounds.query * PACE * Math.max(1, (routers() ?? 1) / ROUTERS) * (0.8 + 0.4 * ports.dice.next()));
     }
   }
 
@@ -116,5 +127,5 @@
 
   void follower.membership.observe(changed);
   void tellOn();
-  return { overlap, placed, stop };
+  return { overlap, placed, renewLoads, stop };
 }
--- a/src/data/gateway/placement.ts
+++ b/src/data/gateway/placement.ts
@@ -119,6 +119,10 @@
 /** Prompts whose engines are remembered. */
 const MOST_RECENT = 4096;
 const MOST_ENGINES = 4;
+/** The share of a zone's engines that long prompts are rather sent to, and the shares of the aim that going to the other side must gain. */
+const LONG_SIDE = 0.75;
+const QUICK_SIDE = 0.1;
+const LONG_ASIDE = 0.6;
 /** Costs are spread by this share, so that routers do not all choose the same. */
 const SPREAD = 0.02;
 /** A prompt goes to a store where this share of it is shared: its own part goes along, and fills the store's link and room. */
@@ -153,12 +157,16 @@
 
   function wantsIndex(ask: PlaceAsk): string[] {
     if (way !== 'full' || ask.parts.length === 0) return [];
-    if (ask.tokensIn * paces.of(ask.pool.name, '').msPerToken <= QUICK * ask.aimMs) return [];
+    if (isQuick(ask)) return [];
     const salts = new Set<string>();
     for (const e of ask.pool.engines) salts.add(e.salt);
     return [...salts];
   }
 
+  function isQuick(ask: PlaceAsk): boolean {
+    return ask.tokensIn * paces.of(ask.pool.name, '').msPerToken <= QUICK * ask.aimMs;
+  }
+
   function homeOf(ask: PlaceAsk): string {
     return `${ask.wall} ${ask.parts[Math.max(0, ask.parts.length - 2)]?.hash ?? ''}`;
   }
@@ -184,6 +192,16 @@
     }
   }
 
+  /** Engines that long prompts are rather sent to: most of each zone's, in an order that all routers share. */
+  function forLong(ask: PlaceAsk): Set<string> {
+    const ranks = ranksOf(ask, ask.pool.name);
+    const count = new Map<string, number>();
+    for (const e of ask.pool.engines) count.set(e.zone, (count.get(e.zone) ?? 0) + 1);
+    const out = new Set<string>();
+    for (const e of ask.pool.engines) if (ranks.get(e.id)! < Math.min(count.get(e.zone)! - 1, Math.round(count.get(e.zone)! * LONG_SIDE))) out.add(e.id);
+    return out;
+  }
+
   function guess(ask: PlaceAsk, home: string, ranks: Map<string, number>): { here: (name: string) => KeptAt; there: (name: string) => KeptAt } {
     const shared = sharedOf(ask.parts);
     const placed = recent.get(home) ?? [];
@@ -237,13 +255,15 @@
     if (fit.size === 0) return Left({ why: 'no-engine', retryAfterMs: Math.max(ways.pause, standings.nextIn(names)) });
     const home = homeOf(ask);
     const ranks = ranksOf(ask, home);
+    const quick = isQuick(ask);
+    const side = forLong(ask);
     const bySalt = new Map<string, Able[]>();
     const all: Able[] = [];
     for (const e of ask.pool.engines) {
       if (!fit.has(e.id)) continue;
       const a: Able = {
         side: sideOf(e, e.id, ask.pool.linkMbps), at: e.at, batch: Math.max(1, e.batch ?? ask.pool.batch), cacheTokens: ask.pool.cacheTokens,
-        load: loads.of(e.id), pace: paces.of(ask.pool.name, e.id), rank: ranks.get(e.id)!,
+        load: loads.of(e.id), pace: paces.of(ask.pool.name, e.id), rank: ranks.get(e.id)!, besideMs: quick && side.has(e.id) ? ask.aimMs * QUICK_SIDE : 0, besideReading: !quick && !side.has(e.id) ? LONG_ASIDE : 0,
       };
       all.push(a);
       bySalt.set(e.salt, [...(bySalt.get(e.salt) ?? []), a]);
--- a/src/data/gateway/reckon.ts
+++ b/src/data/gateway/reckon.ts
@@ -14,6 +14,9 @@
   pace: Pace;
   /** How far it stands from the home of the prompt's first shared parts. */
   rank: number;
+  /** What is added where others are meant to have it: ms, and ms for each of its own reading. */
+  besideMs: number;
+  besideReading: number;
 }
 
 /** What a source keeps of a prompt from its front on, in tokens, and what is coming there. */
@@ -106,7 +109,7 @@
 function reckonAt(a: Able, p: Prompt, own: KeptAt, sources: readonly Source[], moveMs: (from: Side, to: Side, bytes: number) => number): Reckoned {
   const held = Math.min(p.tokensIn, own.kept + own.coming * COMING);
   const waitMs = waitFor(a, p);
-  const beside = (a.side.zone === p.zone ? 0 : FAR * p.aimMs) + (Math.min(a.rank, RANKS) / RANKS) * IN_ORDER * p.aimMs;
+  const beside = a.besideMs + (a.side.zone === p.zone ? 0 : FAR * p.aimMs) + (Math.min(a.rank, RANKS) / RANKS) * IN_ORDER * p.aimMs;
   function by(kept: number, fetch?: Reckoned['fetch']): Reckoned {
     const unread = Math.max(0, p.tokensIn - kept);
     const pairs = pairsOf(p.tokensIn, unread);
@@ -114,7 +117,7 @@
     const reading = readMs(a.pace, unread, pairs);
     const moving = fetch?.ms ?? 0;
     const firstMs = a.pace.baseMs + waitMs + moving + reading;
-    return { able: a, firstMs, waitMs, unread, pairs, ahead: a.load.unread, fetch, again, cost: firstMs + reading * READING + moving * MOVING + again * a.pace.msPerToken * AGAIN + beside };
+    return { able: a, firstMs, waitMs, unread, pairs, ahead: a.load.unread, fetch, again, cost: firstMs + reading * (READING + a.besideReading) + moving * MOVING + again * a.pace.msPerToken * AGAIN + beside };
   }
   let best = by(held);
   const plain = readMs(a.pace, best.unread, best.pairs);
