The board tells the memory that requests take; late prompts keep their rank

The fourth figure of a load may be left out, so that routers and indexers of the version before understand each other.

--- a/src/data/gateway/indexers.ts
+++ b/src/data/gateway/indexers.ts
@@ -91,7 +91,7 @@
       const own: EngineLoad[] = [];
       const now = new Map<string, string>();
       for (const l of loads.own()) {
-        const text = `${l[1]} ${l[2]}`;
+        const text = l.join(' ');
         now.set(l[0], text);
         if (full || to.said.get(l[0]) !== text) own.push(l);
       }
--- a/src/data/gateway/loads.ts
+++ b/src/data/gateway/loads.ts
@@ -52,7 +52,7 @@
 export function makeLoads(now: () => number): Loads {
   const flights = new Map<string, Set<Flight>>();
   const heard = new Map<string, number>();
-  const told = new Map<string, { running: number; unread: number; at: number }>();
+  const told = new Map<string, { running: number; unread: number; held: number }>();
   let board = false;
 
   function began(f: Flight): void {
@@ -97,10 +97,9 @@
     const l = ownOf(engine);
     const o = told.get(engine);
     if (!o) return l;
-    const perRequest = l.running > 0 ? l.memory / l.running : 0;
     l.running += o.running;
     l.unread += o.unread;
-    l.memory += Math.max(o.unread, o.running * perRequest);
+    l.memory += Math.max(o.unread, o.held);
     return l;
   }
 
@@ -108,18 +107,17 @@
     const out: EngineLoad[] = [];
     for (const engine of flights.keys()) {
       const l = ownOf(engine);
-      out.push([engine, l.running, Math.round(l.unread)]);
+      out.push([engine, l.running, Math.round(l.unread), l.memory]);
     }
     return out;
   }
 
   function others(list: EngineLoad[], full: boolean): void {
     board = true;
-    const t = now();
     if (full) told.clear();
-    for (const [engine, running, unread] of list) {
+    for (const [engine, running, unread, held] of list) {
       if (running === 0 && unread === 0) told.delete(engine);
-      else told.set(engine, { running, unread, at: t });
+      else told.set(engine, { running, unread, held: held ?? 0 });
     }
   }
 
--- a/src/data/gateway/placement.ts
+++ b/src/data/gateway/placement.ts
@@ -131,8 +131,8 @@
 const SLOW = 1.5;
 /** Where more than this share of the time is waiting, it shows nothing of a link. */
 const MUCH = 0.3;
-/** The least urgent, for requests that can't make their aim. */
-const LATE = 9;
+/** The least urgent rank that is given. */
+const LAST = 8;
 /** The share of a pool's places that must be taken before a request that can't make its aim is refused. */
 const PRESSED = 0.9;
 /** A tenant with more than this many fair shares of what is under way gives way first. */
@@ -282,7 +282,7 @@
     const no = refusal(ask, all, best!.r);
     if (no) return Left(no);
     const salt = ask.pool.engines.find(isBest)!.salt;
-    return Right({ ask, reckoned: best!.r, urgency: urgencyOf(ask, best!.r), storeAt: storeFor(ask, home, kept.get(salt)), home });
+    return Right({ ask, reckoned: best!.r, urgency: urgencyOf(ask), storeAt: storeFor(ask, home, kept.get(salt)), home });
     function isBest(e: EngineSpot): boolean {
       return e.id === best!.r.able.side.name;
     }
@@ -335,9 +335,8 @@
     return (tenants.get(tenant ?? '') ?? 0) * tenants.size > all * FAIR;
   }
 
-  function urgencyOf(ask: PlaceAsk, r: Reckoned): number {
-    if (r.firstMs > ask.aimMs) return LATE;
-    return Math.min(LATE - 1, ask.routePriority * 2 + Math.min(1, ask.tenantPriority));
+  function urgencyOf(ask: PlaceAsk): number {
+    return Math.min(LAST, ask.routePriority * 2 + Math.min(1, ask.tenantPriority));
   }
 
   function remember(home: string, engine: string): void {
--- a/src/data/gateway/reckon.ts
+++ b/src/data/gateway/reckon.ts
@@ -84,6 +84,9 @@
 /** The share of an engine's memory that requests at work may fill before one more is taken to wait. */
 const ROOM = 0.95;
 
+/** Each token too many for an engine's memory is taken to be read this many times over, as requests are put back. */
+const PUT_BACK = 2;
+
 /** Pairs of tokens attended to while reading the last `unread` of `all`. */
 export function pairsOf(all: number, unread: number): number {
   const kept = all - unread;
@@ -101,7 +104,7 @@
   const over = load.running + 1 - a.batch;
   if (over > 0) ms += (over * pace.placeMs) / a.batch;
   const need = load.memory + p.tokensIn + p.tokensOut - a.cacheTokens * ROOM;
-  if (need > 0 && load.memory > 0) ms += pace.placeMs * Math.min(1, need / load.memory);
+  if (need > 0 && load.memory > 0) ms += pace.placeMs + Math.min(need, load.memory) * pace.msPerToken * PUT_BACK;
   return ms;
 }
 
--- a/src/index/loads.ts
+++ b/src/index/loads.ts
@@ -1,6 +1,6 @@
 import { EngineLoad, LoadsAnswer, LoadsTell } from '../shared/loads';
 
-type Load = [running: number, unread: number];
+type Load = [running: number, unread: number, held: number];
 
 interface Teller {
   name: string;
@@ -25,10 +25,11 @@
   const tellers = new Map<object, Teller>();
   const sums = new Map<string, Load>();
 
-  function add(engine: string, running: number, unread: number): void {
-    const s = sums.get(engine) ?? [0, 0];
-    s[0] += running;
-    s[1] += unread;
+  function add(engine: string, [running, unread, held]: Load, by: number): void {
+    const s = sums.get(engine) ?? [0, 0, 0];
+    s[0] += running * by;
+    s[1] += unread * by;
+    s[2] += held * by;
     if (s[0] === 0 && s[1] === 0) sums.delete(engine);
     else sums.set(engine, s);
   }
@@ -36,8 +37,7 @@
   function count(t: Teller, counted: boolean): void {
     if (t.counted === counted) return;
     t.counted = counted;
-    const by = counted ? 1 : -1;
-    for (const [engine, [running, unread]] of t.own) add(engine, running * by, unread * by);
+    for (const [engine, l] of t.own) add(engine, l, counted ? 1 : -1);
   }
 
   function quiet(): void {
@@ -45,12 +45,12 @@
     for (const t of tellers.values()) if (t.heardAt < from) count(t, false);
   }
 
-  function set(t: Teller, engine: string, running: number, unread: number): void {
+  function set(t: Teller, engine: string, l: Load): void {
     const was = t.own.get(engine);
-    if (was) add(engine, -was[0], -was[1]);
-    if (running === 0 && unread === 0) t.own.delete(engine);
-    else t.own.set(engine, [running, unread]);
-    add(engine, running, unread);
+    if (was) add(engine, was, -1);
+    if (l[0] === 0 && l[1] === 0) t.own.delete(engine);
+    else t.own.set(engine, l);
+    add(engine, l, 1);
   }
 
   function known(connection: object, router: string): Teller {
@@ -67,8 +67,8 @@
     const t = known(connection, router);
     t.heardAt = now();
     count(t, true);
-    if (q.full) for (const engine of [...t.own.keys()]) set(t, engine, 0, 0);
-    for (const [engine, running, unread] of q.own) set(t, engine, running, unread);
+    if (q.full) for (const engine of [...t.own.keys()]) set(t, engine, [0, 0, 0]);
+    for (const [engine, running, unread, held] of q.own) set(t, engine, [running, unread, held ?? 0]);
     quiet();
     const full = first || q.full;
     if (full) t.said.clear();
@@ -81,11 +81,12 @@
       const own = t.own.get(engine);
       const running = sum[0] - (own?.[0] ?? 0);
       const unread = sum[1] - (own?.[1] ?? 0);
+      const held = sum[2] - (own?.[2] ?? 0);
       const said = t.said.get(engine);
       if ((said?.[0] ?? 0) === running && (said?.[1] ?? 0) === unread) continue;
-      out.push([engine, running, unread]);
+      out.push(worded(engine, [running, unread, held]));
       if (running === 0 && unread === 0) t.said.delete(engine);
-      else t.said.set(engine, [running, unread]);
+      else t.said.set(engine, [running, unread, held]);
     }
     for (const engine of [...t.said.keys()]) {
       if (sums.has(engine)) continue;
@@ -95,6 +96,10 @@
     return out;
   }
 
+  function worded(engine: string, [running, unread, held]: Load): EngineLoad {
+    return held > 0 ? [engine, running, unread, held] : [engine, running, unread];
+  }
+
   function drop(connection: object): void {
     const t = tellers.get(connection);
     if (!t) return;
@@ -105,7 +110,7 @@
   function totals(): EngineLoad[] {
     quiet();
     const out: EngineLoad[] = [];
-    for (const [engine, [running, unread]] of sums) out.push([engine, running, unread]);
+    for (const [engine, l] of sums) out.push(worded(engine, l));
     return out;
   }
 
