--- a/src/data/gateway/reckon.ts
+++ b/src/data/gateway/reckon.ts
@@ -84,6 +84,8 @@
 /** The share of an engine's memory that requests at work may fill before one more is taken to wait. */
 const ROOM = 0.95;
 
+/** What the last place of an engine costs, as a share of the aim; the fuller it is, the more, as those that come are put in the place of others. */
+const FULL = 0.2;
 /** Each token too many for an engine's memory is taken to be read this many times over, as requests are put back. */
 const PUT_BACK = 2;
 
@@ -112,7 +114,8 @@
 function reckonAt(a: Able, p: Prompt, own: KeptAt, sources: readonly Source[], moveMs: (from: Side, to: Side, bytes: number) => number): Reckoned {
   const held = Math.min(p.tokensIn, own.kept + own.coming * COMING);
   const waitMs = waitFor(a, p);
-  const beside = a.besideMs + (a.side.zone === p.zone ? 0 : FAR * p.aimMs) + (Math.min(a.rank, RANKS) / RANKS) * IN_ORDER * p.aimMs;
+  const full = Math.min(1, a.load.running / a.batch);
+  const beside = a.besideMs + FULL * full * full * p.aimMs + (a.side.zone === p.zone ? 0 : FAR * p.aimMs) + (Math.min(a.rank, RANKS) / RANKS) * IN_ORDER * p.aimMs;
   function by(kept: number, fetch?: Reckoned['fetch']): Reckoned {
     const unread = Math.max(0, p.tokensIn - kept);
     const pairs = pairsOf(p.tokensIn, unread);
