Engines that read prompts all the time cost more; half the bias of long prompts

Cause: 8 long answers at aoc were not ended in 6 s on engines that read other prompts all the time: each token waits for a piece of 1,024 read. The share of time that an engine has lately been reading counts by its square, and an answer that might not end in time counts its lateness.

--- a/src/data/gateway/loads.ts
+++ b/src/data/gateway/loads.ts
@@ -26,6 +26,8 @@
   moveMs: number;
   /** Ms for which an awaited first event has been overdue without any word from the engine. */
   silentMs: number;
+  /** The share of the time for which it has lately been reading prompts. */
+  reading: number;
 }
 
 /** Requests in flight by engine: this router's own, and those of all others as the load board told them. */
@@ -48,10 +50,16 @@
 /** The least of a request's unread tokens that counts until its first event comes. */
 const LEAST_LEFT = 0.15;
 
+/** How far back the share of reading looks, in ms, and the unread tokens from which an engine counts as reading. */
+const LATELY_MS = 1500;
+const MUCH_UNREAD = 500;
+
 /** Makes the books. */
 export function makeLoads(now: () => number): Loads {
   const flights = new Map<string, Set<Flight>>();
   const heard = new Map<string, number>();
+  const reading = new Map<string, number>();
+  let sampledAt = now();
   const told = new Map<string, { running: number; unread: number; held: number }>();
   let board = false;
 
@@ -79,7 +87,7 @@
 
   function ownOf(engine: string): Load {
     const t = now();
-    const l: Load = { running: 0, unread: 0, awaiting: 0, memory: 0, moveMs: 0, silentMs: 0 };
+    const l: Load = { running: 0, unread: 0, awaiting: 0, memory: 0, moveMs: 0, silentMs: 0, reading: reading.get(engine) ?? 0 };
     for (const f of flights.get(engine) ?? []) {
       l.running++;
       l.unread += left(f, t);
@@ -103,7 +111,21 @@
     return l;
   }
 
+  /** Takes note of which engines are reading just now. */
+  function sample(): void {
+    const t = now();
+    const fresh = 1 - Math.exp((sampledAt - t) / LATELY_MS);
+    sampledAt = t;
+    for (const engine of new Set([...flights.keys(), ...told.keys(), ...reading.keys()])) {
+      const reads = ownOf(engine).unread + (told.get(engine)?.unread ?? 0) > MUCH_UNREAD ? 1 : 0;
+      const share = (reading.get(engine) ?? 0) * (1 - fresh) + reads * fresh;
+      if (share < 0.01) reading.delete(engine);
+      else reading.set(engine, share);
+    }
+  }
+
   function own(): EngineLoad[] {
+    sample();
     const out: EngineLoad[] = [];
     for (const engine of flights.keys()) {
       const l = ownOf(engine);
@@ -133,6 +155,7 @@
   function keep(names: ReadonlySet<string>): void {
     for (const id of heard.keys()) if (!names.has(id)) heard.delete(id);
     for (const id of told.keys()) if (!names.has(id)) told.delete(id);
+    for (const id of reading.keys()) if (!names.has(id)) reading.delete(id);
   }
 
   return { began, first, ended, of, own, others, noBoard, hasBoard, keep };
--- a/src/data/gateway/pace.ts
+++ b/src/data/gateway/pace.ts
@@ -6,6 +6,8 @@
   msPerAhead: number;
   /** Ms for which a request keeps its place. */
   placeMs: number;
+  /** Ms for each token that it gives after the first event. */
+  msPerOut: number;
 }
 
 /** What was seen of one request: ms to its first event, the tokens and pairs that were to be read for it, and the unread tokens of others there when it was sent. */
@@ -22,12 +24,14 @@
   learn(pool: string, engine: string, seen: PaceSeen): void;
   /** Ms for which a request kept its place. */
   learnPlace(pool: string, ms: number): void;
+  /** Ms from a request's first event to its end, and the most tokens that it might give. */
+  learnOut(pool: string, engine: string, ms: number, tokens: number): void;
   /** Forgets engines that are gone. */
   keep(engines: ReadonlySet<string>): void;
 }
 
 /** First guesses, left after a few answers. */
-const FIRST: Pace = { baseMs: 25, msPerToken: 0.02, msPerPair: 3e-7, msPerAhead: 0.015, placeMs: 150 };
+const FIRST: Pace = { baseMs: 25, msPerToken: 0.02, msPerPair: 3e-7, msPerAhead: 0.015, placeMs: 150, msPerOut: 8 };
 /** The share of an error that the pool's figures take up, at first and in the long run. */
 const POOL_FIRST = 0.4;
 const POOL_LAST = 0.02;
@@ -37,6 +41,9 @@
 const MOST_ERROR = 0.5;
 /** An engine's factor goes back by this share of its logarithm with each answer. */
 const FADE = 0.01;
+/** The share of what a request shows of the time for each token that is taken up, and how far one may differ. */
+const OUT_STEP = 0.1;
+const MOST_OUT = 4;
 const LEAST = 0.05;
 const MOST = 50;
 
@@ -48,17 +55,19 @@
   ahead: number;
   count: number;
   placeMs: number;
+  msPerOut: number;
 }
 
 /** Makes the learner: robust steps on the parts of the time, and one factor for each engine, as engines of one pool differ in speed. */
 export function makePaces(): Paces {
   const pools = new Map<string, PoolPace>();
   const factors = new Map<string, number>();
+  const outs = new Map<string, number>();
 
   function poolOf(pool: string): PoolPace {
     let p = pools.get(pool);
     if (!p) {
-      p = { base: 1, token: 1, pair: 1, ahead: 1, count: 0, placeMs: FIRST.placeMs };
+      p = { base: 1, token: 1, pair: 1, ahead: 1, count: 0, placeMs: FIRST.placeMs, msPerOut: FIRST.msPerOut };
       pools.set(pool, p);
     }
     return p;
@@ -67,7 +76,7 @@
   function of(pool: string, engine: string): Pace {
     const p = poolOf(pool);
     const f = factors.get(engine) ?? 1;
-    return { baseMs: FIRST.baseMs * p.base * f, msPerToken: FIRST.msPerToken * p.token * f, msPerPair: FIRST.msPerPair * p.pair * f, msPerAhead: FIRST.msPerAhead * p.ahead * f, placeMs: p.placeMs };
+    return { baseMs: FIRST.baseMs * p.base * f, msPerToken: FIRST.msPerToken * p.token * f, msPerPair: FIRST.msPerPair * p.pair * f, msPerAhead: FIRST.msPerAhead * p.ahead * f, placeMs: p.placeMs, msPerOut: outs.get(engine) ?? p.msPerOut };
   }
 
   function within(x: number, least: number, most: number): number {
@@ -97,9 +106,19 @@
     p.placeMs += ENGINE_STEP * within(ms - p.placeMs, -p.placeMs, p.placeMs * 2);
   }
 
+  function learnOut(pool: string, engine: string, ms: number, tokens: number): void {
+    if (tokens <= 0) return;
+    const p = poolOf(pool);
+    const was = outs.get(engine) ?? p.msPerOut;
+    const seen = within(ms / tokens, was / MOST_OUT, was * MOST_OUT);
+    outs.set(engine, was + OUT_STEP * (seen - was));
+    p.msPerOut += OUT_STEP * (seen - p.msPerOut);
+  }
+
   function keep(engines: ReadonlySet<string>): void {
     for (const id of factors.keys()) if (!engines.has(id)) factors.delete(id);
+    for (const id of outs.keys()) if (!engines.has(id)) outs.delete(id);
   }
 
-  return { of, learn, learnPlace, keep };
+  return { of, learn, learnPlace, learnOut, keep };
 }
--- a/src/data/gateway/placement.ts
+++ b/src/data/gateway/placement.ts
@@ -122,7 +122,7 @@
 /** The share of a zone's engines that long prompts are rather sent to, and the shares of the aim that going to the other side must gain. */
 const LONG_SIDE = 0.75;
 const QUICK_SIDE = 0.1;
-const LONG_ASIDE = 0.6;
+const LONG_ASIDE = 0.3;
 /** Costs are spread by this share, so that routers do not all choose the same. */
 const SPREAD = 0.02;
 /** A prompt goes to a store where this share of it is shared: its own part goes along, and fills the store's link and room. */
@@ -293,7 +293,7 @@
     const shared = sharedOf(ask.parts);
     let known = answer ? 0 : shared;
     for (const [, k, coming] of answer ?? []) known = Math.max(known, k + coming);
-    return { tokensIn: ask.tokensIn, tokensOut: ask.tokensOut, shared, known, tokenBytes: ask.pool.tokenBytes, aimMs: ask.aimMs, zone: ways.zone };
+    return { tokensIn: ask.tokensIn, tokensOut: ask.tokensOut, shared, known, tokenBytes: ask.pool.tokenBytes, aimMs: ask.aimMs, leftMs: ask.leftMs, zone: ways.zone };
   }
 
   /** The store that lacks something of what the prompt shares: the same one for a part at every router. */
@@ -378,6 +378,7 @@
       if (left > 0) tenants.set(tenant, left);
       else tenants.delete(tenant);
       if (how === 'answered') paces.learnPlace(ask.pool.name, ways.now() - f.sentAt);
+      if (how !== 'turned-away' && f.firstAt !== undefined) paces.learnOut(ask.pool.name, engine, ways.now() - f.firstAt, ask.tokensOut);
     }
 
     return { first, ended };
--- a/src/data/gateway/reckon.ts
+++ b/src/data/gateway/reckon.ts
@@ -41,6 +41,7 @@
   known: number;
   tokenBytes: number;
   aimMs: number;
+  leftMs: number;
   /** The zone that it is sent from. */
   zone: string;
 }
@@ -84,8 +85,12 @@
 /** The share of an engine's memory that requests at work may fill before one more is taken to wait. */
 const ROOM = 0.95;
 
+/** What an engine costs that reads prompts all the time, as a share of the aim: answers come slowly there, and the less it reads the faster. */
+const READS = 0.3;
 /** What the last place of an engine costs, as a share of the aim; the fuller it is, the more, as those that come are put in the place of others. */
 const FULL = 0.2;
+/** An answer is taken to end this many times later than it might, so that its time does not pass. */
+const SLACK = 1.25;
 /** Each token too many for an engine's memory is taken to be read this many times over, as requests are put back. */
 const PUT_BACK = 2;
 
@@ -115,7 +120,7 @@
   const held = Math.min(p.tokensIn, own.kept + own.coming * COMING);
   const waitMs = waitFor(a, p);
   const full = Math.min(1, a.load.running / a.batch);
-  const beside = a.besideMs + FULL * full * full * p.aimMs + (a.side.zone === p.zone ? 0 : FAR * p.aimMs) + (Math.min(a.rank, RANKS) / RANKS) * IN_ORDER * p.aimMs;
+  const beside = a.besideMs + READS * a.load.reading * a.load.reading * p.aimMs + FULL * full * full * p.aimMs + (a.side.zone === p.zone ? 0 : FAR * p.aimMs) + (Math.min(a.rank, RANKS) / RANKS) * IN_ORDER * p.aimMs;
   function by(kept: number, fetch?: Reckoned['fetch']): Reckoned {
     const unread = Math.max(0, p.tokensIn - kept);
     const pairs = pairsOf(p.tokensIn, unread);
@@ -123,7 +128,8 @@
     const reading = readMs(a.pace, unread, pairs);
     const moving = fetch?.ms ?? 0;
     const firstMs = a.pace.baseMs + waitMs + moving + reading;
-    return { able: a, firstMs, waitMs, unread, pairs, ahead: a.load.unread, fetch, again, cost: firstMs + reading * (READING + a.besideReading) + moving * MOVING + again * a.pace.msPerToken * AGAIN + beside };
+    const over = Math.max(0, (firstMs + p.tokensOut * a.pace.msPerOut) * SLACK - p.leftMs);
+    return { able: a, firstMs, waitMs, unread, pairs, ahead: a.load.unread, fetch, again, cost: firstMs + reading * (READING + a.besideReading) + moving * MOVING + again * a.pace.msPerToken * AGAIN + over + beside };
   }
   let best = by(held);
   const plain = readMs(a.pace, best.unread, best.pairs);
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -243,6 +243,17 @@
   }
 }
 
+function longAnswersEndInTime(): void {
+  const p = placement();
+  for (let i = 0; i < 60; i++) {
+    for (let e = 0; e < 5; e++) p.paces.learnOut('p', `e${e}`, 2000, 100);
+    p.paces.learnOut('p', 'e5', 400, 100);
+  }
+  const kept = told([['e2', 10000, 0]]);
+  expect(engineOf(placed(p, long(), kept))).toBe('e2');
+  expect(engineOf(placed(p, long({ tokensOut: 500 }), kept))).toBe('e5');
+}
+
 function silenceCounts(): void {
   const p = placement();
   const first = placed(p, short());
@@ -285,6 +296,7 @@
 test('parts that the store lacks go there once they are read', firstReadIsStored);
 test('without an index routers agree on the home, and spill as it fills', homeWithoutIndex);
 test('short requests keep away from engines that read long prompts', shortsKeepAway);
+test('a long answer goes where it ends in time', longAnswersEndInTime);
 test('an engine that is silent is taken to need as much longer', silenceCounts);
 test('a request is refused only where all places are taken and its time would pass', refusedOnlyWhenFull);
 test('a route\'s rank goes before a tenant\'s', ranksGoFirst);
--- a/tools/sim/placing.ts
+++ b/tools/sim/placing.ts
@@ -40,6 +40,8 @@
   long95: number;
   shortMean: number;
   short95: number;
+  /** The share of long answers that ended in time. */
+  ended: number;
   /** Tokens of shared parts that were read although an engine or the store kept them. */
   readAgain: number;
   moved: number;
@@ -84,6 +86,8 @@
 const PAIRS_MS = 3.2e-7;
 const CHUNK = 1024;
 const SETUP_MS = 8;
+/** Tokens of one event. */
+const STRIDE = 7;
 const LONG_AIM = 600;
 const SHORT_AIM = 300;
 
@@ -113,6 +117,7 @@
   let refused = 0;
   let readAgain = 0;
   let moved = 0;
+  let ended = 0;
   let requests = 0;
 
   function clock(): number {
@@ -187,7 +192,7 @@
     for (const x of parts) all += x.size;
     parts.push({ hash: `own${agenda.added()}`, size: own });
     const r = routers[Math.floor(dice.next() * routers.length)];
-    const out = Math.max(1, Math.round(Math.min(long ? 68 : 26, lognormal(long ? 17 : 6.4, 1.4))));
+    const out = STRIDE * Math.max(1, Math.round(Math.min(long ? 68 : 26, lognormal(long ? 17 : 6.4, 1.4))));
     const ask: PlaceAsk = { pool, wall: '', parts, tokensIn: all, tokensOut: out, aimMs: long ? LONG_AIM : SHORT_AIM, leftMs: 6000, routePriority: long ? 1 : 0, tenantPriority: 0, repeatable: !long, avoid: new Set() };
     requests++;
     const kept = new Map<string, OverlapAnswer>();
@@ -290,7 +295,7 @@
 
   function give(e: SimEngine, j: Job): void {
     j.given++;
-    if (j.firstAt === undefined) {
+    if (j.firstAt === undefined && j.given === STRIDE) {
       for (const [i, p] of j.parts.entries()) {
         keep(e, p);
         if (i < j.parts.length - 1) everRead.add(p.hash);
@@ -302,6 +307,7 @@
     }
     if (j.given < j.out) return;
     e.running.splice(e.running.indexOf(j), 1);
+    if (j.long && now - j.cameAt < 6000) ended++;
     j.under.ended('answered');
   }
 
@@ -340,7 +346,7 @@
   const owed = longs.length * WORTH.long + shorts.length * WORTH.short;
   const earned = longs.length * WORTH.long * (l.inAim + WORTH.late * (1 - l.inAim)) + shorts.length * WORTH.short * (s.inAim + WORTH.late * (1 - s.inAim));
   const score = (earned - (readAgain / 1000) * WORTH.readAgain - ((moved * pool.tokenBytes) / 1e9) * WORTH.movedGb) / owed;
-  return { way, requests, refused, longInAim: l.inAim, shortInAim: s.inAim, longMean: l.mean, long95: l.p95, shortMean: s.mean, short95: s.p95, readAgain, moved, score };
+  return { way, requests, refused, longInAim: l.inAim, shortInAim: s.inAim, longMean: l.mean, long95: l.p95, shortMean: s.mean, short95: s.p95, ended: ended / longs.length, readAgain, moved, score };
 }
 
 function tally(list: number[], aim: number): { inAim: number; mean: number; p95: number } {
@@ -359,7 +365,7 @@
 }
 
 function say(r: PlacingResult): string {
-  return `${r.way.padEnd(11)} long: mean ${Math.round(r.longMean)} ms, 95 % ${Math.round(r.long95)} ms, in aim ${r.longInAim.toFixed(3)}; short: mean ${Math.round(r.shortMean)} ms, 95 % ${Math.round(r.short95)} ms, in aim ${r.shortInAim.toFixed(3)}; read again ${r.readAgain}, moved ${r.moved}, refused ${r.refused} of ${r.requests}, score ${r.score.toFixed(3)}`;
+  return `${r.way.padEnd(11)} long: mean ${Math.round(r.longMean)} ms, 95 % ${Math.round(r.long95)} ms, in aim ${r.longInAim.toFixed(3)}, ended ${r.ended.toFixed(3)}; short: mean ${Math.round(r.shortMean)} ms, 95 % ${Math.round(r.short95)} ms, in aim ${r.shortInAim.toFixed(3)}; read again ${r.readAgain}, moved ${r.moved}, refused ${r.refused} of ${r.requests}, score ${r.score.toFixed(3)}`;
 }
 
 function main(): void {
