--- a/src/data/gateway/placement.ts
+++ b/src/data/gateway/placement.ts
@@ -119,6 +119,8 @@
 /** Prompts whose engines are remembered. */
 const MOST_RECENT = 4096;
 const MOST_ENGINES = 4;
+/** A router that placed fewer prompts than this has no reason yet to guess that a home keeps something to fetch. */
+const FEW = 4;
 /** The share of a zone's engines that long prompts are rather sent to, and the shares of the aim that going to the other side must gain. */
 const LONG_SIDE = 0.75;
 const QUICK_SIDE = 0.1;
@@ -212,7 +214,7 @@
       }
       return keptAt;
     }
-    return { here: by(HOME_KEEPS), there: by(GUESSED) };
+    return { here: by(HOME_KEEPS), there: by(recent.size < FEW ? 0 : GUESSED) };
   }
 
   function told(kept: OverlapAnswer): (name: string) => KeptAt {
