A roll-out that is taken up late loads at most half of the engines at once

Now half at the most load while older weights serve, and all may once those have ended. Test in simulated time: 6 of 8 at once before, at most 4 now, all within the bound.

--- a/src/control/rollout.ts
+++ b/src/control/rollout.ts
@@ -9,6 +9,8 @@
 
 /** Engines of a model that take up weights at once, as a share of them all. */
 const AT_ONCE = 0.25;
+/** The same where the time is short, while older weights serve: the other half goes on serving. */
+const AT_ONCE_LATE = 0.5;
 /** Weight of the last engine's time in the usual one. */
 const SMOOTH = 0.3;
 /** Reports without an answer after which an engine is left to the list. */
@@ -108,11 +110,13 @@
     return out;
   }
 
-  /** How many engines may take up weights at once: a share of them, or as many as it takes for all to be done in time. */
+  /** How many engines may take up weights at once: a share of them, or up to half where the time is short. Once older ones have ended, all may. */
   function atOnce(named: NamedWeights, left: number): number {
-    const timeLeft = bounds.rollOut - (clock.now() - since.get(named.model)!.at);
-    const needed = Math.ceil((left * usual) / Math.max(usual, timeLeft - usual / 2));
-    return Math.max(1, Math.floor(enginesOf(named.model).length * AT_ONCE), needed);
+    const gone = clock.now() - since.get(named.model)!.at;
+    const all = enginesOf(named.model).length;
+    const needed = Math.ceil((left * usual) / Math.max(usual, bounds.rollOut - gone - usual / 2));
+    const most = gone < bounds.weightsStop ? Math.ceil(all * AT_ONCE_LATE) : left;
+    return Math.max(1, Math.floor(all * AT_ONCE), Math.min(needed, most));
   }
 
   /** The engines of a model to be brought to its weights now. */
--- a/test/rollout.test.ts
+++ b/test/rollout.test.ts
@@ -85,6 +85,29 @@
   }
 }
 
+async function takenUpLate(): Promise<void> {
+  for (const seed of [1, 2, 3, 4]) {
+    const d = await makeRollOutDesk(seed, 8, 2);
+    await d.at(d.w.now() + 5000);
+    await d.name(2);
+    const named = d.w.now();
+    await d.until(begun, 3000);
+    d.kill(d.holder()!, 1500);
+    let high = 0;
+    await d.until(watched, 12000);
+    expect({ seed, conflicts: conflicts(d.orders), holders: holders(d) }).toEqual({ seed, conflicts: [], holders: 2 });
+    expect(high).toBeLessThanOrEqual(4);
+    expect(d.w.now() - named).toBeLessThan(8000);
+    function begun(): boolean {
+      return d.orders.length >= 2;
+    }
+    function watched(): boolean {
+      high = Math.max(high, most(d));
+      return allAt(d, 2)();
+    }
+  }
+}
+
 async function frozen(): Promise<void> {
   for (const seed of [1, 2, 3, 4, 5, 6]) await struck(seed, freeze, 10000);
   function freeze(d: RollOutDesk, who: string): void {
@@ -202,6 +225,7 @@
 }
 
 test('one holder killed: another goes on after a lease, and no fence is shared', killed);
+test('one holder killed as it begins: the next one loads no more than half of the engines at once, and is done in time', takenUpLate);
 test('one holder frozen: it gives no order when it wakes', frozen);
 test('one holder cut off in one way from another controller', halfCut);
 test('all controllers killed: the roll-out goes on after a lease', allKilled);
