--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,8 +1,10 @@
 import tseslint from 'typescript-eslint';
 import jsdoc from 'eslint-plugin-jsdoc';
 
-const HOUSE = '/^(leg|claim|startup|alarm|fitness|pick|occupancy|sendOn)s?([A-Z]|$)|(Leg|Claim|Startup|Alarm|Fitness|Pick|Occupancy|SendOn)s?([A-Z]|$)/';
-const said = 'Use the terms of the field (docs/decisions.md): attempt, lease, settings, timer, health, choose, load, forward.';
+const HOUSE =
+  '/^(leg|claim|startup|alarm|fitness|pick|occupancy|sendOn)s?([A-Z]|$)|(Leg|Claim|Startup|Alarm|Fitness|Pick|Occupancy|SendOn)s?([A-Z]|$)/';
+const said =
+  'Use the terms of the field (docs/decisions.md): attempt, lease, settings, timer, health, choose, load, forward.';
 const words = [
   `FunctionDeclaration > Identifier.id[name=${HOUSE}]`,
   `TSInterfaceDeclaration > Identifier.id[name=${HOUSE}]`,
@@ -14,32 +16,82 @@
 ].map((selector) => ({ selector, message: said }));
 const style = [
   { selector: 'ArrowFunctionExpression', message: 'Function declarations only.' },
-  { selector: ':not(MethodDefinition) > FunctionExpression', message: 'Function declarations only.' },
-  { selector: 'ClassDeclaration:not(:has(Decorator))', message: 'A class only where decorators need one.' },
+  {
+    selector: ':not(MethodDefinition) > FunctionExpression',
+    message: 'Function declarations only.',
+  },
+  {
+    selector: 'ClassDeclaration:not(:has(Decorator))',
+    message: 'A class only where decorators need one.',
+  },
   ...words,
 ];
 const core = [
   ...style,
   { selector: 'ThrowStatement', message: 'No exceptions in the core: Either.' },
-  { selector: "CallExpression[callee.object.name='Date'][callee.property.name='now']", message: 'Monotonic time by the clock port.' },
-  { selector: "CallExpression[callee.name=/^(setTimeout|setInterval)$/]", message: 'Time by the clock port.' },
-  { selector: "CallExpression[callee.object.name='Math'][callee.property.name='random']", message: 'Randomness by the dice port.' },
+  {
+    selector: "CallExpression[callee.object.name='Date'][callee.property.name='now']",
+    message: 'Monotonic time by the clock port.',
+  },
+  {
+    selector: 'CallExpression[callee.name=/^(setTimeout|setInterval)$/]',
+    message: 'Time by the clock port.',
+  },
+  {
+    selector: "CallExpression[callee.object.name='Math'][callee.property.name='random']",
+    message: 'Randomness by the dice port.',
+  },
 ];
-const names = { selector: 'Literal[value=/plumhollow-(attempt|deadline|expect|instance|weight|tenant|model|token|prompt|request|response|not-exec|cache|base)/i]', message: 'The platform\'s names stand in platform/ only.' };
+const names = {
+  selector:
+    'Literal[value=/plumhollow-(attempt|deadline|expect|instance|weight|tenant|model|token|prompt|request|response|not-exec|cache|base)/i]',
+  message: "The platform's names stand in platform/ only.",
+};
 const lib = core.filter((r) => !/clock port|dice port/.test(r.message ?? ''));
-const tryless = [...core, { selector: 'TryStatement', message: 'Catch only where a library is called: shared/real*, shared/lib.' }];
+const tryless = [
+  ...core,
+  {
+    selector: 'TryStatement',
+    message: 'Catch only where a library is called: shared/real*, shared/lib.',
+  },
+];
 
 function fence(...planes) {
-  return { 'no-restricted-imports': ['error', { patterns: [
-    { group: planes.map((p) => `**/${p}/**`), message: 'Planes import only shared.' },
-    { group: ['**/programs/**', '**/tools/**'], message: 'Libraries import no program.' },
-    { group: ['**/platform/**'], message: 'Only programs know the platform.' },
-    { group: ['node:child_process', 'child_process', 'node:cluster', 'cluster', 'node:worker_threads'], message: 'A product process starts no other.' },
-  ] }] };
+  return {
+    'no-restricted-imports': [
+      'error',
+      {
+        patterns: [
+          { group: planes.map((p) => `**/${p}/**`), message: 'Planes import only shared.' },
+          { group: ['**/programs/**', '**/tools/**'], message: 'Libraries import no program.' },
+          { group: ['**/platform/**'], message: 'Only programs know the platform.' },
+          {
+            group: [
+              'node:child_process',
+              'child_process',
+              'node:cluster',
+              'cluster',
+              'node:worker_threads',
+            ],
+            message: 'A product process starts no other.',
+          },
+        ],
+      },
+    ],
+  };
 }
 
 export default tseslint.config(
-  { ignores: ['dist/', 'target/', 'node_modules/', 'deploy/absent.cjs', 'eslint.config.mjs', 'test/approved.cjs'] },
+  {
+    ignores: [
+      'dist/',
+      'target/',
+      'node_modules/',
+      'deploy/absent.cjs',
+      'eslint.config.mjs',
+      'test/approved.cjs',
+    ],
+  },
   ...tseslint.configs.recommended,
   {
     plugins: { jsdoc },
@@ -47,15 +99,33 @@
       'max-lines': ['error', 400],
       'func-style': ['error', 'declaration'],
       'no-restricted-syntax': ['error', ...style],
-      eqeqeq: 'error', 'prefer-const': 'error',
+      eqeqeq: 'error',
+      'prefer-const': 'error',
       '@typescript-eslint/no-non-null-assertion': 'off',
-      'jsdoc/require-jsdoc': ['error', { publicOnly: true, contexts: ['TSInterfaceDeclaration', 'TSTypeAliasDeclaration', 'FunctionDeclaration', 'ClassDeclaration'] }],
+      'jsdoc/require-jsdoc': [
+        'error',
+        {
+          publicOnly: true,
+          contexts: [
+            'TSInterfaceDeclaration',
+            'TSTypeAliasDeclaration',
+            'FunctionDeclaration',
+            'ClassDeclaration',
+          ],
+        },
+      ],
     },
   },
   { files: ['src/**/*.ts'], rules: { 'no-restricted-syntax': ['error', ...tryless, names] } },
-  { files: ['src/shared/real*.ts', 'src/shared/lib.ts'], rules: { 'no-restricted-syntax': ['error', ...lib, names] } },
+  {
+    files: ['src/shared/real*.ts', 'src/shared/lib.ts'],
+    rules: { 'no-restricted-syntax': ['error', ...lib, names] },
+  },
   { files: ['src/shared/formats.ts'], rules: { 'no-restricted-syntax': ['error', ...style] } },
-  { files: ['platform/**/*.ts'], rules: { 'no-restricted-syntax': ['error', ...tryless], ...fence('control', 'data', 'index') } },
+  {
+    files: ['platform/**/*.ts'],
+    rules: { 'no-restricted-syntax': ['error', ...tryless], ...fence('control', 'data', 'index') },
+  },
   { files: ['src/shared/**'], rules: fence('control', 'data', 'index') },
   { files: ['src/control/**'], rules: fence('data', 'index') },
   { files: ['src/data/**'], rules: fence('control', 'index') },
--- a/src/control/api.ts
+++ b/src/control/api.ts
@@ -33,18 +33,45 @@
 
 /** The operators' HTTP interface. */
 export class OperatorApi {
-  constructor(private readonly c: Controller, private readonly ports: Ports) {}
+  constructor(
+    private readonly c: Controller,
+    private readonly ports: Ports,
+  ) {}
 
   private giveTrouble(call: Call, f: Fault): void {
-    if (f.code === 'conflict') return giveJson(call, 409, { error: { class: 'refused', code: 'conflict', message: f.why }, revision: this.c.value(KEYS.intents)?.place.number ?? 0 });
-    if (f.sort === 'unknown') return giveFault(call, 504, 'unknown', f.code ?? 'unknown', `${f.step} at ${f.peer}: ${f.why}`, this.c.bounds.pause);
-    giveFault(call, f.code === 'bad-intents' ? 400 : 503, 'refused', f.code ?? 'refused', `${f.step} at ${f.peer}: ${f.why}`, this.c.bounds.pause);
+    if (f.code === 'conflict')
+      return giveJson(call, 409, {
+        error: { class: 'refused', code: 'conflict', message: f.why },
+        revision: this.c.value(KEYS.intents)?.place.number ?? 0,
+      });
+    if (f.sort === 'unknown')
+      return giveFault(
+        call,
+        504,
+        'unknown',
+        f.code ?? 'unknown',
+        `${f.step} at ${f.peer}: ${f.why}`,
+        this.c.bounds.pause,
+      );
+    giveFault(
+      call,
+      f.code === 'bad-intents' ? 400 : 503,
+      'refused',
+      f.code ?? 'refused',
+      `${f.step} at ${f.peer}: ${f.why}`,
+      this.c.bounds.pause,
+    );
   }
 
   private giveChanged(call: Call, key: string, r: Changed, more: object = {}): void {
     const { epoch, by, number } = r.place;
     const change = `${key}~${epoch}~${by}~${number}`.replace('/', ':');
-    giveJson(call, r.inEffect ? 200 : 202, { change, revision: number, inEffect: r.inEffect, ...more });
+    giveJson(call, r.inEffect ? 200 : 202, {
+      change,
+      revision: number,
+      inEffect: r.inEffect,
+      ...more,
+    });
   }
 
   private async carry(call: Call, key: string, op: Operation, more: object = {}): Promise<void> {
@@ -57,7 +84,16 @@
   @handles('GET', '/v1/intents')
   async getIntents(call: Call): Promise<void> {
     const v = this.c.value<IntentsValue>(KEYS.intents);
-    giveJson(call, 200, { revision: v?.place.number ?? 0, intents: v?.value.doc ?? { tenants: [], models: [], services: [], rules: [], cacheStores: [] } });
+    giveJson(call, 200, {
+      revision: v?.place.number ?? 0,
+      intents: v?.value.doc ?? {
+        tenants: [],
+        models: [],
+        services: [],
+        rules: [],
+        cacheStores: [],
+      },
+    });
   }
 
   /** Applies a whole intents file on the revision it was based on. */
@@ -66,10 +102,21 @@
     const a = await takeAs(call, ApplyAsk, this.c.settings.bodyMostBytes, 'apply');
     if (!a) return;
     const checked = checkIntents(a.intents);
-    if (checked.isLeft()) return giveJson(call, 400, { error: { class: 'refused', code: 'bad-intents', message: 'the file has faults' }, faults: checked.extract() });
+    if (checked.isLeft())
+      return giveJson(call, 400, {
+        error: { class: 'refused', code: 'bad-intents', message: 'the file has faults' },
+        faults: checked.extract(),
+      });
     if (a.dryRun) {
       const now = this.c.value(KEYS.intents)?.place.number ?? 0;
-      if (now !== a.basedOn) return this.giveTrouble(call, { step: 'apply', peer: KEYS.intents, why: `based on revision ${a.basedOn}, but ${now} stands`, sort: 'refused', code: 'conflict' });
+      if (now !== a.basedOn)
+        return this.giveTrouble(call, {
+          step: 'apply',
+          peer: KEYS.intents,
+          why: `based on revision ${a.basedOn}, but ${now} stands`,
+          sort: 'refused',
+          code: 'conflict',
+        });
       return giveJson(call, 200, { dryRun: true, revision: now });
     }
     await this.carry(call, KEYS.intents, { kind: 'intents', basedOn: a.basedOn, doc: a.intents });
@@ -79,12 +126,18 @@
   @handles('GET', '/v1/changes/:change')
   async getChange(call: Call, change: string): Promise<void> {
     const [key, epoch, by, number] = change.split('~');
-    if (number === undefined) return giveFault(call, 400, 'refused', 'bad-change', 'a change is named key~epoch~by~number');
+    if (number === undefined)
+      return giveFault(call, 400, 'refused', 'bad-change', 'a change is named key~epoch~by~number');
     const p: Place = { epoch: Number(epoch), by, number: Number(number) };
     const name = key.replace(':', '/');
     const known = reached(this.c.value(name)?.place, p);
     const inEffect = known && (await this.c.effect(name, p, this.c.bounds.pause));
-    giveJson(call, 200, { change, committed: known, inEffect, routers: this.c.leases.applied(name) });
+    giveJson(call, 200, {
+      change,
+      committed: known,
+      inEffect,
+      routers: this.c.leases.applied(name),
+    });
   }
 
   /** The tenants' key ids; hashes stay here. */
@@ -104,16 +157,27 @@
   /** Makes a key for a tenant; it is shown once. */
   @handles('POST', '/v1/keys/:tenant')
   async addKey(call: Call, tenant: string): Promise<void> {
-    if (!isId(tenant)) return giveFault(call, 400, 'refused', 'bad-name', 'the tenant is not a name');
+    if (!isId(tenant))
+      return giveFault(call, 400, 'refused', 'bad-name', 'the tenant is not a name');
     const secret = `ph_${this.ports.dice.id().replaceAll('-', '')}${this.ports.dice.id().replaceAll('-', '')}`;
     const id = wholeHash(secret).slice(0, 12);
-    await this.carry(call, KEYS.tenantKeys + tenant, { kind: 'key-add', tenant, id, hash: wholeHash(secret) }, { tenant, id, key: secret });
+    await this.carry(
+      call,
+      KEYS.tenantKeys + tenant,
+      { kind: 'key-add', tenant, id, hash: wholeHash(secret) },
+      { tenant, id, key: secret },
+    );
   }
 
   /** Withdraws a key. */
   @handles('DELETE', '/v1/keys/:tenant/:id')
   async dropKey(call: Call, tenant: string, id: string): Promise<void> {
-    await this.carry(call, KEYS.tenantKeys + tenant, { kind: 'key-drop', tenant, id }, { tenant, id });
+    await this.carry(
+      call,
+      KEYS.tenantKeys + tenant,
+      { kind: 'key-drop', tenant, id },
+      { tenant, id },
+    );
   }
 
   /** The named weights of each model. */
@@ -133,8 +197,14 @@
     if (!isId(model)) return giveFault(call, 400, 'refused', 'bad-name', 'the model is not a name');
     const a = await takeAs(call, WeightsAsk, this.c.settings.bodyMostBytes, 'name weights');
     if (!a) return;
-    if (!isId(a.weights)) return giveFault(call, 400, 'refused', 'bad-name', 'the weights are not a name');
-    await this.carry(call, KEYS.weights + model, { kind: 'weights', model, weights: a.weights }, { model, weights: a.weights });
+    if (!isId(a.weights))
+      return giveFault(call, 400, 'refused', 'bad-name', 'the weights are not a name');
+    await this.carry(
+      call,
+      KEYS.weights + model,
+      { kind: 'weights', model, weights: a.weights },
+      { model, weights: a.weights },
+    );
   }
 
   /** Replaces a lost core machine by an empty one. */
@@ -162,8 +232,16 @@
   async getFleet(call: Call): Promise<void> {
     const c = this.c;
     giveJson(call, 200, {
-      controller: c.name, disk: c.slots.disk, diskFit: c.slots.fit(), diskSpoilt: c.slots.spoilt, voters: c.voters(), live: c.live(), majority: c.hasMajority(),
-      members: c.leases.members(), engines: c.value(KEYS.engines)?.value ?? [], revision: c.value(KEYS.intents)?.place.number ?? 0,
+      controller: c.name,
+      disk: c.slots.disk,
+      diskFit: c.slots.fit(),
+      diskSpoilt: c.slots.spoilt,
+      voters: c.voters(),
+      live: c.live(),
+      majority: c.hasMajority(),
+      members: c.leases.members(),
+      engines: c.value(KEYS.engines)?.value ?? [],
+      revision: c.value(KEYS.intents)?.place.number ?? 0,
       routers: c.leases.applied(KEYS.intents),
     });
   }
@@ -172,7 +250,11 @@
   @handles('GET', '/healthz')
   async health(call: Call): Promise<void> {
     const ok = this.c.hasMajority() && this.c.slots.fit();
-    giveJson(call, ok ? 200 : 503, { ok, majority: this.c.hasMajority(), diskFit: this.c.slots.fit() });
+    giveJson(call, ok ? 200 : 503, {
+      ok,
+      majority: this.c.hasMajority(),
+      diskFit: this.c.slots.fit(),
+    });
   }
 
   /** Figures in the text form that collectors read. */
--- a/src/control/changes.ts
+++ b/src/control/changes.ts
@@ -42,7 +42,15 @@
 }
 
 const TRIES = 3;
-const PEER_CODES = new Set(['no-stream', 'timeout', 'ended', 'no-quorum', 'no-voter', 'not-founded', 'disk']);
+const PEER_CODES = new Set([
+  'no-stream',
+  'timeout',
+  'ended',
+  'no-quorum',
+  'no-voter',
+  'not-founded',
+  'disk',
+]);
 
 /** Whether a fault tells of the one that was asked rather than of what it was asked for, so that another may do it. */
 export function isOfPeer(f: Fault): boolean {
@@ -51,9 +59,13 @@
 
 /** Whether the value that stands is what a change on a base has made of it. */
 function isMade(op: Operation, now: Numbered | undefined): boolean {
-  if (!now || (op.kind !== 'voters' && op.kind !== 'intents') || now.number !== op.basedOn + 1) return false;
+  if (!now || (op.kind !== 'voters' && op.kind !== 'intents') || now.number !== op.basedOn + 1)
+    return false;
   if (op.kind === 'voters') return isDeepStrictEqual(now.value, op.voters);
-  return isDeepStrictEqual((now.value as IntentsValue).doc, checkIntents(op.doc).extract() as Intents);
+  return isDeepStrictEqual(
+    (now.value as IntentsValue).doc,
+    checkIntents(op.doc).extract() as Intents,
+  );
 }
 
 /** Makes the changes of one controller. */
@@ -64,7 +76,9 @@
   function makeAgain(op: Operation, now: Numbered | undefined): Outcome<unknown> {
     const o = makeValue(op, now, p.reader);
     const [f] = open(o);
-    return f?.code === 'conflict' && op.kind !== 'deployment' ? bad(f.step, f.peer, f.why, 'unknown', 'in-doubt') : o;
+    return f?.code === 'conflict' && op.kind !== 'deployment'
+      ? bad(f.step, f.peer, f.why, 'unknown', 'in-doubt')
+      : o;
   }
 
   async function here(op: Operation, tries = 1, inDoubt = false): Promise<Outcome<Changed>> {
@@ -76,11 +90,21 @@
   }
 
   function changed(n: Numbered): Changed {
-    return { place: { epoch: n.epoch, by: n.by, number: n.number }, inEffect: false, value: n.value };
+    return {
+      place: { epoch: n.epoch, by: n.by, number: n.number },
+      inEffect: false,
+      value: n.value,
+    };
   }
 
   function nobody(step: string): Fault {
-    return { step, peer: settings.name, why: 'no voter is here', sort: 'refused', code: p.voters() ? 'no-quorum' : 'not-founded' };
+    return {
+      step,
+      peer: settings.name,
+      why: 'no voter is here',
+      sort: 'refused',
+      code: p.voters() ? 'no-quorum' : 'not-founded',
+    };
   }
 
   async function ask(at: string, type: string, body: unknown): Promise<Outcome<unknown>> {
@@ -94,7 +118,12 @@
     if (at === settings.wire) return here(op, TRIES, inDoubt);
     const [f, r] = open(await ask(at, 'change', op));
     if (!f) return Right(r as Changed);
-    if (!isOfPeer(f)) return Left(inDoubt && f.code === 'conflict' && op.kind !== 'deployment' ? { ...f, sort: 'unknown', code: 'in-doubt' } : f);
+    if (!isOfPeer(f))
+      return Left(
+        inDoubt && f.code === 'conflict' && op.kind !== 'deployment'
+          ? { ...f, sort: 'unknown', code: 'in-doubt' }
+          : f,
+      );
     const doubted = inDoubt || f.sort === 'unknown';
     const [g, now] = open(await owner.own(key));
     if (!g) return doubted && isMade(op, now) ? Right(changed(now!)) : here(op, TRIES, doubted);
--- a/src/control/check.ts
+++ b/src/control/check.ts
@@ -15,7 +15,14 @@
 }
 
 /** Compares intents with the fleet as it is. */
-export async function compareFleet(wire: Wire, doc: Intents, fleet: FleetView, keys: { keys: Record<string, string[]> }, weights: { weights: NamedWeights[] }, within: number): Promise<Finding[]> {
+export async function compareFleet(
+  wire: Wire,
+  doc: Intents,
+  fleet: FleetView,
+  keys: { keys: Record<string, string[]> },
+  weights: { weights: NamedWeights[] },
+  within: number,
+): Promise<Finding[]> {
   const out: Finding[] = [];
   const used = new Set<string>();
   for (const s of doc.services) used.add(s.model);
@@ -33,19 +40,28 @@
     function has(e: Engine): boolean {
       return e.weights === named!.weights;
     }
-    if (named && engines.length > 0 && !engines.some(has)) out.push({ path: `models[${i}]`, why: `no engine has the named weights ${named.weights}` });
+    if (named && engines.length > 0 && !engines.some(has))
+      out.push({ path: `models[${i}]`, why: `no engine has the named weights ${named.weights}` });
   }
   const ruled = new Set<string>();
   for (const r of doc.rules) ruled.add(r.service);
   for (const [i, t] of doc.tenants.entries()) {
-    if ((keys.keys[t.id] ?? []).length === 0) out.push({ path: `tenants[${i}]`, why: `${t.id} has no key` });
+    if ((keys.keys[t.id] ?? []).length === 0)
+      out.push({ path: `tenants[${i}]`, why: `${t.id} has no key` });
   }
   for (const [i, r] of doc.rules.entries()) {
-    if ((keys.keys[r.tenant] ?? []).length === 0) out.push({ path: `rules[${i}]`, why: `can't match: ${r.tenant} has no key` });
+    if ((keys.keys[r.tenant] ?? []).length === 0)
+      out.push({ path: `rules[${i}]`, why: `can't match: ${r.tenant} has no key` });
   }
   for (const [i, s] of doc.cacheStores.entries()) {
-    const o = await askJson(wire, { at: s.at, method: 'GET', path: '/api/kv-events?after=0&epoch=&wait=1', within });
-    if (o.isLeft()) out.push({ path: `cacheStores[${i}]`, why: `${s.id} does not answer at ${s.at}` });
+    const o = await askJson(wire, {
+      at: s.at,
+      method: 'GET',
+      path: '/api/kv-events?after=0&epoch=&wait=1',
+      within,
+    });
+    if (o.isLeft())
+      out.push({ path: `cacheStores[${i}]`, why: `${s.id} does not answer at ${s.at}` });
   }
   function isRole(role: string): (m: Member) => boolean {
     function test(m: Member): boolean {
@@ -53,6 +69,8 @@
     }
     return test;
   }
-  for (const role of ['router', 'indexer']) if (!fleet.members.some(isRole(role))) out.push({ path: '(fleet)', why: `no ${role} holds a claim` });
+  for (const role of ['router', 'indexer'])
+    if (!fleet.members.some(isRole(role)))
+      out.push({ path: '(fleet)', why: `no ${role} holds a claim` });
   return out;
 }
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -7,7 +7,17 @@
 import { poll } from '../shared/poll';
 import { Listening, Ports, Connection } from '../shared/ports';
 import { Bounds, boundsOf, Settings } from '../shared/settings';
-import { askOnce, closeSilent, converse, Exchange, Hello, HelloEdge, holdAll, noConnection, WIRE_VERSION } from '../shared/connections';
+import {
+  askOnce,
+  closeSilent,
+  converse,
+  Exchange,
+  Hello,
+  HelloEdge,
+  holdAll,
+  noConnection,
+  WIRE_VERSION,
+} from '../shared/connections';
 import { makeWaker, Waker } from '../shared/waker';
 import { allVoters, isQuorum, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
 import { Changed, makeChanges } from './changes';
@@ -61,9 +71,17 @@
 }
 
 /** Starts a controller: its disk, its votes, its leases, its connections. */
-export async function startController(given: Ports, settings: Settings, reader?: DocumentReader): Promise<Outcome<Controller>> {
+export async function startController(
+  given: Ports,
+  settings: Settings,
+  reader?: DocumentReader,
+): Promise<Outcome<Controller>> {
   const metrics = makeMetrics();
-  const synced = metrics.times('plumhollow_controller_sync_ms', 'time of a synced write', settings.changeBoundMs);
+  const synced = metrics.times(
+    'plumhollow_controller_sync_ms',
+    'time of a synced write',
+    settings.changeBoundMs,
+  );
   const ports: Ports = { ...given, disk: timedDisk(given.disk, given.clock, synced) };
   const [f, kept] = open(await readVotes(ports));
   if (f) return Left(f);
@@ -71,12 +89,30 @@
   return g ? Left(g) : runController(ports, settings, slots, kept, metrics, reader);
 }
 
-async function runController(ports: Ports, settings: Settings, slots: Slots, kept: KeptVotes, metrics: Metrics, reader?: DocumentReader): Promise<Outcome<Controller>> {
+async function runController(
+  ports: Ports,
+  settings: Settings,
+  slots: Slots,
+  kept: KeptVotes,
+  metrics: Metrics,
+  reader?: DocumentReader,
+): Promise<Outcome<Controller>> {
   const bounds = boundsOf(settings);
-  const hello: Hello = { version: WIRE_VERSION, name: settings.name, role: 'controller', at: settings.wire, zone: settings.zone, disk: slots.disk };
+  const hello: Hello = {
+    version: WIRE_VERSION,
+    name: settings.name,
+    role: 'controller',
+    at: settings.wire,
+    zone: settings.zone,
+    disk: slots.disk,
+  };
   const heard = new Set<string>();
   const by = `${settings.name}.${ports.dice.id().slice(0, 8)}`;
-  const effectTook = metrics.times('plumhollow_controller_change_to_effect_ms', 'from a change\'s arrival at its owner to its effect everywhere', settings.changeBoundMs);
+  const effectTook = metrics.times(
+    'plumhollow_controller_change_to_effect_ms',
+    "from a change's arrival at its owner to its effect everywhere",
+    settings.changeBoundMs,
+  );
   const taking = new Set<Exchange>();
   const upSince = new Map<string, number>();
   const wakers: Waker[] = [];
@@ -94,7 +130,10 @@
   }
 
   function voters(): Voters | undefined {
-    return ((slots.cells.get(KEYS.voters)?.learned?.value ?? slots.founding()) as Voters | undefined) ?? undefined;
+    return (
+      ((slots.cells.get(KEYS.voters)?.learned?.value ?? slots.founding()) as Voters | undefined) ??
+      undefined
+    );
   }
 
   function learned(n: Numbered, before?: Numbered): void {
@@ -110,7 +149,12 @@
     return v.disk === slots.disk;
   }
 
-  async function askVoter(v: Voter, type: string, body: unknown, within: number): Promise<Outcome<unknown>> {
+  async function askVoter(
+    v: Voter,
+    type: string,
+    body: unknown,
+    within: number,
+  ): Promise<Outcome<unknown>> {
     if (isSelf(v)) return local(type, body);
     const ex = helds.up(v.at);
     return ex ? ex.ask(type, body, within) : Left(noConnection(type, v.at));
@@ -134,11 +178,47 @@
   const votes = new Votes(slots, ports, voters, settings.onceKeepMs);
   await votes.begin(kept);
   const roster = new RosterEdge(ports, bounds, voters, joined);
-  const changes = makeChanges({ clock: ports.clock, dice: ports.dice, settings, bounds, owner, reader, voters, live, up, local });
-  const peers = new ControlEdge({ by, slots, mayFound: settings.bootstrap, voters, changeHere: changes.here, committed, hinted, isUp, wake });
+  const changes = makeChanges({
+    clock: ports.clock,
+    dice: ports.dice,
+    settings,
+    bounds,
+    owner,
+    reader,
+    voters,
+    live,
+    up,
+    local,
+  });
+  const peers = new ControlEdge({
+    by,
+    slots,
+    mayFound: settings.bootstrap,
+    voters,
+    changeHere: changes.here,
+    committed,
+    hinted,
+    isUp,
+    wake,
+  });
   const reads: ReadParts = { slots, owner, voters, askVoter: askShortly, ofOwner: changes.ofOwner };
-  const edges: object[] = [new HelloEdge(hello), acceptor, leases, votes, roster, peers, new ReadEdge(reads)];
-  const helds = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause, onUp, onDown: wake });
+  const edges: object[] = [
+    new HelloEdge(hello),
+    acceptor,
+    leases,
+    votes,
+    roster,
+    peers,
+    new ReadEdge(reads),
+  ];
+  const helds = holdAll(ports, {
+    hello,
+    edges,
+    within: bounds.dial,
+    pause: bounds.pause,
+    onUp,
+    onDown: wake,
+  });
   const founding = makeFounding({ settings, bounds, clock: ports.clock, slots, voters, who });
 
   function up(at: string): Exchange | undefined {
@@ -194,7 +274,12 @@
     const v = voters();
     if (!v) return false;
     function one(x: Voter): Promise<Outcome<unknown>> {
-      return askVoter(x, 'effect', { key, epoch: p.epoch, by: p.by, number: p.number, within }, within * 1.1);
+      return askVoter(
+        x,
+        'effect',
+        { key, epoch: p.epoch, by: p.by, number: p.number, within },
+        within * 1.1,
+      );
     }
     return (await poll(v, one)).isRight();
   }
@@ -203,7 +288,8 @@
     const began = ports.clock.now();
     const [f, r] = open(await changes.commit(op));
     if (f) return Left(f);
-    const waits = settings.strict && op.kind !== 'engines' && op.kind !== 'duty' && op.kind !== 'voters';
+    const waits =
+      settings.strict && op.kind !== 'engines' && op.kind !== 'duty' && op.kind !== 'voters';
     const inEffect = waits && (await effect(keyOf(op), r.place, bounds.effect));
     if (inEffect) effectTook(ports.clock.now() - began);
     return Right({ ...r, inEffect });
@@ -225,13 +311,17 @@
     function other(at: string): boolean {
       return at !== settings.wire;
     }
-    const core = v ? [...allVoters(v), ...roster.joiners()].map(atOf) : [...settings.founders, ...settings.seeds, ...hints];
+    const core = v
+      ? [...allVoters(v), ...roster.joiners()].map(atOf)
+      : [...settings.founders, ...settings.seeds, ...hints];
     helds.want(core.filter(other));
   }
 
   function who(at: string): Promise<Outcome<unknown>> {
     const ex = helds.up(at);
-    return ex ? ex.ask('who', {}, bounds.ask) : Promise.resolve(Left<Fault, unknown>(noConnection('who', at)));
+    return ex
+      ? ex.ask('who', {}, bounds.ask)
+      : Promise.resolve(Left<Fault, unknown>(noConnection('who', at)));
   }
 
   async function spreadFounding(): Promise<void> {
@@ -248,7 +338,18 @@
   }
 
   const always = [KEYS.engines, reader ? KEYS.deployment : KEYS.intents];
-  const keeper = makeKeeper({ wire: settings.wire, always, slots, owner, bounds, helds, live, committed, learn: acceptor.learn.bind(acceptor), forget: heard.delete.bind(heard) });
+  const keeper = makeKeeper({
+    wire: settings.wire,
+    always,
+    slots,
+    owner,
+    bounds,
+    helds,
+    live,
+    committed,
+    learn: acceptor.learn.bind(acceptor),
+    forget: heard.delete.bind(heard),
+  });
 
   async function take(o: Outcome<unknown>): Promise<void> {
     const [f, list] = open(o);
@@ -267,8 +368,12 @@
         return at !== settings.wire && !helds.up(at);
       }
       for (const at of settings.seeds.filter(isOther)) {
-        if (v && !hasMajority()) await take(await askOnce(ports, hello, edges, at, 'missing', hasList(committed()), bounds.dial));
-        else if (v && !allVoters(v).map(atOf).includes(at)) await askOnce(ports, hello, edges, at, 'here', v, bounds.dial);
+        if (v && !hasMajority())
+          await take(
+            await askOnce(ports, hello, edges, at, 'missing', hasList(committed()), bounds.dial),
+          );
+        else if (v && !allVoters(v).map(atOf).includes(at))
+          await askOnce(ports, hello, edges, at, 'here', v, bounds.dial);
       }
       await ports.clock.sleep(bounds.lease * (0.8 + 0.4 * ports.dice.next()));
     }
@@ -319,7 +424,9 @@
     leaving = true;
     const v = voters();
     function tell(x: Voter): Promise<unknown> | undefined {
-      return isSelf(x) ? undefined : helds.up(x.at)?.ask('core-leave', { disk: slots.disk, at: settings.wire }, bounds.dial);
+      return isSelf(x)
+        ? undefined
+        : helds.up(x.at)?.ask('core-leave', { disk: slots.disk, at: settings.wire }, bounds.dial);
     }
     if (v) await Promise.all(allVoters(v).map(tell));
   }
@@ -340,8 +447,36 @@
   void tellSeeds();
   void closeSilent(ports, taking, bounds.silence, isStopped);
   return Right({
-    name: settings.name, by, hello, settings, bounds, slots, leases, votes, owner, roster, addWaker, metrics, edges, voters, live, isUp, isEmptied, isLeaving, chosen, change,
-    found: founding.found, effect, value, newest, heardLive, hasMajority, askVoter, leave, stop, stopped: isStopped,
+    name: settings.name,
+    by,
+    hello,
+    settings,
+    bounds,
+    slots,
+    leases,
+    votes,
+    owner,
+    roster,
+    addWaker,
+    metrics,
+    edges,
+    voters,
+    live,
+    isUp,
+    isEmptied,
+    isLeaving,
+    chosen,
+    change,
+    found: founding.found,
+    effect,
+    value,
+    newest,
+    heardLive,
+    hasMajority,
+    askVoter,
+    leave,
+    stop,
+    stopped: isStopped,
   });
 }
 
--- a/src/control/deployment-api.ts
+++ b/src/control/deployment-api.ts
@@ -13,7 +13,11 @@
 const ANSWER = 0.2;
 
 /** Serves operators who speak by a dialect, and our own interface beside. */
-export function serveDeployment(c: Controller, ports: Ports, dialect: Dialect): Promise<Outcome<Listening>> {
+export function serveDeployment(
+  c: Controller,
+  ports: Ports,
+  dialect: Dialect,
+): Promise<Outcome<Listening>> {
   const { paths } = dialect.operators;
   const own = takeCalls([new OperatorApi(c, ports)], ports.log);
 
@@ -37,8 +41,16 @@
 
   function refuse(call: Call, f: Fault): void {
     if (f.code === 'conflict') return giveFault(call, 412, 'refused', 'conflict', f.why);
-    if (f.code === 'bad-deployment') return giveFault(call, 400, 'refused', 'bad-deployment', f.why);
-    giveFault(call, 503, f.sort, f.code ?? 'unknown', `${f.step} at ${f.peer}: ${f.why}`, c.bounds.pause);
+    if (f.code === 'bad-deployment')
+      return giveFault(call, 400, 'refused', 'bad-deployment', f.why);
+    giveFault(
+      call,
+      503,
+      f.sort,
+      f.code ?? 'unknown',
+      `${f.step} at ${f.peer}: ${f.why}`,
+      c.bounds.pause,
+    );
   }
 
   async function put(call: Call): Promise<void> {
@@ -46,8 +58,21 @@
     const body = await takeJson(call, c.settings.bodyMostBytes);
     if (body === undefined) return;
     const base = dialect.operators.baseVersion(call.headers);
-    if (base === undefined) return giveFault(call, 400, 'refused', 'no-base', 'the version that this builds on is missing');
-    const [f] = open(await change({ kind: 'deployment', base, ...(call.path === paths.update ? { change: body } : { doc: body }) }));
+    if (base === undefined)
+      return giveFault(
+        call,
+        400,
+        'refused',
+        'no-base',
+        'the version that this builds on is missing',
+      );
+    const [f] = open(
+      await change({
+        kind: 'deployment',
+        base,
+        ...(call.path === paths.update ? { change: body } : { doc: body }),
+      }),
+    );
     if (f && f.code !== 'stands') return refuse(call, f);
     giveJson(call, 200, { taken: true });
   }
@@ -58,7 +83,11 @@
     if (body === undefined) return;
     const w = dialect.operators.weights(body);
     if (w.isLeft()) return giveFault(call, 400, 'refused', 'bad-weights', String(w.extract()));
-    const { model, weights, rank } = w.extract() as { model: string; weights: string; rank: number };
+    const { model, weights, rank } = w.extract() as {
+      model: string;
+      weights: string;
+      rank: number;
+    };
     const [f] = open(await change({ kind: 'weights', model, weights, rank }));
     if (f && f.code !== 'stands') return refuse(call, f);
     giveJson(call, 200, { model, weights });
--- a/src/control/deployment-check.ts
+++ b/src/control/deployment-check.ts
@@ -23,7 +23,8 @@
 function checkRoute(r: HttpRoute, pools: Set<string>): string[] {
   const faults: string[] = [];
   let weight = 0;
-  if (!r.prefix.startsWith('/') || !r.prefix.endsWith('/')) faults.push(`route ${r.name}: the prefix must begin and end with a slash`);
+  if (!r.prefix.startsWith('/') || !r.prefix.endsWith('/'))
+    faults.push(`route ${r.name}: the prefix must begin and end with a slash`);
   if (!(r.timeoutMs > 0)) faults.push(`route ${r.name}: the time-out must be above 0`);
   for (const t of r.targets) {
     if (!pools.has(t.pool)) faults.push(`route ${r.name}: no pool ${t.pool}`);
@@ -40,7 +41,8 @@
   for (const t of d.tenants) {
     for (const k of t.keys) {
       const other = holders.get(k);
-      if (other !== undefined && other !== t.name) faults.push(`tenant ${t.name}: shares a key with ${other}`);
+      if (other !== undefined && other !== t.name)
+        faults.push(`tenant ${t.name}: shares a key with ${other}`);
       holders.set(k, t.name);
     }
   }
--- a/src/control/deployment.ts
+++ b/src/control/deployment.ts
@@ -42,16 +42,29 @@
 }
 
 /** Works out the deployment that follows from a change and the one that stands; a fault of code `stands` says that the change was taken already. */
-export function makeDeployment(op: DeploymentOperation, now: Numbered | undefined, reader: DocumentReader | undefined): Outcome<DeploymentValue> {
+export function makeDeployment(
+  op: DeploymentOperation,
+  now: Numbered | undefined,
+  reader: DocumentReader | undefined,
+): Outcome<DeploymentValue> {
   const stands = now?.value as DeploymentValue | undefined;
   const sum = shortHash(JSON.stringify([op.change === undefined, op.doc ?? op.change]));
   function isSame(t: { sum: string }): boolean {
     return t.sum === sum;
   }
-  if (!reader) return bad('apply', KEYS.deployment, 'no documents are read here', 'refused', 'bad-deployment');
-  if (stands?.taken.some(isSame)) return bad('apply', KEYS.deployment, 'was taken already', 'refused', 'stands');
+  if (!reader)
+    return bad('apply', KEYS.deployment, 'no documents are read here', 'refused', 'bad-deployment');
+  if (stands?.taken.some(isSame))
+    return bad('apply', KEYS.deployment, 'was taken already', 'refused', 'stands');
   const revision = stands?.revision ?? 0;
-  if (op.base !== revision) return bad('apply', KEYS.deployment, `based on revision ${op.base}, but ${revision} stands`, 'refused', 'conflict');
+  if (op.base !== revision)
+    return bad(
+      'apply',
+      KEYS.deployment,
+      `based on revision ${op.base}, but ${revision} stands`,
+      'refused',
+      'conflict',
+    );
   const doc = wholeOf(op, stands, reader);
   const read = doc.chain(reader.deployment).chain(checked);
   function checked(d: Deployment): Either<string[], Deployment> {
@@ -59,12 +72,27 @@
     if (d.revision <= revision) faults.push(`revision ${d.revision} is not above ${revision}`);
     return faults.length > 0 ? Left(faults) : Right(d);
   }
-  if (read.isLeft()) return bad('apply', KEYS.deployment, (read.extract() as string[]).join('; '), 'refused', 'bad-deployment');
+  if (read.isLeft())
+    return bad(
+      'apply',
+      KEYS.deployment,
+      (read.extract() as string[]).join('; '),
+      'refused',
+      'bad-deployment',
+    );
   const fresh = (read.extract() as Deployment).revision;
-  return Right({ revision: fresh, doc: doc.extract(), taken: [...(stands?.taken ?? []), { revision: fresh, sum }].slice(-REMEMBERED) });
+  return Right({
+    revision: fresh,
+    doc: doc.extract(),
+    taken: [...(stands?.taken ?? []), { revision: fresh, sum }].slice(-REMEMBERED),
+  });
 }
 
-function wholeOf(op: DeploymentOperation, stands: DeploymentValue | undefined, reader: DocumentReader): Either<string[], unknown> {
+function wholeOf(
+  op: DeploymentOperation,
+  stands: DeploymentValue | undefined,
+  reader: DocumentReader,
+): Either<string[], unknown> {
   if (op.change === undefined) return Right(op.doc);
   if (!stands) return Left(['there is no deployment to change']);
   function apply(c: NamedChange): object {
--- a/src/control/duties.ts
+++ b/src/control/duties.ts
@@ -22,7 +22,8 @@
 export async function watchPlatform(c: Controller, ports: Ports, dialect?: Dialect): Promise<void> {
   while (!c.stopped()) {
     await ports.clock.sleep(c.bounds.platform);
-    if (c.settings.platform === '' || !c.owner.owns(KEYS.engines) || !c.chosen(KEYS.engines)) continue;
+    if (c.settings.platform === '' || !c.owner.owns(KEYS.engines) || !c.chosen(KEYS.engines))
+      continue;
     const [f, list] = open(await listAll(ports, c.settings.platform, c.bounds.status, dialect));
     if (f) {
       ports.log.warn({ step: f.step, peer: f.peer }, f.why);
@@ -67,8 +68,10 @@
       if (!since.has(k)) since.set(k, c.heardLive(key) ? ports.clock.now() : -Infinity);
       if (ports.clock.now() - since.get(k)! >= c.bounds.weightsStop) ended.push(w);
     }
-    for (const k of since.keys()) if (k.startsWith(`${key} `) && !v.older.includes(k.slice(key.length + 1))) since.delete(k);
-    if (ended.length > 0 && c.owner.owns(key)) await c.change({ kind: 'weights-end', model: v.model, ended });
+    for (const k of since.keys())
+      if (k.startsWith(`${key} `) && !v.older.includes(k.slice(key.length + 1))) since.delete(k);
+    if (ended.length > 0 && c.owner.owns(key))
+      await c.change({ kind: 'weights-end', model: v.model, ended });
   }
 }
 
@@ -102,7 +105,14 @@
     }
     const now = ports.clock.now();
     if (now - mine.since < c.bounds.leaseHeld || now - asked > c.bounds.orderFresh) return;
-    const [h] = open(await giveOrder(ports.wire, e.at, { epoch: r.place.epoch, by: r.place.by, weights: named.weights }, c.bounds.status));
+    const [h] = open(
+      await giveOrder(
+        ports.wire,
+        e.at,
+        { epoch: r.place.epoch, by: r.place.by, weights: named.weights },
+        c.bounds.status,
+      ),
+    );
     if (h) ports.log.warn({ step: h.step, peer: h.peer }, h.why);
   }
 }
--- a/src/control/founding.ts
+++ b/src/control/founding.ts
@@ -39,12 +39,29 @@
 
   async function found(without: string[]): Promise<Outcome<Voters>> {
     const stood = voters();
-    if (stood) return isVoter(stood, slots.disk) ? Right(stood) : bad('found', slots.disk, 'a fleet is founded, and this disk is not of it', 'refused', 'not-blank');
+    if (stood)
+      return isVoter(stood, slots.disk)
+        ? Right(stood)
+        : bad(
+            'found',
+            slots.disk,
+            'a fleet is founded, and this disk is not of it',
+            'refused',
+            'not-blank',
+          );
     function absent(at: string): boolean {
       return without.includes(at);
     }
-    if (slots.spoilt) return bad('found', slots.disk, 'this disk was of a fleet', 'refused', 'not-blank');
-    if (absent(settings.wire) || founders.filter(absent).length * 2 >= founders.length) return bad('found', settings.name, 'a majority of the founders must be here', 'refused', 'no-quorum');
+    if (slots.spoilt)
+      return bad('found', slots.disk, 'this disk was of a fleet', 'refused', 'not-blank');
+    if (absent(settings.wire) || founders.filter(absent).length * 2 >= founders.length)
+      return bad(
+        'found',
+        settings.name,
+        'a majority of the founders must be here',
+        'refused',
+        'no-quorum',
+      );
     const set: Voter[] = [];
     for (const at of founders) {
       if (at === settings.wire) {
@@ -53,12 +70,17 @@
       }
       const [g, w] = open(await p.who(at));
       const r = w as Who | undefined;
-      if (absent(at) && r && (r.mayFound || !r.blank)) return bad('found', at, 'is named as absent, and is here', 'refused', 'conflict');
+      if (absent(at) && r && (r.mayFound || !r.blank))
+        return bad('found', at, 'is named as absent, and is here', 'refused', 'conflict');
       if (!absent(at) && g) return Left({ ...g, sort: 'refused' });
       if (r && !r.blank) return bad('found', at, 'is not blank', 'refused', 'not-blank');
       set.push({ disk: r && !absent(at) ? r.disk : `${ABSENT}${at}`, at });
     }
-    const [h] = open(voters() ? bad<void>('found', settings.name, 'another came first', 'refused', 'conflict') : await slots.found({ now: set }));
+    const [h] = open(
+      voters()
+        ? bad<void>('found', settings.name, 'another came first', 'refused', 'conflict')
+        : await slots.found({ now: set }),
+    );
     return h ? Left(h) : Right({ now: set });
   }
 
@@ -66,7 +88,8 @@
     if (!settings.bootstrap || slots.spoilt || !founders.includes(settings.wire)) return;
     const here: string[] = [];
     async function look(at: string): Promise<boolean> {
-      const [f, w] = at === settings.wire ? [undefined, { blank: true, mayFound: true }] : open(await p.who(at));
+      const [f, w] =
+        at === settings.wire ? [undefined, { blank: true, mayFound: true }] : open(await p.who(at));
       if (!f && (w as Who).mayFound) here.push(at);
       return f !== undefined || (w as Who).blank;
     }
@@ -78,7 +101,11 @@
     if (here.length * 2 <= founders.length) majoritySince = undefined;
     else majoritySince = majoritySince ?? p.clock.now();
     if (here[0] !== settings.wire || majoritySince === undefined) return;
-    if (here.length < founders.length && (settings.foundBy === 'all' || p.clock.now() - majoritySince < p.bounds.foundWait)) return;
+    if (
+      here.length < founders.length &&
+      (settings.foundBy === 'all' || p.clock.now() - majoritySince < p.bounds.foundWait)
+    )
+      return;
     function isAway(at: string): boolean {
       return !here.includes(at);
     }
--- a/src/control/frames.ts
+++ b/src/control/frames.ts
@@ -55,7 +55,7 @@
 /** Reads the frames of version 0.1: a length, a checksum, and one line each. */
 function unframeOld(b: Buffer): unknown[] {
   const values: unknown[] = [];
-  for (let at = 0; at + OLD_HEAD <= b.length; ) {
+  for (let at = 0; at + OLD_HEAD <= b.length;) {
     const end = at + OLD_HEAD + b.readUInt32BE(at);
     const body = b.subarray(at + OLD_HEAD, end);
     if (end > b.length || body.length === 0 || crc32(body) !== b.readUInt32BE(at + 4)) break;
--- a/src/control/group.ts
+++ b/src/control/group.ts
@@ -8,7 +8,10 @@
 }
 
 /** Groups lines; `settled` comes back when all that was added before it is synced, and writes anew where the disk is behind. */
-export function makeGroup<T>(writeBatch: (lines: T[]) => Promise<Outcome<void>>, behind: () => boolean): Group<T> {
+export function makeGroup<T>(
+  writeBatch: (lines: T[]) => Promise<Outcome<void>>,
+  behind: () => boolean,
+): Group<T> {
   let queue: { lines: T[]; done: (o: Outcome<void>) => void }[] = [];
   let busy = false;
 
--- a/src/control/instances.ts
+++ b/src/control/instances.ts
@@ -10,15 +10,23 @@
 const MOST_PAGES = 64;
 
 /** Lists the platform's engines whole, page by page where it is worded in a dialect. */
-export async function listAll(ports: Ports, at: string, within: number, dialect: Dialect | undefined): Promise<Outcome<Engine[]>> {
+export async function listAll(
+  ports: Ports,
+  at: string,
+  within: number,
+  dialect: Dialect | undefined,
+): Promise<Outcome<Engine[]>> {
   if (!dialect) return listEngines(ports.wire, at, within);
   const all = new Map<string, Engine>();
   let next: string | undefined;
   for (let i = 0; i < MOST_PAGES; i++) {
-    const [f, r] = open(await askWorded(ports.wire, at, dialect.instances.ask(undefined, next), within));
+    const [f, r] = open(
+      await askWorded(ports.wire, at, dialect.instances.ask(undefined, next), within),
+    );
     if (f) return bad(f.step, f.peer, f.why, f.sort, f.code);
     const page = dialect.instances.read(r.status, r.body);
-    if (page.isLeft()) return bad('list engines', at, page.extract(), 'failed', `status-${r.status}`);
+    if (page.isLeft())
+      return bad('list engines', at, page.extract(), 'failed', `status-${r.status}`);
     const { engines, next: following } = page.extract() as EnginePage;
     for (const e of engines) all.set(e.id, e);
     if (following === undefined) return Right([...all.values()]);
@@ -33,7 +41,9 @@
   for (const e of before) told.set(e.id, e);
   function settle(e: Engine): Engine {
     const was = told.get(e.id)?.warmMs;
-    return e.warmMs !== undefined && e.warmMs > 0 && was !== undefined && was > 0 ? { ...e, warmMs: was } : e;
+    return e.warmMs !== undefined && e.warmMs > 0 && was !== undefined && was > 0
+      ? { ...e, warmMs: was }
+      : e;
   }
   return list.map(settle);
 }
--- a/src/control/intents.ts
+++ b/src/control/intents.ts
@@ -46,7 +46,8 @@
   }
   const c = convict(shape as never);
   const known = new Set(Object.keys(shape));
-  for (const k of Object.keys(item)) if (!known.has(k)) faults.push({ path: `${path}.${k}`, why: 'is not a known field' });
+  for (const k of Object.keys(item))
+    if (!known.has(k)) faults.push({ path: `${path}.${k}`, why: 'is not a known field' });
   const take: Record<string, unknown> = {};
   for (const [k, v] of Object.entries(item)) if (known.has(k)) take[k] = v;
   const o = guard('check intents', path, check);
@@ -72,7 +73,8 @@
   for (const kind of ['tenants', 'models', 'services', 'cacheStores'] as const) {
     ids[kind] = new Set();
     for (const [i, x] of doc[kind].entries()) {
-      if (ids[kind].has(x.id)) faults.push({ path: `${kind}[${i}].id`, why: `is given twice: ${x.id}` });
+      if (ids[kind].has(x.id))
+        faults.push({ path: `${kind}[${i}].id`, why: `is given twice: ${x.id}` });
       ids[kind].add(x.id);
     }
   }
@@ -80,8 +82,10 @@
     if (!ids[kind].has(id)) faults.push({ path, why: `names no one of ${kind}: ${id}` });
   }
   for (const [i, t] of doc.tenants.entries()) {
-    if (t.sharing === 'group' && !t.group) faults.push({ path: `tenants[${i}].group`, why: 'is needed where sharing is group' });
-    if (t.sharing === 'walled' && t.group) faults.push({ path: `tenants[${i}].group`, why: 'must be left out where sharing is walled' });
+    if (t.sharing === 'group' && !t.group)
+      faults.push({ path: `tenants[${i}].group`, why: 'is needed where sharing is group' });
+    if (t.sharing === 'walled' && t.group)
+      faults.push({ path: `tenants[${i}].group`, why: 'must be left out where sharing is walled' });
   }
   for (const [i, s] of doc.services.entries()) {
     wants(`services[${i}].tenant`, 'tenants', s.tenant);
@@ -95,19 +99,23 @@
     function named(x: { id: string }): boolean {
       return x.id === r.service;
     }
-    if (s && s.tenant !== r.tenant) faults.push({ path: `rules[${i}].service`, why: `belongs to another tenant: ${s.tenant}` });
+    if (s && s.tenant !== r.tenant)
+      faults.push({ path: `rules[${i}].service`, why: `belongs to another tenant: ${s.tenant}` });
     const k = `${r.tenant} ${r.label}`;
-    if (seen.has(k)) faults.push({ path: `rules[${i}]`, why: `matches the same as an earlier rule: ${k}` });
+    if (seen.has(k))
+      faults.push({ path: `rules[${i}]`, why: `matches the same as an earlier rule: ${k}` });
     seen.add(k);
   }
 }
 
 /** Checks a whole intents file; every fault is listed by its path. */
 export function checkIntents(raw: unknown): Either<IntentFault[], Intents> {
-  if (typeof raw !== 'object' || raw === null || Array.isArray(raw)) return Left([{ path: '', why: 'must be an object' }]);
+  if (typeof raw !== 'object' || raw === null || Array.isArray(raw))
+    return Left([{ path: '', why: 'must be an object' }]);
   const faults: IntentFault[] = [];
   const src = raw as Record<string, unknown>;
-  for (const k of Object.keys(src)) if (!(k in ITEMS)) faults.push({ path: k, why: 'is not a known field' });
+  for (const k of Object.keys(src))
+    if (!(k in ITEMS)) faults.push({ path: k, why: 'is not a known field' });
   const out: Record<string, unknown[]> = {};
   for (const [kind, shape] of Object.entries(ITEMS)) {
     const list = src[kind] ?? [];
--- a/src/control/keep.ts
+++ b/src/control/keep.ts
@@ -56,7 +56,11 @@
     const ex = p.helds.up(at);
     if (!ex) return;
     const seen = caught.get(at);
-    const asked = ex.ask('learned-after', { life: seen?.life ?? '', count: seen?.count ?? 0 }, p.bounds.ask);
+    const asked = ex.ask(
+      'learned-after',
+      { life: seen?.life ?? '', count: seen?.count ?? 0 },
+      p.bounds.ask,
+    );
     const all = seen ? undefined : missing(ex);
     const [f, r] = open(await asked);
     if (f && f.code !== 'not-known') return;
@@ -101,7 +105,8 @@
     }
     for (const key of p.owner.owned()) if (!tended.mine.has(key)) p.owner.disown(key);
     const wanted = [...tended.mine].filter(notOwned);
-    for (let i = 0; i < wanted.length; i += OWN_AT_ONCE) await Promise.all(wanted.slice(i, i + OWN_AT_ONCE).map(p.owner.own));
+    for (let i = 0; i < wanted.length; i += OWN_AT_ONCE)
+      await Promise.all(wanted.slice(i, i + OWN_AT_ONCE).map(p.owner.own));
   }
 
   function notOwned(key: string): boolean {
--- a/src/control/leases.ts
+++ b/src/control/leases.ts
@@ -58,7 +58,10 @@
 }
 
 /** Who joined and which lives left between two lists; one that tells something else of itself joins anew. */
-function difference(before: readonly Member[], now: readonly Member[]): { joined: Member[]; left: string[] } {
+function difference(
+  before: readonly Member[],
+  now: readonly Member[],
+): { joined: Member[]; left: string[] } {
   const had = new Map<string, Member>();
   for (const m of before) had.set(lifeOf(m), m);
   const joined: Member[] = [];
@@ -76,7 +79,12 @@
   private readonly startedAt: number;
   private view: View = { list: [], until: -Infinity };
 
-  constructor(private readonly slots: Slots, private readonly ports: Ports, private readonly bounds: Bounds, private readonly voters: () => Voters | undefined) {
+  constructor(
+    private readonly slots: Slots,
+    private readonly ports: Ports,
+    private readonly bounds: Bounds,
+    private readonly voters: () => Voters | undefined,
+  ) {
     this.startedAt = ports.clock.now();
   }
 
@@ -106,7 +114,9 @@
   applied(key: string): { name: string; place?: Place }[] {
     const now = this.ports.clock.now();
     const out: { name: string; place?: Place }[] = [];
-    for (const h of this.holders.values()) if (h.until > now && h.member.role === 'router') out.push({ name: h.member.name, place: h.has.get(key) });
+    for (const h of this.holders.values())
+      if (h.until > now && h.member.role === 'router')
+        out.push({ name: h.member.name, place: h.has.get(key) });
     return out.sort(byName);
   }
 
@@ -123,7 +133,8 @@
   /** What a node lacks of all that is learned here, or of what was learned after a count up to which it lacks nothing. */
   private missing(has: Map<string, Place>, upTo: number | undefined): Numbered[] {
     const out: Numbered[] = [];
-    for (const n of this.learned(upTo === undefined ? undefined : this.slots.learned.after(upTo))) if (!covers(has, n)) out.push(n);
+    for (const n of this.learned(upTo === undefined ? undefined : this.slots.learned.after(upTo)))
+      if (!covers(has, n)) out.push(n);
     return out;
   }
 
@@ -135,9 +146,11 @@
     const life = lifeOf(m.member);
     const before = this.holders.get(life);
     const same = m.has === undefined;
-    if (same && before?.ex !== ex) return bad('claim', m.member.name, 'no claim on this stream to go by', 'refused', 'tell-all');
+    if (same && before?.ex !== ex)
+      return bad('claim', m.member.name, 'no claim on this stream to go by', 'refused', 'tell-all');
     const has = same ? before!.has : new Map<string, Place>();
-    for (const [key, epoch, by, number] of m.has ?? m.changed ?? []) has.set(key, { epoch, by, number });
+    for (const [key, epoch, by, number] of m.has ?? m.changed ?? [])
+      has.set(key, { epoch, by, number });
     if (before?.ex === ex && before.onWay.size > 0) await Promise.all(before.onWay);
     const upTo = this.slots.learned.count();
     const missing = this.missing(has, same ? before!.upTo : undefined);
@@ -146,14 +159,26 @@
     const now = this.ports.clock.now();
     const member = before && isDeepStrictEqual(before.member, m.member) ? before.member : m.member;
     if (!before || before.until <= now || before.member !== member) this.view.until = -Infinity;
-    const holder: Holder = { member, until: now + this.bounds.leaseHeld, has, ex, upTo, onWay: before?.ex === ex ? before.onWay : new Set() };
+    const holder: Holder = {
+      member,
+      until: now + this.bounds.leaseHeld,
+      has,
+      ex,
+      upTo,
+      onWay: before?.ex === ex ? before.onWay : new Set(),
+    };
     this.holders.set(life, holder);
     this.poke();
     const view = this.viewNow();
     holder.told = { voters, view };
     const told = same ? before!.told : undefined;
-    if (!told || told.voters !== voters || !(m.deltas || told.view === view)) return Right({ granted: true, disk, missing, voters, members: view.list });
-    return Right(told.view === view ? { granted: true, disk, missing } : { granted: true, disk, missing, ...difference(told.view.list, view.list) });
+    if (!told || told.voters !== voters || !(m.deltas || told.view === view))
+      return Right({ granted: true, disk, missing, voters, members: view.list });
+    return Right(
+      told.view === view
+        ? { granted: true, disk, missing }
+        : { granted: true, disk, missing, ...difference(told.view.list, view.list) },
+    );
   }
 
   /** Ends a lease at once, when a node leaves by itself. */
@@ -188,13 +213,28 @@
     for (const h of this.holders.values()) h.ex.tell(type, body);
   }
 
-  private async pushOne(h: Holder, n: Numbered, own: boolean, deltaOf: () => Delta | undefined): Promise<void> {
+  private async pushOne(
+    h: Holder,
+    n: Numbered,
+    own: boolean,
+    deltaOf: () => Delta | undefined,
+  ): Promise<void> {
     if (covers(h.has, n)) return;
-    const [g, has] = open(own ? Right(false) : await h.ex.ask('has', { key: n.key, epoch: n.epoch, by: n.by, number: n.number }, this.bounds.ask));
+    const [g, has] = open(
+      own
+        ? Right(false)
+        : await h.ex.ask(
+            'has',
+            { key: n.key, epoch: n.epoch, by: n.by, number: n.number },
+            this.bounds.ask,
+          ),
+    );
     const held = h.has.get(n.key);
-    let o: Outcome<unknown> = !g && has === true ? Right(true) : bad('push news', h.member.name, 'not there yet');
+    let o: Outcome<unknown> =
+      !g && has === true ? Right(true) : bad('push news', h.member.name, 'not there yet');
     const delta = o.isLeft() ? deltaOf() : undefined;
-    if (delta && held && comparePlaces(held, delta.base) === 0) o = await h.ex.ask('news-delta', delta, this.bounds.ask);
+    if (delta && held && comparePlaces(held, delta.base) === 0)
+      o = await h.ex.ask('news-delta', delta, this.bounds.ask);
     if (o.isLeft()) o = await h.ex.ask('news', [n], this.bounds.ask);
     const [f] = open(o);
     if (f) {
@@ -212,14 +252,19 @@
   private inEffect(m: EffectAsk): boolean {
     const now = this.ports.clock.now();
     const learned = this.slots.cells.get(m.key)?.learned;
-    if (!learned || comparePlaces(learned, m) < 0 || now < this.startedAt + this.bounds.leaseHeld) return false;
-    for (const h of this.holders.values()) if (h.member.role === 'router' && h.until > now && !covers(h.has, m)) return false;
+    if (!learned || comparePlaces(learned, m) < 0 || now < this.startedAt + this.bounds.leaseHeld)
+      return false;
+    for (const h of this.holders.values())
+      if (h.member.role === 'router' && h.until > now && !covers(h.has, m)) return false;
     return true;
   }
 
   private nextEnd(): number {
     const now = this.ports.clock.now();
-    let end = now < this.startedAt + this.bounds.leaseHeld ? this.startedAt + this.bounds.leaseHeld : now + this.bounds.lease;
+    let end =
+      now < this.startedAt + this.bounds.leaseHeld
+        ? this.startedAt + this.bounds.leaseHeld
+        : now + this.bounds.lease;
     for (const h of this.holders.values()) if (h.until > now) end = Math.min(end, h.until);
     return Math.max(1, end - now);
   }
@@ -229,7 +274,14 @@
   async effect(m: EffectAsk): Handled {
     const until = this.ports.clock.now() + m.within;
     while (!this.inEffect(m)) {
-      if (this.ports.clock.now() >= until) return Left({ step: 'effect', peer: this.slots.disk, why: 'not all have it yet', sort: 'unknown', code: 'pending' });
+      if (this.ports.clock.now() >= until)
+        return Left({
+          step: 'effect',
+          peer: this.slots.disk,
+          why: 'not all have it yet',
+          sort: 'unknown',
+          code: 'pending',
+        });
       await this.next(Math.min(this.nextEnd(), until - this.ports.clock.now()));
     }
     return Right({ disk: this.slots.disk });
--- a/src/control/operations.ts
+++ b/src/control/operations.ts
@@ -27,13 +27,22 @@
 /** The control key that an operation changes. */
 export function keyOf(op: Operation): string {
   switch (op.kind) {
-    case 'intents': return KEYS.intents;
-    case 'key-add': case 'key-drop': return KEYS.tenantKeys + op.tenant;
-    case 'weights': case 'weights-end': return KEYS.weights + op.model;
-    case 'deployment': return KEYS.deployment;
-    case 'engines': return KEYS.engines;
-    case 'duty': return KEYS.duty + op.duty;
-    case 'voters': return KEYS.voters;
+    case 'intents':
+      return KEYS.intents;
+    case 'key-add':
+    case 'key-drop':
+      return KEYS.tenantKeys + op.tenant;
+    case 'weights':
+    case 'weights-end':
+      return KEYS.weights + op.model;
+    case 'deployment':
+      return KEYS.deployment;
+    case 'engines':
+      return KEYS.engines;
+    case 'duty':
+      return KEYS.duty + op.duty;
+    case 'voters':
+      return KEYS.voters;
   }
 }
 
@@ -42,18 +51,35 @@
 }
 
 /** Works out the new value of a key from an operation and the value that stands. */
-export function makeValue(op: Operation, now: Numbered | undefined, reader?: DocumentReader): Outcome<unknown> {
+export function makeValue(
+  op: Operation,
+  now: Numbered | undefined,
+  reader?: DocumentReader,
+): Outcome<unknown> {
   switch (op.kind) {
     case 'intents': {
       const at = now?.number ?? 0;
-      if (op.basedOn !== at) return bad('apply', KEYS.intents, `based on revision ${op.basedOn}, but ${at} stands`, 'refused', 'conflict');
+      if (op.basedOn !== at)
+        return bad(
+          'apply',
+          KEYS.intents,
+          `based on revision ${op.basedOn}, but ${at} stands`,
+          'refused',
+          'conflict',
+        );
       const o = checkIntents(op.doc);
-      if (o.isLeft()) return Left(makeFault('apply', KEYS.intents, 'the file has faults', 'refused', 'bad-intents'));
+      if (o.isLeft())
+        return Left(
+          makeFault('apply', KEYS.intents, 'the file has faults', 'refused', 'bad-intents'),
+        );
       return Right(setSalts(o.extract() as Intents, now?.value as IntentsValue | undefined));
     }
     case 'key-add': {
       const v = keep<TenantKeys>(now, { tenant: op.tenant, keys: [] });
-      return Right({ tenant: op.tenant, keys: [...v.keys.filter(other), { id: op.id, hash: op.hash }] });
+      return Right({
+        tenant: op.tenant,
+        keys: [...v.keys.filter(other), { id: op.id, hash: op.hash }],
+      });
     }
     case 'key-drop': {
       const v = keep<TenantKeys>(now, { tenant: op.tenant, keys: [] });
@@ -61,33 +87,50 @@
     }
     case 'weights': {
       const v = now?.value as NamedWeights | undefined;
-      if (v?.rank !== undefined && op.rank !== undefined && op.rank <= v.rank) return bad('name weights', op.model, `${v.weights} are named already`, 'refused', 'stands');
+      if (v?.rank !== undefined && op.rank !== undefined && op.rank <= v.rank)
+        return bad('name weights', op.model, `${v.weights} are named already`, 'refused', 'stands');
       if (v?.weights === op.weights) return Right(v);
       const before = v ? [...v.older, v.weights] : ['*'];
       function others(w: string): boolean {
         return op.kind === 'weights' && w !== op.weights;
       }
-      return Right({ model: op.model, weights: op.weights, older: before.filter(others), ...(op.rank === undefined ? {} : { rank: op.rank }) } as NamedWeights);
+      return Right({
+        model: op.model,
+        weights: op.weights,
+        older: before.filter(others),
+        ...(op.rank === undefined ? {} : { rank: op.rank }),
+      } as NamedWeights);
     }
     case 'weights-end': {
       const v = now?.value as NamedWeights | undefined;
       function stays(w: string): boolean {
         return op.kind === 'weights-end' && !op.ended.includes(w);
       }
-      if (!v) return bad('end old weights', op.model, 'no weights are named', 'refused', 'conflict');
+      if (!v)
+        return bad('end old weights', op.model, 'no weights are named', 'refused', 'conflict');
       return Right({ ...v, older: v.older.filter(stays) });
     }
-    case 'deployment': return makeDeployment(op, now, reader);
-    case 'engines': return Right(op.engines);
+    case 'deployment':
+      return makeDeployment(op, now, reader);
+    case 'engines':
+      return Right(op.engines);
     case 'duty': {
       const v = now?.value as DutyValue | undefined;
       if (v?.holder === op.holder) return Right(v);
       const at = now?.number ?? 0;
-      if (op.at !== undefined && op.basedOn !== at) return bad('take duty', op.duty, `held by ${v?.holder}`, 'refused', 'conflict');
+      if (op.at !== undefined && op.basedOn !== at)
+        return bad('take duty', op.duty, `held by ${v?.holder}`, 'refused', 'conflict');
       return Right({ holder: op.holder, at: op.at, fence: at + 1 } as DutyValue);
     }
     case 'voters': {
-      if (op.basedOn !== (now?.number ?? 0)) return bad('change voters', KEYS.voters, 'another change came first', 'refused', 'conflict');
+      if (op.basedOn !== (now?.number ?? 0))
+        return bad(
+          'change voters',
+          KEYS.voters,
+          'another change came first',
+          'refused',
+          'conflict',
+        );
       return Right(op.voters);
     }
   }
--- a/src/control/peers.ts
+++ b/src/control/peers.ts
@@ -35,7 +35,11 @@
     const keys = m.life === this.c.by ? learned.after(m.count) : undefined;
     const has: Numbered[] = [];
     for (const k of keys ?? []) has.push(cells.get(k)!.learned!);
-    return Right({ life: this.c.by, count: learned.count(), has: keys && hasList(has) } as LearnedAfter);
+    return Right({
+      life: this.c.by,
+      count: learned.count(),
+      has: keys && hasList(has),
+    } as LearnedAfter);
   }
 
   /** Gives what is committed here of some keys. */
@@ -54,7 +58,14 @@
   async who(): Handled {
     const v = this.c.voters();
     const stands = this.c.slots.cells.get(KEYS.voters)?.learned;
-    return Right({ disk: this.c.slots.disk, blank: v === undefined && !this.c.slots.spoilt, mayFound: this.c.mayFound, voters: v, stands, core: v ? allVoters(v).map(atOf) : [] });
+    return Right({
+      disk: this.c.slots.disk,
+      blank: v === undefined && !this.c.slots.spoilt,
+      mayFound: this.c.mayFound,
+      voters: v,
+      stands,
+      core: v ? allVoters(v).map(atOf) : [],
+    });
   }
 
   /** Hears where the core is, from a controller that has this one among its seeds. */
@@ -74,14 +85,19 @@
   @message('found')
   async found(v: Voters): Handled {
     const now = this.c.voters();
-    if (now) return JSON.stringify(this.c.slots.founding()) === JSON.stringify(v) ? Right(true) : bad('found', this.c.slots.disk, 'already of a fleet', 'refused', 'not-blank');
+    if (now)
+      return JSON.stringify(this.c.slots.founding()) === JSON.stringify(v)
+        ? Right(true)
+        : bad('found', this.c.slots.disk, 'already of a fleet', 'refused', 'not-blank');
     const { disk, spoilt } = this.c.slots;
     if (spoilt) return bad('found', disk, 'this disk was of a fleet', 'refused', 'not-blank');
-    if (!this.c.mayFound) return bad('found', disk, 'this start may not found', 'refused', 'not-founder');
+    if (!this.c.mayFound)
+      return bad('found', disk, 'this start may not found', 'refused', 'not-founder');
     function mine(x: Voter): boolean {
       return x.disk === disk;
     }
-    if (!v.now.some(mine)) return bad('found', disk, 'not of these founders', 'refused', 'not-founder');
+    if (!v.now.some(mine))
+      return bad('found', disk, 'not of these founders', 'refused', 'not-founder');
     const o = await this.c.slots.found(v);
     this.c.wake();
     return o;
--- a/src/control/read.ts
+++ b/src/control/read.ts
@@ -28,7 +28,10 @@
   @message('held-place')
   async heldPlace(m: { key: string }): Handled {
     const a = this.r.slots.cells.get(m.key)?.accepted;
-    return Right({ disk: this.r.slots.disk, accepted: a && { epoch: a.epoch, by: a.by, number: a.number } } as HeldPlace);
+    return Right({
+      disk: this.r.slots.disk,
+      accepted: a && { epoch: a.epoch, by: a.by, number: a.number },
+    } as HeldPlace);
   }
 
   /** Takes a key anew, as its owner, from what a majority holds: what was accepted is committed. */
@@ -40,7 +43,10 @@
 }
 
 /** Reads the places that a majority's disks hold; where a later one was accepted than is known here as committed, the owner settles it first. So what is read is never older than what was acknowledged. */
-export async function readNewest(r: ReadParts, key: string): Promise<Outcome<Numbered | undefined>> {
+export async function readNewest(
+  r: ReadParts,
+  key: string,
+): Promise<Outcome<Numbered | undefined>> {
   const v = r.voters();
   if (!v) return bad('read', key, 'not founded', 'refused', 'not-founded');
   function one(x: Voter): Promise<Outcome<HeldPlace>> {
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -5,7 +5,16 @@
 import { bad, Fault, open, Outcome } from '../shared/errors';
 import { Ports } from '../shared/ports';
 import { poll } from '../shared/poll';
-import { compareEpochs, comparePlaces, isVoter, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
+import {
+  compareEpochs,
+  comparePlaces,
+  isVoter,
+  KEYS,
+  Numbered,
+  Place,
+  Voter,
+  Voters,
+} from '../shared/words';
 import { Slots } from './slots';
 
 /** How the registers reach the other voters; `by` tells this life of this node from every other. */
@@ -51,14 +60,20 @@
 }
 
 /** What a disk knows to be accepted: what it accepted itself, or what it learned, which a majority has accepted. */
-function newestOf(c: { accepted?: Numbered; learned?: Numbered } | undefined): Numbered | undefined {
+function newestOf(
+  c: { accepted?: Numbered; learned?: Numbered } | undefined,
+): Numbered | undefined {
   if (!c?.accepted || !c.learned) return c?.accepted ?? c?.learned;
   return comparePlaces(c.learned, c.accepted) > 0 ? c.learned : c.accepted;
 }
 
 /** The part of a register that each voter's disk plays. */
 export class Acceptor {
-  constructor(private readonly slots: Slots, private readonly reach: Reach, private readonly ports: Ports) {}
+  constructor(
+    private readonly slots: Slots,
+    private readonly reach: Reach,
+    private readonly ports: Ports,
+  ) {}
 
   private laterVoters(sent: Place | undefined): Numbered | undefined {
     const mine = this.slots.cells.get(KEYS.voters)?.learned;
@@ -95,7 +110,8 @@
     if (later) return Right({ ok: false, seen, voters: later } as Promised);
     if (!this.votes()) return bad('accept', this.slots.disk, 'not a voter', 'refused', 'no-voter');
     if (compareEpochs(c, seen) < 0) return Right({ ok: false, seen } as Promised);
-    if (cell?.accepted && comparePlaces(c, cell.accepted) < 0) return Right({ ok: false, seen } as Promised);
+    if (cell?.accepted && comparePlaces(c, cell.accepted) < 0)
+      return Right({ ok: false, seen } as Promised);
     const promised = { epoch: c.epoch, by: c.by };
     const [f] = open(await this.slots.put({ key: c.key, promised, accepted: c }));
     if (f) return Left(f);
@@ -106,14 +122,18 @@
   @message('accept-delta', AcceptDeltaAsk)
   async acceptDelta(m: AcceptDeltaAsk): Handled {
     const change = readDelta(this.slots.cells.get(m.delta.key)?.learned, m.delta);
-    return change ? this.accept({ change, voters: m.voters }) : bad('accept', this.slots.disk, 'not the base here', 'refused', 'whole');
+    return change
+      ? this.accept({ change, voters: m.voters })
+      : bad('accept', this.slots.disk, 'not the base here', 'refused', 'whole');
   }
 
   /** Keeps as committed what was accepted at a place. */
   @message('learn-accepted', LearnedAsk)
   async learnAccepted(m: LearnedAsk): Handled {
     const change = this.slots.cells.get(m.place.key)?.accepted;
-    return change && comparePlaces(change, m.place) === 0 ? this.learn({ change }) : bad('learn', this.slots.disk, 'not accepted here', 'refused', 'whole');
+    return change && comparePlaces(change, m.place) === 0
+      ? this.learn({ change })
+      : bad('learn', this.slots.disk, 'not accepted here', 'refused', 'whole');
   }
 
   /** Keeps what is committed, and carries it to the followers. */
@@ -124,7 +144,11 @@
     const before = cell?.learned;
     const fresh = !cell?.learned || comparePlaces(c, cell.learned) > 0;
     const same = cell?.accepted && comparePlaces(cell.accepted, c) === 0;
-    const [f] = open(await (fresh ? this.slots.put({ key: c.key, learned: same ? true : c }) : this.slots.settled()));
+    const [f] = open(
+      await (fresh
+        ? this.slots.put({ key: c.key, learned: same ? true : c })
+        : this.slots.settled()),
+    );
     if (f) return Left(f);
     if (fresh) this.reach.learned(c, before);
     this.ports.log.info({ step: 'learn', peer: c.by }, `${c.key} ${c.epoch}.${c.number}`);
@@ -140,7 +164,11 @@
 /** The owner's side: one turn at a time for each key. */
 export interface Owner {
   /** Makes a change; where another owner came between, it is made anew up to `tries` times if it certainly did not stand. */
-  change(key: string, make: (now: Numbered | undefined) => Outcome<unknown>, tries?: number): Promise<Outcome<Numbered>>;
+  change(
+    key: string,
+    make: (now: Numbered | undefined) => Outcome<unknown>,
+    tries?: number,
+  ): Promise<Outcome<Numbered>>;
   own(key: string): Promise<Outcome<Numbered | undefined>>;
   owns(key: string): boolean;
   owned(): string[];
@@ -176,26 +204,43 @@
 
   function note(key: string, got: Promised[]): void {
     for (const p of got) {
-      if (p.voters && comparePlaces(p.voters, votersPlace() ?? { epoch: 0, by: '', number: 0 }) > 0) void slots.put({ key: KEYS.voters, learned: p.voters });
+      if (p.voters && comparePlaces(p.voters, votersPlace() ?? { epoch: 0, by: '', number: 0 }) > 0)
+        void slots.put({ key: KEYS.voters, learned: p.voters });
       highest.set(key, Math.max(highest.get(key) ?? 0, p.seen.epoch));
     }
   }
 
   /** Asks a voter in short, and whole where it can't go by that. */
-  async function askShort(v: Voter, type: string, short: object | undefined, wholeType: string, whole: object): Promise<Outcome<unknown>> {
+  async function askShort(
+    v: Voter,
+    type: string,
+    short: object | undefined,
+    wholeType: string,
+    whole: object,
+  ): Promise<Outcome<unknown>> {
     if (!short) return reach.ask(v, wholeType, whole, reach.within);
     const o = await reach.ask(v, type, short, reach.within);
     const [f] = open(o);
-    return f?.code === 'whole' || f?.code === 'not-known' ? reach.ask(v, wholeType, whole, reach.within) : o;
+    return f?.code === 'whole' || f?.code === 'not-known'
+      ? reach.ask(v, wholeType, whole, reach.within)
+      : o;
   }
 
-  async function ask(key: string, type: string, body: object, delta?: Delta): Promise<Outcome<Promised[]>> {
+  async function ask(
+    key: string,
+    type: string,
+    body: object,
+    delta?: Delta,
+  ): Promise<Outcome<Promised[]>> {
     const voters = reach.voters();
     if (!voters) return bad(type, reach.by, 'not founded', 'refused', 'not-founded');
     const seen: Promised[] = [];
     async function one(v: Voter): Promise<Outcome<Promised>> {
       const more = { voters: placeOnly(votersPlace()) };
-      const r = (await askShort(v, 'accept-delta', delta && { delta, ...more }, type, { ...body, ...more })) as Outcome<Promised>;
+      const r = (await askShort(v, 'accept-delta', delta && { delta, ...more }, type, {
+        ...body,
+        ...more,
+      })) as Outcome<Promised>;
       const [, p] = open(r);
       if (p) seen.push(p);
       return r;
@@ -211,7 +256,8 @@
     const [f, got] = open(await ask(key, 'prepare', { key, epoch, by: reach.by }));
     if (f) return again && (highest.get(key) ?? 0) >= epoch ? acquire(key, false) : Left(f);
     let best: Numbered | undefined;
-    for (const p of got) if (p.accepted && (!best || comparePlaces(p.accepted, best) > 0)) best = p.accepted;
+    for (const p of got)
+      if (p.accepted && (!best || comparePlaces(p.accepted, best) > 0)) best = p.accepted;
     const mine: Owned = { epoch };
     if (best) {
       const [g, c] = open(await commit(key, mine, best.number, best.value));
@@ -222,9 +268,16 @@
     return Right(mine);
   }
 
-  async function commit(key: string, o: Owned, number: number, value: unknown): Promise<Outcome<Numbered>> {
+  async function commit(
+    key: string,
+    o: Owned,
+    number: number,
+    value: unknown,
+  ): Promise<Outcome<Numbered>> {
     const change: Numbered = { key, epoch: o.epoch, by: reach.by, number, value };
-    const [f] = open(await ask(key, 'accept', { change }, makeDelta(slots.cells.get(key)?.learned, change)));
+    const [f] = open(
+      await ask(key, 'accept', { change }, makeDelta(slots.cells.get(key)?.learned, change)),
+    );
     if (f) {
       owned.delete(key);
       return Left({ ...f, step: `accept ${key}`, sort: 'unknown' });
@@ -233,7 +286,9 @@
     void reach.learnHere(change);
     const [g] = open(await poll(voters, learn));
     function learn(v: Voter): Promise<Outcome<unknown>> {
-      return askShort(v, 'learn-accepted', { place: { key, ...placeOnly(change) } }, 'learn', { change });
+      return askShort(v, 'learn-accepted', { place: { key, ...placeOnly(change) } }, 'learn', {
+        change,
+      });
     }
     if (g) {
       owned.delete(key);
@@ -250,7 +305,11 @@
     return Right(v);
   }
 
-  function change(key: string, make: (now: Numbered | undefined) => Outcome<unknown>, tries = 1): Promise<Outcome<Numbered>> {
+  function change(
+    key: string,
+    make: (now: Numbered | undefined) => Outcome<unknown>,
+    tries = 1,
+  ): Promise<Outcome<Numbered>> {
     async function once(left: number): Promise<Outcome<Numbered>> {
       const stood = owned.has(key);
       const [f, o] = open(await ensure(key));
@@ -268,7 +327,8 @@
       const [i, again] = open(await ensure(key));
       if (i) return Left(h);
       const stands = again.current;
-      if (stands && stands.number === number && isDeepStrictEqual(stands.value, value)) return Right(stands);
+      if (stands && stands.number === number && isDeepStrictEqual(stands.value, value))
+        return Right(stands);
       return (stands?.number ?? 0) < number ? once(left - 1) : Left(h);
     }
     /** What conflicts with the value that an owner holds may fit the one that stands: another may own the key by now, which no refusal would show. */
--- a/src/control/rollout.ts
+++ b/src/control/rollout.ts
@@ -28,7 +28,11 @@
 }
 
 /** Brings all engines of each model to its named weights: a few at a time, each ordered once, under the fence of one duty for the whole fleet. */
-export async function rollOut(c: Controller, ports: Ports, speak: Pick<Dialect['engines'], 'order' | 'report'>): Promise<void> {
+export async function rollOut(
+  c: Controller,
+  ports: Ports,
+  speak: Pick<Dialect['engines'], 'order' | 'report'>,
+): Promise<void> {
   const { clock, wire, log } = ports;
   const { bounds } = c;
   const term = holdTerm(c, ports, 'weights');
@@ -55,7 +59,8 @@
     }
     waiting = any ? (waiting ?? clock.now()) : undefined;
     if (waiting === undefined || (next.length === 0 && term.lasts())) continue;
-    if ((await term.fence(clock.now() - waiting)) !== undefined) for (const t of next) void bring(t);
+    if ((await term.fence(clock.now() - waiting)) !== undefined)
+      for (const t of next) void bring(t);
   }
 
   /** Notes since when this node has taken its turns and seen a majority: what it hears meanwhile, it hears as it is made. */
@@ -72,7 +77,11 @@
       const v = key.startsWith(KEYS.weights) ? c.value<NamedWeights>(key)?.value : undefined;
       if (!v) continue;
       const s = since.get(v.model);
-      if (s?.weights !== v.weights) since.set(v.model, { weights: v.weights, at: clock.now() - (clock.now() - inTouchSince > bounds.lease ? 0 : bounds.rollOut * 0.5) });
+      if (s?.weights !== v.weights)
+        since.set(v.model, {
+          weights: v.weights,
+          at: clock.now() - (clock.now() - inTouchSince > bounds.lease ? 0 : bounds.rollOut * 0.5),
+        });
       out.push(v);
     }
     return out;
@@ -81,19 +90,26 @@
   /** Ends the older weights of a model once none of its engines has them, or they are long over at every router. */
   async function endOlder(named: NamedWeights): Promise<void> {
     const s = since.get(named.model)!;
-    if (named.older.length === 0 || !c.owner.owns(KEYS.weights + named.model) || clock.now() - s.at < bounds.weightsStop) return;
+    if (
+      named.older.length === 0 ||
+      !c.owner.owns(KEYS.weights + named.model) ||
+      clock.now() - s.at < bounds.weightsStop
+    )
+      return;
     s.at = clock.now();
     await c.change({ kind: 'weights-end', model: named.model, ended: named.older });
   }
 
   function enginesOf(model: string): Engine[] {
     const out: Engine[] = [];
-    for (const e of c.value<Engine[]>(KEYS.engines)?.value ?? []) if (!e.leaving && listedWeights(e, model) !== undefined) out.push(e);
+    for (const e of c.value<Engine[]>(KEYS.engines)?.value ?? [])
+      if (!e.leaving && listedWeights(e, model) !== undefined) out.push(e);
     return out;
   }
 
   function listedWeights(e: Engine, model: string): string | undefined {
-    for (const m of e.models ?? [{ name: e.model, weights: e.weights }]) if (m.name === model) return m.weights;
+    for (const m of e.models ?? [{ name: e.model, weights: e.weights }])
+      if (m.name === model) return m.weights;
     return undefined;
   }
 
@@ -106,7 +122,8 @@
 
   function lacking(named: NamedWeights): Task[] {
     const out: Task[] = [];
-    for (const engine of enginesOf(named.model)) if (lacks(weightsOf(engine, named), named)) out.push({ engine, model: named.model, named });
+    for (const engine of enginesOf(named.model))
+      if (lacks(weightsOf(engine, named), named)) out.push({ engine, model: named.model, named });
     return out;
   }
 
@@ -147,18 +164,24 @@
     }
     c.leases.tell('loading', { engines: [engine.id], within: 0 });
     const tries = (notBefore.get(engine.id)?.tries ?? 0) + 1;
-    notBefore.set(engine.id, { tries, at: clock.now() + bounds.reportAge * Math.min(8, 2 ** (tries - 1)) });
+    notBefore.set(engine.id, {
+      tries,
+      at: clock.now() + bounds.reportAge * Math.min(8, 2 ** (tries - 1)),
+    });
   }
 
   async function orderAndLook(t: Task): Promise<boolean> {
     let sent = await order(t, undefined);
     let silent = 0;
     while (sent !== 'holds' && sent !== 'not taken') {
-      await clock.sleep(Math.max(bounds.termFresh * 0.6, clock.now() - sent.at < usual * 0.5 ? usual * 0.5 : 0));
+      await clock.sleep(
+        Math.max(bounds.termFresh * 0.6, clock.now() - sent.at < usual * 0.5 ? usual * 0.5 : 0),
+      );
       const r = await report(t);
       if (r === undefined) silent++;
       else silent = 0;
-      if (silent >= MOST_SILENT || clock.now() - sent.at > bounds.loadMost || !isListed(t)) return false;
+      if (silent >= MOST_SILENT || clock.now() - sent.at > bounds.loadMost || !isListed(t))
+        return false;
       if (r === undefined) continue;
       if (has(r, t)) return true;
       if (r.busy || clock.now() - sent.at < bounds.reportAge * 2) continue;
@@ -169,15 +192,29 @@
   }
 
   /** Gives the order, under a fence that a majority confirmed just now; what got no clear answer may have been taken. */
-  async function order(t: Task, expected: number | undefined): Promise<Sent | 'holds' | 'not taken'> {
+  async function order(
+    t: Task,
+    expected: number | undefined,
+  ): Promise<Sent | 'holds' | 'not taken'> {
     const fence = await term.fence(0);
     if (fence === undefined || !term.fresh()) return 'not taken';
     const { engine, model, named } = t;
-    const q = speak.order.ask({ instance: engine.id, model, weights: named.weights, method: 'queue', holder: c.by, fence, expected });
+    const q = speak.order.ask({
+      instance: engine.id,
+      model,
+      weights: named.weights,
+      method: 'queue',
+      holder: c.by,
+      fence,
+      expected,
+    });
     const at = clock.now();
     const [f, r] = open(await askWorded(wire, engine.at, q, bounds.order));
     const answer: OrderAnswer = f ? 'unknown' : speak.order.read(r.status, r.body);
-    log.info({ step: 'order weights', peer: engine.at }, `${engine.id} ${model} ${named.weights}: ${f ? f.why : answer}`);
+    log.info(
+      { step: 'order weights', peer: engine.at },
+      `${engine.id} ${model} ${named.weights}: ${f ? f.why : answer}`,
+    );
     if (f?.sort === 'refused') return 'not taken';
     if (answer === 'holds') return 'holds';
     if (answer === 'taken' || answer === 'busy') return { at, sure: true };
--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -20,14 +20,20 @@
   private readonly asked = new Map<string, Voter & { since: number; last: number }>();
   private readonly left = new Map<string, number>();
 
-  constructor(private readonly ports: Ports, private readonly bounds: Bounds, private readonly voters: () => Voters | undefined, private readonly told: () => void) {}
+  constructor(
+    private readonly ports: Ports,
+    private readonly bounds: Bounds,
+    private readonly voters: () => Voters | undefined,
+    private readonly told: () => void,
+  ) {}
 
   /** Hears from a quorum member that does not vote. */
   @message('join', JoinAsk)
   async join(m: JoinAsk): Handled {
     const now = this.ports.clock.now();
     const before = this.asked.get(m.at);
-    const fresh = before === undefined || before.disk !== m.disk || before.last + this.bounds.lost < now;
+    const fresh =
+      before === undefined || before.disk !== m.disk || before.last + this.bounds.lost < now;
     this.asked.set(m.at, { disk: m.disk, at: m.at, since: fresh ? now : before.since, last: now });
     if (fresh) this.told();
     return Right(true);
@@ -46,7 +52,8 @@
   joiners(): Voter[] {
     const now = this.ports.clock.now();
     const out: (Voter & { since: number })[] = [];
-    for (const x of this.asked.values()) if (x.last + this.bounds.lost > now && !isVoter(this.voters(), x.disk)) out.push(x);
+    for (const x of this.asked.values())
+      if (x.last + this.bounds.lost > now && !isVoter(this.voters(), x.disk)) out.push(x);
     return out.sort(bySince).map(plain);
   }
 
@@ -67,7 +74,12 @@
 }
 
 /** The voter set that should stand next, or nothing where the one that stands is right: a machine with another disk takes its own place at once; others take the places of those that are lost or leave; up to `target`, in odd numbers. */
-export function nextSet(now: readonly Voter[], joiners: readonly Voter[], standing: (v: Voter) => Standing, target: number): Voter[] | undefined {
+export function nextSet(
+  now: readonly Voter[],
+  joiners: readonly Voter[],
+  standing: (v: Voter) => Standing,
+  target: number,
+): Voter[] | undefined {
   const spare = [...joiners];
   let changed = false;
   function take(test: (x: Voter) => boolean): Voter | undefined {
@@ -124,7 +136,8 @@
     const v = c.voters();
     const self: Voter = { disk: c.slots.disk, at: c.settings.wire };
     const wants = c.settings.quorumMember && c.slots.fit() && !c.isLeaving(self);
-    if (wants && v && !isVoter(v, self.disk)) for (const x of allVoters(v)) void c.askVoter(x, 'join', self, c.bounds.ask);
+    if (wants && v && !isVoter(v, self.disk))
+      for (const x of allVoters(v)) void c.askVoter(x, 'join', self, c.bounds.ask);
     await waker.wait(c.bounds.renew * (0.8 + 0.4 * ports.dice.next()), c.bounds.pause * 0.1);
   }
 }
@@ -151,9 +164,13 @@
       if (fresh.some(isOver)) await returnVoters(c, stood);
       continue;
     }
-    const set = next ?? nextSet(now, c.roster.joiners().filter(isUp), standing, c.settings.tolerated * 2 + 1);
+    const set =
+      next ?? nextSet(now, c.roster.joiners().filter(isUp), standing, c.settings.tolerated * 2 + 1);
     if (!set || !(await othersAgree(now, set))) continue;
-    ports.log.warn({ step: 'follow machines', peer: c.name }, `voters ${now.map(atOf).join(' ')} become ${set.map(atOf).join(' ')}`);
+    ports.log.warn(
+      { step: 'follow machines', peer: c.name },
+      `voters ${now.map(atOf).join(' ')} become ${set.map(atOf).join(' ')}`,
+    );
     const [g] = open(await moveVoters(c, ports, set));
     if (g) ports.log.warn({ step: g.step, peer: g.peer }, g.why);
     else waker.wake();
--- a/src/control/slots.ts
+++ b/src/control/slots.ts
@@ -64,7 +64,9 @@
 }
 
 function applyLog(w: Whole, cells: Map<string, Cell>, log: Unframed): void {
-  for (const batch of (log.old ? [log.values] : log.values.slice(1)) as (Line & { founding?: unknown })[][]) {
+  for (const batch of (log.old ? [log.values] : log.values.slice(1)) as (Line & {
+    founding?: unknown;
+  })[][]) {
     for (const l of batch) {
       if (l.founding !== undefined) w.founding = l.founding;
       else applyLine(cells, l);
@@ -77,7 +79,13 @@
   const wholes = slots.map(wholeOf);
   const i = (wholes[0]?.gen ?? 0) > (wholes[1]?.gen ?? 0) ? 0 : 1;
   const best = wholes[i];
-  if (!best) return slots[0].torn || slots[0].spoilt || logs[0].values.length > 1 || logs[1].values.length > 1 ? { whole: { gen: 0, disk: '', cells: [] }, spoilt: true } : undefined;
+  if (!best)
+    return slots[0].torn ||
+      slots[0].spoilt ||
+      logs[0].values.length > 1 ||
+      logs[1].values.length > 1
+      ? { whole: { gen: 0, disk: '', cells: [] }, spoilt: true }
+      : undefined;
   const log = logs[i];
   const next = logs[1 - i];
   const cells = new Map(best.cells);
@@ -97,7 +105,11 @@
 }
 
 /** Opens the two slots and the logs between; torn tails are cut, and a disk whose synced data or votes are gone counts as a new one. */
-export async function openSlots(ports: Ports, mostLog: number, kept?: { disk: string; spoilt: boolean; old?: boolean }): Promise<Outcome<Slots>> {
+export async function openSlots(
+  ports: Ports,
+  mostLog: number,
+  kept?: { disk: string; spoilt: boolean; old?: boolean },
+): Promise<Outcome<Slots>> {
   const files: Unframed[] = [];
   for (const name of ['slot-0', 'slot-1', 'log-0', 'log-1']) {
     const [f, bytes] = open(await ports.disk.read(name));
@@ -106,11 +118,16 @@
   }
   const read = readWhole(files.slice(0, 2), files.slice(2));
   let state: Whole = read?.whole ?? { gen: 0, disk: ports.dice.id(), cells: [] };
-  const votesGone = kept !== undefined && (kept.spoilt || (!kept.old && kept.disk !== state.disk && state.cells.length > 0));
+  const votesGone =
+    kept !== undefined &&
+    (kept.spoilt || (!kept.old && kept.disk !== state.disk && state.cells.length > 0));
   if (read?.spoilt || votesGone) {
     const was = state.disk;
     state = { ...state, disk: ports.dice.id(), spoilt: true };
-    ports.log.error({ step: 'open slots', peer: 'disk' }, `synced data of disk ${was} is gone; this node counts as a new disk ${state.disk} and does not vote until it is named in the place of the old one`);
+    ports.log.error(
+      { step: 'open slots', peer: 'disk' },
+      `synced data of disk ${was} is gone; this node counts as a new disk ${state.disk} and does not vote until it is named in the place of the old one`,
+    );
   }
   const cells = new Map<string, Cell>(state.cells);
   const learned = makeJournal();
@@ -119,7 +136,13 @@
 
   async function turn(): Promise<Outcome<void>> {
     const gen = state.gen + 1;
-    const next: Whole = { gen, disk: state.disk, founding: state.founding, spoilt: state.spoilt, cells: [...cells] };
+    const next: Whole = {
+      gen,
+      disk: state.disk,
+      founding: state.founding,
+      spoilt: state.spoilt,
+      cells: [...cells],
+    };
     const [f] = open(await ports.disk.write(`log-${gen % 2}`, frame({ gen })));
     if (f) return Left(f);
     const [g] = open(await ports.disk.write(`slot-${gen % 2}`, frame(next)));
@@ -134,7 +157,10 @@
   const first = await turn();
   if (first.isLeft()) {
     torn = true;
-    ports.log.error({ step: 'open slots', peer: 'disk' }, 'the disk takes no writes; this node does not vote');
+    ports.log.error(
+      { step: 'open slots', peer: 'disk' },
+      'the disk takes no writes; this node does not vote',
+    );
   }
 
   async function writeBatch(lines: unknown[]): Promise<Outcome<void>> {
@@ -182,5 +208,15 @@
     return !torn;
   }
 
-  return Right({ disk: state.disk, cells, learned, founding, found, put, settled: group.settled, fit, spoilt: state.spoilt === true });
+  return Right({
+    disk: state.disk,
+    cells,
+    learned,
+    founding,
+    found,
+    put,
+    settled: group.settled,
+    fit,
+    spoilt: state.spoilt === true,
+  });
 }
--- a/src/control/term.ts
+++ b/src/control/term.ts
@@ -65,7 +65,15 @@
     const mine = v?.holder === c.by;
     if (!mine && !isNext(v, waitedMs)) return undefined;
     const sent = clock.now();
-    const [f, r] = open(await c.change({ kind: 'duty', duty, holder: c.by, at: c.settings.wire, basedOn: mine ? undefined : seen.number }));
+    const [f, r] = open(
+      await c.change({
+        kind: 'duty',
+        duty,
+        holder: c.by,
+        at: c.settings.wire,
+        basedOn: mine ? undefined : seen.number,
+      }),
+    );
     if (f) {
       ports.log.info({ step: f.step, peer: f.peer }, f.why);
       return undefined;
--- a/src/control/voters.ts
+++ b/src/control/voters.ts
@@ -18,9 +18,15 @@
 }
 
 /** Replaces a lost core machine by an empty one, through a joint set; safe to repeat until it says that it is done. */
-export async function replaceVoter(c: Controller, ports: Ports, out: string, into: string): Promise<Outcome<Voters>> {
+export async function replaceVoter(
+  c: Controller,
+  ports: Ports,
+  out: string,
+  into: string,
+): Promise<Outcome<Voters>> {
   const stood = c.value<Voters>(KEYS.voters);
-  if (!stood) return bad('replace voter', c.name, 'the fleet is not founded', 'refused', 'not-founded');
+  if (!stood)
+    return bad('replace voter', c.name, 'the fleet is not founded', 'refused', 'not-founded');
   const v = stood.value;
   const [f, w] = open(await askOnce(ports, c.hello, [], into, 'who', {}, c.bounds.ask));
   if (f) return Left({ ...f, sort: 'refused' } as Fault);
@@ -36,23 +42,41 @@
   }
   if (!v.next && v.now.some(isNew) && !v.now.some(isOut)) return Right(v);
   if (!v.now.some(isOut)) return bad('replace voter', out, 'is no voter', 'refused', 'no-voter');
-  if (v.now.some(isNew)) return bad('replace voter', into, 'is a voter already', 'refused', 'conflict');
+  if (v.now.some(isNew))
+    return bad('replace voter', into, 'is a voter already', 'refused', 'conflict');
   return moveVoters(c, ports, [...v.now.filter(stays), { disk, at: into }]);
 }
 
 /** Brings the fleet to another voter set through a joint one; safe to repeat, and to be gone on with by another controller. */
-export async function moveVoters(c: Controller, ports: Ports, next: Voter[]): Promise<Outcome<Voters>> {
+export async function moveVoters(
+  c: Controller,
+  ports: Ports,
+  next: Voter[],
+): Promise<Outcome<Voters>> {
   const stood = c.value<Voters>(KEYS.voters);
-  if (!stood) return bad('move voters', c.name, 'the fleet is not founded', 'refused', 'not-founded');
+  if (!stood)
+    return bad('move voters', c.name, 'the fleet is not founded', 'refused', 'not-founded');
   const v = stood.value;
-  if (v.next && !sameSet(v.next, next)) return bad('move voters', c.name, 'another change of the voters is under way', 'refused', 'conflict');
+  if (v.next && !sameSet(v.next, next))
+    return bad(
+      'move voters',
+      c.name,
+      'another change of the voters is under way',
+      'refused',
+      'conflict',
+    );
   if (v.next) return settleVoters(c, ports, stood.place);
-  const [g, r] = open(await c.change({ kind: 'voters', voters: { now: v.now, next }, basedOn: stood.place.number }));
+  const [g, r] = open(
+    await c.change({ kind: 'voters', voters: { now: v.now, next }, basedOn: stood.place.number }),
+  );
   return g ? Left(g) : settleVoters(c, ports, r.place);
 }
 
 /** Ends a joint set by going back to the one that stood before; all that was committed meanwhile has its majority, too. */
-export async function returnVoters(c: Controller, stood: { place: Place; value: Voters }): Promise<Outcome<Voters>> {
+export async function returnVoters(
+  c: Controller,
+  stood: { place: Place; value: Voters },
+): Promise<Outcome<Voters>> {
   return endJoint(c, stood.place.number, stood.value.now);
 }
 
@@ -86,19 +110,37 @@
   return i ? Left(i) : endJoint(c, place.number, next);
 }
 
-async function knownHere(c: Controller, ports: Ports, place: Place): Promise<Outcome<{ now: Voter[]; next: Voter[] }>> {
+async function knownHere(
+  c: Controller,
+  ports: Ports,
+  place: Place,
+): Promise<Outcome<{ now: Voter[]; next: Voter[] }>> {
   for (let i = 0; (c.value(KEYS.voters)?.place.number ?? 0) < place.number; i++) {
-    if (i > 20) return bad('move voters', c.name, 'the joint set is not known here yet', 'unknown', 'pending');
+    if (i > 20)
+      return bad(
+        'move voters',
+        c.name,
+        'the joint set is not known here yet',
+        'unknown',
+        'pending',
+      );
     await ports.clock.sleep(c.bounds.renew * 0.1 * (i + 1));
   }
   const known = c.value<Voters>(KEYS.voters)!;
-  if (known.place.number !== place.number || !known.value.next) return bad('move voters', c.name, 'another change came first', 'refused', 'conflict');
+  if (known.place.number !== place.number || !known.value.next)
+    return bad('move voters', c.name, 'another change came first', 'refused', 'conflict');
   return Right({ now: known.value.now, next: known.value.next });
 }
 
 /** Comes back when no router goes by the old set alone. */
 function inEffectAt(c: Controller, joint: Voters, place: Place): Promise<Outcome<unknown[]>> {
-  const body = { key: KEYS.voters, epoch: place.epoch, by: place.by, number: place.number, within: c.bounds.effect };
+  const body = {
+    key: KEYS.voters,
+    epoch: place.epoch,
+    by: place.by,
+    number: place.number,
+    within: c.bounds.effect,
+  };
   function one(v: Voter): Promise<Outcome<unknown>> {
     return c.askVoter(v, 'effect', body, c.bounds.effect * 1.1);
   }
@@ -113,7 +155,13 @@
 /** What a majority of the old set holds; each first learns the joint set, so that it takes nothing more from an owner that goes by the old one. */
 async function gather(c: Controller, now: Voter[], place: Place): Promise<Outcome<Held>> {
   const held: Held = { votes: new Map(), keys: new Set() };
-  const change: Numbered = { key: KEYS.voters, epoch: place.epoch, by: place.by, number: place.number, value: c.value(KEYS.voters)!.value };
+  const change: Numbered = {
+    key: KEYS.voters,
+    epoch: place.epoch,
+    by: place.by,
+    number: place.number,
+    value: c.value(KEYS.voters)!.value,
+  };
   async function pile(v: Voter, begins: string): Promise<Outcome<{ disk: string }>> {
     const [f, r] = open(await c.askVoter(v, 'held', { begins, some: true }, c.bounds.ask));
     if (f) return Left(f);
@@ -138,9 +186,14 @@
   }
 }
 
-async function copyVotes(c: Controller, into: Voter, votes: Held['votes']): Promise<Outcome<unknown>> {
+async function copyVotes(
+  c: Controller,
+  into: Voter,
+  votes: Held['votes'],
+): Promise<Outcome<unknown>> {
   const byPile = new Map<string, Vote[]>();
-  for (const x of votes.values()) byPile.set(x.key.slice(0, 2), [...(byPile.get(x.key.slice(0, 2)) ?? []), x]);
+  for (const x of votes.values())
+    byPile.set(x.key.slice(0, 2), [...(byPile.get(x.key.slice(0, 2)) ?? []), x]);
   for (const pile of byPile.values()) {
     const [f] = open(await c.askVoter(into, 'copy', pile, c.bounds.effect));
     if (f) return Left(f);
--- a/src/control/votes.ts
+++ b/src/control/votes.ts
@@ -71,7 +71,12 @@
     const u = unframe(bytes);
     spoilt ||= u.spoilt;
     const head = u.values[0] as { gen: number; disk: string } | undefined;
-    if (head) found.push({ i, ...head, batches: (u.old ? [u.values.slice(1)] : u.values.slice(1)) as VoteLine[][] });
+    if (head)
+      found.push({
+        i,
+        ...head,
+        batches: (u.old ? [u.values.slice(1)] : u.values.slice(1)) as VoteLine[][],
+      });
   }
   found.sort(byGen);
   const votes = new Map<string, Vote>();
@@ -83,7 +88,14 @@
   }
   const last = found[found.length - 1];
   spoilt ||= found.length > 1 && last.gen - found[0].gen !== found.length - 1;
-  return Right({ votes: [...votes.values()], file: last?.i ?? 0, gen: last?.gen ?? 0, disk: last?.disk ?? '', spoilt, old: last !== undefined && last.disk === undefined });
+  return Right({
+    votes: [...votes.values()],
+    file: last?.i ?? 0,
+    gen: last?.gen ?? 0,
+    disk: last?.disk ?? '',
+    spoilt,
+    old: last !== undefined && last.disk === undefined,
+  });
 }
 
 /** First-come votes for idempotency keys, synced before they are told; three files written in turn. */
@@ -96,7 +108,12 @@
   private torn = false;
   private readonly group: Group<object>;
 
-  constructor(private readonly slots: Slots, private readonly ports: Ports, private readonly voters: () => Voters | undefined, private readonly keep: number) {
+  constructor(
+    private readonly slots: Slots,
+    private readonly ports: Ports,
+    private readonly voters: () => Voters | undefined,
+    private readonly keep: number,
+  ) {
     this.turnedAt = ports.clock.now();
     this.group = makeGroup(this.writeBatch.bind(this), this.isTorn.bind(this));
   }
@@ -107,7 +124,8 @@
 
   /** Takes what this disk had kept and starts a new file, so that a torn tail is never written on. */
   async begin(kept: KeptVotes): Promise<void> {
-    if (kept.old || kept.disk === this.slots.disk) for (const vote of kept.votes) this.now.set(vote.key, vote);
+    if (kept.old || kept.disk === this.slots.disk)
+      for (const vote of kept.votes) this.now.set(vote.key, vote);
     this.file = kept.file;
     this.gen = kept.gen;
     this.torn = (await this.turn(this.now)).isLeft();
@@ -115,7 +133,15 @@
 
   private async turn(carried: Map<string, Vote>): Promise<Outcome<void>> {
     const to = (this.file + 1) % FILES.length;
-    const [f] = open(await this.ports.disk.write(`votes-${to}`, Buffer.concat([frame({ gen: this.gen + 1, disk: this.slots.disk }), frame([...carried.values()].map(asLine))])));
+    const [f] = open(
+      await this.ports.disk.write(
+        `votes-${to}`,
+        Buffer.concat([
+          frame({ gen: this.gen + 1, disk: this.slots.disk }),
+          frame([...carried.values()].map(asLine)),
+        ]),
+      ),
+    );
     if (f) return bad(f.step, f.peer, f.why, f.sort, f.code);
     this.file = to;
     this.gen++;
@@ -151,7 +177,8 @@
   /** Gives this disk's vote to the first run that asks; later ones are told which run has it. */
   @message('vote', VoteAsk)
   async vote(m: VoteAsk): Handled {
-    if (!isVoter(this.voters(), this.slots.disk)) return bad('vote', this.slots.disk, 'not a voter', 'refused', 'no-voter');
+    if (!isVoter(this.voters(), this.slots.disk))
+      return bad('vote', this.slots.disk, 'not a voter', 'refused', 'no-voter');
     const have = this.find(m.key);
     const vote: Vote = have ?? { key: m.key, run: m.run, state: 'running' };
     if (!have) this.now.set(m.key, vote);
@@ -177,16 +204,23 @@
 
   private async told(line: object): Handled {
     const [f] = open(await this.group.add(line));
-    return f ? bad('note run', this.slots.disk, f.why, 'failed', f.code) : Right({ disk: this.slots.disk });
+    return f
+      ? bad('note run', this.slots.disk, f.why, 'failed', f.code)
+      : Right({ disk: this.slots.disk });
   }
 
   /** Gives a pile of what a disk that is to become a voter must hold: the votes whose key begins so, and the names of the control keys; an asker who wants some only is told where there are more. */
   @message('held', HeldAsk)
   async held(m: HeldAsk): Handled {
     const votes: Vote[] = [];
-    for (const kept of [this.before, this.now]) for (const v of kept.values()) if (v.key.startsWith(m.begins)) votes.push(v);
+    for (const kept of [this.before, this.now])
+      for (const v of kept.values()) if (v.key.startsWith(m.begins)) votes.push(v);
     const keys = [...this.slots.cells.keys()];
-    return Right(m.some && votes.length > PILE ? { disk: this.slots.disk, votes: [], keys, more: true } : { disk: this.slots.disk, votes, keys });
+    return Right(
+      m.some && votes.length > PILE
+        ? { disk: this.slots.disk, votes: [], keys, more: true }
+        : { disk: this.slots.disk, votes, keys },
+    );
   }
 
   /** Takes votes that the old set had given; those that stand here stay. */
--- a/src/data/api.ts
+++ b/src/data/api.ts
@@ -1,4 +1,12 @@
-import { EngineLine, generate, GenerateAsk, Generating, Part, splitParts, tokenise } from '../shared/contracts/engine';
+import {
+  EngineLine,
+  generate,
+  GenerateAsk,
+  Generating,
+  Part,
+  splitParts,
+  tokenise,
+} from '../shared/contracts/engine';
 import { field, giveFault, giveJson, handles, readAs, takeJson } from '../shared/edge';
 import { Fault, open } from '../shared/errors';
 import { wholeHash } from '../shared/lib';
@@ -59,10 +67,12 @@
     const { r } = this;
     const again = r.bounds.pause * 5;
     if (r.draining()) return this.refuse(call, 503, 'draining', 'this router is leaving', again);
-    if (!r.follower.live()) return this.refuse(call, 503, 'no-claim', 'this router holds no claim at the core', again);
+    if (!r.follower.live())
+      return this.refuse(call, 503, 'no-claim', 'this router holds no claim at the core', again);
     const bearer = /^Bearer (.+)$/.exec(call.headers.authorization ?? '')?.[1];
     const tenant = bearer === undefined ? undefined : r.tenantOf(wholeHash(bearer));
-    if (tenant === undefined) return this.refuse(call, 401, 'bad-key', 'the tenant key is not known');
+    if (tenant === undefined)
+      return this.refuse(call, 401, 'bad-key', 'the tenant key is not known');
     const body = await takeJson(call, r.settings.bodyMostBytes);
     if (body === undefined) {
       r.counts.refused++;
@@ -71,21 +81,39 @@
     const [f, a] = open(readAs(CallerAsk, body, 'generate', call.peer));
     if (f) return this.refuse(call, 400, f.code!, f.why);
     const service = r.serviceOf(tenant, a.service, a.label);
-    if (service === 'missing') return this.refuse(call, 404, 'no-service', 'no service or rule matches');
-    if (service === 'foreign') return this.refuse(call, 403, 'foreign-service', 'the service is another tenant\'s');
+    if (service === 'missing')
+      return this.refuse(call, 404, 'no-service', 'no service or rule matches');
+    if (service === 'foreign')
+      return this.refuse(call, 403, 'foreign-service', "the service is another tenant's");
     const salt = r.saltOf(tenant);
-    if (salt === undefined) return this.refuse(call, 403, 'no-tenant', 'the tenant is not of the intents');
-    if ((a.prompt === undefined) === (a.tokens === undefined)) return this.refuse(call, 400, 'bad-prompt', 'either prompt or tokens is needed');
-    if (a.tokens && !a.tokens.every(isToken)) return this.refuse(call, 400, 'bad-prompt', 'tokens must be whole numbers from 0');
+    if (salt === undefined)
+      return this.refuse(call, 403, 'no-tenant', 'the tenant is not of the intents');
+    if ((a.prompt === undefined) === (a.tokens === undefined))
+      return this.refuse(call, 400, 'bad-prompt', 'either prompt or tokens is needed');
+    if (a.tokens && !a.tokens.every(isToken))
+      return this.refuse(call, 400, 'bad-prompt', 'tokens must be whole numbers from 0');
     const parts = splitParts(service.model, a.tokens ?? tokenise(a.prompt!));
     if (parts.length === 0) return this.refuse(call, 400, 'bad-prompt', 'the prompt is empty');
-    if ((a.deadlineMs ?? 1) <= 0 || (a.maxTokens ?? 1) <= 0) return this.refuse(call, 400, 'bad-bounds', 'deadlineMs and maxTokens must be above 0');
+    if ((a.deadlineMs ?? 1) <= 0 || (a.maxTokens ?? 1) <= 0)
+      return this.refuse(call, 400, 'bad-bounds', 'deadlineMs and maxTokens must be above 0');
     const key = call.headers['idempotency-key'];
-    if (!service.mayRepeat && !key) return this.refuse(call, 400, 'no-idempotency-key', 'this service needs an Idempotency-Key');
-    if (key !== undefined && key.length > 128) return this.refuse(call, 400, 'no-idempotency-key', 'an Idempotency-Key has 128 characters at the most');
+    if (!service.mayRepeat && !key)
+      return this.refuse(call, 400, 'no-idempotency-key', 'this service needs an Idempotency-Key');
+    if (key !== undefined && key.length > 128)
+      return this.refuse(
+        call,
+        400,
+        'no-idempotency-key',
+        'an Idempotency-Key has 128 characters at the most',
+      );
     return {
-      tenant, salt, service, parts, maxTokens: Math.min(a.maxTokens ?? service.maxTokens, service.maxTokens),
-      since: r.ports.clock.now(), until: r.ports.clock.now() + Math.min(a.deadlineMs ?? service.deadlineMs, service.deadlineMs),
+      tenant,
+      salt,
+      service,
+      parts,
+      maxTokens: Math.min(a.maxTokens ?? service.maxTokens, service.maxTokens),
+      since: r.ports.clock.now(),
+      until: r.ports.clock.now() + Math.min(a.deadlineMs ?? service.deadlineMs, service.deadlineMs),
       key: service.mayRepeat ? undefined : wholeHash(JSON.stringify([tenant, key])).slice(0, 32),
     };
   }
@@ -111,9 +139,17 @@
       const once = await holdKey(r.follower, c.key, run);
       if (!once.won) {
         tellRun(r.follower, c.key, run, 'released');
-        if (once.state === 'unreachable') return this.refuse(call, 503, 'no-core', 'the core gave no vote', r.bounds.pause * 5);
+        if (once.state === 'unreachable')
+          return this.refuse(call, 503, 'no-core', 'the core gave no vote', r.bounds.pause * 5);
         r.counts.unknown++;
-        return giveFault(call, 409, 'unknown', `key-${once.state}`, `this Idempotency-Key is taken: ${once.state}`, once.state === 'running' ? r.bounds.lease : undefined);
+        return giveFault(
+          call,
+          409,
+          'unknown',
+          `key-${once.state}`,
+          `this Idempotency-Key is taken: ${once.state}`,
+          once.state === 'running' ? r.bounds.lease : undefined,
+        );
       }
       set = once.set;
     }
@@ -125,9 +161,12 @@
     for (let attempt = 0; attempt < 3; attempt++) {
       const weights = r.freshWeights(c.service.model);
       const by = new Map<string, Overlap[] | undefined>();
-      for (const w of weights.queried) by.set(w, await r.placer.overlaps(c.service.model, c.salt, w, c.parts));
+      for (const w of weights.queried)
+        by.set(w, await r.placer.overlaps(c.service.model, c.salt, w, c.parts));
       const wanted = { model: c.service.model, salt: c.salt, parts: c.parts, urgent, avoid };
-      const p = r.placer.choose({ ...wanted, weights: weights.now }, by) ?? (weights.old && r.placer.choose({ ...wanted, weights: weights.old }, by));
+      const p =
+        r.placer.choose({ ...wanted, weights: weights.now }, by) ??
+        (weights.old && r.placer.choose({ ...wanted, weights: weights.old }, by));
       if (!p) break;
       if (sentOnce && !r.allowSecond(c.service)) {
         refusedBy = 'no-budget';
@@ -155,7 +194,13 @@
       if (o.fault && o.fault.sort !== 'refused' && !c.service.mayRepeat) {
         if (c.key !== undefined) tellRun(r.follower, c.key, run, 'unknown');
         r.counts.unknown++;
-        return giveFault(call, 502, 'unknown', 'leg-lost', `${o.fault.step} at ${p.seen.engine.id}: ${o.fault.why}`);
+        return giveFault(
+          call,
+          502,
+          'unknown',
+          'leg-lost',
+          `${o.fault.step} at ${p.seen.engine.id}: ${o.fault.why}`,
+        );
       }
       avoid.add(p.seen.engine.id);
       if (o.fault?.code?.startsWith('status-')) r.engines.turnedAway(p.seen);
@@ -163,26 +208,72 @@
     if (c.key !== undefined) tellRun(r.follower, c.key, run, 'released');
     if (last && last.sort !== 'refused') {
       r.counts.unknown++;
-      return giveFault(call, clock.now() >= c.until ? 504 : 502, 'unknown', 'leg-lost', `${last.step}: ${last.why}`, r.bounds.pause * 5);
+      return giveFault(
+        call,
+        clock.now() >= c.until ? 504 : 502,
+        'unknown',
+        'leg-lost',
+        `${last.step}: ${last.why}`,
+        r.bounds.pause * 5,
+      );
     }
-    return this.refuse(call, 503, refusedBy, last ? `${last.step}: ${last.why}` : 'no engine can take this now', r.bounds.pause * 5);
+    return this.refuse(
+      call,
+      503,
+      refusedBy,
+      last ? `${last.step}: ${last.why}` : 'no engine can take this now',
+      r.bounds.pause * 5,
+    );
   }
 
-  private async forward(call: Call, c: Checked, p: Placement, run: string, urgent: boolean): Promise<{ done: boolean; fault?: Fault }> {
+  private async forward(
+    call: Call,
+    c: Checked,
+    p: Placement,
+    run: string,
+    urgent: boolean,
+  ): Promise<{ done: boolean; fault?: Fault }> {
     const { r } = this;
     const { clock } = r.ports;
     const unread = tokensOf(c.parts.slice(p.expected));
     const q: GenerateAsk = {
-      request: run, tenant: c.tenant, model: c.service.model, weights: p.weights, salt: c.salt, parts: c.parts, maxTokens: c.maxTokens, urgent,
-      repeatable: c.service.mayRepeat, fetch: p.fetch && { at: p.fetch.at, hashes: p.fetch.hashes },
+      request: run,
+      tenant: c.tenant,
+      model: c.service.model,
+      weights: p.weights,
+      salt: c.salt,
+      parts: c.parts,
+      maxTokens: c.maxTokens,
+      urgent,
+      repeatable: c.service.mayRepeat,
+      fetch: p.fetch && { at: p.fetch.at, hashes: p.fetch.hashes },
     };
     r.engines.began(p.seen, unread);
-    const attempt = { tenant: c.tenant, salt: c.salt, model: c.service.model, weights: p.weights, seen: p.seen, since: clock.now(), cut: new AbortController() };
+    const attempt = {
+      tenant: c.tenant,
+      salt: c.salt,
+      model: c.service.model,
+      weights: p.weights,
+      seen: p.seen,
+      since: clock.now(),
+      cut: new AbortController(),
+    };
     r.underWay.add(attempt);
-    const [f, g] = open(await generate(r.ports, p.seen.engine.at, q, Math.max(1, c.until - clock.now()), AbortSignal.any([call.gone, attempt.cut.signal])));
+    const [f, g] = open(
+      await generate(
+        r.ports,
+        p.seen.engine.at,
+        q,
+        Math.max(1, c.until - clock.now()),
+        AbortSignal.any([call.gone, attempt.cut.signal]),
+      ),
+    );
     if (f) {
       r.underWay.delete(attempt);
-      r.engines.ended(p.seen, f.sort === 'refused' && f.code !== undefined && f.code.startsWith('status-'));
+      r.engines.ended(
+        p.seen,
+        f.sort === 'refused' && f.code !== undefined && f.code.startsWith('status-'),
+      );
       return { done: false, fault: f };
     }
     const [h, line] = open(await g.next());
@@ -198,24 +289,58 @@
     return { done: true, fault: bad };
   }
 
-  private async pieces(call: Call, g: Generating, first: EngineLine, c: Checked, p: Placement, run: string): Promise<Fault | undefined> {
+  private async pieces(
+    call: Call,
+    g: Generating,
+    first: EngineLine,
+    c: Checked,
+    p: Placement,
+    run: string,
+  ): Promise<Fault | undefined> {
     const { r } = this;
     let line = first;
     let n = 0;
     for (;;) {
-      if (line.request !== run) return this.breakOff(call, g, { step: 'read piece', peer: p.seen.engine.id, why: `a line of ${line.request}`, sort: 'unknown', code: 'foreign-line' });
+      if (line.request !== run)
+        return this.breakOff(call, g, {
+          step: 'read piece',
+          peer: p.seen.engine.id,
+          why: `a line of ${line.request}`,
+          sort: 'unknown',
+          code: 'foreign-line',
+        });
       if (line.done === true) {
-        if (line.count !== n) return this.breakOff(call, g, { step: 'read piece', peer: p.seen.engine.id, why: `count ${line.count} after ${n} pieces`, sort: 'unknown', code: 'bad-count' });
+        if (line.count !== n)
+          return this.breakOff(call, g, {
+            step: 'read piece',
+            peer: p.seen.engine.id,
+            why: `count ${line.count} after ${n} pieces`,
+            sort: 'unknown',
+            code: 'bad-count',
+          });
         this.note(c, p, line);
         call.end(JSON.stringify({ done: true, count: n, outcome: 'ok' }) + '\n');
         r.counts.done++;
         return undefined;
       }
-      if (line.n !== n || typeof line.text !== 'string') return this.breakOff(call, g, { step: 'read piece', peer: p.seen.engine.id, why: `piece ${line.n} where ${n} was due`, sort: 'unknown', code: 'bad-order' });
+      if (line.n !== n || typeof line.text !== 'string')
+        return this.breakOff(call, g, {
+          step: 'read piece',
+          peer: p.seen.engine.id,
+          why: `piece ${line.n} where ${n} was due`,
+          sort: 'unknown',
+          code: 'bad-order',
+        });
       n++;
       if (!(await call.piece(JSON.stringify({ n: line.n, text: line.text }) + '\n'))) {
         g.cancel();
-        return { step: 'give piece', peer: call.peer, why: 'caller went away', sort: 'unknown', code: 'caller-gone' };
+        return {
+          step: 'give piece',
+          peer: call.peer,
+          why: 'caller went away',
+          sort: 'unknown',
+          code: 'caller-gone',
+        };
       }
       const [f, next] = open(await g.next());
       if (f) return this.breakOff(call, g, f);
@@ -226,7 +351,12 @@
   private breakOff(call: Call, g: Generating, f: Fault): Fault {
     g.cancel();
     this.r.counts.unknown++;
-    call.end(JSON.stringify({ error: { class: 'unknown', code: f.code ?? 'broken', message: f.why }, incomplete: true }) + '\n');
+    call.end(
+      JSON.stringify({
+        error: { class: 'unknown', code: f.code ?? 'broken', message: f.why },
+        incomplete: true,
+      }) + '\n',
+    );
     return f;
   }
 
@@ -241,22 +371,36 @@
       r.counts.fetched += line.fetched.tokens;
       r.engines.learnedLink(p.fetch.from, p.seen.engine.id, line.fetched.tokens, line.fetched.ms);
     }
-    if (line.read !== undefined && line.prefillMs !== undefined) r.engines.learnedPrefill(p.seen, line.read, line.prefillMs);
-    if (!p.sure || reused.length !== p.expected) r.placer.tellReused({ source: p.seen.engine.id, model: c.service.model, salt: c.salt, weights: p.weights, parts: c.parts, count: reused.length });
+    if (line.read !== undefined && line.prefillMs !== undefined)
+      r.engines.learnedPrefill(p.seen, line.read, line.prefillMs);
+    if (!p.sure || reused.length !== p.expected)
+      r.placer.tellReused({
+        source: p.seen.engine.id,
+        model: c.service.model,
+        salt: c.salt,
+        weights: p.weights,
+        parts: c.parts,
+        count: reused.length,
+      });
   }
 
   /** Whether this router takes requests. */
   @handles('GET', '/healthz')
   async health(call: Call): Promise<void> {
     const ok = this.r.follower.live() && !this.r.draining();
-    giveJson(call, ok ? 200 : 503, { ok, lease: this.r.follower.live(), draining: this.r.draining() });
+    giveJson(call, ok ? 200 : 503, {
+      ok,
+      lease: this.r.follower.live(),
+      draining: this.r.draining(),
+    });
   }
 
   /** Figures in the text form that collectors read. */
   @handles('GET', '/metrics')
   async metrics(call: Call): Promise<void> {
     const rows: string[] = [];
-    for (const [k, v] of Object.entries(this.r.counts)) rows.push(`plumhollow_router_${k.replace(/[A-Z]/g, '_$&').toLowerCase()}_total ${v}`);
+    for (const [k, v] of Object.entries(this.r.counts))
+      rows.push(`plumhollow_router_${k.replace(/[A-Z]/g, '_$&').toLowerCase()}_total ${v}`);
     rows.push(`plumhollow_router_under_way ${this.underWay}`);
     call.head(200, { 'content-type': 'text/plain; version=0.0.4' });
     call.end(await this.r.metrics.text(rows));
--- a/src/data/engines.ts
+++ b/src/data/engines.ts
@@ -60,7 +60,20 @@
         s.engine = e;
         continue;
       }
-      const fresh: Seen = { engine: e, at: 0, shownAt: 0, sent: 0, sentTokens: 0, mine: 0, faults: 0, openUntil: 0, probing: false, turns: 0, turnedUntil: 0, msPerToken: FIRST_MS_PER_TOKEN };
+      const fresh: Seen = {
+        engine: e,
+        at: 0,
+        shownAt: 0,
+        sent: 0,
+        sentTokens: 0,
+        mine: 0,
+        faults: 0,
+        openUntil: 0,
+        probing: false,
+        turns: 0,
+        turnedUntil: 0,
+        msPerToken: FIRST_MS_PER_TOKEN,
+      };
       seen.set(id, fresh);
       void tend(fresh);
     }
@@ -94,7 +107,8 @@
 
   function noteFault(s: Seen): void {
     s.faults++;
-    if (s.faults >= FAULTS_TO_OPEN) s.openUntil = ports.clock.now() + bounds.circuit * Math.min(8, s.faults - FAULTS_TO_OPEN + 1);
+    if (s.faults >= FAULTS_TO_OPEN)
+      s.openUntil = ports.clock.now() + bounds.circuit * Math.min(8, s.faults - FAULTS_TO_OPEN + 1);
   }
 
   function ofModel(model: string): Seen[] {
@@ -137,7 +151,10 @@
 
   function turnedAway(s: Seen): void {
     s.turns++;
-    s.turnedUntil = ports.clock.now() + Math.min(bounds.circuit, bounds.status * 2 ** Math.min(8, s.turns - 1)) * (0.7 + 0.6 * ports.dice.next());
+    s.turnedUntil =
+      ports.clock.now() +
+      Math.min(bounds.circuit, bounds.status * 2 ** Math.min(8, s.turns - 1)) *
+        (0.7 + 0.6 * ports.dice.next());
     void ask(s);
   }
 
@@ -146,7 +163,11 @@
   }
 
   function learnedLink(from: string, to: string, tokens: number, ms: number): void {
-    if (tokens > 0) links.set(`${from} ${to}`, linkCost(from, to) + 2 * SMOOTH * (ms / tokens - linkCost(from, to)));
+    if (tokens > 0)
+      links.set(
+        `${from} ${to}`,
+        linkCost(from, to) + 2 * SMOOTH * (ms / tokens - linkCost(from, to)),
+      );
   }
 
   function get(id: string): Seen | undefined {
@@ -158,5 +179,18 @@
   }
 
   renew();
-  return { ofModel, get, fit, leaves, began, ended, learnedPrefill, turnedAway, linkCost, learnedLink, renew, stop };
+  return {
+    ofModel,
+    get,
+    fit,
+    leaves,
+    began,
+    ended,
+    learnedPrefill,
+    turnedAway,
+    linkCost,
+    learnedLink,
+    renew,
+    stop,
+  };
 }
--- a/src/data/gateway/budget.ts
+++ b/src/data/gateway/budget.ts
@@ -29,14 +29,22 @@
 }
 
 /** Makes a budget over sliding windows; its share of the slack begins one window after the start, since an earlier life may have spent it. */
-export function makeRetryBudget(clock: Clock, s: Settings, routers: () => number | undefined): RetryBudget {
+export function makeRetryBudget(
+  clock: Clock,
+  s: Settings,
+  routers: () => number | undefined,
+): RetryBudget {
   const windows = new Map<string, Window>();
   const slotMs = s.retryWindowMs / SLOTS;
   const began = clock.now();
 
   function at(pool: string): Window {
     const slot = Math.floor(clock.now() / slotMs);
-    const w = windows.get(pool) ?? { slot, asked: new Array<number>(SLOTS).fill(0), spent: new Array<number>(SLOTS + 1).fill(0) };
+    const w = windows.get(pool) ?? {
+      slot,
+      asked: new Array<number>(SLOTS).fill(0),
+      spent: new Array<number>(SLOTS + 1).fill(0),
+    };
     windows.set(pool, w);
     for (let i = Math.max(w.slot + 1, slot - SLOTS); i <= slot; i++) {
       w.asked[i % SLOTS] = 0;
@@ -53,7 +61,9 @@
 
   function slack(): number {
     const n = routers();
-    return n === undefined || clock.now() - began < s.retryWindowMs ? 0 : (s.retrySlack * SHARE) / n;
+    return n === undefined || clock.now() - began < s.retryWindowMs
+      ? 0
+      : (s.retrySlack * SHARE) / n;
   }
 
   function left(pool: string): boolean {
--- a/src/data/gateway/choose.ts
+++ b/src/data/gateway/choose.ts
@@ -98,8 +98,19 @@
 export function makeChooser(p: ChooserParts): Chooser {
   const { clock, dice } = p.ports;
   const bounds = boundsOf(p.settings);
-  const placement = makePlacement({ now: clock.now, spread: dice.next, zone: p.settings.zone, pause: p.settings.contactMs * PAUSE });
-  const hello: Hello = { version: WIRE_VERSION, name: p.settings.name, role: 'router', at: p.settings.wire, zone: p.settings.zone };
+  const placement = makePlacement({
+    now: clock.now,
+    spread: dice.next,
+    zone: p.settings.zone,
+    pause: p.settings.contactMs * PAUSE,
+  });
+  const hello: Hello = {
+    version: WIRE_VERSION,
+    name: p.settings.name,
+    role: 'router',
+    at: p.settings.wire,
+    zone: p.settings.zone,
+  };
   const indexers = reachIndexers(p.ports, bounds, p.follower, hello, placement.loads, p.routers);
   const gone = new Set<string>();
   let listed: Engine[] | undefined;
@@ -145,14 +156,28 @@
       if (x === undefined || x.kind === 'loading') continue;
       if (x.kind === 'now') named = x.weights;
       weights.set(e.id, x.weights);
-      out.push({ id: e.id, at: e.at, zone: e.zone, region: regionOf(e.zone), batch: e.batch, salt: saltUnder(wallOf(w.tenant), x.weights) });
+      out.push({
+        id: e.id,
+        at: e.at,
+        zone: e.zone,
+        region: regionOf(e.zone),
+        batch: e.batch,
+        salt: saltUnder(wallOf(w.tenant), x.weights),
+      });
     }
     return { spots: out, weights, named };
   }
 
   function storeSpots(): StoreSpot[] {
     const out: StoreSpot[] = [];
-    for (const s of p.stores()) out.push({ name: s.name, at: s.at, zone: s.zone, region: regionOf(s.zone), linkMbps: s.linkMbps });
+    for (const s of p.stores())
+      out.push({
+        name: s.name,
+        at: s.at,
+        zone: s.zone,
+        region: regionOf(s.zone),
+        linkMbps: s.linkMbps,
+      });
     return out;
   }
 
@@ -160,10 +185,26 @@
     const pool = p.pool(w.pool);
     const now = clock.now();
     return {
-      pool: { name: w.pool, batch: pool?.batch ?? 1, cacheTokens: pool?.cacheTokens ?? Infinity, tokenBytes: pool?.tokenBytes ?? 0, linkMbps: pool?.linkMbps ?? 0, engines: at, stores: storeSpots() },
-      wall: saltUnder(wallOf(w.tenant), named), parts: w.request.parts, tokensIn: w.request.tokensIn, tokensOut: w.request.tokensOut,
-      aimMs: Math.max(1, w.route.aimMs - (now - w.since)), leftMs: w.until - now, routePriority: w.route.priority, tenantPriority: w.tenant?.priority ?? 0, tenant: w.tenant?.name,
-      repeatable: w.route.kind === 'safe' || w.route.resumable, avoid: w.avoid,
+      pool: {
+        name: w.pool,
+        batch: pool?.batch ?? 1,
+        cacheTokens: pool?.cacheTokens ?? Infinity,
+        tokenBytes: pool?.tokenBytes ?? 0,
+        linkMbps: pool?.linkMbps ?? 0,
+        engines: at,
+        stores: storeSpots(),
+      },
+      wall: saltUnder(wallOf(w.tenant), named),
+      parts: w.request.parts,
+      tokensIn: w.request.tokensIn,
+      tokensOut: w.request.tokensOut,
+      aimMs: Math.max(1, w.route.aimMs - (now - w.since)),
+      leftMs: w.until - now,
+      routePriority: w.route.priority,
+      tenantPriority: w.tenant?.priority ?? 0,
+      tenant: w.tenant?.name,
+      repeatable: w.route.kind === 'safe' || w.route.resumable,
+      avoid: w.avoid,
     };
   }
 
@@ -172,9 +213,13 @@
     const ask = askOf(w, s.spots, s.named);
     const kept = new Map<string, OverlapAnswer>();
     const salts = placement.wantsIndex(ask);
-    if (salts.length > 0) await Promise.all([indexers.renewLoads(w.route.aimMs * INDEX_WAIT), ...salts.map(overlap)]);
+    if (salts.length > 0)
+      await Promise.all([indexers.renewLoads(w.route.aimMs * INDEX_WAIT), ...salts.map(overlap)]);
     async function overlap(salt: string): Promise<void> {
-      const answer = await indexers.overlap({ model: w.request.model ?? '', salt, parts: wireParts(w) }, w.route.aimMs * INDEX_WAIT);
+      const answer = await indexers.overlap(
+        { model: w.request.model ?? '', salt, parts: wireParts(w) },
+        w.route.aimMs * INDEX_WAIT,
+      );
       if (answer) kept.set(salt, answer);
     }
     const o = placement.place(ask, kept);
@@ -188,7 +233,16 @@
     }
     const weights = s.weights.get(engine.id);
     const salt = saltUnder(wallOf(w.tenant), weights ?? '');
-    const c: ChosenHere = { engine, weights: weights === '' ? undefined : weights, salt, urgency: placed.urgency, fetchFrom: fetch?.source.at, storeAt: placed.storeAt, placed, indexed: salts.length > 0 };
+    const c: ChosenHere = {
+      engine,
+      weights: weights === '' ? undefined : weights,
+      salt,
+      urgency: placed.urgency,
+      fetchFrom: fetch?.source.at,
+      storeAt: placed.storeAt,
+      placed,
+      indexed: salts.length > 0,
+    };
     return Right(c);
   }
 
@@ -204,13 +258,24 @@
   }
 
   function refusalOf(no: NoPlace, w: Wanted): Refusal {
-    return { status: 503, why: no.why === 'no-engine' ? 'no engine can take this now' : 'every place is taken', retryAfterMs: Math.max(no.retryAfterMs, w.route.aimMs * AGAIN) };
+    return {
+      status: 503,
+      why: no.why === 'no-engine' ? 'no engine can take this now' : 'every place is taken',
+      retryAfterMs: Math.max(no.retryAfterMs, w.route.aimMs * AGAIN),
+    };
   }
 
   function began(chosen: Chosen, w: Wanted): Load {
     const c = chosen as ChosenHere;
     const u = placement.began(c.placed);
-    if (c.indexed) indexers.placed({ model: w.request.model ?? '', salt: c.salt ?? '', engine: c.engine.id, parts: wireParts(w), store: storeName(c.storeAt) });
+    if (c.indexed)
+      indexers.placed({
+        model: w.request.model ?? '',
+        salt: c.salt ?? '',
+        engine: c.engine.id,
+        parts: wireParts(w),
+        store: storeName(c.storeAt),
+      });
     let how: Ending | undefined;
 
     function told(weights: Record<string, string>): void {
--- a/src/data/gateway/forward.ts
+++ b/src/data/gateway/forward.ts
@@ -6,7 +6,8 @@
 import type { GatewayParts } from './request';
 
 /** What became of an attempt: `not-sent` never reached an engine; `not-run` is the engine's word; `doubt` may have run and gave nothing; `broken` gave a part; `late` was under way when the time was up. */
-export type Attempted = 'answered' | 'not-sent' | 'not-run' | 'doubt' | 'broken' | 'late' | 'caller-gone';
+export type Attempted =
+  'answered' | 'not-sent' | 'not-run' | 'doubt' | 'broken' | 'late' | 'caller-gone';
 
 /** A request on its way, over all its attempts. */
 export interface Taken {
@@ -32,14 +33,33 @@
 const SILENT = { aim: 3, gap: 6 };
 
 /** Sends a request to an engine and passes its answer back; `more` says whether another attempt may follow. */
-export async function forward(g: GatewayParts, call: RawCall, x: Taken, c: Chosen, connection: HttpConnection, load: Load, more: boolean): Promise<Attempted> {
+export async function forward(
+  g: GatewayParts,
+  call: RawCall,
+  x: Taken,
+  c: Chosen,
+  connection: HttpConnection,
+  load: Load,
+  more: boolean,
+): Promise<Attempted> {
   const { clock } = g.ports;
   const began = clock.now();
   const left = x.until - began;
   x.sentAt = began;
-  const worded = g.dialect.engines.attempt({ method: call.method, target: call.target, headers: call.headers, body: x.body }, {
-    instance: c.engine.id, deadlineMs: left, tenant: x.tenant?.name, salt: c.salt, weights: c.weights, urgency: c.urgency, fetchFrom: c.fetchFrom, storeAt: c.storeAt, lastEvent: x.lastEvent,
-  });
+  const worded = g.dialect.engines.attempt(
+    { method: call.method, target: call.target, headers: call.headers, body: x.body },
+    {
+      instance: c.engine.id,
+      deadlineMs: left,
+      tenant: x.tenant?.name,
+      salt: c.salt,
+      weights: c.weights,
+      urgency: c.urgency,
+      fetchFrom: c.fetchFrom,
+      storeAt: c.storeAt,
+      lastEvent: x.lastEvent,
+    },
+  );
   const watch = x.repeatable && more ? watchSilence(g, call, x, c) : undefined;
   const [f, reply] = open(await connection.ask(worded, left, watch?.signal ?? call.gone));
   if (f) {
@@ -67,7 +87,12 @@
 }
 
 /** Watches an engine for as long as an attempt lasts: where it is silent on all its connections for an aim, it is asked whether it is still there; where it stays silent, it is taken for lost. */
-function watchSilence(g: GatewayParts, call: RawCall, x: Taken, c: Chosen): { signal: AbortSignal; stop(): void } {
+function watchSilence(
+  g: GatewayParts,
+  call: RawCall,
+  x: Taken,
+  c: Chosen,
+): { signal: AbortSignal; stop(): void } {
   const { clock } = g.ports;
   const began = clock.now();
   const soon = Math.max(x.route.aimMs, x.route.gapAimMs);
@@ -95,7 +120,15 @@
   return { signal: AbortSignal.any([call.gone, gone.signal]), stop };
 }
 
-async function takeAnswer(g: GatewayParts, call: RawCall, x: Taken, c: Chosen, reply: RawReply, load: Load, more: boolean): Promise<Attempted> {
+async function takeAnswer(
+  g: GatewayParts,
+  call: RawCall,
+  x: Taken,
+  c: Chosen,
+  reply: RawReply,
+  load: Load,
+  more: boolean,
+): Promise<Attempted> {
   const head = g.dialect.engines.head(reply.status, reply.fields);
   if (head.id !== x.request.id) {
     g.connections.garbles(c.engine);
@@ -105,7 +138,10 @@
   }
   g.connections.told(c.engine, head.keepS);
   load.told(byModel(x, head.weights));
-  const verdict = head.verdict === 'other-instance' && head.instance === c.engine.id ? 'other-weights' : head.verdict;
+  const verdict =
+    head.verdict === 'other-instance' && head.instance === c.engine.id
+      ? 'other-weights'
+      : head.verdict;
   if (verdict === 'not-run' || verdict === 'other-instance' || verdict === 'other-weights') {
     void readOut(reply);
     load.turnedAway(verdict);
@@ -127,7 +163,15 @@
   return o;
 }
 
-const ENDS: Record<Attempted, AttemptEnd> = { answered: 'done', 'not-sent': 'not-run', 'not-run': 'not-run', doubt: 'doubt', broken: 'doubt', late: 'late', 'caller-gone': 'caller-gone' };
+const ENDS: Record<Attempted, AttemptEnd> = {
+  answered: 'done',
+  'not-sent': 'not-run',
+  'not-run': 'not-run',
+  doubt: 'doubt',
+  broken: 'doubt',
+  late: 'late',
+  'caller-gone': 'caller-gone',
+};
 
 function late(x: Taken): Attempted {
   x.doubted = true;
@@ -137,7 +181,9 @@
 /** Weights by model; what names no model is the request's. */
 function byModel(x: Taken, weights: Record<string, string>): Record<string, string> {
   const { '': own, ...named } = weights;
-  return own === undefined || x.request.model === undefined ? named : { ...named, [x.request.model]: own };
+  return own === undefined || x.request.model === undefined
+    ? named
+    : { ...named, [x.request.model]: own };
 }
 
 function doubt(x: Taken): Attempted {
@@ -158,8 +204,16 @@
 }
 
 /** Passes an answer back as it comes; of a stream that may be taken up elsewhere, whole events only. */
-async function passBack(g: GatewayParts, call: RawCall, x: Taken, c: Chosen, reply: RawReply, load: Load): Promise<Attempted> {
-  const cutter = x.route.resumable && isSuccess(reply.status) ? g.dialect.engines.events() : undefined;
+async function passBack(
+  g: GatewayParts,
+  call: RawCall,
+  x: Taken,
+  c: Chosen,
+  reply: RawReply,
+  load: Load,
+): Promise<Attempted> {
+  const cutter =
+    x.route.resumable && isSuccess(reply.status) ? g.dialect.engines.events() : undefined;
   const headers = g.dialect.engines.passBack(reply.headers);
   let any = false;
   for (;;) {
@@ -193,7 +247,8 @@
 /** The bytes of whole events; nothing where an event came that was passed on already. */
 function wholeEvents(x: Taken, events: StreamEvent[], load: Load): Uint8Array | undefined {
   for (const e of events) {
-    if (e.id !== undefined && x.lastEvent !== undefined && Number(e.id) <= Number(x.lastEvent)) return undefined;
+    if (e.id !== undefined && x.lastEvent !== undefined && Number(e.id) <= Number(x.lastEvent))
+      return undefined;
     x.lastEvent = e.id ?? x.lastEvent;
     if (e.weights !== undefined) load.told(byModel(x, { '': e.weights }));
   }
@@ -209,6 +264,7 @@
   x.headSent = true;
   if (!x.route.resumable) return call.head(status, headers);
   const out: RawHeaders = [];
-  for (let i = 0; i < headers.length; i += 2) if (headers[i].toLowerCase() !== 'content-length') out.push(headers[i], headers[i + 1]);
+  for (let i = 0; i < headers.length; i += 2)
+    if (headers[i].toLowerCase() !== 'content-length') out.push(headers[i], headers[i + 1]);
   call.head(status, out);
 }
--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -39,11 +39,26 @@
 const LOOK = 0.02;
 
 /** Starts the request path: readiness, then callers; what it takes of our own messages is added to `edges`. */
-export async function startGateway(ports: Ports, settings: Settings, follower: Follower, dialect: Dialect, edges: object[] = []): Promise<Outcome<Gateway>> {
+export async function startGateway(
+  ports: Ports,
+  settings: Settings,
+  follower: Follower,
+  dialect: Dialect,
+  edges: object[] = [],
+): Promise<Outcome<Gateway>> {
   if (!ports.http) return bad('start gateway', settings.http, 'no raw HTTP here');
   const http: HttpWire = ports.http;
   const { clock } = ports;
-  const counts: GatewayCounts = { asked: 0, done: 0, refused: 0, unknown: 0, attempts: 0, furtherAttempts: 0, resumed: 0, callersGone: 0 };
+  const counts: GatewayCounts = {
+    asked: 0,
+    done: 0,
+    refused: 0,
+    unknown: 0,
+    attempts: 0,
+    furtherAttempts: 0,
+    resumed: 0,
+    callersGone: 0,
+  };
   let current: RouteTable | undefined;
   let leased = false;
   let leaving = false;
@@ -90,16 +105,35 @@
     return leaving && clock.now() - leftAt > settings.graceMs * TAKES;
   }
 
-  const weights = makeWeightsBook(clock, settings.weightsBoundMs * OLDER, settings.contactMs * OUT_OF_TOUCH);
+  const weights = makeWeightsBook(
+    clock,
+    settings.weightsBoundMs * OLDER,
+    settings.contactMs * OUT_OF_TOUCH,
+  );
   edges.push(new WeightsEdge(weights));
   const connections = keepConnections(clock, http, settings, routers);
   const chooser = makeChooser({ ports, settings, follower, weights, pool, stores, routers });
   const budget = makeRetryBudget(clock, settings, routers);
-  const parts: GatewayParts = { ports, settings, dialect, chooser, connections, budget, counts, table, stands, closed };
+  const parts: GatewayParts = {
+    ports,
+    settings,
+    dialect,
+    chooser,
+    connections,
+    budget,
+    counts,
+    table,
+    stands,
+    closed,
+  };
 
   function limits(): ServeLimits {
     const l = current?.limits;
-    return { headerTimeoutMs: l?.headerTimeoutMs ?? settings.contactMs * FIRST_LIMITS.header, idleTimeoutMs: l?.idleTimeoutMs ?? settings.contactMs * FIRST_LIMITS.idle, closing: leaving };
+    return {
+      headerTimeoutMs: l?.headerTimeoutMs ?? settings.contactMs * FIRST_LIMITS.header,
+      idleTimeoutMs: l?.idleTimeoutMs ?? settings.contactMs * FIRST_LIMITS.idle,
+      closing: leaving,
+    };
   }
 
   async function taken(call: RawCall): Promise<void> {
@@ -113,7 +147,8 @@
   }
 
   async function asked(call: RawCall): Promise<void> {
-    const is = call.method === 'GET' && call.target.split('?', 1)[0] === dialect.callers.readinessPath;
+    const is =
+      call.method === 'GET' && call.target.split('?', 1)[0] === dialect.callers.readinessPath;
     call.head(is ? (ready() ? 200 : 503) : 404, ['Content-Length', '0']);
     call.end();
   }
@@ -144,7 +179,11 @@
 
   function renew(doc: unknown): void {
     const d = dialect.deployment(doc);
-    if (d.isLeft()) return ports.log.error({ step: 'read deployment', peer: settings.name }, (d.extract() as string[]).join('; '));
+    if (d.isLeft())
+      return ports.log.error(
+        { step: 'read deployment', peer: settings.name },
+        (d.extract() as string[]).join('; '),
+      );
     current = makeRouteTable(d.extract() as Deployment);
     connections.idleMs(current.limits.idleTimeoutMs);
     server!.limit(limits());
--- a/src/data/gateway/indexers.ts
+++ b/src/data/gateway/indexers.ts
@@ -27,7 +27,14 @@
 const ROUTERS = 16;
 
 /** Keeps connections to indexers; tells one of them, the same for all routers, this router's loads, and takes those of the others. */
-export function reachIndexers(ports: Ports, bounds: Bounds, follower: Follower, hello: Hello, loads: Loads, routers: () => number | undefined): Indexers {
+export function reachIndexers(
+  ports: Ports,
+  bounds: Bounds,
+  follower: Follower,
+  hello: Hello,
+  loads: Loads,
+  routers: () => number | undefined,
+): Indexers {
   const helds = holdAll(ports, { hello, edges: [], within: bounds.dial, pause: bounds.pause });
   const misses = new Map<string, { count: number; until: number }>();
   let zones = new Map<string, string>();
@@ -116,7 +123,12 @@
     while (!stopped) {
       reach();
       await tell();
-      await ports.clock.sleep(bounds.query * PACE * Math.max(1, (routers() ?? 1) / ROUTERS) * (0.8 + 0.4 * ports.dice.next()));
+      await ports.clock.sleep(
+        bounds.query *
+          PACE *
+          Math.max(1, (routers() ?? 1) / ROUTERS) *
+          (0.8 + 0.4 * ports.dice.next()),
+      );
     }
   }
 
--- a/src/data/gateway/links.ts
+++ b/src/data/gateway/links.ts
@@ -33,12 +33,18 @@
   function moveMs(from: Side, to: Side, bytes: number): number {
     const mbps = Math.min(from.mbps, to.mbps);
     if (!(mbps > 0)) return Infinity;
-    const far = from.zone === to.zone ? 1 : from.region !== undefined && to.region !== undefined && from.region !== to.region ? BETWEEN_REGIONS : BETWEEN_ZONES;
+    const far =
+      from.zone === to.zone
+        ? 1
+        : from.region !== undefined && to.region !== undefined && from.region !== to.region
+          ? BETWEEN_REGIONS
+          : BETWEEN_ZONES;
     return ((bytes * 8) / (mbps * 1000)) * far * Math.max(slowOf(from.name), slowOf(to.name));
   }
 
   function learn(from: string, to: string, slower: boolean): void {
-    for (const name of [from, to]) slow.set(name, Math.min(MOST_SLOW, Math.max(1, slowOf(name) * (slower ? UP : DOWN))));
+    for (const name of [from, to])
+      slow.set(name, Math.min(MOST_SLOW, Math.max(1, slowOf(name) * (slower ? UP : DOWN))));
   }
 
   function keep(names: ReadonlySet<string>): void {
--- a/src/data/gateway/loads.ts
+++ b/src/data/gateway/loads.ts
@@ -87,7 +87,15 @@
 
   function ownOf(engine: string): Load {
     const t = now();
-    const l: Load = { running: 0, unread: 0, awaiting: 0, memory: 0, moveMs: 0, silentMs: 0, reading: reading.get(engine) ?? 0 };
+    const l: Load = {
+      running: 0,
+      unread: 0,
+      awaiting: 0,
+      memory: 0,
+      moveMs: 0,
+      silentMs: 0,
+      reading: reading.get(engine) ?? 0,
+    };
     for (const f of flights.get(engine) ?? []) {
       l.running++;
       l.unread += left(f, t);
--- a/src/data/gateway/pace.ts
+++ b/src/data/gateway/pace.ts
@@ -31,7 +31,14 @@
 }
 
 /** First guesses, left after a few answers. */
-const FIRST: Pace = { baseMs: 25, msPerToken: 0.02, msPerPair: 3e-7, msPerAhead: 0.015, placeMs: 150, msPerOut: 8 };
+const FIRST: Pace = {
+  baseMs: 25,
+  msPerToken: 0.02,
+  msPerPair: 3e-7,
+  msPerAhead: 0.015,
+  placeMs: 150,
+  msPerOut: 8,
+};
 /** The share of an error that the pool's figures take up, at first and in the long run. */
 const POOL_FIRST = 0.4;
 const POOL_LAST = 0.02;
@@ -67,7 +74,15 @@
   function poolOf(pool: string): PoolPace {
     let p = pools.get(pool);
     if (!p) {
-      p = { base: 1, token: 1, pair: 1, ahead: 1, count: 0, placeMs: FIRST.placeMs, msPerOut: FIRST.msPerOut };
+      p = {
+        base: 1,
+        token: 1,
+        pair: 1,
+        ahead: 1,
+        count: 0,
+        placeMs: FIRST.placeMs,
+        msPerOut: FIRST.msPerOut,
+      };
       pools.set(pool, p);
     }
     return p;
@@ -76,7 +91,14 @@
   function of(pool: string, engine: string): Pace {
     const p = poolOf(pool);
     const f = factors.get(engine) ?? 1;
-    return { baseMs: FIRST.baseMs * p.base * f, msPerToken: FIRST.msPerToken * p.token * f, msPerPair: FIRST.msPerPair * p.pair * f, msPerAhead: FIRST.msPerAhead * p.ahead * f, placeMs: p.placeMs, msPerOut: outs.get(engine) ?? p.msPerOut };
+    return {
+      baseMs: FIRST.baseMs * p.base * f,
+      msPerToken: FIRST.msPerToken * p.token * f,
+      msPerPair: FIRST.msPerPair * p.pair * f,
+      msPerAhead: FIRST.msPerAhead * p.ahead * f,
+      placeMs: p.placeMs,
+      msPerOut: outs.get(engine) ?? p.msPerOut,
+    };
   }
 
   function within(x: number, least: number, most: number): number {
@@ -86,7 +108,12 @@
   function learn(pool: string, engine: string, seen: PaceSeen): void {
     const p = poolOf(pool);
     const f = factors.get(engine) ?? 1;
-    const xs = [FIRST.baseMs, FIRST.msPerToken * seen.tokens, FIRST.msPerPair * seen.pairs, FIRST.msPerAhead * seen.ahead];
+    const xs = [
+      FIRST.baseMs,
+      FIRST.msPerToken * seen.tokens,
+      FIRST.msPerPair * seen.pairs,
+      FIRST.msPerAhead * seen.ahead,
+    ];
     const due = xs[0] * p.base + xs[1] * p.token + xs[2] * p.pair + xs[3] * p.ahead;
     const error = within(seen.ms / f - due, -MOST_ERROR * due, MOST_ERROR * due);
     const step = Math.max(POOL_LAST, POOL_FIRST / (1 + p.count / 8));
--- a/src/data/gateway/placement.ts
+++ b/src/data/gateway/placement.ts
@@ -200,11 +200,20 @@
     const count = new Map<string, number>();
     for (const e of ask.pool.engines) count.set(e.zone, (count.get(e.zone) ?? 0) + 1);
     const out = new Set<string>();
-    for (const e of ask.pool.engines) if (ranks.get(e.id)! < Math.min(count.get(e.zone)! - 1, Math.round(count.get(e.zone)! * LONG_SIDE))) out.add(e.id);
+    for (const e of ask.pool.engines)
+      if (
+        ranks.get(e.id)! <
+        Math.min(count.get(e.zone)! - 1, Math.round(count.get(e.zone)! * LONG_SIDE))
+      )
+        out.add(e.id);
     return out;
   }
 
-  function guess(ask: PlaceAsk, home: string, ranks: Map<string, number>): { here: (name: string) => KeptAt; there: (name: string) => KeptAt } {
+  function guess(
+    ask: PlaceAsk,
+    home: string,
+    ranks: Map<string, number>,
+  ): { here: (name: string) => KeptAt; there: (name: string) => KeptAt } {
     const shared = sharedOf(ask.parts);
     const placed = recent.get(home) ?? [];
     function by(home: number): (name: string) => KeptAt {
@@ -231,7 +240,8 @@
     const up = new Set(standings.able(ask.pool.engines.map(idOf), false));
     for (const e of ask.pool.engines) {
       const { kept } = keptAt(e.id);
-      if (kept > 0 && e.salt === salt && up.has(e.id)) out.push({ side: sideOf(e, e.id, ask.pool.linkMbps), at: e.at, kept });
+      if (kept > 0 && e.salt === salt && up.has(e.id))
+        out.push({ side: sideOf(e, e.id, ask.pool.linkMbps), at: e.at, kept });
     }
     for (const s of ask.pool.stores) {
       const { kept } = keptAt(s.name);
@@ -246,7 +256,8 @@
 
   function cost(r: Reckoned): number {
     if (way === 'affinity') return r.able.rank;
-    if (way === 'least-busy') return r.able.load.running + r.able.load.unread / Math.max(1, r.able.cacheTokens);
+    if (way === 'least-busy')
+      return r.able.load.running + r.able.load.unread / Math.max(1, r.able.cacheTokens);
     return r.cost * (1 + SPREAD * ways.spread());
   }
 
@@ -254,7 +265,11 @@
     const names: string[] = [];
     for (const e of ask.pool.engines) if (!ask.avoid.has(e.id)) names.push(e.id);
     const fit = new Set(standings.able(names, ask.repeatable));
-    if (fit.size === 0) return Left({ why: 'no-engine', retryAfterMs: Math.max(ways.pause, standings.nextIn(names)) });
+    if (fit.size === 0)
+      return Left({
+        why: 'no-engine',
+        retryAfterMs: Math.max(ways.pause, standings.nextIn(names)),
+      });
     const home = homeOf(ask);
     const ranks = ranksOf(ask, home);
     const quick = isQuick(ask);
@@ -264,8 +279,15 @@
     for (const e of ask.pool.engines) {
       if (!fit.has(e.id)) continue;
       const a: Able = {
-        side: sideOf(e, e.id, ask.pool.linkMbps), at: e.at, batch: Math.max(1, e.batch ?? ask.pool.batch), cacheTokens: ask.pool.cacheTokens,
-        load: loads.of(e.id), pace: paces.of(ask.pool.name, e.id), rank: ranks.get(e.id)!, besideMs: quick && side.has(e.id) ? ask.aimMs * QUICK_SIDE : 0, besideReading: !quick && !side.has(e.id) ? LONG_ASIDE : 0,
+        side: sideOf(e, e.id, ask.pool.linkMbps),
+        at: e.at,
+        batch: Math.max(1, e.batch ?? ask.pool.batch),
+        cacheTokens: ask.pool.cacheTokens,
+        load: loads.of(e.id),
+        pace: paces.of(ask.pool.name, e.id),
+        rank: ranks.get(e.id)!,
+        besideMs: quick && side.has(e.id) ? ask.aimMs * QUICK_SIDE : 0,
+        besideReading: !quick && !side.has(e.id) ? LONG_ASIDE : 0,
       };
       all.push(a);
       bySalt.set(e.salt, [...(bySalt.get(e.salt) ?? []), a]);
@@ -284,7 +306,13 @@
     const no = refusal(ask, all, best!.r);
     if (no) return Left(no);
     const salt = ask.pool.engines.find(isBest)!.salt;
-    return Right({ ask, reckoned: best!.r, urgency: urgencyOf(ask), storeAt: storeFor(ask, home, kept.get(salt)), home });
+    return Right({
+      ask,
+      reckoned: best!.r,
+      urgency: urgencyOf(ask),
+      storeAt: storeFor(ask, home, kept.get(salt)),
+      home,
+    });
     function isBest(e: EngineSpot): boolean {
       return e.id === best!.r.able.side.name;
     }
@@ -295,11 +323,24 @@
     const shared = sharedOf(ask.parts);
     let known = answer ? 0 : shared;
     for (const [, k, coming] of answer ?? []) known = Math.max(known, k + coming);
-    return { tokensIn: ask.tokensIn, tokensOut: ask.tokensOut, shared, known, tokenBytes: ask.pool.tokenBytes, aimMs: ask.aimMs, leftMs: ask.leftMs, zone: ways.zone };
+    return {
+      tokensIn: ask.tokensIn,
+      tokensOut: ask.tokensOut,
+      shared,
+      known,
+      tokenBytes: ask.pool.tokenBytes,
+      aimMs: ask.aimMs,
+      leftMs: ask.leftMs,
+      zone: ways.zone,
+    };
   }
 
   /** The store that lacks something of what the prompt shares: the same one for a part at every router. */
-  function storeFor(ask: PlaceAsk, home: string, answer: OverlapAnswer | undefined): string | undefined {
+  function storeFor(
+    ask: PlaceAsk,
+    home: string,
+    answer: OverlapAnswer | undefined,
+  ): string | undefined {
     if (!answer || ask.pool.stores.length === 0) return undefined;
     const ranks = homes.ranks(home, ask.pool.stores.map(nameOf));
     const shared = sharedOf(ask.parts);
@@ -328,7 +369,9 @@
     const own = r.firstMs - r.waitMs;
     if (own < ask.leftMs && r.firstMs >= ask.leftMs) return { why: 'full', retryAfterMs: r.waitMs };
     if (own >= ask.aimMs || r.firstMs < ask.aimMs) return undefined;
-    return r.waitMs > ask.aimMs * (overShare(ask.tenant) ? 1 : 2) ? { why: 'too-late', retryAfterMs: r.waitMs } : undefined;
+    return r.waitMs > ask.aimMs * (overShare(ask.tenant) ? 1 : 2)
+      ? { why: 'too-late', retryAfterMs: r.waitMs }
+      : undefined;
   }
 
   function overShare(tenant: string | undefined): boolean {
@@ -355,7 +398,14 @@
     const { ask, reckoned: r } = p;
     const engine = r.able.side.name;
     const tenant = ask.tenant ?? '';
-    const f: Flight = { engine, unread: r.unread, memory: ask.tokensIn + ask.tokensOut, sentAt: ways.now(), dueMs: r.firstMs, moveMs: r.fetch?.ms ?? 0 };
+    const f: Flight = {
+      engine,
+      unread: r.unread,
+      memory: ask.tokensIn + ask.tokensOut,
+      sentAt: ways.now(),
+      dueMs: r.firstMs,
+      moveMs: r.fetch?.ms ?? 0,
+    };
     loads.began(f);
     standings.began(engine);
     tenants.set(tenant, (tenants.get(tenant) ?? 0) + 1);
@@ -367,8 +417,15 @@
       loads.first(f);
       const ms = f.firstAt! - f.sentAt;
       if (r.fetch && r.waitMs > r.firstMs * MUCH) return;
-      if (r.fetch) links.learn(r.fetch.source.side.name, engine, ms > r.firstMs * SLOW + r.fetch.ms);
-      else paces.learn(ask.pool.name, engine, { ms, tokens: r.unread, pairs: r.pairs, ahead: r.ahead });
+      if (r.fetch)
+        links.learn(r.fetch.source.side.name, engine, ms > r.firstMs * SLOW + r.fetch.ms);
+      else
+        paces.learn(ask.pool.name, engine, {
+          ms,
+          tokens: r.unread,
+          pairs: r.pairs,
+          ahead: r.ahead,
+        });
     }
 
     function ended(how: Ending): void {
@@ -380,7 +437,8 @@
       if (left > 0) tenants.set(tenant, left);
       else tenants.delete(tenant);
       if (how === 'answered') paces.learnPlace(ask.pool.name, ways.now() - f.sentAt);
-      if (how !== 'turned-away' && f.firstAt !== undefined) paces.learnOut(ask.pool.name, engine, ways.now() - f.firstAt, ask.tokensOut);
+      if (how !== 'turned-away' && f.firstAt !== undefined)
+        paces.learnOut(ask.pool.name, engine, ways.now() - f.firstAt, ask.tokensOut);
     }
 
     return { first, ended };
--- a/src/data/gateway/pools.ts
+++ b/src/data/gateway/pools.ts
@@ -48,7 +48,12 @@
 }
 
 /** Makes the kept connections; `routers` tells how many routers share the engines. */
-export function keepConnections(clock: Clock, http: HttpWire, s: Settings, routers: () => number | undefined): EngineConnections {
+export function keepConnections(
+  clock: Clock,
+  http: HttpWire,
+  s: Settings,
+  routers: () => number | undefined,
+): EngineConnections {
   const engines = new Map<string, Kept>();
   let untoldMs = s.contactMs;
   let stopped = false;
@@ -81,7 +86,8 @@
     trim(k);
     const kept = k.idle.pop();
     if (kept) return Right(kept.c);
-    if (k.open >= Math.max(1, Math.floor((most * SHARE) / (routers() ?? 1)))) return Left(makeFault('connect', e.at, 'no connection is free', 'refused', 'no-connection'));
+    if (k.open >= Math.max(1, Math.floor((most * SHARE) / (routers() ?? 1))))
+      return Left(makeFault('connect', e.at, 'no connection is free', 'refused', 'no-connection'));
     return connect(e, k);
   }
 
--- a/src/data/gateway/reckon.ts
+++ b/src/data/gateway/reckon.ts
@@ -111,16 +111,28 @@
   const over = load.running + 1 - a.batch;
   if (over > 0) ms += (over * pace.placeMs) / a.batch;
   const need = load.memory + p.tokensIn + p.tokensOut - a.cacheTokens * ROOM;
-  if (need > 0 && load.memory > 0) ms += pace.placeMs + Math.min(need, load.memory) * pace.msPerToken * PUT_BACK;
+  if (need > 0 && load.memory > 0)
+    ms += pace.placeMs + Math.min(need, load.memory) * pace.msPerToken * PUT_BACK;
   return ms;
 }
 
 /** Reckons one engine, with and without each source that keeps more. */
-function reckonAt(a: Able, p: Prompt, own: KeptAt, sources: readonly Source[], moveMs: (from: Side, to: Side, bytes: number) => number): Reckoned {
+function reckonAt(
+  a: Able,
+  p: Prompt,
+  own: KeptAt,
+  sources: readonly Source[],
+  moveMs: (from: Side, to: Side, bytes: number) => number,
+): Reckoned {
   const held = Math.min(p.tokensIn, own.kept + own.coming * COMING);
   const waitMs = waitFor(a, p);
   const full = Math.min(1, a.load.running / a.batch);
-  const beside = a.besideMs + READS * a.load.reading * a.load.reading * p.aimMs + FULL * full * full * p.aimMs + (a.side.zone === p.zone ? 0 : FAR * p.aimMs) + (Math.min(a.rank, RANKS) / RANKS) * IN_ORDER * p.aimMs;
+  const beside =
+    a.besideMs +
+    READS * a.load.reading * a.load.reading * p.aimMs +
+    FULL * full * full * p.aimMs +
+    (a.side.zone === p.zone ? 0 : FAR * p.aimMs) +
+    (Math.min(a.rank, RANKS) / RANKS) * IN_ORDER * p.aimMs;
   function by(kept: number, fetch?: Reckoned['fetch']): Reckoned {
     const unread = Math.max(0, p.tokensIn - kept);
     const pairs = pairsOf(p.tokensIn, unread);
@@ -129,7 +141,23 @@
     const moving = fetch?.ms ?? 0;
     const firstMs = a.pace.baseMs + waitMs + moving + reading;
     const over = Math.max(0, (firstMs + p.tokensOut * a.pace.msPerOut) * SLACK - p.leftMs);
-    return { able: a, firstMs, waitMs, unread, pairs, ahead: a.load.unread, fetch, again, cost: firstMs + reading * (READING + a.besideReading) + moving * MOVING + again * a.pace.msPerToken * AGAIN + over + beside };
+    return {
+      able: a,
+      firstMs,
+      waitMs,
+      unread,
+      pairs,
+      ahead: a.load.unread,
+      fetch,
+      again,
+      cost:
+        firstMs +
+        reading * (READING + a.besideReading) +
+        moving * MOVING +
+        again * a.pace.msPerToken * AGAIN +
+        over +
+        beside,
+    };
   }
   let best = by(held);
   const plain = readMs(a.pace, best.unread, best.pairs);
@@ -144,7 +172,13 @@
 }
 
 /** Reckons all engines that may serve, the best first. */
-export function reckon(p: Prompt, able: readonly Able[], kept: (name: string) => KeptAt, sources: readonly Source[], moveMs: (from: Side, to: Side, bytes: number) => number): Reckoned[] {
+export function reckon(
+  p: Prompt,
+  able: readonly Able[],
+  kept: (name: string) => KeptAt,
+  sources: readonly Source[],
+  moveMs: (from: Side, to: Side, bytes: number) => number,
+): Reckoned[] {
   const out: Reckoned[] = [];
   for (const a of able) out.push(reckonAt(a, p, kept(a.side.name), sources, moveMs));
   return out.sort(byCost);
--- a/src/data/gateway/request.ts
+++ b/src/data/gateway/request.ts
@@ -67,22 +67,61 @@
   const q = await read(g, call);
   if (!q) return;
   const table = g.table();
-  if (!table) return refuse(g, call, { status: 503, why: 'this router has no deployment yet', retryAfterMs: g.settings.contactMs * AGAIN.contact });
-  if (g.closed()) return refuse(g, call, { status: 503, why: 'this router is leaving', retryAfterMs: g.settings.contactMs * AGAIN.contact });
+  if (!table)
+    return refuse(g, call, {
+      status: 503,
+      why: 'this router has no deployment yet',
+      retryAfterMs: g.settings.contactMs * AGAIN.contact,
+    });
+  if (g.closed())
+    return refuse(g, call, {
+      status: 503,
+      why: 'this router is leaving',
+      retryAfterMs: g.settings.contactMs * AGAIN.contact,
+    });
   const a = allow(g, call, table, q.request);
   if (!a) return;
   const until = since + Math.min(q.request.deadlineMs ?? a.route.timeoutMs, a.route.timeoutMs);
   g.budget.asked(a.pool);
   const repeatable = a.route.kind === 'safe' || a.route.resumable;
-  const x: Taken = { request: q.request, route: a.route, tenant: a.tenant, pool: a.pool, body: q.body, until, sentAt: since, repeatable, headSent: false, doubted: false, lastEvent: undefined };
+  const x: Taken = {
+    request: q.request,
+    route: a.route,
+    tenant: a.tenant,
+    pool: a.pool,
+    body: q.body,
+    until,
+    sentAt: since,
+    repeatable,
+    headSent: false,
+    doubted: false,
+    lastEvent: undefined,
+  };
   const avoid = new Set<string>();
   let sent = 0;
   let last: Attempted | undefined;
-  let refusal: Refusal = { status: 503, why: 'no engine can be reached', retryAfterMs: a.route.aimMs * AGAIN.aim };
-
-  for (let tried = 0; sent < a.route.maxAttempts && tried < a.route.maxAttempts * CONNECTS; tried++) {
+  let refusal: Refusal = {
+    status: 503,
+    why: 'no engine can be reached',
+    retryAfterMs: a.route.aimMs * AGAIN.aim,
+  };
+
+  for (
+    let tried = 0;
+    sent < a.route.maxAttempts && tried < a.route.maxAttempts * CONNECTS;
+    tried++
+  ) {
     if (call.gone.aborted || until - clock.now() < g.settings.transitMs * WORTH) break;
-    const w: Wanted = { request: q.request, route: a.route, pool: a.pool, tenant: a.tenant, since, until, avoid, again: sent };
+    const w: Wanted = {
+      request: q.request,
+      route: a.route,
+      pool: a.pool,
+      tenant: a.tenant,
+      since,
+      until,
+      avoid,
+      again: sent,
+    };
     const chosen = await g.chooser.choose(w);
     if (chosen.isLeft()) {
       refusal = chosen.extract() as Refusal;
@@ -91,7 +130,9 @@
     const c = chosen.unsafeCoerce();
     const load = g.chooser.began(c, w);
     avoid.add(c.engine.id);
-    const [f, connection] = open(await g.connections.take(c.engine, table.pool(a.pool)?.maxConnections ?? 1));
+    const [f, connection] = open(
+      await g.connections.take(c.engine, table.pool(a.pool)?.maxConnections ?? 1),
+    );
     if (f) {
       if (f.code === 'no-connection') load.turnedAway('not-run');
       load.ended('not-run');
@@ -112,7 +153,14 @@
     if (x.headSent) g.counts.resumed++;
     last = await forward(g, call, x, c, connection, load, sent + 1 < a.route.maxAttempts);
     if (last !== 'not-sent') sent++;
-    if (last === 'answered' || last === 'caller-gone' || last === 'late' || (last === 'broken' && !canResume(x)) || (last === 'doubt' && !repeatable)) break;
+    if (
+      last === 'answered' ||
+      last === 'caller-gone' ||
+      last === 'late' ||
+      (last === 'broken' && !canResume(x)) ||
+      (last === 'doubt' && !repeatable)
+    )
+      break;
   }
 
   if (last === 'answered') g.counts.done++;
@@ -128,7 +176,8 @@
 
 async function read(g: GatewayParts, call: RawCall): Promise<Read | undefined> {
   const limits = g.table()?.limits;
-  if (limits && headerBytes(call) > limits.maxHeaderBytes) return answer(g, call, 431, 'the headers are too large');
+  if (limits && headerBytes(call) > limits.maxHeaderBytes)
+    return answer(g, call, 431, 'the headers are too large');
   const [f, body] = open(await call.body(limits?.maxBodyBytes ?? g.settings.bodyMostBytes));
   if (f) return answer(g, call, f.code === 'too-large' ? 413 : 400, f.why);
   const r = g.dialect.callers.read(call.method, call.target, call.fields);
@@ -143,7 +192,12 @@
   return n;
 }
 
-function allow(g: GatewayParts, call: RawCall, table: RouteTable, q: CallerRequest): Allowed | undefined {
+function allow(
+  g: GatewayParts,
+  call: RawCall,
+  table: RouteTable,
+  q: CallerRequest,
+): Allowed | undefined {
   const route = table.find(q.host, q.path);
   if (!route) return answer(g, call, 404, 'no route');
   const tenant = q.credential === undefined ? undefined : table.tenantOf(q.credential);
@@ -155,7 +209,13 @@
 
 function say(call: RawCall, status: number, why: string, more: string[] = []): void {
   const bytes = Buffer.from(JSON.stringify({ error: why }) + '\n');
-  call.head(status, ['Content-Type', 'application/json', 'Content-Length', String(bytes.length), ...more]);
+  call.head(status, [
+    'Content-Type',
+    'application/json',
+    'Content-Length',
+    String(bytes.length),
+    ...more,
+  ]);
   call.end(bytes);
 }
 
--- a/src/data/gateway/routes.ts
+++ b/src/data/gateway/routes.ts
@@ -1,4 +1,11 @@
-import { CallerLimits, Deployment, HttpRoute, PartStore, Pool, TenantAccess } from '../../shared/deployment';
+import {
+  CallerLimits,
+  Deployment,
+  HttpRoute,
+  PartStore,
+  Pool,
+  TenantAccess,
+} from '../../shared/deployment';
 
 /** A deployment made ready for look-ups. */
 export interface RouteTable {
@@ -34,7 +41,13 @@
     return undefined;
   }
 
-  return { limits: d.limits, find, tenantOf: keys.get.bind(keys), pool: pools.get.bind(pools), stores: d.stores };
+  return {
+    limits: d.limits,
+    find,
+    tenantOf: keys.get.bind(keys),
+    pool: pools.get.bind(pools),
+    stores: d.stores,
+  };
 }
 
 /** Draws a target of a route by weight; `draw` is from 0 to under 1. */
--- a/src/data/gateway/standing.ts
+++ b/src/data/gateway/standing.ts
@@ -73,7 +73,8 @@
 
   function rest(s: Standing, doublings: number): void {
     s.restedAt = now();
-    s.until = s.restedAt + pause * 2 ** Math.min(MOST_DOUBLINGS, doublings) * (0.8 + 0.4 * spread());
+    s.until =
+      s.restedAt + pause * 2 ** Math.min(MOST_DOUBLINGS, doublings) * (0.8 + 0.4 * spread());
   }
 
   function ended(name: string, how: Ending, at: number): void {
--- a/src/data/gateway/weights.ts
+++ b/src/data/gateway/weights.ts
@@ -33,8 +33,12 @@
 
   function named(v: NamedWeights, live: boolean): void {
     names.set(v.model, v);
-    for (const w of v.older) if (!since.has(keyOf(v.model, w))) since.set(keyOf(v.model, w), clock.now() - (live ? 0 : stopMs - lateMs));
-    for (const k of since.keys()) if (k.startsWith(`${v.model} `) && !v.older.includes(k.slice(v.model.length + 1))) since.delete(k);
+    for (const w of v.older)
+      if (!since.has(keyOf(v.model, w)))
+        since.set(keyOf(v.model, w), clock.now() - (live ? 0 : stopMs - lateMs));
+    for (const k of since.keys())
+      if (k.startsWith(`${v.model} `) && !v.older.includes(k.slice(v.model.length + 1)))
+        since.delete(k);
   }
 
   function keyOf(model: string, weights: string): string {
@@ -45,7 +49,8 @@
     const here = new Set<string>();
     for (const e of engines) {
       here.add(e.id);
-      for (const m of e.models ?? [{ name: e.model, weights: e.weights }]) if (m.weights !== '') note(e.id, m.name, m.weights);
+      for (const m of e.models ?? [{ name: e.model, weights: e.weights }])
+        if (m.weights !== '') note(e.id, m.name, m.weights);
     }
     for (const id of has.keys()) if (!here.has(id)) has.delete(id);
     for (const id of busy.keys()) if (!here.has(id)) busy.delete(id);
@@ -55,7 +60,8 @@
     const of = has.get(instance) ?? new Map<string, string>();
     has.set(instance, of);
     const before = of.get(model);
-    if (before === undefined || compareWeights(weights, before, names.get(model)) >= 0) of.set(model, weights);
+    if (before === undefined || compareWeights(weights, before, names.get(model)) >= 0)
+      of.set(model, weights);
   }
 
   function told(instance: string, weights: Record<string, string>): void {
@@ -63,12 +69,17 @@
   }
 
   function loading(instances: readonly string[], withinMs: number): void {
-    for (const id of instances) busy.set(id, { weights: new Map(has.get(id) ?? []), until: clock.now() + withinMs });
+    for (const id of instances)
+      busy.set(id, { weights: new Map(has.get(id) ?? []), until: clock.now() + withinMs });
   }
 
   function isLoading(instance: string, model: string): boolean {
     const b = busy.get(instance);
-    return b !== undefined && clock.now() < b.until && b.weights.get(model) === has.get(instance)?.get(model);
+    return (
+      b !== undefined &&
+      clock.now() < b.until &&
+      b.weights.get(model) === has.get(instance)?.get(model)
+    );
   }
 
   function expect(instance: string, model: string): Expected | undefined {
--- a/src/data/once.ts
+++ b/src/data/once.ts
@@ -26,7 +26,10 @@
   }
   const set = votersMark(follower);
   const { ok, got } = await follower.askVoters<VoteAnswer>('vote', { key, run }, yes);
-  if (ok) return votersMark(follower) === set ? { won: true, state: 'running', set } : holdKey(follower, key, run);
+  if (ok)
+    return votersMark(follower) === set
+      ? { won: true, state: 'running', set }
+      : holdKey(follower, key, run);
   const others = new Map<string, { count: number; state: string }>();
   for (const r of got) {
     if (r.run === run) continue;
@@ -36,8 +39,10 @@
     others.set(r.run, o);
   }
   if (others.size === 0) return { won: false, state: 'unreachable' };
-  for (const o of others.values()) if (o.state !== 'running') return { won: false, state: o.state as OnceAnswer['state'] };
-  for (const other of others.keys()) if (!follower.members('router').some(made(other))) return { won: false, state: 'unknown' };
+  for (const o of others.values())
+    if (o.state !== 'running') return { won: false, state: o.state as OnceAnswer['state'] };
+  for (const other of others.keys())
+    if (!follower.members('router').some(made(other))) return { won: false, state: 'unknown' };
   return { won: false, state: 'running' };
 }
 
@@ -50,6 +55,11 @@
 }
 
 /** Tells the disks what became of a run; `released` gives the key back, for a run that certainly never was. */
-export function tellRun(follower: Follower, key: string, run: string, state: 'done' | 'unknown' | 'released'): void {
+export function tellRun(
+  follower: Follower,
+  key: string,
+  run: string,
+  state: 'done' | 'unknown' | 'released',
+): void {
   follower.coreTell('run', { key, run, state });
 }
--- a/src/data/place.ts
+++ b/src/data/place.ts
@@ -53,7 +53,12 @@
 
 /** Asks indexers and works out placements. */
 export interface Placer {
-  overlaps(model: string, salt: string, weights: string, parts: Part[]): Promise<Overlap[] | undefined>;
+  overlaps(
+    model: string,
+    salt: string,
+    weights: string,
+    parts: Part[],
+  ): Promise<Overlap[] | undefined>;
   choose(w: Wanted, by: Map<string, Overlap[] | undefined>): Placement | undefined;
   tellReused(body: object): void;
   reach(members: Member[]): void;
@@ -61,7 +66,15 @@
 }
 
 /** Makes the placer; it keeps a connection up to each indexer. */
-export function makePlacer(ports: Ports, bounds: Bounds, follower: Follower, engines: Engines, hello: Hello, edges: object[], way: 'index' | 'affinity'): Placer {
+export function makePlacer(
+  ports: Ports,
+  bounds: Bounds,
+  follower: Follower,
+  engines: Engines,
+  hello: Hello,
+  edges: object[],
+  way: 'index' | 'affinity',
+): Placer {
   const helds = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause });
 
   function reach(members: Member[]): void {
@@ -76,7 +89,12 @@
     return m.at;
   }
 
-  async function overlaps(model: string, salt: string, weights: string, parts: Part[]): Promise<Overlap[] | undefined> {
+  async function overlaps(
+    model: string,
+    salt: string,
+    weights: string,
+    parts: Part[],
+  ): Promise<Overlap[] | undefined> {
     if (way === 'affinity') return undefined;
     let tries = 0;
     for (const at of rendezvous(hello.name, helds.ats())) {
@@ -124,11 +142,15 @@
   function choose(w: Wanted, by: Map<string, Overlap[] | undefined>): Placement | undefined {
     const all = total(w.parts);
     let best: { cost: number; p: Placement } | undefined;
-    const prefix = w.parts.length > 1 ? w.parts[Math.min(w.parts.length - 2, PREFIX_PART)].hash : (w.parts[0]?.hash ?? '');
+    const prefix =
+      w.parts.length > 1
+        ? w.parts[Math.min(w.parts.length - 2, PREFIX_PART)].hash
+        : (w.parts[0]?.hash ?? '');
     const able: { s: Seen; weights: string }[] = [];
     for (const s of engines.ofModel(w.model)) {
       const weights = w.weights(s);
-      if (weights !== undefined && !w.avoid.has(s.engine.id) && engines.fit(s) && room(s, w.urgent)) able.push({ s, weights });
+      if (weights !== undefined && !w.avoid.has(s.engine.id) && engines.fit(s) && room(s, w.urgent))
+        able.push({ s, weights });
     }
     const ranks = rendezvous(`${w.salt} ${prefix}`, able.map(idOf));
     for (const { s, weights } of able) {
@@ -146,7 +168,10 @@
     function byAffinity(s: Seen, weights: string): { cost: number; p: Placement } {
       const rank = ranks.indexOf(s.engine.id);
       const likely = rank === 0 ? HOME_READS : 1;
-      return { cost: waitOf(s) + all * s.msPerToken * likely + rank, p: { seen: s, weights, expected: 0, sure: false, indexed: false } };
+      return {
+        cost: waitOf(s) + all * s.msPerToken * likely + rank,
+        p: { seen: s, weights, expected: 0, sure: false, indexed: false },
+      };
     }
 
     function byIndex(s: Seen, weights: string, known: Overlap[]): { cost: number; p: Placement } {
@@ -154,7 +179,13 @@
       for (const o of known) if (o.source === s.engine.id) own = o;
       const held = own.tokens + own.doubted * DOUBTED;
       let cost = waitOf(s) + (all - held) * s.msPerToken + ranks.indexOf(s.engine.id) * RANK_MS;
-      const p: Placement = { seen: s, weights, expected: own.parts, sure: own.doubted === 0, indexed: true };
+      const p: Placement = {
+        seen: s,
+        weights,
+        expected: own.parts,
+        sure: own.doubted === 0,
+        indexed: true,
+      };
       for (const o of known) {
         if (o.source === s.engine.id || o.parts <= own.parts) continue;
         const at = addressOf(o.source);
@@ -162,10 +193,19 @@
         const more = total(w.parts.slice(0, o.parts), own.parts);
         const link = engines.linkCost(o.source, s.engine.id);
         const sure = o.tokens / Math.max(1, o.tokens + o.doubted);
-        const fetched = waitOf(s) + more * link + (all - held - more * sure) * s.msPerToken + ranks.indexOf(s.engine.id) * RANK_MS;
+        const fetched =
+          waitOf(s) +
+          more * link +
+          (all - held - more * sure) * s.msPerToken +
+          ranks.indexOf(s.engine.id) * RANK_MS;
         if (fetched >= cost) continue;
         cost = fetched;
-        p.fetch = { from: o.source, at, hashes: w.parts.slice(own.parts, o.parts).map(hashOf), tokens: more };
+        p.fetch = {
+          from: o.source,
+          at,
+          hashes: w.parts.slice(own.parts, o.parts).map(hashOf),
+          tokens: more,
+        };
       }
       return { cost, p };
     }
--- a/src/data/router.ts
+++ b/src/data/router.ts
@@ -52,9 +52,17 @@
   metrics: Metrics;
   firstTook(ms: number): void;
   tenantOf(hash: string): string | undefined;
-  serviceOf(tenant: string, service: string | undefined, label: string | undefined): Service | 'missing' | 'foreign';
+  serviceOf(
+    tenant: string,
+    service: string | undefined,
+    label: string | undefined,
+  ): Service | 'missing' | 'foreign';
   saltOf(tenant: string): string | undefined;
-  freshWeights(model: string): { now: (s: Seen) => string | undefined; old?: (s: Seen) => string | undefined; queried: string[] };
+  freshWeights(model: string): {
+    now: (s: Seen) => string | undefined;
+    old?: (s: Seen) => string | undefined;
+    queried: string[];
+  };
   allowSecond(service: Service): boolean;
   earn(service: Service): void;
   runId(): string;
@@ -81,10 +89,27 @@
 }
 
 /** Starts a router that speaks by a dialect: it follows the core, and its gateway takes callers. */
-export async function startDialectRouter(ports: Ports, settings: Settings, dialect: Dialect): Promise<Outcome<RunningRouter>> {
+export async function startDialectRouter(
+  ports: Ports,
+  settings: Settings,
+  dialect: Dialect,
+): Promise<Outcome<RunningRouter>> {
   const bounds = boundsOf(settings);
-  const hello: Hello = { version: WIRE_VERSION, name: settings.name, role: 'router', at: settings.wire, zone: settings.zone };
-  const member: Member = { name: settings.name, role: 'router', at: settings.wire, http: settings.http, zone: settings.zone, life: ports.dice.id().slice(0, 8) };
+  const hello: Hello = {
+    version: WIRE_VERSION,
+    name: settings.name,
+    role: 'router',
+    at: settings.wire,
+    zone: settings.zone,
+  };
+  const member: Member = {
+    name: settings.name,
+    role: 'router',
+    at: settings.wire,
+    http: settings.http,
+    zone: settings.zone,
+    life: ports.dice.id().slice(0, 8),
+  };
   const edges: object[] = [new HelloEdge(hello)];
   const follower = follow(ports, bounds, hello, member, settings.seeds, edges);
   function taken(s: Connection): void {
@@ -108,12 +133,41 @@
 /** Starts a router: it follows the core, watches engines, and takes callers. */
 export async function startRouter(ports: Ports, settings: Settings): Promise<Outcome<Router>> {
   const bounds = boundsOf(settings);
-  const hello: Hello = { version: WIRE_VERSION, name: settings.name, role: 'router', at: settings.wire, zone: settings.zone };
-  const member: Member = { name: settings.name, role: 'router', at: settings.wire, http: settings.http, zone: settings.zone, life: ports.dice.id().slice(0, 8) };
+  const hello: Hello = {
+    version: WIRE_VERSION,
+    name: settings.name,
+    role: 'router',
+    at: settings.wire,
+    zone: settings.zone,
+  };
+  const member: Member = {
+    name: settings.name,
+    role: 'router',
+    at: settings.wire,
+    http: settings.http,
+    zone: settings.zone,
+    life: ports.dice.id().slice(0, 8),
+  };
   const edges: object[] = [new HelloEdge(hello)];
-  const counts: RouterCounts = { asked: 0, done: 0, refused: 0, unknown: 0, attempts: 0, secondTries: 0, needed: 0, reused: 0, expected: 0, unindexed: 0, fetched: 0 };
+  const counts: RouterCounts = {
+    asked: 0,
+    done: 0,
+    refused: 0,
+    unknown: 0,
+    attempts: 0,
+    secondTries: 0,
+    needed: 0,
+    reused: 0,
+    expected: 0,
+    unindexed: 0,
+    fetched: 0,
+  };
   const metrics = makeMetrics();
-  const firstTook = metrics.times('plumhollow_router_first_piece_ms', 'from a request\'s arrival to its first piece', settings.changeBoundMs);
+  const firstTook = metrics.times(
+    'plumhollow_router_first_piece_ms',
+    "from a request's arrival to its first piece",
+    settings.changeBoundMs,
+  );
   const hashes = new Map<string, string>();
   const held = new Map<string, string[]>();
   const rules = new Map<string, string>();
@@ -130,20 +184,29 @@
   function changed(n: Numbered): void {
     if (n.key === KEYS.engines) engines.renew();
     else if (n.key === KEYS.intents) renewIntents((n.value as IntentsValue).doc);
-    else if (n.key.startsWith(KEYS.tenantKeys)) renewKeys(n.value as { tenant: string; keys: { hash: string }[] });
+    else if (n.key.startsWith(KEYS.tenantKeys))
+      renewKeys(n.value as { tenant: string; keys: { hash: string }[] });
     else if (n.key.startsWith(KEYS.weights)) noteOlder(n.key, n.value as NamedWeights);
     cutAttempts();
   }
 
   function noteOlder(key: string, v: NamedWeights): void {
-    for (const w of v.older) if (!olderSince.has(`${key} ${w}`)) olderSince.set(`${key} ${w}`, follower.live() ? ports.clock.now() : -Infinity);
-    for (const k of olderSince.keys()) if (k.startsWith(`${key} `) && !v.older.includes(k.slice(key.length + 1))) olderSince.delete(k);
+    for (const w of v.older)
+      if (!olderSince.has(`${key} ${w}`))
+        olderSince.set(`${key} ${w}`, follower.live() ? ports.clock.now() : -Infinity);
+    for (const k of olderSince.keys())
+      if (k.startsWith(`${key} `) && !v.older.includes(k.slice(key.length + 1)))
+        olderSince.delete(k);
   }
 
   function cutAttempts(): void {
     for (const l of underWay) {
       const named = follower.value<NamedWeights>(KEYS.weights + l.model)?.value;
-      const ended = named !== undefined && named.weights !== l.weights && !named.older.includes(l.weights) && !named.older.includes('*');
+      const ended =
+        named !== undefined &&
+        named.weights !== l.weights &&
+        !named.older.includes(l.weights) &&
+        !named.older.includes('*');
       if (ended || saltOf(l.tenant) !== l.salt) l.cut.abort();
       else if (engines.leaves(l.seen) && !l.watched) void cutSilent(l);
     }
@@ -176,7 +239,11 @@
     return hashes.get(hash);
   }
 
-  function serviceOf(tenant: string, service: string | undefined, label: string | undefined): Service | 'missing' | 'foreign' {
+  function serviceOf(
+    tenant: string,
+    service: string | undefined,
+    label: string | undefined,
+  ): Service | 'missing' | 'foreign' {
     const s = services.get(service ?? rules.get(`${tenant} ${label ?? ''}`) ?? '');
     if (!s) return 'missing';
     return s.tenant === tenant ? s : 'foreign';
@@ -206,7 +273,9 @@
       const w = s.status?.weights;
       return w !== undefined && (ok.has(w) || ok.has('*')) ? w : undefined;
     }
-    return ok.size === 0 ? { now: only, queried: [named.weights] } : { now: only, old, queried: [...all] };
+    return ok.size === 0
+      ? { now: only, queried: [named.weights] }
+      : { now: only, old, queried: [...all] };
   }
 
   function shareOf(s: Service): number {
@@ -236,7 +305,26 @@
   void follower.changes.observe(changed);
   void follower.advice.observe(cutAttempts);
   void follower.membership.observe(placer.reach);
-  const parts: RouterParts = { ports, settings, bounds, follower, engines, placer, counts, metrics, firstTook, tenantOf, serviceOf, saltOf, freshWeights, allowSecond, earn, runId, underWay, draining };
+  const parts: RouterParts = {
+    ports,
+    settings,
+    bounds,
+    follower,
+    engines,
+    placer,
+    counts,
+    metrics,
+    firstTook,
+    tenantOf,
+    serviceOf,
+    saltOf,
+    freshWeights,
+    allowSecond,
+    earn,
+    runId,
+    underWay,
+    draining,
+  };
   const api = new CallerApi(parts);
   const [f, wire] = open(await ports.wire.accept(settings.wire, taken));
   if (f) return Left(f);
@@ -252,7 +340,8 @@
   async function drain(): Promise<void> {
     leaving = true;
     const until = ports.clock.now() + bounds.drain;
-    while (api.busy() > 0 && ports.clock.now() < until) await ports.clock.sleep(bounds.pause * 0.25);
+    while (api.busy() > 0 && ports.clock.now() < until)
+      await ports.clock.sleep(bounds.pause * 0.25);
   }
 
   async function stop(): Promise<void> {
--- a/src/index/api.ts
+++ b/src/index/api.ts
@@ -31,7 +31,15 @@
     function part(hash: string): { hash: string; size: number } {
       return { hash, size: 0 };
     }
-    giveJson(call, 200, { scores: this.ix.query({ model: q.model, salt: q.salt, weights: q.weights, parts: q.hashes.map(part) }), parts: q.hashes.length });
+    giveJson(call, 200, {
+      scores: this.ix.query({
+        model: q.model,
+        salt: q.salt,
+        weights: q.weights,
+        parts: q.hashes.map(part),
+      }),
+      parts: q.hashes.length,
+    });
   }
 
   /** The whole of the trees as events. */
@@ -55,8 +63,12 @@
   /** Figures in the text form that collectors read. */
   @handles('GET', '/metrics')
   async metrics(call: Call): Promise<void> {
-    const rows = [`plumhollow_index_parts ${this.ix.trees.size()}`, `plumhollow_index_evicted_total ${this.ix.trees.evicted()}`];
-    for (const [k, v] of Object.entries(this.ix.counts)) rows.push(`plumhollow_index_${k.replace(/[A-Z]/g, '_$&').toLowerCase()}_total ${v}`);
+    const rows = [
+      `plumhollow_index_parts ${this.ix.trees.size()}`,
+      `plumhollow_index_evicted_total ${this.ix.trees.evicted()}`,
+    ];
+    for (const [k, v] of Object.entries(this.ix.counts))
+      rows.push(`plumhollow_index_${k.replace(/[A-Z]/g, '_$&').toLowerCase()}_total ${v}`);
     const by = new Map<string, number>();
     for (const l of this.ix.listeners()) by.set(l.status, (by.get(l.status) ?? 0) + 1);
     for (const [k, v] of by) rows.push(`plumhollow_index_listeners{status="${k}"} ${v}`);
--- a/src/index/coming.ts
+++ b/src/index/coming.ts
@@ -29,7 +29,12 @@
 }
 
 /** Keeps notes for `keptMs`, at most `most` of them; the oldest go first. */
-export function makeComing(now: () => number, keptMs: number, most: number, ranOut: (u: Unheard) => void): Coming {
+export function makeComing(
+  now: () => number,
+  keptMs: number,
+  most: number,
+  ranOut: (u: Unheard) => void,
+): Coming {
   const byPart = new Map<string, Map<string, Note>>();
   const order = new Map<Note, object>();
 
@@ -62,7 +67,15 @@
       byPart.set(key, m);
       const before = m.get(p.engine);
       if (before) order.delete(before);
-      const n: Note = { until: now() + keptMs, key, model: p.model, salt: p.salt, hash: part[0], size: part[1], source: p.engine };
+      const n: Note = {
+        until: now() + keptMs,
+        key,
+        model: p.model,
+        salt: p.salt,
+        hash: part[0],
+        size: part[1],
+        source: p.engine,
+      };
       m.set(p.engine, n);
       order.set(n, router);
     }
--- a/src/index/indexer.ts
+++ b/src/index/indexer.ts
@@ -10,7 +10,15 @@
 import { Coming, makeComing, Unheard } from './coming';
 import { BatchRing, Heard, Listener, ListenerView, listenTo, makeRing } from './listener';
 import { makeLoads } from './loads';
-import { CompactDump, Dump, IndexEdge, IndexParts, partsOf, QueryAsk, ReusedTell } from './messages';
+import {
+  CompactDump,
+  Dump,
+  IndexEdge,
+  IndexParts,
+  partsOf,
+  QueryAsk,
+  ReusedTell,
+} from './messages';
 import { OverlapEdge } from './overlap';
 import { makeRepair, Repair } from './repair';
 import { dialectSources, ownSources, Registration, Sources } from './sources';
@@ -48,10 +56,29 @@
 const COMING_SHARE = 0.1;
 
 /** Starts an indexer on the product's own contracts or on a dialect: listeners buffer, a peer's dump is applied, the gate opens, the buffer drains. */
-export async function startIndexer(ports: Ports, settings: Settings, dialect?: Dialect, edges: object[] = [], listens = true): Promise<Outcome<Indexer>> {
+export async function startIndexer(
+  ports: Ports,
+  settings: Settings,
+  dialect?: Dialect,
+  edges: object[] = [],
+  listens = true,
+): Promise<Outcome<Indexer>> {
   const bounds: Bounds = boundsOf(settings);
-  const hello: Hello = { version: WIRE_VERSION, name: settings.name, role: 'indexer', at: settings.wire, zone: settings.zone };
-  const member: Member = { name: settings.name, role: 'indexer', at: settings.wire, http: settings.http, zone: settings.zone, life: ports.dice.id().slice(0, 8) };
+  const hello: Hello = {
+    version: WIRE_VERSION,
+    name: settings.name,
+    role: 'indexer',
+    at: settings.wire,
+    zone: settings.zone,
+  };
+  const member: Member = {
+    name: settings.name,
+    role: 'indexer',
+    at: settings.wire,
+    http: settings.http,
+    zone: settings.zone,
+    life: ports.dice.id().slice(0, 8),
+  };
   const trees = makeTrees(settings.indexMostParts);
   const heard = new Map<string, Heard>();
   const listeners = new Map<string, Listener>();
@@ -60,14 +87,44 @@
   const peers = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause });
   const turns = new Map<string, Promise<void>>();
   const buffered: { id: string; r: EventsAnswer }[] = [];
-  const counts: IndexCounts = { queries: 0, gaps: 0, repairedBatches: 0, lostBatches: 0, epochChanges: 0, confirmed: 0, dropped: 0 };
+  const counts: IndexCounts = {
+    queries: 0,
+    gaps: 0,
+    repairedBatches: 0,
+    lostBatches: 0,
+    epochChanges: 0,
+    confirmed: 0,
+    dropped: 0,
+  };
   let gate = false;
   let stopped = false;
-  const sources: Sources = dialect ? dialectSources(ports, bounds, dialect) : ownSources(ports, bounds);
-  const coming = makeComing(ports.clock.now, bounds.coming, Math.ceil(settings.indexMostParts * COMING_SHARE), unheard);
+  const sources: Sources = dialect
+    ? dialectSources(ports, bounds, dialect)
+    : ownSources(ports, bounds);
+  const coming = makeComing(
+    ports.clock.now,
+    bounds.coming,
+    Math.ceil(settings.indexMostParts * COMING_SHARE),
+    unheard,
+  );
   const loads = makeLoads(ports.clock.now, bounds.loadsSilent);
-  const repair = makeRepair({ ports, bounds, sources, trees, peers, at: settings.wire, registration: registrationOf, heard: heard.get.bind(heard), adopt });
-  edges.push(new HelloEdge(hello), new IndexEdge({ query, dump, dumpRows, ring, reused }), new OverlapEdge(trees, coming, loads, reached, gateOpen), repair.edge);
+  const repair = makeRepair({
+    ports,
+    bounds,
+    sources,
+    trees,
+    peers,
+    at: settings.wire,
+    registration: registrationOf,
+    heard: heard.get.bind(heard),
+    adopt,
+  });
+  edges.push(
+    new HelloEdge(hello),
+    new IndexEdge({ query, dump, dumpRows, ring, reused }),
+    new OverlapEdge(trees, coming, loads, reached, gateOpen),
+    repair.edge,
+  );
   const follower = follow(ports, bounds, hello, member, settings.seeds, edges);
 
   function gateOpen(): boolean {
@@ -111,13 +168,23 @@
 
   /** A part that was to come is taken for kept where numbers were lost meanwhile, as its event may be one of them. */
   function unheard(u: Unheard): void {
-    if (registrationOf(u.source) && repair.owed(u.source) > 0) trees.apply(u.source, { kind: 'stored', model: u.model, weights: '', salt: u.salt, parent: '', hash: u.hash, size: u.size });
+    if (registrationOf(u.source) && repair.owed(u.source) > 0)
+      trees.apply(u.source, {
+        kind: 'stored',
+        model: u.model,
+        weights: '',
+        salt: u.salt,
+        parent: '',
+        hash: u.hash,
+        size: u.size,
+      });
   }
 
   function adopt(source: string, epoch: string, seq: number, takeOver: () => void): void {
     takeOver();
     const h = heard.get(source);
-    if (h?.epoch === epoch && h.seq > seq) for (const b of ring(source).between(epoch, seq + 1, h.seq)) applyEvents(source, b);
+    if (h?.epoch === epoch && h.seq > seq)
+      for (const b of ring(source).between(epoch, seq + 1, h.seq)) applyEvents(source, b);
     else heard.set(source, { epoch, seq });
   }
 
@@ -140,7 +207,15 @@
     }
     for (const [id, r] of want) {
       if (listeners.has(id)) continue;
-      const l = listenTo(ports, bounds, sources, r, heard.get(id) ?? { epoch: '', seq: 0 }, gateOpen, onLong);
+      const l = listenTo(
+        ports,
+        bounds,
+        sources,
+        r,
+        heard.get(id) ?? { epoch: '', seq: 0 },
+        gateOpen,
+        onLong,
+      );
       listeners.set(id, l);
       if ((heard.get(id)?.seq ?? 0) > 0 && trees.holding(id) === 0) repair.lost(id, undefined);
       void l.pulls.observe(pulled);
@@ -222,7 +297,13 @@
       if (found.size === missing.size) break;
       const ex = peers.up(at);
       if (!ex) continue;
-      const [f, list] = open(await ex.ask('missed', { source: id, epoch: h.epoch, from: h.seq + 1, to: next - 1 }, bounds.query));
+      const [f, list] = open(
+        await ex.ask(
+          'missed',
+          { source: id, epoch: h.epoch, from: h.seq + 1, to: next - 1 },
+          bounds.query,
+        ),
+      );
       if (f) continue;
       for (const b of list as EventBatch[]) if (missing.has(b.seq)) found.set(b.seq, b);
     }
@@ -296,7 +377,15 @@
     const out: ListenerView[] = [];
     for (const [id, l] of listeners) {
       const h = heard.get(id) ?? { epoch: '', seq: 0 };
-      out.push({ id, kind: l.reg.kind, at: l.reg.at, ...l.view(), epoch: h.epoch, lastSeq: h.seq, ...(gapsOf.get(id) ?? { gaps: 0, repaired: 0 }) });
+      out.push({
+        id,
+        kind: l.reg.kind,
+        at: l.reg.at,
+        ...l.view(),
+        epoch: h.epoch,
+        lastSeq: h.seq,
+        ...(gapsOf.get(id) ?? { gaps: 0, repaired: 0 }),
+      });
     }
     return out.sort(byId);
   }
@@ -329,5 +418,23 @@
   }
 
   void join();
-  return Right({ settings, follower, trees, edges, query, dump, dumpRows, ring, reused, gateOpen, listeners: views, counts, coming, sources, reached, repair, stop });
+  return Right({
+    settings,
+    follower,
+    trees,
+    edges,
+    query,
+    dump,
+    dumpRows,
+    ring,
+    reused,
+    gateOpen,
+    listeners: views,
+    counts,
+    coming,
+    sources,
+    reached,
+    repair,
+    stop,
+  });
 }
--- a/src/index/listener.ts
+++ b/src/index/listener.ts
@@ -36,7 +36,15 @@
 }
 
 /** Pulls one source's events for as long as it is registered, one task for each. */
-export function listenTo(ports: Ports, bounds: Bounds, sources: Sources, reg: Registration, from: Heard, gateOpen: () => boolean, onLong: () => void): Listener {
+export function listenTo(
+  ports: Ports,
+  bounds: Bounds,
+  sources: Sources,
+  reg: Registration,
+  from: Heard,
+  gateOpen: () => boolean,
+  onLong: () => void,
+): Listener {
   const hand = makeFeed<EventsAnswer>();
   const gone = new AbortController();
   let stopped = false;
@@ -75,7 +83,8 @@
       for (const b of r.batches) after = Math.max(after, b.seq);
       if (r.batches.length === 0 || sources.asksAnew) after = Math.max(after, r.last);
       hand.add(r);
-      if (sources.gatherMs > 0) await ports.clock.sleep(sources.gatherMs * (0.8 + 0.4 * ports.dice.next()));
+      if (sources.gatherMs > 0)
+        await ports.clock.sleep(sources.gatherMs * (0.8 + 0.4 * ports.dice.next()));
     }
   }
 
--- a/src/index/loads.ts
+++ b/src/index/loads.ts
@@ -57,7 +57,13 @@
     const have = tellers.get(connection);
     if (have) return have;
     for (const [c, t] of [...tellers]) if (t.name === router) drop(c);
-    const t: Teller = { name: router, own: new Map(), said: new Map(), heardAt: now(), counted: true };
+    const t: Teller = {
+      name: router,
+      own: new Map(),
+      said: new Map(),
+      heardAt: now(),
+      counted: true,
+    };
     tellers.set(connection, t);
     return t;
   }
@@ -68,7 +74,8 @@
     t.heardAt = now();
     count(t, true);
     if (q.full) for (const engine of [...t.own.keys()]) set(t, engine, [0, 0, 0]);
-    for (const [engine, running, unread, held] of q.own) set(t, engine, [running, unread, held ?? 0]);
+    for (const [engine, running, unread, held] of q.own)
+      set(t, engine, [running, unread, held ?? 0]);
     quiet();
     const full = first || q.full;
     if (full) t.said.clear();
--- a/src/index/overlap.ts
+++ b/src/index/overlap.ts
@@ -2,7 +2,16 @@
 import { Exchange } from '../shared/connections';
 import { Handled, message } from '../shared/edge';
 import { bad } from '../shared/errors';
-import { LoadsShape, LoadsTell, OverlapAnswer, OverlapAsk, OverlapShape, PlacedShape, PlacedTell, WirePart } from '../shared/loads';
+import {
+  LoadsShape,
+  LoadsTell,
+  OverlapAnswer,
+  OverlapAsk,
+  OverlapShape,
+  PlacedShape,
+  PlacedTell,
+  WirePart,
+} from '../shared/loads';
 import { Coming } from './coming';
 import { Loads } from './loads';
 import { Trees } from './tree';
@@ -15,7 +24,12 @@
 }
 
 /** Walks a prompt from its front: what each source keeps of it, and what is on its way there beyond that. */
-export function overlapOf(trees: Trees, coming: Coming, q: OverlapAsk, reached: (source: string) => boolean = always): OverlapAnswer {
+export function overlapOf(
+  trees: Trees,
+  coming: Coming,
+  q: OverlapAsk,
+  reached: (source: string) => boolean = always,
+): OverlapAnswer {
   const walks = new Map<string, Walk>();
   let alive = new Set<string>();
   for (const [i, [hash, size]] of q.parts.entries()) {
@@ -45,7 +59,8 @@
   }
   trees.learn(q.model, q.salt, q.parts);
   const out: OverlapAnswer = [];
-  for (const [source, w] of walks) if ((w.kept > 0 || w.coming > 0) && reached(source)) out.push([source, w.kept, w.coming]);
+  for (const [source, w] of walks)
+    if ((w.kept > 0 || w.coming > 0) && reached(source)) out.push([source, w.kept, w.coming]);
   return out;
 }
 
@@ -57,7 +72,13 @@
 export class OverlapEdge {
   private readonly watched = new WeakSet<object>();
 
-  constructor(private readonly trees: Trees, private readonly coming: Coming, private readonly loads: Loads, private readonly reached: (source: string) => boolean, private readonly ready: () => boolean) {}
+  constructor(
+    private readonly trees: Trees,
+    private readonly coming: Coming,
+    private readonly loads: Loads,
+    private readonly reached: (source: string) => boolean,
+    private readonly ready: () => boolean,
+  ) {}
 
   private watch(ex: Exchange): void {
     if (this.watched.has(ex)) return;
@@ -68,7 +89,8 @@
   private note(ex: Exchange, p: PlacedTell): void {
     const trees = this.trees;
     function keeps([hash, size]: WirePart): boolean {
-      for (const h of trees.holders(p.model, p.salt, hash) ?? []) if (h.source === p.engine) return h.kept >= size;
+      for (const h of trees.holders(p.model, p.salt, hash) ?? [])
+        if (h.source === p.engine) return h.kept >= size;
       return false;
     }
     this.coming.placed(ex, p, keeps);
@@ -82,7 +104,8 @@
   /** Tells how much of a prompt each source keeps; refused until the gate is open. */
   @message('overlap', OverlapShape)
   async overlap(q: OverlapAsk): Handled {
-    if (!this.ready()) return bad('overlap', '', 'the gate is not open yet', 'refused', 'not-ready');
+    if (!this.ready())
+      return bad('overlap', '', 'the gate is not open yet', 'refused', 'not-ready');
     return Right(overlapOf(this.trees, this.coming, q, this.reached));
   }
 
--- a/src/index/repair.ts
+++ b/src/index/repair.ts
@@ -128,7 +128,8 @@
     const before = owed(source);
     const left = (await fromPeers(source)) ?? (await byList(source));
     if (left === undefined) {
-      if (!mine(source)) notBefore.set(source, p.ports.clock.now() + p.bounds.repairTurn * PEER_TURNS);
+      if (!mine(source))
+        notBefore.set(source, p.ports.clock.now() + p.bounds.repairTurn * PEER_TURNS);
       return;
     }
     notBefore.set(source, p.ports.clock.now() + p.bounds.repairEach);
@@ -142,7 +143,9 @@
     for (const at of p.peers.ats()) {
       const ex = p.peers.up(at);
       if (!ex || !h) continue;
-      const [f, w] = open(await ex.ask('whole', { source, epoch: h.epoch, seq: h.seq }, p.bounds.ask));
+      const [f, w] = open(
+        await ex.ask('whole', { source, epoch: h.epoch, seq: h.seq }, p.bounds.ask),
+      );
       if (f || p.heard(source)?.epoch !== h.epoch) continue;
       const whole = w as Whole;
       p.adopt(source, h.epoch, whole.seq, take);
