--- a/src/index/sources.ts
+++ b/src/index/sources.ts
@@ -34,14 +34,20 @@
   /** Batches that are kept of each source for peers that missed some. */
   ringMost: number;
   registrations(follower: Follower): Registration[];
-  pull(reg: Registration, epoch: string, after: number, gone: AbortSignal): Promise<Outcome<EventsAnswer>>;
+  pull(
+    reg: Registration,
+    epoch: string,
+    after: number,
+    gone: AbortSignal,
+  ): Promise<Outcome<EventsAnswer>>;
   /** Asks for all that a source keeps; it holds the source's work up. */
   list?(reg: Registration): Promise<Outcome<SourceList>>;
 }
 
 function enginesOf(follower: Follower): Registration[] {
   const out: Registration[] = [];
-  for (const e of follower.value<Engine[]>(KEYS.engines)?.value ?? []) out.push({ id: e.id, kind: 'engine', at: e.at, paused: e.leaving });
+  for (const e of follower.value<Engine[]>(KEYS.engines)?.value ?? [])
+    out.push({ id: e.id, kind: 'engine', at: e.at, paused: e.leaving });
   return out;
 }
 
@@ -54,13 +60,28 @@
 /** Sources that speak the product's own contracts. */
 export function ownSources(ports: Ports, bounds: Bounds): Sources {
   function registrations(follower: Follower): Registration[] {
-    return [...enginesOf(follower), ...storesOf(follower.value<IntentsValue>(KEYS.intents)?.value.doc.cacheStores ?? [], idOf)];
+    return [
+      ...enginesOf(follower),
+      ...storesOf(follower.value<IntentsValue>(KEYS.intents)?.value.doc.cacheStores ?? [], idOf),
+    ];
   }
   function idOf(s: CacheStore): string {
     return s.id;
   }
-  function pull(reg: Registration, epoch: string, after: number, gone: AbortSignal): Promise<Outcome<EventsAnswer>> {
-    return (reg.kind === 'store' ? pullStoreEvents : pullEvents)(ports.wire, reg.at, epoch, after, bounds.feedWait, gone);
+  function pull(
+    reg: Registration,
+    epoch: string,
+    after: number,
+    gone: AbortSignal,
+  ): Promise<Outcome<EventsAnswer>> {
+    return (reg.kind === 'store' ? pullStoreEvents : pullEvents)(
+      ports.wire,
+      reg.at,
+      epoch,
+      after,
+      bounds.feedWait,
+      gone,
+    );
   }
   return { asksAnew: false, gatherMs: 0, ringMost: 512, registrations, pull };
 }
@@ -73,7 +94,7 @@
     const doc = follower.value<DeploymentValue>(KEYS.deployment)?.value.doc;
     if (doc !== undefined && read?.doc !== doc) {
       const [, d] = open(dialect.deployment(doc).mapLeft(asFault));
-      read = { doc, stores: d ? storesOf(d.stores, nameOf) : read?.stores ?? [] };
+      read = { doc, stores: d ? storesOf(d.stores, nameOf) : (read?.stores ?? []) };
     }
     return [...enginesOf(follower), ...(read?.stores ?? [])];
   }
@@ -86,20 +107,42 @@
     return s.name;
   }
 
-  async function pull(reg: Registration, _: string, after: number, gone: AbortSignal): Promise<Outcome<EventsAnswer>> {
-    const [f, r] = open(await askWorded(ports.wire, reg.at, dialect.engines.feed.ask(after, bounds.feedHold), bounds.feedHold + bounds.ask, gone));
+  async function pull(
+    reg: Registration,
+    _: string,
+    after: number,
+    gone: AbortSignal,
+  ): Promise<Outcome<EventsAnswer>> {
+    const [f, r] = open(
+      await askWorded(
+        ports.wire,
+        reg.at,
+        dialect.engines.feed.ask(after, bounds.feedHold),
+        bounds.feedHold + bounds.ask,
+        gone,
+      ),
+    );
     if (f) return Left(f);
     const k = dialect.engines.feed.read(r.status, r.body);
-    if (k.isLeft()) return bad('pull events', reg.at, k.extract() as string, 'failed', 'bad-return');
+    if (k.isLeft())
+      return bad('pull events', reg.at, k.extract() as string, 'failed', 'bad-return');
     const feed = k.unsafeCoerce();
-    return Right({ epoch: feed.epoch, lost: feed.lost, last: feed.next, batches: feed.events.map(batchOf) });
+    return Right({
+      epoch: feed.epoch,
+      lost: feed.lost,
+      last: feed.next,
+      batches: feed.events.map(batchOf),
+    });
   }
 
   async function list(reg: Registration): Promise<Outcome<SourceList>> {
-    const [f, r] = open(await askWorded(ports.wire, reg.at, dialect.engines.list.ask(), bounds.ask));
+    const [f, r] = open(
+      await askWorded(ports.wire, reg.at, dialect.engines.list.ask(), bounds.ask),
+    );
     if (f) return Left(f);
     const k = dialect.engines.list.read(r.status, r.body);
-    if (k.isLeft()) return bad('list kept parts', reg.at, k.extract() as string, 'failed', 'bad-return');
+    if (k.isLeft())
+      return bad('list kept parts', reg.at, k.extract() as string, 'failed', 'bad-return');
     const l = k.unsafeCoerce();
     return Right({ epoch: l.epoch, seq: l.next, held: l.held.map(eventOf) });
   }
@@ -108,7 +151,15 @@
 }
 
 function eventOf(e: Pick<KeptEvent, 'model' | 'salt' | 'hash' | 'size'>): PartEvent {
-  return { kind: e.size > 0 ? 'stored' : 'removed', model: e.model, weights: '', salt: e.salt, parent: '', hash: e.hash, size: e.size };
+  return {
+    kind: e.size > 0 ? 'stored' : 'removed',
+    model: e.model,
+    weights: '',
+    salt: e.salt,
+    parent: '',
+    hash: e.hash,
+    size: e.size,
+  };
 }
 
 function batchOf(e: KeptEvent): { seq: number; events: PartEvent[] } {
--- a/src/index/tree.ts
+++ b/src/index/tree.ts
@@ -34,7 +34,15 @@
 }
 
 /** One row of a compact dump: hash, parent, size, source by its index, weights, tokens kept, and whether that is doubted. */
-export type Row = [hash: string, parent: string, size: number, source: number, weights: string, kept: number, doubted: boolean];
+export type Row = [
+  hash: string,
+  parent: string,
+  size: number,
+  source: number,
+  weights: string,
+  kept: number,
+  doubted: boolean,
+];
 
 /** The whole of the trees in little room. */
 export interface Rows {
@@ -48,11 +56,22 @@
   dropSource(source: string): number;
   doubt(source: string): number;
   doubted(source: string): number;
-  reused(source: string, model: string, salt: string, weights: string, parts: readonly Part[], count: number): { confirmed: number; dropped: number };
+  reused(
+    source: string,
+    model: string,
+    salt: string,
+    weights: string,
+    parts: readonly Part[],
+    count: number,
+  ): { confirmed: number; dropped: number };
   query(model: string, salt: string, weights: string, parts: readonly Part[]): Overlap[];
   dump(source?: string): { source: string; event: PartEvent }[];
   /** Tokens that each source keeps of one part. */
-  holders(model: string, salt: string, hash: string): { source: string; kept: number }[] | undefined;
+  holders(
+    model: string,
+    salt: string,
+    hash: string,
+  ): { source: string; kept: number }[] | undefined;
   /** Takes where parts stand in a prompt from a prompt that names them in order, and marks them as used. */
   learn(model: string, salt: string, parts: readonly WirePart[]): void;
   /** The trees, or what one source keeps of them, as rows. */
@@ -75,7 +94,12 @@
 
   function treeOf(model: string, salt: string): Tree {
     const k = JSON.stringify([model, salt]);
-    const t = trees.get(k) ?? { model, salt, nodes: new Map<string, Node>(), orphans: new Map<string, number>() };
+    const t = trees.get(k) ?? {
+      model,
+      salt,
+      nodes: new Map<string, Node>(),
+      orphans: new Map<string, number>(),
+    };
     trees.set(k, t);
     return t;
   }
@@ -115,7 +139,14 @@
     const t = treeOf(e.model, e.salt);
     let n = t.nodes.get(e.hash);
     if (!n) {
-      n = { hash: e.hash, parent: e.parent, size: e.size, kids: t.orphans.get(e.hash) ?? 0, holdings: [], tree: t };
+      n = {
+        hash: e.hash,
+        parent: e.parent,
+        size: e.size,
+        kids: t.orphans.get(e.hash) ?? 0,
+        holdings: [],
+        tree: t,
+      };
       t.orphans.delete(e.hash);
       t.nodes.set(e.hash, n);
       addKids(t, e.parent, 1);
@@ -186,7 +217,15 @@
   }
 
   function eventOf(n: Node, weights: string): PartEvent {
-    return { kind: 'stored', model: n.tree.model, salt: n.tree.salt, weights, parent: n.parent, hash: n.hash, size: n.size };
+    return {
+      kind: 'stored',
+      model: n.tree.model,
+      salt: n.tree.salt,
+      weights,
+      parent: n.parent,
+      hash: n.hash,
+      size: n.size,
+    };
   }
 
   function query(model: string, salt: string, weights: string, parts: readonly Part[]): Overlap[] {
@@ -217,7 +256,8 @@
   }
 
   function doubt(source: string): number {
-    for (const n of held.get(source) ?? []) for (const h of n.holdings) if (h.source === source) h.doubted = true;
+    for (const n of held.get(source) ?? [])
+      for (const h of n.holdings) if (h.source === source) h.doubted = true;
     return held.get(source)?.size ?? 0;
   }
 
@@ -230,11 +270,26 @@
     }
   }
 
-  function reused(source: string, model: string, salt: string, weights: string, parts: readonly Part[], count: number): { confirmed: number; dropped: number } {
+  function reused(
+    source: string,
+    model: string,
+    salt: string,
+    weights: string,
+    parts: readonly Part[],
+    count: number,
+  ): { confirmed: number; dropped: number } {
     let parent = model;
     let dropped = 0;
     for (const [i, p] of parts.entries()) {
-      const e: PartEvent = { kind: 'stored', model, salt, weights, parent, hash: p.hash, size: p.size };
+      const e: PartEvent = {
+        kind: 'stored',
+        model,
+        salt,
+        weights,
+        parent,
+        hash: p.hash,
+        size: p.size,
+      };
       const n = trees.get(JSON.stringify([model, salt]))?.nodes.get(p.hash);
       if (i < count) store(source, e);
       else if (i === count && n && find(n, source, weights)?.doubted) {
@@ -249,12 +304,18 @@
   function dump(source?: string): { source: string; event: PartEvent }[] {
     const out: { source: string; event: PartEvent }[] = [];
     for (const n of recent.keys()) {
-      for (const h of n.holdings) if (source === undefined || h.source === source) out.push({ source: h.source, event: eventOf(n, h.weights) });
+      for (const h of n.holdings)
+        if (source === undefined || h.source === source)
+          out.push({ source: h.source, event: eventOf(n, h.weights) });
     }
     return out;
   }
 
-  function holders(model: string, salt: string, hash: string): { source: string; kept: number }[] | undefined {
+  function holders(
+    model: string,
+    salt: string,
+    hash: string,
+  ): { source: string; kept: number }[] | undefined {
     return trees.get(JSON.stringify([model, salt]))?.nodes.get(hash)?.holdings;
   }
 
@@ -331,5 +392,21 @@
     return evictedCount;
   }
 
-  return { apply, dropSource, doubt, doubted, reused, query, dump, holders, learn, rows, takeRows, replace, size, holding, evicted };
+  return {
+    apply,
+    dropSource,
+    doubt,
+    doubted,
+    reused,
+    query,
+    dump,
+    holders,
+    learn,
+    rows,
+    takeRows,
+    replace,
+    size,
+    holding,
+    evicted,
+  };
 }
--- a/src/programs/common.ts
+++ b/src/programs/common.ts
@@ -20,7 +20,11 @@
 }
 
 /** Starts a program's library; without a dialect it speaks our own manner. */
-export type Start = (ports: Ports, s: Settings, dialect: Dialect | undefined) => Promise<Either<Fault, Running>>;
+export type Start = (
+  ports: Ports,
+  s: Settings,
+  dialect: Dialect | undefined,
+) => Promise<Either<Fault, Running>>;
 
 /** Reads a settings file that is worded in a dialect. */
 function readWorded(dialect: Dialect, file: string): Either<string[], Settings> {
@@ -32,9 +36,16 @@
 }
 
 /** Runs a daemon: settings, ports, start, drain at SIGTERM, end at a second signal. The platform names its settings file in a variable; otherwise flags and a file of our own are read. */
-export async function runDaemon(program: string, doc: string, need: string[], start: Start): Promise<void> {
+export async function runDaemon(
+  program: string,
+  doc: string,
+  need: string[],
+  start: Start,
+): Promise<void> {
   const file = process.env.PLUMHOLLOW_SETTINGS;
-  const read = file ? readWorded(platform, file) : (await import('./flags')).readFlags(program, doc, VERSION, need);
+  const read = file
+    ? readWorded(platform, file)
+    : (await import('./flags')).readFlags(program, doc, VERSION, need);
   if (read.isLeft()) {
     for (const f of read.extract() as string[]) process.stderr.write(`${program}: ${f}\n`);
     process.exit(2);
@@ -58,9 +69,21 @@
   }
 }
 
-async function run(program: string, s: Settings, start: Start, dialect: Dialect | undefined): Promise<void> {
+async function run(
+  program: string,
+  s: Settings,
+  start: Start,
+  dialect: Dialect | undefined,
+): Promise<void> {
   const log = realLog(program, s.name);
-  const ports: Ports = { clock: realClock(s.suspends), dice: realDice(), disk: realDisk(s.data), wire: realWire(boundsOf(s).dial, s.bind), log, http: realHttp(s.bind) };
+  const ports: Ports = {
+    clock: realClock(s.suspends),
+    dice: realDice(),
+    disk: realDisk(s.data),
+    wire: realWire(boundsOf(s).dial, s.bind),
+    log,
+    http: realHttp(s.bind),
+  };
   const o = await start(ports, s, dialect);
   if (o.isLeft()) {
     const f = o.extract() as Fault;
--- a/src/programs/controller.ts
+++ b/src/programs/controller.ts
@@ -10,7 +10,11 @@
 import { Settings } from '../shared/settings';
 import { runDaemon, Running } from './common';
 
-async function start(ports: Ports, s: Settings, dialect: Dialect | undefined): Promise<Outcome<Running>> {
+async function start(
+  ports: Ports,
+  s: Settings,
+  dialect: Dialect | undefined,
+): Promise<Outcome<Running>> {
   const [f, c] = open(await startController(ports, s, dialect));
   if (f) return Left<Fault, Running>(f);
   const [g] = open(await (dialect ? serveDeployment(c, ports, dialect) : serveOperators(c, ports)));
@@ -19,4 +23,9 @@
   return Right({ drain: c.leave, stop: c.stop });
 }
 
-void runDaemon('plumhollow-controller', 'Holds leases and control keys, pushes changes, keeps duties.', ['name', 'wire', 'http', 'seeds'], start);
+void runDaemon(
+  'plumhollow-controller',
+  'Holds leases and control keys, pushes changes, keeps duties.',
+  ['name', 'wire', 'http', 'seeds'],
+  start,
+);
--- a/src/programs/flags.ts
+++ b/src/programs/flags.ts
@@ -23,8 +23,16 @@
 }
 
 /** Reads a daemon's settings from its flags and the file that they name. */
-export function readFlags(program: string, doc: string, version: string, need: string[]): Either<string[], Settings> {
-  const cmd = new Command(program).description(doc).version(version).option('--settings <file>', 'a JSON file of settings fields; flags win');
+export function readFlags(
+  program: string,
+  doc: string,
+  version: string,
+  need: string[],
+): Either<string[], Settings> {
+  const cmd = new Command(program)
+    .description(doc)
+    .version(version)
+    .option('--settings <file>', 'a JSON file of settings fields; flags win');
   for (const f of settingsFields()) {
     const text = f.sort === 'list' ? `${f.doc} (comma between)` : f.doc;
     if (f.sort === 'list') cmd.option(`${flagOf(f.name)} <list>`, text, list);
--- a/src/programs/indexer.ts
+++ b/src/programs/indexer.ts
@@ -8,7 +8,11 @@
 import { Settings } from '../shared/settings';
 import { runDaemon, Running } from './common';
 
-async function start(ports: Ports, s: Settings, dialect: Dialect | undefined): Promise<Outcome<Running>> {
+async function start(
+  ports: Ports,
+  s: Settings,
+  dialect: Dialect | undefined,
+): Promise<Outcome<Running>> {
   const [f, ix] = open(await startIndexer(ports, s, dialect));
   if (f) return Left<Fault, Running>(f);
   const [g] = open(s.http === '' ? Right(undefined) : await serveIndex(ix, ports));
@@ -17,4 +21,9 @@
 
 async function nothing(): Promise<void> {}
 
-void runDaemon('plumhollow-indexer', 'Listens to engines and stores, keeps the trees of kept parts, is asked for overlaps.', ['name', 'wire', 'seeds'], start);
+void runDaemon(
+  'plumhollow-indexer',
+  'Listens to engines and stores, keeps the trees of kept parts, is asked for overlaps.',
+  ['name', 'wire', 'seeds'],
+  start,
+);
--- a/src/programs/plumhollow.ts
+++ b/src/programs/plumhollow.ts
@@ -21,8 +21,14 @@
 }
 
 const wire: Wire = realWire(2000);
-const program = new Command('plumhollow').description('Drives a plumhollow fleet.').version(VERSION);
-program.option('--at <list>', 'controllers\' HTTP addresses, ip:port, comma between; or PLUMHOLLOW_AT', process.env.PLUMHOLLOW_AT ?? '127.0.0.1:8000');
+const program = new Command('plumhollow')
+  .description('Drives a plumhollow fleet.')
+  .version(VERSION);
+program.option(
+  '--at <list>',
+  "controllers' HTTP addresses, ip:port, comma between; or PLUMHOLLOW_AT",
+  process.env.PLUMHOLLOW_AT ?? '127.0.0.1:8000',
+);
 program.option('--json', 'print JSON');
 
 function say(value: unknown, text: string): void {
@@ -38,7 +44,13 @@
 async function core(method: string, path: string, body?: unknown): Promise<Outcome<Got>> {
   let last: Outcome<Got> | undefined;
   for (const at of String(program.opts().at).split(',')) {
-    const o = await askJson(wire, { at, method, path, body: body === undefined ? undefined : JSON.stringify(body), within: WITHIN });
+    const o = await askJson(wire, {
+      at,
+      method,
+      path,
+      body: body === undefined ? undefined : JSON.stringify(body),
+      within: WITHIN,
+    });
     if (o.isRight()) return o;
     last = o as Outcome<Got>;
     if ((o.extract() as Fault).sort !== 'refused' && method !== 'GET') break;
@@ -61,7 +73,9 @@
   const [g, raw] = open(parseJson(text, 'read file', file));
   if (g) return { faults: [{ path: '', why: g.why }] };
   const o = checkIntents(raw);
-  return o.isLeft() ? { faults: o.extract() as IntentFault[] } : { doc: o.extract() as Intents, faults: [] };
+  return o.isLeft()
+    ? { faults: o.extract() as IntentFault[] }
+    : { doc: o.extract() as Intents, faults: [] };
 }
 
 function sayFaults(faults: IntentFault[]): void {
@@ -72,14 +86,29 @@
 }
 
 function sayChange(r: Got): void {
-  const b = r.body as { change?: string; inEffect?: boolean; error?: { code: string; message: string }; revision?: number; key?: string; id?: string; faults?: IntentFault[] };
+  const b = r.body as {
+    change?: string;
+    inEffect?: boolean;
+    error?: { code: string; message: string };
+    revision?: number;
+    key?: string;
+    id?: string;
+    faults?: IntentFault[];
+  };
   if (r.status === 200 || r.status === 202) {
     const key = b.key ? `\nkey ${b.key}\nid ${b.id}` : '';
-    say(b, `${b.inEffect ? 'in effect' : 'taken, not yet in effect everywhere'}: ${b.change}${key}`);
+    say(
+      b,
+      `${b.inEffect ? 'in effect' : 'taken, not yet in effect everywhere'}: ${b.change}${key}`,
+    );
     return process.exit(FINE);
   }
   if (b.faults) sayFaults(b.faults);
-  else say(b, `${b.error?.code}: ${b.error?.message}${r.status === 409 ? ` (revision ${b.revision} stands)` : ''}`);
+  else
+    say(
+      b,
+      `${b.error?.code}: ${b.error?.message}${r.status === 409 ? ` (revision ${b.revision} stands)` : ''}`,
+    );
   process.exit(FINDINGS);
 }
 
@@ -125,7 +154,10 @@
   }
   const now = await current();
   const lines = diffLists(now.intents, doc);
-  say({ revision: now.revision, changes: lines }, lines.length > 0 ? lines.join('\n') : 'no difference');
+  say(
+    { revision: now.revision, changes: lines },
+    lines.length > 0 ? lines.join('\n') : 'no difference',
+  );
   process.exit(lines.length > 0 ? FINDINGS : FINE);
 }
 
@@ -138,7 +170,14 @@
   const fleet = (await need('GET', '/v1/fleet')).body;
   const keys = (await need('GET', '/v1/keys')).body;
   const weights = (await need('GET', '/v1/weights')).body;
-  const found = await compareFleet(wire, doc, fleet as never, keys as never, weights as never, WITHIN / 4);
+  const found = await compareFleet(
+    wire,
+    doc,
+    fleet as never,
+    keys as never,
+    weights as never,
+    WITHIN / 4,
+  );
   function line(x: Finding): string {
     return `${x.path}: ${x.why}`;
   }
@@ -147,15 +186,32 @@
 }
 
 async function status(): Promise<void> {
-  const b = (await need('GET', '/v1/fleet')).body as { controller: string; majority: boolean; diskFit: boolean; live: string[]; revision: number; members: { name: string; role: string; at: string; zone: string }[]; engines: { id: string; at: string; weights: string; leaving: boolean }[] };
+  const b = (await need('GET', '/v1/fleet')).body as {
+    controller: string;
+    majority: boolean;
+    diskFit: boolean;
+    live: string[];
+    revision: number;
+    members: { name: string; role: string; at: string; zone: string }[];
+    engines: { id: string; at: string; weights: string; leaving: boolean }[];
+  };
   function member(m: { name: string; role: string; at: string; zone: string }): string {
     return `  ${m.role} ${m.name} ${m.at} ${m.zone}`;
   }
   function engine(e: { id: string; at: string; weights: string; leaving: boolean }): string {
     return `  ${e.id} ${e.at} ${e.weights}${e.leaving ? ' leaving' : ''}`;
   }
-  say(b, [`seen by ${b.controller}: ${b.majority ? 'in a majority' : 'no majority'}, disk ${b.diskFit ? 'fit' : 'unfit'}, revision ${b.revision}`,
-    `core ${b.live.join(' ')}`, 'members', ...b.members.map(member), 'engines', ...b.engines.map(engine)].join('\n'));
+  say(
+    b,
+    [
+      `seen by ${b.controller}: ${b.majority ? 'in a majority' : 'no majority'}, disk ${b.diskFit ? 'fit' : 'unfit'}, revision ${b.revision}`,
+      `core ${b.live.join(' ')}`,
+      'members',
+      ...b.members.map(member),
+      'engines',
+      ...b.engines.map(engine),
+    ].join('\n'),
+  );
   process.exit(b.majority ? FINE : FINDINGS);
 }
 
@@ -170,7 +226,9 @@
 }
 
 async function keysDrop(tenant: string, id: string): Promise<void> {
-  sayChange(await need('DELETE', `/v1/keys/${encodeURIComponent(tenant)}/${encodeURIComponent(id)}`));
+  sayChange(
+    await need('DELETE', `/v1/keys/${encodeURIComponent(tenant)}/${encodeURIComponent(id)}`),
+  );
 }
 
 async function nameWeights(model: string, weights: string): Promise<void> {
@@ -188,7 +246,12 @@
   function other(r: { tenant: string; label: string }): boolean {
     return r.tenant !== tenant || r.label !== label;
   }
-  sayChange(await need('PUT', '/v1/intents', { basedOn: now.revision, intents: { ...now.intents, rules: now.intents.rules.filter(other) } }));
+  sayChange(
+    await need('PUT', '/v1/intents', {
+      basedOn: now.revision,
+      intents: { ...now.intents, rules: now.intents.rules.filter(other) },
+    }),
+  );
 }
 
 async function found(o: { without: string[] }): Promise<void> {
@@ -201,7 +264,12 @@
 async function replaceVoter(out: string, into: string): Promise<void> {
   const r = await need('POST', '/v1/voters', { out, into });
   const b = r.body as { error?: { code: string; message: string } };
-  say(b, r.status === 200 ? `${into} votes in the place of ${out}` : `${b.error?.code}: ${b.error?.message}; repeat the command`);
+  say(
+    b,
+    r.status === 200
+      ? `${into} votes in the place of ${out}`
+      : `${b.error?.code}: ${b.error?.message}; repeat the command`,
+  );
   process.exit(r.status === 200 ? FINE : FINDINGS);
 }
 
@@ -218,7 +286,9 @@
 }
 
 function showChange(change: string): Promise<void> {
-  return show(`/v1/changes/${encodeURIComponent(change).replaceAll('%7E', '~').replaceAll('%3A', ':')}`);
+  return show(
+    `/v1/changes/${encodeURIComponent(change).replaceAll('%7E', '~').replaceAll('%3A', ':')}`,
+  );
 }
 
 function badUse(e: { exitCode: number }): never {
@@ -226,23 +296,42 @@
 }
 
 program.exitOverride(badUse);
-program.command('apply <file>').description('apply a whole intents file').option('--based-on <revision>', 'the revision it was made from; the standing one where left out').option('--dry-run', 'check only').action(apply);
+program
+  .command('apply <file>')
+  .description('apply a whole intents file')
+  .option('--based-on <revision>', 'the revision it was made from; the standing one where left out')
+  .option('--dry-run', 'check only')
+  .action(apply);
 program.command('diff <file>').description('what a file would change').action(diff);
 program.command('check <file>').description('compare a file with the fleet as it is').action(check);
 program.command('status').description('the fleet as a controller sees it').action(status);
 program.command('intents').description('the intents that stand').action(showIntents);
 program.command('change <change>').description('how far a change has come').action(showChange);
-const keys = program.command('keys').description('tenants\' keys');
+const keys = program.command('keys').description("tenants' keys");
 keys.command('list').action(showKeys);
 keys.command('add <tenant>').description('make a key; it is shown once').action(keysAdd);
 keys.command('drop <tenant> <id>').description('withdraw a key').action(keysDrop);
 const weights = program.command('weights').description('named weights');
 weights.command('list').action(showWeights);
-weights.command('name <model> <weights>').description('name new weights of a model').action(nameWeights);
-const rules = program.command('rules').description('small changes: a new whole file built from the standing one');
+weights
+  .command('name <model> <weights>')
+  .description('name new weights of a model')
+  .action(nameWeights);
+const rules = program
+  .command('rules')
+  .description('small changes: a new whole file built from the standing one');
 rules.command('add <tenant> <label> <service>').action(addRule);
 rules.command('drop <tenant> <label>').action(dropRule);
 const voters = program.command('voters').description('the core machines whose disks vote');
-voters.command('replace <out> <into>').description('replace a lost core machine (address or disk id) by an empty one (ip:port); safe to repeat').action(replaceVoter);
-program.command('found').description('found a blank fleet while a minority of the founders is not there').requiredOption('--without <addresses...>', 'the founders that are not there (ip:port)').action(found);
+voters
+  .command('replace <out> <into>')
+  .description(
+    'replace a lost core machine (address or disk id) by an empty one (ip:port); safe to repeat',
+  )
+  .action(replaceVoter);
+program
+  .command('found')
+  .description('found a blank fleet while a minority of the founders is not there')
+  .requiredOption('--without <addresses...>', 'the founders that are not there (ip:port)')
+  .action(found);
 void program.parseAsync();
--- a/src/programs/router.ts
+++ b/src/programs/router.ts
@@ -7,9 +7,20 @@
 import { Settings } from '../shared/settings';
 import { runDaemon, Running } from './common';
 
-async function start(ports: Ports, s: Settings, dialect: Dialect | undefined): Promise<Outcome<Running>> {
-  const [f, r] = open<Running>(await (dialect ? startDialectRouter(ports, s, dialect) : startRouter(ports, s)));
+async function start(
+  ports: Ports,
+  s: Settings,
+  dialect: Dialect | undefined,
+): Promise<Outcome<Running>> {
+  const [f, r] = open<Running>(
+    await (dialect ? startDialectRouter(ports, s, dialect) : startRouter(ports, s)),
+  );
   return f ? Left<Fault, Running>(f) : Right({ drain: r.drain, stop: r.stop });
 }
 
-void runDaemon('plumhollow-router', 'Takes callers\' requests, places them and gives the pieces back.', ['name', 'wire', 'http', 'seeds'], start);
+void runDaemon(
+  'plumhollow-router',
+  "Takes callers' requests, places them and gives the pieces back.",
+  ['name', 'wire', 'http', 'seeds'],
+  start,
+);
--- a/src/shared/connections.ts
+++ b/src/shared/connections.ts
@@ -40,7 +40,15 @@
   let last = 0;
   let over = false;
   let heardAt = ports.clock.now();
-  const ex: Exchange = { connection, peer: connection.peer, done: connection.done, heard, ask, tell, close: connection.close };
+  const ex: Exchange = {
+    connection,
+    peer: connection.peer,
+    done: connection.done,
+    heard,
+    ask,
+    tell,
+    close: connection.close,
+  };
 
   function heard(): number {
     return heardAt;
@@ -90,7 +98,8 @@
 
   function ended(): void {
     over = true;
-    for (const [, done] of [...waiting]) done(bad('ask', ex.peer, 'stream ended', 'unknown', 'ended'));
+    for (const [, done] of [...waiting])
+      done(bad('ask', ex.peer, 'stream ended', 'unknown', 'ended'));
   }
 
   void connection.feed.observe(arrived);
@@ -99,7 +108,15 @@
 }
 
 /** Asks a peer one thing over a connection of its own. */
-export async function askOnce(ports: Ports, hello: Hello, edges: readonly object[], at: string, type: string, body: unknown, within: number): Promise<Outcome<unknown>> {
+export async function askOnce(
+  ports: Ports,
+  hello: Hello,
+  edges: readonly object[],
+  at: string,
+  type: string,
+  body: unknown,
+  within: number,
+): Promise<Outcome<unknown>> {
   const [f, connection] = open(await ports.wire.dial(at, within));
   if (f) return Left(f);
   const ex = converse(ports, connection, edges);
@@ -130,8 +147,16 @@
 /** Reads a peer's hello, or says why it is refused. */
 export function checkHello(body: unknown, peer: string): Outcome<Hello> {
   const h = body as Hello | undefined;
-  if (!h || typeof h.version !== 'number') return bad('hello', peer, 'no hello', 'refused', 'bad-hello');
-  if (Math.abs(h.version - WIRE_VERSION) > 1) return bad('hello', peer, `wire version ${h.version} is too far from ${WIRE_VERSION}`, 'refused', 'wire-version');
+  if (!h || typeof h.version !== 'number')
+    return bad('hello', peer, 'no hello', 'refused', 'bad-hello');
+  if (Math.abs(h.version - WIRE_VERSION) > 1)
+    return bad(
+      'hello',
+      peer,
+      `wire version ${h.version} is too far from ${WIRE_VERSION}`,
+      'refused',
+      'wire-version',
+    );
   return Right(h);
 }
 
@@ -244,7 +269,12 @@
 }
 
 /** Closes taken connections that have been silent, as a peer that holds one never is; it ends with the process. */
-export async function closeSilent(ports: Ports, taken: ReadonlySet<Exchange>, silence: number, stopped: () => boolean): Promise<void> {
+export async function closeSilent(
+  ports: Ports,
+  taken: ReadonlySet<Exchange>,
+  silence: number,
+  stopped: () => boolean,
+): Promise<void> {
   const pace = silence / 3;
   let before = ports.clock.now();
   while (!stopped()) {
--- a/src/shared/contracts/engine.ts
+++ b/src/shared/contracts/engine.ts
@@ -92,7 +92,8 @@
 /** The documented tokeniser: words and marks to 31-bit numbers, a blank line to 0. */
 export function tokenise(text: string): number[] {
   const out: number[] = [];
-  for (const w of text.match(/\n\s*\n|[\p{L}\p{N}_]+|[^\s\p{L}\p{N}_]/gu) ?? []) out.push(w.startsWith('\n') ? 0 : (parseInt(shortHash(w).slice(0, 8), 16) & 0x7fffffff) || 1);
+  for (const w of text.match(/\n\s*\n|[\p{L}\p{N}_]+|[^\s\p{L}\p{N}_]/gu) ?? [])
+    out.push(w.startsWith('\n') ? 0 : parseInt(shortHash(w).slice(0, 8), 16) & 0x7fffffff || 1);
   return out;
 }
 
@@ -112,20 +113,43 @@
 }
 
 /** Starts generating; a left side of sort `refused` never ran. */
-export async function generate(ports: Ports, at: string, q: GenerateAsk, within: number, gone: AbortSignal): Promise<Outcome<Generating>> {
-  const [f, r] = open(await ports.wire.ask({ at, method: 'POST', path: '/api/generate', headers: { 'content-type': 'application/json' }, body: JSON.stringify(q), within, gone }));
+export async function generate(
+  ports: Ports,
+  at: string,
+  q: GenerateAsk,
+  within: number,
+  gone: AbortSignal,
+): Promise<Outcome<Generating>> {
+  const [f, r] = open(
+    await ports.wire.ask({
+      at,
+      method: 'POST',
+      path: '/api/generate',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(q),
+      within,
+      gone,
+    }),
+  );
   if (f) return Left({ ...f, step: 'generate' });
   if (r.status !== 200) {
     const [, text] = open(await r.next());
     r.cancel();
     const never = [400, 409, 429, 503].includes(r.status);
-    return bad('generate', at, text ?? `status ${r.status}`, never ? 'refused' : 'unknown', `status-${r.status}`);
+    return bad(
+      'generate',
+      at,
+      text ?? `status ${r.status}`,
+      never ? 'refused' : 'unknown',
+      `status-${r.status}`,
+    );
   }
   const line = lineReader(r.next, at);
   async function next(): Promise<Outcome<EngineLine>> {
     const [g, text] = open(await line());
     if (g) return Left(g);
-    if (text === undefined) return bad('read piece', at, 'ended without its last line', 'unknown', 'broken');
+    if (text === undefined)
+      return bad('read piece', at, 'ended without its last line', 'unknown', 'broken');
     const [h, v] = open(parseJson(text, 'read piece', at));
     return h ? Left({ ...h, sort: 'unknown' }) : Right(v as EngineLine);
   }
@@ -133,17 +157,29 @@
 }
 
 /** Pulls the cache events after a number; the far side holds the call until there are some. */
-export async function pullEvents(wire: Wire, at: string, epoch: string, after: number, wait: number, gone: AbortSignal): Promise<Outcome<EventsAnswer>> {
+export async function pullEvents(
+  wire: Wire,
+  at: string,
+  epoch: string,
+  after: number,
+  wait: number,
+  gone: AbortSignal,
+): Promise<Outcome<EventsAnswer>> {
   const path = `/api/kv-events?after=${after}&epoch=${encodeURIComponent(epoch)}&wait=${Math.round(wait)}`;
   const [f, r] = open(await askJson(wire, { at, method: 'GET', path, within: wait * 2, gone }));
   if (f) return Left(f);
   const b = r.body as Partial<EventsAnswer> | undefined;
-  if (r.status !== 200 || typeof b?.epoch !== 'string' || !Array.isArray(b.batches)) return Left(makeFault('pull events', at, `status ${r.status}`, 'failed', 'bad-return'));
+  if (r.status !== 200 || typeof b?.epoch !== 'string' || !Array.isArray(b.batches))
+    return Left(makeFault('pull events', at, `status ${r.status}`, 'failed', 'bad-return'));
   return Right(b as EventsAnswer);
 }
 
 /** Asks an engine how it stands. */
-export async function engineStatus(wire: Wire, at: string, within: number): Promise<Outcome<EngineStatus>> {
+export async function engineStatus(
+  wire: Wire,
+  at: string,
+  within: number,
+): Promise<Outcome<EngineStatus>> {
   const [f, r] = open(await askJson(wire, { at, method: 'GET', path: '/api/status', within }));
   if (f) return Left(f);
   if (r.status !== 200) return bad('engine status', at, `status ${r.status}`);
@@ -151,8 +187,23 @@
 }
 
 /** Gives an engine an order; it refuses one of a lower fence. */
-export async function giveOrder(wire: Wire, at: string, order: EngineOrder, within: number): Promise<Outcome<void>> {
-  const [f, r] = open(await askJson(wire, { at, method: 'POST', path: '/api/order', body: JSON.stringify(order), within }));
+export async function giveOrder(
+  wire: Wire,
+  at: string,
+  order: EngineOrder,
+  within: number,
+): Promise<Outcome<void>> {
+  const [f, r] = open(
+    await askJson(wire, {
+      at,
+      method: 'POST',
+      path: '/api/order',
+      body: JSON.stringify(order),
+      within,
+    }),
+  );
   if (f) return Left(f);
-  return r.status === 200 ? Right(undefined) : bad('give order', at, `status ${r.status}`, 'refused', `status-${r.status}`);
+  return r.status === 200
+    ? Right(undefined)
+    : bad('give order', at, `status ${r.status}`, 'refused', `status-${r.status}`);
 }
--- a/src/shared/contracts/platform.ts
+++ b/src/shared/contracts/platform.ts
@@ -5,15 +5,34 @@
 import { Engine } from '../words';
 
 /** Asks the platform for its list of engines. */
-export async function listEngines(wire: Wire, at: string, within: number): Promise<Outcome<Engine[]>> {
+export async function listEngines(
+  wire: Wire,
+  at: string,
+  within: number,
+): Promise<Outcome<Engine[]>> {
   const [f, r] = open(await askJson(wire, { at, method: 'GET', path: '/api/engines', within }));
   if (f) return Left(f);
   const list = (r.body as { engines?: unknown } | undefined)?.engines;
-  if (r.status !== 200 || !Array.isArray(list)) return bad('list engines', at, `status ${r.status}`, 'failed', 'bad-return');
+  if (r.status !== 200 || !Array.isArray(list))
+    return bad('list engines', at, `status ${r.status}`, 'failed', 'bad-return');
   const out: Engine[] = [];
   for (const e of list as Partial<Engine>[]) {
-    if (typeof e.id !== 'string' || typeof e.at !== 'string' || typeof e.model !== 'string') return bad('list engines', at, 'an engine lacks its id, address or model', 'failed', 'bad-return');
-    out.push({ id: e.id, at: e.at, zone: e.zone ?? '', model: e.model, weights: e.weights ?? '', leaving: e.leaving === true });
+    if (typeof e.id !== 'string' || typeof e.at !== 'string' || typeof e.model !== 'string')
+      return bad(
+        'list engines',
+        at,
+        'an engine lacks its id, address or model',
+        'failed',
+        'bad-return',
+      );
+    out.push({
+      id: e.id,
+      at: e.at,
+      zone: e.zone ?? '',
+      model: e.model,
+      weights: e.weights ?? '',
+      leaving: e.leaving === true,
+    });
   }
   return Right(out);
 }
--- a/src/shared/contracts/store.ts
+++ b/src/shared/contracts/store.ts
@@ -3,6 +3,13 @@
 import { EventsAnswer, pullEvents } from './engine';
 
 /** Pulls the store's events: the store tells of its parts as engines do. */
-export function pullStoreEvents(wire: Wire, at: string, epoch: string, after: number, wait: number, gone: AbortSignal): Promise<Outcome<EventsAnswer>> {
+export function pullStoreEvents(
+  wire: Wire,
+  at: string,
+  epoch: string,
+  after: number,
+  wait: number,
+  gone: AbortSignal,
+): Promise<Outcome<EventsAnswer>> {
   return pullEvents(wire, at, epoch, after, wait, gone);
 }
--- a/src/shared/delta.ts
+++ b/src/shared/delta.ts
@@ -5,7 +5,10 @@
 type Obj = Record<string, unknown>;
 
 /** How one value becomes another: put whole, a splice of a list, or what is set and dropped of an object. */
-export type Patch = { put: unknown } | { splice: [number, number, unknown[]] } | { set: Record<string, Patch>; drop: string[] };
+export type Patch =
+  | { put: unknown }
+  | { splice: [number, number, unknown[]] }
+  | { set: Record<string, Patch>; drop: string[] };
 
 /** A change sent as the difference to the one that the other side holds. */
 export interface Delta extends Place {
@@ -29,7 +32,12 @@
     let from = 0;
     let tail = 0;
     while (from < a.length && from < b.length && isDeepStrictEqual(a[from], b[from])) from++;
-    while (tail < a.length - from && tail < b.length - from && isDeepStrictEqual(a[a.length - 1 - tail], b[b.length - 1 - tail])) tail++;
+    while (
+      tail < a.length - from &&
+      tail < b.length - from &&
+      isDeepStrictEqual(a[a.length - 1 - tail], b[b.length - 1 - tail])
+    )
+      tail++;
     return { splice: [from, a.length - tail - from, b.slice(from, b.length - tail)] };
   }
   if (!isObj(a) || !isObj(b)) return { put: b };
@@ -46,7 +54,8 @@
 /** Applies a difference; what it is applied to stays as it is. */
 export function patched(a: unknown, p: Patch): unknown {
   if ('put' in p) return p.put;
-  if ('splice' in p) return Array.isArray(a) ? a.toSpliced(p.splice[0], p.splice[1], ...p.splice[2]) : a;
+  if ('splice' in p)
+    return Array.isArray(a) ? a.toSpliced(p.splice[0], p.splice[1], ...p.splice[2]) : a;
   const out: Obj = { ...(a as Obj) };
   for (const k of p.drop) delete out[k];
   for (const [k, x] of Object.entries(p.set)) out[k] = patched(out[k], x);
@@ -70,5 +79,7 @@
 export function readDelta(held: Numbered | undefined, d: Delta): Numbered | undefined {
   if (!held || comparePlaces(held, d.base) !== 0) return undefined;
   const value = patched(held.value, d.patch);
-  return shortHash(JSON.stringify(value)) === d.sum ? { key: d.key, ...placeOf(d), value } : undefined;
+  return shortHash(JSON.stringify(value)) === d.sum
+    ? { key: d.key, ...placeOf(d), value }
+    : undefined;
 }
--- a/src/shared/dialect.ts
+++ b/src/shared/dialect.ts
@@ -118,7 +118,8 @@
 }
 
 /** What became of an order. */
-export type OrderAnswer = 'taken' | 'holds' | 'busy' | 'fenced' | 'bad' | 'other-instance' | 'unknown';
+export type OrderAnswer =
+  'taken' | 'holds' | 'busy' | 'fenced' | 'bad' | 'other-instance' | 'unknown';
 
 /** One page of the platform's list. */
 export interface EnginePage {
@@ -137,22 +138,35 @@
   namedChange(doc: unknown): Either<string[], NamedChange>;
   callers: {
     /** Reads what a caller asks for; a string says what is wrong with it. */
-    read(method: string, target: string, headers: Record<string, string | undefined>): Either<string, CallerRequest>;
+    read(
+      method: string,
+      target: string,
+      headers: Record<string, string | undefined>,
+    ): Either<string, CallerRequest>;
     readinessPath: string;
   };
   engines: {
     /** Words an attempt from the caller's own method, target, headers and body. */
-    attempt(q: { method: string; target: string; headers: RawHeaders; body: Uint8Array }, terms: AttemptTerms): Worded;
+    attempt(
+      q: { method: string; target: string; headers: RawHeaders; body: Uint8Array },
+      terms: AttemptTerms,
+    ): Worded;
     head(status: number, headers: Record<string, string | undefined>): EngineHead;
     /** Headers of an engine's answer that go back to the caller. */
     passBack(headers: RawHeaders): RawHeaders;
     events(): EventCutter;
     report: { ask(): Worded; read(status: number, body: unknown): Either<string, EngineReport> };
-    feed: { ask(since: number, waitMs: number): Worded; read(status: number, body: unknown): Either<string, KeptFeed> };
+    feed: {
+      ask(since: number, waitMs: number): Worded;
+      read(status: number, body: unknown): Either<string, KeptFeed>;
+    };
     list: { ask(): Worded; read(status: number, body: unknown): Either<string, KeptList> };
     order: { ask(o: WeightsOrder): Worded; read(status: number, body: unknown): OrderAnswer };
   };
-  instances: { ask(zone: string | undefined, page: string | undefined): Worded; read(status: number, body: unknown): Either<string, EnginePage> };
+  instances: {
+    ask(zone: string | undefined, page: string | undefined): Worded;
+    read(status: number, body: unknown): Either<string, EnginePage>;
+  };
   operators: {
     paths: { replace: string; update: string; describe: string; weights: string };
     baseVersion(headers: Record<string, string | undefined>): number | undefined;
--- a/src/shared/edge.ts
+++ b/src/shared/edge.ts
@@ -5,8 +5,15 @@
 
 type Maker<T> = new () => T;
 type FieldSort = 'string' | 'number' | 'boolean' | 'object' | 'list' | 'any';
-interface FieldRule { sort: FieldSort; need: boolean }
-interface Handling { verb: string; path: string; name: string }
+interface FieldRule {
+  sort: FieldSort;
+  need: boolean;
+}
+interface Handling {
+  verb: string;
+  path: string;
+  name: string;
+}
 
 const fieldsOf = new Map<unknown, Map<string, FieldRule>>();
 const handlingsOf = new Map<unknown, Handling[]>();
@@ -25,15 +32,23 @@
 /** Marks a method as the handler of an HTTP verb and path; `:x` parts match one segment. */
 export function handles(verb: string, path: string): (target: object, name: string) => void {
   function mark(target: object, name: string): void {
-    handlingsOf.set(target.constructor, [...(handlingsOf.get(target.constructor) ?? []), { verb, path, name }]);
+    handlingsOf.set(target.constructor, [
+      ...(handlingsOf.get(target.constructor) ?? []),
+      { verb, path, name },
+    ]);
   }
   return mark;
 }
 
 /** Marks a method as the handler of a wire message, its body checked against a shape. */
-export function message(type: string, shape?: Maker<object>): (target: object, name: string) => void {
+export function message(
+  type: string,
+  shape?: Maker<object>,
+): (target: object, name: string) => void {
   function mark(target: object, name: string): void {
-    const m = messagesOf.get(target.constructor) ?? new Map<string, { name: string; shape?: Maker<object> }>();
+    const m =
+      messagesOf.get(target.constructor) ??
+      new Map<string, { name: string; shape?: Maker<object> }>();
     m.set(type, { name, shape });
     messagesOf.set(target.constructor, m);
   }
@@ -46,8 +61,14 @@
 }
 
 /** Checks a body against a marked shape; unknown fields are dropped. */
-export function readAs<T extends object>(shape: Maker<T>, body: unknown, step: string, peer: string): Outcome<T> {
-  if (typeof body !== 'object' || body === null || Array.isArray(body)) return bad(step, peer, 'an object is wanted', 'refused', 'bad-shape');
+export function readAs<T extends object>(
+  shape: Maker<T>,
+  body: unknown,
+  step: string,
+  peer: string,
+): Outcome<T> {
+  if (typeof body !== 'object' || body === null || Array.isArray(body))
+    return bad(step, peer, 'an object is wanted', 'refused', 'bad-shape');
   const out = new shape() as Record<string, unknown>;
   const src = body as Record<string, unknown>;
   for (const [name, rule] of fieldsOf.get(shape) ?? []) {
@@ -56,8 +77,10 @@
       if (rule.need) return bad(step, peer, `field ${name} is missing`, 'refused', 'bad-shape');
       continue;
     }
-    if (rule.sort !== 'any' && sortOf(v) !== rule.sort) return bad(step, peer, `field ${name} must be a ${rule.sort}`, 'refused', 'bad-shape');
-    if (rule.sort === 'number' && !Number.isFinite(v)) return bad(step, peer, `field ${name} must be finite`, 'refused', 'bad-shape');
+    if (rule.sort !== 'any' && sortOf(v) !== rule.sort)
+      return bad(step, peer, `field ${name} must be a ${rule.sort}`, 'refused', 'bad-shape');
+    if (rule.sort === 'number' && !Number.isFinite(v))
+      return bad(step, peer, `field ${name} must be finite`, 'refused', 'bad-shape');
     out[name] = v;
   }
   return Right(out as T);
@@ -67,7 +90,13 @@
 export type Handled = Promise<Outcome<unknown>>;
 
 /** Hands a wire message to the first of the objects that handles its type. */
-export async function dispatch(edges: readonly object[], type: string, body: unknown, from: unknown, peer: string): Handled {
+export async function dispatch(
+  edges: readonly object[],
+  type: string,
+  body: unknown,
+  from: unknown,
+  peer: string,
+): Handled {
   for (const e of edges) {
     const h = messagesOf.get(e.constructor)?.get(type);
     if (!h) continue;
@@ -79,14 +108,29 @@
 }
 
 /** Sends a JSON return whole. */
-export function giveJson(call: Call, status: number, body: unknown, headers: Record<string, string> = {}): void {
+export function giveJson(
+  call: Call,
+  status: number,
+  body: unknown,
+  headers: Record<string, string> = {},
+): void {
   call.head(status, { 'content-type': 'application/json', ...headers });
   call.end(JSON.stringify(body) + '\n');
 }
 
 /** Sends the one documented shape of an error. */
-export function giveFault(call: Call, status: number, sort: string, code: string, why: string, retryAfter?: number): void {
-  const again: Record<string, string> = retryAfter === undefined ? {} : { 'retry-after': String(Math.max(1, Math.ceil(retryAfter / 1000))) };
+export function giveFault(
+  call: Call,
+  status: number,
+  sort: string,
+  code: string,
+  why: string,
+  retryAfter?: number,
+): void {
+  const again: Record<string, string> =
+    retryAfter === undefined
+      ? {}
+      : { 'retry-after': String(Math.max(1, Math.ceil(retryAfter / 1000))) };
   giveJson(call, status, { error: { class: sort, code, message: why } }, again);
 }
 
@@ -106,7 +150,12 @@
 }
 
 /** Reads a JSON body and checks it against a marked shape; on a fault the return is given and undefined comes back. */
-export async function takeAs<T extends object>(call: Call, shape: Maker<T>, most: number, step: string): Promise<T | undefined> {
+export async function takeAs<T extends object>(
+  call: Call,
+  shape: Maker<T>,
+  most: number,
+  step: string,
+): Promise<T | undefined> {
   const body = await takeJson(call, most);
   if (body === undefined) return undefined;
   const [f, v] = open(readAs(shape, body, step, call.peer));
@@ -136,12 +185,24 @@
         if (!found) continue;
         known = true;
         if (h.verb !== call.method) continue;
-        await (e as unknown as Record<string, (c: Call, ...x: string[]) => Promise<void>>)[h.name](call, ...found);
+        await (e as unknown as Record<string, (c: Call, ...x: string[]) => Promise<void>>)[h.name](
+          call,
+          ...found,
+        );
         return;
       }
     }
-    log.info({ step: 'take call', peer: call.peer }, sayFault({ step: call.method, peer: call.peer, why: call.path, sort: 'refused' }));
-    giveFault(call, known ? 405 : 404, 'refused', known ? 'bad-method' : 'not-found', `${call.method} ${call.path}`);
+    log.info(
+      { step: 'take call', peer: call.peer },
+      sayFault({ step: call.method, peer: call.peer, why: call.path, sort: 'refused' }),
+    );
+    giveFault(
+      call,
+      known ? 405 : 404,
+      'refused',
+      known ? 'bad-method' : 'not-found',
+      `${call.method} ${call.path}`,
+    );
   }
   return take;
 }
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -16,12 +16,24 @@
 export type Outcome<T> = Either<Fault, T>;
 
 /** Makes a fault. */
-export function makeFault(step: string, peer: string, why: unknown, sort: FaultClass = 'failed', code?: string): Fault {
+export function makeFault(
+  step: string,
+  peer: string,
+  why: unknown,
+  sort: FaultClass = 'failed',
+  code?: string,
+): Fault {
   return { step, peer, why: why instanceof Error ? why.message : String(why), sort, code };
 }
 
 /** Makes the left side from a fault's fields. */
-export function bad<T>(step: string, peer: string, why: unknown, sort: FaultClass = 'failed', code?: string): Outcome<T> {
+export function bad<T>(
+  step: string,
+  peer: string,
+  why: unknown,
+  sort: FaultClass = 'failed',
+  code?: string,
+): Outcome<T> {
   return Left(makeFault(step, peer, why, sort, code));
 }
 
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -8,8 +8,26 @@
 import { poll } from './poll';
 import { Ports } from './ports';
 import { Bounds } from './settings';
-import { askOnce, Exchange, FIRST_PAUSE, Hello, holdAll, LONGEST_PAUSE, noConnection } from './connections';
-import { allVoters, comparePlaces, isQuorum, KEYS, Member, Numbered, Place, Voter, Voters } from './words';
+import {
+  askOnce,
+  Exchange,
+  FIRST_PAUSE,
+  Hello,
+  holdAll,
+  LONGEST_PAUSE,
+  noConnection,
+} from './connections';
+import {
+  allVoters,
+  comparePlaces,
+  isQuorum,
+  KEYS,
+  Member,
+  Numbered,
+  Place,
+  Voter,
+  Voters,
+} from './words';
 
 /** A node's view of the control state, kept up by news and leases. */
 export interface Follower {
@@ -26,7 +44,11 @@
   advice: Feed<string[]>;
   membership: Feed<Member[]>;
   coreTell(type: string, body: unknown): void;
-  askVoters<T>(type: string, body: unknown, yes: (r: T, v: Voter) => boolean): Promise<{ ok: boolean; got: T[] }>;
+  askVoters<T>(
+    type: string,
+    body: unknown,
+    yes: (r: T, v: Voter) => boolean,
+  ): Promise<{ ok: boolean; got: T[] }>;
   leave(): Promise<void>;
   stop(): void;
 }
@@ -55,7 +77,13 @@
 
 /** Handlers of what the core and other followers say. */
 export class FollowEdge {
-  constructor(private readonly takeNews: (list: Numbered[]) => boolean, private readonly who: () => unknown, private readonly told: (v: Voters | undefined) => void, private readonly held: (key: string) => Numbered | undefined, private readonly advised: (ids: string[]) => void) {}
+  constructor(
+    private readonly takeNews: (list: Numbered[]) => boolean,
+    private readonly who: () => unknown,
+    private readonly told: (v: Voters | undefined) => void,
+    private readonly held: (key: string) => Numbered | undefined,
+    private readonly advised: (ids: string[]) => void,
+  ) {}
 
   /** Takes numbered changes; lower ones are ignored. */
   @message('news')
@@ -104,7 +132,14 @@
 }
 
 /** Follows the core: finds it from the seeds, renews a lease at each controller, applies news. */
-export function follow(ports: Ports, bounds: Bounds, hello: Hello, member: Member, seeds: string[], edges: object[]): Follower {
+export function follow(
+  ports: Ports,
+  bounds: Bounds,
+  hello: Hello,
+  member: Member,
+  seeds: string[],
+  edges: object[],
+): Follower {
   const state = new Map<string, Numbered>();
   const grants = new Map<string, Grant>();
   const applied = makeJournal();
@@ -159,7 +194,14 @@
   }
 
   edges.push(new FollowEdge(take, who, told, state.get.bind(state), advised));
-  const helds = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause, onUp, onRefused });
+  const helds = holdAll(ports, {
+    hello,
+    edges,
+    within: bounds.dial,
+    pause: bounds.pause,
+    onUp,
+    onRefused,
+  });
 
   function live(): boolean {
     const v = voters();
@@ -194,7 +236,10 @@
       const sent = ports.clock.now();
       const now = applied.count();
       const changed = told === undefined || whole ? undefined : changedAfter(told);
-      const ask = changed === undefined ? { member, has: hasList(state.values()) } : { member, deltas: true, ...(changed.length > 0 ? { changed } : {}) };
+      const ask =
+        changed === undefined
+          ? { member, has: hasList(state.values()) }
+          : { member, deltas: true, ...(changed.length > 0 ? { changed } : {}) };
       const [f, r] = open(await ex.ask('claim', ask, bounds.ask));
       told = undefined;
       if (f) {
@@ -284,7 +329,8 @@
   }
 
   function onRefused(f: Fault): void {
-    if (f.code === 'ECONNREFUSED' && live()) refused.set(f.peer, ports.clock.now() + bounds.lease - bounds.dial);
+    if (f.code === 'ECONNREFUSED' && live())
+      refused.set(f.peer, ports.clock.now() + bounds.lease - bounds.dial);
   }
 
   function reach(): void {
@@ -300,7 +346,11 @@
       await askSeed(at);
       asking.delete(at);
     }
-    for (let pause = bounds.pause * FIRST_PAUSE; !stopped && core().length === 0; pause = Math.min(pause * 2, bounds.pause * LONGEST_PAUSE)) {
+    for (
+      let pause = bounds.pause * FIRST_PAUSE;
+      !stopped && core().length === 0;
+      pause = Math.min(pause * 2, bounds.pause * LONGEST_PAUSE)
+    ) {
       for (const at of seeds) if (!asking.has(at)) void one(at);
       await ports.clock.sleep(pause * (0.5 + ports.dice.next()));
     }
@@ -335,7 +385,8 @@
 
   async function coreAsk(type: string, body: unknown): Promise<unknown[]> {
     const out: Promise<unknown>[] = [];
-    for (const at of helds.ats()) out.push(helds.up(at)?.ask(type, body, bounds.ask) ?? Promise.resolve(undefined));
+    for (const at of helds.ats())
+      out.push(helds.up(at)?.ask(type, body, bounds.ask) ?? Promise.resolve(undefined));
     return Promise.all(out);
   }
 
@@ -343,13 +394,19 @@
     for (const at of helds.ats()) helds.up(at)?.tell(type, body);
   }
 
-  async function askVoters<T>(type: string, body: unknown, yes: (r: T, v: Voter) => boolean): Promise<{ ok: boolean; got: T[] }> {
+  async function askVoters<T>(
+    type: string,
+    body: unknown,
+    yes: (r: T, v: Voter) => boolean,
+  ): Promise<{ ok: boolean; got: T[] }> {
     const v = voters();
     if (!v) return { ok: false, got: [] };
     const got: T[] = [];
     async function one(x: Voter): Promise<Outcome<T>> {
       const ex = helds.up(x.at);
-      const r = (ex ? await ex.ask(type, body, bounds.ask) : Left(noConnection(type, x.at))) as Outcome<T>;
+      const r = (
+        ex ? await ex.ask(type, body, bounds.ask) : Left(noConnection(type, x.at))
+      ) as Outcome<T>;
       const [, g] = open(r);
       if (g !== undefined) got.push(g);
       return r;
@@ -386,5 +443,22 @@
 
   void findCore();
   void findCoreAnew();
-  return { live, value, keys, members, voters, core, places, take, changes: changes.feed, leaving, advice: advice.feed, membership: membership.feed, coreTell, askVoters, leave, stop };
+  return {
+    live,
+    value,
+    keys,
+    members,
+    voters,
+    core,
+    places,
+    take,
+    changes: changes.feed,
+    leaving,
+    advice: advice.feed,
+    membership: membership.feed,
+    coreTell,
+    askVoters,
+    leave,
+    stop,
+  };
 }
--- a/src/shared/formats.ts
+++ b/src/shared/formats.ts
@@ -3,7 +3,8 @@
 
 /** An ip:port, or nothing. */
 export function address(v: unknown): void {
-  if (typeof v !== 'string' || (v !== '' && !ADDRESS.test(v))) complain('must be ip:port with an IP number');
+  if (typeof v !== 'string' || (v !== '' && !ADDRESS.test(v)))
+    complain('must be ip:port with an IP number');
 }
 
 /** A list of ip:port. */
@@ -29,8 +30,10 @@
 
 /** The region of each zone, by name. */
 export function regions(v: unknown): void {
-  if (typeof v !== 'object' || v === null || Array.isArray(v)) complain('must hold a region for each zone');
-  for (const r of Object.values(v as object)) if (typeof r !== 'string') complain('must hold a region for each zone');
+  if (typeof v !== 'object' || v === null || Array.isArray(v))
+    complain('must hold a region for each zone');
+  for (const r of Object.values(v as object))
+    if (typeof r !== 'string') complain('must hold a region for each zone');
 }
 
 /** A share that stays under a fifth. */
--- a/src/shared/lib.ts
+++ b/src/shared/lib.ts
@@ -90,7 +90,12 @@
 }
 
 /** Asks over HTTP and reads a JSON return whole. */
-export async function askJson(wire: Wire, q: Ask): Promise<Outcome<{ status: number; body: unknown; headers: Record<string, string | undefined> }>> {
+export async function askJson(
+  wire: Wire,
+  q: Ask,
+): Promise<
+  Outcome<{ status: number; body: unknown; headers: Record<string, string | undefined> }>
+> {
   const step = `${q.method} ${q.path}`;
   const r = await wire.ask({ ...q, headers: { 'content-type': 'application/json', ...q.headers } });
   if (r.isLeft()) return r as Either<Fault, never>;
@@ -104,14 +109,21 @@
     text += piece;
   }
   const parsed = text === '' ? Right(undefined) : parseJson(text, step, q.at);
-  function whole(body: unknown): { status: number; body: unknown; headers: Record<string, string | undefined> } {
+  function whole(body: unknown): {
+    status: number;
+    body: unknown;
+    headers: Record<string, string | undefined>;
+  } {
     return { status: reply.status, body, headers: reply.headers };
   }
   return parsed.map(whole);
 }
 
 /** Cuts pulled pieces into lines; undefined is a whole end, a broken last line is a fault. */
-export function lineReader(next: () => Promise<Outcome<string | undefined>>, peer: string): () => Promise<Outcome<string | undefined>> {
+export function lineReader(
+  next: () => Promise<Outcome<string | undefined>>,
+  peer: string,
+): () => Promise<Outcome<string | undefined>> {
   let held = '';
   async function line(): Promise<Outcome<string | undefined>> {
     for (;;) {
--- a/src/shared/loads.ts
+++ b/src/shared/loads.ts
@@ -1,7 +1,12 @@
 import { field } from './edge';
 
 /** What runs at one engine: its id, requests in flight, prompt tokens that it has not yet read, and tokens of memory that they take, where that is told. */
-export type EngineLoad = [engineId: string, running: number, unreadTokens: number, heldTokens?: number];
+export type EngineLoad = [
+  engineId: string,
+  running: number,
+  unreadTokens: number,
+  heldTokens?: number,
+];
 
 /** Message 'loads', asked: a router's own loads that differ from its last tell on this connection, or all of them where `full`. A load that ended is told as 0, 0. A router that got no answer tells `full` next, as the answer that it missed is not told again. */
 export interface LoadsTell {
--- a/src/shared/metrics.ts
+++ b/src/shared/metrics.ts
@@ -30,7 +30,12 @@
     registry ??= new Registry();
     for (const t of all) {
       if (t.histogram) continue;
-      t.histogram = new Histogram({ name: t.name, help: t.help, buckets: t.buckets, registers: [registry] });
+      t.histogram = new Histogram({
+        name: t.name,
+        help: t.help,
+        buckets: t.buckets,
+        registers: [registry],
+      });
       for (const ms of t.waiting.splice(0)) t.histogram.observe(ms);
     }
     return registry;
--- a/src/shared/poll.ts
+++ b/src/shared/poll.ts
@@ -7,7 +7,11 @@
 }
 
 /** Asks all voters and comes back as soon as enough said yes, or no longer can; without a test, a yes is the voter's own disk. */
-export async function poll<T>(voters: Voters, ask: (v: Voter) => Promise<Outcome<T>>, yes: (r: T, v: Voter) => boolean = sameDisk as never): Promise<Outcome<T[]>> {
+export async function poll<T>(
+  voters: Voters,
+  ask: (v: Voter) => Promise<Outcome<T>>,
+  yes: (r: T, v: Voter) => boolean = sameDisk as never,
+): Promise<Outcome<T[]>> {
   const all = allVoters(voters);
   const good = new Set<string>();
   const not = new Set<string>();
@@ -22,7 +26,10 @@
       if (isQuorum(voters, good)) return done(Right(got));
       const rest = new Set<string>();
       for (const x of all) if (!not.has(x.disk)) rest.add(x.disk);
-      if (!isQuorum(voters, rest)) done(Left(makeFault('poll', v.at, f ? f.why : 'said no', 'unknown', f?.code ?? 'no-quorum')));
+      if (!isQuorum(voters, rest))
+        done(
+          Left(makeFault('poll', v.at, f ? f.why : 'said no', 'unknown', f?.code ?? 'no-quorum')),
+        );
     }
   }
   return new Promise(wait);
--- a/src/shared/ports.ts
+++ b/src/shared/ports.ts
@@ -159,7 +159,11 @@
 
 /** HTTP with untouched bytes and headers, and a say over connections. */
 export interface HttpWire {
-  serve(at: string, limits: ServeLimits, take: (call: RawCall) => Promise<void>): Promise<Outcome<RawListening>>;
+  serve(
+    at: string,
+    limits: ServeLimits,
+    take: (call: RawCall) => Promise<void>,
+  ): Promise<Outcome<RawListening>>;
   connect(at: string, within: number): Promise<Outcome<HttpConnection>>;
 }
 
--- a/src/shared/real.ts
+++ b/src/shared/real.ts
@@ -16,7 +16,8 @@
 /** The machine's monotonic clock, with the time it was suspended where it may be. */
 export function realClock(suspends = true): Clock {
   const monotonic = performance.now.bind(performance);
-  const now = suspends && process.platform === 'linux' ? withSuspension(monotonic, sinceBoot) : monotonic;
+  const now =
+    suspends && process.platform === 'linux' ? withSuspension(monotonic, sinceBoot) : monotonic;
   function wall(): string {
     return new Date().toISOString();
   }
@@ -107,7 +108,11 @@
 /** Bunyan's ring in memory, written out to standard error when something goes wrong. */
 export function realLog(program: string, name: string, records = 200): Log {
   const ring = new bunyan.RingBuffer({ limit: records });
-  const log = bunyan.createLogger({ name: program, node: name, streams: [{ level: 'info', type: 'raw', stream: ring }] });
+  const log = bunyan.createLogger({
+    name: program,
+    node: name,
+    streams: [{ level: 'info', type: 'raw', stream: ring }],
+  });
   function info(fields: object, text: string): void {
     log.info(fields, text);
   }
@@ -116,7 +121,8 @@
   }
   function error(fields: object, text: string): void {
     log.error(fields, text);
-    for (const r of ring.records) process.stderr.write(JSON.stringify(r, bunyan.safeCycles()) + '\n');
+    for (const r of ring.records)
+      process.stderr.write(JSON.stringify(r, bunyan.safeCycles()) + '\n');
     ring.records.length = 0;
   }
   return { info, warn, error };
--- a/src/shared/realask.ts
+++ b/src/shared/realask.ts
@@ -8,8 +8,15 @@
 const KEPT_IDLE = 4000;
 
 /** Makes the client side of HTTP: connections are kept, and one that isn't up within the ms is given up. */
-export function askBy(connectWithin: number, localAddress: string | undefined): (q: Ask) => Promise<Outcome<Reply>> {
-  const agent = new http.Agent({ keepAlive: true, maxSockets: MOST_CONNECTIONS, timeout: KEPT_IDLE });
+export function askBy(
+  connectWithin: number,
+  localAddress: string | undefined,
+): (q: Ask) => Promise<Outcome<Reply>> {
+  const agent = new http.Agent({
+    keepAlive: true,
+    maxSockets: MOST_CONNECTIONS,
+    timeout: KEPT_IDLE,
+  });
 
   function ask(q: Ask): Promise<Outcome<Reply>> {
     const step = `${q.method} ${q.path}`;
@@ -20,7 +27,15 @@
     function wait(done: (o: Outcome<Reply>) => void): void {
       const headers: Record<string, string | number> = { ...q.headers };
       if (q.body !== undefined) headers['content-length'] = Buffer.byteLength(q.body);
-      const req = http.request({ host: q.at.slice(0, colon), port: Number(q.at.slice(colon + 1)), method: q.method, path: q.path, headers, agent, localAddress });
+      const req = http.request({
+        host: q.at.slice(0, colon),
+        port: Number(q.at.slice(colon + 1)),
+        method: q.method,
+        path: q.path,
+        headers,
+        agent,
+        localAddress,
+      });
       const late = setTimeout(cut, q.within, 'timeout');
       let dialled: ReturnType<typeof setTimeout> | undefined;
 
@@ -68,7 +83,9 @@
             return Right(undefined);
           } catch (e) {
             over();
-            return Left(makeFault(step, q.at, e, 'unknown', fate?.code ?? (e as { code?: string }).code));
+            return Left(
+              makeFault(step, q.at, e, 'unknown', fate?.code ?? (e as { code?: string }).code),
+            );
           }
         }
         function cancel(): void {
@@ -76,7 +93,14 @@
           res.on('error', over);
           res.destroy();
         }
-        done(Right({ status: res.statusCode ?? 0, headers: res.headers as Record<string, string | undefined>, next, cancel }));
+        done(
+          Right({
+            status: res.statusCode ?? 0,
+            headers: res.headers as Record<string, string | undefined>,
+            next,
+            cancel,
+          }),
+        );
       }
 
       req.on('error', failed);
--- a/src/shared/realhttp.ts
+++ b/src/shared/realhttp.ts
@@ -2,7 +2,15 @@
 import net from 'node:net';
 import { Left, Right } from 'purify-ts';
 import { makeFault, Outcome } from './errors';
-import { HttpConnection, HttpWire, RawAsk, RawCall, RawListening, RawReply, ServeLimits } from './ports';
+import {
+  HttpConnection,
+  HttpWire,
+  RawAsk,
+  RawCall,
+  RawListening,
+  RawReply,
+  ServeLimits,
+} from './ports';
 
 const MOST_HEADER_BYTES = 65536;
 const BACKLOG = 4096;
@@ -16,7 +24,11 @@
 
 function nothing(): void {}
 
-function makeCall(req: http.IncomingMessage, res: http.ServerResponse, limits: () => ServeLimits): RawCall {
+function makeCall(
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+  limits: () => ServeLimits,
+): RawCall {
   const gone = new AbortController();
   const peer = req.socket.remoteAddress ?? '';
   function closed(): void {
@@ -36,7 +48,8 @@
         else done(Left(makeFault('read body', peer, `over ${most} bytes`, 'refused', 'too-large')));
       }
       function whole(): void {
-        if (req.complete && size <= most) done(Right(parts.length === 1 ? parts[0] : Buffer.concat(parts)));
+        if (req.complete && size <= most)
+          done(Right(parts.length === 1 ? parts[0] : Buffer.concat(parts)));
       }
       function broken(): void {
         done(Left(makeFault('read body', peer, 'broke off', 'refused', 'bad-body')));
@@ -55,7 +68,13 @@
       res.shouldKeepAlive = false;
       res.writeHead(status, headers);
     } else {
-      res.writeHead(status, [...headers, 'Connection', 'keep-alive', 'Keep-Alive', `timeout=${Math.max(1, Math.floor((l.idleTimeoutMs * TOLD_IDLE) / 1000))}`]);
+      res.writeHead(status, [
+        ...headers,
+        'Connection',
+        'keep-alive',
+        'Keep-Alive',
+        `timeout=${Math.max(1, Math.floor((l.idleTimeoutMs * TOLD_IDLE) / 1000))}`,
+      ]);
     }
   }
 
@@ -83,10 +102,26 @@
     else req.socket.resetAndDestroy();
   }
 
-  return { method: req.method ?? 'GET', target: req.url ?? '/', headers: req.rawHeaders, fields: req.headers as Record<string, string | undefined>, peer, gone: gone.signal, body, head, piece, end, breakOff };
+  return {
+    method: req.method ?? 'GET',
+    target: req.url ?? '/',
+    headers: req.rawHeaders,
+    fields: req.headers as Record<string, string | undefined>,
+    peer,
+    gone: gone.signal,
+    body,
+    head,
+    piece,
+    end,
+    breakOff,
+  };
 }
 
-function serve(at: string, first: ServeLimits, take: (call: RawCall) => Promise<void>): Promise<Outcome<RawListening>> {
+function serve(
+  at: string,
+  first: ServeLimits,
+  take: (call: RawCall) => Promise<void>,
+): Promise<Outcome<RawListening>> {
   let limits = first;
   let arrived = 0;
   function now(): ServeLimits {
@@ -102,7 +137,10 @@
   function arrivals(): number {
     return arrived;
   }
-  const server = http.createServer({ maxHeaderSize: MOST_HEADER_BYTES, keepAlive: true, noDelay: true, requestTimeout: 0 }, request);
+  const server = http.createServer(
+    { maxHeaderSize: MOST_HEADER_BYTES, keepAlive: true, noDelay: true, requestTimeout: 0 },
+    request,
+  );
   server.on('connection', connection);
   limit(first);
   function limit(l: ServeLimits): void {
@@ -136,10 +174,23 @@
 /** Whether an answer tells where it ends. */
 function isFramed(method: string, res: http.IncomingMessage): boolean {
   const s = res.statusCode ?? 0;
-  return res.headers['content-length'] !== undefined || /\bchunked\b/i.test(res.headers['transfer-encoding'] ?? '') || method === 'HEAD' || s === 204 || s === 304;
+  return (
+    res.headers['content-length'] !== undefined ||
+    /\bchunked\b/i.test(res.headers['transfer-encoding'] ?? '') ||
+    method === 'HEAD' ||
+    s === 204 ||
+    s === 304
+  );
 }
 
-function makeReply(at: string, q: RawAsk, req: http.ClientRequest, res: http.IncomingMessage, over: () => void, cut: () => string | undefined): RawReply {
+function makeReply(
+  at: string,
+  q: RawAsk,
+  req: http.ClientRequest,
+  res: http.IncomingMessage,
+  over: () => void,
+  cut: () => string | undefined,
+): RawReply {
   const step = `${q.method} ${q.target}`;
   const queue: Buffer[] = [];
   const framed = isFramed(q.method, res);
@@ -195,7 +246,13 @@
     over();
     req.destroy();
   }
-  return { status: res.statusCode ?? 0, headers: res.rawHeaders, fields: res.headers as Record<string, string | undefined>, next, cancel };
+  return {
+    status: res.statusCode ?? 0,
+    headers: res.rawHeaders,
+    fields: res.headers as Record<string, string | undefined>,
+    next,
+    cancel,
+  };
 }
 
 /** Puts requests on a connection, one at a time; an agent of its own keeps it between them. */
@@ -250,13 +307,22 @@
   function ask(q: RawAsk, within: number, gone: AbortSignal): Promise<Outcome<RawReply>> {
     const step = `${q.method} ${q.target}`;
     function wait(done: (o: Outcome<RawReply>) => void): void {
-      if (!fit()) return done(Left(makeFault(step, at, 'the connection is not fit', 'refused', 'not-fit')));
-      if (gone.aborted) return done(Left(makeFault(step, at, 'the caller went away', 'refused', 'caller-gone')));
+      if (!fit())
+        return done(Left(makeFault(step, at, 'the connection is not fit', 'refused', 'not-fit')));
+      if (gone.aborted)
+        return done(Left(makeFault(step, at, 'the caller went away', 'refused', 'caller-gone')));
       busy = true;
       uses++;
       let whole = false;
       let cut: string | undefined;
-      const req = http.request({ agent, ...split(at), method: q.method, path: q.target, headers: q.headers as never, setHost: false });
+      const req = http.request({
+        agent,
+        ...split(at),
+        method: q.method,
+        path: q.target,
+        headers: q.headers as never,
+        setHost: false,
+      });
       const t = setTimeout(late, within);
       function cutBy(): string | undefined {
         return cut;
@@ -297,7 +363,11 @@
   return { at, fit, uses: used, ask, onIdle, done: new Promise(waitClosed), close };
 }
 
-function connect(at: string, within: number, localAddress: string | undefined): Promise<Outcome<HttpConnection>> {
+function connect(
+  at: string,
+  within: number,
+  localAddress: string | undefined,
+): Promise<Outcome<HttpConnection>> {
   function wait(done: (o: Outcome<HttpConnection>) => void): void {
     const socket = net.connect({ ...split(at), localAddress });
     const t = setTimeout(late, within);
@@ -325,7 +395,11 @@
   function connectFrom(at: string, within: number): Promise<Outcome<HttpConnection>> {
     return connect(at, within, bind === '' ? undefined : bind);
   }
-  function serveHere(at: string, limits: ServeLimits, take: (call: RawCall) => Promise<void>): Promise<Outcome<RawListening>> {
+  function serveHere(
+    at: string,
+    limits: ServeLimits,
+    take: (call: RawCall) => Promise<void>,
+  ): Promise<Outcome<RawListening>> {
     return serve(bind === '' ? at : `${bind}:${split(at).port}`, limits, take);
   }
   return { serve: serveHere, connect: connectFrom };
--- a/src/shared/realwire.ts
+++ b/src/shared/realwire.ts
@@ -12,7 +12,11 @@
   return { host: at.slice(0, i), port: Number(at.slice(i + 1)) };
 }
 
-function listen(server: net.Server, at: string, close: () => Promise<void>): Promise<Outcome<Listening>> {
+function listen(
+  server: net.Server,
+  at: string,
+  close: () => Promise<void>,
+): Promise<Outcome<Listening>> {
   function wait(done: (o: Outcome<Listening>) => void): void {
     function failed(e: Error): void {
       done(Left(makeFault('listen', at, e)));
@@ -46,7 +50,16 @@
     try {
       for await (const p of req) {
         size += (p as Buffer).length;
-        if (size > most) return Left(makeFault('read body', req.socket.remoteAddress ?? '', `over ${most} bytes`, 'refused', 'too-large'));
+        if (size > most)
+          return Left(
+            makeFault(
+              'read body',
+              req.socket.remoteAddress ?? '',
+              `over ${most} bytes`,
+              'refused',
+              'too-large',
+            ),
+          );
         parts.push(p as Buffer);
       }
     } catch (e) {
@@ -78,7 +91,19 @@
     res.destroy();
   }
   const headers = req.headers as Record<string, string | undefined>;
-  return { method: req.method ?? 'GET', path: url.pathname, query: url.searchParams, headers, peer: req.socket.remoteAddress ?? '', gone: gone.signal, body, head, piece, end, breakOff };
+  return {
+    method: req.method ?? 'GET',
+    path: url.pathname,
+    query: url.searchParams,
+    headers,
+    peer: req.socket.remoteAddress ?? '',
+    gone: gone.signal,
+    body,
+    head,
+    piece,
+    end,
+    breakOff,
+  };
 }
 
 function serve(at: string, take: (call: Call) => Promise<void>): Promise<Outcome<Listening>> {
@@ -190,5 +215,10 @@
   function dialFrom(at: string, within: number): Promise<Outcome<Connection>> {
     return dial(at, within, localAddress);
   }
-  return { serve: serveHere, ask: askBy(connectWithin, localAddress), accept: acceptHere, dial: dialFrom };
+  return {
+    serve: serveHere,
+    ask: askBy(connectWithin, localAddress),
+    accept: acceptHere,
+    dial: dialFrom,
+  };
 }
--- a/src/shared/words.ts
+++ b/src/shared/words.ts
@@ -18,7 +18,10 @@
 }
 
 /** Orders epochs; ties go by name. */
-export function compareEpochs(a: { epoch: number; by: string }, b: { epoch: number; by: string }): number {
+export function compareEpochs(
+  a: { epoch: number; by: string },
+  b: { epoch: number; by: string },
+): number {
   if (a.epoch !== b.epoch) return a.epoch - b.epoch;
   if (a.by === b.by) return 0;
   return a.by > b.by ? 1 : -1;
@@ -105,7 +108,15 @@
 }
 
 /** The names of control keys. */
-export const KEYS = { voters: 'voters', intents: 'intents', engines: 'engines', tenantKeys: 'keys/', weights: 'weights/', deployment: 'deployment', duty: 'duty/' } as const;
+export const KEYS = {
+  voters: 'voters',
+  intents: 'intents',
+  engines: 'engines',
+  tenantKeys: 'keys/',
+  weights: 'weights/',
+  deployment: 'deployment',
+  duty: 'duty/',
+} as const;
 
 /** The committed value of the intents: the file, and what the system set from it. */
 export interface IntentsValue {
@@ -124,9 +135,11 @@
     function same(t: Tenant): boolean {
       return t.id === old.id;
     }
-    if (now?.sharing !== 'group' || now.group !== old.group) groups[old.group!] = (groups[old.group!] ?? 0) + 1;
+    if (now?.sharing !== 'group' || now.group !== old.group)
+      groups[old.group!] = (groups[old.group!] ?? 0) + 1;
   }
-  for (const t of doc.tenants) salts[t.id] = t.sharing === 'walled' ? `w:${t.id}` : `g:${t.group}:${groups[t.group!] ?? 0}`;
+  for (const t of doc.tenants)
+    salts[t.id] = t.sharing === 'walled' ? `w:${t.id}` : `g:${t.group}:${groups[t.group!] ?? 0}`;
   return { doc, salts, groups };
 }
 
--- a/test/capacity.test.ts
+++ b/test/capacity.test.ts
@@ -28,7 +28,12 @@
 
 /** Known by hand: the points (0,0), (1,2), (2,1), (3,3) have the line 0.3 + 0.8 x, with a residual sum of 1.8. */
 function byHand(): void {
-  const l = fitLine([{ x: 0, y: 0 }, { x: 1, y: 2 }, { x: 2, y: 1 }, { x: 3, y: 3 }]);
+  const l = fitLine([
+    { x: 0, y: 0 },
+    { x: 1, y: 2 },
+    { x: 2, y: 1 },
+    { x: 3, y: 3 },
+  ]);
   expect(l.at0).toBeCloseTo(0.3, 9);
   expect(l.slope).toBeCloseTo(0.8, 9);
   expect(l.residual).toBeCloseTo(Math.sqrt(0.9), 9);
@@ -54,7 +59,11 @@
 
 async function tiny(): Promise<void> {
   const folder = mkdtempSync(join(tmpdir(), 'plumhollow-capacity-'));
-  const h = await startHollow({ ...EMPTY, controllers: 1, indexers: 1, nodes: 3, engines: 2, holds: 40, eventsPerS: 400 }, folder, 20 + (process.pid % 230));
+  const h = await startHollow(
+    { ...EMPTY, controllers: 1, indexers: 1, nodes: 3, engines: 2, holds: 40, eventsPerS: 400 },
+    folder,
+    20 + (process.pid % 230),
+  );
   const up = await settled(h, 60000);
   const doc = makeIntents(2, 4);
   const first = await applyIntents(h, doc, 0);
--- a/test/clock.test.ts
+++ b/test/clock.test.ts
@@ -20,5 +20,5 @@
   expect(passed(true) > 1_800_000).toBe(process.platform === 'linux');
 }
 
-test('where nothing is suspended, a time since boot that runs ahead moves no timer\'s time', alone);
+test("where nothing is suspended, a time since boot that runs ahead moves no timer's time", alone);
 test('where a machine may be suspended, the time since boot is counted', together);
--- a/test/connections.test.ts
+++ b/test/connections.test.ts
@@ -1,5 +1,12 @@
 import { open } from '../src/shared/errors';
-import { Exchange, Hello, HelloEdge, converse, hold, WIRE_VERSION } from '../src/shared/connections';
+import {
+  Exchange,
+  Hello,
+  HelloEdge,
+  converse,
+  hold,
+  WIRE_VERSION,
+} from '../src/shared/connections';
 import { Connection } from '../src/shared/ports';
 import { makeNet } from '../tools/sim/simwire';
 import { makeWorld } from '../tools/sim/simworld';
@@ -23,7 +30,13 @@
     up = ex;
   }
   await server.wire.accept(at, taken);
-  const held = hold(client, at, { hello: hello(version, { flavour: 'from another version' }), edges: [], within: 100, pause: 100, onUp });
+  const held = hold(client, at, {
+    hello: hello(version, { flavour: 'from another version' }),
+    edges: [],
+    within: 100,
+    pause: 100,
+    onUp,
+  });
   async function askPlainly(): Promise<void> {
     const [, s] = open(await client.wire.dial(at, 100));
     const [f] = open(await converse(client, s!, []).ask('hello', hello(version), 100));
@@ -64,5 +77,8 @@
   held.stop();
 }
 
-test('versions one apart meet, with fields that one does not know; further apart is refused', versions);
+test(
+  'versions one apart meet, with fields that one does not know; further apart is refused',
+  versions,
+);
 test('a peer that takes no turns counts as down, and is up again when it wakes', frozenPeer);
--- a/test/delta.test.ts
+++ b/test/delta.test.ts
@@ -4,7 +4,8 @@
 
 function random(dice: () => number, depth: number): unknown {
   const r = dice();
-  if (depth === 0 || r < 0.3) return r < 0.1 ? null : r < 0.2 ? Math.floor(dice() * 3) : `t${Math.floor(dice() * 3)}`;
+  if (depth === 0 || r < 0.3)
+    return r < 0.1 ? null : r < 0.2 ? Math.floor(dice() * 3) : `t${Math.floor(dice() * 3)}`;
   const n = Math.floor(dice() * 4);
   if (r < 0.65) return Array.from({ length: n }, one);
   const out: Record<string, unknown> = {};
@@ -32,7 +33,8 @@
 
 function rules(n: number, odd: number): object {
   const out: object[] = [];
-  for (let i = 0; i < n; i++) out.push({ tenant: 't', label: `rule-${i}`, service: i === odd ? 'other' : 'one' });
+  for (let i = 0; i < n; i++)
+    out.push({ tenant: 't', label: `rule-${i}`, service: i === odd ? 'other' : 'one' });
   return { doc: { tenants: [{ id: 't' }], rules: out } };
 }
 
--- a/test/deployment-races.test.ts
+++ b/test/deployment-races.test.ts
@@ -50,7 +50,8 @@
 /** Whatever became of each change: no base has two that were acknowledged, and what stands is the newest acknowledged or one whose fate was left open. */
 async function judge(f: CoreRig, all: Sent[]): Promise<void> {
   const byBase = new Map<number, number[]>();
-  for (const s of all.filter(isTaken)) byBase.set(s.base, [...(byBase.get(s.base) ?? []), s.revision]);
+  for (const s of all.filter(isTaken))
+    byBase.set(s.base, [...(byBase.get(s.base) ?? []), s.revision]);
   for (const [base, revisions] of byBase) expect([base, revisions.length]).toEqual([base, 1]);
   const newest = Math.max(0, ...all.filter(isTaken).map(revisionOf));
   const stands = await describe3(f);
@@ -90,7 +91,10 @@
     const all = [first];
     let base = 1;
     for (let n = 0; n < 4; n++) {
-      const pair = [send(f, base, 10 * n + 11, Math.floor(dice.next() * 3), 6000), send(f, base, 10 * n + 12, Math.floor(dice.next() * 3), 6000)];
+      const pair = [
+        send(f, base, 10 * n + 11, Math.floor(dice.next() * 3), 6000),
+        send(f, base, 10 * n + 12, Math.floor(dice.next() * 3), 6000),
+      ];
       all.push(...pair);
       await f.pass(dice.next() * 30);
       const victim = f.core[Math.floor(dice.next() * 3)];
@@ -164,7 +168,10 @@
   }
 }
 
-test('of two changes on one base one wins, whatever is killed, cut off or frozen meanwhile', racers);
+test(
+  'of two changes on one base one wins, whatever is killed, cut off or frozen meanwhile',
+  racers,
+);
 test('what was acknowledged stands after all lost power at once', powerAfterAck);
 test('what was acknowledged stands after one disk is lost and all lost power', wipeAfterAck);
 test('with a core machine dark, a change is taken within two seconds', quick);
--- a/test/deploymentrig.ts
+++ b/test/deploymentrig.ts
@@ -25,9 +25,21 @@
   /** Runs virtual time on until a promise is settled. */
   settled<T>(p: Promise<T>, most?: number): Promise<T | undefined>;
   /** Calls one controller; nothing comes where it is silent for a second. */
-  call(p: Proc, method: string, path: string, base?: number, body?: unknown): Promise<Heard | undefined>;
+  call(
+    p: Proc,
+    method: string,
+    path: string,
+    base?: number,
+    body?: unknown,
+  ): Promise<Heard | undefined>;
   /** Calls on and on as operators do, from a first controller over to the others, until an answer is clear. */
-  insist(first: number, path: string, base: number, body: unknown, most: number): Promise<Heard | undefined>;
+  insist(
+    first: number,
+    path: string,
+    base: number,
+    body: unknown,
+    most: number,
+  ): Promise<Heard | undefined>;
 }
 
 /** The paths that operators call. */
@@ -36,15 +48,47 @@
 const SILENCE = 1000;
 
 function settingsOf(name: string, ip: string, seeds: string[], bootstrap: boolean): Settings {
-  return { ...defaultSettings(), name, dialect: 'platform', strict: false, suspends: false, zone: name, wire: `${ip}:7000`, http: `${ip}:8000`, seeds, founders: seeds, data: name, weightsBoundMs: 8000, bootstrap };
+  return {
+    ...defaultSettings(),
+    name,
+    dialect: 'platform',
+    strict: false,
+    suspends: false,
+    zone: name,
+    wire: `${ip}:7000`,
+    http: `${ip}:8000`,
+    seeds,
+    founders: seeds,
+    data: name,
+    weightsBoundMs: 8000,
+    bootstrap,
+  };
 }
 
 /** A whole document with some routes to one service. */
-export function documentOf(revision: number, prefixes: string[], more: object = {}): Record<string, unknown> {
+export function documentOf(
+  revision: number,
+  prefixes: string[],
+  more: object = {},
+): Record<string, unknown> {
   function route(prefix: string): object {
-    return { name: `r${prefix.replaceAll('/', '-')}`, hostname: 'desk.example', pathPrefix: prefix, routeType: 'safe', timeoutMs: 4000, service: 'engines' };
+    return {
+      name: `r${prefix.replaceAll('/', '-')}`,
+      hostname: 'desk.example',
+      pathPrefix: prefix,
+      routeType: 'safe',
+      timeoutMs: 4000,
+      service: 'engines',
+    };
   }
-  return { revision, routes: prefixes.map(route), services: [{ name: 'engines', healthCheckPath: '/health', maxConnections: 10 }], tenants: [], limits: {}, ...more };
+  return {
+    revision,
+    routes: prefixes.map(route),
+    services: [{ name: 'engines', healthCheckPath: '/health', maxConnections: 10 }],
+    tenants: [],
+    limits: {},
+    ...more,
+  };
 }
 
 /** Makes the world and starts the controllers. */
@@ -69,7 +113,13 @@
     void run();
     async function run(): Promise<void> {
       const ports = net.ports(p);
-      const [f, c] = open(await startController(ports, settingsOf(p.name, p.ip, seeds, !started.has(p.name)), platform));
+      const [f, c] = open(
+        await startController(
+          ports,
+          settingsOf(p.name, p.ip, seeds, !started.has(p.name)),
+          platform,
+        ),
+      );
       started.add(p.name);
       if (f) return w.trace(`${p.name} did not start: ${f.why}`);
       controllers.set(p.name, c);
@@ -92,15 +142,37 @@
     return got?.v;
   }
 
-  async function call(p: Proc, method: string, path: string, base?: number, body?: unknown): Promise<Heard | undefined> {
-    const headers: Record<string, string> = base === undefined ? {} : { 'plumhollow-base-version': String(base) };
+  async function call(
+    p: Proc,
+    method: string,
+    path: string,
+    base?: number,
+    body?: unknown,
+  ): Promise<Heard | undefined> {
+    const headers: Record<string, string> =
+      base === undefined ? {} : { 'plumhollow-base-version': String(base) };
     const at = `${p.ip}:8000`;
     const text = typeof body === 'string' ? body : JSON.stringify(body);
-    const [f, r] = open(await askJson(net.ports(operator).wire, { at, method, path, headers, body: body === undefined ? undefined : text, within: SILENCE }));
+    const [f, r] = open(
+      await askJson(net.ports(operator).wire, {
+        at,
+        method,
+        path,
+        headers,
+        body: body === undefined ? undefined : text,
+        within: SILENCE,
+      }),
+    );
     return f ? undefined : { status: r.status, body: (r.body ?? {}) as Record<string, unknown> };
   }
 
-  async function insist(first: number, path: string, base: number, body: unknown, most: number): Promise<Heard | undefined> {
+  async function insist(
+    first: number,
+    path: string,
+    base: number,
+    body: unknown,
+    most: number,
+  ): Promise<Heard | undefined> {
     const clock = w.clock(operator);
     const until = w.now() + most;
     for (let i = first; w.now() < until; i++) {
--- a/test/disk.test.ts
+++ b/test/disk.test.ts
@@ -38,7 +38,16 @@
 }
 
 /** Three voters on files of their own; messages pass only where `passes` says so. */
-async function three(): Promise<{ node: (i: number, life: string, passes: (to: number, type: string) => boolean) => Promise<ReturnType<typeof makeOwner>>; cell: (i: number) => unknown; lose: (i: number) => Promise<void>; replace: (i: number) => Promise<void> }> {
+async function three(): Promise<{
+  node: (
+    i: number,
+    life: string,
+    passes: (to: number, type: string) => boolean,
+  ) => Promise<ReturnType<typeof makeOwner>>;
+  cell: (i: number) => unknown;
+  lose: (i: number) => Promise<void>;
+  replace: (i: number) => Promise<void>;
+}> {
   const files: Files[] = [new Map(), new Map(), new Map()];
   const slots: Slots[] = [];
   const acceptors: Acceptor[] = [];
@@ -53,7 +62,11 @@
     return { now: set, next };
   }
   function nothing(): void {}
-  async function node(i: number, life: string, passes: (to: number, type: string) => boolean): Promise<ReturnType<typeof makeOwner>> {
+  async function node(
+    i: number,
+    life: string,
+    passes: (to: number, type: string) => boolean,
+  ): Promise<ReturnType<typeof makeOwner>> {
     const reach: Reach = { by: life, within: 100, voters, ask, learned: nothing, learnHere };
     async function learnHere(): Promise<unknown> {
       return undefined;
@@ -145,7 +158,9 @@
       else go();
     }
     await new Promise<void>(wait);
-    return fails ? bad('append', name, 'no space', 'failed', 'disk') : ports.disk.append(name, bytes);
+    return fails
+      ? bad('append', name, 'no space', 'failed', 'disk')
+      : ports.disk.append(name, bytes);
   }
   async function write(name: string, bytes: Uint8Array): Promise<Outcome<void>> {
     return fails ? bad('write', name, 'no space', 'failed', 'disk') : ports.disk.write(name, bytes);
@@ -160,12 +175,21 @@
   async function never(): Promise<Outcome<unknown>> {
     return bad('ask', '', 'nobody', 'refused', 'none');
   }
-  const acceptor = new Acceptor(slots!, { by: 'a.1', within: 1, voters, ask: never, learned: nothing, learnHere: never }, slow);
+  const acceptor = new Acceptor(
+    slots!,
+    { by: 'a.1', within: 1, voters, ask: never, learned: nothing, learnHere: never },
+    slow,
+  );
   const votes = new Votes(slots!, slow, voters, 1000);
   await votes.begin({ votes: [], file: 0, gen: 0, disk: '', spoilt: false });
   const change = { key: 'k', epoch: 1, by: 'a.1', number: 1, value: 1 };
   const vote = { key: 'x', run: 'r1', state: 'running' };
-  const acts = [[acceptor, 'learn', { change }], [votes, 'copy', [vote]], [votes, 'vote', { key: 'x', run: 'r2' }], [votes, 'run', { key: 'x', run: 'r1', state: 'done' }]] as const;
+  const acts = [
+    [acceptor, 'learn', { change }],
+    [votes, 'copy', [vote]],
+    [votes, 'vote', { key: 'x', run: 'r2' }],
+    [votes, 'run', { key: 'x', run: 'r1', state: 'done' }],
+  ] as const;
   const told: Promise<Outcome<unknown>>[] = [];
   for (const [edge, type, body] of [...acts, ...acts]) {
     told.push(dispatch([edge], type, body, undefined, ''));
@@ -175,9 +199,17 @@
   for (const go of held.splice(0)) go();
   held = undefined;
   for (const o of await Promise.all(told)) expect(o.isLeft()).toBe(true);
-  for (const [edge, type, body] of acts) expect({ type, kept: (await dispatch([edge], type, body, undefined, '')).isRight() }).toEqual({ type, kept: false });
+  for (const [edge, type, body] of acts)
+    expect({ type, kept: (await dispatch([edge], type, body, undefined, '')).isRight() }).toEqual({
+      type,
+      kept: false,
+    });
   fails = false;
-  for (const [edge, type, body] of acts) expect({ type, kept: (await dispatch([edge], type, body, undefined, '')).isRight() }).toEqual({ type, kept: true });
+  for (const [edge, type, body] of acts)
+    expect({ type, kept: (await dispatch([edge], type, body, undefined, '')).isRight() }).toEqual({
+      type,
+      kept: true,
+    });
   const after = await opened(files);
   expect(after.cells.get('k')?.learned).toEqual(change);
 }
@@ -187,7 +219,11 @@
 }
 
 function acceptedLine(n: number): Parameters<Slots['put']>[0] {
-  return { key: 'k', promised: { epoch: 1, by: 'a' }, accepted: { key: 'k', epoch: 1, by: 'a', number: n, value: 'v'.repeat(n * 5) } };
+  return {
+    key: 'k',
+    promised: { epoch: 1, by: 'a' },
+    accepted: { key: 'k', epoch: 1, by: 'a', number: n, value: 'v'.repeat(n * 5) },
+  };
 }
 
 async function everyCut(): Promise<void> {
@@ -208,7 +244,12 @@
       const torn: Files = new Map(files);
       torn.set('log-1', Buffer.concat([log.subarray(0, cut), Buffer.alloc(hole)]));
       const again = await opened(torn, 9);
-      expect({ cut, hole, number: numberOf(again), disk: again.disk }).toEqual({ cut, hole, number: want, disk: s.disk });
+      expect({ cut, hole, number: numberOf(again), disk: again.disk }).toEqual({
+        cut,
+        hole,
+        number: want,
+        disk: s.disk,
+      });
     }
   }
 }
@@ -239,9 +280,17 @@
     const again = await opened(x.files, 9);
     const same = again.disk === first.disk;
     if (same) kept++;
-    expect({ what: x.what, forgot: same && numberOf(again) !== 4, spoilt: again.spoilt }).toEqual({ what: x.what, forgot: false, spoilt: !same });
+    expect({ what: x.what, forgot: same && numberOf(again) !== 4, spoilt: again.spoilt }).toEqual({
+      what: x.what,
+      forgot: false,
+      spoilt: !same,
+    });
     const later = await opened(x.files, 10);
-    expect({ what: x.what, disk: later.disk, spoilt: later.spoilt }).toEqual({ what: x.what, disk: again.disk, spoilt: again.spoilt });
+    expect({ what: x.what, disk: later.disk, spoilt: later.spoilt }).toEqual({
+      what: x.what,
+      disk: again.disk,
+      spoilt: again.spoilt,
+    });
   }
   expect(kept).toBeGreaterThan(files.get('slot-0')!.length + files.get('slot-1')!.length);
 }
@@ -265,11 +314,20 @@
   await one.run({ key: 'b', run: 'r2', state: 'released' });
   for (let i = 0; i < 4; i++) {
     const again = await votesOn();
-    expect((await again.vote({ key: 'a', run: 'r3' })).extract()).toMatchObject({ run: 'r1', state: 'done' });
-    if (i === 3) expect((await again.vote({ key: 'b', run: 'r4' })).extract()).toMatchObject({ run: 'r4' });
+    expect((await again.vote({ key: 'a', run: 'r3' })).extract()).toMatchObject({
+      run: 'r1',
+      state: 'done',
+    });
+    if (i === 3)
+      expect((await again.vote({ key: 'b', run: 'r4' })).extract()).toMatchObject({ run: 'r4' });
   }
   const held = [];
-  for (const begins of ['a', 'b', 'c']) held.push(((await one.held({ begins })).extract() as { votes: { key: string }[] }).votes.map(keyOf).join());
+  for (const begins of ['a', 'b', 'c'])
+    held.push(
+      ((await one.held({ begins })).extract() as { votes: { key: string }[] }).votes
+        .map(keyOf)
+        .join(),
+    );
   expect(held).toEqual(['a', '', '']);
   function keyOf(x: { key: string }): string {
     return x.key;
@@ -280,14 +338,23 @@
   }
   for (const x of spoils(votesOnly)) {
     if (/emptied|gone/.test(x.what)) continue;
-    expect({ what: x.what, spoilt: ((await readVotes(portsOn(x.files))).extract() as KeptVotes).spoilt }).toEqual({ what: x.what, spoilt: true });
+    expect({
+      what: x.what,
+      spoilt: ((await readVotes(portsOn(x.files))).extract() as KeptVotes).spoilt,
+    }).toEqual({ what: x.what, spoilt: true });
   }
 }
 
 test('a log cut at any byte, or with a hole at its end, gives what was whole before it', everyCut);
-test('a byte changed anywhere loses nothing, or makes it a new disk that does not vote', everySpoiltByte);
+test(
+  'a byte changed anywhere loses nothing, or makes it a new disk that does not vote',
+  everySpoiltByte,
+);
 test('a vote outlives restarts, and a released key can be run anew', voteKept);
-test('one epoch never carries two values, also when an owner forgot its promise and came back', oneEpoch);
+test(
+  'one epoch never carries two values, also when an owner forgot its promise and came back',
+  oneEpoch,
+);
 function oldFrame(v: unknown): Buffer {
   const body = pack(v);
   const head = Buffer.alloc(8);
@@ -301,7 +368,14 @@
   const vote = { key: 'x', run: 'r1', state: 'done' };
   const files: Files = new Map([
     ['slot-1', oldFrame({ gen: 1, disk: 'd', cells: [] })],
-    ['slot-0', oldFrame({ gen: 2, disk: 'd', cells: [['k', { promised: { epoch: 1, by: 'a' }, accepted: one }]] })],
+    [
+      'slot-0',
+      oldFrame({
+        gen: 2,
+        disk: 'd',
+        cells: [['k', { promised: { epoch: 1, by: 'a' }, accepted: one }]],
+      }),
+    ],
     ['log-1', Buffer.alloc(0)],
     ['log-0', Buffer.concat([oldFrame(acceptedLine(5)), oldFrame({ key: 'k', learned: true })])],
     ['votes-1', Buffer.concat([oldFrame({ gen: 4 }), oldFrame({ vote })])],
@@ -310,7 +384,13 @@
   for (let i = 0; i < 4; i++) {
     const kept = (await readVotes(portsOn(files))).extract() as KeptVotes;
     const [, s] = open(await openSlots(portsOn(files), 1 << 20, kept));
-    expect({ i, disk: s!.disk, spoilt: s!.spoilt, number: numberOf(s!), learned: s!.cells.get('k')?.learned?.number }).toEqual({ i, disk: 'd', spoilt: false, number: 5, learned: 5 });
+    expect({
+      i,
+      disk: s!.disk,
+      spoilt: s!.spoilt,
+      number: numberOf(s!),
+      learned: s!.cells.get('k')?.learned?.number,
+    }).toEqual({ i, disk: 'd', spoilt: false, number: 5, learned: 5 });
     const votes = new Votes(s!, portsOn(files), nobody, 1000);
     await votes.begin(kept);
     expect((await votes.held({ begins: 'x' })).extract()).toMatchObject({ votes: [vote] });
@@ -325,12 +405,20 @@
   const s = await opened(files);
   await s.put(acceptedLine(1));
   for (const disk of [s.disk, '']) {
-    const [, again] = open(await openSlots(portsOn(new Map(files), 9), 1 << 20, { disk, spoilt: false }));
+    const [, again] = open(
+      await openSlots(portsOn(new Map(files), 9), 1 << 20, { disk, spoilt: false }),
+    );
     expect(again!.disk === s.disk).toBe(disk === s.disk);
   }
 }
 
 test('a data folder of version 0.1 is taken over whole, and stays so', oldFolder);
 test('a disk whose votes files are gone counts as a new one', noVotes);
-test('an emptied disk at the address of a voter does not count as that voter, also while it joins', inPlace);
-test('nothing is answered before what it tells is synced, nor after a write that failed', toldWhenSynced);
+test(
+  'an emptied disk at the address of a voter does not count as that voter, also while it joins',
+  inPlace,
+);
+test(
+  'nothing is answered before what it tells is synced, nor after a write that failed',
+  toldWhenSynced,
+);
--- a/test/founding.test.ts
+++ b/test/founding.test.ts
@@ -50,7 +50,14 @@
   f.starts.get('core-3')!();
   const at = await until(f, 20000, founded(f));
   expect(at! - 9000).toBeLessThan(1500);
-  expect((await asked(f, 'PUT', '/v1/intents', { basedOn: 0, intents: simIntents(f.d, 'probe-3', 0, []) })).status).toBe(200);
+  expect(
+    (
+      await asked(f, 'PUT', '/v1/intents', {
+        basedOn: 0,
+        intents: simIntents(f.d, 'probe-3', 0, []),
+      })
+    ).status,
+  ).toBe(200);
 }
 
 async function absentFounder(): Promise<void> {
@@ -64,7 +71,14 @@
   }
   expect(codes).toEqual(['no-quorum', 'conflict', 200, 200]);
   await until(f, 6000, founded(f));
-  expect((await asked(f, 'PUT', '/v1/intents', { basedOn: 0, intents: simIntents(f.d, 'probe-3', 0, []) })).status).toBe(200);
+  expect(
+    (
+      await asked(f, 'PUT', '/v1/intents', {
+        basedOn: 0,
+        intents: simIntents(f.d, 'probe-3', 0, []),
+      })
+    ).status,
+  ).toBe(200);
   f.starts.get('core-3')!();
   function joined(): boolean {
     const v = f.controllers.get('core-3')?.voters();
@@ -76,13 +90,27 @@
   expect(await until(f, 20000, joined)).toBeDefined();
   f.w.kill(f.w.procAt(at[1].split(':')[0])!, true);
   await f.w.run(f.w.now() + 3000);
-  expect((await asked(f, 'PUT', '/v1/intents', { basedOn: 1, intents: simIntents(f.d, 'probe-5', 0, []) })).status).toBe(200);
+  expect(
+    (
+      await asked(f, 'PUT', '/v1/intents', {
+        basedOn: 1,
+        intents: simIntents(f.d, 'probe-5', 0, []),
+      })
+    ).status,
+  ).toBe(200);
 }
 
 async function neverOverKept(): Promise<void> {
   const f = without([], '');
   await until(f, 9000, founded(f));
-  expect((await asked(f, 'PUT', '/v1/intents', { basedOn: 0, intents: simIntents(f.d, 'probe-3', 0, []) })).status).toBe(200);
+  expect(
+    (
+      await asked(f, 'PUT', '/v1/intents', {
+        basedOn: 0,
+        intents: simIntents(f.d, 'probe-3', 0, []),
+      })
+    ).status,
+  ).toBe(200);
   for (const n of f.core) f.w.kill(f.w.procs().find(named(n))!, true);
   for (const n of f.core.slice(0, 2)) {
     const p = f.w.procs().find(named(n))!;
@@ -112,5 +140,8 @@
 }
 
 test('a founder that is late holds the founding up, and no longer than it is late', lateFounder);
-test('operators found without a founder that is not there; it votes in its own place when it comes', absentFounder);
+test(
+  'operators found without a founder that is not there; it votes in its own place when it comes',
+  absentFounder,
+);
 test('two emptied core machines never found anew while the third has what was kept', neverOverKept);
--- a/test/gateway-connections.test.ts
+++ b/test/gateway-connections.test.ts
@@ -11,10 +11,23 @@
   end(surplus: boolean): void;
 }
 
-const engine: Engine = { id: 'e1', at: '10.0.0.1:80', zone: 'z', model: 'm', weights: '1', leaving: false };
+const engine: Engine = {
+  id: 'e1',
+  at: '10.0.0.1:80',
+  zone: 'z',
+  model: 'm',
+  weights: '1',
+  leaving: false,
+};
 
 /** A clock that a test moves, and connections that it ends. */
-function hands(): { clock: Clock; http: HttpWire; made: Hand[]; move(ms: number): void; dark(on: boolean): void } {
+function hands(): {
+  clock: Clock;
+  http: HttpWire;
+  made: Hand[];
+  move(ms: number): void;
+  dark(on: boolean): void;
+} {
   let time = 0;
   let isDark = false;
   let timers: { at: number; ring: () => void }[] = [];
@@ -69,7 +82,17 @@
       fits = false;
       end({ surplus });
     }
-    const h: Hand = { at, fit, uses: now, ask: undefined as never, onIdle, done: new Promise(wait), close, idle, end: endWith };
+    const h: Hand = {
+      at,
+      fit,
+      uses: now,
+      ask: undefined as never,
+      onIdle,
+      done: new Promise(wait),
+      close,
+      idle,
+      end: endWith,
+    };
     made.push(h);
     return Right(h);
   }
@@ -143,7 +166,11 @@
   function known(): number | undefined {
     return routers;
   }
-  const b = makeRetryBudget(w.clock, { ...defaultSettings(), retryWindowMs: 10000, retryRatio: 0.2, retrySlack: 50 }, known);
+  const b = makeRetryBudget(
+    w.clock,
+    { ...defaultSettings(), retryWindowMs: 10000, retryRatio: 0.2, retrySlack: 50 },
+    known,
+  );
   for (let i = 0; i < 50; i++) b.asked('p');
   expect(spendAll(b)).toBe(8);
   w.move(10501);
@@ -164,6 +191,6 @@
 }
 
 test('kept connections are used again, the last one first, and not for long', usedAgain);
-test('routers share an engine\'s connections', shared);
+test("routers share an engine's connections", shared);
 test('an engine whose machine is dark loses its kept connections', darkMachine);
 test('further attempts are paid from a sliding window, and its slack from a later one', slides);
--- a/test/gateway-doubt.test.ts
+++ b/test/gateway-doubt.test.ts
@@ -1,5 +1,17 @@
 import http from 'node:http';
-import { ask, deployment, EngineCall, Got, resets, route, sealed, startRig, startStandIn, streams, turnsAway } from './gatewayrig';
+import {
+  ask,
+  deployment,
+  EngineCall,
+  Got,
+  resets,
+  route,
+  sealed,
+  startRig,
+  startStandIn,
+  streams,
+  turnsAway,
+} from './gatewayrig';
 
 const FIVE = streamOf(1, 5);
 
@@ -27,7 +39,11 @@
 async function brokenOff(): Promise<void> {
   const e = await startStandIn('e1', breaksOff);
   const other = await startStandIn('e2', breaksOff);
-  const rig = await startRig({ engines: [e, other], deployment: deployment([route({})]), settings: roomy });
+  const rig = await startRig({
+    engines: [e, other],
+    deployment: deployment([route({})]),
+    settings: roomy,
+  });
   const got = await ask(rig.at);
   expect(got).toMatchObject({ status: 200, whole: false });
   expect(e.calls.length + other.calls.length).toBe(1);
@@ -37,7 +53,11 @@
 async function takenUp(): Promise<void> {
   const a = await startStandIn('e1', breaksOff);
   const b = await startStandIn('e2', streams(5), 'zone-b');
-  const rig = await startRig({ engines: [a, b], deployment: deployment([route({ resumable: true })]), settings: roomy });
+  const rig = await startRig({
+    engines: [a, b],
+    deployment: deployment([route({ resumable: true })]),
+    settings: roomy,
+  });
   for (let i = 0; i < 4; i++) {
     const got = await ask(rig.at);
     expect(got).toMatchObject({ status: 200, body: FIVE, whole: true });
@@ -52,7 +72,10 @@
 
 async function takenUpByCaller(): Promise<void> {
   const a = await startStandIn('e1', streams(5));
-  const rig = await startRig({ engines: [a], deployment: deployment([route({ resumable: true })]) });
+  const rig = await startRig({
+    engines: [a],
+    deployment: deployment([route({ resumable: true })]),
+  });
   const got = await ask(rig.at, { headers: { 'Last-Event-Id': '3' } });
   expect(got).toMatchObject({ status: 200, body: streamOf(4, 5), whole: true });
   await rig.close();
@@ -67,7 +90,11 @@
 async function nothingTwice(): Promise<void> {
   const a = await startStandIn('e1', breaksOff);
   const b = await startStandIn('e2', startsAnew, 'zone-b');
-  const rig = await startRig({ engines: [a, b], deployment: deployment([route({ resumable: true })]), settings: roomy });
+  const rig = await startRig({
+    engines: [a, b],
+    deployment: deployment([route({ resumable: true })]),
+    settings: roomy,
+  });
   expect(await ask(rig.at)).toMatchObject({ body: streamOf(1, 2), whole: false });
   expect({ a: a.calls.length, b: b.calls.length }).toEqual({ a: 1, b: 1 });
   await rig.close();
@@ -76,7 +103,9 @@
 /** Sends more behind its whole answer, in one piece. */
 function surplusAtOnce(c: EngineCall): void {
   const id = String(c.req.headers['plumhollow-attempt-id']);
-  c.req.socket.write(`HTTP/1.1 200 OK\r\nPlumhollow-Attempt-Id: ${id}\r\nPlumhollow-Response-Seal: s\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nPlumhollow-Attempt-Id: other\r\nContent-Length: 5\r\n\r\nother`);
+  c.req.socket.write(
+    `HTTP/1.1 200 OK\r\nPlumhollow-Attempt-Id: ${id}\r\nPlumhollow-Response-Seal: s\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nPlumhollow-Attempt-Id: other\r\nContent-Length: 5\r\n\r\nother`,
+  );
 }
 
 /** Sends more behind its whole answer, a little later. */
@@ -94,7 +123,8 @@
     const e = await startStandIn('e1', garbles);
     const rig = await startRig({ engines: [e], deployment: deployment([route({})]) });
     const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
-    for (let i = 0; i < 5; i++) expect(await ask(rig.at, { agent })).toMatchObject({ status: 200, body: 'ok', whole: true });
+    for (let i = 0; i < 5; i++)
+      expect(await ask(rig.at, { agent })).toMatchObject({ status: 200, body: 'ok', whole: true });
     expect(e.connections).toBeGreaterThanOrEqual(4);
     agent.destroy();
     await rig.close();
@@ -102,14 +132,21 @@
 }
 
 function otherInstance(c: EngineCall): void {
-  c.res.writeHead(421, { 'Plumhollow-Attempt-Id': String(c.req.headers['plumhollow-attempt-id']), 'Plumhollow-Instance-Id': 'another' });
+  c.res.writeHead(421, {
+    'Plumhollow-Attempt-Id': String(c.req.headers['plumhollow-attempt-id']),
+    'Plumhollow-Instance-Id': 'another',
+  });
   c.res.end();
 }
 
 async function misdirected(): Promise<void> {
   const a = await startStandIn('e1', otherInstance);
   const b = await startStandIn('e2', streams(5), 'zone-b');
-  const rig = await startRig({ engines: [a, b], deployment: deployment([route({})]), settings: roomy });
+  const rig = await startRig({
+    engines: [a, b],
+    deployment: deployment([route({})]),
+    settings: roomy,
+  });
   for (let i = 0; i < 6; i++) expect(await ask(rig.at)).toMatchObject({ status: 200, body: FIVE });
   expect(a.calls.length).toBe(1);
   await rig.close();
@@ -127,7 +164,11 @@
 async function budgeted(): Promise<void> {
   const a = await startStandIn('e1', turnsAway);
   const b = await startStandIn('e2', turnsAway);
-  const rig = await startRig({ engines: [a, b], deployment: deployment([route({})]), settings: { retryWindowMs: 60000, retryRatio: 0.2, retrySlack: 0, contactMs: 1 } });
+  const rig = await startRig({
+    engines: [a, b],
+    deployment: deployment([route({})]),
+    settings: { retryWindowMs: 60000, retryRatio: 0.2, retrySlack: 0, contactMs: 1 },
+  });
   for (let i = 0; i < 50; i++) expect((await ask(rig.at)).status).toBe(503);
   const { attempts, furtherAttempts } = rig.gateway.counts;
   expect(attempts).toBe(a.calls.length + b.calls.length);
@@ -139,8 +180,17 @@
 async function timeUp(): Promise<void> {
   const a = await startStandIn('e1', silent);
   const b = await startStandIn('e2', silent);
-  const rig = await startRig({ engines: [a, b], deployment: deployment([route({}), route({ name: 's', prefix: '/s/', timeoutMs: 100, resumable: true })]) });
-  const got = await Promise.all([ask(rig.at, { headers: { 'Plumhollow-Deadline-Ms': '100' } }), ask(rig.at, { path: '/s/x' })]);
+  const rig = await startRig({
+    engines: [a, b],
+    deployment: deployment([
+      route({}),
+      route({ name: 's', prefix: '/s/', timeoutMs: 100, resumable: true }),
+    ]),
+  });
+  const got = await Promise.all([
+    ask(rig.at, { headers: { 'Plumhollow-Deadline-Ms': '100' } }),
+    ask(rig.at, { path: '/s/x' }),
+  ]);
   expect(got.map(statusOf)).toEqual([504, 504]);
   expect(a.calls.length + b.calls.length).toBe(2);
   await rig.close();
@@ -153,8 +203,13 @@
 async function darkEngine(): Promise<void> {
   const a = await startStandIn('e1', silent);
   const b = await startStandIn('e2', streams(5), 'zone-b');
-  const rig = await startRig({ engines: [a, b], deployment: deployment([route({ resumable: true, aimMs: 30, gapAimMs: 10 })]), settings: roomy });
-  for (let i = 0; i < 3; i++) expect(await ask(rig.at)).toMatchObject({ status: 200, body: FIVE, whole: true });
+  const rig = await startRig({
+    engines: [a, b],
+    deployment: deployment([route({ resumable: true, aimMs: 30, gapAimMs: 10 })]),
+    settings: roomy,
+  });
+  for (let i = 0; i < 3; i++)
+    expect(await ask(rig.at)).toMatchObject({ status: 200, body: FIVE, whole: true });
   expect(a.calls.length).toBeGreaterThan(0);
   await rig.close();
 }
@@ -189,14 +244,20 @@
 
 function unframed(c: EngineCall): void {
   const id = String(c.req.headers['plumhollow-attempt-id']);
-  c.req.socket.end(`HTTP/1.1 200 OK\r\nPlumhollow-Attempt-Id: ${id}\r\nPlumhollow-Response-Seal: s\r\nConnection: close\r\n\r\npart`);
+  c.req.socket.end(
+    `HTTP/1.1 200 OK\r\nPlumhollow-Attempt-Id: ${id}\r\nPlumhollow-Response-Seal: s\r\nConnection: close\r\n\r\npart`,
+  );
 }
 
 async function noPromises(): Promise<void> {
   for (const answer of [unsealed, doubtful503, noAnswer, resets]) {
     const a = await startStandIn('e1', answer);
     const b = await startStandIn('e2', answer);
-    const rig = await startRig({ engines: [a, b], deployment: deployment([route({})]), settings: roomy });
+    const rig = await startRig({
+      engines: [a, b],
+      deployment: deployment([route({})]),
+      settings: roomy,
+    });
     expect((await ask(rig.at)).status).toBe(502);
     expect(a.calls.length + b.calls.length).toBe(1);
     await rig.close();
@@ -233,7 +294,10 @@
   const b = await startStandIn('e2', streams(5));
   const gone = await startStandIn('e1', silent);
   gone.close();
-  const rig = await startRig({ engines: [gone, b], deployment: deployment([route({ maxAttempts: 1 })]) });
+  const rig = await startRig({
+    engines: [gone, b],
+    deployment: deployment([route({ maxAttempts: 1 })]),
+  });
   for (let i = 0; i < 4; i++) expect(await ask(rig.at)).toMatchObject({ status: 200, body: FIVE });
   expect(rig.gateway.counts.furtherAttempts).toBe(0);
   await rig.close();
@@ -249,7 +313,7 @@
 test('further attempts stay within their share', budgeted);
 test('a request whose time is up while it may run gets 504', timeUp);
 test('an engine that is silent altogether loses its streams to another', darkEngine);
-test('an engine\'s own failure goes back as it is', ownFault);
-test('what is no engine\'s answer is never passed on, nor told as not run', noPromises);
+test("an engine's own failure goes back as it is", ownFault);
+test("what is no engine's answer is never passed on, nor told as not run", noPromises);
 test('a caller that goes away ends its attempt', callerGone);
 test('an engine that refuses connections costs no attempt', unreachable);
--- a/test/gateway-leave.test.ts
+++ b/test/gateway-leave.test.ts
@@ -1,5 +1,15 @@
 import http from 'node:http';
-import { ask, deployment, EngineCall, Got, route, sealed, startRig, startStandIn, streams } from './gatewayrig';
+import {
+  ask,
+  deployment,
+  EngineCall,
+  Got,
+  route,
+  sealed,
+  startRig,
+  startStandIn,
+  streams,
+} from './gatewayrig';
 
 async function statusAt(at: string, path = '/api/readiness'): Promise<number> {
   return (await ask(at, { method: 'GET', path, body: '' })).status;
@@ -47,12 +57,19 @@
   function onConnect(at: string): void {
     if (left !== undefined) return;
     left = at;
-    rig.tellEngines([{ ...a, leaving: a.at === at }, { ...b, leaving: b.at === at }]);
+    rig.tellEngines([
+      { ...a, leaving: a.at === at },
+      { ...b, leaving: b.at === at },
+    ]);
   }
   const rig = await startRig({ engines: [a, b], deployment: deployment([route({})]), onConnect });
   expect((await ask(rig.at)).status).toBe(200);
   const [gone, stays] = a.at === left ? [a, b] : [b, a];
-  expect({ gone: gone.calls.length, stays: stays.calls.length, further: rig.gateway.counts.furtherAttempts }).toEqual({ gone: 0, stays: 1, further: 0 });
+  expect({
+    gone: gone.calls.length,
+    stays: stays.calls.length,
+    further: rig.gateway.counts.furtherAttempts,
+  }).toEqual({ gone: 0, stays: 1, further: 0 });
   await rig.close();
 }
 
@@ -76,7 +93,11 @@
     finish = end;
   }
   const e = await startStandIn('e1', slow);
-  const rig = await startRig({ engines: [e], deployment: deployment([route({})]), settings: { contactMs: 100, graceMs: 5000 } });
+  const rig = await startRig({
+    engines: [e],
+    deployment: deployment([route({})]),
+    settings: { contactMs: 100, graceMs: 5000 },
+  });
   const agent = new http.Agent({ keepAlive: true });
   const first = ask(rig.at, { agent, onPiece });
   await running;
@@ -113,11 +134,20 @@
   const rig = await startRig({ engines: [e], deployment: d });
   expect((await ask(rig.at, { key: 'unknown' })).status).toBe(401);
   expect((await ask(rig.at, { key: '' })).status).toBe(401);
-  expect((await ask(rig.at, { key: '', path: '/open/x', headers: { 'Plumhollow-Tenant': 'forged' } })).status).toBe(200);
+  expect(
+    (await ask(rig.at, { key: '', path: '/open/x', headers: { 'Plumhollow-Tenant': 'forged' } }))
+      .status,
+  ).toBe(200);
   expect(e.calls[0].headers['plumhollow-tenant']).toBeUndefined();
   expect((await ask(rig.at, { key: 'k1' })).status).toBe(200);
-  expect(e.calls[1].headers).toMatchObject({ 'plumhollow-tenant': 'walled', 'plumhollow-cache-salt': 'walled:1' });
-  rig.tell('deployment', { revision: 2, doc: { ...d, tenants: [{ ...d.tenants[0], keys: [] }, d.tenants[1]] } });
+  expect(e.calls[1].headers).toMatchObject({
+    'plumhollow-tenant': 'walled',
+    'plumhollow-cache-salt': 'walled:1',
+  });
+  rig.tell('deployment', {
+    revision: 2,
+    doc: { ...d, tenants: [{ ...d.tenants[0], keys: [] }, d.tenants[1]] },
+  });
   expect((await ask(rig.at, { key: 'k1' })).status).toBe(401);
   await rig.close();
 }
@@ -128,9 +158,19 @@
   const d = deployment([
     route({ name: 'all', prefix: '/', targets: [{ pool: 'p', weight: 1 }] }),
     route({ name: 'deep', prefix: '/a/b/', targets: [{ pool: 'q', weight: 1 }] }),
-    route({ name: 'split', prefix: '/split/', targets: [{ pool: 'p', weight: 3 }, { pool: 'q', weight: 1 }, { pool: 'p', weight: 0 }] }),
+    route({
+      name: 'split',
+      prefix: '/split/',
+      targets: [
+        { pool: 'p', weight: 3 },
+        { pool: 'q', weight: 1 },
+        { pool: 'p', weight: 0 },
+      ],
+    }),
   ]);
-  const rig = await startRig({ deployment: { ...d, pools: [...d.pools, { ...d.pools[0], name: 'q' }] } });
+  const rig = await startRig({
+    deployment: { ...d, pools: [...d.pools, { ...d.pools[0], name: 'q' }] },
+  });
   rig.tellEngines([a, { ...b, pool: 'q' }]);
   const went: string[] = [];
   for (const path of ['/', '/a', '/a/b', '/a/b/', '/a/b/c?d=/x/', '/a/bc/d', '/z/a/b/']) {
@@ -143,7 +183,8 @@
   expect((await ask(rig.at, { path: '/a/b/', host: 'DESK.example:80' })).status).toBe(200);
   const before = { a: a.calls.length, b: b.calls.length };
   for (let i = 0; i < 200; i++) await ask(rig.at, { path: '/split/x' });
-  const share = (b.calls.length - before.b) / (a.calls.length - before.a + b.calls.length - before.b);
+  const share =
+    (b.calls.length - before.b) / (a.calls.length - before.a + b.calls.length - before.b);
   expect(share).toBeGreaterThan(0.1);
   expect(share).toBeLessThan(0.45);
   await rig.close();
@@ -159,7 +200,9 @@
   expect((await ask(rig.at, { headers: { 'X-Long': 'z'.repeat(17000) } })).status).toBe(431);
   expect(e.calls.length).toBe(0);
   const big = 'y'.repeat(99000);
-  expect((await ask(rig.at, { body: big, headers: { 'Transfer-Encoding': 'chunked' } })).status).toBe(200);
+  expect(
+    (await ask(rig.at, { body: big, headers: { 'Transfer-Encoding': 'chunked' } })).status,
+  ).toBe(200);
   expect(e.bodies[0]).toBe(big);
   expect(e.calls[0].headers['content-length']).toBe('99000');
   await rig.close();
@@ -173,9 +216,15 @@
   await rig.close();
 }
 
-test('a router is ready once it has a deployment, engines and a lease, and serves on without', beforeDeployment);
+test(
+  'a router is ready once it has a deployment, engines and a lease, and serves on without',
+  beforeDeployment,
+);
 test('an engine that leaves or is gone gets nothing more', leavingEngine);
-test('an engine that leaves while a request waits for its connection gets nothing', leavesMeanwhile);
+test(
+  'an engine that leaves while a request waits for its connection gets nothing',
+  leavesMeanwhile,
+);
 test('a router that leaves serves on, closes its connections, and ends when none come', drains);
 test('keys open routes to their tenants, and are never shown to engines', keys);
 test('the longest prefix of the host takes a request, and weights split it', routes);
--- a/test/gateway-transcripts.test.ts
+++ b/test/gateway-transcripts.test.ts
@@ -28,7 +28,9 @@
       if (head < 0 || held.length < head + 4 + length) return;
       const name = x.names.get(id) ?? ['first', 'second'][x.names.size];
       x.names.set(id, name);
-      x.said.push(`-> ${name} engine\n${tidy(held).replace(`instance: ${id}`, `instance: (${name})`)}`);
+      x.said.push(
+        `-> ${name} engine\n${tidy(held).replace(`instance: ${id}`, `instance: (${name})`)}`,
+      );
       held = '';
       const answer = x.answers.shift() ?? '';
       x.said.push(`<- ${name} engine\n${tidy(answer)}`);
@@ -54,7 +56,12 @@
 }
 
 function tidy(text: string): string {
-  return text.replaceAll('\r\n', '\n').replace(/deadline-ms: \d+/, 'deadline-ms: (what is left)').replace(/\nDate: [^\n]*/, '').replace(/Retry-After: [\d.]+/, 'Retry-After: (seconds)').replace(/priority: \d/, 'priority: (0 to 9)');
+  return text
+    .replaceAll('\r\n', '\n')
+    .replace(/deadline-ms: \d+/, 'deadline-ms: (what is left)')
+    .replace(/\nDate: [^\n]*/, '')
+    .replace(/Retry-After: [\d.]+/, 'Retry-After: (seconds)')
+    .replace(/priority: \d/, 'priority: (0 to 9)');
 }
 
 /** Says a request in its bytes, and gives back all that comes until the connection ends. */
@@ -94,7 +101,10 @@
 }
 
 function answer(status: string, headers: string, body: string): string {
-  return `HTTP/1.1 ${status}\nPlumhollow-Attempt-Id: 9c41\n${headers}\n${body}`.replaceAll('\n', '\r\n');
+  return `HTTP/1.1 ${status}\nPlumhollow-Attempt-Id: 9c41\n${headers}\n${body}`.replaceAll(
+    '\n',
+    '\r\n',
+  );
 }
 
 function chunk(text: string): string {
@@ -102,14 +112,21 @@
   return `${(text.length + ends + 4).toString(16)}\n${text}\n\n\n`;
 }
 
-const STAMP = 'Plumhollow-Response-Seal: 3e1b.07\nPlumhollow-Weight-Versions: m:1\nContent-Type: text/event-stream\nTransfer-Encoding: chunked\n';
+const STAMP =
+  'Plumhollow-Response-Seal: 3e1b.07\nPlumhollow-Weight-Versions: m:1\nContent-Type: text/event-stream\nTransfer-Encoding: chunked\n';
 
 async function exchange(path: string, answers: string[]): Promise<string> {
   const x: Script = { answers, said: [], names: new Map() };
   const a = await bareEngine('e1', x);
   const b = await bareEngine('e2', x);
-  const rig = await startRig({ deployment: deployment([route({}), route({ name: 's', prefix: '/s/', resumable: true })]), settings: { retryWindowMs: 1, retrySlack: 100 } });
-  rig.tellEngines([{ id: 'e1', at: a.at }, { id: 'e2', at: b.at }]);
+  const rig = await startRig({
+    deployment: deployment([route({}), route({ name: 's', prefix: '/s/', resumable: true })]),
+    settings: { retryWindowMs: 1, retrySlack: 100 },
+  });
+  rig.tellEngines([
+    { id: 'e1', at: a.at },
+    { id: 'e2', at: b.at },
+  ]);
   const q = request(path);
   x.said.push(`-> router\n${q}`);
   x.said.push(`<- router\n${tidy(await say(rig.at, q))}`);
@@ -120,21 +137,37 @@
 }
 
 async function calm(): Promise<void> {
-  expect(await exchange('/a/x?y=1', [answer('200 OK', STAMP, `${chunk('id: 1\ndata: a')}${chunk('id: 2\ndata: b')}0\n\n`)])).toMatchSnapshot();
+  expect(
+    await exchange('/a/x?y=1', [
+      answer('200 OK', STAMP, `${chunk('id: 1\ndata: a')}${chunk('id: 2\ndata: b')}0\n\n`),
+    ]),
+  ).toMatchSnapshot();
 }
 
 async function turnedAway(): Promise<void> {
-  const full = answer('503 Service Unavailable', 'Plumhollow-Not-Executed: 1\nContent-Length: 0\n', '');
-  expect(await exchange('/a/x', [full, answer('200 OK', STAMP, `${chunk('id: 1\ndata: a')}0\n\n`)])).toMatchSnapshot();
+  const full = answer(
+    '503 Service Unavailable',
+    'Plumhollow-Not-Executed: 1\nContent-Length: 0\n',
+    '',
+  );
+  expect(
+    await exchange('/a/x', [full, answer('200 OK', STAMP, `${chunk('id: 1\ndata: a')}0\n\n`)]),
+  ).toMatchSnapshot();
 }
 
 async function takenUp(): Promise<void> {
   const broken = answer('200 OK', STAMP, `${chunk('id: 1\ndata: a')}1f\nid: 2\nhalf`);
-  expect(await exchange('/s/x', [broken, answer('200 OK', STAMP, `${chunk('id: 2\ndata: b')}0\n\n`)])).toMatchSnapshot();
+  expect(
+    await exchange('/s/x', [broken, answer('200 OK', STAMP, `${chunk('id: 2\ndata: b')}0\n\n`)]),
+  ).toMatchSnapshot();
 }
 
 async function nowhere(): Promise<void> {
-  const away = answer('421 Misdirected Request', 'Plumhollow-Instance-Id: other\nContent-Length: 0\n', '');
+  const away = answer(
+    '421 Misdirected Request',
+    'Plumhollow-Instance-Id: other\nContent-Length: 0\n',
+    '',
+  );
   expect(await exchange('/a/x', [away, away])).toMatchSnapshot();
 }
 
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -1,4 +1,15 @@
-import { ask, deployment, EngineCall, resets, route, sealed, startRig, startStandIn, streams, turnsAway } from './gatewayrig';
+import {
+  ask,
+  deployment,
+  EngineCall,
+  resets,
+  route,
+  sealed,
+  startRig,
+  startStandIn,
+  streams,
+  turnsAway,
+} from './gatewayrig';
 
 const THREE = 'id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n';
 
@@ -6,12 +17,38 @@
   const e = await startStandIn('e1', streams(3));
   const rig = await startRig({ engines: [e], deployment: deployment([route({})]) });
   const body = 'prompt \xff\x00 bytes';
-  const got = await ask(rig.at, { path: '/a/x?y=%20z', key: 'k2', headers: { 'X-Own': 'kept', 'Plumhollow-Tenant': 'forged', 'Plumhollow-Cache-Salt': 'forged', Connection: 'X-Hop', 'X-Hop': 'dropped' }, body });
+  const got = await ask(rig.at, {
+    path: '/a/x?y=%20z',
+    key: 'k2',
+    headers: {
+      'X-Own': 'kept',
+      'Plumhollow-Tenant': 'forged',
+      'Plumhollow-Cache-Salt': 'forged',
+      Connection: 'X-Hop',
+      'X-Hop': 'dropped',
+    },
+    body,
+  });
   expect(got).toMatchObject({ status: 200, body: THREE, whole: true });
-  expect(got.headers).toMatchObject({ 'plumhollow-attempt-id': got.id, 'plumhollow-response-seal': 's.1' });
+  expect(got.headers).toMatchObject({
+    'plumhollow-attempt-id': got.id,
+    'plumhollow-response-seal': 's.1',
+  });
   const [q] = e.calls;
-  expect({ method: q.method, url: q.url, body: e.bodies[0] }).toEqual({ method: 'POST', url: '/a/x?y=%20z', body: Buffer.from(body).toString('latin1') });
-  expect(q.headers).toMatchObject({ host: 'desk.example', 'x-own': 'kept', 'plumhollow-attempt-id': got.id, 'plumhollow-tenant': 'open', 'plumhollow-expect-instance': 'e1', 'plumhollow-expect-version': '1', 'plumhollow-cache-salt': ':1' });
+  expect({ method: q.method, url: q.url, body: e.bodies[0] }).toEqual({
+    method: 'POST',
+    url: '/a/x?y=%20z',
+    body: Buffer.from(body).toString('latin1'),
+  });
+  expect(q.headers).toMatchObject({
+    host: 'desk.example',
+    'x-own': 'kept',
+    'plumhollow-attempt-id': got.id,
+    'plumhollow-tenant': 'open',
+    'plumhollow-expect-instance': 'e1',
+    'plumhollow-expect-version': '1',
+    'plumhollow-cache-salt': ':1',
+  });
   expect(q.headers['x-hop']).toBeUndefined();
   expect(q.headers.authorization).toBeUndefined();
   expect(Number(q.headers['plumhollow-deadline-ms'])).toBeLessThanOrEqual(2000);
@@ -21,7 +58,11 @@
 async function secondEngine(): Promise<void> {
   const a = await startStandIn('e1', turnsAway);
   const b = await startStandIn('e2', streams(3), 'zone-b');
-  const rig = await startRig({ engines: [a, b], deployment: deployment([route({})]), settings: { retryWindowMs: 1, retrySlack: 100 } });
+  const rig = await startRig({
+    engines: [a, b],
+    deployment: deployment([route({})]),
+    settings: { retryWindowMs: 1, retrySlack: 100 },
+  });
   for (let i = 0; i < 6; i++) {
     const got = await ask(rig.at);
     expect(got).toMatchObject({ status: 200, body: THREE, whole: true });
@@ -34,7 +75,11 @@
 async function resetOnce(): Promise<void> {
   const a = await startStandIn('e1', resets);
   const b = await startStandIn('e2', resets);
-  const rig = await startRig({ engines: [a, b], deployment: deployment([route({ maxAttempts: 3 })]), settings: { retryWindowMs: 1, retrySlack: 100 } });
+  const rig = await startRig({
+    engines: [a, b],
+    deployment: deployment([route({ maxAttempts: 3 })]),
+    settings: { retryWindowMs: 1, retrySlack: 100 },
+  });
   const got = await ask(rig.at);
   expect(got.status).toBe(502);
   expect(a.calls.length + b.calls.length).toBe(1);
--- a/test/gatewayrig.ts
+++ b/test/gatewayrig.ts
@@ -33,7 +33,11 @@
 }
 
 /** Starts an engine that answers by `answer`. */
-export async function startStandIn(id: string, answer: (c: EngineCall) => void, zone = 'zone-a'): Promise<StandIn> {
+export async function startStandIn(
+  id: string,
+  answer: (c: EngineCall) => void,
+  zone = 'zone-a',
+): Promise<StandIn> {
   const server = nodeHttp.createServer(asked);
   const e: StandIn = { id, at: '', zone, calls: [], bodies: [], connections: 0, close };
   function asked(req: nodeHttp.IncomingMessage, res: nodeHttp.ServerResponse): void {
@@ -67,14 +71,20 @@
 
 /** Headers that an engine's own answer to a request has. */
 export function sealed(c: EngineCall, more: Record<string, string> = {}): Record<string, string> {
-  return { 'Plumhollow-Attempt-Id': String(c.req.headers['plumhollow-attempt-id']), 'Plumhollow-Response-Seal': 's.1', 'Plumhollow-Weight-Versions': 'm:1', ...more };
+  return {
+    'Plumhollow-Attempt-Id': String(c.req.headers['plumhollow-attempt-id']),
+    'Plumhollow-Response-Seal': 's.1',
+    'Plumhollow-Weight-Versions': 'm:1',
+    ...more,
+  };
 }
 
 /** Answers with a stream of numbered events from where the caller left off. */
 export function streams(events: number): (c: EngineCall) => void {
   function answer(c: EngineCall): void {
     c.res.writeHead(200, sealed(c, { 'Content-Type': 'text/event-stream' }));
-    for (let i = Number(c.req.headers['last-event-id'] ?? 0) + 1; i <= events; i++) c.res.write(`id: ${i}\ndata: piece ${i}\n\n`);
+    for (let i = Number(c.req.headers['last-event-id'] ?? 0) + 1; i <= events; i++)
+      c.res.write(`id: ${i}\ndata: piece ${i}\n\n`);
     c.res.end();
   }
   return answer;
@@ -82,7 +92,10 @@
 
 /** Turns a request away. */
 export function turnsAway(c: EngineCall): void {
-  c.res.writeHead(503, { 'Plumhollow-Attempt-Id': String(c.req.headers['plumhollow-attempt-id']), 'Plumhollow-Not-Executed': '1' });
+  c.res.writeHead(503, {
+    'Plumhollow-Attempt-Id': String(c.req.headers['plumhollow-attempt-id']),
+    'Plumhollow-Not-Executed': '1',
+  });
   c.res.end('full\n');
 }
 
@@ -93,16 +106,54 @@
 
 /** A route of the tests' host with some of it set. */
 export function route(more: Partial<HttpRoute>): HttpRoute {
-  return { name: 'r', host: 'desk.example', prefix: '/a/', kind: 'streaming', timeoutMs: 3000, aimMs: 300, gapAimMs: 250, priority: 0, targets: [{ pool: 'p', weight: 1 }], maxAttempts: 2, public: false, affinity: false, resumable: false, ...more };
+  return {
+    name: 'r',
+    host: 'desk.example',
+    prefix: '/a/',
+    kind: 'streaming',
+    timeoutMs: 3000,
+    aimMs: 300,
+    gapAimMs: 250,
+    priority: 0,
+    targets: [{ pool: 'p', weight: 1 }],
+    maxAttempts: 2,
+    public: false,
+    affinity: false,
+    resumable: false,
+    ...more,
+  };
 }
 
 /** A deployment of two tenants and one pool with some of it set. */
 export function deployment(routes: HttpRoute[], more: Partial<Deployment> = {}): Deployment {
   return {
-    revision: 1, routes, stores: [],
-    pools: [{ name: 'p', healthPath: '/health', maxConnections: 100, batch: 4, cacheTokens: 1000, tokenBytes: 10, linkMbps: 100, feedCalls: 4, models: ['m'] }],
-    tenants: [{ name: 'walled', keys: ['k1'], priority: 1, isolated: true }, { name: 'open', keys: ['k2', 'k3'], priority: 0, isolated: false }],
-    limits: { maxHeaderBytes: 16384, maxBodyBytes: 100000, headerTimeoutMs: 3000, idleTimeoutMs: 15000 }, ...more,
+    revision: 1,
+    routes,
+    stores: [],
+    pools: [
+      {
+        name: 'p',
+        healthPath: '/health',
+        maxConnections: 100,
+        batch: 4,
+        cacheTokens: 1000,
+        tokenBytes: 10,
+        linkMbps: 100,
+        feedCalls: 4,
+        models: ['m'],
+      },
+    ],
+    tenants: [
+      { name: 'walled', keys: ['k1'], priority: 1, isolated: true },
+      { name: 'open', keys: ['k2', 'k3'], priority: 0, isolated: false },
+    ],
+    limits: {
+      maxHeaderBytes: 16384,
+      maxBodyBytes: 100000,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15000,
+    },
+    ...more,
   };
 }
 
@@ -161,7 +212,17 @@
   }
   function tellEngines(list: Partial<Engine>[]): void {
     function whole(e: Partial<Engine>): Engine {
-      return { id: e.id!, at: e.at!, zone: e.zone ?? 'zone-a', model: 'm', weights: '1', models: e.models ?? [{ name: 'm', weights: '1' }], leaving: e.leaving ?? false, pool: e.pool ?? 'p', batch: 4 };
+      return {
+        id: e.id!,
+        at: e.at!,
+        zone: e.zone ?? 'zone-a',
+        model: 'm',
+        weights: '1',
+        models: e.models ?? [{ name: 'm', weights: '1' }],
+        leaving: e.leaving ?? false,
+        pool: e.pool ?? 'p',
+        batch: 4,
+      };
     }
     tell(KEYS.engines, list.map(whole));
   }
@@ -188,21 +249,53 @@
   if (ways.deployment) tell(KEYS.deployment, { revision: 1, doc: ways.deployment });
   function sink(): void {}
   const log = { info: sink, warn: sink, error: sink };
-  const follower = { live: isLive, value, places, members, leaving, changes: changes.feed, advice: makeFeed<string[]>().feed, membership: makeFeed<never>().feed } as unknown as Follower;
-  const settings: Settings = { ...defaultSettings(), name: 'edge-1', zone: 'zone-a', strict: false, http: await freePort(), readiness: await freePort(), ...ways.settings };
+  const follower = {
+    live: isLive,
+    value,
+    places,
+    members,
+    leaving,
+    changes: changes.feed,
+    advice: makeFeed<string[]>().feed,
+    membership: makeFeed<never>().feed,
+  } as unknown as Follower;
+  const settings: Settings = {
+    ...defaultSettings(),
+    name: 'edge-1',
+    zone: 'zone-a',
+    strict: false,
+    http: await freePort(),
+    readiness: await freePort(),
+    ...ways.settings,
+  };
   const http = realHttp();
   async function connect(at: string, within: number): ReturnType<typeof http.connect> {
     const o = await http.connect(at, within);
     ways.onConnect?.(at);
     return o;
   }
-  const ports = { clock: ways.clock ?? realClock(), dice: { next: Math.random, id: String }, log, http: { ...http, connect } } as unknown as Ports;
-  const gateway = (await startGateway(ports, settings, follower, { ...platform, deployment: readDeployment })).unsafeCoerce();
+  const ports = {
+    clock: ways.clock ?? realClock(),
+    dice: { next: Math.random, id: String },
+    log,
+    http: { ...http, connect },
+  } as unknown as Ports;
+  const gateway = (
+    await startGateway(ports, settings, follower, { ...platform, deployment: readDeployment })
+  ).unsafeCoerce();
   async function close(): Promise<void> {
     await gateway.stop();
     for (const e of ways.engines ?? []) e.close();
   }
-  return { gateway, at: settings.http, readiness: settings.readiness, tell, tellEngines, live: setLive, close };
+  return {
+    gateway,
+    at: settings.http,
+    readiness: settings.readiness,
+    tell,
+    tellEngines,
+    live: setLive,
+    close,
+  };
 }
 
 /** What a caller got. */
@@ -217,13 +310,39 @@
 let ids = 0;
 
 /** Asks as a caller does; a connection that ends without a head is status 0. */
-export function ask(at: string, more: { path?: string; host?: string; key?: string; method?: string; body?: string; headers?: Record<string, string>; agent?: nodeHttp.Agent; onPiece?: (text: string, req: nodeHttp.ClientRequest) => void } = {}): Promise<Got & { id: string }> {
+export function ask(
+  at: string,
+  more: {
+    path?: string;
+    host?: string;
+    key?: string;
+    method?: string;
+    body?: string;
+    headers?: Record<string, string>;
+    agent?: nodeHttp.Agent;
+    onPiece?: (text: string, req: nodeHttp.ClientRequest) => void;
+  } = {},
+): Promise<Got & { id: string }> {
   const id = `try-${++ids}`;
   const [host, port] = at.split(':');
-  const headers: Record<string, string> = { Host: more.host ?? 'desk.example', 'Plumhollow-Attempt-Id': id, 'Plumhollow-Model': 'm', 'Plumhollow-Deadline-Ms': '2000', ...more.headers };
+  const headers: Record<string, string> = {
+    Host: more.host ?? 'desk.example',
+    'Plumhollow-Attempt-Id': id,
+    'Plumhollow-Model': 'm',
+    'Plumhollow-Deadline-Ms': '2000',
+    ...more.headers,
+  };
   if (more.key !== '') headers.Authorization = `Token ${more.key ?? 'k1'}`;
   function wait(done: (g: Got & { id: string }) => void): void {
-    const req = nodeHttp.request({ host, port, method: more.method ?? 'POST', path: more.path ?? '/a/x', headers, agent: more.agent ?? false, setHost: false });
+    const req = nodeHttp.request({
+      host,
+      port,
+      method: more.method ?? 'POST',
+      path: more.path ?? '/a/x',
+      headers,
+      agent: more.agent ?? false,
+      setHost: false,
+    });
     function failed(): void {
       done({ id, status: 0, headers: {}, body: '', whole: false });
     }
--- a/test/index-feed.test.ts
+++ b/test/index-feed.test.ts
@@ -83,7 +83,12 @@
   await t.pass(8000);
   for (const i of [0, 1]) {
     expect(t.told(i)).toEqual({});
-    expect(t.told(i, [['d', 16]])).toEqual({ 'engine-1': [16, 0], 'engine-2': [16, 0], 'engine-3': [16, 0], 'store-1': [16, 0] });
+    expect(t.told(i, [['d', 16]])).toEqual({
+      'engine-1': [16, 0],
+      'engine-2': [16, 0],
+      'engine-3': [16, 0],
+      'store-1': [16, 0],
+    });
   }
   for (const s of t.sources.values()) expect(s.counts.lists).toBe(1);
 }
@@ -95,7 +100,12 @@
     s.loseHeld();
   }
   await t.pass(8000);
-  for (const i of [0, 1]) expect(t.told(i)).toEqual({ 'engine-1': [1450, 0], 'engine-2': [1450, 0], 'store-1': [1450, 0] });
+  for (const i of [0, 1])
+    expect(t.told(i)).toEqual({
+      'engine-1': [1450, 0],
+      'engine-2': [1450, 0],
+      'store-1': [1450, 0],
+    });
   for (const s of t.sources.values()) expect(s.counts.lists).toBe(1);
 }
 
@@ -132,7 +142,8 @@
   t.w.cut('127.10.2.1', t.procs[0].ip, false);
   await t.pass(5000);
   expect(t.told(0)).toEqual({ 'engine-1': [800, 0] });
-  for (let i = 0; i < 60; i += 7) expect(t.told(0, [[`p${i}`, 16]])).toEqual({ 'engine-1': [16, 0] });
+  for (let i = 0; i < 60; i += 7)
+    expect(t.told(0, [[`p${i}`, 16]])).toEqual({ 'engine-1': [16, 0] });
   expect(s.counts.lists).toBe(0);
 }
 
@@ -222,7 +233,11 @@
   function keeps(): boolean {
     return false;
   }
-  t.indexers[0].coming.placed({}, { model: 'm', salt: SALT, engine: 'engine-1', parts: PROMPT }, keeps);
+  t.indexers[0].coming.placed(
+    {},
+    { model: 'm', salt: SALT, engine: 'engine-1', parts: PROMPT },
+    keeps,
+  );
   keepPrompt(s);
   s.keep(SALT, 'p0', 16);
   await t.pass(GATHERED);
@@ -250,7 +265,7 @@
   test('events that a source lost before telling them are found', heldEventsLost);
   test('a source is listed seldom, whatever it loses', listsAreRare);
   test('what a peer heard is taken from it', peerHeard);
-  test('a replica that starts takes a peer\'s dump and drains', restartsFromPeer);
+  test("a replica that starts takes a peer's dump and drains", restartsFromPeer);
   test('where all replicas start, each source is listed once', allRestart);
   test('parts of ended engines go, and one that is listed again is heard anew', endedGo);
   test('a store that is dark fails', storeIsDark);
--- a/test/index-loads.test.ts
+++ b/test/index-loads.test.ts
@@ -5,7 +5,11 @@
 import { makeTrees, Trees } from '../src/index/tree';
 import { EngineLoad, WirePart } from '../src/shared/loads';
 
-const PROMPT: WirePart[] = [['a', 800], ['b', 400], ['c', 250]];
+const PROMPT: WirePart[] = [
+  ['a', 800],
+  ['b', 400],
+  ['c', 250],
+];
 let time = 0;
 
 function now(): number {
@@ -15,7 +19,15 @@
 function none(): void {}
 
 function keep(trees: Trees, source: string, hash: string, size: number): void {
-  trees.apply(source, { kind: size > 0 ? 'stored' : 'removed', model: 'm', weights: '', salt: 's|1', parent: '', hash, size });
+  trees.apply(source, {
+    kind: size > 0 ? 'stored' : 'removed',
+    model: 'm',
+    weights: '',
+    salt: 's|1',
+    parent: '',
+    hash,
+    size,
+  });
 }
 
 function ask(parts: WirePart[] = PROMPT): { model: string; salt: string; parts: WirePart[] } {
@@ -34,13 +46,43 @@
   time = 0;
   const board = makeLoads(now, 900);
   const [a, b] = [{}, {}];
-  expect(board.tell(a, 'r1', { full: true, own: [['e1', 2, 500], ['e2', 1, 0]] })).toEqual({ full: true, others: [] });
-  expect(board.tell(b, 'r2', { full: true, own: [['e1', 1, 100]] })).toEqual({ full: true, others: [['e1', 2, 500], ['e2', 1, 0]] });
-  expect(board.tell(a, 'r1', { full: false, own: [] })).toEqual({ full: false, others: [['e1', 1, 100]] });
+  expect(
+    board.tell(a, 'r1', {
+      full: true,
+      own: [
+        ['e1', 2, 500],
+        ['e2', 1, 0],
+      ],
+    }),
+  ).toEqual({ full: true, others: [] });
+  expect(board.tell(b, 'r2', { full: true, own: [['e1', 1, 100]] })).toEqual({
+    full: true,
+    others: [
+      ['e1', 2, 500],
+      ['e2', 1, 0],
+    ],
+  });
+  expect(board.tell(a, 'r1', { full: false, own: [] })).toEqual({
+    full: false,
+    others: [['e1', 1, 100]],
+  });
   expect(board.tell(a, 'r1', { full: false, own: [] })).toEqual({ full: false, others: [] });
-  board.tell(b, 'r2', { full: false, own: [['e1', 0, 0], ['e3', 4, 7]] });
-  expect(sorted(board.tell(a, 'r1', { full: false, own: [] }).others)).toEqual([['e1', 0, 0], ['e3', 4, 7]]);
-  expect(sorted(board.totals())).toEqual([['e1', 2, 500], ['e2', 1, 0], ['e3', 4, 7]]);
+  board.tell(b, 'r2', {
+    full: false,
+    own: [
+      ['e1', 0, 0],
+      ['e3', 4, 7],
+    ],
+  });
+  expect(sorted(board.tell(a, 'r1', { full: false, own: [] }).others)).toEqual([
+    ['e1', 0, 0],
+    ['e3', 4, 7],
+  ]);
+  expect(sorted(board.totals())).toEqual([
+    ['e1', 2, 500],
+    ['e2', 1, 0],
+    ['e3', 4, 7],
+  ]);
 }
 
 function endsWithItsRouter(): void {
@@ -69,7 +111,10 @@
   time = 901;
   expect(board.tell(a, 'r1', { full: false, own: [] }).others).toEqual([['e1', 0, 0]]);
   board.tell(b, 'r2', { full: false, own: [['e2', 1, 1]] });
-  expect(sorted(board.tell(a, 'r1', { full: false, own: [] }).others)).toEqual([['e1', 3, 30], ['e2', 1, 1]]);
+  expect(sorted(board.tell(a, 'r1', { full: false, own: [] }).others)).toEqual([
+    ['e1', 3, 30],
+    ['e2', 1, 1],
+  ]);
 }
 
 /** Sums by random tells, drops and silences are those of a plain model. */
@@ -125,12 +170,19 @@
   keep(trees, 'e4', 'a', 800);
   keep(trees, 'e4', 'b', 128);
   keep(trees, 'e4', 'c', 250);
-  expect(overlapOf(trees, coming, ask())).toEqual([['e1', 1450, 0], ['e2', 800, 0], ['e4', 928, 0]]);
+  expect(overlapOf(trees, coming, ask())).toEqual([
+    ['e1', 1450, 0],
+    ['e2', 800, 0],
+    ['e4', 928, 0],
+  ]);
   expect(overlapOf(trees, coming, { ...ask(), salt: 's|2' })).toEqual([]);
   function but(source: string): boolean {
     return source !== 'e1';
   }
-  expect(overlapOf(trees, coming, ask(), but)).toEqual([['e2', 800, 0], ['e4', 928, 0]]);
+  expect(overlapOf(trees, coming, ask(), but)).toEqual([
+    ['e2', 800, 0],
+    ['e4', 928, 0],
+  ]);
   keep(trees, 'e1', 'b', 0);
   expect(overlapOf(trees, coming, ask())[0]).toEqual(['e1', 800, 0]);
 }
@@ -176,9 +228,15 @@
   const edge = new OverlapEdge(trees, coming, makeLoads(now, 900), reached, ready);
   keep(trees, 'store', 'a', 800);
   await edge.placed({ ...ask(), engine: 'e1', store: 'store' }, router);
-  expect((await edge.overlap(ask())).extract()).toMatchObject({ sort: 'refused', code: 'not-ready' });
+  expect((await edge.overlap(ask())).extract()).toMatchObject({
+    sort: 'refused',
+    code: 'not-ready',
+  });
   open = true;
-  expect((await edge.overlap(ask())).extract()).toEqual([['store', 800, 650], ['e1', 0, 1450]]);
+  expect((await edge.overlap(ask())).extract()).toEqual([
+    ['store', 800, 650],
+    ['e1', 0, 1450],
+  ]);
 }
 
 function hashOf(u: Unheard): string {
@@ -222,7 +280,10 @@
     return s !== 'gone';
   }
   other.takeRows(JSON.parse(JSON.stringify(trees.rows())), wanted);
-  expect(overlapOf(other, coming, ask())).toEqual([['e1', 1450, 0], ['e2', 800, 0]]);
+  expect(overlapOf(other, coming, ask())).toEqual([
+    ['e1', 1450, 0],
+    ['e2', 800, 0],
+  ]);
   expect(other.dump('e1').map(parentOf)).toEqual(trees.dump('e1').map(parentOf));
 }
 
@@ -233,7 +294,10 @@
 describe('the board of loads', all);
 function all(): void {
   test('tells each router what the others have, only where that differs', othersOnly);
-  test('a router\'s loads end with its connection, and a new connection takes its place', endsWithItsRouter);
+  test(
+    "a router's loads end with its connection, and a new connection takes its place",
+    endsWithItsRouter,
+  );
   test('a silent router does not count until it speaks', silentDoesNotCount);
   test('sums agree with a plain model', agreesWithPlain);
 }
--- a/test/lease-costs.test.ts
+++ b/test/lease-costs.test.ts
@@ -28,7 +28,13 @@
 }
 
 /** Leases over made-up slots and a clock that stands until it is moved. */
-function rig(keys: number): { leases: Leases; slots: Slots; learn(n: Numbered): void; move(ms: number): void; ask(m: Partial<LeaseAsk> & { member: Member }, ex: Exchange): Promise<Answer> } {
+function rig(keys: number): {
+  leases: Leases;
+  slots: Slots;
+  learn(n: Numbered): void;
+  move(ms: number): void;
+  ask(m: Partial<LeaseAsk> & { member: Member }, ex: Exchange): Promise<Answer>;
+} {
   const learned = makeJournal();
   const slots = { disk: 'd', cells: new Map(), learned } as unknown as Slots;
   let now = 0;
@@ -47,7 +53,12 @@
   function votersOf(): Voters {
     return voters;
   }
-  const leases = new Leases(slots, { clock: { now: clockNow }, log: { warn: clockNow } } as unknown as Ports, boundsOf(defaultSettings()), votersOf);
+  const leases = new Leases(
+    slots,
+    { clock: { now: clockNow }, log: { warn: clockNow } } as unknown as Ports,
+    boundsOf(defaultSettings()),
+    votersOf,
+  );
   async function ask(m: Partial<LeaseAsk> & { member: Member }, ex: Exchange): Promise<Answer> {
     const [, a] = open(await leases.lease(m as LeaseAsk, ex));
     return a as Answer;
@@ -67,12 +78,29 @@
   const r = rig(2);
   const ex = exchange();
   const member = memberOf('edge-1');
-  expect(await r.ask({ member, has: [hasOf(numbered('k0', 1)), hasOf(numbered('k1', 1))] }, ex)).toMatchObject({ granted: true, members: [member] });
-  expect(await r.ask({ member, deltas: true }, ex)).toEqual({ granted: true, disk: 'd', missing: [] });
+  expect(
+    await r.ask({ member, has: [hasOf(numbered('k0', 1)), hasOf(numbered('k1', 1))] }, ex),
+  ).toMatchObject({ granted: true, members: [member] });
+  expect(await r.ask({ member, deltas: true }, ex)).toEqual({
+    granted: true,
+    disk: 'd',
+    missing: [],
+  });
   r.learn(numbered('k1', 2));
-  expect(await r.ask({ member, deltas: true }, ex)).toMatchObject({ granted: false, missing: [numbered('k1', 2)] });
-  expect(await r.ask({ member, deltas: true, changed: [hasOf(numbered('k1', 2))] }, ex)).toEqual({ granted: true, disk: 'd', missing: [] });
-  expect(await r.ask({ member, deltas: true }, ex)).toEqual({ granted: true, disk: 'd', missing: [] });
+  expect(await r.ask({ member, deltas: true }, ex)).toMatchObject({
+    granted: false,
+    missing: [numbered('k1', 2)],
+  });
+  expect(await r.ask({ member, deltas: true, changed: [hasOf(numbered('k1', 2))] }, ex)).toEqual({
+    granted: true,
+    disk: 'd',
+    missing: [],
+  });
+  expect(await r.ask({ member, deltas: true }, ex)).toEqual({
+    granted: true,
+    disk: 'd',
+    missing: [],
+  });
 }
 
 async function checksAllAfterLong(): Promise<void> {
@@ -82,7 +110,10 @@
   await r.ask({ member, has: [hasOf(numbered('k0', 1))] }, ex);
   r.learn(numbered('lost', 1));
   for (let i = 0; i < 20000; i++) r.learn(numbered('k0', 1));
-  expect(await r.ask({ member, deltas: true }, ex)).toMatchObject({ granted: false, missing: [numbered('lost', 1)] });
+  expect(await r.ask({ member, deltas: true }, ex)).toMatchObject({
+    granted: false,
+    missing: [numbered('lost', 1)],
+  });
 }
 
 async function tellsWhoJoinedAndLeft(): Promise<void> {
@@ -93,17 +124,32 @@
   const [a, b, c] = [memberOf('a'), memberOf('b'), memberOf('c')];
   await r.ask({ member: a, has: [] }, ex);
   await r.ask({ member: b, has: [] }, other);
-  expect(await r.ask({ member: { ...a }, deltas: true }, ex)).toEqual({ granted: true, disk: 'd', missing: [], joined: [b], left: [] });
+  expect(await r.ask({ member: { ...a }, deltas: true }, ex)).toEqual({
+    granted: true,
+    disk: 'd',
+    missing: [],
+    joined: [b],
+    left: [],
+  });
   await r.ask({ member: c, has: [] }, old);
-  expect(await r.ask({ member: { ...a }, deltas: true }, ex)).toMatchObject({ joined: [c], left: [] });
+  expect(await r.ask({ member: { ...a }, deltas: true }, ex)).toMatchObject({
+    joined: [c],
+    left: [],
+  });
   expect(await r.ask({ member: { ...c } }, old)).toEqual({ granted: true, disk: 'd', missing: [] });
   await r.leases.leave({ member: b });
-  expect(await r.ask({ member: { ...a }, deltas: true }, ex)).toMatchObject({ joined: [], left: ['b one'] });
+  expect(await r.ask({ member: { ...a }, deltas: true }, ex)).toMatchObject({
+    joined: [],
+    left: ['b one'],
+  });
   expect(await r.ask({ member: { ...c } }, old)).toMatchObject({ members: [a, c] });
   r.move(boundsOf(defaultSettings()).leaseHeld - 1);
   await r.ask({ member: { ...a }, deltas: true }, ex);
   r.move(2);
-  expect(await r.ask({ member: { ...a }, deltas: true }, ex)).toMatchObject({ joined: [], left: ['c one'] });
+  expect(await r.ask({ member: { ...a }, deltas: true }, ex)).toMatchObject({
+    joined: [],
+    left: ['c one'],
+  });
   expect(r.leases.members()).toEqual([a]);
 }
 
@@ -120,13 +166,28 @@
   function unused(): never {
     throw new Error('not asked here');
   }
-  const edge = new ControlEdge({ by: 'life-1', slots: r.slots, mayFound: false, voters: unused, changeHere: unused, committed: unused, hinted: unused, isUp: unused, wake: unused });
-  const first = (await edge.learnedAfter({ life: '', count: 0 })).extract() as { life: string; count: number };
+  const edge = new ControlEdge({
+    by: 'life-1',
+    slots: r.slots,
+    mayFound: false,
+    voters: unused,
+    changeHere: unused,
+    committed: unused,
+    hinted: unused,
+    isUp: unused,
+    wake: unused,
+  });
+  const first = (await edge.learnedAfter({ life: '', count: 0 })).extract() as {
+    life: string;
+    count: number;
+  };
   expect(first).toEqual({ life: 'life-1', count: 3, has: undefined });
   expect(await edge.learnedAfter(first)).toEqual(Right({ life: 'life-1', count: 3, has: [] }));
   r.learn(numbered('k1', 2));
   r.learn(numbered('k1', 3));
-  expect(await edge.learnedAfter(first)).toEqual(Right({ life: 'life-1', count: 5, has: [hasOf(numbered('k1', 3))] }));
+  expect(await edge.learnedAfter(first)).toEqual(
+    Right({ life: 'life-1', count: 5, has: [hasOf(numbered('k1', 3))] }),
+  );
   expect(await edge.committed(['k1', 'none'])).toEqual(Right([numbered('k1', 3)]));
 }
 
@@ -144,16 +205,32 @@
     return held;
   }
   const edge = new FollowEdge(take, none, none, heldOf, none);
-  const delta = { key: 'k0', epoch: 1, by: 'core', number: 3, base: { epoch: 1, by: 'core', number: 2 }, patch: { put: 'k0 3' }, sum: '' };
+  const delta = {
+    key: 'k0',
+    epoch: 1,
+    by: 'core',
+    number: 3,
+    base: { epoch: 1, by: 'core', number: 2 },
+    patch: { put: 'k0 3' },
+    sum: '',
+  };
   expect(await edge.newsDelta(delta)).toEqual(Right(true));
-  const [f] = open(await edge.newsDelta({ ...delta, number: 5, base: { epoch: 1, by: 'core', number: 4 } }));
+  const [f] = open(
+    await edge.newsDelta({ ...delta, number: 5, base: { epoch: 1, by: 'core', number: 4 } }),
+  );
   expect(f?.code).toBe('whole');
   expect(took).toEqual([]);
 }
 
-test('a difference that another controller has brought already is not asked for whole', newsThatIsThere);
+test(
+  'a difference that another controller has brought already is not asked for whole',
+  newsThatIsThere,
+);
 test('a renewal names and checks only what changed', namesWhatChanged);
 test('a node that was told of too long ago is checked whole', checksAllAfterLong);
-test('members are told as who joined and who left, and whole to one that asks as before', tellsWhoJoinedAndLeft);
+test(
+  'members are told as who joined and who left, and whole to one that asks as before',
+  tellsWhoJoinedAndLeft,
+);
 test('a renewal in short on another connection is asked to tell all', wholeOnAnotherStream);
 test('controllers tell what they learned after a count of their life', learnedAfter);
--- a/test/leases.test.ts
+++ b/test/leases.test.ts
@@ -49,7 +49,10 @@
     return { key: 'k', epoch: 1, by: 'a', number };
   }
   function asks(life: string, has: number): Parameters<Leases['lease']>[0] {
-    return { member: { name: 'edge-1', role: 'router', at: '', http: '', zone: '', life }, has: [['k', 1, 'a', has]] };
+    return {
+      member: { name: 'edge-1', role: 'router', at: '', http: '', zone: '', life },
+      has: [['k', 1, 'a', has]],
+    };
   }
   async function lease(life: string, has: number): Promise<boolean> {
     return ((await leases.lease(asks(life, has), deaf)).extract() as { granted: boolean }).granted;
@@ -92,4 +95,7 @@
 }
 
 test('a frozen router keeps its claim when a new process of its name asks for one', twoLives);
-test('a controller that has not learned a change does not say that it is in effect', notLearnedHere);
+test(
+  'a controller that has not learned a change does not say that it is in effect',
+  notLearnedHere,
+);
--- a/test/metrics.test.ts
+++ b/test/metrics.test.ts
@@ -19,9 +19,26 @@
   const took = m.times('sync_ms', 'time of a synced write', 2000);
   for (const ms of [3, 4, 4.01, 150, 20000]) took(ms);
   const text = await m.text(['other 1']);
-  expect(text.split('\n')).toEqual(['other 1', '# HELP sync_ms time of a synced write', '# TYPE sync_ms histogram', 'sync_ms_bucket{le="4"} 2', 'sync_ms_bucket{le="10"} 3', 'sync_ms_bucket{le="20"} 3',
-    'sync_ms_bucket{le="40"} 3', 'sync_ms_bucket{le="100"} 3', 'sync_ms_bucket{le="200"} 4', 'sync_ms_bucket{le="400"} 4', 'sync_ms_bucket{le="1000"} 4', 'sync_ms_bucket{le="2000"} 4',
-    'sync_ms_bucket{le="4000"} 4', 'sync_ms_bucket{le="10000"} 4', 'sync_ms_bucket{le="+Inf"} 5', 'sync_ms_sum 20161.01', 'sync_ms_count 5', '']);
+  expect(text.split('\n')).toEqual([
+    'other 1',
+    '# HELP sync_ms time of a synced write',
+    '# TYPE sync_ms histogram',
+    'sync_ms_bucket{le="4"} 2',
+    'sync_ms_bucket{le="10"} 3',
+    'sync_ms_bucket{le="20"} 3',
+    'sync_ms_bucket{le="40"} 3',
+    'sync_ms_bucket{le="100"} 3',
+    'sync_ms_bucket{le="200"} 4',
+    'sync_ms_bucket{le="400"} 4',
+    'sync_ms_bucket{le="1000"} 4',
+    'sync_ms_bucket{le="2000"} 4',
+    'sync_ms_bucket{le="4000"} 4',
+    'sync_ms_bucket{le="10000"} 4',
+    'sync_ms_bucket{le="+Inf"} 5',
+    'sync_ms_sum 20161.01',
+    'sync_ms_count 5',
+    '',
+  ]);
   expect(text.endsWith('sync_ms_count 5\n')).toBe(true);
 }
 
--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -4,23 +4,83 @@
 const { order, report } = platform.engines;
 
 function words(): void {
-  const w = order.ask({ instance: 'i-1', model: 'm', weights: '12', method: 'queue', holder: 'core-1.ab', fence: 41 });
-  expect(w).toMatchObject({ method: 'POST', target: '/api/order', headers: ['plumhollow-expect-instance', 'i-1'] });
-  expect(JSON.parse(w.body as string)).toEqual({ operation: 'revision', model: 'm', revision: 12, method: 'queue', holder: 'core-1.ab', fenceToken: 41 });
-  const again = order.ask({ instance: 'i-1', model: 'm', weights: '12', method: 'queue', holder: 'core-1.ab', fence: 41, expected: 3 });
+  const w = order.ask({
+    instance: 'i-1',
+    model: 'm',
+    weights: '12',
+    method: 'queue',
+    holder: 'core-1.ab',
+    fence: 41,
+  });
+  expect(w).toMatchObject({
+    method: 'POST',
+    target: '/api/order',
+    headers: ['plumhollow-expect-instance', 'i-1'],
+  });
+  expect(JSON.parse(w.body as string)).toEqual({
+    operation: 'revision',
+    model: 'm',
+    revision: 12,
+    method: 'queue',
+    holder: 'core-1.ab',
+    fenceToken: 41,
+  });
+  const again = order.ask({
+    instance: 'i-1',
+    model: 'm',
+    weights: '12',
+    method: 'queue',
+    holder: 'core-1.ab',
+    fence: 41,
+    expected: 3,
+  });
   expect(JSON.parse(again.body as string).expectedCount).toBe(3);
 }
 
 function answers(): void {
-  const want: [number, OrderAnswer][] = [[200, 'holds'], [202, 'taken'], [400, 'bad'], [409, 'busy'], [412, 'fenced'], [421, 'other-instance'], [503, 'unknown'], [500, 'unknown']];
+  const want: [number, OrderAnswer][] = [
+    [200, 'holds'],
+    [202, 'taken'],
+    [400, 'bad'],
+    [409, 'busy'],
+    [412, 'fenced'],
+    [421, 'other-instance'],
+    [503, 'unknown'],
+    [500, 'unknown'],
+  ];
   for (const [status, a] of want) expect(order.read(status, undefined)).toBe(a);
 }
 
 function reads(): void {
-  const body = { stage: 'prefill_decode', models: [{ name: 'm', revision: 1, adapters: [] }], busy: true, callCount: 2, queued: 1, running: 12, cacheUsed: 41000, cacheTotal: 90000, handles: 0 };
+  const body = {
+    stage: 'prefill_decode',
+    models: [{ name: 'm', revision: 1, adapters: [] }],
+    busy: true,
+    callCount: 2,
+    queued: 1,
+    running: 12,
+    cacheUsed: 41000,
+    cacheTotal: 90000,
+    handles: 0,
+  };
   expect(report.ask()).toEqual({ method: 'GET', target: '/api/report', headers: [] });
-  expect(report.read(200, body).extract()).toEqual({ models: [{ name: 'm', weights: '1' }], busy: true, orders: 2, waiting: 1, running: 12, cacheUsed: 41000, cacheTotal: 90000 });
-  for (const [status, b] of [[503, body], [200, undefined], [200, {}], [200, { models: [{ name: 'm' }] }], [200, 'text']] as [number, unknown][]) expect(report.read(status, b).isLeft()).toBe(true);
+  expect(report.read(200, body).extract()).toEqual({
+    models: [{ name: 'm', weights: '1' }],
+    busy: true,
+    orders: 2,
+    waiting: 1,
+    running: 12,
+    cacheUsed: 41000,
+    cacheTotal: 90000,
+  });
+  for (const [status, b] of [
+    [503, body],
+    [200, undefined],
+    [200, {}],
+    [200, { models: [{ name: 'm' }] }],
+    [200, 'text'],
+  ] as [number, unknown][])
+    expect(report.read(status, b).isLeft()).toBe(true);
 }
 
 test('an order names its instance, its fence, and what was counted', words);
--- a/test/placement-ways.test.ts
+++ b/test/placement-ways.test.ts
@@ -17,4 +17,7 @@
   expect(full.refused).toBe(0);
 }
 
-test('against a model of engines, reckoning beats affinity alone and the least busy alone', reckoningWins);
+test(
+  'against a model of engines, reckoning beats affinity alone and the least busy alone',
+  reckoningWins,
+);
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -3,7 +3,14 @@
 import { makeLinks, Side } from '../src/data/gateway/links';
 import { Flight, makeLoads } from '../src/data/gateway/loads';
 import { makePaces } from '../src/data/gateway/pace';
-import { EngineSpot, makePlacement, NoPlace, PlaceAsk, Placed, Placement } from '../src/data/gateway/placement';
+import {
+  EngineSpot,
+  makePlacement,
+  NoPlace,
+  PlaceAsk,
+  Placed,
+  Placement,
+} from '../src/data/gateway/placement';
 import { makeStandings } from '../src/data/gateway/standing';
 import { seededDice } from '../tools/sim/dice';
 
@@ -24,15 +31,51 @@
 function pool(engines: number, batch = 4): PlaceAsk['pool'] {
   const list: EngineSpot[] = [];
   for (let i = 0; i < engines; i++) list.push(spot(i));
-  return { name: 'p', batch, cacheTokens: 100000, tokenBytes: 100000, linkMbps: 1e6, engines: list, stores: [{ name: 'store', at: '10.0.1.1:80', zone: 'z', linkMbps: 1e6 }] };
+  return {
+    name: 'p',
+    batch,
+    cacheTokens: 100000,
+    tokenBytes: 100000,
+    linkMbps: 1e6,
+    engines: list,
+    stores: [{ name: 'store', at: '10.0.1.1:80', zone: 'z', linkMbps: 1e6 }],
+  };
 }
 
 function long(more: Partial<PlaceAsk> = {}): PlaceAsk {
-  return { pool: pool(6), wall: 's', parts: [{ hash: 'shared', size: 10000 }, { hash: 'own', size: 2000 }], tokensIn: 12000, tokensOut: 20, aimMs: 600, leftMs: 6000, routePriority: 1, tenantPriority: 0, repeatable: false, avoid: new Set(), ...more };
+  return {
+    pool: pool(6),
+    wall: 's',
+    parts: [
+      { hash: 'shared', size: 10000 },
+      { hash: 'own', size: 2000 },
+    ],
+    tokensIn: 12000,
+    tokensOut: 20,
+    aimMs: 600,
+    leftMs: 6000,
+    routePriority: 1,
+    tenantPriority: 0,
+    repeatable: false,
+    avoid: new Set(),
+    ...more,
+  };
 }
 
 function short(more: Partial<PlaceAsk> = {}): PlaceAsk {
-  return long({ parts: [{ hash: 'tag', size: 60 }, { hash: 'one', size: 300 }], tokensIn: 360, tokensOut: 6, aimMs: 300, leftMs: 3000, routePriority: 0, repeatable: true, ...more });
+  return long({
+    parts: [
+      { hash: 'tag', size: 60 },
+      { hash: 'one', size: 300 },
+    ],
+    tokensIn: 360,
+    tokensOut: 6,
+    aimMs: 300,
+    leftMs: 3000,
+    routePriority: 0,
+    repeatable: true,
+    ...more,
+  });
 }
 
 function placement(): Placement {
@@ -157,10 +200,22 @@
   const l = makeLoads(now);
   const f: Flight = { engine: 'a', unread: 1000, memory: 1200, sentAt: 0, dueMs: 100, moveMs: 20 };
   l.began(f);
-  expect(l.of('a')).toMatchObject({ running: 1, unread: 1000, awaiting: 1, memory: 1200, moveMs: 20 });
+  expect(l.of('a')).toMatchObject({
+    running: 1,
+    unread: 1000,
+    awaiting: 1,
+    memory: 1200,
+    moveMs: 20,
+  });
   time = 50;
   expect(l.of('a')).toMatchObject({ unread: 500, moveMs: 0 });
-  l.others([['a', 2, 300, 900], ['b', 1, 0]], true);
+  l.others(
+    [
+      ['a', 2, 300, 900],
+      ['b', 1, 0],
+    ],
+    true,
+  );
   expect(l.of('a')).toMatchObject({ running: 3, unread: 800, memory: 2100 });
   expect(l.own()).toEqual([['a', 1, 500, 1200]]);
   time = 400;
@@ -204,7 +259,14 @@
   expect(r.storeAt).toBeUndefined();
   p.loads.others([['e0', 3, 60000]], true);
   for (let i = 0; i < 12; i++) p.links.learn('store', 'e5', true);
-  const other = placed(p, long({ avoid: new Set(['e5']) }), told([['store', 10000, 0], ['e0', 10000, 0]]));
+  const other = placed(
+    p,
+    long({ avoid: new Set(['e5']) }),
+    told([
+      ['store', 10000, 0],
+      ['e0', 10000, 0],
+    ]),
+  );
   expect(engineOf(other)).not.toBe('e0');
   expect(other.reckoned.fetch?.source.side.name).toBe('e0');
 }
@@ -215,7 +277,13 @@
   expect(placed(p, long()).storeAt).toBeUndefined();
   expect(placed(p, long(), told([['store', 4000, 6000]])).storeAt).toBeUndefined();
   expect(placed(p, long(), told([['store', 4000, 5000]])).storeAt).toBe('10.0.1.1:80');
-  const mostlyOwn = long({ parts: [{ hash: 'shared', size: 10000 }, { hash: 'own', size: 12000 }], tokensIn: 22000 });
+  const mostlyOwn = long({
+    parts: [
+      { hash: 'shared', size: 10000 },
+      { hash: 'own', size: 12000 },
+    ],
+    tokensIn: 22000,
+  });
   expect(placed(p, mostlyOwn, told([])).storeAt).toBeUndefined();
 }
 
@@ -265,13 +333,28 @@
 function refusedOnlyWhenFull(): void {
   const p = placement();
   const ask = short({ pool: pool(2, 2), leftMs: 400 });
-  p.loads.others([['e0', 2, 60000], ['e1', 1, 0]], true);
+  p.loads.others(
+    [
+      ['e0', 2, 60000],
+      ['e1', 1, 0],
+    ],
+    true,
+  );
   expect(p.place(ask, new Map()).isRight()).toBe(true);
-  p.loads.others([['e0', 2, 60000], ['e1', 2, 60000]], true);
+  p.loads.others(
+    [
+      ['e0', 2, 60000],
+      ['e1', 2, 60000],
+    ],
+    true,
+  );
   const no = p.place(ask, new Map()).swap().unsafeCoerce() as NoPlace;
   expect(no.why).toBe('full');
   expect(no.retryAfterMs).toBeGreaterThan(400);
-  const none = p.place({ ...ask, avoid: new Set(['e0', 'e1']) }, new Map()).swap().unsafeCoerce() as NoPlace;
+  const none = p
+    .place({ ...ask, avoid: new Set(['e0', 'e1']) }, new Map())
+    .swap()
+    .unsafeCoerce() as NoPlace;
   expect(none).toMatchObject({ why: 'no-engine', retryAfterMs: 100 });
 }
 
@@ -286,17 +369,26 @@
 test('homes are the same everywhere, even, and move only with the name that goes', homesAgree);
 test('the pace of engines is learned in spite of strays', pacesLearn);
 test('moves take longer over zones, and slow links are found and forgiven', linksLearn);
-test('an engine that fails is left alone for longer each time, and tried by one that may repeat', restsGrow);
+test(
+  'an engine that fails is left alone for longer each time, and tried by one that may repeat',
+  restsGrow,
+);
 test('all that fails with one crash is one fault', oneCrashIsOneFault);
 test('no more than half of a pool is left alone', fewAreAlone);
 test('requests in flight are counted, with those of other routers', loadsAreCounted);
 test('a long prompt goes where its parts are kept', keptWins);
 test('a hot prompt is spread as its waiting grows, and fetched there', waitingSpreads);
-test('parts are fetched from the store, and from an engine where the store\'s link has shown slow', fetchesFromTheStore);
+test(
+  "parts are fetched from the store, and from an engine where the store's link has shown slow",
+  fetchesFromTheStore,
+);
 test('parts that the store lacks go there once they are read', firstReadIsStored);
 test('without an index routers agree on the home, and spill as it fills', homeWithoutIndex);
 test('short requests keep away from engines that read long prompts', shortsKeepAway);
 test('a long answer goes where it ends in time', longAnswersEndInTime);
 test('an engine that is silent is taken to need as much longer', silenceCounts);
-test('a request is refused only where all places are taken and its time would pass', refusedOnlyWhenFull);
-test('a route\'s rank goes before a tenant\'s', ranksGoFirst);
+test(
+  'a request is refused only where all places are taken and its time would pass',
+  refusedOnlyWhenFull,
+);
+test("a route's rank goes before a tenant's", ranksGoFirst);
--- a/test/platform-engine.test.ts
+++ b/test/platform-engine.test.ts
@@ -32,10 +32,30 @@
   const there = net.ports(w.proc('engine', '127.10.3.1'));
   const caller = net.ports(w.proc('caller', '127.10.2.1'));
   const book = makeBook(there.clock);
-  const ground: Ground = { ...makeGround(there.clock, there.dice, book, BOUNDS), open: doorsOn(there.wire) };
+  const ground: Ground = {
+    ...makeGround(there.clock, there.dice, book, BOUNDS),
+    open: doorsOn(there.wire),
+  };
   const spec: EngineSpec = {
-    instance: 'i-1.1', service: 'lm', at: AT, zone: 'a', revision: 'v1', healthPath: '/health', capacity: 1, queue: 1, maxConnections: 100, cacheTokens: 2000, kvTokenBytes: 163840, bandwidthMbps: 1100000,
-    stride: 2, stepMs: 3, prefillPerMs: 10, workMs: 20, model: 'm', loadMs: 400, idleMs: 15000,
+    instance: 'i-1.1',
+    service: 'lm',
+    at: AT,
+    zone: 'a',
+    revision: 'v1',
+    healthPath: '/health',
+    capacity: 1,
+    queue: 1,
+    maxConnections: 100,
+    cacheTokens: 2000,
+    kvTokenBytes: 163840,
+    bandwidthMbps: 1100000,
+    stride: 2,
+    stepMs: 3,
+    prefillPerMs: 10,
+    workMs: 20,
+    model: 'm',
+    loadMs: 400,
+    idleMs: 15000,
   };
   function start(more: Partial<EngineSpec> = {}): Promise<EngineLife> {
     return startEngine(ground, { ...spec, ...more }, { feed: FEED, warmupMs: 0, warmupSlow: 1 });
@@ -52,22 +72,50 @@
   at: number;
 }
 
-async function call(b: Bench, path: string, headers: Record<string, string> = {}, method = 'POST', body?: string, at = AT): Promise<Got> {
-  const [f, r] = open(await b.caller.wire.ask({ at, method, path, headers, body: body ?? (method === 'POST' ? '{}' : undefined), within: 20000 }));
+async function call(
+  b: Bench,
+  path: string,
+  headers: Record<string, string> = {},
+  method = 'POST',
+  body?: string,
+  at = AT,
+): Promise<Got> {
+  const [f, r] = open(
+    await b.caller.wire.ask({
+      at,
+      method,
+      path,
+      headers,
+      body: body ?? (method === 'POST' ? '{}' : undefined),
+      within: 20000,
+    }),
+  );
   if (f) return { status: 0, headers: {}, text: '', cut: true, at: b.w.now() };
   let text = '';
   for (;;) {
     const [g, p] = open(await r.next());
     if (g) return { status: r.status, headers: r.headers, text, cut: true, at: b.w.now() };
-    if (p === undefined) return { status: r.status, headers: r.headers, text, cut: false, at: b.w.now() };
+    if (p === undefined)
+      return { status: r.status, headers: r.headers, text, cut: false, at: b.w.now() };
     text += p;
   }
 }
 
-function prompt(id: string, parts: string, out = 5, more: Record<string, string> = {}): Record<string, string> {
+function prompt(
+  id: string,
+  parts: string,
+  out = 5,
+  more: Record<string, string> = {},
+): Record<string, string> {
   let tokens = 0;
   for (const p of parts.split(',')) tokens += Number(p.split(':')[1]);
-  return { 'plumhollow-attempt-id': id, 'plumhollow-model': 'm', 'plumhollow-token-count': `${tokens},${out}`, 'plumhollow-prompt-prefix': parts, ...more };
+  return {
+    'plumhollow-attempt-id': id,
+    'plumhollow-model': 'm',
+    'plumhollow-token-count': `${tokens},${out}`,
+    'plumhollow-prompt-prefix': parts,
+    ...more,
+  };
 }
 
 /** Lets the simulated time pass until a promise is kept. */
@@ -98,13 +146,21 @@
   const b = bench();
   await play(b, b.start());
   const got = await play(b, call(b, '/chat/x', prompt('t1', 'aa:100,bb:50')));
-  expect([got.status, got.cut, got.headers['plumhollow-attempt-id'], got.headers['plumhollow-weight-versions']]).toEqual([200, false, 't1', '1']);
+  expect([
+    got.status,
+    got.cut,
+    got.headers['plumhollow-attempt-id'],
+    got.headers['plumhollow-weight-versions'],
+  ]).toEqual([200, false, 't1', '1']);
   const ids = [...got.text.matchAll(/^id: (\d+)$/gm)].map(second);
   function second(m: RegExpMatchArray): string {
     return m[1];
   }
   expect(ids).toEqual(['1', '2', '3']);
-  const again = await play(b, call(b, '/chat/x', prompt('t2', 'aa:100,bb:50', 5, { 'last-event-id': '2' })));
+  const again = await play(
+    b,
+    call(b, '/chat/x', prompt('t2', 'aa:100,bb:50', 5, { 'last-event-id': '2' })),
+  );
   expect(again.text).toMatch(/^id: 3\ndata: \S+\/3\n\n$/);
   expect(b.book.runs.map(read)).toEqual([0, 2]);
   function read(r: { used: unknown[] }): number {
@@ -122,14 +178,21 @@
     return send;
   }
   const all = await inTurn(b, [
-    ask('t1', 'aa:800'), ask('t2', 'bb:500'), ask('t3', 'cc:500'), ask('t4', 'dd:500', { 'plumhollow-request-priority': '0' }), ask('t5', 'ee:10', { 'plumhollow-expect-instance': 'i-9.9' }),
-    ask('t6', 'ee:10', { 'plumhollow-expect-version': '2' }), ask('', ''), ask('t7', 'ff:5000'),
+    ask('t1', 'aa:800'),
+    ask('t2', 'bb:500'),
+    ask('t3', 'cc:500'),
+    ask('t4', 'dd:500', { 'plumhollow-request-priority': '0' }),
+    ask('t5', 'ee:10', { 'plumhollow-expect-instance': 'i-9.9' }),
+    ask('t6', 'ee:10', { 'plumhollow-expect-version': '2' }),
+    ask('', ''),
+    ask('t7', 'ff:5000'),
   ]);
   expect(all.map(statusOf)).toEqual([200, 503, 503, 200, 421, 421, 400, 503]);
   function statusOf(g: Got): number {
     return g.status;
   }
-  for (const g of all) expect(g.headers['plumhollow-not-executed']).toBe(g.status === 200 ? undefined : '1');
+  for (const g of all)
+    expect(g.headers['plumhollow-not-executed']).toBe(g.status === 200 ? undefined : '1');
   expect(all[4].headers['plumhollow-instance-id']).toBe('i-1.1');
   expect(b.book.runs.map(idOf)).toEqual(['t1', 't4']);
   function idOf(r: { id: string }): string {
@@ -158,18 +221,54 @@
   const b = bench();
   await play(b, b.start({ capacity: 4 }));
   const store = await play(b, startStore(b.ground, STORE, 'a', 100000, FEED));
-  await play(b, call(b, '/x', prompt('t1', 'aa:100,bb:50', 5, { 'plumhollow-cache-salt': 's1', 'plumhollow-cache-target': STORE, 'plumhollow-tenant': 'one' })));
-  const list = await play(b, askJson(b.caller.wire, { at: AT, method: 'GET', path: '/api/kv-list', within: 1000 }));
-  expect((open(list)[1]!.body as { held: unknown }).held).toEqual([['s1', 'aa', 100, 'm'], ['s1', 'bb', 50, 'm']]);
-  expect(store.keeper().list().held).toEqual([['s1', 'aa', 100, 'm'], ['s1', 'bb', 50, 'm']]);
+  await play(
+    b,
+    call(
+      b,
+      '/x',
+      prompt('t1', 'aa:100,bb:50', 5, {
+        'plumhollow-cache-salt': 's1',
+        'plumhollow-cache-target': STORE,
+        'plumhollow-tenant': 'one',
+      }),
+    ),
+  );
+  const list = await play(
+    b,
+    askJson(b.caller.wire, { at: AT, method: 'GET', path: '/api/kv-list', within: 1000 }),
+  );
+  expect((open(list)[1]!.body as { held: unknown }).held).toEqual([
+    ['s1', 'aa', 100, 'm'],
+    ['s1', 'bb', 50, 'm'],
+  ]);
+  expect(store.keeper().list().held).toEqual([
+    ['s1', 'aa', 100, 'm'],
+    ['s1', 'bb', 50, 'm'],
+  ]);
   const from = b.w.now();
-  const held = await play(b, Promise.all([call(b, '/api/kv-events?since=2', { 'wait-ms': '900' }, 'GET'), call(b, '/api/kv-events?since=2', { 'wait-ms': '900' }, 'GET'), call(b, '/x', prompt('t2', 'aa:100,cc:7', 5, { 'plumhollow-cache-salt': 's2' }))]));
+  const held = await play(
+    b,
+    Promise.all([
+      call(b, '/api/kv-events?since=2', { 'wait-ms': '900' }, 'GET'),
+      call(b, '/api/kv-events?since=2', { 'wait-ms': '900' }, 'GET'),
+      call(b, '/x', prompt('t2', 'aa:100,cc:7', 5, { 'plumhollow-cache-salt': 's2' })),
+    ]),
+  );
   expect([held[0].status, held[1].status].sort()).toEqual([200, 429]);
-  const told = JSON.parse(held[0].status === 200 ? held[0].text : held[1].text) as { events: unknown[]; nextPageToken: number };
-  expect(told.events).toEqual([[3, '+', 's2', 'aa', 100, 'm'], [4, '+', 's2', 'cc', 7, 'm']]);
+  const told = JSON.parse(held[0].status === 200 ? held[0].text : held[1].text) as {
+    events: unknown[];
+    nextPageToken: number;
+  };
+  expect(told.events).toEqual([
+    [3, '+', 's2', 'aa', 100, 'm'],
+    [4, '+', 's2', 'cc', 7, 'm'],
+  ]);
   expect(held[0].at - from).toBeLessThan(900);
   for (let i = 0; i < 4; i++) await play(b, call(b, '/x', prompt(`u${i}`, `ee${i}:600`, 5)));
-  const late = JSON.parse((await play(b, call(b, '/api/kv-events?since=2', {}, 'GET'))).text) as { lost: boolean; events: unknown[][] };
+  const late = JSON.parse((await play(b, call(b, '/api/kv-events?since=2', {}, 'GET'))).text) as {
+    lost: boolean;
+    events: unknown[][];
+  };
   expect(late.lost).toBe(true);
   const gone = late.events.filter(leaves);
   function leaves(e: unknown[]): boolean {
@@ -182,13 +281,31 @@
   const b = bench();
   const e = await play(b, b.start());
   const store = await play(b, startStore(b.ground, STORE, 'a', 100000, FEED));
-  store.keeper().put({ salt: 's', id: 'aa', model: 'm', tokens: 500, size: 500, version: 1, tenant: 'one' });
-  await play(b, call(b, '/x', prompt('t1', 'aa:500,bb:10', 5, { 'plumhollow-cache-salt': 's', 'plumhollow-cache-source': STORE, 'plumhollow-tenant': 'two' })));
+  store
+    .keeper()
+    .put({ salt: 's', id: 'aa', model: 'm', tokens: 500, size: 500, version: 1, tenant: 'one' });
+  await play(
+    b,
+    call(
+      b,
+      '/x',
+      prompt('t1', 'aa:500,bb:10', 5, {
+        'plumhollow-cache-salt': 's',
+        'plumhollow-cache-source': STORE,
+        'plumhollow-tenant': 'two',
+      }),
+    ),
+  );
   expect(b.book.runs[0].used).toEqual([{ id: 'aa', tokens: 500, version: 1, tenant: 'one' }]);
-  expect(e.keeper.match('m', 's', [{ id: 'aa', tokens: 500 }])).toMatchObject([{ version: 1, tenant: 'one' }]);
+  expect(e.keeper.match('m', 's', [{ id: 'aa', tokens: 500 }])).toMatchObject([
+    { version: 1, tenant: 'one' },
+  ]);
   await store.down();
   const t = b.w.now();
-  const got = await play(b, call(b, '/x', prompt('t2', 'cc:100', 5, { 'plumhollow-cache-source': STORE })));
+  const got = await play(
+    b,
+    call(b, '/x', prompt('t2', 'cc:100', 5, { 'plumhollow-cache-source': STORE })),
+  );
   expect(got.status).toBe(200);
   expect(got.at - t).toBeGreaterThan(150);
 }
@@ -198,9 +315,30 @@
   await play(b, b.start({ capacity: 2 }));
   b.ground.named.set('m', [2, 3]);
   function order(more: object): Promise<Got> {
-    return call(b, '/api/order', {}, 'POST', JSON.stringify({ operation: 'revision', model: 'm', revision: 2, method: 'queue', holder: 'node-1', fenceToken: 5, ...more }));
+    return call(
+      b,
+      '/api/order',
+      {},
+      'POST',
+      JSON.stringify({
+        operation: 'revision',
+        model: 'm',
+        revision: 2,
+        method: 'queue',
+        holder: 'node-1',
+        fenceToken: 5,
+        ...more,
+      }),
+    );
   }
-  const bad = await play(b, Promise.all([order({ revision: 9 }), order({ holder: undefined }), order({ expectedCount: 4 })]));
+  const bad = await play(
+    b,
+    Promise.all([
+      order({ revision: 9 }),
+      order({ holder: undefined }),
+      order({ expectedCount: 4 }),
+    ]),
+  );
   expect(bad.map(statusOf)).toEqual([400, 400, 409]);
   function statusOf(g: Got): number {
     return g.status;
@@ -222,7 +360,10 @@
   expect([whole.status, whole.cut]).toEqual([200, false]);
   expect(whole.text).not.toContain('plumhollow-weight-versions');
   await b.w.run(b.w.now() + 600);
-  const after = await play(b, Promise.all([order({}), order({ fenceToken: 4 }), call(b, '/x', prompt('t3', 'aa:10'))]));
+  const after = await play(
+    b,
+    Promise.all([order({}), order({ fenceToken: 4 }), call(b, '/x', prompt('t3', 'aa:10'))]),
+  );
   expect(after.map(statusOf)).toEqual([200, 412, 200]);
   expect(b.book.runs.at(-1)).toMatchObject({ version: 2, used: [] });
   const through = call(b, '/x', prompt('t4', 'dd:10', 400));
@@ -234,18 +375,38 @@
 
 async function lists(): Promise<void> {
   const b = bench();
-  const list = await play(b, startList(b.ground, '127.10.3.1:8161', { maxLagMs: 800, ratePerS: 3, page: 2 }));
-  for (let i = 0; i < 3; i++) list.add(await play(b, b.start({ instance: `i-${i}.1`, at: `127.10.3.1:80${i}0` })));
+  const list = await play(
+    b,
+    startList(b.ground, '127.10.3.1:8161', { maxLagMs: 800, ratePerS: 3, page: 2 }),
+  );
+  for (let i = 0; i < 3; i++)
+    list.add(await play(b, b.start({ instance: `i-${i}.1`, at: `127.10.3.1:80${i}0` })));
   await b.w.run(b.w.now() + 1000);
-  async function page(token: string): Promise<{ status: number; body: { instances: { instanceId: string; state: string }[]; nextPageToken: string | null } }> {
-    return open(await play(b, askJson(b.caller.wire, { at: '127.10.3.1:8161', method: 'GET', path: `/instances${token}`, within: 1000 })))[1] as never;
+  async function page(token: string): Promise<{
+    status: number;
+    body: { instances: { instanceId: string; state: string }[]; nextPageToken: string | null };
+  }> {
+    return open(
+      await play(
+        b,
+        askJson(b.caller.wire, {
+          at: '127.10.3.1:8161',
+          method: 'GET',
+          path: `/instances${token}`,
+          within: 1000,
+        }),
+      ),
+    )[1] as never;
   }
   const first = await page('');
   expect(first.body.instances.map(idOf)).toEqual(['i-0.1', 'i-1.1']);
   function idOf(r: { instanceId: string }): string {
     return r.instanceId;
   }
-  expect((await page(`?pageToken=${first.body.nextPageToken}`)).body).toMatchObject({ instances: [{ instanceId: 'i-2.1' }], nextPageToken: null });
+  expect((await page(`?pageToken=${first.body.nextPageToken}`)).body).toMatchObject({
+    instances: [{ instanceId: 'i-2.1' }],
+    nextPageToken: null,
+  });
   list.lives[0].drain();
   const soon = await page('');
   expect(soon.body.instances[0].state).toBe('ready');
@@ -256,7 +417,7 @@
 }
 
 test('a stand-in engine streams events with ids, and goes on at the last one', streams);
-test('it turns away what it can\'t run, and lets the urgent go first', turnsAway);
+test("it turns away what it can't run, and lets the urgent go first", turnsAway);
 test('it stops at the deadline', deadlines);
 test('it keeps parts and tells of their coming and going', keepsParts);
 test('it takes parts from elsewhere', fetches);
--- a/test/platform-ledger.test.ts
+++ b/test/platform-ledger.test.ts
@@ -39,7 +39,8 @@
   function early(g: Good): void {
     g.t.answer = 'do';
   }
-  for (const spoil of [noStamp, otherId, otherBody, failed, strayBytes, garbage, encoded, early]) expect(spoilt(spoil, 'desk')).toEqual(['MIXED']);
+  for (const spoil of [noStamp, otherId, otherBody, failed, strayBytes, garbage, encoded, early])
+    expect(spoilt(spoil, 'desk')).toEqual(['MIXED']);
 }
 
 function unasked(): void {
@@ -96,7 +97,13 @@
     g.t.answer = g.r.pieces[0].text;
   }
   function joined(g: Good): void {
-    const second: Run = { ...g.r, seal: 's2', after: 1, undone: true, pieces: [{ id: 2, text: 'id: 2\ndata: s2/2\n\n' }] };
+    const second: Run = {
+      ...g.r,
+      seal: 's2',
+      after: 1,
+      undone: true,
+      pieces: [{ id: 2, text: 'id: 2\ndata: s2/2\n\n' }],
+    };
     g.book.runs.push(second);
     g.t.answer = g.r.pieces[0].text + second.pieces[0].text;
   }
@@ -157,7 +164,11 @@
     later(g, { at: 17900, ackAt: 18100 }, { routes: [g.doc.routes[0]] });
   }
   function stillUnknown(g: Good): void {
-    later(g, {}, { routes: [...g.doc.routes, { ...g.doc.routes[1], name: 'new', pathPrefix: '/new/' }] });
+    later(
+      g,
+      {},
+      { routes: [...g.doc.routes, { ...g.doc.routes[1], name: 'new', pathPrefix: '/new/' }] },
+    );
     g.book.runs.length = 0;
     g.book.arrivals.length = 0;
     Object.assign(g.t, { target: '/new/x', status: 404, seal: undefined, answer: '' });
@@ -167,24 +178,59 @@
   }
   function both(g: Good): void {
     later(g, { at: 100, ackAt: 200 });
-    g.book.configs.push({ ...g.config, doc: { ...g.doc, revision: 6 }, base: 1, at: 300, ackAt: 400 });
+    g.book.configs.push({
+      ...g.config,
+      doc: { ...g.doc, revision: 6 },
+      base: 1,
+      at: 300,
+      ackAt: 400,
+    });
   }
   function refusedRules(g: Good): void {
-    g.book.configs.push({ ...g.config, doc: { ...g.doc, revision: 6, routes: [{ ...g.doc.routes[1], service: 'roster-desk' }] }, base: 1, outcome: 'refused', ackAt: undefined });
+    g.book.configs.push({
+      ...g.config,
+      doc: { ...g.doc, revision: 6, routes: [{ ...g.doc.routes[1], service: 'roster-desk' }] },
+      base: 1,
+      outcome: 'refused',
+      ackAt: undefined,
+    });
     g.r.service = 'roster-desk';
   }
-  for (const spoil of [olderService, droppedRoute, revokedKey, stillUnknown, invalid, both, refusedRules]) expect(spoilt(spoil)).toEqual(['CONFIG']);
+  for (const spoil of [
+    olderService,
+    droppedRoute,
+    revokedKey,
+    stillUnknown,
+    invalid,
+    both,
+    refusedRules,
+  ])
+    expect(spoilt(spoil)).toEqual(['CONFIG']);
   expect(spoilt(justNow)).toEqual([]);
 }
 
 function goesBack(): void {
   function back(gap: number, life: number, router: string): (g: Good) => void {
     function spoil(g: Good): void {
-      const c = later(g, { at: 19500, ackAt: 19600 }, { routes: [...g.doc.routes, { ...g.doc.routes[1], name: 'new', pathPrefix: '/new/' }] });
+      const c = later(
+        g,
+        { at: 19500, ackAt: 19600 },
+        { routes: [...g.doc.routes, { ...g.doc.routes[1], name: 'new', pathPrefix: '/new/' }] },
+      );
       Object.assign(g.t, { target: '/new/x' });
       g.a.target = '/new/x';
       const id = 't2';
-      g.book.tries.set(id, { ...g.t, id, life, router, sentAt: g.r.beganAt + gap, status: 404, seal: undefined, answerId: undefined, answer: '' });
+      g.book.tries.set(id, {
+        ...g.t,
+        id,
+        life,
+        router,
+        sentAt: g.r.beganAt + gap,
+        status: 404,
+        seal: undefined,
+        answerId: undefined,
+        answer: '',
+      });
       expect(c.doc.revision).toBe(5);
     }
     return spoil;
@@ -214,7 +260,13 @@
   }
   function cutInRoll(g: Good): void {
     g.book.troubles.push({ kind: 'term', who: EDGE, at: 20005, until: 24000, planned: true });
-    Object.assign(g.t, { end: 'cut', status: undefined, seal: undefined, answerId: undefined, answer: '' });
+    Object.assign(g.t, {
+      end: 'cut',
+      status: undefined,
+      seal: undefined,
+      answerId: undefined,
+      answer: '',
+    });
   }
   function cutInTrouble(g: Good): void {
     cutInRoll(g);
@@ -280,7 +332,15 @@
 function one(): void {
   function ordered(...seen: [number, string, number][]): (g: Good) => void {
     function spoil(g: Good): void {
-      for (const [at, holder, fence] of seen) g.book.orders.push({ at, instance: 'i-1.1', from: '127.10.1.1', holder, fence, status: 202 });
+      for (const [at, holder, fence] of seen)
+        g.book.orders.push({
+          at,
+          instance: 'i-1.1',
+          from: '127.10.1.1',
+          holder,
+          fence,
+          status: 202,
+        });
     }
     return spoil;
   }
@@ -295,7 +355,15 @@
 function denied(): void {
   function many(n: number): (g: Good) => void {
     function spoil(g: Good): void {
-      for (let i = 0; i < n; i++) g.book.tries.set(`d${i}`, { ...g.t, id: `d${i}`, status: 404, seal: undefined, answerId: undefined, answer: '' });
+      for (let i = 0; i < n; i++)
+        g.book.tries.set(`d${i}`, {
+          ...g.t,
+          id: `d${i}`,
+          status: 404,
+          seal: undefined,
+          answerId: undefined,
+          answer: '',
+        });
     }
     return spoil;
   }
--- a/test/platform-weights.test.ts
+++ b/test/platform-weights.test.ts
@@ -8,4 +8,7 @@
   expect(day.loads).toBeGreaterThan(0);
 }
 
-test('new weights are named: engines are ordered to take them, and nothing runs on memory of old ones', named);
+test(
+  'new weights are named: engines are ordered to take them, and nothing runs on memory of old ones',
+  named,
+);
--- a/test/realwire.test.ts
+++ b/test/realwire.test.ts
@@ -32,7 +32,9 @@
   }
   const [, a] = open(await wire.serve('127.0.0.1:0', source));
   async function relay(call: Call): Promise<void> {
-    const [, r] = open(await wire.ask({ at: a!.at, method: 'GET', path: '/', within: 60000, gone: call.gone }));
+    const [, r] = open(
+      await wire.ask({ at: a!.at, method: 'GET', path: '/', within: 60000, gone: call.gone }),
+    );
     call.head(200, {});
     for (;;) {
       const [f, p] = open(await r!.next());
--- a/test/register.test.ts
+++ b/test/register.test.ts
@@ -50,20 +50,29 @@
     return Right(undefined);
   }
   function owner(by: string): Owner {
-    return makeOwner({ disk: by, cells: new Map(), put: blank, settled: blank } as never, reachOf(by));
+    return makeOwner(
+      { disk: by, cells: new Map(), put: blank, settled: blank } as never,
+      reachOf(by),
+    );
   }
   return { w, owner, drive };
 }
 
 function onTopOf(base: unknown, value: unknown): (now: Numbered | undefined) => Outcome<unknown> {
   function make(now: Numbered | undefined): Outcome<unknown> {
-    return now?.value === base ? Right(value) : bad('change', 'k', `${String(now?.value)} stands`, 'refused', 'conflict');
+    return now?.value === base
+      ? Right(value)
+      : bad('change', 'k', `${String(now?.value)} stands`, 'refused', 'conflict');
   }
   return make;
 }
 
 /** Changes as callers do: again where the owner first had to hear of a higher epoch. */
-async function twice(t: Three, o: Owner, make: (now: Numbered | undefined) => Outcome<unknown>): Promise<Outcome<Numbered>> {
+async function twice(
+  t: Three,
+  o: Owner,
+  make: (now: Numbered | undefined) => Outcome<unknown>,
+): Promise<Outcome<Numbered>> {
   const r = await t.drive(o.change('k', make));
   return r.isLeft() ? t.drive(o.change('k', make)) : r;
 }
@@ -76,7 +85,10 @@
   expect((await twice(t, b, onTopOf('one', 'two'))).isRight()).toBe(true);
   const o = await twice(t, a, onTopOf('two', 'three'));
   expect(o.map(valueOf).extract()).toBe('three');
-  expect((await t.drive(a.change('k', onTopOf('two', 'four')))).extract()).toMatchObject({ code: 'conflict', sort: 'refused' });
+  expect((await t.drive(a.change('k', onTopOf('two', 'four')))).extract()).toMatchObject({
+    code: 'conflict',
+    sort: 'refused',
+  });
 }
 
 function valueOf(n: Numbered): unknown {
--- a/test/return.test.ts
+++ b/test/return.test.ts
@@ -15,7 +15,14 @@
   function taken(c: Parameters<typeof converse>[1]): void {
     converse(ports, c, edges);
   }
-  return follow(ports, BOUNDS, hello, { name: p.name, role: 'router', at, http: at, zone: p.name, life: ports.dice.id().slice(0, 8) }, f.core.map(wireOf), edges);
+  return follow(
+    ports,
+    BOUNDS,
+    hello,
+    { name: p.name, role: 'router', at, http: at, zone: p.name, life: ports.dice.id().slice(0, 8) },
+    f.core.map(wireOf),
+    edges,
+  );
 }
 
 function wireOf(p: Proc): string {
@@ -25,7 +32,9 @@
 /** Ms from when a majority and the follower are up until the follower has its leases. */
 async function returns(seed: number): Promise<number> {
   const f = makeCore(seed);
-  expect((await f.settled(f.insist(0, PATHS.replace, 0, documentOf(1, ['/a/']), 9000)))?.status).toBe(200);
+  expect(
+    (await f.settled(f.insist(0, PATHS.replace, 0, documentOf(1, ['/a/']), 9000)))?.status,
+  ).toBe(200);
   const p = f.w.proc('router-1', '10.2.0.1');
   followAt(f, p);
   await f.pass(2000);
--- a/test/rollout.test.ts
+++ b/test/rollout.test.ts
@@ -31,7 +31,12 @@
 }
 
 async function calm(): Promise<void> {
-  for (const [count, limit] of [[8, 2], [13, 3], [40, 11], [1, 1]]) {
+  for (const [count, limit] of [
+    [8, 2],
+    [13, 3],
+    [40, 11],
+    [1, 1],
+  ]) {
     const d = await makeRollOutDesk(count, count, limit);
     let high = 0;
     await d.name(2);
@@ -41,7 +46,11 @@
       return allAt(d, 2)();
     }
     await d.at(d.w.now() + 4000);
-    expect({ count, once: perEngine(d, 2).every(isOne), conflicts: conflicts(d.orders) }).toEqual({ count, once: true, conflicts: [] });
+    expect({ count, once: perEngine(d, 2).every(isOne), conflicts: conflicts(d.orders) }).toEqual({
+      count,
+      once: true,
+      conflicts: [],
+    });
     expect(took).toBeLessThan(6000);
     expect(high).toBeLessThanOrEqual(Math.max(1, Math.ceil(count * 0.4)));
   }
@@ -59,7 +68,11 @@
 }
 
 /** Names weights, strikes the holder once it has given some orders, and waits for all; the trouble lasts `ms`. */
-async function struck(seed: number, strike: (d: RollOutDesk, holder: string) => void, most: number): Promise<RollOutDesk> {
+async function struck(
+  seed: number,
+  strike: (d: RollOutDesk, holder: string) => void,
+  most: number,
+): Promise<RollOutDesk> {
   const d = await makeRollOutDesk(seed, 13, 3);
   await d.name(2);
   await d.until(isHolder(d), 3000);
@@ -95,7 +108,11 @@
     d.kill(d.holder()!, 1500);
     let high = 0;
     await d.until(watched, 12000);
-    expect({ seed, conflicts: conflicts(d.orders), holders: holders(d) }).toEqual({ seed, conflicts: [], holders: 2 });
+    expect({ seed, conflicts: conflicts(d.orders), holders: holders(d) }).toEqual({
+      seed,
+      conflicts: [],
+      holders: 2,
+    });
     expect(high).toBeLessThanOrEqual(4);
     expect(d.w.now() - named).toBeLessThan(8000);
     function begun(): boolean {
@@ -195,8 +212,10 @@
   await d.name(2);
   for (let k = 0; k < 4; k++) {
     await d.at(d.w.now() + 100 + dice.next() * 1800);
-    const who = dice.next() < 0.6 ? (d.holder() ?? 'core-1') : `core-${1 + Math.floor(dice.next() * 3)}`;
-    if (d.proc(who).alive && !d.proc(who).frozen) strikeOne(d, who, Math.floor(dice.next() * 5), 300 + dice.next() * 4500);
+    const who =
+      dice.next() < 0.6 ? (d.holder() ?? 'core-1') : `core-${1 + Math.floor(dice.next() * 3)}`;
+    if (d.proc(who).alive && !d.proc(who).frozen)
+      strikeOne(d, who, Math.floor(dice.next() * 5), 300 + dice.next() * 4500);
   }
   const goal = seed % 2 === 0 ? 3 : 2;
   if (goal === 3) await d.name(3);
@@ -225,13 +244,19 @@
 }
 
 test('one holder killed: another goes on after a lease, and no fence is shared', killed);
-test('one holder killed as it begins: the next one loads no more than half of the engines at once, and is done in time', takenUpLate);
+test(
+  'one holder killed as it begins: the next one loads no more than half of the engines at once, and is done in time',
+  takenUpLate,
+);
 test('one holder frozen: it gives no order when it wakes', frozen);
 test('one holder cut off in one way from another controller', halfCut);
 test('all controllers killed: the roll-out goes on after a lease', allKilled);
 test('an order without an answer is not given again where it was taken', unanswered);
 test('an engine that leaves is ordered no more', lostOrder);
 test('an engine that is busy with another order is waited for', busyWithAnother);
-test('weights named while others roll out: engines that have not begun skip the older ones', oneAfterAnother);
+test(
+  'weights named while others roll out: engines that have not begun skip the older ones',
+  oneAfterAnother,
+);
 test('in calm all engines have new weights in time, some at once, each by one order', calm);
 test('four troubles at random: no two holders within a lease, and all engines done in time', sweep);
--- a/test/rolloutdesk.ts
+++ b/test/rolloutdesk.ts
@@ -64,7 +64,12 @@
 }
 
 /** Builds the desk; engines load slower while more than `limit` of them do. */
-export async function makeRollOutDesk(seed: number, count: number, limit: number, method: (p: { list: Engine[] }) => void = nothing): Promise<RollOutDesk> {
+export async function makeRollOutDesk(
+  seed: number,
+  count: number,
+  limit: number,
+  method: (p: { list: Engine[] }) => void = nothing,
+): Promise<RollOutDesk> {
   const w = makeWorld(seed, false);
   const net = makeNet(w);
   const cores = ['core-1', 'core-2', 'core-3'];
@@ -75,7 +80,23 @@
   const procs = new Map<string, Proc>();
   const calm = { at: -Infinity };
   const listing: { at: number; list: Engine[] }[] = [];
-  const desk: RollOutDesk = { w, net, engines, orders, reports, controllers, proc, start, kill, freeze, cut, name, holder, at, until };
+  const desk: RollOutDesk = {
+    w,
+    net,
+    engines,
+    orders,
+    reports,
+    controllers,
+    proc,
+    start,
+    kill,
+    freeze,
+    cut,
+    name,
+    holder,
+    at,
+    until,
+  };
 
   function proc(n: string): Proc {
     return procs.get(n)!;
@@ -86,7 +107,17 @@
   }
 
   function settings(n: string): Settings {
-    return { ...defaultSettings(), name: n, zone: 'z', wire: wireOf(n), http: wireOf(n).replace('7000', '8000'), seeds: cores.map(wireOf), founders: cores.map(wireOf), weightsBoundMs: BOUND, leaseMs: LEASE };
+    return {
+      ...defaultSettings(),
+      name: n,
+      zone: 'z',
+      wire: wireOf(n),
+      http: wireOf(n).replace('7000', '8000'),
+      seeds: cores.map(wireOf),
+      founders: cores.map(wireOf),
+      weightsBoundMs: BOUND,
+      leaseMs: LEASE,
+    };
   }
 
   function start(n: string): void {
@@ -142,11 +173,30 @@
     async function take(call: Call): Promise<void> {
       if (call.path === '/api/report') {
         reports.n++;
-        return giveJson(call, 200, { models: [{ name: 'm', revision: shown.weights }], busy: shown.busy, callCount: shown.calls });
+        return giveJson(call, 200, {
+          models: [{ name: 'm', revision: shown.weights }],
+          busy: shown.busy,
+          callCount: shown.calls,
+        });
       }
-      const b = (await takeJson(call, 1e4)) as { model: string; revision: number; holder: string; fenceToken: number; expectedCount?: number };
+      const b = (await takeJson(call, 1e4)) as {
+        model: string;
+        revision: number;
+        holder: string;
+        fenceToken: number;
+        expectedCount?: number;
+      };
       const status = judge(b);
-      orders.push({ at: w.now(), engine: e.id, from: call.peer, holder: b.holder, fence: b.fenceToken, weights: b.revision, status, late: w.now() - calm.at < THAW });
+      orders.push({
+        at: w.now(),
+        engine: e.id,
+        from: call.peer,
+        holder: b.holder,
+        fence: b.fenceToken,
+        weights: b.revision,
+        status,
+        late: w.now() - calm.at < THAW,
+      });
       if (!e.mute) giveJson(call, status, {});
     }
     function judge(b: { revision: number; fenceToken: number; expectedCount?: number }): number {
@@ -179,7 +229,15 @@
   }
 
   function listed(e: OrderedEngine, i: number): Engine {
-    return { id: e.id, at: atOf(i + 1), zone: 'z', model: 'm', weights: String(e.weights), leaving: e.leaving, models: [{ name: 'm', weights: String(e.weights) }] };
+    return {
+      id: e.id,
+      at: atOf(i + 1),
+      zone: 'z',
+      model: 'm',
+      weights: String(e.weights),
+      leaving: e.leaving,
+      models: [{ name: 'm', weights: String(e.weights) }],
+    };
   }
 
   /** The platform's list reaches the core as it was some time ago. */
@@ -189,7 +247,8 @@
     method(listing[0]);
     const c = [...controllers.values()].find(fit);
     const key = JSON.stringify(listing[0].list);
-    if (c && JSON.stringify(c.value('engines')?.value) !== key) void c.change({ kind: 'engines', engines: listing[0].list });
+    if (c && JSON.stringify(c.value('engines')?.value) !== key)
+      void c.change({ kind: 'engines', engines: listing[0].list });
     w.after(LIST_AGE / 2, tellList);
     function fit(x: Controller): boolean {
       return !proc(x.name).frozen && x.hasMajority();
@@ -241,7 +300,16 @@
   for (let i = 1; i <= count; i++) {
     const p = w.proc(`engine-${i}`, atOf(i).split(':')[0]);
     procs.set(p.name, p);
-    const e: OrderedEngine = { id: `i-${i}`, weights: 1, mute: false, runs: 200 + w.dice.next() * 500, busy: false, calls: 0, fence: 0, leaving: false };
+    const e: OrderedEngine = {
+      id: `i-${i}`,
+      weights: 1,
+      mute: false,
+      runs: 200 + w.dice.next() * 500,
+      busy: false,
+      calls: 0,
+      fence: 0,
+      leaving: false,
+    };
     engines.push(e);
     serve(e, net.ports(p), atOf(i));
   }
@@ -258,21 +326,26 @@
   const owners = new Map<number, string>();
   for (const o of orders) {
     const owner = owners.get(o.fence) ?? o.holder;
-    if (owner !== o.holder) out.push(`${o.at}: fence ${o.fence} of ${owner} is used by ${o.holder}`);
+    if (owner !== o.holder)
+      out.push(`${o.at}: fence ${o.fence} of ${owner} is used by ${o.holder}`);
     owners.set(o.fence, owner);
   }
   const last = new Map<string, Noted>();
   for (const o of orders) {
     if (o.late) continue;
     const l = last.get(o.engine);
-    if (l && o.fence < l.fence) out.push(`${o.at}: fence ${o.fence} after ${l.fence} at ${o.engine}`);
-    if (l && l.holder !== o.holder && o.at - l.at < LEASE) out.push(`${o.at}: ${o.holder} ${o.at - l.at} ms after ${l.holder} at ${o.engine}`);
+    if (l && o.fence < l.fence)
+      out.push(`${o.at}: fence ${o.fence} after ${l.fence} at ${o.engine}`);
+    if (l && l.holder !== o.holder && o.at - l.at < LEASE)
+      out.push(`${o.at}: ${o.holder} ${o.at - l.at} ms after ${l.holder} at ${o.engine}`);
     last.set(o.engine, o);
   }
   const holders = new Map<string, number>();
   for (const o of orders) {
     if (o.late) continue;
-    for (const [h, at] of holders) if (h !== o.holder && o.at - at < LEASE) out.push(`${o.at}: ${o.holder} ${o.at - at} ms after ${h}`);
+    for (const [h, at] of holders)
+      if (h !== o.holder && o.at - at < LEASE)
+        out.push(`${o.at}: ${o.holder} ${o.at - at} ms after ${h}`);
     holders.set(o.holder, o.at);
   }
   return out;
