--- a/test/roster-late.test.ts
+++ b/test/roster-late.test.ts
@@ -8,14 +8,22 @@
     const o = makeOperator(f);
     await applied(f, o);
     const ip = procOf(f, 'core-3').ip;
-    for (const p of f.w.procs()) if (p.ip !== ip) for (const [a, b] of [[p.ip, ip], [ip, p.ip]]) f.w.cut(a, b, true);
+    for (const p of f.w.procs())
+      if (p.ip !== ip)
+        for (const [a, b] of [
+          [p.ip, ip],
+          [ip, p.ip],
+        ])
+          f.w.cut(a, b, true);
     await f.w.run(f.w.now() + 1500);
     await applied(f, o);
     lose(f, 'core-1', true);
     f.w.healLinks();
     await f.w.run(f.w.now() + 600);
     back(f, 'core-1');
-    expect({ seed, at: (await until(f, f.w.now() + 4000, all(f, CORE), 5)) !== undefined }).toEqual({ seed, at: true });
+    expect({ seed, at: (await until(f, f.w.now() + 4000, all(f, CORE), 5)) !== undefined }).toEqual(
+      { seed, at: true },
+    );
     lose(f, 'core-2', true);
     await applied(f, o);
     expect({ seed, newest: o.newest() }).toEqual({ seed, newest: o.acked() });
@@ -30,7 +38,13 @@
   await applied(f, o);
   f.seeds.splice(0, 3, ...f.d.core.slice(3).map(wireOf));
   const edge = procOf(f, 'edge-1');
-  for (const p of f.w.procs()) if (p !== edge) for (const [a, b] of [[p.ip, edge.ip], [edge.ip, p.ip]]) f.w.cut(a, b, true);
+  for (const p of f.w.procs())
+    if (p !== edge)
+      for (const [a, b] of [
+        [p.ip, edge.ip],
+        [edge.ip, p.ip],
+      ])
+        f.w.cut(a, b, true);
   for (const [i, n] of CORE.entries()) {
     const into = `core-${i + 4}`;
     f.lost.delete(into);
@@ -53,5 +67,11 @@
   expect(await until(f, f.w.now() + 9000, known)).toBeDefined();
 }
 
-test('what two disks acknowledged outlives both, one after the other, also if the third had missed it', carried);
-test('a router that was cut off while all controllers were exchanged finds them by its seeds', routerFindsAnew);
+test(
+  'what two disks acknowledged outlives both, one after the other, also if the third had missed it',
+  carried,
+);
+test(
+  'a router that was cut off while all controllers were exchanged finds them by its seeds',
+  routerFindsAnew,
+);
--- a/test/roster.test.ts
+++ b/test/roster.test.ts
@@ -1,13 +1,27 @@
 import { nextSet, Standing } from '../src/control/roster';
 import { Voter } from '../src/shared/words';
-import { back, isFounded, lose, makeOperator, procOf, running, until, votersOf } from '../tools/sim/simcore';
+import {
+  back,
+  isFounded,
+  lose,
+  makeOperator,
+  procOf,
+  running,
+  until,
+  votersOf,
+} from '../tools/sim/simcore';
 import { all, applied, CORE, founded, started, wireOf } from './rosterrig';
 
 function v(n: number, disk = `d${n}`): Voter {
   return { disk, at: `10.0.0.${n}:7000` };
 }
 
-function plan(now: Voter[], joiners: Voter[], target: number, stands: Record<string, Standing> = {}): string {
+function plan(
+  now: Voter[],
+  joiners: Voter[],
+  target: number,
+  stands: Record<string, Standing> = {},
+): string {
   function standing(x: Voter): Standing {
     return stands[x.disk] ?? 'here';
   }
@@ -38,8 +52,22 @@
     tooMany: plan(five, [], 3, { d4: 'lost', d5: 'leaving' }),
     tooManyOne: plan(five, [], 3, { d4: 'lost' }),
   }).toEqual({
-    alone: 'as it is', full: 'as it is', emptied: 'd1 new d3', twoEmptied: 'd1 n2 d3 n4 d5', emptiedNotAsking: 'as it is', frozen: 'as it is', lostWithout: 'as it is', lost: 'd1 d4 d3',
-    leaving: 'd1 d2 d4', pair: 'd1 d2 d3 d4 d5', half: 'as it is', evenSet: 'd1 d2 d3', one: 'd1 d2 d3', lostAndPair: 'd4 d2 d3 d5 d6', tooMany: 'd1 d2 d3', tooManyOne: 'as it is',
+    alone: 'as it is',
+    full: 'as it is',
+    emptied: 'd1 new d3',
+    twoEmptied: 'd1 n2 d3 n4 d5',
+    emptiedNotAsking: 'as it is',
+    frozen: 'as it is',
+    lostWithout: 'as it is',
+    lost: 'd1 d4 d3',
+    leaving: 'd1 d2 d4',
+    pair: 'd1 d2 d3 d4 d5',
+    half: 'as it is',
+    evenSet: 'd1 d2 d3',
+    one: 'd1 d2 d3',
+    lostAndPair: 'd4 d2 d3 d5 d6',
+    tooMany: 'd1 d2 d3',
+    tooManyOne: 'as it is',
   });
 }
 
@@ -139,7 +167,9 @@
     f.lost.add(n);
     f.controllers.delete(n);
     const began = f.w.now();
-    expect((await until(f, began + 10000, all(f, [into])))! - began).toBeLessThan(leaves ? 1500 : 4000);
+    expect((await until(f, began + 10000, all(f, [into])))! - began).toBeLessThan(
+      leaves ? 1500 : 4000,
+    );
     await f.w.run(f.w.now() + 3000);
   }
   o.halt();
@@ -189,7 +219,10 @@
   back(f, 'core-1');
   const c = 'core-1';
   function knows(): boolean {
-    return f.controllers.get(c)?.value<unknown>('intents')?.place.number === o.acked() && f.controllers.get(c)!.hasMajority();
+    return (
+      f.controllers.get(c)?.value<unknown>('intents')?.place.number === o.acked() &&
+      f.controllers.get(c)!.hasMajority()
+    );
   }
   expect(await until(f, f.w.now() + 6000, knows)).toBeDefined();
 }
@@ -211,7 +244,10 @@
     lose(f, owner, false, step % 2 === 0);
     await f.w.run(f.w.now() + 600);
     back(f, owner);
-    expect({ step, at: (await until(f, f.w.now() + 4000, all(f, CORE), 10)) !== undefined }).toEqual({ step, at: true });
+    expect({
+      step,
+      at: (await until(f, f.w.now() + 4000, all(f, CORE), 10)) !== undefined,
+    }).toEqual({ step, at: true });
     await applied(f, o);
     expect({ step, newest: o.newest() }).toEqual({ step, newest: o.acked() });
   }
@@ -261,7 +297,10 @@
     await f.w.run(f.w.now() + 1500);
     await applied(f, o);
     back(f, 'core-3');
-    expect({ step, at: (await until(f, f.w.now() + 4000, all(f, CORE), 10)) !== undefined }).toEqual({ step, at: true });
+    expect({
+      step,
+      at: (await until(f, f.w.now() + 4000, all(f, CORE), 10)) !== undefined,
+    }).toEqual({ step, at: true });
   }
   function isJoint(c: { voters(): { next?: unknown } | undefined }): boolean {
     return c.voters()?.next !== undefined;
@@ -285,15 +324,36 @@
   }
 }
 
-test('the next voter set: emptied machines at once, lost and leaving ones for machines that are here, odd numbers', plans);
+test(
+  'the next voter set: emptied machines at once, lost and leaving ones for machines that are here, odd numbers',
+  plans,
+);
 test('three seeds that are up found within 0.4 s', quickFounding);
-test('where it is vouched for, a majority of the founders founds without the late one, which votes in its place when it comes', lateFounder);
-test('five core machines of three seeds all vote, and two may lose their disks, twice', fiveOfThreeSeeds);
-test('nothing acknowledged is lost with a disk at that moment, while the others lose power, and the emptied one counts within 1.5 s', emptiedAtTheAck);
+test(
+  'where it is vouched for, a majority of the founders founds without the late one, which votes in its place when it comes',
+  lateFounder,
+);
+test(
+  'five core machines of three seeds all vote, and two may lose their disks, twice',
+  fiveOfThreeSeeds,
+);
+test(
+  'nothing acknowledged is lost with a disk at that moment, while the others lose power, and the emptied one counts within 1.5 s',
+  emptiedAtTheAck,
+);
 test('every machine gives way to another one, each leaving, under changes', leavingTurnover);
-test('every machine gives way to another one, each lost without a word, under changes', lostTurnover);
-test('a machine that was away while all others were exchanged finds the core by the seeds', awayThroughTurnover);
+test(
+  'every machine gives way to another one, each lost without a word, under changes',
+  lostTurnover,
+);
+test(
+  'a machine that was away while all others were exchanged finds the core by the seeds',
+  awayThroughTurnover,
+);
 test('the owner is killed at each step of a joint set, and another ends it', killedInTheMidst);
 test('two machines are added while a voter is frozen, which stays', frozenWhileAdding);
 test('a newcomer that is gone again in the midst holds nothing up', newcomerGone);
-test('a voter that is away for a short while keeps its place, also where another machine waits', shortAway);
+test(
+  'a voter that is away for a short while keeps its place, also where another machine waits',
+  shortAway,
+);
--- a/test/rosterrig.ts
+++ b/test/rosterrig.ts
@@ -5,7 +5,12 @@
 export const CORE = ['core-1', 'core-2', 'core-3'];
 
 /** A fleet of so many core machines, of which some run. */
-export function started(seed: number, machines: number, run: readonly string[], tolerated = 1): SimFleet {
+export function started(
+  seed: number,
+  machines: number,
+  run: readonly string[],
+  tolerated = 1,
+): SimFleet {
   const f = makeSimFleet(seed, 'saffron-bay', 2, 2, false, machines);
   Object.assign(f.told, { tolerated, foundBy: 'majority' });
   for (const n of f.core) if (!run.includes(n)) f.lost.add(n);
@@ -15,7 +20,12 @@
 
 /** A fleet whose core machines all vote. */
 export async function founded(seed: number, machines = 3, tolerated = 1): Promise<SimFleet> {
-  const f = started(seed, machines, machines === 5 ? [...CORE, 'core-4', 'core-5'] : CORE, tolerated);
+  const f = started(
+    seed,
+    machines,
+    machines === 5 ? [...CORE, 'core-4', 'core-5'] : CORE,
+    tolerated,
+  );
   function up(): boolean {
     return votersOf(f) === (tolerated === 2 ? '1 2 3 4 5' : '1 2 3') && isFounded(f);
   }
@@ -34,7 +44,11 @@
 }
 
 /** Applies a change; gives the ms until it was acknowledged. */
-export async function applied(f: SimFleet, o: ReturnType<typeof makeOperator>, within = 20000): Promise<number> {
+export async function applied(
+  f: SimFleet,
+  o: ReturnType<typeof makeOperator>,
+  within = 20000,
+): Promise<number> {
   const began = f.w.now();
   const r = done(o.put());
   function isDone(): boolean {
--- a/test/seeds-disks.test.ts
+++ b/test/seeds-disks.test.ts
@@ -6,16 +6,26 @@
 }
 
 async function fullAtStart(): Promise<void> {
-  await clean(57, 'saffron-bay', 0, [fault(20583, 'disk-full', 'core-3', 'index-core-2', 2998), fault(21408, 'power-core', 'index-core-3', 'core-3', 325), fault(25995, 'wipe', 'core-2', 'edge-3', 2146)]);
+  await clean(57, 'saffron-bay', 0, [
+    fault(20583, 'disk-full', 'core-3', 'index-core-2', 2998),
+    fault(21408, 'power-core', 'index-core-3', 'core-3', 325),
+    fault(25995, 'wipe', 'core-2', 'edge-3', 2146),
+  ]);
 }
 
 async function replaced(): Promise<void> {
   const r = await runSeed(104, { deployment: 'atlas-ordre', faults: 0, replace: true });
-  expect({ violations: r.violations, replaced: r.ops.replaced }).toEqual({ violations: [], replaced: true });
+  expect({ violations: r.violations, replaced: r.ops.replaced }).toEqual({
+    violations: [],
+    replaced: true,
+  });
 }
 
 async function emptiedOwner(): Promise<void> {
-  await clean(503, 'saffron-bay', 0, [fault(22166, 'release-all', 'edge-1', 'edge-2', 3052), fault(23575, 'wipe', 'core-2', 'core-1', 4935)]);
+  await clean(503, 'saffron-bay', 0, [
+    fault(22166, 'release-all', 'edge-1', 'edge-2', 3052),
+    fault(23575, 'wipe', 'core-2', 'core-1', 4935),
+  ]);
 }
 
 test('a controller whose disk was emptied still learns what is committed', emptiedController);
--- a/test/seeds-leases.test.ts
+++ b/test/seeds-leases.test.ts
@@ -15,7 +15,11 @@
 
 async function suspended(): Promise<void> {
   const schedule: Fault[] = [];
-  for (let i = 0; i < 4; i++) schedule.push(fault(9000 + i * 5000, 'suspend', `edge-${i + 1}`, '', 4000), fault(9010 + i * 5000, 'edge-from-core', `edge-${i + 1}`, '', 5500));
+  for (let i = 0; i < 4; i++)
+    schedule.push(
+      fault(9000 + i * 5000, 'suspend', `edge-${i + 1}`, '', 4000),
+      fault(9010 + i * 5000, 'edge-from-core', `edge-${i + 1}`, '', 5500),
+    );
   await clean(1, 'saffron-bay', 0, schedule);
 }
 
--- a/test/seeds-leaving.test.ts
+++ b/test/seeds-leaving.test.ts
@@ -12,5 +12,11 @@
   expect(r.violations.join('\n')).toMatch(/leaving: engine-\d got .* after it was known to leave/);
 }
 
-test('an attempt that a frozen engine held before it was known to leave, and that was cut in time, is not new to it', heldBefore);
-test('without the cut, an engine that was known to leave begins when it wakes, and the ledger tells', uncut);
+test(
+  'an attempt that a frozen engine held before it was known to leave, and that was cut in time, is not new to it',
+  heldBefore,
+);
+test(
+  'without the cut, an engine that was known to leave begins when it wakes, and the ledger tells',
+  uncut,
+);
--- a/test/seeds-weights.test.ts
+++ b/test/seeds-weights.test.ts
@@ -18,5 +18,8 @@
 }
 
 test('weights that were superseded twice still end by their own time', namedTwice);
-test('weights that were named before all of ours were killed do not serve anew after it', namedBeforeAllDied);
+test(
+  'weights that were named before all of ours were killed do not serve anew after it',
+  namedBeforeAllDied,
+);
 test('a leg that waits in a frozen engine is cut when its tenant is walled off', wokenEngine);
--- a/test/seeds.ts
+++ b/test/seeds.ts
@@ -7,7 +7,12 @@
 }
 
 /** Runs a seed whole, and sees that it served and broke nothing. */
-export async function clean(seed: number, deployment: string, faults: number, schedule?: Fault[]): Promise<void> {
+export async function clean(
+  seed: number,
+  deployment: string,
+  faults: number,
+  schedule?: Fault[],
+): Promise<void> {
   const r = await runSeed(seed, { deployment, faults, schedule });
   expect({ seed, violations: r.violations }).toEqual({ seed, violations: [] });
   expect(r.report.asked).toBeGreaterThan(300);
@@ -16,6 +21,10 @@
 /** Each engine in turn freezes, and a moment later the platform lists it as leaving. */
 export function frozenLeavers(): Fault[] {
   const schedule: Fault[] = [];
-  for (let i = 0; i < 4; i++) schedule.push(fault(8900 + i * 5000, 'engine-freeze', `engine-${i + 1}`, '', 6000), fault(9000 + i * 5000, 'leave', `engine-${i + 1}`, '', 4000));
+  for (let i = 0; i < 4; i++)
+    schedule.push(
+      fault(8900 + i * 5000, 'engine-freeze', `engine-${i + 1}`, '', 6000),
+      fault(9000 + i * 5000, 'leave', `engine-${i + 1}`, '', 4000),
+    );
   return schedule;
 }
--- a/test/settings-file.test.ts
+++ b/test/settings-file.test.ts
@@ -47,16 +47,54 @@
 }
 
 function read(): void {
-  const s = platform.settings(fileOf('10.1.0.39', 7640).replace(',0]', ',7655]')).extract() as Settings;
+  const s = platform
+    .settings(fileOf('10.1.0.39', 7640).replace(',0]', ',7655]'))
+    .extract() as Settings;
   expect(s).toMatchObject({
-    dialect: 'platform', name: 'core-a-1', role: 'indexer', wire: '127.0.0.1:7655', http: '', seeds: ['10.1.0.39:7640'], founders: ['10.1.0.39:7640'], strict: false, suspends: false,
-    changeBoundMs: 2000, leavingBoundMs: 3000, weightsBoundMs: 8000, retryWindowMs: 10000, graceMs: 8000, contactMs: 60000, platform: '10.200.0.56:8161', platformRate: 47, memoryMb: 346,
-    cores: 0.81, tolerated: 1, zones: { a: 'r', b: 'r' }, data: '/data/x', bootstrap: true, quorumMember: true,
+    dialect: 'platform',
+    name: 'core-a-1',
+    role: 'indexer',
+    wire: '127.0.0.1:7655',
+    http: '',
+    seeds: ['10.1.0.39:7640'],
+    founders: ['10.1.0.39:7640'],
+    strict: false,
+    suspends: false,
+    changeBoundMs: 2000,
+    leavingBoundMs: 3000,
+    weightsBoundMs: 8000,
+    retryWindowMs: 10000,
+    graceMs: 8000,
+    contactMs: 60000,
+    platform: '10.200.0.56:8161',
+    platformRate: 47,
+    memoryMb: 346,
+    cores: 0.81,
+    tolerated: 1,
+    zones: { a: 'r', b: 'r' },
+    data: '/data/x',
+    bootstrap: true,
+    quorumMember: true,
+  });
+  const router = platform
+    .settings(
+      fileOf('10.1.0.39', 7640).replace('"indexer"', '"router"') +
+        '[bindAddresses]\nfrontend = "10.1.0.36:8167"\nreadiness = "10.1.0.36:8162"\n',
+    )
+    .extract() as Settings;
+  expect(router).toMatchObject({
+    wire: '127.0.0.1:7640',
+    http: '10.1.0.36:8167',
+    readiness: '10.1.0.36:8162',
   });
-  const router = platform.settings(fileOf('10.1.0.39', 7640).replace('"indexer"', '"router"') + '[bindAddresses]\nfrontend = "10.1.0.36:8167"\nreadiness = "10.1.0.36:8162"\n').extract() as Settings;
-  expect(router).toMatchObject({ wire: '127.0.0.1:7640', http: '10.1.0.36:8167', readiness: '10.1.0.36:8162' });
   expect(platform.settings(fileOf('10.1.0.39', 7640, 'unknown = 3')).isRight()).toBe(true);
-  const faults = platform.settings(fileOf('here', 7640).replace('contactMs = 60000', 'contactMs = "soon"').replace('ratePerS = 47.0', 'ratePerS = 0')).extract() as string[];
+  const faults = platform
+    .settings(
+      fileOf('here', 7640)
+        .replace('contactMs = 60000', 'contactMs = "soon"')
+        .replace('ratePerS = 47.0', 'ratePerS = 0'),
+    )
+    .extract() as string[];
   expect(faults.join('\n')).toMatch(/guarantees.contactMs: .*\n?(.*\n)*platformApi.ratePerS: /);
   expect(faults.join('\n')).toMatch(/seeds: must be ip:port/);
   expect(platform.settings('nodeName = ').isLeft()).toBe(true);
@@ -88,7 +126,10 @@
   const second = await listen('127.0.0.3', first.port);
   const file = join(mkdtempSync(join(tmpdir(), 'ph-')), 'node.toml');
   writeFileSync(file, fileOf('127.0.0.2', first.port));
-  const p = spawn(process.execPath, [join(__dirname, '../src/programs/indexer.js')], { env: { ...process.env, PLUMHOLLOW_SETTINGS: file }, stdio: 'ignore' });
+  const p = spawn(process.execPath, [join(__dirname, '../src/programs/indexer.js')], {
+    env: { ...process.env, PLUMHOLLOW_SETTINGS: file },
+    stdio: 'ignore',
+  });
   children.push(p);
   await first.dialled;
   writeFileSync(file, fileOf('127.0.0.3', first.port));
@@ -103,5 +144,8 @@
 }
 
 afterAll(stopAll);
-test('the platform\'s settings file is read; unknown fields are passed over, faults are told in its words', read);
+test(
+  "the platform's settings file is read; unknown fields are passed over, faults are told in its words",
+  read,
+);
 test('a process takes over the seeds that its file names at SIGHUP, and goes on', reread);
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -42,7 +42,14 @@
 type Trouble = (f: SimFleet, owner: string, other: string) => void;
 
 const TROUBLES: Record<string, Trouble> = {
-  kill: killed, power: unpowered, freeze: frozen, cut: cutOff, 'one way from the owner': oneWayFrom, 'one way to the owner': oneWayTo, 'one way to all': oneWayAll, 'slow disk': slowDisk,
+  kill: killed,
+  power: unpowered,
+  freeze: frozen,
+  cut: cutOff,
+  'one way from the owner': oneWayFrom,
+  'one way to the owner': oneWayTo,
+  'one way to all': oneWayAll,
+  'slow disk': slowDisk,
 };
 
 function killed(f: SimFleet, owner: string): void {
@@ -130,9 +137,15 @@
     function revision(c: Controller): number {
       return c.value('intents')!.place.number;
     }
-    expect({ seed, all: running(f).map(revision) }).toEqual({ seed, all: [o.acked(), o.acked(), o.acked()] });
+    expect({ seed, all: running(f).map(revision) }).toEqual({
+      seed,
+      all: [o.acked(), o.acked(), o.acked()],
+    });
   }
 }
 
-test('a change is acknowledged within a quarter of the bound, whatever has become of its owner', takenOver);
+test(
+  'a change is acknowledged within a quarter of the bound, whatever has become of its owner',
+  takenOver,
+);
 test('an owner that thaws brings nothing back, and the fleet agrees again', thawed);
--- a/test/transcripts.test.ts
+++ b/test/transcripts.test.ts
@@ -11,17 +11,32 @@
 const OFTEN = /"(started|at|prefillMs)":[\d.]+/g;
 const LIFE = /(core-\d)\.[0-9a-f]{8}/g;
 
-async function exchange(s: Scene, ports: Ports, at: string, method: string, path: string, body?: unknown, headers: Record<string, string> = {}): Promise<string> {
-  const text = typeof body === 'string' ? body : body === undefined ? undefined : JSON.stringify(body);
+async function exchange(
+  s: Scene,
+  ports: Ports,
+  at: string,
+  method: string,
+  path: string,
+  body?: unknown,
+  headers: Record<string, string> = {},
+): Promise<string> {
+  const text =
+    typeof body === 'string' ? body : body === undefined ? undefined : JSON.stringify(body);
   s.lines.push(`> ${method} ${path.replace(LIFE, '$1.(life)')}`);
-  for (const [k, v] of Object.entries(headers)) s.lines.push(`> ${k}: ${k === 'authorization' ? 'Bearer (key)' : v}`);
-  if (text !== undefined) s.lines.push(`> ${text.length > 400 ? `(${text.length} characters)` : text}`);
-  const [f, r] = open(await ports.wire.ask({ at, method, path, body: text, headers, within: 20000 }));
+  for (const [k, v] of Object.entries(headers))
+    s.lines.push(`> ${k}: ${k === 'authorization' ? 'Bearer (key)' : v}`);
+  if (text !== undefined)
+    s.lines.push(`> ${text.length > 400 ? `(${text.length} characters)` : text}`);
+  const [f, r] = open(
+    await ports.wire.ask({ at, method, path, body: text, headers, within: 20000 }),
+  );
   if (f) {
     s.lines.push(`< (${f.sort} ${f.code})`, '');
     return '';
   }
-  s.lines.push(`< ${r.status}${r.headers['retry-after'] ? ` retry-after: ${r.headers['retry-after']}` : ''}`);
+  s.lines.push(
+    `< ${r.status}${r.headers['retry-after'] ? ` retry-after: ${r.headers['retry-after']}` : ''}`,
+  );
   let all = '';
   for (;;) {
     const [g, piece] = open(await r.next());
@@ -29,7 +44,16 @@
     if (g || piece === undefined) break;
     all += piece;
   }
-  for (const l of all.split('\n')) if (l) s.lines.push(`< ${l.replace(OFTEN, '"$1":0').replace(LIFE, '$1.(life)').replace(/"key":"ph_\w+"/, '"key":"(key)"').replace(/"id":"[0-9a-f]{12}"/, '"id":"(id)"').replace(/"epoch":"[0-9a-f]{32}"/g, '"epoch":"(epoch)"')}`);
+  for (const l of all.split('\n'))
+    if (l)
+      s.lines.push(
+        `< ${l
+          .replace(OFTEN, '"$1":0')
+          .replace(LIFE, '$1.(life)')
+          .replace(/"key":"ph_\w+"/, '"key":"(key)"')
+          .replace(/"id":"[0-9a-f]{12}"/, '"id":"(id)"')
+          .replace(/"epoch":"[0-9a-f]{32}"/g, '"epoch":"(epoch)"')}`,
+      );
   s.lines.push('');
   return all;
 }
@@ -51,7 +75,10 @@
 }
 
 async function configured(s: Scene): Promise<void> {
-  const r = await askCore(s.f, 'PUT', '/v1/intents', { basedOn: 0, intents: simIntents(s.f.d, 'probe-3', 0, []) });
+  const r = await askCore(s.f, 'PUT', '/v1/intents', {
+    basedOn: 0,
+    intents: simIntents(s.f.d, 'probe-3', 0, []),
+  });
   expect(r.status).toBe(200);
   for (const t of ['probe', 'tenant-1', 'tenant-2']) {
     const k = await askCore(s.f, 'POST', `/v1/keys/${t}`, {});
@@ -66,14 +93,39 @@
 async function applying(s: Scene): Promise<void> {
   const { ops, d } = s.f;
   const at = controllerAt(s);
-  const small = { tenants: [{ id: 'bay', sharing: 'walled' }], models: [{ id: 'roster' }], services: [{ id: 'swap', tenant: 'bay', model: 'roster', urgency: 'high', mayRepeat: true }], rules: [{ tenant: 'bay', label: 'short', service: 'swap' }], cacheStores: [{ id: 'store-1', at: d.store.at }] };
+  const small = {
+    tenants: [{ id: 'bay', sharing: 'walled' }],
+    models: [{ id: 'roster' }],
+    services: [{ id: 'swap', tenant: 'bay', model: 'roster', urgency: 'high', mayRepeat: true }],
+    rules: [{ tenant: 'bay', label: 'short', service: 'swap' }],
+    cacheStores: [{ id: 'store-1', at: d.store.at }],
+  };
   await exchange(s, ops, at, 'GET', '/v1/intents');
   await exchange(s, ops, at, 'PUT', '/v1/intents', { basedOn: 0, intents: small, dryRun: true });
-  const change = JSON.parse(await exchange(s, ops, at, 'PUT', '/v1/intents', { basedOn: 0, intents: small })) as { change: string };
+  const change = JSON.parse(
+    await exchange(s, ops, at, 'PUT', '/v1/intents', { basedOn: 0, intents: small }),
+  ) as { change: string };
   await exchange(s, ops, at, 'GET', `/v1/changes/${change.change}`);
-  const faulty = { tenants: [{ id: 'bay', sharing: 'walled', group: 'x' }, { id: 'bay', sharing: 'open' }, { id: 'two words', sharing: 'group' }], models: [{ id: 'roster', colour: 'red' }], services: [{ id: 'swap', tenant: 'nobody', model: 'roster', deadlineMs: -1, secondTries: 0.5 }], rules: 'all', extra: 1 };
+  const faulty = {
+    tenants: [
+      { id: 'bay', sharing: 'walled', group: 'x' },
+      { id: 'bay', sharing: 'open' },
+      { id: 'two words', sharing: 'group' },
+    ],
+    models: [{ id: 'roster', colour: 'red' }],
+    services: [{ id: 'swap', tenant: 'nobody', model: 'roster', deadlineMs: -1, secondTries: 0.5 }],
+    rules: 'all',
+    extra: 1,
+  };
   await exchange(s, ops, at, 'PUT', '/v1/intents', { basedOn: 1, intents: faulty });
-  await exchange(s, ops, at, 'PUT', '/v1/intents', { basedOn: 1, intents: { ...small, rules: [{ tenant: 'bay', label: 'short', service: 'gone' }], cacheStores: [] } });
+  await exchange(s, ops, at, 'PUT', '/v1/intents', {
+    basedOn: 1,
+    intents: {
+      ...small,
+      rules: [{ tenant: 'bay', label: 'short', service: 'gone' }],
+      cacheStores: [],
+    },
+  });
   await exchange(s, ops, at, 'PUT', '/v1/intents', '{"basedOn": 1,');
   await exchange(s, ops, at, 'POST', '/v1/keys/bay', {});
   await exchange(s, ops, at, 'PUT', '/v1/weights/roster', { weights: 'w1' });
@@ -85,8 +137,14 @@
   await configured(s);
   const { d, ops } = s.f;
   const twin: Scene = { ...s, lines: [] };
-  const one = exchange(s, ops, d.core[0].http, 'PUT', '/v1/intents', { basedOn: 1, intents: simIntents(d, 'probe-3', 1, []) });
-  const two = exchange(twin, ops, d.core[1].http, 'PUT', '/v1/intents', { basedOn: 1, intents: simIntents(d, 'probe-5', 2, []) });
+  const one = exchange(s, ops, d.core[0].http, 'PUT', '/v1/intents', {
+    basedOn: 1,
+    intents: simIntents(d, 'probe-3', 1, []),
+  });
+  const two = exchange(twin, ops, d.core[1].http, 'PUT', '/v1/intents', {
+    basedOn: 1,
+    intents: simIntents(d, 'probe-5', 2, []),
+  });
   await Promise.all([one, two]);
   s.lines.push('and at the same time', '', ...twin.lines);
 }
@@ -97,10 +155,42 @@
   const at = d.edge[0].http;
   const key = { authorization: `Bearer ${s.keys.probe}` };
   const own = { authorization: `Bearer ${s.keys['tenant-1']}` };
-  await exchange(s, callers, at, 'POST', '/v1/generate', { label: 'probe', prompt: 'Is this swap within the labour rules?' }, key);
-  await exchange(s, callers, at, 'POST', '/v1/generate', { service: 'swap-1', prompt: 'Approve or refer?', maxTokens: 2 }, { ...own, 'idempotency-key': 'swap-77' });
-  await exchange(s, callers, at, 'POST', '/v1/generate', { service: 'swap-1', prompt: 'Approve or refer?', maxTokens: 2 }, { ...own, 'idempotency-key': 'swap-77' });
-  await exchange(s, callers, d.edge[1].http, 'POST', '/v1/generate', { service: 'swap-1', prompt: 'Approve or refer?', maxTokens: 2 }, { ...own, 'idempotency-key': 'swap-77' });
+  await exchange(
+    s,
+    callers,
+    at,
+    'POST',
+    '/v1/generate',
+    { label: 'probe', prompt: 'Is this swap within the labour rules?' },
+    key,
+  );
+  await exchange(
+    s,
+    callers,
+    at,
+    'POST',
+    '/v1/generate',
+    { service: 'swap-1', prompt: 'Approve or refer?', maxTokens: 2 },
+    { ...own, 'idempotency-key': 'swap-77' },
+  );
+  await exchange(
+    s,
+    callers,
+    at,
+    'POST',
+    '/v1/generate',
+    { service: 'swap-1', prompt: 'Approve or refer?', maxTokens: 2 },
+    { ...own, 'idempotency-key': 'swap-77' },
+  );
+  await exchange(
+    s,
+    callers,
+    d.edge[1].http,
+    'POST',
+    '/v1/generate',
+    { service: 'swap-1', prompt: 'Approve or refer?', maxTokens: 2 },
+    { ...own, 'idempotency-key': 'swap-77' },
+  );
 }
 
 async function refusing(s: Scene): Promise<void> {
@@ -110,17 +200,41 @@
   const key = { authorization: `Bearer ${s.keys.probe}` };
   const own = { authorization: `Bearer ${s.keys['tenant-1']}` };
   await exchange(s, callers, at, 'POST', '/v1/generate', { label: 'probe', prompt: 'x' });
-  await exchange(s, callers, at, 'POST', '/v1/generate', { label: 'probe', prompt: 'x' }, { authorization: 'Bearer nobody' });
+  await exchange(
+    s,
+    callers,
+    at,
+    'POST',
+    '/v1/generate',
+    { label: 'probe', prompt: 'x' },
+    { authorization: 'Bearer nobody' },
+  );
   await exchange(s, callers, at, 'POST', '/v1/generate', '{"label":', key);
   await exchange(s, callers, at, 'POST', '/v1/generate', '[1]', key);
   await exchange(s, callers, at, 'POST', '/v1/generate', { label: 7, prompt: 'x' }, key);
   await exchange(s, callers, at, 'POST', '/v1/generate', { label: 'probe' }, key);
-  await exchange(s, callers, at, 'POST', '/v1/generate', { label: 'probe', tokens: [1, -2, 'x'] }, key);
+  await exchange(
+    s,
+    callers,
+    at,
+    'POST',
+    '/v1/generate',
+    { label: 'probe', tokens: [1, -2, 'x'] },
+    key,
+  );
   await exchange(s, callers, at, 'POST', '/v1/generate', { label: 'probe', prompt: '' }, key);
   await exchange(s, callers, at, 'POST', '/v1/generate', { label: 'none', prompt: 'x' }, key);
   await exchange(s, callers, at, 'POST', '/v1/generate', { service: 'swap-1', prompt: 'x' }, key);
   await exchange(s, callers, at, 'POST', '/v1/generate', { service: 'swap-1', prompt: 'x' }, own);
-  await exchange(s, callers, at, 'POST', '/v1/generate', { label: 'probe', prompt: 'x'.repeat(1 << 22) }, key);
+  await exchange(
+    s,
+    callers,
+    at,
+    'POST',
+    '/v1/generate',
+    { label: 'probe', prompt: 'x'.repeat(1 << 22) },
+    key,
+  );
   await exchange(s, callers, at, 'GET', '/v1/generate');
   for (const e of s.f.engines) e.leaving = true;
   await callers.clock.sleep(2000);
@@ -139,15 +253,40 @@
     for (const p of w.procs()) if (p.name.startsWith('engine-')) w.kill(p, false);
   }
   w.after(90, crash);
-  await exchange(s, callers, d.edge[0].http, 'POST', '/v1/generate', { service: 'swap-1', prompt: 'Approve or refer?', maxTokens: 8 }, { authorization: `Bearer ${s.keys['tenant-1']}`, 'idempotency-key': 'swap-78' });
-  await exchange(s, callers, d.edge[0].http, 'POST', '/v1/generate', { service: 'swap-1', prompt: 'Approve or refer?', maxTokens: 8 }, { authorization: `Bearer ${s.keys['tenant-1']}`, 'idempotency-key': 'swap-78' });
+  await exchange(
+    s,
+    callers,
+    d.edge[0].http,
+    'POST',
+    '/v1/generate',
+    { service: 'swap-1', prompt: 'Approve or refer?', maxTokens: 8 },
+    { authorization: `Bearer ${s.keys['tenant-1']}`, 'idempotency-key': 'swap-78' },
+  );
+  await exchange(
+    s,
+    callers,
+    d.edge[0].http,
+    'POST',
+    '/v1/generate',
+    { service: 'swap-1', prompt: 'Approve or refer?', maxTokens: 8 },
+    { authorization: `Bearer ${s.keys['tenant-1']}`, 'idempotency-key': 'swap-78' },
+  );
 }
 
 async function indexing(s: Scene): Promise<void> {
   await configured(s);
   const { callers, ops, d, w } = s.f;
-  const prompt = 'Union agreement, part one.\n\nPart two: rest between shifts.\n\nWho may swap on Sunday?';
-  await exchange(s, callers, d.edge[0].http, 'POST', '/v1/generate', { label: 'probe', prompt }, { authorization: `Bearer ${s.keys.probe}` });
+  const prompt =
+    'Union agreement, part one.\n\nPart two: rest between shifts.\n\nWho may swap on Sunday?';
+  await exchange(
+    s,
+    callers,
+    d.edge[0].http,
+    'POST',
+    '/v1/generate',
+    { label: 'probe', prompt },
+    { authorization: `Bearer ${s.keys.probe}` },
+  );
   await ops.clock.sleep(500);
   const at = d.core.map(indexHttp);
   const q = { model: 'roster', salt: 'w:probe', weights: 'w1', text: prompt };
@@ -186,7 +325,17 @@
     const { callers, d } = s.f;
     const gone = new AbortController();
     const headers = { authorization: `Bearer ${s.keys['tenant-1']}`, 'idempotency-key': 'swap-79' };
-    const [, r] = open(await callers.wire.ask({ at: d.edge[0].http, method: 'POST', path: '/v1/generate', headers, body: JSON.stringify({ service: 'check-1', prompt: 'x' }), within: 9000, gone: gone.signal }));
+    const [, r] = open(
+      await callers.wire.ask({
+        at: d.edge[0].http,
+        method: 'POST',
+        path: '/v1/generate',
+        headers,
+        body: JSON.stringify({ service: 'check-1', prompt: 'x' }),
+        within: 9000,
+        gone: gone.signal,
+      }),
+    );
     await r!.next();
     gone.abort();
     await callers.clock.sleep(2000);
@@ -200,7 +349,9 @@
     await configured(s);
     const { ops, d, w } = s.f;
     async function told(): Promise<string[]> {
-      const all = JSON.parse(await exchange(s, ops, indexHttp(d.core[0]), 'GET', '/listeners')) as { listeners: { id: string; status: string; lastError?: string }[] };
+      const all = JSON.parse(await exchange(s, ops, indexHttp(d.core[0]), 'GET', '/listeners')) as {
+        listeners: { id: string; status: string; lastError?: string }[];
+      };
       return all.listeners.map(say).sort();
     }
     function say(l: { id: string; status: string; lastError?: string }): string {
@@ -211,7 +362,11 @@
     s.f.engines[0].leaving = true;
     w.kill(w.procs().find(isStore)!, false);
     await ops.clock.sleep(2000);
-    expect(await told()).toEqual(['engine-1 paused', 'engine-2 active', 'store-1 failed with an error']);
+    expect(await told()).toEqual([
+      'engine-1 paused',
+      'engine-2 active',
+      'store-1 failed with an error',
+    ]);
   }
   await scene(12, act);
 }
--- a/test/tree.test.ts
+++ b/test/tree.test.ts
@@ -20,7 +20,12 @@
   return out;
 }
 
-function naive(facts: Fact[], salt: string, weights: string, parts: Part[]): Record<string, number> {
+function naive(
+  facts: Fact[],
+  salt: string,
+  weights: string,
+  parts: Part[],
+): Record<string, number> {
   const out: Record<string, number> = {};
   for (const s of SOURCES) {
     let t = 0;
@@ -58,7 +63,15 @@
       const weights = any(WEIGHTS);
       const parts = any(prompts);
       const i = Math.floor(dice.next() * parts.length);
-      const e: PartEvent = { kind: 'stored', model: 'm', salt, weights, parent: parts[i - 1]?.hash ?? 'm', hash: parts[i].hash, size: parts[i].size };
+      const e: PartEvent = {
+        kind: 'stored',
+        model: 'm',
+        salt,
+        weights,
+        parent: parts[i - 1]?.hash ?? 'm',
+        hash: parts[i].hash,
+        size: parts[i].size,
+      };
       const roll = dice.next();
       function other(f: Fact): boolean {
         return f.source !== source || f.salt !== salt || f.weights !== weights || f.hash !== e.hash;
@@ -79,7 +92,11 @@
       const s = any(SALTS);
       const w = any(WEIGHTS);
       const p = any(prompts);
-      expect({ seed, step, got: asked(trees, s, w, p) }).toEqual({ seed, step, got: naive(facts, s, w, p) });
+      expect({ seed, step, got: asked(trees, s, w, p) }).toEqual({
+        seed,
+        step,
+        got: naive(facts, s, w, p),
+      });
     }
     const held = new Set<string>();
     for (const f of facts) held.add(`${f.salt} ${f.hash}`);
@@ -91,7 +108,16 @@
   const trees = makeTrees(100);
   const hot = chain('hot', 10);
   function keep(parts: Part[], salt: string): void {
-    for (const [i, p] of parts.entries()) trees.apply('engine-1', { kind: 'stored', model: 'm', salt, weights: 'w1', parent: parts[i - 1]?.hash ?? 'm', hash: p.hash, size: p.size });
+    for (const [i, p] of parts.entries())
+      trees.apply('engine-1', {
+        kind: 'stored',
+        model: 'm',
+        salt,
+        weights: 'w1',
+        parent: parts[i - 1]?.hash ?? 'm',
+        hash: p.hash,
+        size: p.size,
+      });
   }
   keep(hot, 'w:a');
   for (let i = 0; i < 50; i++) {
--- a/test/weights.test.ts
+++ b/test/weights.test.ts
@@ -27,7 +27,15 @@
   function model(w: string, i: number): { name: string; weights: string } {
     return { name: `m${i + 1}`, weights: w };
   }
-  return { id, at: `${id}:1`, zone: 'z', model: 'm1', weights: weights[0], leaving: false, models: weights.map(model) };
+  return {
+    id,
+    at: `${id}:1`,
+    zone: 'z',
+    model: 'm1',
+    weights: weights[0],
+    leaving: false,
+    models: weights.map(model),
+  };
 }
 
 function ordersWeights(): void {
@@ -125,7 +133,9 @@
   expect(book.expect('a', 'm1')?.kind).toBe('old');
   await dispatch(edge, 'loaded', { engine: 'a', weights: { m1: '2' } }, undefined, 'core');
   expect(book.expect('a', 'm1')).toEqual({ weights: '2', kind: 'now' });
-  expect((await dispatch(edge, 'loading', { engines: 'a' }, undefined, 'core')).isLeft()).toBe(true);
+  expect((await dispatch(edge, 'loading', { engines: 'a' }, undefined, 'core')).isLeft()).toBe(
+    true,
+  );
 }
 
 function saltsHoldWeights(): void {
@@ -135,9 +145,15 @@
 test('whole numbers rise by size, others by their naming', ordersWeights);
 test('older weights serve until the time after the naming was heard', servesOldForATime);
 test('each older weights end by their own time', eachByItsOwnTime);
-test('a naming that was only caught up on leaves the older ones the time of a router out of touch', caughtUp);
+test(
+  'a naming that was only caught up on leaves the older ones the time of a router out of touch',
+  caughtUp,
+);
 test('the core says which engines load and have loaded', coreSays);
 test('what the core has ended serves no more', endedIsTooLate);
 test('what an engine answers goes before a list that lags', answersGoBeforeTheList);
-test('an engine that takes up weights is left alone until it has them or the time is over', loadingIsLeftAlone);
+test(
+  'an engine that takes up weights is left alone until it has them or the time is over',
+  loadingIsLeftAlone,
+);
 test('parts of other weights stand under another text', saltsHoldWeights);
--- a/tools/capacity/fit.ts
+++ b/tools/capacity/fit.ts
@@ -106,8 +106,15 @@
   }
   const tss = sumOf(ys.length, away);
   return {
-    at0: s.c[0], at0Error: s.errors[0], slope: s.c[1] / scale, slopeError: s.errors[1] / scale, residual: s.residual, r2: tss > 0 ? 1 - s.rss / tss : 1,
-    bend: q ? q.c[2] / scale ** 2 : 0, bendError: q ? q.errors[2] / scale ** 2 : 0, points: points.length,
+    at0: s.c[0],
+    at0Error: s.errors[0],
+    slope: s.c[1] / scale,
+    slopeError: s.errors[1] / scale,
+    residual: s.residual,
+    r2: tss > 0 ? 1 - s.rss / tss : 1,
+    bend: q ? q.c[2] / scale ** 2 : 0,
+    bendError: q ? q.errors[2] / scale ** 2 : 0,
+    points: points.length,
   };
 }
 
@@ -145,7 +152,8 @@
 /** The spread of some runs at one size. */
 export function spreadOf(ys: readonly number[]): Spread {
   const s = [...ys].sort(byNumber);
-  const mid = s.length % 2 === 1 ? s[(s.length - 1) / 2] : (s[s.length / 2 - 1] + s[s.length / 2]) / 2;
+  const mid =
+    s.length % 2 === 1 ? s[(s.length - 1) / 2] : (s[s.length / 2 - 1] + s[s.length / 2]) / 2;
   return { median: mid, least: s[0], most: s[s.length - 1], runs: s.length };
 }
 
--- a/tools/capacity/load.ts
+++ b/tools/capacity/load.ts
@@ -13,7 +13,12 @@
 
 async function connected(h: Hollow, at: string): Promise<Held> {
   const hello = { version: WIRE_VERSION, name: 'capacity', role: 'runner', at: '', zone: 'zone-1' };
-  const held = hold(h.ports, at, { hello, edges: [new HelloEdge(hello)], within: 2000, pause: 200 });
+  const held = hold(h.ports, at, {
+    hello,
+    edges: [new HelloEdge(hello)],
+    within: 2000,
+    pause: 200,
+  });
   async function up(): Promise<boolean> {
     return held.up() !== undefined;
   }
@@ -22,7 +27,14 @@
 }
 
 /** Asks peers at a pace over held connections, one ask to each in turn or to all at once. */
-export async function askAt(h: Hollow, ats: string[], perS: number, forMs: number, toAll: boolean, make: (n: number) => { type: string; body: unknown }): Promise<AskSeen> {
+export async function askAt(
+  h: Hollow,
+  ats: string[],
+  perS: number,
+  forMs: number,
+  toAll: boolean,
+  make: (n: number) => { type: string; body: unknown },
+): Promise<AskSeen> {
   const helds: Held[] = [];
   for (const at of ats) helds.push(await connected(h, at));
   const took: number[] = [];
@@ -40,14 +52,20 @@
     const due = ((h.ports.clock.now() - began) / 1000) * perS;
     for (; n < due; n++) {
       const ask = make(n);
-      for (const [i, held] of helds.entries()) if (toAll || n % helds.length === i) going.push(one(held, ask));
+      for (const [i, held] of helds.entries())
+        if (toAll || n % helds.length === i) going.push(one(held, ask));
     }
     await h.ports.clock.sleep(2);
   }
   await Promise.all(going);
   for (const held of helds) held.stop();
   took.sort(byNumber);
-  return { asked: n, failed, msMedian: took[took.length >> 1] ?? NaN, msMost: took[took.length - 1] ?? NaN };
+  return {
+    asked: n,
+    failed,
+    msMedian: took[took.length >> 1] ?? NaN,
+    msMost: took[took.length - 1] ?? NaN,
+  };
 }
 
 function byNumber(a: number, b: number): number {
@@ -60,7 +78,8 @@
   function make(n: number): { type: string; body: unknown } {
     const e = h.engines[n % h.sizes.engines];
     const parts: Part[] = [];
-    for (let i = 0; i < CHAIN; i++) parts.push({ hash: hollowHash(e.id, 1 + ((n * 7) % prompts), i), size: 64 });
+    for (let i = 0; i < CHAIN; i++)
+      parts.push({ hash: hollowHash(e.id, 1 + ((n * 7) % prompts), i), size: 64 });
     return { type: 'query', body: { model: MODEL, salt: SALT, weights: 'w1', parts } };
   }
   return make;
@@ -70,7 +89,9 @@
 export function voteOf(mark: string): (n: number) => { type: string; body: unknown } {
   function make(n: number): { type: string; body: unknown } {
     const key = `${mark}${(n >> 1).toString(16).padStart(32, '0')}`.slice(-32);
-    return n % 2 === 0 ? { type: 'vote', body: { key, run: `${mark}.${n >> 1}` } } : { type: 'run', body: { key, run: `${mark}.${n >> 1}`, state: 'done' } };
+    return n % 2 === 0
+      ? { type: 'vote', body: { key, run: `${mark}.${n >> 1}` } }
+      : { type: 'run', body: { key, run: `${mark}.${n >> 1}`, state: 'done' } };
   }
   return make;
 }
@@ -88,7 +109,10 @@
 export function placedOf(h: Hollow): (n: number) => { type: string; body: unknown } {
   const ask = promptOf(h);
   function make(n: number): { type: string; body: unknown } {
-    return { type: 'placed', body: { model: MODEL, salt: SALT, engine: h.engines[n % h.sizes.engines].id, parts: ask(n) } };
+    return {
+      type: 'placed',
+      body: { model: MODEL, salt: SALT, engine: h.engines[n % h.sizes.engines].id, parts: ask(n) },
+    };
   }
   return make;
 }
@@ -105,10 +129,14 @@
 }
 
 /** A router's loads: some of so many engines have changed since its last tell. */
-export function boardOf(engines: number, changed: number): (n: number) => { type: string; body: unknown } {
+export function boardOf(
+  engines: number,
+  changed: number,
+): (n: number) => { type: string; body: unknown } {
   function make(n: number): { type: string; body: unknown } {
     const own: [string, number, number][] = [];
-    for (let i = 0; i < Math.min(engines, changed); i++) own.push([`engine-${(n * 13 + i) % engines}`, 1 + ((n + i) % 5), 100 * ((n + i) % 7)]);
+    for (let i = 0; i < Math.min(engines, changed); i++)
+      own.push([`engine-${(n * 13 + i) % engines}`, 1 + ((n + i) % 5), 100 * ((n + i) % 7)]);
     return { type: 'loads', body: { full: false, own } };
   }
   return make;
--- a/tools/capacity/measure.ts
+++ b/tools/capacity/measure.ts
@@ -73,7 +73,11 @@
 }
 
 async function addMemory(h: Hollow, out: Measured): Promise<void> {
-  for (const [name, role, count] of [['controller', 'controller', h.sizes.controllers], ['node', 'nodes', h.sizes.nodes], ['indexer', 'indexer', h.sizes.indexers]] as const) {
+  for (const [name, role, count] of [
+    ['controller', 'controller', h.sizes.controllers],
+    ['node', 'nodes', h.sizes.nodes],
+    ['indexer', 'indexer', h.sizes.indexers],
+  ] as const) {
     if (count === 0) continue;
     const f = await h.read(role, true);
     out[`${name} heap MB`] = sum(f.map(heapOf)) / (name === 'node' ? f.length : count);
@@ -91,7 +95,12 @@
 }
 
 /** What one of `times` changes cost beyond the quiet rates. */
-export async function costOf(h: Hollow, idle: Measured, times: number, change: () => Promise<void>): Promise<Measured> {
+export async function costOf(
+  h: Hollow,
+  idle: Measured,
+  times: number,
+  change: () => Promise<void>,
+): Promise<Measured> {
   const before = { c: await h.read('controller'), n: await h.read('nodes') };
   const began = h.ports.clock.now();
   await change();
@@ -105,12 +114,20 @@
     return t;
   }
   const c = h.sizes.controllers;
-  out['change: controller cpu ms'] = (grew('c', 'cpuMs') / c - idle['controller cpu ms/s'] * s) / times;
-  out['change: controller B'] = ((grew('c', 'bytesIn') + grew('c', 'bytesOut')) / c - (idle['controller in B/s'] + idle['controller out B/s']) * s) / times;
+  out['change: controller cpu ms'] =
+    (grew('c', 'cpuMs') / c - idle['controller cpu ms/s'] * s) / times;
+  out['change: controller B'] =
+    ((grew('c', 'bytesIn') + grew('c', 'bytesOut')) / c -
+      (idle['controller in B/s'] + idle['controller out B/s']) * s) /
+    times;
   out['change: controller disk B'] = grew('c', 'diskBytes') / c / times;
   if (h.sizes.nodes > 0) {
-    out['change: node cpu ms'] = (grew('n', 'cpuMs') / h.sizes.nodes - idle['node cpu ms/s'] * s) / times;
-    out['change: node B'] = ((grew('n', 'bytesIn') + grew('n', 'bytesOut')) / h.sizes.nodes - (idle['node in B/s'] + idle['node out B/s']) * s) / times;
+    out['change: node cpu ms'] =
+      (grew('n', 'cpuMs') / h.sizes.nodes - idle['node cpu ms/s'] * s) / times;
+    out['change: node B'] =
+      ((grew('n', 'bytesIn') + grew('n', 'bytesOut')) / h.sizes.nodes -
+        (idle['node in B/s'] + idle['node out B/s']) * s) /
+      times;
   }
   return out;
 }
@@ -137,7 +154,12 @@
 }
 
 /** Runs one fleet, and ends it whatever comes of it. */
-export async function withFleet(sizes: Partial<HollowSizes>, folder: string, net: number, run: (h: Hollow) => Promise<Measured>): Promise<Measured> {
+export async function withFleet(
+  sizes: Partial<HollowSizes>,
+  folder: string,
+  net: number,
+  run: (h: Hollow) => Promise<Measured>,
+): Promise<Measured> {
   const h = await startHollow({ ...EMPTY, ...sizes }, folder, net);
   try {
     const began = h.ports.clock.now();
@@ -148,4 +170,3 @@
     await h.stop();
   }
 }
-
--- a/tools/capacity/meter.ts
+++ b/tools/capacity/meter.ts
@@ -101,8 +101,16 @@
       bytes.bytesOut += s.bytesWritten;
     }
     return {
-      atMs: performance.now(), cpuMs: (used.user + used.system) / 1000, rssMb: memory.rss / 1e6, heapMb: (memory.heapUsed + memory.external) / 1e6, ...bytes,
-      sent: { ...sent }, took: { ...took }, diskBytes: disk.bytes, diskSyncs: disk.syncs, more,
+      atMs: performance.now(),
+      cpuMs: (used.user + used.system) / 1000,
+      rssMb: memory.rss / 1e6,
+      heapMb: (memory.heapUsed + memory.external) / 1e6,
+      ...bytes,
+      sent: { ...sent },
+      took: { ...took },
+      diskBytes: disk.bytes,
+      diskSyncs: disk.syncs,
+      more,
     };
   }
 
@@ -136,7 +144,15 @@
     return (y - x) / seconds;
   }
   return {
-    seconds, cpuMs: a1(a.cpuMs, b.cpuMs), bytesIn: a1(a.bytesIn, b.bytesIn), bytesOut: a1(a.bytesOut, b.bytesOut), messages: a1(total(a.sent), total(b.sent)) + a1(total(a.took), total(b.took)),
-    diskBytes: a1(a.diskBytes, b.diskBytes), diskSyncs: a1(a.diskSyncs, b.diskSyncs), rssMb: b.rssMb, heapMb: b.heapMb, more: b.more,
+    seconds,
+    cpuMs: a1(a.cpuMs, b.cpuMs),
+    bytesIn: a1(a.bytesIn, b.bytesIn),
+    bytesOut: a1(a.bytesOut, b.bytesOut),
+    messages: a1(total(a.sent), total(b.sent)) + a1(total(a.took), total(b.took)),
+    diskBytes: a1(a.diskBytes, b.diskBytes),
+    diskSyncs: a1(a.diskSyncs, b.diskSyncs),
+    rssMb: b.rssMb,
+    heapMb: b.heapMb,
+    more: b.more,
   };
 }
--- a/tools/capacity/report.ts
+++ b/tools/capacity/report.ts
@@ -27,7 +27,14 @@
 /** The points of one value along one axis; runs of a fleet that had not settled don't count. */
 export function pointsOf(runs: readonly Run[], mark: string, axis: string, value: string): Point[] {
   const out: Point[] = [];
-  for (const r of runs) if (r.mark === mark && r.axis === axis && r.values.settled === 1 && Number.isFinite(r.values[value])) out.push({ x: r.size, y: r.values[value] });
+  for (const r of runs)
+    if (
+      r.mark === mark &&
+      r.axis === axis &&
+      r.values.settled === 1 &&
+      Number.isFinite(r.values[value])
+    )
+      out.push({ x: r.size, y: r.values[value] });
   return out;
 }
 
@@ -63,10 +70,14 @@
 
 /** The table of slopes of one mark. */
 export function slopesTable(runs: readonly Run[], mark: string): string {
-  const rows = ['| axis | value | sizes run | runs | at 0 | slope | residual | R² | bends | least, median, most at the largest |', '| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |'];
+  const rows = [
+    '| axis | value | sizes run | runs | at 0 | slope | residual | R² | bends | least, median, most at the largest |',
+    '| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |',
+  ];
   for (const a of AXES) {
     const names = new Set<string>();
-    for (const r of runs) if (r.mark === mark && r.axis === a.name) for (const k of Object.keys(r.values)) names.add(k);
+    for (const r of runs)
+      if (r.mark === mark && r.axis === a.name) for (const k of Object.keys(r.values)) names.add(k);
     for (const value of names) {
       const points = pointsOf(runs, mark, a.name, value);
       if (sizesOf(points).length > 1) rows.push(rowOf(a.name, value, points));
@@ -80,11 +91,17 @@
   if (sizesOf(points).length < 2) return { value: NaN, error: NaN };
   const l: Line = fitLine(points);
   const by = (t.of ? s[t.of] : 1) * (t.times ? t.times(s) : 1);
-  return t.of ? { value: l.slope * by, error: l.slopeError * by } : { value: l.at0 * by, error: l.at0Error * by };
+  return t.of
+    ? { value: l.slope * by, error: l.slopeError * by }
+    : { value: l.at0 * by, error: l.at0Error * by };
 }
 
 /** What a line comes to at a size: the sum of its products, and their errors as if apart. */
-export function workOut(runs: readonly Run[], line: PlanLine, size: keyof typeof SIZES): { value: number; error: number } {
+export function workOut(
+  runs: readonly Run[],
+  line: PlanLine,
+  size: keyof typeof SIZES,
+): { value: number; error: number } {
   let value = 0;
   let square = 0;
   for (const t of line.terms) {
@@ -111,7 +128,13 @@
 }
 
 /** Draws one axis: a panel for each value, its runs and its line. */
-export async function plot(runs: readonly Run[], axis: string, of: string, values: readonly string[], file: string): Promise<void> {
+export async function plot(
+  runs: readonly Run[],
+  axis: string,
+  of: string,
+  values: readonly string[],
+  file: string,
+): Promise<void> {
   const dots: object[] = [];
   const lines: object[] = [];
   for (const mark of ['before', 'now']) {
@@ -121,26 +144,53 @@
       if (sizes.length < 2) continue;
       const l = fitLine(points);
       for (const p of points) dots.push({ value, mark, x: p.x, y: p.y });
-      for (const x of [0, sizes[sizes.length - 1]]) lines.push({ value, mark, x, y: l.at0 + l.slope * x });
+      for (const x of [0, sizes[sizes.length - 1]])
+        lines.push({ value, mark, x, y: l.at0 + l.slope * x });
     }
   }
   if (dots.length === 0) return;
-  const color = { field: 'mark', type: 'nominal', scale: { domain: ['before', 'now'], range: ['#c0883a', '#2a6f97'] }, title: null };
+  const color = {
+    field: 'mark',
+    type: 'nominal',
+    scale: { domain: ['before', 'now'], range: ['#c0883a', '#2a6f97'] },
+    title: null,
+  };
   const x = { field: 'x', type: 'quantitative', title: of };
   const y = { field: 'y', type: 'quantitative', title: null };
   const panels: object[] = [];
   for (const value of values) {
     const test = `datum.value === ${JSON.stringify(value)}`;
     panels.push({
-      title: { text: value, fontSize: 11 }, width: 220, height: 150,
+      title: { text: value, fontSize: 11 },
+      width: 220,
+      height: 150,
       layer: [
-        { data: { values: lines }, transform: [{ filter: test }], mark: { type: 'line', strokeWidth: 1 }, encoding: { x, y, color } },
-        { data: { values: dots }, transform: [{ filter: test }], mark: { type: 'point', size: 22, filled: true, opacity: 0.6 }, encoding: { x, y, color } },
+        {
+          data: { values: lines },
+          transform: [{ filter: test }],
+          mark: { type: 'line', strokeWidth: 1 },
+          encoding: { x, y, color },
+        },
+        {
+          data: { values: dots },
+          transform: [{ filter: test }],
+          mark: { type: 'point', size: 22, filled: true, opacity: 0.6 },
+          encoding: { x, y, color },
+        },
       ],
     });
   }
-  const spec = { $schema: 'https://vega.github.io/schema/vega-lite/v5.json', background: 'white', concat: panels, columns: 3, resolve: { scale: { y: 'independent' } } } as unknown as TopLevelSpec;
-  writeFileSync(file, await new vega.View(vega.parse(compile(spec).spec), { renderer: 'none' }).toSVG());
+  const spec = {
+    $schema: 'https://vega.github.io/schema/vega-lite/v5.json',
+    background: 'white',
+    concat: panels,
+    columns: 3,
+    resolve: { scale: { y: 'independent' } },
+  } as unknown as TopLevelSpec;
+  writeFileSync(
+    file,
+    await new vega.View(vega.parse(compile(spec).spec), { renderer: 'none' }).toSVG(),
+  );
 }
 
 /** Values that are drawn, by axis. */
@@ -154,7 +204,14 @@
   changes: ['change: controller cpu ms', 'change: controller B', 'change: median ms'],
   list: ['controller in B/s', 'change: controller B', 'change: node B'],
   votes: ['votes cpu ms/s', 'syncs/s', 'vote: cpu ms'],
-  'deployment-tenants': ['change: controller cpu ms', 'change: router cpu ms', 'router heap MB', 'change: controller disk B', 'change: router B', 'change: median ms'],
+  'deployment-tenants': [
+    'change: controller cpu ms',
+    'change: router cpu ms',
+    'router heap MB',
+    'change: controller disk B',
+    'change: router B',
+    'change: median ms',
+  ],
   'deployment-routes': ['change: controller cpu ms', 'change: router cpu ms', 'router heap MB'],
   'deployment-nodes': ['change: controller cpu ms', 'change: controller B', 'change: median ms'],
   'feed-events': ['indexer cpu ms/s', 'indexer in B/s', 'indexer heap MB'],
@@ -167,5 +224,6 @@
 
 /** Draws all axes that were run. */
 export async function plotAll(runs: readonly Run[], folder: string): Promise<void> {
-  for (const a of AXES) if (DRAWN[a.name]) await plot(runs, a.name, a.of, DRAWN[a.name], join(folder, `${a.name}.svg`));
+  for (const a of AXES)
+    if (DRAWN[a.name]) await plot(runs, a.name, a.of, DRAWN[a.name], join(folder, `${a.name}.svg`));
 }
--- a/tools/capacity/role.ts
+++ b/tools/capacity/role.ts
@@ -41,7 +41,14 @@
 const meter = startMeter();
 
 function portsFor(name: string, data: string, dial: number): Ports {
-  return meter.ports({ clock: realClock(), dice: realDice(), disk: realDisk(data), wire: realWire(dial), log: realLog(ways.role, name, 20), http: realHttp() });
+  return meter.ports({
+    clock: realClock(),
+    dice: realDice(),
+    disk: realDisk(data),
+    wire: realWire(dial),
+    log: realLog(ways.role, name, 20),
+    http: realHttp(),
+  });
 }
 
 function dialectOf(name: string): Dialect | undefined {
@@ -59,7 +66,11 @@
   const ports = portsFor(s.name, s.data, boundsOf(s).dial);
   const [f, c] = open(await startController(ports, s, dialectOf(s.dialect)));
   if (f) return broke(f.why);
-  const [g] = open(await (s.dialect === 'platform' ? serveDeployment(c, ports, platform) : serveOperators(c, ports)));
+  const [g] = open(
+    await (s.dialect === 'platform'
+      ? serveDeployment(c, ports, platform)
+      : serveOperators(c, ports)),
+  );
   if (g) return broke(g.why);
   startDuties(c, ports, dialectOf(s.dialect));
   return controllerMore(c);
@@ -69,13 +80,20 @@
   function more(): Record<string, number> {
     let owned = 0;
     for (const k of c.slots.cells.keys()) if (c.owner.owns(k)) owned++;
-    return { keys: c.slots.cells.size, owned, members: c.leases.members().length, majority: c.hasMajority() ? 1 : 0 };
+    return {
+      keys: c.slots.cells.size,
+      owned,
+      members: c.leases.members().length,
+      majority: c.hasMajority() ? 1 : 0,
+    };
   }
   return more;
 }
 
 async function indexer(s: Settings): Promise<More> {
-  const [f, ix] = open(await startIndexer(portsFor(s.name, s.data, boundsOf(s).dial), s, dialectOf(s.dialect)));
+  const [f, ix] = open(
+    await startIndexer(portsFor(s.name, s.data, boundsOf(s).dial), s, dialectOf(s.dialect)),
+  );
   if (f) return broke(f.why);
   return indexerMore(ix);
 }
@@ -84,7 +102,13 @@
   function more(): Record<string, number> {
     let seqs = 0;
     for (const l of ix.listeners()) seqs += l.lastSeq;
-    return { parts: ix.trees.size(), batches: seqs, queries: ix.counts.queries, open: ix.gateOpen() ? 1 : 0, listeners: ix.listeners().length };
+    return {
+      parts: ix.trees.size(),
+      batches: seqs,
+      queries: ix.counts.queries,
+      open: ix.gateOpen() ? 1 : 0,
+      listeners: ix.listeners().length,
+    };
   }
   return more;
 }
@@ -98,7 +122,14 @@
   for (const s of list) {
     const ports = portsFor(s.name, s.data, boundsOf(s).dial);
     const hello = { version: WIRE_VERSION, name: s.name, role: 'router', at: s.wire, zone: s.zone };
-    const f = follow(ports, boundsOf(s), hello, { ...hello, http: s.http, life: ports.dice.id().slice(0, 8) }, s.seeds, [new HelloEdge(hello)]);
+    const f = follow(
+      ports,
+      boundsOf(s),
+      hello,
+      { ...hello, http: s.http, life: ports.dice.id().slice(0, 8) },
+      s.seeds,
+      [new HelloEdge(hello)],
+    );
     void f.changes.observe(changed);
     all.push(f);
   }
@@ -127,7 +158,9 @@
   const all: Router[] = [];
   for (const s of list) {
     if (s.dialect === 'platform') {
-      const [g] = open(await startDialectRouter(portsFor(s.name, s.data, boundsOf(s).dial), s, platform));
+      const [g] = open(
+        await startDialectRouter(portsFor(s.name, s.data, boundsOf(s).dial), s, platform),
+      );
       if (g) return broke(g.why);
       continue;
     }
@@ -149,7 +182,9 @@
 async function sources(dialect: string, list: SourceWays[]): Promise<More> {
   const ports = portsFor('sources', '.', 1000);
   for (const w of list) {
-    const o = await (dialect === 'platform' ? startPlatformSource(ports, w) : startSource(ports, w));
+    const o = await (dialect === 'platform'
+      ? startPlatformSource(ports, w)
+      : startSource(ports, w));
     if (o.isLeft()) return broke(JSON.stringify(o.extract()));
   }
   return none;
@@ -161,11 +196,16 @@
 
 async function start(): Promise<More> {
   switch (ways.role) {
-    case 'controller': return controller(ways.settings);
-    case 'indexer': return indexer(ways.settings);
-    case 'nodes': return nodes(ways.settings);
-    case 'routers': return routers(ways.settings);
-    case 'sources': return sources(ways.dialect, ways.sources);
+    case 'controller':
+      return controller(ways.settings);
+    case 'indexer':
+      return indexer(ways.settings);
+    case 'nodes':
+      return nodes(ways.settings);
+    case 'routers':
+      return routers(ways.settings);
+    case 'sources':
+      return sources(ways.dialect, ways.sources);
   }
 }
 
--- a/tools/capacity/sources.ts
+++ b/tools/capacity/sources.ts
@@ -32,19 +32,36 @@
   private readonly began: number;
   private readonly filled: number;
 
-  constructor(private readonly ports: Ports, private readonly w: SourceWays) {
-    this.began = ports.clock.now() - (w.eventsPerS > 0 ? ports.dice.next() * (BATCH / w.eventsPerS) * 1000 : 0);
+  constructor(
+    private readonly ports: Ports,
+    private readonly w: SourceWays,
+  ) {
+    this.began =
+      ports.clock.now() -
+      (w.eventsPerS > 0 ? ports.dice.next() * (BATCH / w.eventsPerS) * 1000 : 0);
     this.filled = Math.ceil(w.holds / CHAIN);
   }
 
   private last(): number {
-    return this.filled + Math.floor(((this.ports.clock.now() - this.began) / 1000) * (this.w.eventsPerS / BATCH));
+    return (
+      this.filled +
+      Math.floor(((this.ports.clock.now() - this.began) / 1000) * (this.w.eventsPerS / BATCH))
+    );
   }
 
   private prompt(kind: 'stored' | 'removed', n: number): PartEvent[] {
     const out: PartEvent[] = [];
     const { id, model, salt } = this.w;
-    for (let i = 0; i < CHAIN; i++) out.push({ kind, model, weights: 'w1', salt, parent: i === 0 ? model : hollowHash(id, n, i - 1), hash: hollowHash(id, n, i), size: PART });
+    for (let i = 0; i < CHAIN; i++)
+      out.push({
+        kind,
+        model,
+        weights: 'w1',
+        salt,
+        parent: i === 0 ? model : hollowHash(id, n, i - 1),
+        hash: hollowHash(id, n, i),
+        size: PART,
+      });
     return kind === 'stored' ? out : out.reverse();
   }
 
@@ -58,17 +75,35 @@
   async events(call: Call): Promise<void> {
     const after = Number(call.query.get('after') ?? 0);
     const until = this.ports.clock.now() + Number(call.query.get('wait') ?? 1000);
-    const pace = this.w.eventsPerS > 0 ? Math.max(100, (BATCH / this.w.eventsPerS) * 1000) : Infinity;
-    while (this.last() <= after && !call.gone.aborted && this.ports.clock.now() < until) await this.ports.clock.sleep(Math.min(pace, until - this.ports.clock.now()));
+    const pace =
+      this.w.eventsPerS > 0 ? Math.max(100, (BATCH / this.w.eventsPerS) * 1000) : Infinity;
+    while (this.last() <= after && !call.gone.aborted && this.ports.clock.now() < until)
+      await this.ports.clock.sleep(Math.min(pace, until - this.ports.clock.now()));
     const batches: EventBatch[] = [];
-    for (let n = after + 1; n <= this.last() && batches.length < MOST; n++) batches.push(this.batch(n));
-    giveJson(call, 200, { epoch: this.w.id, lost: false, last: batches.length > 0 ? batches[batches.length - 1].seq : after, batches });
+    for (let n = after + 1; n <= this.last() && batches.length < MOST; n++)
+      batches.push(this.batch(n));
+    giveJson(call, 200, {
+      epoch: this.w.id,
+      lost: false,
+      last: batches.length > 0 ? batches[batches.length - 1].seq : after,
+      batches,
+    });
   }
 
   /** Says that it has room. */
   @handles('GET', '/api/status')
   async status(call: Call): Promise<void> {
-    giveJson(call, 200, { id: this.w.id, model: this.w.model, weights: 'w1', running: 1, waiting: 0, batch: 16, queue: 16, unreadTokens: 100, leaving: false });
+    giveJson(call, 200, {
+      id: this.w.id,
+      model: this.w.model,
+      weights: 'w1',
+      running: 1,
+      waiting: 0,
+      batch: 16,
+      queue: 16,
+      unreadTokens: 100,
+      leaving: false,
+    });
   }
 }
 
--- a/tools/fleet/fleet.ts
+++ b/tools/fleet/fleet.ts
@@ -50,7 +50,13 @@
 /** Makes a fleet that nothing runs in yet. */
 export function makeFleet(d: Deployment, folder: string): Fleet {
   const procs = new Map<string, Proc>();
-  const ports: Ports = { clock: realClock(), dice: realDice(), disk: realDisk(folder), wire: realWire(2000), log: realLog('fleet', d.name) };
+  const ports: Ports = {
+    clock: realClock(),
+    dice: realDice(),
+    disk: realDisk(folder),
+    wire: realWire(2000),
+    log: realLog('fleet', d.name),
+  };
 
   async function start(name: string, role: string, args: string[], data: string): Promise<void> {
     const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'], cwd: folder });
@@ -67,7 +73,11 @@
 
   function cli(args: string[]): Promise<{ code: number; out: string }> {
     const at = d.core.map(httpOf).join(',');
-    const child = spawn(process.execPath, [join(ROOT, 'src/programs/plumhollow.js'), '--at', at, '--json', ...args], { stdio: ['ignore', 'pipe', 'inherit'] });
+    const child = spawn(
+      process.execPath,
+      [join(ROOT, 'src/programs/plumhollow.js'), '--at', at, '--json', ...args],
+      { stdio: ['ignore', 'pipe', 'inherit'] },
+    );
     let out = '';
     function said(b: Buffer): void {
       out += String(b);
@@ -94,7 +104,11 @@
 }
 
 /** Starts every process of the deployment. */
-export async function startAll(f: Fleet, placeBy = 'index', linked?: { told: string; bound: string }): Promise<void> {
+export async function startAll(
+  f: Fleet,
+  placeBy = 'index',
+  linked?: { told: string; bound: string },
+): Promise<void> {
   const { d, folder } = f;
   function bind(at: string): string[] {
     return linked ? ['--bind', boundOf(at, linked).split(':')[0]] : [];
@@ -109,18 +123,115 @@
     const ats = [...d.engines.map(atOf), d.store.at];
     for (const c of d.core) ats.push(c.wire, c.http, c.indexWire, c.indexHttp);
     for (const e of d.edge) ats.push(e.wire, e.http);
-    await f.start('links', 'links', [standin, 'links', JSON.stringify({ ...linked, ats, control: controlOf(d) })], '');
+    await f.start(
+      'links',
+      'links',
+      [standin, 'links', JSON.stringify({ ...linked, ats, control: controlOf(d) })],
+      '',
+    );
   }
-  ups.push(f.start('platform', 'platform', [standin, 'platform', JSON.stringify({ at: d.platform, engines: d.engines.map(listed) })], ''));
-  for (const e of [...d.engines, d.store]) ups.push(f.start(e.id, 'engine', [standin, 'engine', JSON.stringify({ ...e, at: linked ? boundOf(e.at, linked) : e.at, bind: bind(e.at)[1], ledgerFile: join(folder, `${e.id}.ledger`) })], ''));
+  ups.push(
+    f.start(
+      'platform',
+      'platform',
+      [standin, 'platform', JSON.stringify({ at: d.platform, engines: d.engines.map(listed) })],
+      '',
+    ),
+  );
+  for (const e of [...d.engines, d.store])
+    ups.push(
+      f.start(
+        e.id,
+        'engine',
+        [
+          standin,
+          'engine',
+          JSON.stringify({
+            ...e,
+            at: linked ? boundOf(e.at, linked) : e.at,
+            bind: bind(e.at)[1],
+            ledgerFile: join(folder, `${e.id}.ledger`),
+          }),
+        ],
+        '',
+      ),
+    );
   for (const c of d.core) {
-    const common = ['--seeds', seeds, '--zone', c.zone, '--weights-bound-ms', String(d.weightsBoundMs), ...bind(c.wire)];
+    const common = [
+      '--seeds',
+      seeds,
+      '--zone',
+      c.zone,
+      '--weights-bound-ms',
+      String(d.weightsBoundMs),
+      ...bind(c.wire),
+    ];
     const data = join(folder, c.name);
-    ups.push(f.start(c.name, 'controller', [program('controller'), '--name', c.name, '--wire', c.wire, '--http', c.http, '--platform', d.platform, '--data', data, ...common], data));
-    ups.push(f.start(`index-${c.name}`, 'indexer', [program('indexer'), '--name', `index-${c.name}`, '--wire', c.indexWire, '--http', c.indexHttp, ...common], ''));
+    ups.push(
+      f.start(
+        c.name,
+        'controller',
+        [
+          program('controller'),
+          '--name',
+          c.name,
+          '--wire',
+          c.wire,
+          '--http',
+          c.http,
+          '--platform',
+          d.platform,
+          '--data',
+          data,
+          ...common,
+        ],
+        data,
+      ),
+    );
+    ups.push(
+      f.start(
+        `index-${c.name}`,
+        'indexer',
+        [
+          program('indexer'),
+          '--name',
+          `index-${c.name}`,
+          '--wire',
+          c.indexWire,
+          '--http',
+          c.indexHttp,
+          ...common,
+        ],
+        '',
+      ),
+    );
   }
   for (const e of d.edge) {
-    ups.push(f.start(e.name, 'router', [program('router'), '--name', e.name, '--zone', e.zone, '--wire', e.wire, '--http', e.http, '--seeds', seeds, '--weights-bound-ms', String(d.weightsBoundMs), '--place-by', placeBy, ...bind(e.wire)], ''));
+    ups.push(
+      f.start(
+        e.name,
+        'router',
+        [
+          program('router'),
+          '--name',
+          e.name,
+          '--zone',
+          e.zone,
+          '--wire',
+          e.wire,
+          '--http',
+          e.http,
+          '--seeds',
+          seeds,
+          '--weights-bound-ms',
+          String(d.weightsBoundMs),
+          '--place-by',
+          placeBy,
+          ...bind(e.wire),
+        ],
+        '',
+      ),
+    );
   }
   await Promise.all(ups);
 }
@@ -135,7 +246,11 @@
 }
 
 /** Waits until something holds, by asking again; false when the bound has passed. */
-export async function until(f: Fleet, within: number, test: () => Promise<boolean>): Promise<boolean> {
+export async function until(
+  f: Fleet,
+  within: number,
+  test: () => Promise<boolean>,
+): Promise<boolean> {
   const end = f.ports.clock.now() + within;
   while (f.ports.clock.now() < end) {
     if (await test()) return true;
@@ -147,7 +262,9 @@
 /** Whether every router says that it takes requests. */
 export async function allReady(f: Fleet, ats: string[]): Promise<boolean> {
   for (const at of ats) {
-    const [e, r] = open(await askJson(f.ports.wire, { at, method: 'GET', path: '/healthz', within: 1000 }));
+    const [e, r] = open(
+      await askJson(f.ports.wire, { at, method: 'GET', path: '/healthz', within: 1000 }),
+    );
     if (e || r.status !== 200) return false;
   }
   return true;
@@ -196,7 +313,8 @@
   for (const e of f.d.engines) {
     const file = join(f.folder, `${e.id}.ledger`);
     if (!existsSync(file)) continue;
-    for (const line of readFileSync(file, 'utf8').split('\n')) if (line) out.push(JSON.parse(line) as LedgerEntry);
+    for (const line of readFileSync(file, 'utf8').split('\n'))
+      if (line) out.push(JSON.parse(line) as LedgerEntry);
   }
   return out;
 }
@@ -204,7 +322,9 @@
 async function sumMetrics(f: Fleet): Promise<Record<string, number>> {
   const sums: Record<string, number> = {};
   for (const e of f.d.edge) {
-    const [g, r] = open(await f.ports.wire.ask({ at: e.http, method: 'GET', path: '/metrics', within: 2000 }));
+    const [g, r] = open(
+      await f.ports.wire.ask({ at: e.http, method: 'GET', path: '/metrics', within: 2000 }),
+    );
     if (g) continue;
     const [, text] = open(await r.next());
     for (const line of String(text ?? '').split('\n')) {
@@ -220,10 +340,23 @@
   for (const t of f.d.intents.tenants) if (t.sharing === 'walled') walled.add(t.id);
   const v = judge(readLedgers(f), r, walled, edgeNames(f.d.edge));
   const { seen, wrong, ...rest } = r;
-  process.stdout.write(JSON.stringify({
-    deployment: f.d.name, ...rest, wrong: wrong.length, notWhole: sortsOf(seen), verdict: v, routers: m,
-    oracleReuse: seenBefore(f, seen), reuse: m.needed ? Math.round((m.reused / m.needed) * 1000) / 1000 : 0, secondTryShare: m.asked ? Math.round((m.second_tries / m.asked) * 10000) / 10000 : 0,
-  }, null, 2) + '\n');
+  process.stdout.write(
+    JSON.stringify(
+      {
+        deployment: f.d.name,
+        ...rest,
+        wrong: wrong.length,
+        notWhole: sortsOf(seen),
+        verdict: v,
+        routers: m,
+        oracleReuse: seenBefore(f, seen),
+        reuse: m.needed ? Math.round((m.reused / m.needed) * 1000) / 1000 : 0,
+        secondTryShare: m.asked ? Math.round((m.second_tries / m.asked) * 10000) / 10000 : 0,
+      },
+      null,
+      2,
+    ) + '\n',
+  );
   return isClean(v);
 }
 
@@ -252,7 +385,9 @@
 
 function sortsOf(seen: Report['seen']): Record<string, number> {
   const by: Record<string, number> = {};
-  for (const s of seen) for (const l of s.attempts) if (l.sort !== 'whole') by[`${l.status} ${l.sort}`] = (by[`${l.status} ${l.sort}`] ?? 0) + 1;
+  for (const s of seen)
+    for (const l of s.attempts)
+      if (l.sort !== 'whole') by[`${l.status} ${l.sort}`] = (by[`${l.status} ${l.sort}`] ?? 0) + 1;
   return by;
 }
 
@@ -265,7 +400,11 @@
 }
 
 /** Runs a whole fleet once, with a fault halfway; says whether nothing forbidden was seen. */
-async function runOnce(d: Deployment, o: RunnerWays, fault: string | undefined): Promise<{ clean: boolean; row: string }> {
+async function runOnce(
+  d: Deployment,
+  o: RunnerWays,
+  fault: string | undefined,
+): Promise<{ clean: boolean; row: string }> {
   const folder = resolve('fleet-data', d.name);
   rmSync(folder, { recursive: true, force: true });
   mkdirSync(folder, { recursive: true });
@@ -277,31 +416,61 @@
   }
 }
 
-async function runOn(f: Fleet, o: RunnerWays, fault: string | undefined): Promise<{ clean: boolean; row: string }> {
+async function runOn(
+  f: Fleet,
+  o: RunnerWays,
+  fault: string | undefined,
+): Promise<{ clean: boolean; row: string }> {
   const { d } = f;
-  await startAll(f, o.placeBy, fault?.startsWith('cut-') ? { told: o.net, bound: String(Number(o.net) + 1) } : undefined);
+  await startAll(
+    f,
+    o.placeBy,
+    fault?.startsWith('cut-') ? { told: o.net, bound: String(Number(o.net) + 1) } : undefined,
+  );
   const edges = d.edge.map(httpOf);
   async function ready(): Promise<boolean> {
     return allReady(f, edges);
   }
   const begun = f.ports.clock.now();
-  if (!(await until(f, 20000, ready))) process.stdout.write('not every router is ready after 20 s\n');
+  if (!(await until(f, 20000, ready)))
+    process.stdout.write('not every router is ready after 20 s\n');
   process.stdout.write(`every router ready after ${Math.round(f.ports.clock.now() - begun)} ms\n`);
   const keys = await configure(f);
   const ms = Number(o.seconds) * 1000;
   const x = Number(o.scale);
-  const calls = runCallers(f.ports, { intents: d.intents, keys, edges, shortPerS: d.rates.shortPerS * x, longPerS: d.rates.longPerS * x, forMs: ms, retries: 3 });
+  const calls = runCallers(f.ports, {
+    intents: d.intents,
+    keys,
+    edges,
+    shortPerS: d.rates.shortPerS * x,
+    longPerS: d.rates.longPerS * x,
+    forMs: ms,
+    retries: 3,
+  });
   if (fault !== undefined) {
     await f.ports.clock.sleep(ms / 2);
     await injectFault(f, fault);
   }
   const report = await calls;
   const clean = sayReport(f, report, await sumMetrics(f));
-  return { clean, row: `| ${fault ?? 'none'} | ${report.whole} of ${report.asked} | ${report.refused} | ${report.unknown + report.incomplete} | ${report.callerRetries} | ${clean ? 0 : 'yes'} |` };
+  return {
+    clean,
+    row: `| ${fault ?? 'none'} | ${report.whole} of ${report.asked} | ${report.refused} | ${report.unknown + report.incomplete} | ${report.callerRetries} | ${clean ? 0 : 'yes'} |`,
+  };
 }
 
 async function main(): Promise<void> {
-  const cmd = new Command('fleet').argument('[deployment]', DEPLOYMENTS.join(' or ')).option('--platform [site]', 'on the users\' platform instead: sbr or aoc').option('--edges <n>', 'edge machines on the platform', '4').option('--engines <n>', 'engines on the platform', '4').option('--seconds <n>', 'how long callers call', '20').option('--fault <name>', `a fault halfway, or \`all\` in turn: ${FAULTS.join(', ')}`).option('--net <n>', 'second number of the loopback addresses', '10').option('--place-by <way>', 'index or affinity', 'index').option('--scale <x>', 'callers\' rate against the brief\'s', '1').parse();
+  const cmd = new Command('fleet')
+    .argument('[deployment]', DEPLOYMENTS.join(' or '))
+    .option('--platform [site]', "on the users' platform instead: sbr or aoc")
+    .option('--edges <n>', 'edge machines on the platform', '4')
+    .option('--engines <n>', 'engines on the platform', '4')
+    .option('--seconds <n>', 'how long callers call', '20')
+    .option('--fault <name>', `a fault halfway, or \`all\` in turn: ${FAULTS.join(', ')}`)
+    .option('--net <n>', 'second number of the loopback addresses', '10')
+    .option('--place-by <way>', 'index or affinity', 'index')
+    .option('--scale <x>', "callers' rate against the brief's", '1')
+    .parse();
   const o = cmd.opts() as RunnerWays & Partial<PlatformOptions>;
   if (o.platform !== undefined) process.exit((await runPlatform(o as PlatformOptions)) ? 0 : 1);
   const d = makeDeployment(cmd.args[0], Number(o.net));
@@ -316,7 +485,13 @@
     rows.push(r.row);
     clean = clean && r.clean;
   }
-  process.stdout.write(['| fault | whole | refused in the end | unknown or incomplete | tries again | forbidden |', '| --- | --- | --- | --- | --- | --- |', ...rows].join('\n') + '\n');
+  process.stdout.write(
+    [
+      '| fault | whole | refused in the end | unknown or incomplete | tries again | forbidden |',
+      '| --- | --- | --- | --- | --- | --- |',
+      ...rows,
+    ].join('\n') + '\n',
+  );
   process.exit(clean ? 0 : 1);
 }
 
--- a/tools/fleet/machines.ts
+++ b/tools/fleet/machines.ts
@@ -50,10 +50,49 @@
     procs.set(of.name + ' ' + of.role, { of, who, life: 0, ended: [], log: [] });
   }
   for (const c of site.cores) {
-    add({ name: c.name, ip: c.ip, zone: c.zone, role: 'controller', on: 'core', serves: ['control_plane'], bootstrap: true, data: join(c.data, 'controller'), seeds }, 'core');
-    add({ name: c.name, ip: c.ip, zone: c.zone, role: 'indexer', on: 'core', serves: [], bootstrap: true, data: join(c.data, 'indexer'), seeds }, 'index');
+    add(
+      {
+        name: c.name,
+        ip: c.ip,
+        zone: c.zone,
+        role: 'controller',
+        on: 'core',
+        serves: ['control_plane'],
+        bootstrap: true,
+        data: join(c.data, 'controller'),
+        seeds,
+      },
+      'core',
+    );
+    add(
+      {
+        name: c.name,
+        ip: c.ip,
+        zone: c.zone,
+        role: 'indexer',
+        on: 'core',
+        serves: [],
+        bootstrap: true,
+        data: join(c.data, 'indexer'),
+        seeds,
+      },
+      'index',
+    );
   }
-  for (const e of site.edges) add({ name: e.name, ip: e.ip, zone: e.zone, role: 'router', on: 'edge', serves: ['edge'], bootstrap: true, seeds }, e.ip);
+  for (const e of site.edges)
+    add(
+      {
+        name: e.name,
+        ip: e.ip,
+        zone: e.zone,
+        role: 'router',
+        on: 'edge',
+        serves: ['edge'],
+        bootstrap: true,
+        seeds,
+      },
+      e.ip,
+    );
 
   async function start(name: string): Promise<void> {
     if (stopped) return;
@@ -63,7 +102,11 @@
     if (p.of.data !== undefined) mkdirSync(p.of.data, { recursive: true });
     writeFileSync(file, settingsText(site, { ...p.of, bootstrap: p.life === 0 }));
     p.life++;
-    const child = spawn(process.execPath, [join(ROOT, 'src/programs', `${p.of.role}.js`)], { stdio: ['ignore', 'pipe', 'pipe'], cwd: folder, env: { PATH: process.env.PATH, HOME: process.env.HOME, PLUMHOLLOW_SETTINGS: file } });
+    const child = spawn(process.execPath, [join(ROOT, 'src/programs', `${p.of.role}.js`)], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      cwd: folder,
+      env: { PATH: process.env.PATH, HOME: process.env.HOME, PLUMHOLLOW_SETTINGS: file },
+    });
     p.child = child;
     const up = kept<void>();
     function said(b: Buffer): void {
--- a/tools/fleet/platform.ts
+++ b/tools/fleet/platform.ts
@@ -87,7 +87,15 @@
     await day.operator.readBack(ways.site.bounds.contactMs);
     const ended: string[] = [];
     for (const [name, p] of machines.procs) for (const e of p.ended) ended.push(`${name} ${e}`);
-    return { ...reportDay(day.book, ways.judged ?? ways.site.bounds), site: ways.site.name, troubles: ways.troubles, ackMs: Math.round((first.ackAt ?? NaN) - begun), readyMs, allReady: ready, ended };
+    return {
+      ...reportDay(day.book, ways.judged ?? ways.site.bounds),
+      site: ways.site.name,
+      troubles: ways.troubles,
+      ackMs: Math.round((first.ackAt ?? NaN) - begun),
+      readyMs,
+      allReady: ready,
+      ended,
+    };
   } finally {
     await end();
   }
@@ -116,7 +124,9 @@
   const size = { edges: Number(o.edges), engines: Number(o.engines), scale: Number(o.scale) };
   const site = makeSite(name, size, Number(o.net), folder);
   if (!site || unknown !== undefined) {
-    process.stderr.write(`fleet: there is no ${unknown ?? name}; sites are ${SITES.join(', ')}, faults are ${Object.keys(TROUBLES).join(', ')}\n`);
+    process.stderr.write(
+      `fleet: there is no ${unknown ?? name}; sites are ${SITES.join(', ')}, faults are ${Object.keys(TROUBLES).join(', ')}\n`,
+    );
     process.exit(2);
   }
   let clean = true;
@@ -130,8 +140,16 @@
     const ok = Object.keys(r.broken).length === 0 && r.ended.length === 0;
     clean = clean && ok;
     if (plays.length === 1 || !ok) process.stdout.write(JSON.stringify(r, null, 2) + '\n');
-    rows.push(`| ${troubles.join(', ') || 'none'} | ${r.served} of ${r.asked} | ${r.inAim} | ${r.firstMs.join(' / ')} | ${r.reused} | ${Object.keys(r.broken).join(', ') || '-'} |`);
+    rows.push(
+      `| ${troubles.join(', ') || 'none'} | ${r.served} of ${r.asked} | ${r.inAim} | ${r.firstMs.join(' / ')} | ${r.reused} | ${Object.keys(r.broken).join(', ') || '-'} |`,
+    );
   }
-  process.stdout.write(['| fault | served | in the aim | ms to the first event, half / nine tenths | reused | broken |', '| --- | --- | --- | --- | --- | --- |', ...rows].join('\n') + '\n');
+  process.stdout.write(
+    [
+      '| fault | served | in the aim | ms to the first event, half / nine tenths | reused | broken |',
+      '| --- | --- | --- | --- | --- | --- |',
+      ...rows,
+    ].join('\n') + '\n',
+  );
   return clean;
 }
--- a/tools/fleet/troubles.ts
+++ b/tools/fleet/troubles.ts
@@ -19,7 +19,8 @@
 /** The engines that generate, in their present lives. */
 export function generators(p: Played): EngineLife[] {
   const out: EngineLife[] = [];
-  for (const e of p.day.engines.values()) if (e.spec.service === p.day.site.service && e.state === 'ready') out.push(e);
+  for (const e of p.day.engines.values())
+    if (e.spec.service === p.day.site.service && e.state === 'ready') out.push(e);
   return out;
 }
 
@@ -109,7 +110,12 @@
   const old = generators(p)[0];
   const parts = old.spec.at.split(':');
   const fresh = parts[0].replace(/\.3\.(\d+)$/, '.5.$1');
-  await day.startLife({ ...old.spec, instance: `${old.spec.instance.split('.')[0]}n.1`, at: `${fresh}:${parts[1]}`, revision: 'v2' });
+  await day.startLife({
+    ...old.spec,
+    instance: `${old.spec.instance.split('.')[0]}n.1`,
+    at: `${fresh}:${parts[1]}`,
+    revision: 'v2',
+  });
   await day.leave(old);
   await day.ground.clock.sleep(day.site.bounds.addressReuseS * 1000);
   await day.startLife({ ...app.spec, at: old.spec.at, instance: 'i-reuse.1' });
@@ -163,9 +169,16 @@
   const { day } = p;
   const base = day.config.revision;
   function of(n: number): ConfigDoc {
-    return { ...day.config, revision: base + n, limits: { ...day.config.limits, idleTimeoutMs: 15000 + n } };
+    return {
+      ...day.config,
+      revision: base + n,
+      limits: { ...day.config.limits, idleTimeoutMs: 15000 + n },
+    };
   }
-  const both = await Promise.all([day.operator.replace(of(2), base, 20000), day.operator.replace(of(3), base, 20000)]);
+  const both = await Promise.all([
+    day.operator.replace(of(2), base, 20000),
+    day.operator.replace(of(3), base, 20000),
+  ]);
   for (const c of both) if (c.outcome === 'acked') day.config = c.doc;
 }
 
@@ -226,10 +239,37 @@
 
 /** The troubles that the runner brings about, by name. */
 export const TROUBLES: Record<string, Trouble> = {
-  'kill-controller': kills('controller', 500), 'kill-core': kills('controller', 500, 3), 'kill-indexers': kills('indexer', 500, 3), 'kill-router': kills('router', 500), 'kill-routers': kills('router', 500, Infinity),
-  'wipe-controller': wipes, 'freeze-controller': freezes('controller', 4000), 'freeze-router': freezes('router', 4000), 'roll-router': rolls('router', 1), 'roll-routers': rolls('router', 3), 'roll-controller': rolls('controller', 1),
-  'crash-engine': crashes('reset'), 'dark-engine': crashes('dark'), release, 'version-bump': bump, revoke, config, race, 'bad-config': badConfig,
-  garble: engines('garble', { garble: 0.3 }, WHILE), 'lost-answers': engines('lost', { lost: 0.3 }, WHILE), 'break-off': engines('break', { breakOff: 0.3 }, WHILE), 'no-answer': engines('garbage', { noAnswer: 0.3 }, WHILE),
-  fails: engines('grey', { fails: 0.5 }, WHILE), silent: engines('silent', { silent: 0.5 }, WHILE), 'close-idle': engines('idle', { closeIdle: true }, WHILE, 2), 'slow-engine': engines('slow', { slow: 8 }, WHILE),
-  full: engines('full', { full: true }, WHILE), 'lying-health': engines('lying', { full: true, lyingHealth: true }, WHILE), 'events-lost': eventsLost, 'empty-store': emptyStore, 'slow-links': slowLinks, 'list-down': listDown,
+  'kill-controller': kills('controller', 500),
+  'kill-core': kills('controller', 500, 3),
+  'kill-indexers': kills('indexer', 500, 3),
+  'kill-router': kills('router', 500),
+  'kill-routers': kills('router', 500, Infinity),
+  'wipe-controller': wipes,
+  'freeze-controller': freezes('controller', 4000),
+  'freeze-router': freezes('router', 4000),
+  'roll-router': rolls('router', 1),
+  'roll-routers': rolls('router', 3),
+  'roll-controller': rolls('controller', 1),
+  'crash-engine': crashes('reset'),
+  'dark-engine': crashes('dark'),
+  release,
+  'version-bump': bump,
+  revoke,
+  config,
+  race,
+  'bad-config': badConfig,
+  garble: engines('garble', { garble: 0.3 }, WHILE),
+  'lost-answers': engines('lost', { lost: 0.3 }, WHILE),
+  'break-off': engines('break', { breakOff: 0.3 }, WHILE),
+  'no-answer': engines('garbage', { noAnswer: 0.3 }, WHILE),
+  fails: engines('grey', { fails: 0.5 }, WHILE),
+  silent: engines('silent', { silent: 0.5 }, WHILE),
+  'close-idle': engines('idle', { closeIdle: true }, WHILE, 2),
+  'slow-engine': engines('slow', { slow: 8 }, WHILE),
+  full: engines('full', { full: true }, WHILE),
+  'lying-health': engines('lying', { full: true, lyingHealth: true }, WHILE),
+  'events-lost': eventsLost,
+  'empty-store': emptyStore,
+  'slow-links': slowLinks,
+  'list-down': listDown,
 };
--- a/tools/sim/dice.ts
+++ b/tools/sim/dice.ts
@@ -12,7 +12,10 @@
   }
   function id(): string {
     let out = '';
-    for (let i = 0; i < 4; i++) out += Math.floor(next() * 4294967296).toString(16).padStart(8, '0');
+    for (let i = 0; i < 4; i++)
+      out += Math.floor(next() * 4294967296)
+        .toString(16)
+        .padStart(8, '0');
     return out;
   }
   return { next, id };
--- a/tools/sim/feeds.ts
+++ b/tools/sim/feeds.ts
@@ -148,7 +148,11 @@
   ['one indexer cut off 4 s, feeds keep 40 events', cut, 40],
 ];
 
-async function run(seed: number, trouble: Trouble, keepsMost: number): Promise<{ samples: Sample[]; lists: number; again: number }> {
+async function run(
+  seed: number,
+  trouble: Trouble,
+  keepsMost: number,
+): Promise<{ samples: Sample[]; lists: number; again: number }> {
   const t = await makeScene(ENGINES, 2, { lateMs: 80, keepsMost }, seed);
   const dice = seededDice(seed);
   leaveOut(t);
@@ -203,9 +207,12 @@
     const parts: WirePart[] = [shared(), [`own${++own}`, 3700]];
     const n = choose(parts);
     const had = caches[n].overlap(parts);
-    for (const [i, ix] of t.indexers.entries()) if (t.procs[i].alive) ix.coming.placed(t, { model: 'm', salt: SALT, engine: `engine-${n + 1}`, parts }, none);
+    for (const [i, ix] of t.indexers.entries())
+      if (t.procs[i].alive)
+        ix.coming.placed(t, { model: 'm', salt: SALT, engine: `engine-${n + 1}`, parts }, none);
     const fresh = caches[n].read(parts);
-    if (everRead.has(parts[0][0]) && had < parts[0][1] && t.w.now() >= AT) again += Math.max(0, fresh - parts[1][1]);
+    if (everRead.has(parts[0][0]) && had < parts[0][1] && t.w.now() >= AT)
+      again += Math.max(0, fresh - parts[1][1]);
     everRead.add(parts[0][0]);
     asked.push(parts);
     await t.pass(EVERY);
@@ -247,10 +254,16 @@
 }
 
 async function main(): Promise<void> {
-  const cmd = new Command('feeds').option('--seeds <list>', 'which seeds', '1,2,3').option('--only <text>', 'only troubles whose name has this').option('--without <mechanism>', 'leave out lists or notes').parse();
+  const cmd = new Command('feeds')
+    .option('--seeds <list>', 'which seeds', '1,2,3')
+    .option('--only <text>', 'only troubles whose name has this')
+    .option('--without <mechanism>', 'leave out lists or notes')
+    .parse();
   const o = cmd.opts() as { seeds: string; only?: string; without?: string };
   without = o.without;
-  process.stdout.write('| trouble at 20 s | too little, of held | too much, of held | back under 0.05 after ms | lists | 1,000 shared tokens read again |\n| --- | --- | --- | --- | --- | --- |\n');
+  process.stdout.write(
+    '| trouble at 20 s | too little, of held | too much, of held | back under 0.05 after ms | lists | 1,000 shared tokens read again |\n| --- | --- | --- | --- | --- | --- |\n',
+  );
   for (const [what, trouble, keepsMost] of TROUBLES) {
     if (o.only && !what.includes(o.only)) continue;
     const cols: string[][] = [[], [], [], [], []];
--- a/tools/sim/feedscene.ts
+++ b/tools/sim/feedscene.ts
@@ -15,7 +15,11 @@
 /** The salt that all prompts of a scene have. */
 export const SALT = 's|1';
 /** A prompt of three parts. */
-export const PROMPT: WirePart[] = [['a', 800], ['b', 400], ['c', 250]];
+export const PROMPT: WirePart[] = [
+  ['a', 800],
+  ['b', 400],
+  ['c', 250],
+];
 
 /** Indexers of a dialect with a core and sources that stand in, in a simulated world. */
 export interface Scene {
@@ -44,7 +48,12 @@
 }
 
 /** Makes a scene: so many engines and one store, so many indexers, all up. */
-export async function makeScene(engines: number, indexers: number, ways: Partial<KvWays> = {}, seed = 5): Promise<Scene> {
+export async function makeScene(
+  engines: number,
+  indexers: number,
+  ways: Partial<KvWays> = {},
+  seed = 5,
+): Promise<Scene> {
   const w = makeWorld(seed, false);
   const net = makeNet(w);
   const corePorts = net.ports(w.proc('core', '127.10.1.1'));
@@ -74,7 +83,15 @@
 
   function list(ids: string[]): void {
     const out: unknown[] = [];
-    for (const id of ids) out.push({ id, at: engineAt(Number(id.slice(7))), zone: 'z', model: 'm', weights: '1', leaving: false });
+    for (const id of ids)
+      out.push({
+        id,
+        at: engineAt(Number(id.slice(7))),
+        zone: 'z',
+        model: 'm',
+        weights: '1',
+        leaving: false,
+      });
     core.set(KEYS.engines, out);
   }
 
@@ -83,7 +100,16 @@
     procs[i] = p;
     if (!p.alive) w.revive(p);
     const at = `${p.ip}:7001`;
-    const settings = { ...defaultSettings(), name: p.name, wire: at, http: '', zone: 'z', seeds: [core.at], founders: [core.at], indexMostParts: 10000 };
+    const settings = {
+      ...defaultSettings(),
+      name: p.name,
+      wire: at,
+      http: '',
+      zone: 'z',
+      seeds: [core.at],
+      founders: [core.at],
+      indexMostParts: 10000,
+    };
     const [, ix] = open(await startIndexer(net.ports(p), settings, dialect));
     all[i] = ix!;
     return ix!;
@@ -91,11 +117,19 @@
 
   function told(i = 0, parts = PROMPT): Record<string, [number, number]> {
     const out: Record<string, [number, number]> = {};
-    for (const [s, kept, coming] of overlapOf(all[i].trees, all[i].coming, { model: 'm', salt: SALT, parts })) out[s] = [kept, coming];
+    for (const [s, kept, coming] of overlapOf(all[i].trees, all[i].coming, {
+      model: 'm',
+      salt: SALT,
+      parts,
+    }))
+      out[s] = [kept, coming];
     return out;
   }
 
-  core.set(KEYS.deployment, { revision: 1, doc: { stores: [{ name: 'store-1', at: engineAt(engines + 1) }] } });
+  core.set(KEYS.deployment, {
+    revision: 1,
+    doc: { stores: [{ name: 'store-1', at: engineAt(engines + 1) }] },
+  });
   const ids: string[] = [];
   for (let n = 1; n <= engines; n++) ids.push(`engine-${n}`);
   list(ids);
--- a/tools/sim/overlap.ts
+++ b/tools/sim/overlap.ts
@@ -25,9 +25,22 @@
   ['none', []],
   ['one indexer killed', [{ kind: 'kill', who: 'index-core-1', ms: 1000 }]],
   ['all indexers killed', [{ kind: 'index-all', who: '', ms: 1000 }]],
-  ['all indexers killed in turn', [{ kind: 'kill', who: 'index-core-1', ms: 1000 }, { kind: 'kill', who: 'index-core-2', ms: 3000 }, { kind: 'kill', who: 'index-core-3', ms: 5000 }]],
+  [
+    'all indexers killed in turn',
+    [
+      { kind: 'kill', who: 'index-core-1', ms: 1000 },
+      { kind: 'kill', who: 'index-core-2', ms: 3000 },
+      { kind: 'kill', who: 'index-core-3', ms: 5000 },
+    ],
+  ],
   ['indexer cut off 4 s', [{ kind: 'cut-off', who: 'index-core-1', ms: 4000 }]],
-  ['indexer cut off 4 s, feeds keep 4 batches', [...[1, 2, 3, 4].map(feed('feed-short', 6000)), { kind: 'cut-off', who: 'index-core-1', ms: 4000 }]],
+  [
+    'indexer cut off 4 s, feeds keep 4 batches',
+    [
+      ...[1, 2, 3, 4].map(feed('feed-short', 6000)),
+      { kind: 'cut-off', who: 'index-core-1', ms: 4000 },
+    ],
+  ],
   ['feeds change epoch', [1, 2, 3, 4].map(feed('feed-epoch'))],
   ['feeds go back', [1, 2, 3, 4].map(feed('feed-back'))],
   ['engine crashes', [{ kind: 'engine-crash', who: 'engine-1', ms: 1000 }]],
@@ -49,7 +62,12 @@
       if (!f.w.procs().find(named(name))!.alive || !ix.gateOpen()) continue;
       for (const [id, e] of f.standins) {
         if (!f.w.procs().find(named(id))!.alive) continue;
-        const q = { model: f.d.model, salt: salts[x.tenant], weights: e.ways.weights, parts: x.parts };
+        const q = {
+          model: f.d.model,
+          salt: salts[x.tenant],
+          weights: e.ways.weights,
+          parts: x.parts,
+        };
         const told = ix.trees.query(q.model, q.salt, q.weights, q.parts).find(of(id));
         const held = e.overlap(q.salt, q.weights, q.parts);
         const tokens = told ? told.tokens + told.doubted : 0;
@@ -119,10 +137,17 @@
 }
 
 async function main(): Promise<void> {
-  const cmd = new Command('overlap').option('--deployment <name>', DEPLOYMENTS.join(' or '), 'saffron-bay').option('--seeds <list>', 'which seeds', '1,2,3').option('--only <text>', 'only faults whose name has this').option('--without <mechanism>', 'leave a mechanism out').parse();
+  const cmd = new Command('overlap')
+    .option('--deployment <name>', DEPLOYMENTS.join(' or '), 'saffron-bay')
+    .option('--seeds <list>', 'which seeds', '1,2,3')
+    .option('--only <text>', 'only faults whose name has this')
+    .option('--without <mechanism>', 'leave a mechanism out')
+    .parse();
   const o = cmd.opts() as { deployment: string; seeds: string; without?: string; only?: string };
   if (o.without) MECHANISMS[o.without]();
-  process.stdout.write('| fault at 20 s | too little, of held | too much, of held | worst second | back under 0.05 after ms |\n| --- | --- | --- | --- | --- |\n');
+  process.stdout.write(
+    '| fault at 20 s | too little, of held | too much, of held | worst second | back under 0.05 after ms |\n| --- | --- | --- | --- | --- |\n',
+  );
   for (const [what, faults] of KINDS) {
     if (o.only && !what.includes(o.only)) continue;
     const rows: ReturnType<typeof summarise>[] = [];
@@ -131,7 +156,13 @@
       function watch(f: SimFleet, seen: readonly Seen[]): void {
         samples.push(take(f, seen));
       }
-      await runSeed(seed, { deployment: o.deployment, faults: 0, replace: false, schedule: faults.map(at), watch });
+      await runSeed(seed, {
+        deployment: o.deployment,
+        faults: 0,
+        replace: false,
+        schedule: faults.map(at),
+        watch,
+      });
       rows.push(summarise(samples));
     }
     function col(k: keyof ReturnType<typeof summarise>): number[] {
@@ -140,7 +171,9 @@
       }
       return rows.map(one);
     }
-    process.stdout.write(`| ${what} | ${say(col('little'), 3)} | ${say(col('much'), 3)} | ${say(col('worst'), 2)} | ${say(col('backMs'), 0)} |\n`);
+    process.stdout.write(
+      `| ${what} | ${say(col('little'), 3)} | ${say(col('much'), 3)} | ${say(col('worst'), 2)} | ${say(col('backMs'), 0)} |\n`,
+    );
   }
 }
 
--- a/tools/sim/placing.ts
+++ b/tools/sim/placing.ts
@@ -1,7 +1,16 @@
 import { Command } from 'commander';
 import { Part } from '../../src/shared/contracts/engine';
 import { EngineLoad, OverlapAnswer } from '../../src/shared/loads';
-import { EngineSpot, makePlacement, PlaceAsk, Placement, PlaceWay, Placed, PoolView, Underway } from '../../src/data/gateway/placement';
+import {
+  EngineSpot,
+  makePlacement,
+  PlaceAsk,
+  Placement,
+  PlaceWay,
+  Placed,
+  PoolView,
+  Underway,
+} from '../../src/data/gateway/placement';
 import { Dice } from '../../src/shared/ports';
 import { makeAgenda } from './agenda';
 import { seededDice } from './dice';
@@ -92,7 +101,21 @@
 const SHORT_AIM = 300;
 
 /** The usual world: one small fleet. */
-export const USUAL: PlacingWorld = { engines: 13, routers: 9, zones: 3, seconds: 40, longPerS: 19, shortPerS: 165, things: 200, batch: 12, cacheTokens: 140000, lagMs: 120, slow: 1.3, storeTokens: 1900000, looksAt: 'reading' };
+export const USUAL: PlacingWorld = {
+  engines: 13,
+  routers: 9,
+  zones: 3,
+  seconds: 40,
+  longPerS: 19,
+  shortPerS: 165,
+  things: 200,
+  batch: 12,
+  cacheTokens: 140000,
+  lagMs: 120,
+  slow: 1.3,
+  storeTokens: 1900000,
+  looksAt: 'reading',
+};
 
 /** Plays one way of placing in a world. */
 export function playPlacing(world: PlacingWorld, way: PlaceWay, seed: number): PlacingResult {
@@ -102,16 +125,44 @@
   let now = 0;
   const engines: SimEngine[] = [];
   for (let i = 0; i < world.engines; i++) {
-    engines.push({ spot: { id: `e${i}`, at: `10.0.0.${i}:80`, zone: `z${i % world.zones}`, salt: '' }, pace: i % 3 === 2 ? world.slow : 1, running: [], waiting: [], kept: new Map(), keptTokens: 0, moveUntil: 0, stepping: false });
+    engines.push({
+      spot: { id: `e${i}`, at: `10.0.0.${i}:80`, zone: `z${i % world.zones}`, salt: '' },
+      pace: i % 3 === 2 ? world.slow : 1,
+      running: [],
+      waiting: [],
+      kept: new Map(),
+      keptTokens: 0,
+      moveUntil: 0,
+      stepping: false,
+    });
   }
   const storeKept = new Map<string, number>();
   let storeUsed = 0;
   const everRead = new Set<string>();
-  const pool: PoolView = { name: 'p', batch: world.batch, cacheTokens: world.cacheTokens, tokenBytes: 163840, linkMbps: 1.1e6, engines: engines.map(spotOf), stores: world.storeTokens > 0 ? [{ name: 's', at: '10.0.1.1:80', zone: 'z1', linkMbps: 4e5 }] : [] };
+  const pool: PoolView = {
+    name: 'p',
+    batch: world.batch,
+    cacheTokens: world.cacheTokens,
+    tokenBytes: 163840,
+    linkMbps: 1.1e6,
+    engines: engines.map(spotOf),
+    stores:
+      world.storeTokens > 0 ? [{ name: 's', at: '10.0.1.1:80', zone: 'z1', linkMbps: 4e5 }] : [],
+  };
   const routers: Placement[] = [];
-  for (let i = 0; i < world.routers; i++) routers.push(makePlacement({ now: clock, spread: dice.next, zone: `z${i % world.zones}`, pause: 300, way }));
+  for (let i = 0; i < world.routers; i++)
+    routers.push(
+      makePlacement({
+        now: clock,
+        spread: dice.next,
+        zone: `z${i % world.zones}`,
+        pause: 300,
+        way,
+      }),
+    );
   const things: Part[] = [];
-  for (let i = 0; i < world.things; i++) things.push({ hash: `t${i}`, size: Math.round(Math.min(39900, lognormal(13300, 0.7))) });
+  for (let i = 0; i < world.things; i++)
+    things.push({ hash: `t${i}`, size: Math.round(Math.min(39900, lognormal(13300, 0.7))) });
   const longs: number[] = [];
   const shorts: number[] = [];
   let refused = 0;
@@ -147,7 +198,9 @@
     for (const e of engines) {
       const kept = keptOf(e.kept, parts);
       let coming = 0;
-      for (const j of [...e.running, ...e.waiting]) if (j.parts[0].hash === parts[0].hash && j.done < j.tokensIn) coming = Math.max(coming, parts[0].size - kept);
+      for (const j of [...e.running, ...e.waiting])
+        if (j.parts[0].hash === parts[0].hash && j.done < j.tokensIn)
+          coming = Math.max(coming, parts[0].size - kept);
       if (kept + coming > 0) out.push([e.spot.id, kept, coming]);
     }
     const inStore = keptOf(storeKept, parts);
@@ -184,16 +237,34 @@
     const long = dice.next() < world.longPerS / (world.longPerS + world.shortPerS);
     at(now + (-Math.log(1 - dice.next()) * 1000) / (world.longPerS + world.shortPerS), arrive);
     if (now > world.seconds * 1000) return;
-    const own = Math.round(Math.max(16, Math.min(long ? 53200 : 1830, lognormal(long ? 3720 : 291, long ? 1.1 : 1.4))));
-    const shared = long ? things[Math.floor(world.things * dice.next() ** 1.3)] : { hash: `s${Math.floor(8 * dice.next())}`, size: 55 };
+    const own = Math.round(
+      Math.max(16, Math.min(long ? 53200 : 1830, lognormal(long ? 3720 : 291, long ? 1.1 : 1.4))),
+    );
+    const shared = long
+      ? things[Math.floor(world.things * dice.next() ** 1.3)]
+      : { hash: `s${Math.floor(8 * dice.next())}`, size: 55 };
     const parts = [shared];
-    if (!long) parts.push({ hash: `${shared.hash} n${Math.floor(150 * dice.next() ** 1.3)}`, size: 37 });
+    if (!long)
+      parts.push({ hash: `${shared.hash} n${Math.floor(150 * dice.next() ** 1.3)}`, size: 37 });
     let all = own;
     for (const x of parts) all += x.size;
     parts.push({ hash: `own${agenda.added()}`, size: own });
     const r = routers[Math.floor(dice.next() * routers.length)];
-    const out = STRIDE * Math.max(1, Math.round(Math.min(long ? 68 : 26, lognormal(long ? 17 : 6.4, 1.4))));
-    const ask: PlaceAsk = { pool, wall: '', parts, tokensIn: all, tokensOut: out, aimMs: long ? LONG_AIM : SHORT_AIM, leftMs: 6000, routePriority: long ? 1 : 0, tenantPriority: 0, repeatable: !long, avoid: new Set() };
+    const out =
+      STRIDE * Math.max(1, Math.round(Math.min(long ? 68 : 26, lognormal(long ? 17 : 6.4, 1.4))));
+    const ask: PlaceAsk = {
+      pool,
+      wall: '',
+      parts,
+      tokensIn: all,
+      tokensOut: out,
+      aimMs: long ? LONG_AIM : SHORT_AIM,
+      leftMs: 6000,
+      routePriority: long ? 1 : 0,
+      tenantPriority: 0,
+      repeatable: !long,
+      avoid: new Set(),
+    };
     requests++;
     const kept = new Map<string, OverlapAnswer>();
     for (const salt of r.wantsIndex(ask)) kept.set(salt, overlap(parts));
@@ -210,7 +281,21 @@
       function same(e: SimEngine): boolean {
         return e.spot.id === placed.reckoned.able.side.name;
       }
-      const job: Job = { parts, tokensIn: ask.tokensIn, out, urgency: placed.urgency, cameAt: now, long, engine, done: 0, given: 0, looked: false, readyAt: now + SETUP_MS, placed, under: r.began(placed) };
+      const job: Job = {
+        parts,
+        tokensIn: ask.tokensIn,
+        out,
+        urgency: placed.urgency,
+        cameAt: now,
+        long,
+        engine,
+        done: 0,
+        given: 0,
+        looked: false,
+        readyAt: now + SETUP_MS,
+        placed,
+        under: r.began(placed),
+      };
       const fetch = placed.reckoned.fetch;
       let from = storeKept;
       if (fetch) {
@@ -218,7 +303,9 @@
         const has = keptOf(from, parts) - keptOf(engine.kept, parts);
         if (has > 0) {
           const far = fetch.source.side.zone === engine.spot.zone ? 1 : 2;
-          engine.moveUntil = Math.max(now, engine.moveUntil) + (has * pool.tokenBytes * 8 * far) / (fetch.source.side.mbps * 1000);
+          engine.moveUntil =
+            Math.max(now, engine.moveUntil) +
+            (has * pool.tokenBytes * 8 * far) / (fetch.source.side.mbps * 1000);
           job.readyAt = engine.moveUntil + SETUP_MS;
           moved += has;
           at(engine.moveUntil, gotParts);
@@ -344,9 +431,29 @@
   const l = tally(longs, LONG_AIM);
   const s = tally(shorts, SHORT_AIM);
   const owed = longs.length * WORTH.long + shorts.length * WORTH.short;
-  const earned = longs.length * WORTH.long * (l.inAim + WORTH.late * (1 - l.inAim)) + shorts.length * WORTH.short * (s.inAim + WORTH.late * (1 - s.inAim));
-  const score = (earned - (readAgain / 1000) * WORTH.readAgain - ((moved * pool.tokenBytes) / 1e9) * WORTH.movedGb) / owed;
-  return { way, requests, refused, longInAim: l.inAim, shortInAim: s.inAim, longMean: l.mean, long95: l.p95, shortMean: s.mean, short95: s.p95, ended: ended / longs.length, readAgain, moved, score };
+  const earned =
+    longs.length * WORTH.long * (l.inAim + WORTH.late * (1 - l.inAim)) +
+    shorts.length * WORTH.short * (s.inAim + WORTH.late * (1 - s.inAim));
+  const score =
+    (earned -
+      (readAgain / 1000) * WORTH.readAgain -
+      ((moved * pool.tokenBytes) / 1e9) * WORTH.movedGb) /
+    owed;
+  return {
+    way,
+    requests,
+    refused,
+    longInAim: l.inAim,
+    shortInAim: s.inAim,
+    longMean: l.mean,
+    long95: l.p95,
+    shortMean: s.mean,
+    short95: s.p95,
+    ended: ended / longs.length,
+    readAgain,
+    moved,
+    score,
+  };
 }
 
 function tally(list: number[], aim: number): { inAim: number; mean: number; p95: number } {
@@ -369,11 +476,24 @@
 }
 
 function main(): void {
-  const c = new Command('placing').description('plays ways of placing requests against a model of engines').option('--seeds <n>', 'seeds', '3').option('--load <x>', 'load as a multiple of the usual', '1').option('--no-store', 'without a store').option('--engines <n>', 'engines', String(USUAL.engines));
+  const c = new Command('placing')
+    .description('plays ways of placing requests against a model of engines')
+    .option('--seeds <n>', 'seeds', '3')
+    .option('--load <x>', 'load as a multiple of the usual', '1')
+    .option('--no-store', 'without a store')
+    .option('--engines <n>', 'engines', String(USUAL.engines));
   c.parse();
   const o = c.opts<{ seeds: string; load: string; store: boolean; engines: string }>();
-  const world = { ...USUAL, longPerS: USUAL.longPerS * Number(o.load), shortPerS: USUAL.shortPerS * Number(o.load), storeTokens: o.store ? USUAL.storeTokens : 0, engines: Number(o.engines) };
-  for (const way of ['full', 'affinity', 'least-busy'] as const) for (let seed = 1; seed <= Number(o.seeds); seed++) console.log(say(playPlacing(world, way, seed)));
+  const world = {
+    ...USUAL,
+    longPerS: USUAL.longPerS * Number(o.load),
+    shortPerS: USUAL.shortPerS * Number(o.load),
+    storeTokens: o.store ? USUAL.storeTokens : 0,
+    engines: Number(o.engines),
+  };
+  for (const way of ['full', 'affinity', 'least-busy'] as const)
+    for (let seed = 1; seed <= Number(o.seeds); seed++)
+      console.log(say(playPlacing(world, way, seed)));
 }
 
 if (require.main === module) main();
--- a/tools/sim/sim.ts
+++ b/tools/sim/sim.ts
@@ -31,15 +31,30 @@
 function shorten(r: RunResult): Short {
   const { report: p, ops } = r;
   return {
-    seed: r.seed, violations: r.violations, hash: r.hash, asked: p.asked, whole: p.whole, refused: p.refused, unknown: p.unknown, incomplete: p.incomplete, acks: ops.acks,
-    pending: ops.pending, backMs: r.backMs, lateShare: r.lateShare, secondTryShare: r.secondTryShare, effectMs: ops.effectMs, replaced: ops.replaced, reuse: r.reuse, shortMs: p.firstMs.short,
+    seed: r.seed,
+    violations: r.violations,
+    hash: r.hash,
+    asked: p.asked,
+    whole: p.whole,
+    refused: p.refused,
+    unknown: p.unknown,
+    incomplete: p.incomplete,
+    acks: ops.acks,
+    pending: ops.pending,
+    backMs: r.backMs,
+    lateShare: r.lateShare,
+    secondTryShare: r.secondTryShare,
+    effectMs: ops.effectMs,
+    replaced: ops.replaced,
+    reuse: r.reuse,
+    shortMs: p.firstMs.short,
   };
 }
 
 /** Leaves out what a failing seed does not need, one fault at a time. */
 async function shrink(seed: number, ways: RunWays, schedule: Fault[]): Promise<Fault[]> {
   let best = schedule;
-  for (let i = 0; i < best.length; ) {
+  for (let i = 0; i < best.length;) {
     const less = [...best.slice(0, i), ...best.slice(i + 1)];
     const r = await runSeed(seed, { ...ways, schedule: less });
     if (r.violations.length > 0) best = less;
@@ -105,18 +120,34 @@
     reuse.push(r.reuse * 1000);
     if (r.violations.length > 0) bad++;
   }
-  process.stdout.write(`${deployment}: ${all.length} seeds, ${bad} with violations; ${asked} asked, ${whole} whole, ${refused} refused, ${unknown} unknown or incomplete; ${acks} changes acknowledged, ${pending} pending; ${replaced} core machines replaced\n`);
-  process.stdout.write(`acknowledged after ms: ${spread(effect)}; served again after ms: ${spread(back)}; second tries in thousandths: ${spread(second)}\n`);
-  process.stdout.write(`short requests, first piece after ms, by seed: median ${spread(first)}; 99 % ${spread(last)}; reuse in thousandths: ${spread(reuse)}\n`);
+  process.stdout.write(
+    `${deployment}: ${all.length} seeds, ${bad} with violations; ${asked} asked, ${whole} whole, ${refused} refused, ${unknown} unknown or incomplete; ${acks} changes acknowledged, ${pending} pending; ${replaced} core machines replaced\n`,
+  );
+  process.stdout.write(
+    `acknowledged after ms: ${spread(effect)}; served again after ms: ${spread(back)}; second tries in thousandths: ${spread(second)}\n`,
+  );
+  process.stdout.write(
+    `short requests, first piece after ms, by seed: median ${spread(first)}; 99 % ${spread(last)}; reuse in thousandths: ${spread(reuse)}\n`,
+  );
 }
 
 async function one(seed: number, ways: RunWays, verbose: boolean, weighs: boolean): Promise<void> {
   const traffic = weighs ? makeTraffic() : undefined;
   const r = await runSeed(seed, { ...ways, keepLines: verbose, traffic });
-  if (traffic) process.stdout.write(['| from, type | messages | kB |', '| --- | --- | --- |', ...traffic.rows(r.report.asked / 1000)].join('\n') + '\n');
+  if (traffic)
+    process.stdout.write(
+      [
+        '| from, type | messages | kB |',
+        '| --- | --- | --- |',
+        ...traffic.rows(r.report.asked / 1000),
+      ].join('\n') + '\n',
+    );
   if (verbose) process.stdout.write(r.lines.join('\n') + '\n');
   process.stdout.write(JSON.stringify(shorten(r), null, 2) + '\n');
-  if (r.violations.length > 0) process.stdout.write(`shortest known schedule:\n${JSON.stringify(await shrink(seed, ways, r.schedule), null, 1)}\n`);
+  if (r.violations.length > 0)
+    process.stdout.write(
+      `shortest known schedule:\n${JSON.stringify(await shrink(seed, ways, r.schedule), null, 1)}\n`,
+    );
   process.exit(r.violations.length > 0 ? 1 : 0);
 }
 
@@ -125,14 +156,51 @@
 }
 
 async function main(): Promise<void> {
-  const cmd = new Command('sim').option('--seeds <n>', 'how many seeds', '20').option('--from <n>', 'the first seed', '1').option('--seed <n>', 'one seed only').option('--faults <n>', 'faults in each run', '6')
-    .option('--deployment <name>', DEPLOYMENTS.join(' or '), 'saffron-bay').option('--without <mechanism>', `leave a mechanism out: ${Object.keys(MECHANISMS).join(', ')}`).option('--brief', 'at the brief\'s sizes and rates').option('--only <kinds>', 'draw only these faults').option('--short <n>', 'short requests a second').option('--long <n>', 'long requests a second').option('--jobs <n>', 'processes at once; one less than the processors where left out').option('--traffic', 'with --seed: messages and kB between our processes for 1,000 requests').option('--trace', 'with --seed: print the trace').parse();
-  const o = cmd.opts() as { seeds: string; from: string; seed?: string; faults: string; deployment: string; trace?: boolean; without?: string; brief?: boolean; traffic?: boolean; only?: string; short?: string; long?: string; jobs?: string };
-  if (!DEPLOYMENTS.includes(o.deployment) || (o.without !== undefined && !(o.without in MECHANISMS))) {
+  const cmd = new Command('sim')
+    .option('--seeds <n>', 'how many seeds', '20')
+    .option('--from <n>', 'the first seed', '1')
+    .option('--seed <n>', 'one seed only')
+    .option('--faults <n>', 'faults in each run', '6')
+    .option('--deployment <name>', DEPLOYMENTS.join(' or '), 'saffron-bay')
+    .option('--without <mechanism>', `leave a mechanism out: ${Object.keys(MECHANISMS).join(', ')}`)
+    .option('--brief', "at the brief's sizes and rates")
+    .option('--only <kinds>', 'draw only these faults')
+    .option('--short <n>', 'short requests a second')
+    .option('--long <n>', 'long requests a second')
+    .option('--jobs <n>', 'processes at once; one less than the processors where left out')
+    .option('--traffic', 'with --seed: messages and kB between our processes for 1,000 requests')
+    .option('--trace', 'with --seed: print the trace')
+    .parse();
+  const o = cmd.opts() as {
+    seeds: string;
+    from: string;
+    seed?: string;
+    faults: string;
+    deployment: string;
+    trace?: boolean;
+    without?: string;
+    brief?: boolean;
+    traffic?: boolean;
+    only?: string;
+    short?: string;
+    long?: string;
+    jobs?: string;
+  };
+  if (
+    !DEPLOYMENTS.includes(o.deployment) ||
+    (o.without !== undefined && !(o.without in MECHANISMS))
+  ) {
     process.stderr.write(`sim: there is no ${o.without ?? o.deployment}\n`);
     return process.exit(2);
   }
-  const ways: RunWays = { deployment: o.deployment, faults: Number(o.faults), brief: o.brief === true, only: o.only?.split(','), shortPerS: rate(o.short), longPerS: rate(o.long) };
+  const ways: RunWays = {
+    deployment: o.deployment,
+    faults: Number(o.faults),
+    brief: o.brief === true,
+    only: o.only?.split(','),
+    shortPerS: rate(o.short),
+    longPerS: rate(o.long),
+  };
   if (o.without) MECHANISMS[o.without]();
   if (o.seed !== undefined) return one(Number(o.seed), ways, o.trace === true, o.traffic === true);
   const n = Math.max(1, o.jobs === undefined ? cpus().length - 1 : Number(o.jobs));
@@ -142,11 +210,17 @@
   const all: Short[] = [];
   function runPile(pile: string[]): Promise<void> {
     function wait(done: () => void): void {
-      const child = fork(__filename, ['worker', JSON.stringify(ways), o.without ?? 'none', ...pile]);
+      const child = fork(__filename, [
+        'worker',
+        JSON.stringify(ways),
+        o.without ?? 'none',
+        ...pile,
+      ]);
       function told(m: unknown): void {
         const r = m as Short;
         all.push(r);
-        if (r.violations.length > 0) process.stdout.write(`seed ${r.seed}: ${r.violations.slice(0, 3).join('\n  ')}\n`);
+        if (r.violations.length > 0)
+          process.stdout.write(`seed ${r.seed}: ${r.violations.slice(0, 3).join('\n  ')}\n`);
       }
       child.on('message', told);
       child.on('exit', done);
--- a/tools/sim/simcore.ts
+++ b/tools/sim/simcore.ts
@@ -13,7 +13,12 @@
 }
 
 /** Runs virtual time on until a condition holds; gives the time, or undefined past the bound. */
-export async function until(f: SimFleet, most: number, test: () => boolean, step = 50): Promise<number | undefined> {
+export async function until(
+  f: SimFleet,
+  most: number,
+  test: () => boolean,
+  step = 50,
+): Promise<number | undefined> {
   while (f.w.now() < most) {
     if (test()) return f.w.now();
     await f.w.run(f.w.now() + step);
@@ -22,7 +27,13 @@
 }
 
 /** Asks the core as an operator, and runs virtual time on until it answers. */
-export async function asked(f: SimFleet, method: string, path: string, body?: unknown, first = 0): Promise<OpsReply> {
+export async function asked(
+  f: SimFleet,
+  method: string,
+  path: string,
+  body?: unknown,
+  first = 0,
+): Promise<OpsReply> {
   let r: OpsReply | undefined;
   function told(x: unknown): void {
     r = x as OpsReply;
@@ -46,7 +57,8 @@
 /** Controllers whose processes run. */
 export function running(f: SimFleet): Controller[] {
   const out: Controller[] = [];
-  for (const [name, c] of f.controllers) if (procOf(f, name).alive && !procOf(f, name).frozen) out.push(c);
+  for (const [name, c] of f.controllers)
+    if (procOf(f, name).alive && !procOf(f, name).frozen) out.push(c);
   return out;
 }
 
@@ -101,7 +113,17 @@
 }
 
 /** Sends changes as the operator does, one after the other, to the next controller after each failure; keeps what was acknowledged. */
-export function makeOperator(f: SimFleet, at = 0): { acked: () => number; longest: () => number; put: () => Promise<boolean>; go: () => void; halt: () => void; newest: () => number } {
+export function makeOperator(
+  f: SimFleet,
+  at = 0,
+): {
+  acked: () => number;
+  longest: () => number;
+  put: () => Promise<boolean>;
+  go: () => void;
+  halt: () => void;
+  newest: () => number;
+} {
   let acked = 0;
   let longest = 0;
   let going = false;
@@ -113,7 +135,14 @@
       const at = await askCore(f, 'GET', '/v1/intents', undefined, first, PATIENCE);
       const revision = at.status === 200 ? Number((at as OpsReply).body.revision) : acked;
       const base = Math.max(revision, acked);
-      const r = await askCore(f, 'PUT', '/v1/intents', { basedOn: base, intents: simIntents(f.d, 'probe-3', base % 5, []) }, first, PATIENCE);
+      const r = await askCore(
+        f,
+        'PUT',
+        '/v1/intents',
+        { basedOn: base, intents: simIntents(f.d, 'probe-3', base % 5, []) },
+        first,
+        PATIENCE,
+      );
       f.w.trace(`operator on ${base}: ${JSON.stringify(r).slice(0, 200)}`);
       if (r.status === 200 || r.status === 202) {
         acked = Number((r as OpsReply).body.revision);
@@ -149,7 +178,8 @@
   /** The newest revision that a running controller holds. */
   function newest(): number {
     let most = 0;
-    for (const c of running(f)) most = Math.max(most, c.value<IntentsValue>('intents')?.place.number ?? 0);
+    for (const c of running(f))
+      most = Math.max(most, c.value<IntentsValue>('intents')?.place.number ?? 0);
     return most;
   }
   return { acked: ackedNow, longest: longestNow, put, go, halt, newest };
--- a/tools/sim/simfaults.ts
+++ b/tools/sim/simfaults.ts
@@ -14,14 +14,57 @@
 
 /** The faults that the simulator draws; `engine-turns` (an engine turns all away) and `feed-short` (a feed keeps few batches) come in given schedules only. */
 export const SIM_FAULTS = [
-  'kill', 'power', 'kill-edge', 'kill-core', 'kill-ours', 'power-core', 'freeze', 'cut', 'cut-one-way', 'cut-off', 'split-core', 'core-from-edge',
-  'slow-link', 'disk-slow', 'disk-full', 'disk-stall', 'wipe', 'leave', 'engine-crash', 'engine-vanish', 'engine-freeze', 'store-empty', 'index-all', 'release',
-  'suspend', 'clock-jump', 'edge-from-core', 'zone', 'seeds', 'rolling', 'release-all', 'slow-engines',
-  'engine-skips', 'engine-repeats', 'engine-splices', 'engine-foreign', 'feed-repeats', 'feed-back', 'feed-epoch',
+  'kill',
+  'power',
+  'kill-edge',
+  'kill-core',
+  'kill-ours',
+  'power-core',
+  'freeze',
+  'cut',
+  'cut-one-way',
+  'cut-off',
+  'split-core',
+  'core-from-edge',
+  'slow-link',
+  'disk-slow',
+  'disk-full',
+  'disk-stall',
+  'wipe',
+  'leave',
+  'engine-crash',
+  'engine-vanish',
+  'engine-freeze',
+  'store-empty',
+  'index-all',
+  'release',
+  'suspend',
+  'clock-jump',
+  'edge-from-core',
+  'zone',
+  'seeds',
+  'rolling',
+  'release-all',
+  'slow-engines',
+  'engine-skips',
+  'engine-repeats',
+  'engine-splices',
+  'engine-foreign',
+  'feed-repeats',
+  'feed-back',
+  'feed-epoch',
 ] as const;
 
 /** Draws a schedule of faults. */
-export function drawFaults(f: SimFleet, dice: Dice, from: number, to: number, count: number, wipes: boolean, only: readonly string[] = SIM_FAULTS): Fault[] {
+export function drawFaults(
+  f: SimFleet,
+  dice: Dice,
+  from: number,
+  to: number,
+  count: number,
+  wipes: boolean,
+  only: readonly string[] = SIM_FAULTS,
+): Fault[] {
   const out: Fault[] = [];
   const ours = [...f.core, ...f.edge, ...f.core.map(indexOf)];
   function any<T>(list: readonly T[]): T {
@@ -34,10 +77,22 @@
     let who = any(ours);
     let other = any([...ours, engine]);
     if (kind.startsWith('disk') || kind === 'wipe') who = any(f.core);
-    if (kind.startsWith('engine') || kind.startsWith('feed') || kind === 'leave' || kind === 'release') who = engine;
+    if (
+      kind.startsWith('engine') ||
+      kind.startsWith('feed') ||
+      kind === 'leave' ||
+      kind === 'release'
+    )
+      who = engine;
     if (kind === 'slow-link') other = engine;
     if (other === who) other = 'platform';
-    out.push({ at: Math.round(from + dice.next() * (to - from)), kind, who, other, ms: Math.round(300 + dice.next() * dice.next() * 7000) });
+    out.push({
+      at: Math.round(from + dice.next() * (to - from)),
+      kind,
+      who,
+      other,
+      ms: Math.round(300 + dice.next() * dice.next() * 7000),
+    });
   }
   function isWipe(x: Fault): boolean {
     return x.kind === 'wipe';
@@ -107,7 +162,8 @@
 
   function everyone(): string[] {
     const out: string[] = [];
-    for (const p of w.procs()) if (p.name !== x.who && p.name !== 'ops' && p.name !== 'callers') out.push(p.name);
+    for (const p of w.procs())
+      if (p.name !== x.who && p.name !== 'ops' && p.name !== 'callers') out.push(p.name);
     return out;
   }
 
@@ -179,17 +235,30 @@
   }
 
   switch (x.kind) {
-    case 'kill': return down([x.who], false);
-    case 'power': return down([x.who], true);
-    case 'kill-edge': return down(f.edge, false);
-    case 'kill-core': return down([...f.core, ...indexes], false);
-    case 'power-core': return down([...f.core, ...indexes], true);
-    case 'kill-ours': return down([...f.core, ...f.edge, ...indexes], w.dice.next() < 0.5);
-    case 'wipe': return down([x.who], true, true);
-    case 'index-all': return down(indexes, false);
-    case 'engine-crash': case 'store-empty': return down([x.kind === 'store-empty' ? 'store-1' : x.who], false);
-    case 'engine-vanish': return down([x.who], true);
-    case 'freeze': case 'engine-freeze': case 'suspend': {
+    case 'kill':
+      return down([x.who], false);
+    case 'power':
+      return down([x.who], true);
+    case 'kill-edge':
+      return down(f.edge, false);
+    case 'kill-core':
+      return down([...f.core, ...indexes], false);
+    case 'power-core':
+      return down([...f.core, ...indexes], true);
+    case 'kill-ours':
+      return down([...f.core, ...f.edge, ...indexes], w.dice.next() < 0.5);
+    case 'wipe':
+      return down([x.who], true, true);
+    case 'index-all':
+      return down(indexes, false);
+    case 'engine-crash':
+    case 'store-empty':
+      return down([x.kind === 'store-empty' ? 'store-1' : x.who], false);
+    case 'engine-vanish':
+      return down([x.who], true);
+    case 'freeze':
+    case 'engine-freeze':
+    case 'suspend': {
       note([x.who]);
       const p = proc(x.who);
       if (!p.alive || p.frozen) return;
@@ -207,21 +276,30 @@
     case 'engine-turns': {
       return ways({ queue: -1 }, { queue: f.d.engines[0].queue });
     }
-    case 'cut': return cutAll([x.who], [x.other]);
-    case 'cut-one-way': return cutAll([x.who], [x.other], true);
-    case 'cut-off': return cutAll([x.who], everyone());
-    case 'split-core': return cutAll(withIndex(f.core[0]), [...withIndex(f.core[1]), ...withIndex(f.core[2])]);
-    case 'core-from-edge': return cutAll([...f.core, ...indexes], f.edge);
-    case 'edge-from-core': return cutAll([f.edge.includes(x.who) ? x.who : f.edge[0]], [...f.core, ...indexes]);
+    case 'cut':
+      return cutAll([x.who], [x.other]);
+    case 'cut-one-way':
+      return cutAll([x.who], [x.other], true);
+    case 'cut-off':
+      return cutAll([x.who], everyone());
+    case 'split-core':
+      return cutAll(withIndex(f.core[0]), [...withIndex(f.core[1]), ...withIndex(f.core[2])]);
+    case 'core-from-edge':
+      return cutAll([...f.core, ...indexes], f.edge);
+    case 'edge-from-core':
+      return cutAll([f.edge.includes(x.who) ? x.who : f.edge[0]], [...f.core, ...indexes]);
     case 'slow-link': {
       const [a, b] = [proc(x.who).ip, proc(x.other).ip];
       w.slow(a, b, 60);
       w.slow(b, a, 60);
       return;
     }
-    case 'disk-slow': return diskFault(slowDisk);
-    case 'disk-full': return diskFault(fullDisk);
-    case 'disk-stall': return diskFault(w.stall);
+    case 'disk-slow':
+      return diskFault(slowDisk);
+    case 'disk-full':
+      return diskFault(fullDisk);
+    case 'disk-stall':
+      return diskFault(w.stall);
     case 'leave': {
       mark(true);
       function returned(): void {
@@ -230,7 +308,8 @@
       w.after(x.ms + 6000, returned);
       return;
     }
-    case 'release': return release(x.who);
+    case 'release':
+      return release(x.who);
     case 'release-all': {
       for (const i of f.d.engines.keys()) w.after(i * 1500, one);
       function one(): void {
@@ -239,7 +318,8 @@
       let next = 0;
       return;
     }
-    case 'zone': return down(inZone(f.d.core[f.core.indexOf(x.who)]?.zone ?? 'zone-b'), true);
+    case 'zone':
+      return down(inZone(f.d.core[f.core.indexOf(x.who)]?.zone ?? 'zone-b'), true);
     case 'rolling': {
       void roll([...f.edge, ...f.core, ...indexes]);
       return;
@@ -249,11 +329,20 @@
       seeds.splice(0, seeds.length, ...d.edge.slice(1).map(wireOf));
       return down([f.core[0], ...f.edge.slice(0, 1)], false);
     }
-    case 'engine-skips': case 'engine-repeats': case 'engine-splices': case 'engine-foreign': return ways({ odd: x.kind.slice(7) as EngineWays['odd'] }, { odd: undefined });
-    case 'feed-repeats': case 'feed-back': case 'feed-epoch': return ways({ feed: x.kind.slice(5) as EngineWays['feed'] }, { feed: undefined });
-    case 'feed-short': return ways({ keepBatches: 4 }, { keepBatches: f.d.engines[0].keepBatches });
+    case 'engine-skips':
+    case 'engine-repeats':
+    case 'engine-splices':
+    case 'engine-foreign':
+      return ways({ odd: x.kind.slice(7) as EngineWays['odd'] }, { odd: undefined });
+    case 'feed-repeats':
+    case 'feed-back':
+    case 'feed-epoch':
+      return ways({ feed: x.kind.slice(5) as EngineWays['feed'] }, { feed: undefined });
+    case 'feed-short':
+      return ways({ keepBatches: 4 }, { keepBatches: f.d.engines[0].keepBatches });
     case 'slow-engines': {
-      for (const a of f.d.engines) for (const b of f.d.engines) if (a !== b) w.slow(proc(a.id).ip, proc(b.id).ip, 40);
+      for (const a of f.d.engines)
+        for (const b of f.d.engines) if (a !== b) w.slow(proc(a.id).ip, proc(b.id).ip, 40);
       return;
     }
   }
--- a/tools/sim/simfleet.ts
+++ b/tools/sim/simfleet.ts
@@ -49,26 +49,59 @@
 }
 
 /** Makes the intents of a simulated run: the deployment's, and the prober's. */
-export function simIntents(d: Deployment, probeService: string, extraRules: number, walled: readonly string[]): Intents {
+export function simIntents(
+  d: Deployment,
+  probeService: string,
+  extraRules: number,
+  walled: readonly string[],
+): Intents {
   const base = d.intents;
   const services = [...base.services];
-  for (const n of [3, 5]) services.push({ id: `probe-${n}`, tenant: 'probe', model: d.model, urgency: 'high', mayRepeat: true, deadlineMs: 8000, maxTokens: n, secondTries: 0.15 });
+  for (const n of [3, 5])
+    services.push({
+      id: `probe-${n}`,
+      tenant: 'probe',
+      model: d.model,
+      urgency: 'high',
+      mayRepeat: true,
+      deadlineMs: 8000,
+      maxTokens: n,
+      secondTries: 0.15,
+    });
   const rules = [...base.rules, { tenant: 'probe', label: 'probe', service: probeService }];
-  for (let i = 0; i < extraRules; i++) rules.push({ tenant: 'probe', label: `extra-${i}`, service: 'probe-3' });
+  for (let i = 0; i < extraRules; i++)
+    rules.push({ tenant: 'probe', label: `extra-${i}`, service: 'probe-3' });
   function wall(t: Intents['tenants'][number]): Intents['tenants'][number] {
     return walled.includes(t.id) ? { id: t.id, sharing: 'walled' } : t;
   }
-  return { ...base, tenants: [...base.tenants.map(wall), { id: 'probe', sharing: 'walled' }], services, rules };
+  return {
+    ...base,
+    tenants: [...base.tenants.map(wall), { id: 'probe', sharing: 'walled' }],
+    services,
+    rules,
+  };
 }
 
 /** Builds the fleet: three core machines that found it or more, some edges and engines of the deployment. */
-export function makeSimFleet(seed: number, name: string, edges: number, engineCount: number, keepLines: boolean, coreCount = 3): SimFleet {
+export function makeSimFleet(
+  seed: number,
+  name: string,
+  edges: number,
+  engineCount: number,
+  keepLines: boolean,
+  coreCount = 3,
+): SimFleet {
   const w = makeWorld(seed, keepLines);
   const net = makeNet(w);
   const full = makeDeployment(name)!;
   const core = full.core.slice();
   while (core.length < coreCount) core.push(coreMachine(core.length + 1));
-  const d: Deployment = { ...full, core, edge: full.edge.slice(0, edges), engines: full.engines.slice(0, engineCount) };
+  const d: Deployment = {
+    ...full,
+    core,
+    edge: full.edge.slice(0, edges),
+    engines: full.engines.slice(0, engineCount),
+  };
   const ledger: LedgerEntry[] = [];
   const engines = d.engines.map(listed);
   const controllers = new Map<string, Controller>();
@@ -79,7 +112,13 @@
 
   function coreMachine(n: number): Deployment['core'][number] {
     const c = full.core[0];
-    return { ...c, name: `core-${n}`, zone: full.core[(n - 1) % 3].zone, wire: c.wire.replace('.1.1:', `.1.${n}:`), http: c.http.replace('.1.1:', `.1.${n}:`) };
+    return {
+      ...c,
+      name: `core-${n}`,
+      zone: full.core[(n - 1) % 3].zone,
+      wire: c.wire.replace('.1.1:', `.1.${n}:`),
+      http: c.http.replace('.1.1:', `.1.${n}:`),
+    };
   }
   const seeds = [...founders];
   const stops = new Map<string, () => Promise<void>>();
@@ -90,8 +129,25 @@
 
   function settings(n: string, wire: string, http: string, zone: string): Settings {
     return {
-      ...defaultSettings(), name: n, zone, wire, http, bind: '', seeds, founders, data: n, platform: d.platform, changeBoundMs: 2000, leavingBoundMs: 3000, weightsBoundMs: d.weightsBoundMs,
-      secondTryShare: 0.18, onceKeepMs: 600000, indexMostParts: 100000, bodyMostBytes: 1 << 22, placeBy: 'index', ...told,
+      ...defaultSettings(),
+      name: n,
+      zone,
+      wire,
+      http,
+      bind: '',
+      seeds,
+      founders,
+      data: n,
+      platform: d.platform,
+      changeBoundMs: 2000,
+      leavingBoundMs: 3000,
+      weightsBoundMs: d.weightsBoundMs,
+      secondTryShare: 0.18,
+      onceKeepMs: 600000,
+      indexMostParts: 100000,
+      bodyMostBytes: 1 << 22,
+      placeBy: 'index',
+      ...told,
     };
   }
 
@@ -127,7 +183,12 @@
     const ixIp = ipOf(c.wire).replace('.1.', '.5.');
     add(`index-${c.name}`, ixIp, startIx);
     async function startIx(_: Proc, ports: Ports): Promise<void> {
-      const [f, ix] = open(await startIndexer(ports, settings(`index-${c.name}`, `${ixIp}:7001`, `${ixIp}:8001`, c.zone)));
+      const [f, ix] = open(
+        await startIndexer(
+          ports,
+          settings(`index-${c.name}`, `${ixIp}:7001`, `${ixIp}:8001`, c.zone),
+        ),
+      );
       if (f) return;
       stops.set(`index-${c.name}`, ix.stop);
       indexers.set(`index-${c.name}`, ix);
@@ -166,8 +227,10 @@
     const p = w.procAt(peer)!;
     const { life } = p;
     const open = marks.filter(unknown);
-    for (const e of engines) if (e.leaving && !marks.some(of(e.id))) open.push(push({ engine: e.id, until: Infinity }));
-    for (const m of marks) if (m.until === Infinity && !engines.some(leaves(m.engine))) m.until = w.now();
+    for (const e of engines)
+      if (e.leaving && !marks.some(of(e.id))) open.push(push({ engine: e.id, until: Infinity }));
+    for (const m of marks)
+      if (m.until === Infinity && !engines.some(leaves(m.engine))) m.until = w.now();
     const at = w.now();
     w.after(1000, judge);
     function judge(): void {
@@ -202,7 +265,29 @@
     for (const [n, go] of starts) if (!lost.has(n)) go();
   }
 
-  return { w, net, d, ledger, engines, controllers, starts, core: d.core.map(nameOf), edge: d.edge.map(nameOf), ops, callers, startAll, settings, marks, standins, lost, indexers, spare, told, seeds, stops };
+  return {
+    w,
+    net,
+    d,
+    ledger,
+    engines,
+    controllers,
+    starts,
+    core: d.core.map(nameOf),
+    edge: d.edge.map(nameOf),
+    ops,
+    callers,
+    startAll,
+    settings,
+    marks,
+    standins,
+    lost,
+    indexers,
+    spare,
+    told,
+    seeds,
+    stops,
+  };
 }
 
 function nameOf(x: { name: string }): string {
@@ -210,13 +295,28 @@
 }
 
 /** Asks the controllers in turn, as the operators' command line does. */
-export async function askCore(f: SimFleet, method: string, path: string, body?: unknown, first = 0, patience = 6000): Promise<{ status: number; body: Record<string, unknown> } | { status: 0; sure: boolean }> {
+export async function askCore(
+  f: SimFleet,
+  method: string,
+  path: string,
+  body?: unknown,
+  first = 0,
+  patience = 6000,
+): Promise<{ status: number; body: Record<string, unknown> } | { status: 0; sure: boolean }> {
   const ats = [...f.d.core, f.spare];
   const n = ats.length;
   let sure = true;
   for (let i = 0; i < n; i++) {
     const at = ats[(first + i) % n].http;
-    const [g, r] = open(await askJson(f.ops.wire, { at, method, path, body: body === undefined ? undefined : JSON.stringify(body), within: patience }));
+    const [g, r] = open(
+      await askJson(f.ops.wire, {
+        at,
+        method,
+        path,
+        body: body === undefined ? undefined : JSON.stringify(body),
+        within: patience,
+      }),
+    );
     if (!g) return { status: r.status, body: r.body as Record<string, unknown> };
     if (g.sort !== 'refused') {
       sure = false;
--- a/tools/sim/simops.ts
+++ b/tools/sim/simops.ts
@@ -22,12 +22,34 @@
 
 /** Makes an empty log. */
 export function makeOpsLog(): OpsLog {
-  return { acks: 0, pending: 0, conflicts: 0, unknown: 0, violations: [], rule: { possible: new Set(['probe-3']), windows: new Set() }, droppedKeys: [], sureKeys: new Set(), liveKey: undefined, weights: [{ name: 'w1', sentAt: -1e9, ackAt: -1e9 }], walls: new Map(), lastAcked: { revision: 0, service: 'probe-3' }, effectMs: [], replaced: false };
+  return {
+    acks: 0,
+    pending: 0,
+    conflicts: 0,
+    unknown: 0,
+    violations: [],
+    rule: { possible: new Set(['probe-3']), windows: new Set() },
+    droppedKeys: [],
+    sureKeys: new Set(),
+    liveKey: undefined,
+    weights: [{ name: 'w1', sentAt: -1e9, ackAt: -1e9 }],
+    walls: new Map(),
+    lastAcked: { revision: 0, service: 'probe-3' },
+    effectMs: [],
+    replaced: false,
+  };
 }
 
 type Reply = { status: number; body: Record<string, unknown>; sure: boolean };
 
-async function tell(f: SimFleet, log: OpsLog, method: string, path: string, body: unknown, first: number): Promise<Reply> {
+async function tell(
+  f: SimFleet,
+  log: OpsLog,
+  method: string,
+  path: string,
+  body: unknown,
+  first: number,
+): Promise<Reply> {
   const sent = f.w.now();
   const r = await askCore(f, method, path, body, first);
   const body2 = 'body' in r ? r.body : {};
@@ -44,7 +66,15 @@
 }
 
 /** Applies a file in which the probe's rule names a service; `basedOn` undefined reads the standing revision. */
-export async function applyRule(f: SimFleet, log: OpsLog, service: string, extra: number, first: number, basedOn?: number, walled: readonly string[] = [...log.walls.keys()]): Promise<number | undefined> {
+export async function applyRule(
+  f: SimFleet,
+  log: OpsLog,
+  service: string,
+  extra: number,
+  first: number,
+  basedOn?: number,
+  walled: readonly string[] = [...log.walls.keys()],
+): Promise<number | undefined> {
   let base = basedOn;
   if (base === undefined) {
     const now = await askCore(f, 'GET', '/v1/intents', undefined, first);
@@ -54,7 +84,14 @@
   const { rule } = log;
   rule.possible.add(service);
   for (const win of rule.windows) win.add(service);
-  const r = await tell(f, log, 'PUT', '/v1/intents', { basedOn: base, intents: simIntents(f.d, service, extra, walled) }, first);
+  const r = await tell(
+    f,
+    log,
+    'PUT',
+    '/v1/intents',
+    { basedOn: base, intents: simIntents(f.d, service, extra, walled) },
+    first,
+  );
   if (r.status === 200 || r.status === 202) {
     const revision = Number(r.body.revision);
     if (revision !== base + 1) log.violations.push(`apply on ${base} gave revision ${revision}`);
@@ -72,8 +109,12 @@
   const now = await askCore(f, 'GET', '/v1/intents');
   if (now.status !== 200) return;
   const base = Number((now as Reply).body.revision);
-  const both = await Promise.all([applyRule(f, log, 'probe-3', 1, 0, base), applyRule(f, log, 'probe-5', 2, 1, base)]);
-  if (both[0] !== undefined && both[1] !== undefined) log.violations.push(`both operators were told that they won revision ${base + 1}`);
+  const both = await Promise.all([
+    applyRule(f, log, 'probe-3', 1, 0, base),
+    applyRule(f, log, 'probe-5', 2, 1, base),
+  ]);
+  if (both[0] !== undefined && both[1] !== undefined)
+    log.violations.push(`both operators were told that they won revision ${base + 1}`);
 }
 
 /** Makes a fresh key for the prober and then withdraws the old one. */
@@ -93,7 +134,10 @@
 
 /** Two operators each make a key for the prober at once, through different controllers: both that were told so have one that works. */
 export async function raceKeys(f: SimFleet, log: OpsLog, ids: Map<string, string>): Promise<void> {
-  const made = await Promise.all([tell(f, log, 'POST', '/v1/keys/probe', {}, 0), tell(f, log, 'POST', '/v1/keys/probe', {}, 1)]);
+  const made = await Promise.all([
+    tell(f, log, 'POST', '/v1/keys/probe', {}, 0),
+    tell(f, log, 'POST', '/v1/keys/probe', {}, 1),
+  ]);
   for (const m of made) {
     if (m.status !== 200) continue;
     ids.set(String(m.body.key), String(m.body.id));
@@ -124,33 +168,61 @@
 export async function wallOff(f: SimFleet, log: OpsLog, tenant: string): Promise<void> {
   const walled = [...log.walls.keys(), tenant];
   const revision = await applyRule(f, log, log.lastAcked.service, 0, 0, undefined, walled);
-  if (revision !== undefined && log.lastAcked.revision === revision) log.walls.set(tenant, f.w.now());
+  if (revision !== undefined && log.lastAcked.revision === revision)
+    log.walls.set(tenant, f.w.now());
 }
 
 /** One probe: how many pieces the rule's service gives tells which service took it. */
-export async function probe(f: SimFleet, log: OpsLog, key: string, dropped: boolean): Promise<'whole' | 'refused' | 'other'> {
+export async function probe(
+  f: SimFleet,
+  log: OpsLog,
+  key: string,
+  dropped: boolean,
+): Promise<'whole' | 'refused' | 'other'> {
   const { callers, w } = f;
   const edge = f.d.edge[Math.floor(w.dice.next() * f.d.edge.length)].http;
   const win = new Set(log.rule.possible);
   log.rule.windows.add(win);
   const headers = { authorization: `Bearer ${key}`, 'content-type': 'application/json' };
   const started = w.now();
-  const [g, r] = open(await callers.wire.ask({ at: edge, method: 'POST', path: '/v1/generate', headers, body: JSON.stringify({ label: 'probe', tokens: [1, 2, 3, 1 + Math.floor(w.dice.next() * 1e6)], maxTokens: 9 }), within: 9000 }));
+  const [g, r] = open(
+    await callers.wire.ask({
+      at: edge,
+      method: 'POST',
+      path: '/v1/generate',
+      headers,
+      body: JSON.stringify({
+        label: 'probe',
+        tokens: [1, 2, 3, 1 + Math.floor(w.dice.next() * 1e6)],
+        maxTokens: 9,
+      }),
+      within: 9000,
+    }),
+  );
   log.rule.windows.delete(win);
   if (g) return 'other';
   if (r.status !== 200) {
     r.cancel();
-    if (r.status === 401 && !dropped && log.sureKeys.has(key)) log.violations.push(`an acknowledged key was not known at ${started.toFixed(0)} by ${edge}`);
+    if (r.status === 401 && !dropped && log.sureKeys.has(key))
+      log.violations.push(`an acknowledged key was not known at ${started.toFixed(0)} by ${edge}`);
     return 'refused';
   }
-  if (dropped) log.violations.push(`a withdrawn key was let in at ${started.toFixed(0)} by ${edge}`);
+  if (dropped)
+    log.violations.push(`a withdrawn key was let in at ${started.toFixed(0)} by ${edge}`);
   const line = lineReader(r.next, edge);
   for (;;) {
     const [h, text] = open(await line());
-    const v = text === undefined ? undefined : (parseJson(text, 'probe', edge).orDefault(undefined) as { done?: boolean; count?: number; error?: object } | undefined);
+    const v =
+      text === undefined
+        ? undefined
+        : (parseJson(text, 'probe', edge).orDefault(undefined) as
+            { done?: boolean; count?: number; error?: object } | undefined);
     if (h || !v || v.error) return 'other';
     if (!v.done) continue;
-    if (!win.has(`probe-${v.count}`)) log.violations.push(`probe of ${started.toFixed(0)} at ${edge} was served by probe-${v.count}, possible: ${[...win].join(' ')}`);
+    if (!win.has(`probe-${v.count}`))
+      log.violations.push(
+        `probe of ${started.toFixed(0)} at ${edge} was served by probe-${v.count}, possible: ${[...win].join(' ')}`,
+      );
     return 'whole';
   }
 }
@@ -158,15 +230,26 @@
 /** After all is healed: what was acknowledged stands, at every controller that answers. */
 export async function checkKept(f: SimFleet, log: OpsLog): Promise<void> {
   for (const c of f.d.core) {
-    const [g, r] = open(await askJson(f.ops.wire, { at: c.http, method: 'GET', path: '/v1/intents', within: 3000 }));
+    const [g, r] = open(
+      await askJson(f.ops.wire, { at: c.http, method: 'GET', path: '/v1/intents', within: 3000 }),
+    );
     if (g || r.status !== 200) continue;
-    const b = r.body as { revision: number; intents: { rules: { label: string; service: string }[] } };
+    const b = r.body as {
+      revision: number;
+      intents: { rules: { label: string; service: string }[] };
+    };
     function probeRule(x: { label: string }): boolean {
       return x.label === 'probe';
     }
     const has = b.intents.rules.find(probeRule)?.service ?? 'none';
-    if (b.revision < log.lastAcked.revision) log.violations.push(`${c.name} holds revision ${b.revision}, ${log.lastAcked.revision} was acknowledged`);
-    else if (b.revision === log.lastAcked.revision && has !== log.lastAcked.service) log.violations.push(`${c.name} holds ${has} at revision ${b.revision}, ${log.lastAcked.service} was acknowledged`);
+    if (b.revision < log.lastAcked.revision)
+      log.violations.push(
+        `${c.name} holds revision ${b.revision}, ${log.lastAcked.revision} was acknowledged`,
+      );
+    else if (b.revision === log.lastAcked.revision && has !== log.lastAcked.service)
+      log.violations.push(
+        `${c.name} holds ${has} at revision ${b.revision}, ${log.lastAcked.service} was acknowledged`,
+      );
   }
 }
 
@@ -192,7 +275,10 @@
   for (let i = 0; !log.replaced; i++) {
     await f.ops.clock.sleep(700);
     const body = { out: victim.wire, into: f.spare.wire };
-    const both = await Promise.all([tell(f, log, 'POST', '/v1/voters', body, i), tell(f, log, 'POST', '/v1/voters', body, i + 1)]);
+    const both = await Promise.all([
+      tell(f, log, 'POST', '/v1/voters', body, i),
+      tell(f, log, 'POST', '/v1/voters', body, i + 1),
+    ]);
     log.replaced = both.some(isDone);
   }
   if (f.w.dice.next() < 0.5) f.lost.delete(victim.name);
--- a/tools/sim/simrun.ts
+++ b/tools/sim/simrun.ts
@@ -5,7 +5,19 @@
 import { askCore, makeSimFleet, SimFleet, simIntents } from './simfleet';
 import { drawFaults, Fault, healAll, injectSim } from './simfaults';
 import { Traffic } from './traffic';
-import { applyRule, checkKept, makeOpsLog, nameWeights, OpsLog, probe, race, raceKeys, replaceCore, turnKey, wallOff } from './simops';
+import {
+  applyRule,
+  checkKept,
+  makeOpsLog,
+  nameWeights,
+  OpsLog,
+  probe,
+  race,
+  raceKeys,
+  replaceCore,
+  turnKey,
+  wallOff,
+} from './simops';
 
 /** How a run is made. */
 export interface RunWays {
@@ -49,7 +61,13 @@
 
 /** Runs one seed and judges it by the ledgers. */
 export async function runSeed(seed: number, ways: RunWays): Promise<RunResult> {
-  const f = makeSimFleet(seed, ways.deployment, ways.brief ? 9 : 4, ways.brief ? 99 : 4, ways.keepLines === true);
+  const f = makeSimFleet(
+    seed,
+    ways.deployment,
+    ways.brief ? 9 : 4,
+    ways.brief ? 99 : 4,
+    ways.keepLines === true,
+  );
   const { w } = f;
   f.net.traffic = ways.traffic;
   const ops = makeOpsLog();
@@ -61,7 +79,17 @@
   f.d.engines[lossy].loseEvents = 0.05;
   const replaces = ways.replace ?? (seed % 4 === 0 && !ways.only);
   const lastLoss = ways.schedule === undefined && !ways.only && !replaces && seed % 4 === 2;
-  const schedule = ways.schedule ?? drawFaults(f, seededDice(seed + 77777), FAULTS_FROM, FAULTS_TO, ways.faults, !replaces && !lastLoss, ways.only);
+  const schedule =
+    ways.schedule ??
+    drawFaults(
+      f,
+      seededDice(seed + 77777),
+      FAULTS_FROM,
+      FAULTS_TO,
+      ways.faults,
+      !replaces && !lastLoss,
+      ways.only,
+    );
   f.startAll();
   void operate();
   for (const x of schedule) w.after(x.at, inject(x));
@@ -94,9 +122,13 @@
   }
 
   async function configure(): Promise<boolean> {
-    const r = await askCore(f, 'PUT', '/v1/intents', { basedOn: 0, intents: simIntents(f.d, 'probe-3', 0, []) });
+    const r = await askCore(f, 'PUT', '/v1/intents', {
+      basedOn: 0,
+      intents: simIntents(f.d, 'probe-3', 0, []),
+    });
     const stands = r.status === 200 ? r : await askCore(f, 'GET', '/v1/intents');
-    if (stands.status !== 200 || (stands as { body: Record<string, unknown> }).body.revision !== 1) return false;
+    if (stands.status !== 200 || (stands as { body: Record<string, unknown> }).body.revision !== 1)
+      return false;
     ops.lastAcked = { revision: 1, service: 'probe-3' };
     for (const t of f.d.intents.tenants) {
       const k = await askCore(f, 'POST', `/v1/keys/${t.id}`, {});
@@ -118,7 +150,14 @@
     while (w.now() < HEAL - 1000) {
       await clock.sleep(500 + dice.next() * 2500);
       const roll = dice.next();
-      if (roll < 0.4) await applyRule(f, ops, ops.lastAcked.service === 'probe-3' ? 'probe-5' : 'probe-3', dice.next() < 0.1 ? 2000 : Math.floor(dice.next() * 40), Math.floor(dice.next() * 3));
+      if (roll < 0.4)
+        await applyRule(
+          f,
+          ops,
+          ops.lastAcked.service === 'probe-3' ? 'probe-5' : 'probe-3',
+          dice.next() < 0.1 ? 2000 : Math.floor(dice.next() * 40),
+          Math.floor(dice.next() * 3),
+        );
       else if (roll < 0.55) await race(f, ops);
       else if (roll < 0.75) await turnKey(f, ops, keyIds);
       else if (roll < 0.8) await raceKeys(f, ops, keyIds);
@@ -136,7 +175,20 @@
 
   async function call(): Promise<void> {
     const edges = f.d.edge.map(httpOf);
-    report = await runCallers(f.callers, { intents: f.d.intents, keys, edges, shortPerS: ways.shortPerS ?? (ways.brief ? f.d.rates.shortPerS : 12), longPerS: ways.longPerS ?? (ways.brief ? f.d.rates.longPerS : 1.5), forMs: END - w.now(), retries: 3, patienceMs: 8000 }, note);
+    report = await runCallers(
+      f.callers,
+      {
+        intents: f.d.intents,
+        keys,
+        edges,
+        shortPerS: ways.shortPerS ?? (ways.brief ? f.d.rates.shortPerS : 12),
+        longPerS: ways.longPerS ?? (ways.brief ? f.d.rates.longPerS : 1.5),
+        forMs: END - w.now(),
+        retries: 3,
+        patienceMs: 8000,
+      },
+      note,
+    );
     function note(s: Seen): void {
       seen.push(s);
     }
@@ -158,14 +210,34 @@
   return x.http;
 }
 
-function judgeRun(f: SimFleet, seed: number, report: Report | undefined, seen: Seen[], ops: OpsLog, schedule: Fault[]): RunResult {
+function judgeRun(
+  f: SimFleet,
+  seed: number,
+  report: Report | undefined,
+  seen: Seen[],
+  ops: OpsLog,
+  schedule: Fault[],
+): RunResult {
   const violations = [...ops.violations];
   const walled = new Set<string>();
   for (const t of f.d.intents.tenants) if (t.sharing === 'walled') walled.add(t.id);
-  const r = report ?? { asked: 0, whole: 0, refused: 0, unknown: 0, incomplete: 0, failed: 0, wrong: [], callerRetries: 0, firstMs: { short: { p50: 0, p99: 0 }, long: { p50: 0, p99: 0 } }, seen };
-  if (!report) violations.push('callers never finished: the fleet was not configured or a caller hangs');
+  const r = report ?? {
+    asked: 0,
+    whole: 0,
+    refused: 0,
+    unknown: 0,
+    incomplete: 0,
+    failed: 0,
+    wrong: [],
+    callerRetries: 0,
+    firstMs: { short: { p50: 0, p99: 0 }, long: { p50: 0, p99: 0 } },
+    seen,
+  };
+  if (!report)
+    violations.push('callers never finished: the fleet was not configured or a caller hangs');
   const v = judge(f.ledger, r, walled, edgeNames(f.d.edge));
-  for (const [k, list] of Object.entries(v)) if (Array.isArray(list)) for (const x of list) violations.push(`${k}: ${x}`);
+  for (const [k, list] of Object.entries(v))
+    if (Array.isArray(list)) for (const x of list) violations.push(`${k}: ${x}`);
   violations.push(...lateWork(f, ops));
   const late = { asked: 0, whole: 0 };
   let firstBack = Infinity;
@@ -177,11 +249,27 @@
     if (s.end === 'whole') late.whole++;
   }
   const lateShare = late.asked === 0 ? 0 : late.whole / late.asked;
-  if (lateShare < 0.95) violations.push(`after all is healed only ${late.whole} of ${late.asked} are served`);
-  if (!f.lost.has('core-4') && !ops.replaced) violations.push('the lost core machine was never replaced');
+  if (lateShare < 0.95)
+    violations.push(`after all is healed only ${late.whole} of ${late.asked} are served`);
+  if (!f.lost.has('core-4') && !ops.replaced)
+    violations.push('the lost core machine was never replaced');
   const second = secondTries(f);
-  if (second.share > 0.2) violations.push(`second tries of ${second.of} are ${second.share.toFixed(3)}`);
-  return { seed, violations, schedule, hash: f.w.traceHash(), report: r, verdict: v, ops, lateShare, backMs: firstBack - HEAL, secondTryShare: second.share, reuse: reuseOf(f, r.seen), lines: f.w.lines };
+  if (second.share > 0.2)
+    violations.push(`second tries of ${second.of} are ${second.share.toFixed(3)}`);
+  return {
+    seed,
+    violations,
+    schedule,
+    hash: f.w.traceHash(),
+    report: r,
+    verdict: v,
+    ops,
+    lateShare,
+    backMs: firstBack - HEAL,
+    secondTryShare: second.share,
+    reuse: reuseOf(f, r.seen),
+    lines: f.w.lines,
+  };
 }
 
 /** Tokens that engines reused, of those they were asked to read. */
@@ -243,12 +331,27 @@
   const marks = f.marks;
   for (const e of f.ledger) {
     if (e.kind !== 'began') continue;
-    for (const m of marks) if (m.engine === e.engine && m.knownAt !== undefined && e.at > m.knownAt + LEAVING_BOUND && e.at < m.until && !takenBefore(f, e, m.knownAt)) out.push(`leaving: ${e.engine} got ${e.request} ${(e.at - m.knownAt).toFixed(0)} ms after it was known to leave`);
+    for (const m of marks)
+      if (
+        m.engine === e.engine &&
+        m.knownAt !== undefined &&
+        e.at > m.knownAt + LEAVING_BOUND &&
+        e.at < m.until &&
+        !takenBefore(f, e, m.knownAt)
+      )
+        out.push(
+          `leaving: ${e.engine} got ${e.request} ${(e.at - m.knownAt).toFixed(0)} ms after it was known to leave`,
+        );
     const allowed = new Set<string>();
     let last = 0;
-    for (const [i, w] of ops.weights.entries()) if (w.ackAt !== undefined && Math.max(w.sentAt, w.ackAt - 2500) + f.d.weightsBoundMs < e.at) last = i;
+    for (const [i, w] of ops.weights.entries())
+      if (w.ackAt !== undefined && Math.max(w.sentAt, w.ackAt - 2500) + f.d.weightsBoundMs < e.at)
+        last = i;
     for (const w of ops.weights.slice(last)) allowed.add(w.name);
-    if (!allowed.has(e.weights!)) out.push(`weights: ${e.engine} began ${e.request} under ${e.weights} at ${e.at.toFixed(0)}, allowed are ${[...allowed].join(' ')}`);
+    if (!allowed.has(e.weights!))
+      out.push(
+        `weights: ${e.engine} began ${e.request} under ${e.weights} at ${e.at.toFixed(0)}, allowed are ${[...allowed].join(' ')}`,
+      );
   }
   const began = new Map<string, number>();
   for (const e of f.ledger) if (e.kind === 'began') began.set(`${e.engine} ${e.request}`, e.at);
@@ -257,7 +360,11 @@
     const at = began.get(`${e.engine} ${e.request}`) ?? 0;
     for (const m of e.reused?.madeBy ?? []) {
       if (m === e.tenant) continue;
-      for (const t of [m, e.tenant!]) if ((ops.walls.get(t) ?? Infinity) < at) out.push(`walls: ${e.engine} ${e.request}: ${e.tenant} used a part made by ${m}, walled at ${ops.walls.get(t)!.toFixed(0)}, began at ${at.toFixed(0)}`);
+      for (const t of [m, e.tenant!])
+        if ((ops.walls.get(t) ?? Infinity) < at)
+          out.push(
+            `walls: ${e.engine} ${e.request}: ${e.tenant} used a part made by ${m}, walled at ${ops.walls.get(t)!.toFixed(0)}, began at ${at.toFixed(0)}`,
+          );
     }
   }
   return out;
--- a/tools/sim/simwire.ts
+++ b/tools/sim/simwire.ts
@@ -1,7 +1,16 @@
 import { Left, Right } from 'purify-ts';
 import { makeFault, Outcome } from '../../src/shared/errors';
 import { makeFeed } from '../../src/shared/lib';
-import { Ask, Call, Listening, Message, Ports, Reply, Connection, Wire } from '../../src/shared/ports';
+import {
+  Ask,
+  Call,
+  Listening,
+  Message,
+  Ports,
+  Reply,
+  Connection,
+  Wire,
+} from '../../src/shared/ports';
 import { Proc, World } from './simworld';
 import { Traffic } from './traffic';
 
@@ -181,7 +190,10 @@
       return p.alive && p.life === life;
     }
 
-    async function listen(at: string, l: Omit<Listener, 'proc' | 'life'>): Promise<Outcome<Listening>> {
+    async function listen(
+      at: string,
+      l: Omit<Listener, 'proc' | 'life'>,
+    ): Promise<Outcome<Listening>> {
       listeners.set(at, { ...l, proc: p, life });
       async function close(): Promise<void> {
         if (listeners.get(at)?.proc === p) listeners.delete(at);
@@ -208,7 +220,8 @@
             return;
           }
           const l = listeners.get(at);
-          if (!l?.takeConnection || !l.proc.alive) return finish(Left(makeFault('dial', at, 'refused', 'refused', 'ECONNREFUSED')));
+          if (!l?.takeConnection || !l.proc.alive)
+            return finish(Left(makeFault('dial', at, 'refused', 'refused', 'ECONNREFUSED')));
           const [a, b] = makePair(p, l.proc);
           function take(): void {
             if (l!.proc.alive && l!.proc.life === l!.life) l!.takeConnection!(b);
@@ -224,7 +237,13 @@
     function ask(q: Ask): Promise<Outcome<Reply>> {
       const to = w.procAt(ipOf(q.at));
       const step = `${q.method} ${q.path}`;
-      const attempt: SimNet['sent'][0] | undefined = q.path === '/api/generate' ? { at: q.at, body: q.body!.slice(0, 120) + (q.body!.includes('"urgent":true') ? '+' : '-') } : undefined;
+      const attempt: SimNet['sent'][0] | undefined =
+        q.path === '/api/generate'
+          ? {
+              at: q.at,
+              body: q.body!.slice(0, 120) + (q.body!.includes('"urgent":true') ? '+' : '-'),
+            }
+          : undefined;
       if (attempt) sent.push(attempt);
       function wait(done: (o: Outcome<Reply>) => void): void {
         const asked = w.now();
@@ -334,7 +353,9 @@
           let closed = false;
           async function body(most: number): Promise<Outcome<string>> {
             const text = q.body ?? '';
-            return text.length > most ? Left(makeFault('read body', p.ip, `over ${most} bytes`, 'refused', 'too-large')) : Right(text);
+            return text.length > most
+              ? Left(makeFault('read body', p.ip, `over ${most} bytes`, 'refused', 'too-large'))
+              : Right(text);
           }
           function head(status: number, headers: Record<string, string>): void {
             if (closed) return;
@@ -372,7 +393,19 @@
             pipes.delete(rec);
             back!.send(broke);
           }
-          return { method: q.method, path: url.pathname, query: url.searchParams, headers: { ...q.headers }, peer: p.ip, gone: gone.signal, body, head, piece, end, breakOff };
+          return {
+            method: q.method,
+            path: url.pathname,
+            query: url.searchParams,
+            headers: { ...q.headers },
+            peer: p.ip,
+            gone: gone.signal,
+            body,
+            head,
+            piece,
+            end,
+            breakOff,
+          };
         }
         w.after(w.latency(p.ip, ipOf(q.at)), arrive);
       }
@@ -383,7 +416,10 @@
       return listen(at, { takeCall });
     }
 
-    function accept(at: string, takeConnection: (s: Connection) => void): Promise<Outcome<Listening>> {
+    function accept(
+      at: string,
+      takeConnection: (s: Connection) => void,
+    ): Promise<Outcome<Listening>> {
       return listen(at, { takeConnection });
     }
 
--- a/tools/sim/simworld.ts
+++ b/tools/sim/simworld.ts
@@ -24,7 +24,13 @@
   held: (() => void)[];
   disturbedAt?: number;
   files: Map<string, Uint8Array>;
-  disk: { slow: number; full: boolean; stalled: boolean; waiting: (() => void)[]; inFlight: Set<() => void> };
+  disk: {
+    slow: number;
+    full: boolean;
+    stalled: boolean;
+    waiting: (() => void)[];
+    inFlight: Set<() => void>;
+  };
 }
 
 /** The simulated world: virtual time, machines, links between them. */
@@ -116,7 +122,19 @@
   }
 
   function proc(name: string, ip: string): Proc {
-    const p: Proc = { name, ip, life: 0, alive: true, powered: true, frozen: false, stood: 0, wallOff: 0, held: [], files: new Map(), disk: { slow: 1, full: false, stalled: false, waiting: [], inFlight: new Set() } };
+    const p: Proc = {
+      name,
+      ip,
+      life: 0,
+      alive: true,
+      powered: true,
+      frozen: false,
+      stood: 0,
+      wallOff: 0,
+      held: [],
+      files: new Map(),
+      disk: { slow: 1, full: false, stalled: false, waiting: [], inFlight: new Set() },
+    };
     all.set(name, p);
     return p;
   }
@@ -205,7 +223,9 @@
       const copy = Uint8Array.from(bytes);
       function run(): Outcome<void> {
         p.files.set(name, p.disk.full ? cutOf(copy) : copy);
-        return p.disk.full ? Left(makeFault('write file', p.name, 'no space', 'failed', 'disk')) : Right(undefined);
+        return p.disk.full
+          ? Left(makeFault('write file', p.name, 'no space', 'failed', 'disk'))
+          : Right(undefined);
       }
       function torn(): void {
         p.files.set(name, cutOf(copy));
@@ -216,7 +236,9 @@
       const copy = Uint8Array.from(bytes);
       function run(): Outcome<void> {
         p.files.set(name, join(p.files.get(name), p.disk.full ? cutOf(copy) : copy));
-        return p.disk.full ? Left(makeFault('append file', p.name, 'no space', 'failed', 'disk')) : Right(undefined);
+        return p.disk.full
+          ? Left(makeFault('append file', p.name, 'no space', 'failed', 'disk'))
+          : Right(undefined);
       }
       function torn(): void {
         p.files.set(name, join(p.files.get(name), cutOf(copy)));
@@ -228,7 +250,9 @@
 
   function log(p: Proc): Log {
     function say(fields: object, text: string): void {
-      trace(`${p.name} ${(fields as { step?: string }).step ?? ''} ${(fields as { peer?: string }).peer ?? ''}: ${text}`);
+      trace(
+        `${p.name} ${(fields as { step?: string }).step ?? ''} ${(fields as { peer?: string }).peer ?? ''}: ${text}`,
+      );
     }
     return { info: nothing, warn: say, error: say };
   }
@@ -305,7 +329,8 @@
 
   function trace(text: string): void {
     const line = `${time.toFixed(1)} ${text}`;
-    for (let i = 0; i < line.length; i++) hash = Math.imul(hash ^ line.charCodeAt(i), 16777619) >>> 0;
+    for (let i = 0; i < line.length; i++)
+      hash = Math.imul(hash ^ line.charCodeAt(i), 16777619) >>> 0;
     if (keepLines) lines.push(line);
   }
 
@@ -331,5 +356,31 @@
     time = untilMs;
   }
 
-  return { dice, now, after, proc, procAt, procs, onProc, clock, disk, log, kill, revive, freeze, wake, stall, cut, isCut, slow, latency, healLinks, onDeath, trace, traceHash, lines, run };
+  return {
+    dice,
+    now,
+    after,
+    proc,
+    procAt,
+    procs,
+    onProc,
+    clock,
+    disk,
+    log,
+    kill,
+    revive,
+    freeze,
+    wake,
+    stall,
+    cut,
+    isCut,
+    slow,
+    latency,
+    healLinks,
+    onDeath,
+    trace,
+    traceHash,
+    lines,
+    run,
+  };
 }
--- a/tools/sim/traffic.ts
+++ b/tools/sim/traffic.ts
@@ -23,7 +23,8 @@
 
   function rows(per: number): string[] {
     const out: string[] = [];
-    for (const [key, s] of [...sums].sort(byBytes)) out.push(`| ${key} | ${Math.round(s.count / per)} | ${Math.round(s.bytes / per / 1000)} |`);
+    for (const [key, s] of [...sums].sort(byBytes))
+      out.push(`| ${key} | ${Math.round(s.count / per)} | ${Math.round(s.bytes / per / 1000)} |`);
     return out;
   }
 
--- a/tools/sim/without.ts
+++ b/tools/sim/without.ts
@@ -113,9 +113,13 @@
 }
 
 /** Bends the lines that a router reads of each generate call. */
-function bendLines(make: (request: string) => (o: Outcome<engine.EngineLine>) => Outcome<engine.EngineLine>): void {
+function bendLines(
+  make: (request: string) => (o: Outcome<engine.EngineLine>) => Outcome<engine.EngineLine>,
+): void {
   const real = engine.generate;
-  async function bent(...x: Parameters<typeof engine.generate>): Promise<Outcome<engine.Generating>> {
+  async function bent(
+    ...x: Parameters<typeof engine.generate>
+  ): Promise<Outcome<engine.Generating>> {
     function wrap(g: engine.Generating): engine.Generating {
       const bend = make(x[2].request);
       async function next(): Promise<Outcome<engine.EngineLine>> {
@@ -143,7 +147,9 @@
 
 function lateRefusal(): void {
   const real = engine.generate;
-  async function sure(...x: Parameters<typeof engine.generate>): Promise<Outcome<engine.Generating>> {
+  async function sure(
+    ...x: Parameters<typeof engine.generate>
+  ): Promise<Outcome<engine.Generating>> {
     function surely(f: { sort: string }): never {
       return { ...f, sort: 'refused' } as never;
     }
@@ -154,7 +160,9 @@
 
 function noBudget(): void {
   const real = router.startRouter;
-  async function spending(...x: Parameters<typeof router.startRouter>): Promise<Outcome<router.Router>> {
+  async function spending(
+    ...x: Parameters<typeof router.startRouter>
+  ): Promise<Outcome<router.Router>> {
     function free(r: router.Router): router.Router {
       r.parts.allowSecond = always;
       return r;
@@ -226,7 +234,9 @@
       return key.startsWith('duty/') || c.chosen(key);
     }
     async function change(op: operations.Operation): ReturnType<Controller['change']> {
-      return op.kind === 'duty' ? Right({ place: { epoch: 1, by: c.by, number: 1 }, inEffect: false, value: undefined }) : c.change(op);
+      return op.kind === 'duty'
+        ? Right({ place: { epoch: 1, by: c.by, number: 1 }, inEffect: false, value: undefined })
+        : c.change(op);
     }
     real({ ...c, chosen, change }, ports);
   }
@@ -235,10 +245,15 @@
 
 /** A router that lets an attempt run on after it told the caller that it refused. */
 function refusesLate(): void {
-  const proto = CallerApi.prototype as unknown as { sendOn(...x: unknown[]): Promise<{ done: boolean; fault?: object }> };
+  const proto = CallerApi.prototype as unknown as {
+    sendOn(...x: unknown[]): Promise<{ done: boolean; fault?: object }>;
+  };
   const real = proto.sendOn;
   let calls = 0;
-  async function late(this: CallerApi, ...x: unknown[]): Promise<{ done: boolean; fault?: object }> {
+  async function late(
+    this: CallerApi,
+    ...x: unknown[]
+  ): Promise<{ done: boolean; fault?: object }> {
     if (++calls % 20 !== 0) return real.apply(this, x);
     function nothing(): void {}
     async function taken(): Promise<boolean> {
@@ -246,7 +261,10 @@
     }
     const mute = { ...(x[0] as Call), head: nothing, piece: taken, end: nothing };
     void real.call(this, mute, ...x.slice(1));
-    return { done: false, fault: { step: 'generate', peer: '', why: 'late', sort: 'refused', code: 'late' } };
+    return {
+      done: false,
+      fault: { step: 'generate', peer: '', why: 'late', sort: 'refused', code: 'late' },
+    };
   }
   proto.sendOn = late;
 }
@@ -298,7 +316,27 @@
 
 /** Mechanisms that the simulator can leave out, to see that its checks catch what they prevent. */
 export const MECHANISMS: Record<string, () => void> = {
-  votes: noVotes, effect: noEffect, leases: noLeases, salts: noSalts, 'weights-end': noWeightsEnd, leaving: noLeaving, 'leaving-cut': noLeavingCut, sync: noSync, 'last-line': noLastLine, 'unknown-class': lateRefusal, budget: noBudget, suspension: noSuspension,
-  'repair-peers': noRepair('peers'), 'repair-returns': noRepair('returns'), 'repair-doubt': noRepair('doubt'),
-  deltas: noDeltas, fetch: noFetch, 'order-check': noOrderCheck, 'router-whole': bends(skip), 'router-once': bends(repeat), 'router-own': bends(splice), fence: noFence, 'refused-is-sure': refusesLate,
+  votes: noVotes,
+  effect: noEffect,
+  leases: noLeases,
+  salts: noSalts,
+  'weights-end': noWeightsEnd,
+  leaving: noLeaving,
+  'leaving-cut': noLeavingCut,
+  sync: noSync,
+  'last-line': noLastLine,
+  'unknown-class': lateRefusal,
+  budget: noBudget,
+  suspension: noSuspension,
+  'repair-peers': noRepair('peers'),
+  'repair-returns': noRepair('returns'),
+  'repair-doubt': noRepair('doubt'),
+  deltas: noDeltas,
+  fetch: noFetch,
+  'order-check': noOrderCheck,
+  'router-whole': bends(skip),
+  'router-once': bends(repeat),
+  'router-own': bends(splice),
+  fence: noFence,
+  'refused-is-sure': refusesLate,
 };
--- a/tools/standins/callers.ts
+++ b/tools/standins/callers.ts
@@ -62,11 +62,17 @@
     return a - b;
   }
   const s = [...list].sort(up);
-  return s.length === 0 ? 0 : Math.round(s[Math.min(s.length - 1, Math.floor(s.length * p))] * 10) / 10;
+  return s.length === 0
+    ? 0
+    : Math.round(s[Math.min(s.length - 1, Math.floor(s.length * p))] * 10) / 10;
 }
 
 /** Drives the brief's mix against the edges and checks every piece. */
-export async function runCallers(ports: Ports, w: CallerWays, onSeen?: (s: Seen) => void): Promise<Report> {
+export async function runCallers(
+  ports: Ports,
+  w: CallerWays,
+  onSeen?: (s: Seen) => void,
+): Promise<Report> {
   const { clock, dice } = ports;
   const all: Seen[] = [];
   const going: Promise<void>[] = [];
@@ -80,7 +86,9 @@
   function promptOf(tenant: number, long: boolean): number[] {
     const shared = tenant >= 6 ? 6 : tenant;
     const variant = Math.floor(dice.next() * (long ? 2 : 3));
-    const prefix = long ? blocks(12, 250, shared * 10 + variant) : blocks(2, 48, 500 + shared * 10 + variant);
+    const prefix = long
+      ? blocks(12, 250, shared * 10 + variant)
+      : blocks(2, 48, 500 + shared * 10 + variant);
     const n = ++serial;
     return [...prefix, 60000 + n, ...range(long ? 160 : 40, n, 50000), 0];
   }
@@ -97,9 +105,23 @@
     const service = serviceOf(t, long);
     const tokens = promptOf(t, long);
     const parts = splitParts(service.model, tokens);
-    const seen: Seen = { tag: parts[parts.length - 1].hash, parts, sentAt: clock.now(), tenant: service.tenant, long, repeatable: service.mayRepeat, attempts: [], end: 'refused', wrong: [] };
+    const seen: Seen = {
+      tag: parts[parts.length - 1].hash,
+      parts,
+      sentAt: clock.now(),
+      tenant: service.tenant,
+      long,
+      repeatable: service.mayRepeat,
+      attempts: [],
+      end: 'refused',
+      wrong: [],
+    };
     const key = dice.id();
-    const body = JSON.stringify({ label: long ? 'long' : 'short', tokens, maxTokens: service.maxTokens });
+    const body = JSON.stringify({
+      label: long ? 'long' : 'short',
+      tokens,
+      maxTokens: service.maxTokens,
+    });
     const started = clock.now();
     for (let attempt = 0; attempt <= w.retries; attempt++) {
       const edge = w.edges[Math.floor(dice.next() * w.edges.length)];
@@ -111,10 +133,30 @@
     onSeen?.(seen);
   }
 
-  async function once(edge: string, service: Service, seen: Seen, key: string, body: string, started: number): Promise<number | undefined> {
-    const headers = { authorization: `Bearer ${w.keys[service.tenant]}`, 'content-type': 'application/json', 'idempotency-key': key };
+  async function once(
+    edge: string,
+    service: Service,
+    seen: Seen,
+    key: string,
+    body: string,
+    started: number,
+  ): Promise<number | undefined> {
+    const headers = {
+      authorization: `Bearer ${w.keys[service.tenant]}`,
+      'content-type': 'application/json',
+      'idempotency-key': key,
+    };
     const at = clock.now();
-    const [f, r] = open(await ports.wire.ask({ at: edge, method: 'POST', path: '/v1/generate', headers, body, within: w.patienceMs ?? service.deadlineMs * 1.5 }));
+    const [f, r] = open(
+      await ports.wire.ask({
+        at: edge,
+        method: 'POST',
+        path: '/v1/generate',
+        headers,
+        body,
+        within: w.patienceMs ?? service.deadlineMs * 1.5,
+      }),
+    );
     if (f) {
       seen.attempts.push({ edge, status: 0, sort: f.sort, at, refused: f.sort === 'refused' });
       seen.end = f.sort;
@@ -123,10 +165,20 @@
     const line = lineReader(r.next, edge);
     if (r.status !== 200) {
       const [, text] = open(await line());
-      const e = (parseJson(text ?? '', 'read', edge).orDefault({}) as { error?: { class?: string; code?: string } }).error;
+      const e = (
+        parseJson(text ?? '', 'read', edge).orDefault({}) as {
+          error?: { class?: string; code?: string };
+        }
+      ).error;
       r.cancel();
       const sort = (e?.class ?? 'unknown') as 'refused' | 'unknown' | 'failed';
-      seen.attempts.push({ edge, status: r.status, sort: e?.code ?? sort, at, refused: sort === 'refused' });
+      seen.attempts.push({
+        edge,
+        status: r.status,
+        sort: e?.code ?? sort,
+        at,
+        refused: sort === 'refused',
+      });
       const taken = r.status === 409 && seen.attempts.length > 1;
       seen.end = taken ? 'unknown' : sort;
       if (taken) return undefined;
@@ -136,8 +188,12 @@
     let n = 0;
     for (;;) {
       const [g, text] = open(await line());
-      const v = text === undefined ? undefined : (parseJson(text, 'read', edge).orDefault(undefined) as { n?: number; text?: string; done?: boolean; count?: number } | undefined);
-      if (g || v === undefined || v.n === undefined && !v.done) {
+      const v =
+        text === undefined
+          ? undefined
+          : (parseJson(text, 'read', edge).orDefault(undefined) as
+              { n?: number; text?: string; done?: boolean; count?: number } | undefined);
+      if (g || v === undefined || (v.n === undefined && !v.done)) {
         r.cancel();
         seen.attempts.push({ edge, status: 200, sort: 'incomplete', at });
         seen.end = 'incomplete';
@@ -151,7 +207,8 @@
         return undefined;
       }
       if (n === 0) seen.firstMs = clock.now() - started;
-      if (v.n !== n || v.text !== `${seen.tag}#${n} `) seen.wrong.push(`piece ${v.n} "${v.text}" where ${seen.tag}#${n} was due`);
+      if (v.n !== n || v.text !== `${seen.tag}#${n} `)
+        seen.wrong.push(`piece ${v.n} "${v.text}" where ${seen.tag}#${n} was due`);
       n++;
     }
   }
@@ -173,7 +230,18 @@
 
 /** Counts what callers saw. */
 export function makeReport(all: Seen[]): Report {
-  const r: Report = { asked: all.length, whole: 0, refused: 0, unknown: 0, incomplete: 0, failed: 0, wrong: [], callerRetries: 0, firstMs: { short: { p50: 0, p99: 0 }, long: { p50: 0, p99: 0 } }, seen: all };
+  const r: Report = {
+    asked: all.length,
+    whole: 0,
+    refused: 0,
+    unknown: 0,
+    incomplete: 0,
+    failed: 0,
+    wrong: [],
+    callerRetries: 0,
+    firstMs: { short: { p50: 0, p99: 0 }, long: { p50: 0, p99: 0 } },
+    seen: all,
+  };
   const short: number[] = [];
   const long: number[] = [];
   for (const s of all) {
--- a/tools/standins/core.ts
+++ b/tools/standins/core.ts
@@ -12,7 +12,12 @@
 }
 
 class CoreEdge {
-  constructor(private readonly voters: Voters, private readonly state: Map<string, Numbered>, private readonly members: Map<string, Member>, private readonly links: Set<Exchange>) {}
+  constructor(
+    private readonly voters: Voters,
+    private readonly state: Map<string, Numbered>,
+    private readonly members: Map<string, Member>,
+    private readonly links: Set<Exchange>,
+  ) {}
 
   /** Grants a lease and tells all that stands. */
   @message('claim')
@@ -21,7 +26,13 @@
     void ex.done.then(this.forget.bind(this, ex, c.member));
     this.members.set(c.member.name, c.member);
     ex.tell('news', [...this.state.values()]);
-    return Right({ granted: true, disk: this.voters.now[0].disk, missing: [], voters: this.voters, members: [...this.members.values()] });
+    return Right({
+      granted: true,
+      disk: this.voters.now[0].disk,
+      missing: [],
+      voters: this.voters,
+      members: [...this.members.values()],
+    });
   }
 
   /** Tells where the core is. */
@@ -48,8 +59,18 @@
   const state = new Map<string, Numbered>();
   const links = new Set<Exchange>();
   const voters: Voters = { now: [{ disk: 'disk-1', at }] };
-  const hello: Hello = { version: WIRE_VERSION, name: 'core', role: 'controller', at, zone: 'z', disk: 'disk-1' };
-  const edges = [new HelloEdge(hello), new CoreEdge(voters, state, new Map<string, Member>(), links)];
+  const hello: Hello = {
+    version: WIRE_VERSION,
+    name: 'core',
+    role: 'controller',
+    at,
+    zone: 'z',
+    disk: 'disk-1',
+  };
+  const edges = [
+    new HelloEdge(hello),
+    new CoreEdge(voters, state, new Map<string, Member>(), links),
+  ];
   await ports.wire.accept(at, taken);
 
   function taken(c: Connection): void {
--- a/tools/standins/engine.ts
+++ b/tools/standins/engine.ts
@@ -1,4 +1,11 @@
-import { EngineLine, EngineOrder, EventBatch, GenerateAsk, Part, PartEvent } from '../../src/shared/contracts/engine';
+import {
+  EngineLine,
+  EngineOrder,
+  EventBatch,
+  GenerateAsk,
+  Part,
+  PartEvent,
+} from '../../src/shared/contracts/engine';
 import { giveFault, giveJson, handles, takeCalls, takeJson } from '../../src/shared/edge';
 import { Outcome } from '../../src/shared/errors';
 import { askJson } from '../../src/shared/lib';
@@ -78,7 +85,10 @@
   private fence = { epoch: 0, by: '' };
   leaving = false;
 
-  constructor(private readonly ports: Ports, readonly ways: EngineWays) {
+  constructor(
+    private readonly ports: Ports,
+    readonly ways: EngineWays,
+  ) {
     this.epoch = ports.dice.id();
   }
 
@@ -87,7 +97,15 @@
   }
 
   private tell(kind: 'stored' | 'removed', k: Kept): void {
-    this.pending.push({ kind, model: this.ways.model, weights: k.weights, salt: k.salt, parent: k.parent, hash: k.hash, size: k.size });
+    this.pending.push({
+      kind,
+      model: this.ways.model,
+      weights: k.weights,
+      salt: k.salt,
+      parent: k.parent,
+      hash: k.hash,
+      size: k.size,
+    });
   }
 
   private flush(): void {
@@ -175,11 +193,32 @@
     await ports.clock.sleep(LOOK);
     if (call.gone.aborted) return call.breakOff();
     const weights = ways.weights;
-    const turned: LedgerEntry = { kind: 'turned', engine: ways.id, at: ports.clock.now(), request: q.request, tenant: q.tenant, urgent: q.urgent };
+    const turned: LedgerEntry = {
+      kind: 'turned',
+      engine: ways.id,
+      at: ports.clock.now(),
+      request: q.request,
+      tenant: q.tenant,
+      urgent: q.urgent,
+    };
     if (this.leaving) return this.turn(call, turned, 503, 'leaving', 'this engine is leaving');
-    if (q.model !== ways.model || q.weights !== weights) return this.turn(call, turned, 409, 'weights', `weights here are ${weights}`);
-    if (this.waiting.length >= ways.queue) return this.turn(call, turned, 429, 'busy', 'the queue is full');
-    const began: LedgerEntry = { kind: 'began', engine: ways.id, at: ports.clock.now(), takenAt, request: q.request, tenant: q.tenant, salt: q.salt, weights, repeatable: q.repeatable, urgent: q.urgent, tag: q.parts[q.parts.length - 1]?.hash };
+    if (q.model !== ways.model || q.weights !== weights)
+      return this.turn(call, turned, 409, 'weights', `weights here are ${weights}`);
+    if (this.waiting.length >= ways.queue)
+      return this.turn(call, turned, 429, 'busy', 'the queue is full');
+    const began: LedgerEntry = {
+      kind: 'began',
+      engine: ways.id,
+      at: ports.clock.now(),
+      takenAt,
+      request: q.request,
+      tenant: q.tenant,
+      salt: q.salt,
+      weights,
+      repeatable: q.repeatable,
+      urgent: q.urgent,
+      tag: q.parts[q.parts.length - 1]?.hash,
+    };
     ways.ledger(began);
     let unread = 0;
     for (const p of q.parts) unread += p.size;
@@ -215,9 +254,23 @@
     giveFault(call, status, 'refused', code, why);
   }
 
-  private async decode(call: Call, q: GenerateAsk, reused: Kept[], told: { read: number; prefillMs: number; fetched?: { tokens: number; ms: number } }): Promise<void> {
+  private async decode(
+    call: Call,
+    q: GenerateAsk,
+    reused: Kept[],
+    told: { read: number; prefillMs: number; fetched?: { tokens: number; ms: number } },
+  ): Promise<void> {
     const { ways, ports } = this;
-    const entry: LedgerEntry = { kind: 'ended', engine: ways.id, at: 0, request: q.request, tenant: q.tenant, salt: q.salt, weights: q.weights, reused: { tokens: 0, madeBy: [], madeWeights: [], madeSalts: [] } };
+    const entry: LedgerEntry = {
+      kind: 'ended',
+      engine: ways.id,
+      at: 0,
+      request: q.request,
+      tenant: q.tenant,
+      salt: q.salt,
+      weights: q.weights,
+      reused: { tokens: 0, madeBy: [], madeWeights: [], madeSalts: [] },
+    };
     for (const k of reused) {
       entry.reused!.tokens += k.size;
       entry.reused!.madeBy.push(k.madeBy);
@@ -235,7 +288,13 @@
     }
     ways.ledger({ ...entry, at: ports.clock.now() });
     this.other = { request: q.request, tag };
-    const last: EngineLine = { request: q.request, done: true, count: q.maxTokens, reused: reused.map(bare), ...told };
+    const last: EngineLine = {
+      request: q.request,
+      done: true,
+      count: q.maxTokens,
+      reused: reused.map(bare),
+      ...told,
+    };
     call.end(JSON.stringify(last) + '\n');
   }
 
@@ -243,7 +302,8 @@
   private lineOf(q: GenerateAsk, tag: string, n: number): string {
     const { odd } = this.ways;
     const mine = JSON.stringify({ request: q.request, n, text: `${tag}#${n} ` }) + '\n';
-    const others = JSON.stringify({ request: this.other.request, n, text: `${this.other.tag}#${n} ` }) + '\n';
+    const others =
+      JSON.stringify({ request: this.other.request, n, text: `${this.other.tag}#${n} ` }) + '\n';
     if (odd === 'foreign' || (odd === 'splices' && n === 2)) return others;
     if (odd === 'skips' && n === 2) return '';
     return odd === 'repeats' && n === 2 ? mine + mine : mine;
@@ -251,7 +311,13 @@
 
   private async fetch(q: GenerateAsk): Promise<{ tokens: number; ms: number } | undefined> {
     const start = this.ports.clock.now();
-    const o = await askJson(this.ports.wire, { at: q.fetch!.at, method: 'POST', path: '/api/parts', body: JSON.stringify({ salt: q.salt, weights: q.weights, hashes: q.fetch!.hashes }), within: 2000 });
+    const o = await askJson(this.ports.wire, {
+      at: q.fetch!.at,
+      method: 'POST',
+      path: '/api/parts',
+      body: JSON.stringify({ salt: q.salt, weights: q.weights, hashes: q.fetch!.hashes }),
+      within: 2000,
+    });
     if (o.isLeft()) return undefined;
     const parts = ((o.extract() as { body: { parts?: Kept[] } }).body?.parts ?? []) as Kept[];
     let tokens = 0;
@@ -264,7 +330,8 @@
 
   @handles('POST', '/api/parts')
   async parts(call: Call): Promise<void> {
-    const q = (await takeJson(call, 1 << 24)) as { salt: string; weights: string; hashes: string[] } | undefined;
+    const q = (await takeJson(call, 1 << 24)) as
+      { salt: string; weights: string; hashes: string[] } | undefined;
     if (!q) return;
     const parts: Kept[] = [];
     let tokens = 0;
@@ -294,12 +361,18 @@
     if (feed === 'epoch') this.ways.feed = undefined;
     const same = call.query.get('epoch') === this.epoch;
     const after = same ? Number(call.query.get('after') ?? 0) : 0;
-    if (same && this.seq <= after) await this.more(Number(call.query.get('wait') ?? 1000), call.gone);
+    if (same && this.seq <= after)
+      await this.more(Number(call.query.get('wait') ?? 1000), call.gone);
     function later(b: EventBatch): boolean {
       return feed === 'back' ? b.seq <= after : b.seq > (feed === 'repeats' ? after - 5 : after);
     }
     const oldest = this.batches[0]?.seq ?? this.seq + 1;
-    giveJson(call, 200, { epoch: this.epoch, lost: oldest > after + 1, last: feed === 'back' ? after - 2 : this.seq, batches: this.batches.filter(later) });
+    giveJson(call, 200, {
+      epoch: this.epoch,
+      lost: oldest > after + 1,
+      last: feed === 'back' ? after - 2 : this.seq,
+      batches: this.batches.filter(later),
+    });
   }
 
   private more(within: number, gone: AbortSignal): Promise<void> {
@@ -321,15 +394,32 @@
   @handles('GET', '/api/status')
   async status(call: Call): Promise<void> {
     const { ways } = this;
-    giveJson(call, 200, { id: ways.id, model: ways.model, weights: ways.weights, running: this.running, waiting: this.waiting.length, batch: ways.batch, queue: ways.queue, unreadTokens: this.unread, leaving: this.leaving });
+    giveJson(call, 200, {
+      id: ways.id,
+      model: ways.model,
+      weights: ways.weights,
+      running: this.running,
+      waiting: this.waiting.length,
+      batch: ways.batch,
+      queue: ways.queue,
+      unreadTokens: this.unread,
+      leaving: this.leaving,
+    });
   }
 
   @handles('POST', '/api/order')
   async order(call: Call): Promise<void> {
     const o = (await takeJson(call, 4096)) as EngineOrder | undefined;
     if (!o) return;
-    if (compareEpochs(o, this.fence) < 0) this.ways.ledger({ kind: 'fenced', engine: this.ways.id, at: this.ports.clock.now(), order: o });
-    if (compareEpochs(o, this.fence) < 0) return giveFault(call, 409, 'refused', 'fenced', 'an order of a higher fence came first');
+    if (compareEpochs(o, this.fence) < 0)
+      this.ways.ledger({
+        kind: 'fenced',
+        engine: this.ways.id,
+        at: this.ports.clock.now(),
+        order: o,
+      });
+    if (compareEpochs(o, this.fence) < 0)
+      return giveFault(call, 409, 'refused', 'fenced', 'an order of a higher fence came first');
     this.fence = { epoch: o.epoch, by: o.by };
     this.ways.ledger({ kind: 'order', engine: this.ways.id, at: this.ports.clock.now(), order: o });
     giveJson(call, 200, { taken: true });
--- a/tools/standins/kvsource.ts
+++ b/tools/standins/kvsource.ts
@@ -77,7 +77,12 @@
     wake();
   }
 
-  function answer(since: number): { epoch: number; nextPageToken: number; lost: boolean; events: Told[] } {
+  function answer(since: number): {
+    epoch: number;
+    nextPageToken: number;
+    lost: boolean;
+    events: Told[];
+  } {
     const list: Told[] = [];
     let last = since;
     for (const x of events) {
--- a/tools/standins/platform.ts
+++ b/tools/standins/platform.ts
@@ -5,7 +5,10 @@
 
 /** The stand-in platform's list, which a test or the runner changes. */
 class PlatformEdge {
-  constructor(readonly engines: Engine[], private readonly served: (peer: string) => void) {}
+  constructor(
+    readonly engines: Engine[],
+    private readonly served: (peer: string) => void,
+  ) {}
 
   @handles('GET', '/api/engines')
   async list(call: Call): Promise<void> {
@@ -25,6 +28,11 @@
 function nothing(): void {}
 
 /** Starts a stand-in platform. */
-export function startPlatform(ports: Ports, at: string, engines: Engine[], served: (peer: string) => void = nothing): Promise<Outcome<Listening>> {
+export function startPlatform(
+  ports: Ports,
+  at: string,
+  engines: Engine[],
+  served: (peer: string) => void = nothing,
+): Promise<Outcome<Listening>> {
   return ports.wire.serve(at, takeCalls([new PlatformEdge(engines, served)], ports.log));
 }
--- a/tools/standins/platform/batch.ts
+++ b/tools/standins/platform/batch.ts
@@ -28,7 +28,19 @@
   let counter = 0;
   let readFree = 0;
   let linkFree = 0;
-  const batch: Batch = { queue, running, submit, clear, preempt, busyWith, whenIdle, turn, close, blocked: new Set(), leaving: false };
+  const batch: Batch = {
+    queue,
+    running,
+    submit,
+    clear,
+    preempt,
+    busyWith,
+    whenIdle,
+    turn,
+    close,
+    blocked: new Set(),
+    leaving: false,
+  };
 
   function headers(j: Job, extra: Record<string, string> = {}): Record<string, string> {
     const out: Record<string, string> = { [wireName(H.id)]: j.id, ...extra };
@@ -87,15 +99,34 @@
     const model = x.headers[H.model] ?? '';
     const total = model === '' ? 0 : 1 + Math.ceil(Math.max(0, tout - 1) / spec.stride);
     const j: Job = {
-      x, id: x.headers[H.id] ?? '', model, urgency: Number(x.headers[H.urgency] ?? 5), order: counter++, salt: x.headers[H.salt] ?? '', parts, tokensIn: tin, total, next: after + 1, held: 0,
-      deadlineAt: deadline === undefined ? Infinity : clock.now() + Number(deadline), stop: nothing, over: false,
+      x,
+      id: x.headers[H.id] ?? '',
+      model,
+      urgency: Number(x.headers[H.urgency] ?? 5),
+      order: counter++,
+      salt: x.headers[H.salt] ?? '',
+      parts,
+      tokensIn: tin,
+      total,
+      next: after + 1,
+      held: 0,
+      deadlineAt: deadline === undefined ? Infinity : clock.now() + Number(deadline),
+      stop: nothing,
+      over: false,
     };
     if (j.id === '') return turnAway(j, 400);
-    if (x.headers[H.instance] !== undefined && x.headers[H.instance] !== spec.instance) return turnAway(j, 421, { [wireName(H.told)]: spec.instance });
-    if (x.headers[H.expect] !== undefined && Number(x.headers[H.expect]) !== (versions.get(model) ?? 1)) return turnAway(j, 421);
-    if (troubles.full || batch.blocked.has(model) || tin + tout > spec.cacheTokens) return turnAway(j, 503);
+    if (x.headers[H.instance] !== undefined && x.headers[H.instance] !== spec.instance)
+      return turnAway(j, 421, { [wireName(H.told)]: spec.instance });
+    if (
+      x.headers[H.expect] !== undefined &&
+      Number(x.headers[H.expect]) !== (versions.get(model) ?? 1)
+    )
+      return turnAway(j, 421);
+    if (troubles.full || batch.blocked.has(model) || tin + tout > spec.cacheTokens)
+      return turnAway(j, 503);
     if (dice.next() < troubles.silent) return;
-    if (running.size >= spec.capacity && queue.length >= spec.queue && !displace(j)) return turnAway(j, 503);
+    if (running.size >= spec.capacity && queue.length >= spec.queue && !displace(j))
+      return turnAway(j, 503);
     queue.push(j);
     queue.sort(byUrgency);
     function gone(): void {
@@ -155,7 +186,8 @@
   /** Puts the newest of the least urgent back, where it is less urgent than this. */
   function putBack(urgency: number): boolean {
     let victim: Job | undefined;
-    for (const j of running) if (j.urgency > urgency && (!victim || byUrgency(victim, j) < 0)) victim = j;
+    for (const j of running)
+      if (j.urgency > urgency && (!victim || byUrgency(victim, j) < 0)) victim = j;
     if (!victim) return false;
     victim.stop();
     keeper.release(victim.held);
@@ -170,8 +202,25 @@
     const now = clock.now();
     const version = versions.get(j.model) ?? 1;
     j.run ??= {
-      seal: `${spec.instance}.${(++seals).toString(16)}`, id: j.id, from: j.x.peer, instance: spec.instance, service: spec.service, model: j.model, version, tenant: j.x.headers[H.tenant], beganAt: now,
-      undone: false, status: 200, after: j.next - 1, total: j.total, pieces: [], times: [], whole: false, broke: false, used: [], tokensIn: j.tokensIn,
+      seal: `${spec.instance}.${(++seals).toString(16)}`,
+      id: j.id,
+      from: j.x.peer,
+      instance: spec.instance,
+      service: spec.service,
+      model: j.model,
+      version,
+      tenant: j.x.headers[H.tenant],
+      beganAt: now,
+      undone: false,
+      status: 200,
+      after: j.next - 1,
+      total: j.total,
+      pieces: [],
+      times: [],
+      whole: false,
+      broke: false,
+      used: [],
+      tokensIn: j.tokensIn,
     };
     if (!book.runs.includes(j.run)) book.runs.push(j.run);
     if (j.model === '') return wait(j, spec.workMs * troubles.slow * warm(), plain);
@@ -184,7 +233,8 @@
     for (const p of all) ready += p.tokens;
     const unread = Math.max(0, j.tokensIn - ready);
     book.readTokens += unread;
-    readFree = Math.max(now + fetched.ms, readFree) + (unread / spec.prefillPerMs) * troubles.slow * warm();
+    readFree =
+      Math.max(now + fetched.ms, readFree) + (unread / spec.prefillPerMs) * troubles.slow * warm();
     wait(j, readFree - now + stepMs(), first);
     function usedOf(p: KeptPart): Run['used'][number] {
       return { id: p.id, tokens: p.tokens, version: p.version, tenant: p.tenant };
@@ -213,7 +263,8 @@
     source.keeper.touch(theirs);
     const now = clock.now();
     const far = source.zone === spec.zone ? 1 : 2;
-    const ms = ((tokens * spec.kvTokenBytes * 8) / (spec.bandwidthMbps * 1000)) * far * ground.links.slow;
+    const ms =
+      ((tokens * spec.kvTokenBytes * 8) / (spec.bandwidthMbps * 1000)) * far * ground.links.slow;
     if (linkFree - now > 2000) return none;
     linkFree = Math.max(now, linkFree) + ms;
     book.movedTokens += tokens;
@@ -223,7 +274,10 @@
   function wait(j: Job, ms: number, then: (j: Job) => void): void {
     const life = j.stop;
     const off = clock.timer(ms, go);
-    const deadline = j.deadlineAt === Infinity ? nothing : clock.timer(Math.max(0, j.deadlineAt - clock.now()), late);
+    const deadline =
+      j.deadlineAt === Infinity
+        ? nothing
+        : clock.timer(Math.max(0, j.deadlineAt - clock.now()), late);
     life();
     function stop(): void {
       off();
@@ -244,7 +298,15 @@
     j.held -= j.tokensIn;
     const fresh: KeptPart[] = [];
     for (const p of j.parts) {
-      const mine = { salt: j.salt, id: p.id, model: j.model, tokens: p.tokens, size: p.tokens, version: madeUnder(j, p.id) ?? version, tenant: madeBy(j, p.id) };
+      const mine = {
+        salt: j.salt,
+        id: p.id,
+        model: j.model,
+        tokens: p.tokens,
+        size: p.tokens,
+        version: madeUnder(j, p.id) ?? version,
+        tenant: madeBy(j, p.id),
+      };
       keeper.put(mine);
       fresh.push(mine);
     }
@@ -254,7 +316,10 @@
     function arrive(): void {
       if (target!.alive()) for (const p of fresh) target!.keeper.put(p);
     }
-    clock.timer(((j.tokensIn * spec.kvTokenBytes * 8) / (spec.bandwidthMbps * 1000)) * ground.links.slow, arrive);
+    clock.timer(
+      ((j.tokensIn * spec.kvTokenBytes * 8) / (spec.bandwidthMbps * 1000)) * ground.links.slow,
+      arrive,
+    );
   }
 
   function madeUnder(j: Job, id: string): number | undefined {
@@ -273,7 +338,10 @@
       r.startedAt = clock.now();
       keepParts(j);
       if (spoiled(j)) return;
-      j.x.head(200, headers(j, { 'Content-Type': 'text/event-stream', [wireName(H.seal)]: r.seal }));
+      j.x.head(
+        200,
+        headers(j, { 'Content-Type': 'text/event-stream', [wireName(H.seal)]: r.seal }),
+      );
     }
     event(j);
   }
@@ -324,7 +392,14 @@
     if (spoiled(j)) return;
     const text = `done ${r.seal} ${j.x.target}`;
     r.pieces.push({ id: 0, text });
-    j.x.head(200, headers(j, { 'Content-Type': 'text/plain', 'Content-Length': String(text.length), [wireName(H.seal)]: r.seal }));
+    j.x.head(
+      200,
+      headers(j, {
+        'Content-Type': 'text/plain',
+        'Content-Length': String(text.length),
+        [wireName(H.seal)]: r.seal,
+      }),
+    );
     finish(j, text);
   }
 
@@ -334,7 +409,10 @@
     j.x.end(text);
     if (dice.next() < troubles.garble) {
       const body = `late ${r.seal}`;
-      surplus.set(j.x.connection, `HTTP/1.1 200 OK\r\n${wireName(H.id)}: ${j.id}\r\n${wireName(H.seal)}: ${r.seal}\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+      surplus.set(
+        j.x.connection,
+        `HTTP/1.1 200 OK\r\n${wireName(H.id)}: ${j.id}\r\n${wireName(H.seal)}: ${r.seal}\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+      );
     } else if (troubles.closeIdle) (j.x.connection as { end?: () => void }).end?.();
     settle(j);
   }
--- a/tools/standins/platform/book.ts
+++ b/tools/standins/platform/book.ts
@@ -36,7 +36,15 @@
   maxConnections?: number;
   protocol?: string;
   tls?: boolean;
-  engine?: { capacity: number; cacheTokens: number; kvTokenBytes: number; bandwidthMbps: number; stride: number; maxConcurrent: number; models: { name: string }[] };
+  engine?: {
+    capacity: number;
+    cacheTokens: number;
+    kvTokenBytes: number;
+    bandwidthMbps: number;
+    stride: number;
+    maxConcurrent: number;
+    models: { name: string }[];
+  };
   cacheStore?: string;
   zone?: string;
   cacheTokens?: number;
@@ -49,7 +57,12 @@
   revision: number;
   routes: RouteDoc[];
   services: ServiceDoc[];
-  limits: { maxHeaderBytes: number; maxBodyBytes: number; headerTimeoutMs: number; idleTimeoutMs: number };
+  limits: {
+    maxHeaderBytes: number;
+    maxBodyBytes: number;
+    headerTimeoutMs: number;
+    idleTimeoutMs: number;
+  };
   tenants: TenantDoc[];
 }
 
@@ -224,7 +237,24 @@
 
 /** An empty book. */
 export function makeBook(clock: Clock): Book {
-  return { clock, tries: new Map(), arrivals: [], runs: [], orders: [], configs: [], versions: [], leaving: [], troubles: [], strays: [], readBackAsked: false, listCalls: 0, probes: 0, loads: 0, movedTokens: 0, readTokens: 0 };
+  return {
+    clock,
+    tries: new Map(),
+    arrivals: [],
+    runs: [],
+    orders: [],
+    configs: [],
+    versions: [],
+    leaving: [],
+    troubles: [],
+    strays: [],
+    readBackAsked: false,
+    listCalls: 0,
+    probes: 0,
+    loads: 0,
+    movedTokens: 0,
+    readTokens: 0,
+  };
 }
 
 /** Opens a trouble; the given function ends it. */
@@ -240,7 +270,13 @@
 /** The route of a configuration that serves a host and path: the longest prefix wins. */
 export function routeOf(doc: ConfigDoc, host: string, path: string): RouteDoc | undefined {
   let best: RouteDoc | undefined;
-  for (const r of doc.routes) if (r.hostname === host && path.startsWith(r.pathPrefix) && (!best || r.pathPrefix.length > best.pathPrefix.length)) best = r;
+  for (const r of doc.routes)
+    if (
+      r.hostname === host &&
+      path.startsWith(r.pathPrefix) &&
+      (!best || r.pathPrefix.length > best.pathPrefix.length)
+    )
+      best = r;
   return best;
 }
 
--- a/tools/standins/platform/cache.ts
+++ b/tools/standins/platform/cache.ts
@@ -101,7 +101,11 @@
     return true;
   }
 
-  function match(model: string, salt: string, wanted: readonly { id: string; tokens: number }[]): KeptPart[] {
+  function match(
+    model: string,
+    salt: string,
+    wanted: readonly { id: string; tokens: number }[],
+  ): KeptPart[] {
     const out: KeptPart[] = [];
     for (const w of wanted) {
       const p = parts.get(keyOf(model, salt, w.id));
@@ -176,7 +180,8 @@
   function wake(run: () => void): () => void {
     wakers.add(run);
     const first = log[log.length - 1];
-    const off = first && first.at > clock.now() ? clock.timer(first.at - clock.now(), run) : nothing;
+    const off =
+      first && first.at > clock.now() ? clock.timer(first.at - clock.now(), run) : nothing;
     function stop(): void {
       off();
       wakers.delete(run);
--- a/tools/standins/platform/channel.ts
+++ b/tools/standins/platform/channel.ts
@@ -25,7 +25,15 @@
   /** Whether a request may go on it now. */
   usable(): boolean;
   /** Sends one request and reads its answer; `came` gets each piece of the body, `quietMs` bounds each silence. */
-  exchange(request: string, ways: { withinMs: number; quietMs: number; came(piece: string): void; gave(head: AnswerHead): void }): Promise<Exchanged>;
+  exchange(
+    request: string,
+    ways: {
+      withinMs: number;
+      quietMs: number;
+      came(piece: string): void;
+      gave(head: AnswerHead): void;
+    },
+  ): Promise<Exchanged>;
   close(): void;
 }
 
@@ -33,7 +41,16 @@
   head?: AnswerHead;
   body: string;
   left: number;
-  mode: 'head' | 'length' | 'chunk-size' | 'chunk' | 'chunk-end' | 'trailer' | 'close' | 'whole' | 'garbage';
+  mode:
+    | 'head'
+    | 'length'
+    | 'chunk-size'
+    | 'chunk'
+    | 'chunk-end'
+    | 'trailer'
+    | 'close'
+    | 'whole'
+    | 'garbage';
   bytes: string;
 }
 
@@ -61,7 +78,11 @@
     if (r.mode === 'head') {
       const i = r.bytes.indexOf('\r\n\r\n');
       if (i < 0) {
-        if (r.bytes.length > 65536 || (r.bytes.length >= 5 && !'HTTP/'.startsWith(r.bytes.slice(0, 5)))) r.mode = 'garbage';
+        if (
+          r.bytes.length > 65536 ||
+          (r.bytes.length >= 5 && !'HTTP/'.startsWith(r.bytes.slice(0, 5)))
+        )
+          r.mode = 'garbage';
         return;
       }
       const head = parseHead(r.bytes.slice(0, i));
@@ -114,7 +135,12 @@
 }
 
 /** Opens a connection; `stray` gets bytes that come while no request waits. */
-export function openChannel(clock: Clock, at: string, dialMs: number, stray: (bytes: string) => void): Promise<Channel | undefined> {
+export function openChannel(
+  clock: Clock,
+  at: string,
+  dialMs: number,
+  stray: (bytes: string) => void,
+): Promise<Channel | undefined> {
   const up = kept<Channel | undefined>();
   const socket = net.connect(splitAt(at));
   socket.setNoDelay(true);
@@ -164,7 +190,10 @@
     socket.destroy();
   }
 
-  async function exchange(request: string, ways: Parameters<Channel['exchange']>[1]): Promise<Exchanged> {
+  async function exchange(
+    request: string,
+    ways: Parameters<Channel['exchange']>[1],
+  ): Promise<Exchanged> {
     if (closed) return { end: 'no-connection', body: '', wrote: false, open: false };
     const r = fresh();
     reading = r;
