--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -2,7 +2,7 @@
 import { dispatch, Handled } from '../shared/edge';
 import { Fault, open, Outcome } from '../shared/errors';
 import { rendezvous } from '../shared/lib';
-import { hasList } from '../shared/follow';
+import { appliedEntries } from '../shared/change-message';
 import { makeMetrics, Metrics, timedDisk } from '../shared/metrics';
 import { poll } from '../shared/poll';
 import { Listening, Ports, Connection } from '../shared/ports';
@@ -136,9 +136,9 @@
     );
   }
 
-  function learned(n: Numbered, before?: Numbered): void {
+  function learned(n: Numbered): void {
     heard.add(n.key);
-    if (!n.key.startsWith(KEYS.duty)) leases.push(n, n.by === by, before);
+    if (!n.key.startsWith(KEYS.duty)) leases.push(n, n.by === by);
     if (n.by !== by) owner.passed(n.key, n.epoch);
     if (n.key !== KEYS.voters) return;
     reachAll();
@@ -370,7 +370,15 @@
       for (const at of settings.seeds.filter(isOther)) {
         if (v && !hasMajority())
           await take(
-            await askOnce(ports, hello, edges, at, 'missing', hasList(committed()), bounds.dial),
+            await askOnce(
+              ports,
+              hello,
+              edges,
+              at,
+              'missing',
+              appliedEntries(committed()),
+              bounds.dial,
+            ),
           );
         else if (v && !allVoters(v).map(atOf).includes(at))
           await askOnce(ports, hello, edges, at, 'here', v, bounds.dial);
--- a/src/control/keep.ts
+++ b/src/control/keep.ts
@@ -1,20 +1,26 @@
 import { Right } from 'purify-ts';
 import { Exchange, Holds } from '../shared/connections';
 import { open, Outcome } from '../shared/errors';
-import { hasList } from '../shared/follow';
+import { makeCatchUp } from '../shared/catch-up';
+import {
+  AppliedEntry,
+  appliedEntries,
+  ChangeMessage,
+  isReached,
+  readChange,
+  targetOf,
+} from '../shared/change-message';
 import { rendezvous } from '../shared/lib';
 import { Bounds } from '../shared/settings';
-import { comparePlaces, Numbered } from '../shared/words';
+import { Numbered } from '../shared/words';
 import { Owner } from './register';
 import { Slots } from './slots';
 
-type Has = [string, number, string, number];
-
 /** Which keys a controller learned after a count of its life; without `has` where the asker counted in another life, or too long ago. */
 export interface LearnedAfter {
   life: string;
   count: number;
-  has?: Has[];
+  has?: AppliedEntry[];
 }
 
 /** What the keeper works with. */
@@ -45,6 +51,7 @@
 /** Makes the keeper; each of its rounds costs by what changed, not by how many keys there are. */
 export function makeKeeper(p: KeeperParts): Keeper {
   const caught = new Map<string, LearnedAfter>();
+  const fetchMissing = makeCatchUp({ held, apply: learnMessages, within: p.bounds.ask });
   let tended = { under: '', seen: new Set<string>(), mine: new Set<string>() };
 
   /** Asks each other controller for what it learned since it was asked last, and the first time for all that is not here. */
@@ -56,41 +63,53 @@
     const ex = p.helds.up(at);
     if (!ex) return;
     const seen = caught.get(at);
-    const asked = ex.ask(
-      'learned-after',
-      { life: seen?.life ?? '', count: seen?.count ?? 0 },
-      p.bounds.ask,
-    );
-    const all = seen ? undefined : missing(ex);
-    const [f, r] = open(await asked);
-    if (f && f.code !== 'not-known') return;
-    const told = r as LearnedAfter | undefined;
-    const [g, list] = open(await (all ?? lacking(ex, told)));
-    if (g) return;
-    for (const n of list as Numbered[]) {
-      if ((await p.learn({ change: n })).isLeft()) return;
-      p.forget(n.key);
-    }
+    const asked = { life: seen?.life ?? '', count: seen?.count ?? 0 };
+    const [fault, answer] = open(await ex.ask('learned-after', asked, p.bounds.ask));
+    if (fault && fault.code !== 'not-known') return;
+    const told = answer as LearnedAfter | undefined;
+    const [other, entries] = open(await learnedThere(ex, told));
+    if (other?.code === 'not-known') return takeWhole(ex);
+    if (other || !(await fetchMissing(ex, entries as AppliedEntry[]))) return;
     if (told) caught.set(at, told);
   }
 
-  function missing(ex: Exchange): Promise<Outcome<unknown>> {
-    return ex.ask('missing', hasList(p.committed()), p.bounds.ask);
+  /** How far the keys stand there that may be ahead of what is here. */
+  async function learnedThere(
+    ex: Exchange,
+    told: LearnedAfter | undefined,
+  ): Promise<Outcome<unknown>> {
+    return told?.has ? Right(told.has) : ex.ask('committed-places', {}, p.bounds.ask);
+  }
+
+  /** Takes all that is missing here from a controller of an earlier version, which sends it whole. */
+  async function takeWhole(ex: Exchange): Promise<void> {
+    const asked = appliedEntries(p.committed());
+    const [fault, changes] = open(await ex.ask('missing', asked, p.bounds.ask));
+    if (!fault) await learnAll(changes as Numbered[]);
   }
 
-  async function lacking(ex: Exchange, told: LearnedAfter | undefined): Promise<Outcome<unknown>> {
-    if (!told?.has) return missing(ex);
-    const keys = told.has.filter(isLacking).map(keyOf);
-    return keys.length === 0 ? Right([]) : ex.ask('committed', keys, p.bounds.ask);
+  async function learnAll(changes: Numbered[]): Promise<boolean> {
+    for (const change of changes) {
+      if ((await p.learn({ change })).isLeft()) return false;
+      p.forget(change.key);
+    }
+    return true;
   }
 
-  function isLacking([key, epoch, by, number]: Has): boolean {
-    const have = p.slots.cells.get(key)?.learned;
-    return !have || comparePlaces(have, { epoch, by, number }) < 0;
+  function held(key: string): Numbered | undefined {
+    return p.slots.cells.get(key)?.learned;
   }
 
-  function keyOf(x: Has): string {
-    return x[0];
+  /** Learns what was fetched; a difference whose base has moved on meanwhile is fetched anew in the next round. */
+  async function learnMessages(messages: ChangeMessage[]): Promise<boolean> {
+    let whole = true;
+    for (const message of messages) {
+      const target = targetOf(message);
+      if (isReached(held(target.key), target)) continue;
+      const change = readChange(held(target.key), message);
+      whole = change !== undefined && (await learnAll([change])) && whole;
+    }
+    return whole;
   }
 
   /** Owns the keys that are this controller's under the voters that are up, some at once, and no others. */
--- a/src/control/leases.ts
+++ b/src/control/leases.ts
@@ -1,21 +1,30 @@
 import { isDeepStrictEqual } from 'node:util';
 import { Left, Right } from 'purify-ts';
-import { Delta, makeDelta } from '../shared/delta';
+import { AppliedEntry, appliedEntries, ChangeMessage, isReached } from '../shared/change-message';
 import { field, Handled, message } from '../shared/edge';
-import { bad, open, Outcome } from '../shared/errors';
+import { bad } from '../shared/errors';
 import { Ports } from '../shared/ports';
 import { Bounds } from '../shared/settings';
 import { Exchange } from '../shared/connections';
 import { comparePlaces, KEYS, Member, Numbered, Place, Voters } from '../shared/words';
+import { makeNewsSender, NewsSender } from './news-sender';
 import { Slots } from './slots';
+import { makeVersionHistory } from './version-history';
 
 /** A follower's ask for a lease: who it is, and how far it has applied each key: whole, or what changed since its last ask on this stream. */
 export class LeaseAsk {
   @field('object') member!: Member;
-  @field('list', false) has?: [string, number, string, number][];
-  @field('list', false) changed?: [string, number, string, number][];
+  @field('list', false) has?: AppliedEntry[];
+  @field('list', false) changed?: AppliedEntry[];
   /** Whether members may be told as who joined and who left. */
   @field('boolean', false) deltas?: boolean;
+  /** Whether the node fetches what it lacks; otherwise the answer brings it whole. */
+  @field('boolean', false) fetches?: boolean;
+}
+
+/** A node's ask for the newest versions of some keys, with the versions that it holds. */
+export class FetchAsk {
+  @field('list') held!: AppliedEntry[];
 }
 
 class EffectAsk {
@@ -33,8 +42,7 @@
   ex: Exchange;
   /** The count of keys learned here that `has` covers. */
   upTo: number;
-  /** Changes that are on their way to it. */
-  onWay: Set<Promise<void>>;
+  sender: NewsSender;
   told?: { voters: Voters; view: View };
 }
 
@@ -45,8 +53,7 @@
 }
 
 function covers(has: Map<string, Place>, n: Place & { key: string }): boolean {
-  const h = has.get(n.key);
-  return h !== undefined && comparePlaces(h, n) >= 0;
+  return isReached(has.get(n.key), n);
 }
 
 function lifeOf(m: Member): string {
@@ -76,6 +83,9 @@
 export class Leases {
   private readonly holders = new Map<string, Holder>();
   private readonly waiters = new Set<() => void>();
+  private readonly history = makeVersionHistory();
+  /** Keys of which somebody waits for the effect, with how many do. */
+  private readonly awaited = new Map<string, number>();
   private readonly startedAt: number;
   private view: View = { list: [], until: -Infinity };
 
@@ -86,6 +96,7 @@
     private readonly voters: () => Voters | undefined,
   ) {
     this.startedAt = ports.clock.now();
+    for (const n of this.learned()) this.history.note(n);
   }
 
   /** The nodes whose lease here has not ended. */
@@ -151,10 +162,13 @@
     const has = same ? before!.has : new Map<string, Place>();
     for (const [key, epoch, by, number] of m.has ?? m.changed ?? [])
       has.set(key, { epoch, by, number });
-    if (before?.ex === ex && before.onWay.size > 0) await Promise.all(before.onWay);
     const upTo = this.slots.learned.count();
     const missing = this.missing(has, same ? before!.upTo : undefined);
     const disk = this.slots.disk;
+    if (missing.length > 0 && m.fetches) {
+      const lacking = appliedEntries(missing);
+      return Right({ granted: false, disk, lacking, voters, members: [] });
+    }
     if (missing.length > 0) return Right({ granted: false, disk, missing, voters, members: [] });
     const now = this.ports.clock.now();
     const member = before && isDeepStrictEqual(before.member, m.member) ? before.member : m.member;
@@ -165,7 +179,7 @@
       has,
       ex,
       upTo,
-      onWay: before?.ex === ex ? before.onWay : new Set(),
+      sender: same ? before!.sender : this.senderFor(ex, m.member.name, has),
     };
     this.holders.set(life, holder);
     this.poke();
@@ -190,59 +204,51 @@
     return Right(undefined);
   }
 
-  /** Pushes a change that is learned here down the held connections and counts the acknowledgements; another's change is sent whole only to those who don't have it from its owner. */
-  push(n: Numbered, own = true, before?: Numbered): void {
-    this.poke();
-    let made: { delta?: Delta } | undefined;
-    function once(): Delta | undefined {
-      made = made ?? { delta: makeDelta(before, n) };
-      return made.delta;
-    }
-    for (const h of this.holders.values()) {
-      const sent = this.pushOne(h, n, own, once);
-      h.onWay.add(sent);
-      void sent.then(arrived);
-      function arrived(): void {
-        h.onWay.delete(sent);
-      }
+  /** Gives the newest versions of some keys, as differences to the versions that the asker holds. */
+  @message('fetch-changes', FetchAsk)
+  async fetch(m: FetchAsk): Handled {
+    const out: ChangeMessage[] = [];
+    for (const [key, epoch, by, number] of m.held) {
+      const held: Place = { epoch, by, number };
+      const newest = this.newest(key);
+      if (newest && !isReached(held, newest)) out.push(this.history.messageFor(newest, held));
     }
+    return Right(out);
   }
 
-  /** Tells every follower something that is no change. */
-  tell(type: string, body: unknown): void {
-    for (const h of this.holders.values()) h.ex.tell(type, body);
+  private newest(key: string): Numbered | undefined {
+    return key.startsWith(KEYS.duty) ? undefined : this.slots.cells.get(key)?.learned;
   }
 
-  private async pushOne(
-    h: Holder,
-    n: Numbered,
-    own: boolean,
-    deltaOf: () => Delta | undefined,
-  ): Promise<void> {
-    if (covers(h.has, n)) return;
-    const [g, has] = open(
-      own
-        ? Right(false)
-        : await h.ex.ask(
-            'has',
-            { key: n.key, epoch: n.epoch, by: n.by, number: n.number },
-            this.bounds.ask,
-          ),
-    );
-    const held = h.has.get(n.key);
-    let o: Outcome<unknown> =
-      !g && has === true ? Right(true) : bad('push news', h.member.name, 'not there yet');
-    const delta = o.isLeft() ? deltaOf() : undefined;
-    if (delta && held && comparePlaces(held, delta.base) === 0)
-      o = await h.ex.ask('news-delta', delta, this.bounds.ask);
-    if (o.isLeft()) o = await h.ex.ask('news', [n], this.bounds.ask);
-    const [f] = open(o);
-    if (f) {
-      this.ports.log.warn({ step: 'push news', peer: h.member.name }, f.why);
-      return;
-    }
-    if (!covers(h.has, n)) h.has.set(n.key, { epoch: n.epoch, by: n.by, number: n.number });
+  private senderFor(exchange: Exchange, name: string, applied: Map<string, Place>): NewsSender {
+    return makeNewsSender({
+      exchange,
+      name,
+      applied,
+      within: this.bounds.ask,
+      log: this.ports.log,
+      newest: this.newest.bind(this),
+      messageFor: this.history.messageFor,
+      onApplied: this.poke.bind(this),
+    });
+  }
+
+  /** Takes note of a change that is learned here; its owner sends it to the followers, the others leave that to the followers' next renewals. */
+  push(n: Numbered, own = true): void {
     this.poke();
+    this.history.note(n);
+    if (own) for (const h of this.holders.values()) h.sender.send(n.key);
+    else if (this.awaited.has(n.key)) this.confirmAll(n.key);
+  }
+
+  /** Asks the followers that are not known to have a key's newest version whether they have it, and sends it where not. */
+  private confirmAll(key: string): void {
+    for (const h of this.holders.values()) h.sender.confirm(key);
+  }
+
+  /** Tells every follower something that is no change. */
+  tell(type: string, body: unknown): void {
+    for (const h of this.holders.values()) h.ex.tell(type, body);
   }
 
   private poke(): void {
@@ -273,6 +279,16 @@
   @message('effect', EffectAsk)
   async effect(m: EffectAsk): Handled {
     const until = this.ports.clock.now() + m.within;
+    this.awaited.set(m.key, (this.awaited.get(m.key) ?? 0) + 1);
+    this.confirmAll(m.key);
+    const inEffect = await this.awaitEffect(m, until);
+    const others = this.awaited.get(m.key)! - 1;
+    if (others > 0) this.awaited.set(m.key, others);
+    else this.awaited.delete(m.key);
+    return inEffect;
+  }
+
+  private async awaitEffect(m: EffectAsk, until: number): Handled {
     while (!this.inEffect(m)) {
       if (this.ports.clock.now() >= until)
         return Left({
--- /dev/null
+++ b/src/control/news-sender.ts
@@ -0,0 +1,114 @@
+import {
+  AppliedEntry,
+  ChangeMessage,
+  ChangesAnswer,
+  isReached,
+  targetOf,
+} from '../shared/change-message';
+import { Exchange } from '../shared/connections';
+import { placeOf } from '../shared/delta';
+import { open } from '../shared/errors';
+import { Log } from '../shared/ports';
+import { Numbered, Place } from '../shared/words';
+
+/** What sending changes to one follower needs. */
+export interface NewsSenderParts {
+  exchange: Exchange;
+  name: string;
+  /** How long an answer may take. */
+  within: number;
+  log: Log;
+  /** How far the follower has applied each key, as far as is known here. */
+  applied: Map<string, Place>;
+  newest(key: string): Numbered | undefined;
+  messageFor(change: Numbered, held: Place | undefined): ChangeMessage;
+  /** Called when more is known to be applied. */
+  onApplied(): void;
+}
+
+/** Sends changes to one follower. */
+export interface NewsSender {
+  /** Has the newest version of a key sent. */
+  send(key: string): void;
+  /** Has the newest version of a key sent unless the follower says that it has it already. */
+  confirm(key: string): void;
+}
+
+/**
+ * Makes a sender with one message under way at a time. Keys that change meanwhile wait by name, so a follower that is
+ * behind is sent one difference to the newest version, however many versions there were in between.
+ */
+export function makeNewsSender(parts: NewsSenderParts): NewsSender {
+  const { applied } = parts;
+  const pending = new Set<string>();
+  const confirming = new Set<string>();
+  let sending = false;
+
+  function isLacking(change: Numbered | undefined): change is Numbered {
+    return change !== undefined && !isReached(applied.get(change.key), change);
+  }
+
+  function send(key: string): void {
+    pending.add(key);
+    if (!sending) void sendAll();
+  }
+
+  async function sendAll(): Promise<void> {
+    sending = true;
+    while (pending.size > 0) if (!(await sendPending())) pending.clear();
+    sending = false;
+  }
+
+  function takePending(): ChangeMessage[] {
+    const messages: ChangeMessage[] = [];
+    for (const key of pending) {
+      const change = parts.newest(key);
+      if (isLacking(change)) messages.push(parts.messageFor(change, applied.get(key)));
+    }
+    pending.clear();
+    return messages;
+  }
+
+  /** Sends what is pending; false where the follower did not answer: its next renewal tells what it lacks. */
+  async function sendPending(): Promise<boolean> {
+    const messages = takePending();
+    if (messages.length === 0) return true;
+    const [fault, answer] = open(await parts.exchange.ask('changes', messages, parts.within));
+    if (fault) {
+      parts.log.warn({ step: 'send changes', peer: parts.name }, fault.why);
+      return false;
+    }
+    for (const message of messages) noteApplied(targetOf(message));
+    for (const entry of (answer as ChangesAnswer).lacking) noteLacking(entry);
+    parts.onApplied();
+    return true;
+  }
+
+  function noteApplied(target: Place & { key: string }): void {
+    if (!isReached(applied.get(target.key), target)) applied.set(target.key, placeOf(target));
+  }
+
+  function noteLacking([key, epoch, by, number]: AppliedEntry): void {
+    applied.set(key, { epoch, by, number });
+    pending.add(key);
+  }
+
+  function confirm(key: string): void {
+    if (!confirming.has(key)) void confirmOne(key);
+  }
+
+  async function confirmOne(key: string): Promise<void> {
+    const change = parts.newest(key);
+    if (!isLacking(change)) return;
+    confirming.add(key);
+    const asked = { key, ...placeOf(change) };
+    const [fault, has] = open(await parts.exchange.ask('has', asked, parts.within));
+    confirming.delete(key);
+    if (fault || has !== true) return send(key);
+    noteApplied(asked);
+    parts.onApplied();
+    if (isLacking(parts.newest(key))) confirm(key);
+  }
+
+  return { send, confirm };
+}
--- a/src/control/peers.ts
+++ b/src/control/peers.ts
@@ -1,7 +1,7 @@
 import { Right } from 'purify-ts';
 import { Handled, message } from '../shared/edge';
 import { bad, Outcome } from '../shared/errors';
-import { hasList } from '../shared/follow';
+import { appliedEntries } from '../shared/change-message';
 import { allVoters, comparePlaces, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
 import { LearnedAfter } from './keep';
 import { Operation } from './operations';
@@ -28,6 +28,12 @@
     return Right(this.c.committed().filter(later));
   }
 
+  /** Tells how far each key is committed here. */
+  @message('committed-places')
+  async committedPlaces(): Handled {
+    return Right(appliedEntries(this.c.committed()));
+  }
+
   /** Tells which keys were learned here after a count of this life; none are told to one that counted in another life, or too long ago. */
   @message('learned-after')
   async learnedAfter(m: { life: string; count: number }): Handled {
@@ -38,7 +44,7 @@
     return Right({
       life: this.c.by,
       count: learned.count(),
-      has: keys && hasList(has),
+      has: keys && appliedEntries(has),
     } as LearnedAfter);
   }
 
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -1,6 +1,6 @@
 import { isDeepStrictEqual } from 'node:util';
 import { Left, Right } from 'purify-ts';
-import { Delta, makeDelta, readDelta } from '../shared/delta';
+import { Delta, makeDelta, readDelta, sharing } from '../shared/delta';
 import { field, Handled, message } from '../shared/edge';
 import { bad, Fault, open, Outcome } from '../shared/errors';
 import { Ports } from '../shared/ports';
@@ -23,7 +23,7 @@
   within: number;
   voters(): Voters | undefined;
   ask(v: Voter, type: string, body: unknown, within: number): Promise<Outcome<unknown>>;
-  learned(n: Numbered, before?: Numbered): void;
+  learned(n: Numbered): void;
   learnHere(n: Numbered): Promise<unknown>;
 }
 
@@ -113,7 +113,8 @@
     if (cell?.accepted && comparePlaces(c, cell.accepted) < 0)
       return Right({ ok: false, seen } as Promised);
     const promised = { epoch: c.epoch, by: c.by };
-    const [f] = open(await this.slots.put({ key: c.key, promised, accepted: c }));
+    const accepted = { ...c, value: sharing(cell?.learned?.value, c.value) };
+    const [f] = open(await this.slots.put({ key: c.key, promised, accepted }));
     if (f) return Left(f);
     return Right({ ok: true, seen: promised } as Promised);
   }
@@ -141,7 +142,6 @@
   async learn(m: LearnAsk): Handled {
     const c = m.change;
     const cell = this.slots.cells.get(c.key);
-    const before = cell?.learned;
     const fresh = !cell?.learned || comparePlaces(c, cell.learned) > 0;
     const same = cell?.accepted && comparePlaces(cell.accepted, c) === 0;
     const [f] = open(
@@ -150,7 +150,7 @@
         : this.slots.settled()),
     );
     if (f) return Left(f);
-    if (fresh) this.reach.learned(c, before);
+    if (fresh) this.reach.learned(c);
     this.ports.log.info({ step: 'learn', peer: c.by }, `${c.key} ${c.epoch}.${c.number}`);
     return Right({ disk: this.slots.disk });
   }
@@ -294,7 +294,13 @@
       owned.delete(key);
       return Left({ ...g, step: `learn ${key}`, sort: 'unknown' });
     }
-    return Right(change);
+    return Right(learnedHere(change) ?? change);
+  }
+
+  /** A change as it is kept here, where it shares with earlier versions what did not change. */
+  function learnedHere(change: Numbered): Numbered | undefined {
+    const learned = slots.cells.get(change.key)?.learned;
+    return learned && comparePlaces(learned, change) === 0 ? learned : undefined;
   }
 
   async function ensure(key: string): Promise<Outcome<Owned>> {
--- a/src/shared/delta.ts
+++ b/src/shared/delta.ts
@@ -1,14 +1,32 @@
 import { isDeepStrictEqual } from 'node:util';
-import { shortHash } from './lib';
+import { digestOf } from './digest';
 import { comparePlaces, Numbered, Place } from './words';
 
-type Obj = Record<string, unknown>;
+type PlainObject = Record<string, unknown>;
 
-/** How one value becomes another: put whole, a splice of a list, or what is set and dropped of an object. */
-export type Patch =
-  | { put: unknown }
-  | { splice: [number, number, unknown[]] }
-  | { set: Record<string, Patch>; drop: string[] };
+/** How one value becomes another. */
+export type Patch = PutPatch | SplicePatch | ItemsPatch | FieldsPatch;
+
+/** The new value, whole. */
+export interface PutPatch {
+  put: unknown;
+}
+
+/** A part of a list that is replaced: its start, its length, and what stands there instead. */
+export interface SplicePatch {
+  splice: [number, number, unknown[]];
+}
+
+/** Items of a list by identity: those dropped, and those put in place of their former selves or at the end. */
+export interface ItemsPatch {
+  items: { drop: string[]; put: unknown[] };
+}
+
+/** The fields of an object that change, and those dropped. */
+export interface FieldsPatch {
+  set: Record<string, Patch>;
+  drop: string[];
+}
 
 /** A change sent as the difference to the one that the other side holds. */
 export interface Delta extends Place {
@@ -20,66 +38,134 @@
 
 /** A value shorter than this as text is sent whole. */
 const SHORT = 2000;
+/** A difference longer than this share of the whole is not worth its base. */
+const WORTHWHILE = 0.5;
 
-function isObj(v: unknown): v is Obj {
+function isPlainObject(v: unknown): v is PlainObject {
   return typeof v === 'object' && v !== null && !Array.isArray(v);
 }
 
+/** What tells an item of a list from the others: its name, or the hash that stands for it. */
+function identityOf(item: unknown): string | undefined {
+  if (!isPlainObject(item)) return undefined;
+  if (typeof item.name === 'string') return item.name;
+  return typeof item.sum === 'string' ? item.sum : undefined;
+}
+
+/** The items of a list by identity; undefined where one has none, or two have the same. */
+function byIdentity(list: readonly unknown[]): Map<string, unknown> | undefined {
+  const items = new Map<string, unknown>();
+  for (const item of list) {
+    const identity = identityOf(item);
+    if (identity === undefined || items.has(identity)) return undefined;
+    items.set(identity, item);
+  }
+  return items;
+}
+
+function isEqual(a: unknown, b: unknown): boolean {
+  return a === b || isDeepStrictEqual(a, b);
+}
+
+function diffOfLists(a: readonly unknown[], b: readonly unknown[]): SplicePatch | ItemsPatch {
+  const most = Math.min(a.length, b.length);
+  let head = 0;
+  while (head < most && isEqual(a[head], b[head])) head++;
+  let tail = 0;
+  while (tail < most - head && isEqual(a[a.length - 1 - tail], b[b.length - 1 - tail])) tail++;
+  const fresh = b.slice(head, b.length - tail);
+  const splice: SplicePatch = { splice: [head, a.length - tail - head, fresh] };
+  if (fresh.length <= 1) return splice;
+  const items = diffOfItems(a, b);
+  return items && items.items.put.length < fresh.length ? items : splice;
+}
+
+/** The difference by identity; undefined where it would not lead to the same order. */
+function diffOfItems(a: readonly unknown[], b: readonly unknown[]): ItemsPatch | undefined {
+  const before = byIdentity(a);
+  const after = byIdentity(b);
+  if (!before || !after) return undefined;
+  const patch: ItemsPatch = { items: { drop: [], put: [] } };
+  const order: string[] = [];
+  for (const identity of before.keys()) {
+    if (after.has(identity)) order.push(identity);
+    else patch.items.drop.push(identity);
+  }
+  for (const [identity, item] of after) {
+    if (!before.has(identity)) order.push(identity);
+    if (!isEqual(before.get(identity), item)) patch.items.put.push(item);
+  }
+  let at = 0;
+  for (const identity of after.keys()) if (order[at++] !== identity) return undefined;
+  return patch;
+}
+
 /** The difference of two values; undefined where they are equal. */
 export function diff(a: unknown, b: unknown): Patch | undefined {
-  if (isDeepStrictEqual(a, b)) return undefined;
-  if (Array.isArray(a) && Array.isArray(b)) {
-    let from = 0;
-    let tail = 0;
-    while (from < a.length && from < b.length && isDeepStrictEqual(a[from], b[from])) from++;
-    while (
-      tail < a.length - from &&
-      tail < b.length - from &&
-      isDeepStrictEqual(a[a.length - 1 - tail], b[b.length - 1 - tail])
-    )
-      tail++;
-    return { splice: [from, a.length - tail - from, b.slice(from, b.length - tail)] };
+  if (isEqual(a, b)) return undefined;
+  if (Array.isArray(a) && Array.isArray(b)) return diffOfLists(a, b);
+  if (!isPlainObject(a) || !isPlainObject(b)) return { put: b };
+  const patch: FieldsPatch = { set: {}, drop: [] };
+  for (const name of Object.keys(a)) if (!(name in b)) patch.drop.push(name);
+  for (const name of Object.keys(b)) {
+    const inner: Patch | undefined = name in a ? diff(a[name], b[name]) : { put: b[name] };
+    if (inner) patch.set[name] = inner;
   }
-  if (!isObj(a) || !isObj(b)) return { put: b };
-  const set: Record<string, Patch> = {};
-  const drop: string[] = [];
-  for (const k of Object.keys(a)) if (!(k in b)) drop.push(k);
-  for (const k of Object.keys(b)) {
-    const p = k in a ? diff(a[k], b[k]) : { put: b[k] };
-    if (p) set[k] = p;
+  return patch;
+}
+
+function patchedItems(list: readonly unknown[], { drop, put }: ItemsPatch['items']): unknown[] {
+  const dropped = new Set(drop);
+  const fresh = new Map<string, unknown>();
+  for (const item of put) fresh.set(identityOf(item) ?? '', item);
+  const out: unknown[] = [];
+  for (const item of list) {
+    const identity = identityOf(item) ?? '';
+    if (!dropped.has(identity)) out.push(fresh.get(identity) ?? item);
+    fresh.delete(identity);
   }
-  return { set, drop };
+  return [...out, ...fresh.values()];
 }
 
-/** Applies a difference; what it is applied to stays as it is. */
-export function patched(a: unknown, p: Patch): unknown {
-  if ('put' in p) return p.put;
-  if ('splice' in p)
-    return Array.isArray(a) ? a.toSpliced(p.splice[0], p.splice[1], ...p.splice[2]) : a;
-  const out: Obj = { ...(a as Obj) };
-  for (const k of p.drop) delete out[k];
-  for (const [k, x] of Object.entries(p.set)) out[k] = patched(out[k], x);
+/** Applies a difference; what it is applied to stays as it is, and what does not change is shared. */
+export function patched(a: unknown, patch: Patch): unknown {
+  if ('put' in patch) return patch.put;
+  if ('splice' in patch)
+    return Array.isArray(a) ? a.toSpliced(patch.splice[0], patch.splice[1], ...patch.splice[2]) : a;
+  if ('items' in patch) return Array.isArray(a) ? patchedItems(a, patch.items) : a;
+  const out: PlainObject = { ...(a as PlainObject) };
+  for (const name of patch.drop) delete out[name];
+  for (const [name, inner] of Object.entries(patch.set)) out[name] = patched(out[name], inner);
   return out;
 }
 
-function placeOf(n: Place): Place {
+/** Where a value stands, without it. */
+export function placeOf(n: Place): Place {
   return { epoch: n.epoch, by: n.by, number: n.number };
 }
 
 /** Makes a delta where it is much shorter than the whole. */
 export function makeDelta(base: Numbered | undefined, n: Numbered): Delta | undefined {
-  const whole = base && JSON.stringify(n.value);
-  if (!base || !whole || whole.length < SHORT) return undefined;
+  if (!base) return undefined;
+  const before = digestOf(base.value);
+  if (before.bytes < SHORT) return undefined;
+  const whole = digestOf(n.value);
   const patch: Patch = diff(base.value, n.value) ?? { set: {}, drop: [] };
-  if (JSON.stringify(patch).length * 2 > whole.length) return undefined;
-  return { key: n.key, ...placeOf(n), base: placeOf(base), patch, sum: shortHash(whole) };
+  if (JSON.stringify(patch).length > whole.bytes * WORTHWHILE) return undefined;
+  return { key: n.key, ...placeOf(n), base: placeOf(base), patch, sum: whole.hash };
 }
 
 /** Reads a delta over what is held; undefined where that is not its base, or the sum differs. */
 export function readDelta(held: Numbered | undefined, d: Delta): Numbered | undefined {
   if (!held || comparePlaces(held, d.base) !== 0) return undefined;
   const value = patched(held.value, d.patch);
-  return shortHash(JSON.stringify(value)) === d.sum
-    ? { key: d.key, ...placeOf(d), value }
-    : undefined;
+  return digestOf(value).hash === d.sum ? { key: d.key, ...placeOf(d), value } : undefined;
+}
+
+/** The same value as `fresh`, sharing with an earlier one all that did not change. */
+export function sharing(before: unknown, fresh: unknown): unknown {
+  const patch = diff(before, fresh);
+  if (!patch) return before;
+  const shared = patched(before, patch);
+  return digestOf(shared).hash === digestOf(fresh).hash ? shared : fresh;
 }
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -1,10 +1,12 @@
 import { Stream as Feed } from 'most';
-import { Left, Right } from 'purify-ts';
-import { Handled, message } from './edge';
-import { Delta, readDelta } from './delta';
-import { bad, Fault, open, Outcome } from './errors';
+import { Left } from 'purify-ts';
+import { makeCatchUp } from './catch-up';
+import { AppliedEntry, appliedEntries, ChangeMessage } from './change-message';
+import { Fault, open, Outcome } from './errors';
+import { applyMessages, FollowEdge } from './follow-edge';
 import { makeJournal } from './journal';
 import { makeFeed } from './lib';
+import { makeMemberView, MembersTold } from './member-view';
 import { poll } from './poll';
 import { Ports } from './ports';
 import { Bounds } from './settings';
@@ -53,82 +55,14 @@
   stop(): void;
 }
 
-interface LeaseAnswer {
+interface LeaseAnswer extends MembersTold {
   granted: boolean;
   disk: string;
-  missing: Numbered[];
+  /** What is missing here, from a controller that sends it whole. */
+  missing?: Numbered[];
+  /** How far the keys stand that are missing here, to be fetched. */
+  lacking?: AppliedEntry[];
   voters?: Voters;
-  members?: Member[];
-  joined?: Member[];
-  left?: string[];
-}
-
-interface Grant {
-  until: number;
-  members: Map<string, Member>;
-}
-
-/** Makes the lease's ask for how far a node has applied each key. */
-export function hasList(state: Iterable<Numbered>): [string, number, string, number][] {
-  const out: [string, number, string, number][] = [];
-  for (const n of state) out.push([n.key, n.epoch, n.by, n.number]);
-  return out;
-}
-
-/** Handlers of what the core and other followers say. */
-export class FollowEdge {
-  constructor(
-    private readonly takeNews: (list: Numbered[]) => boolean,
-    private readonly who: () => unknown,
-    private readonly told: (v: Voters | undefined) => void,
-    private readonly held: (key: string) => Numbered | undefined,
-    private readonly advised: (ids: string[]) => void,
-  ) {}
-
-  /** Takes numbered changes; lower ones are ignored. */
-  @message('news')
-  async news(list: Numbered[]): Handled {
-    this.takeNews(list);
-    return Right(true);
-  }
-
-  /** Takes a change told as the difference to the one that is held. */
-  @message('news-delta')
-  async newsDelta(d: Delta): Handled {
-    const have = this.held(d.key);
-    if (have && comparePlaces(have, d) >= 0) return Right(true);
-    const n = readDelta(have, d);
-    if (!n) return bad('news', d.key, 'not the base here', 'refused', 'whole');
-    this.takeNews([n]);
-    return Right(true);
-  }
-
-  /** Hears which engines leave, where the core could not make that a change. */
-  @message('leaving')
-  async leaving(ids: string[]): Handled {
-    this.advised(ids);
-    return Right(true);
-  }
-
-  /** Tells whether a change was applied here. */
-  @message('has')
-  async has(n: Numbered): Handled {
-    const have = this.held(n.key);
-    return Right(have !== undefined && comparePlaces(have, n) >= 0);
-  }
-
-  /** Hears from a controller where the core is, for one that has this process among its seeds. */
-  @message('here')
-  async here(v: Voters): Handled {
-    this.told(v);
-    return Right(true);
-  }
-
-  /** Tells a newcomer where the core is. */
-  @message('who')
-  async askWho(): Handled {
-    return Right(this.who());
-  }
 }
 
 /** Follows the core: finds it from the seeds, renews a lease at each controller, applies news. */
@@ -141,16 +75,15 @@
   edges: object[],
 ): Follower {
   const state = new Map<string, Numbered>();
-  const grants = new Map<string, Grant>();
   const applied = makeJournal();
   const refused = new Map<string, number>();
   const changes = makeFeed<Numbered>();
   const membership = makeFeed<Member[]>();
   const advice = makeFeed<string[]>();
+  const view = makeMemberView(ports.clock.now, membership.add);
   let advisedIds = new Set<string>();
   let founded: Voters | undefined;
   let stopped = false;
-  const shown = { by: '', text: '[]', list: [] as Member[], until: -Infinity };
 
   function voters(): Voters | undefined {
     return (state.get(KEYS.voters)?.value as Voters | undefined) ?? founded;
@@ -193,7 +126,25 @@
     return { voters: voters(), core: core() };
   }
 
-  edges.push(new FollowEdge(take, who, told, state.get.bind(state), advised));
+  function held(key: string): Numbered | undefined {
+    return state.get(key);
+  }
+
+  async function applyChanges(messages: ChangeMessage[]): Promise<boolean> {
+    applyMessages({ apply: take, held }, messages);
+    return true;
+  }
+
+  edges.push(
+    new FollowEdge({
+      apply: take,
+      held,
+      whereCore: who,
+      coreFound: told,
+      enginesLeave: advised,
+    }),
+  );
+  const catchUp = makeCatchUp({ held, apply: applyChanges, within: bounds.ask });
   const helds = holdAll(ports, {
     hello,
     edges,
@@ -210,18 +161,18 @@
     const good = new Set<string>();
     const dead = new Set<string>();
     for (const x of allVoters(v)) {
-      if ((grants.get(x.disk)?.until ?? 0) > now) good.add(x.disk);
+      if (view.endOf(x.disk) > now) good.add(x.disk);
       if ((refused.get(x.at) ?? 0) > now) dead.add(x.disk);
     }
     return isQuorum(v, good) || dead.size === allVoters(v).length;
   }
 
   /** How far the keys have been applied that changed after a count; undefined where that is too long ago. */
-  function changedAfter(count: number): ReturnType<typeof hasList> | undefined {
+  function changedAfter(count: number): AppliedEntry[] | undefined {
     const out: Numbered[] = [];
     const keys = applied.after(count);
     for (const k of keys ?? []) out.push(state.get(k)!);
-    return keys && hasList(out);
+    return keys && appliedEntries(out);
   }
 
   async function renew(ex: Exchange): Promise<void> {
@@ -238,8 +189,8 @@
       const changed = told === undefined || whole ? undefined : changedAfter(told);
       const ask =
         changed === undefined
-          ? { member, has: hasList(state.values()) }
-          : { member, deltas: true, ...(changed.length > 0 ? { changed } : {}) };
+          ? { member, fetches: true, has: appliedEntries(state.values()) }
+          : { member, fetches: true, deltas: true, ...(changed.length > 0 ? { changed } : {}) };
       const [f, r] = open(await ex.ask('claim', ask, bounds.ask));
       told = undefined;
       if (f) {
@@ -252,76 +203,21 @@
       const c = r as LeaseAnswer;
       if (c.voters) founded = c.voters;
       if (!c.granted) {
-        if (!take(c.missing)) await ports.clock.sleep(bounds.renew * 0.5);
+        if (!(await takeMissing(ex, c))) await ports.clock.sleep(bounds.renew * 0.5);
         else if (changed) told = now;
         continue;
       }
       told = now;
       refused.delete(ex.peer);
-      granted(c, sent);
+      view.grant(c.disk, sent + bounds.lease, c);
       reach();
       await ports.clock.sleep(bounds.renew * (0.8 + 0.4 * ports.dice.next()));
     }
   }
 
-  function granted(c: LeaseAnswer, sent: number): void {
-    const before = grants.get(c.disk)?.members ?? new Map<string, Member>();
-    const now = c.members ? new Map(c.members.map(byLife)) : before;
-    if (c.joined || c.left) {
-      for (const life of c.left ?? []) now.delete(life);
-      for (const m of c.joined ?? []) now.set(lifeOf(m), m);
-    }
-    grants.set(c.disk, { until: sent + bounds.lease, members: now });
-    show(c.members !== undefined || c.joined !== undefined || c.left !== undefined);
-  }
-
-  /** Tells who the members are where that may have changed: by what was told, or by which grants last. */
-  function show(changed: boolean): void {
-    const at = ports.clock.now();
-    let by = '';
-    for (const [disk, g] of grants) if (g.until > at) by += `${disk} `;
-    if (!changed && by === shown.by) return;
-    shown.until = -Infinity;
-    const list = members('');
-    const text = JSON.stringify(list);
-    if (text !== shown.text) membership.add(list);
-    shown.by = by;
-    shown.text = text;
-  }
-
-  function lifeOf(m: Member): string {
-    return `${m.name} ${m.life}`;
-  }
-
-  function byLife(m: Member): [string, Member] {
-    return [lifeOf(m), m];
-  }
-
-  /** The members that lasting grants tell of, by name; made anew where one was told, or could have ended. */
-  function everyone(): Member[] {
-    const now = ports.clock.now();
-    if (now < shown.until) return shown.list;
-    const all = new Map<string, Member>();
-    let until = Infinity;
-    for (const g of grants.values()) {
-      if (g.until <= now) continue;
-      until = Math.min(until, g.until);
-      for (const [life, x] of g.members) all.set(life, x);
-    }
-    shown.until = until === Infinity ? -Infinity : until;
-    shown.list = [...all.values()].sort(byName);
-    return shown.list;
-  }
-
-  function members(role: string): Member[] {
-    function isOf(x: Member): boolean {
-      return role === '' || x.role === role;
-    }
-    return everyone().filter(isOf);
-  }
-
-  function byName(a: Member, b: Member): number {
-    return a.name < b.name ? -1 : 1;
+  /** Takes what a controller told as missing; false where nothing came of it. */
+  async function takeMissing(ex: Exchange, answer: LeaseAnswer): Promise<boolean> {
+    return answer.lacking ? catchUp(ex, answer.lacking) : take(answer.missing ?? []);
   }
 
   function onUp(ex: Exchange): void {
@@ -416,7 +312,7 @@
   }
 
   async function leave(): Promise<void> {
-    grants.clear();
+    view.clear();
     await coreAsk('leave', { member, has: [] });
   }
 
@@ -447,7 +343,7 @@
     live,
     value,
     keys,
-    members,
+    members: view.members,
     voters,
     core,
     places,
