--- a/src/control/changes.ts
+++ b/src/control/changes.ts
@@ -5,17 +5,19 @@
 import { Exchange, noConnection } from '../shared/connections';
 import { Clock, Dice } from '../shared/ports';
 import { Bounds, Settings } from '../shared/settings';
-import { Intents, IntentsValue, Numbered, Place, Voters } from '../shared/words';
+import { Intents, IntentsValue, KEYS, Numbered, Place, Voters } from '../shared/words';
 import { DocumentReader } from './deployment';
 import { checkIntents } from './intents';
 import { keyOf, makeValue, Operation } from './operations';
 import { Owner } from './register';
+import { DutyValue } from './term';
 
 /** What became of a change. */
 export interface Changed {
   place: Place;
   inEffect: boolean;
-  value: unknown;
+  /** The duty as it stands, where the change was of one; other values may be large, and nobody reads them here. */
+  duty?: DutyValue;
 }
 
 interface Parts {
@@ -93,7 +95,7 @@
     return {
       place: { epoch: n.epoch, by: n.by, number: n.number },
       inEffect: false,
-      value: n.value,
+      ...(n.key.startsWith(KEYS.duty) ? { duty: n.value as DutyValue } : {}),
     };
   }
 
--- a/src/control/term.ts
+++ b/src/control/term.ts
@@ -78,8 +78,8 @@
       ports.log.info({ step: f.step, peer: f.peer }, f.why);
       return undefined;
     }
-    const now = r.value as DutyValue;
-    if (now.holder !== c.by) return undefined;
+    const now = r.duty;
+    if (now?.holder !== c.by) return undefined;
     asked = sent;
     held = now.fence;
     return held;
--- a/tools/sim/simwire.ts
+++ b/tools/sim/simwire.ts
@@ -12,6 +12,7 @@
   Wire,
 } from '../../src/shared/ports';
 import { Proc, World } from './simworld';
+import { ThinLinks } from './thin-links';
 import { Traffic } from './traffic';
 
 interface Listener {
@@ -34,6 +35,8 @@
 export interface SimNet {
   sent: { at: string; body: string; givenUpAt?: number }[];
   traffic?: Traffic;
+  /** The bandwidth of machines' links, where it is limited. */
+  links?: ThinLinks;
   ports(p: Proc): Ports;
 }
 
@@ -142,7 +145,12 @@
         function arrive(): void {
           adds.get(me === a ? b : a)?.(copy);
         }
-        out.send(arrive);
+        function depart(): void {
+          out.send(arrive);
+        }
+        const other = me === a ? b : a;
+        if (net.links) w.after(net.links.delay(me.ip, other.ip, m), depart);
+        else depart();
         return true;
       }
       function close(): void {
