--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -6,7 +6,8 @@
 import { makeMetrics, Metrics, timedDisk } from '../shared/metrics';
 import { poll } from '../shared/poll';
 import { Listening, Ports, Connection } from '../shared/ports';
-import { Bounds, boundsOf, Settings } from '../shared/settings';
+import { Bounds, boundsOf } from '../shared/bounds';
+import { Settings } from '../shared/settings';
 import {
   askOnce,
   closeSilent,
--- a/src/control/founding.ts
+++ b/src/control/founding.ts
@@ -1,7 +1,8 @@
 import { Left, Right } from 'purify-ts';
 import { bad, open, Outcome } from '../shared/errors';
 import { Clock } from '../shared/ports';
-import { Bounds, Settings } from '../shared/settings';
+import { Bounds } from '../shared/bounds';
+import { Settings } from '../shared/settings';
 import { isVoter, Voter, Voters } from '../shared/words';
 import { Slots } from './slots';
 
--- a/src/control/keep.ts
+++ b/src/control/keep.ts
@@ -3,7 +3,7 @@
 import { open, Outcome } from '../shared/errors';
 import { hasList } from '../shared/follow';
 import { rendezvous } from '../shared/lib';
-import { Bounds } from '../shared/settings';
+import { Bounds } from '../shared/bounds';
 import { comparePlaces, Numbered } from '../shared/words';
 import { Owner } from './register';
 import { Slots } from './slots';
--- a/src/control/leases.ts
+++ b/src/control/leases.ts
@@ -4,7 +4,7 @@
 import { field, Handled, message } from '../shared/edge';
 import { bad, open, Outcome } from '../shared/errors';
 import { Ports } from '../shared/ports';
-import { Bounds } from '../shared/settings';
+import { Bounds } from '../shared/bounds';
 import { Exchange } from '../shared/connections';
 import { comparePlaces, KEYS, Member, Numbered, Place, Voters } from '../shared/words';
 import { Slots } from './slots';
--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -2,7 +2,7 @@
 import { field, Handled, message } from '../shared/edge';
 import { open } from '../shared/errors';
 import { Ports } from '../shared/ports';
-import { Bounds } from '../shared/settings';
+import { Bounds } from '../shared/bounds';
 import { allVoters, isVoter, KEYS, Voter, Voters } from '../shared/words';
 import { Controller } from './controller';
 import { moveVoters, returnVoters } from './voters';
--- a/src/data/engines.ts
+++ b/src/data/engines.ts
@@ -2,7 +2,7 @@
 import { open } from '../shared/errors';
 import { Follower } from '../shared/follow';
 import { Ports } from '../shared/ports';
-import { Bounds } from '../shared/settings';
+import { Bounds } from '../shared/bounds';
 import { Engine, KEYS } from '../shared/words';
 
 /** What this router knows of one engine's health and load. */
--- a/src/data/gateway/choose.ts
+++ b/src/data/gateway/choose.ts
@@ -4,7 +4,8 @@
 import { Follower } from '../../shared/follow';
 import { OverlapAnswer, WirePart } from '../../shared/loads';
 import { Ports } from '../../shared/ports';
-import { boundsOf, Settings } from '../../shared/settings';
+import { Settings } from '../../shared/settings';
+import { boundsOf } from '../../shared/bounds';
 import { Engine, KEYS } from '../../shared/words';
 import { reachIndexers } from './indexers';
 import { EngineSpot, makePlacement, NoPlace, PlaceAsk, Placed, StoreSpot } from './placement';
--- a/src/data/gateway/indexers.ts
+++ b/src/data/gateway/indexers.ts
@@ -4,7 +4,7 @@
 import { rendezvous } from '../../shared/lib';
 import { EngineLoad, LoadsAnswer, OverlapAnswer, OverlapAsk, PlacedTell } from '../../shared/loads';
 import { Ports } from '../../shared/ports';
-import { Bounds } from '../../shared/settings';
+import { Bounds } from '../../shared/bounds';
 import { Member } from '../../shared/words';
 import { Loads } from './loads';
 
--- a/src/data/place.ts
+++ b/src/data/place.ts
@@ -3,7 +3,7 @@
 import { Follower } from '../shared/follow';
 import { rendezvous } from '../shared/lib';
 import { Ports } from '../shared/ports';
-import { Bounds } from '../shared/settings';
+import { Bounds } from '../shared/bounds';
 import { Hello, holdAll } from '../shared/connections';
 import { CacheStore, IntentsValue, KEYS, Member } from '../shared/words';
 import { Engines, Seen } from './engines';
--- a/src/index/listener.ts
+++ b/src/index/listener.ts
@@ -3,7 +3,7 @@
 import { open } from '../shared/errors';
 import { makeFeed } from '../shared/lib';
 import { Ports } from '../shared/ports';
-import { Bounds } from '../shared/settings';
+import { Bounds } from '../shared/bounds';
 import { Registration, Sources } from './sources';
 
 /** Where a listener stands. */
--- a/src/index/repair.ts
+++ b/src/index/repair.ts
@@ -4,7 +4,7 @@
 import { rendezvous } from '../shared/lib';
 import { Holds } from '../shared/connections';
 import { Ports } from '../shared/ports';
-import { Bounds } from '../shared/settings';
+import { Bounds } from '../shared/bounds';
 import { Heard } from './listener';
 import { Registration, Sources } from './sources';
 import { Rows, Trees } from './tree';
--- a/src/index/sources.ts
+++ b/src/index/sources.ts
@@ -7,7 +7,7 @@
 import { Follower } from '../shared/follow';
 import { askWorded } from '../shared/worded';
 import { Ports } from '../shared/ports';
-import { Bounds } from '../shared/settings';
+import { Bounds } from '../shared/bounds';
 import { CacheStore, Engine, IntentsValue, KEYS } from '../shared/words';
 
 /** A registration derived from the platform's list or from a declared store. */
--- a/src/programs/common.ts
+++ b/src/programs/common.ts
@@ -8,7 +8,8 @@
 import { realClock, realDice, realDisk, realLog } from '../shared/real';
 import { realHttp } from '../shared/realhttp';
 import { realWire } from '../shared/realwire';
-import { boundsOf, Settings } from '../shared/settings';
+import { Settings } from '../shared/settings';
+import { boundsOf } from '../shared/bounds';
 
 /** The version that all programs tell. */
 export const VERSION = '0.1.0';
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -7,7 +7,7 @@
 import { makeFeed } from './lib';
 import { poll } from './poll';
 import { Ports } from './ports';
-import { Bounds } from './settings';
+import { Bounds } from './bounds';
 import {
   askOnce,
   Exchange,
--- a/test/lease-costs.test.ts
+++ b/test/lease-costs.test.ts
@@ -7,7 +7,8 @@
 import { FollowEdge } from '../src/shared/follow';
 import { makeJournal } from '../src/shared/journal';
 import { Ports } from '../src/shared/ports';
-import { boundsOf, defaultSettings } from '../src/shared/settings';
+import { boundsOf } from '../src/shared/bounds';
+import { defaultSettings } from '../src/shared/settings';
 import { Member, Numbered, Voters } from '../src/shared/words';
 
 interface Answer {
--- a/test/leases.test.ts
+++ b/test/leases.test.ts
@@ -1,7 +1,7 @@
 import { Leases } from '../src/control/leases';
 import { openSlots } from '../src/control/slots';
 import { open } from '../src/shared/errors';
-import { boundsOf } from '../src/shared/settings';
+import { boundsOf } from '../src/shared/bounds';
 import { Exchange } from '../src/shared/connections';
 import { Numbered } from '../src/shared/words';
 import { makeSimFleet } from '../tools/sim/simfleet';
--- a/test/return.test.ts
+++ b/test/return.test.ts
@@ -1,6 +1,7 @@
 import { converse, HelloEdge, WIRE_VERSION } from '../src/shared/connections';
 import { follow, Follower } from '../src/shared/follow';
-import { boundsOf, defaultSettings } from '../src/shared/settings';
+import { boundsOf } from '../src/shared/bounds';
+import { defaultSettings } from '../src/shared/settings';
 import { Proc } from '../tools/sim/simworld';
 import { CoreRig, makeCore, documentOf, PATHS } from './deploymentrig';
 
--- a/tools/sim/without.ts
+++ b/tools/sim/without.ts
@@ -16,7 +16,8 @@
 import * as clock from '../../src/shared/clock';
 import * as follow from '../../src/shared/follow';
 import { Call, Ports } from '../../src/shared/ports';
-import * as settings from '../../src/shared/settings';
+import * as bounds from '../../src/shared/bounds';
+import { Settings } from '../../src/shared/settings';
 import { Engine, Intents } from '../../src/shared/words';
 import * as operations from '../../src/control/operations';
 
@@ -66,12 +67,12 @@
 }
 
 function noWeightsEnd(): void {
-  const real = settings.boundsOf;
-  function endless(s: settings.Settings): settings.Bounds {
+  const real = bounds.boundsOf;
+  function endless(s: Settings): bounds.Bounds {
     return { ...real(s), weightsStop: Infinity };
   }
   async function nothing(): Promise<void> {}
-  (settings as unknown as Patch).boundsOf = endless as never;
+  (bounds as unknown as Patch).boundsOf = endless as never;
   (duties as unknown as Patch).endOldWeights = nothing;
 }
 
@@ -90,11 +91,11 @@
 }
 
 function noLeavingCut(): void {
-  const real = settings.boundsOf;
-  function uncut(s: settings.Settings): settings.Bounds {
+  const real = bounds.boundsOf;
+  function uncut(s: Settings): bounds.Bounds {
     return { ...real(s), leavingCut: Infinity };
   }
-  (settings as unknown as Patch).boundsOf = uncut as never;
+  (bounds as unknown as Patch).boundsOf = uncut as never;
 }
 
 function noSync(): void {
