--- a/src/index/indexer.ts
+++ b/src/index/indexer.ts
@@ -5,10 +5,12 @@
 import { Ports, Connection } from '../shared/ports';
 import { Bounds, boundsOf } from '../shared/bounds';
 import { Settings } from '../shared/settings';
-import { converse, Exchange, Hello, HelloEdge, holdAll, WIRE_VERSION } from '../shared/connections';
+import { converse, Hello, HelloEdge, holdAll, WIRE_VERSION } from '../shared/connections';
 import { Dialect } from '../shared/dialect';
 import { Member } from '../shared/words';
 import { Coming, makeComing, Unheard } from './coming';
+import { dumpOfPeer } from './dump';
+import { GapCounts, makeGaps } from './gaps';
 import { BatchRing, Heard, Listener, ListenerView, listenTo, makeRing } from './listener';
 import { makeLoads } from './loads';
 import {
@@ -43,11 +45,8 @@
 }
 
 /** What an indexer counts. */
-export interface IndexCounts {
+export interface IndexCounts extends GapCounts {
   queries: number;
-  gaps: number;
-  repairedBatches: number;
-  lostBatches: number;
   epochChanges: number;
   confirmed: number;
   dropped: number;
@@ -84,7 +83,6 @@
   const heard = new Map<string, Heard>();
   const listeners = new Map<string, Listener>();
   const rings = new Map<string, BatchRing>();
-  const gapsOf = new Map<string, { gaps: number; repaired: number }>();
   const peers = holdAll(ports, { hello, edges, within: bounds.dial, pause: bounds.pause });
   const turns = new Map<string, Promise<void>>();
   const buffered: { id: string; r: EventsAnswer }[] = [];
@@ -120,6 +118,7 @@
     heard: heard.get.bind(heard),
     adopt,
   });
+  const gaps = makeGaps({ ports, bounds, trees, peers, repair, counts, apply: applyBatch });
   edges.push(
     new HelloEdge(hello),
     new IndexEdge({ query, dump, dumpRows, ring, reused }),
@@ -234,7 +233,7 @@
   function forget(id: string): void {
     rings.delete(id);
     turns.delete(id);
-    gapsOf.delete(id);
+    gaps.forget(id);
   }
 
   function inTurn(id: string, r: EventsAnswer): void {
@@ -259,7 +258,7 @@
       if (b.seq <= h.seq) continue;
       if (b.seq > h.seq + 1) {
         gap = true;
-        await mend(id, h, b.seq);
+        await gaps.fill(id, h, b.seq);
       }
       applyBatch(id, r.epoch, b);
       h = { epoch: r.epoch, seq: b.seq };
@@ -267,7 +266,7 @@
     }
     if (r.last > h.seq) {
       gap = true;
-      await mend(id, h, r.last + 1);
+      await gaps.fill(id, h, r.last + 1);
       h = { epoch: r.epoch, seq: r.last };
     }
     heard.set(id, h);
@@ -286,44 +285,6 @@
     }
   }
 
-  async function mend(id: string, h: Heard, next: number): Promise<void> {
-    const g = gapsOf.get(id) ?? { gaps: 0, repaired: 0 };
-    gapsOf.set(id, g);
-    g.gaps++;
-    counts.gaps++;
-    const missing = new Set<number>();
-    for (let n = Math.max(h.seq + 1, next - 2048); n < next; n++) missing.add(n);
-    const found = new Map<number, EventBatch>();
-    for (const at of peers.ats()) {
-      if (found.size === missing.size) break;
-      const ex = peers.up(at);
-      if (!ex) continue;
-      const [f, list] = open(
-        await ex.ask(
-          'missed',
-          { source: id, epoch: h.epoch, from: h.seq + 1, to: next - 1 },
-          bounds.query,
-        ),
-      );
-      if (f) continue;
-      for (const b of list as EventBatch[]) if (missing.has(b.seq)) found.set(b.seq, b);
-    }
-    const lost = next - 1 - h.seq - found.size;
-    if (lost > 0) {
-      trees.doubt(id);
-      repair.lost(id, lost);
-      ports.log.warn({ step: 'mend gap', peer: id }, `${lost} batches are lost after ${h.seq}`);
-    }
-    for (const n of [...found.keys()].sort(byNumber)) applyBatch(id, h.epoch, found.get(n)!);
-    counts.repairedBatches += found.size;
-    counts.lostBatches += lost;
-    g.repaired += found.size;
-  }
-
-  function byNumber(a: number, b: number): number {
-    return a - b;
-  }
-
   function reachPeers(members: Member[]): void {
     peers.want(members.filter(isPeer).map(atOf));
   }
@@ -339,26 +300,12 @@
   async function join(): Promise<void> {
     await ports.clock.sleep(dialect ? bounds.joinSoon : bounds.join);
     while (!stopped && !follower.live()) await ports.clock.sleep(bounds.pause);
-    for (const p of await upPeers()) {
-      const [f, d] = open(await p.ask('dump-rows', {}, bounds.ask));
-      if (f || !(d as CompactDump).open) continue;
-      applyDump(d as CompactDump);
-      break;
-    }
+    const dump = await dumpOfPeer(ports, bounds, peers);
+    if (dump) applyDump(dump);
     gate = true;
     for (const b of buffered.splice(0)) inTurn(b.id, b.r);
   }
 
-  async function upPeers(): Promise<Exchange[]> {
-    const until = ports.clock.now() + bounds.dial;
-    for (;;) {
-      const out: Exchange[] = [];
-      for (const at of peers.ats()) if (peers.up(at)) out.push(peers.up(at)!);
-      if (out.length > 0 || ports.clock.now() >= until) return out;
-      await ports.clock.sleep(bounds.pause * 0.25);
-    }
-  }
-
   function applyDump(d: CompactDump): void {
     const known = new Set<string>(sources.registrations(follower).filter(serves).map(idOf));
     for (const [id, h] of d.heard) if (known.has(id)) heard.set(id, h);
@@ -385,7 +332,7 @@
         ...l.view(),
         epoch: h.epoch,
         lastSeq: h.seq,
-        ...(gapsOf.get(id) ?? { gaps: 0, repaired: 0 }),
+        ...gaps.of(id),
       });
     }
     return out.sort(byId);
--- a/src/index/tree.ts
+++ b/src/index/tree.ts
@@ -1,29 +1,6 @@
 import { Part, PartEvent } from '../shared/contracts/engine';
 import { WirePart } from '../shared/loads';
-
-interface Holding {
-  source: string;
-  weights: string;
-  /** Tokens that are kept of the part. */
-  kept: number;
-  doubted: boolean;
-}
-
-interface Node {
-  hash: string;
-  parent: string;
-  size: number;
-  kids: number;
-  holdings: Holding[];
-  tree: Tree;
-}
-
-interface Tree {
-  model: string;
-  salt: string;
-  nodes: Map<string, Node>;
-  orphans: Map<string, number>;
-}
+import { Holding, makePartStore, PartNode, PartTree } from './parts';
 
 /** What one source holds of a prompt. */
 export interface Overlap {
@@ -87,109 +64,8 @@
 
 /** Makes the trees; past `most` parts the least recently used leaves go first. */
 export function makeTrees(most: number): Trees {
-  const trees = new Map<string, Tree>();
-  const recent = new Map<Node, true>();
-  const held = new Map<string, Set<Node>>();
-  let evictedCount = 0;
-
-  function treeOf(model: string, salt: string): Tree {
-    const k = JSON.stringify([model, salt]);
-    const t = trees.get(k) ?? {
-      model,
-      salt,
-      nodes: new Map<string, Node>(),
-      orphans: new Map<string, number>(),
-    };
-    trees.set(k, t);
-    return t;
-  }
-
-  function touch(n: Node): void {
-    recent.delete(n);
-    recent.set(n, true);
-  }
-
-  /** Counts a part's kids, also while the part itself is not held. */
-  function addKids(t: Tree, parent: string, more: number): void {
-    const n = t.nodes.get(parent);
-    if (n) {
-      n.kids += more;
-      return;
-    }
-    const kids = (t.orphans.get(parent) ?? 0) + more;
-    if (kids > 0) t.orphans.set(parent, kids);
-    else t.orphans.delete(parent);
-  }
-
-  function remove(n: Node): void {
-    n.tree.nodes.delete(n.hash);
-    recent.delete(n);
-    addKids(n.tree, n.parent, -1);
-    if (n.kids > 0) n.tree.orphans.set(n.hash, n.kids);
-    for (const h of n.holdings) held.get(h.source)?.delete(n);
-    if (n.tree.nodes.size === 0) trees.delete(JSON.stringify([n.tree.model, n.tree.salt]));
-  }
-
-  function find(n: Node, source: string, weights: string): Holding | undefined {
-    for (const h of n.holdings) if (h.source === source && h.weights === weights) return h;
-    return undefined;
-  }
-
-  function store(source: string, e: PartEvent): Node {
-    const t = treeOf(e.model, e.salt);
-    let n = t.nodes.get(e.hash);
-    if (!n) {
-      n = {
-        hash: e.hash,
-        parent: e.parent,
-        size: e.size,
-        kids: t.orphans.get(e.hash) ?? 0,
-        holdings: [],
-        tree: t,
-      };
-      t.orphans.delete(e.hash);
-      t.nodes.set(e.hash, n);
-      addKids(t, e.parent, 1);
-    }
-    const have = find(n, source, e.weights);
-    n.size = Math.max(n.size, e.size);
-    if (have) {
-      have.doubted = false;
-      have.kept = e.size;
-    } else {
-      n.holdings.push({ source, weights: e.weights, kept: e.size, doubted: false });
-    }
-    const h = held.get(source) ?? new Set<Node>();
-    h.add(n);
-    held.set(source, h);
-    touch(n);
-    if (recent.size > most) evict();
-    return n;
-  }
-
-  function evict(): void {
-    for (const n of recent.keys()) {
-      if (n.kids > 0) continue;
-      remove(n);
-      evictedCount++;
-      if (recent.size <= most) return;
-    }
-    for (const n of recent.keys()) {
-      if (recent.size <= most) return;
-      remove(n);
-      evictedCount++;
-    }
-  }
-
-  function release(source: string, weights: string, n: Node): void {
-    const have = find(n, source, weights);
-    if (have) n.holdings.splice(n.holdings.indexOf(have), 1);
-    if (!n.holdings.some(bySource)) held.get(source)?.delete(n);
-    if (n.holdings.length === 0) remove(n);
-    function bySource(h: Holding): boolean {
-      return h.source === source;
-    }
-  }
+  const stored = makePartStore(most);
+  const { find, store, release, touch } = stored;
 
   function apply(source: string, e: PartEvent): void {
     if (e.kind === 'stored') {
@@ -200,13 +76,13 @@
       dropSource(source);
       return;
     }
-    const n = trees.get(JSON.stringify([e.model, e.salt]))?.nodes.get(e.hash);
+    const n = stored.part(e.model, e.salt, e.hash);
     if (n) release(source, e.weights, n);
   }
 
   function dropSource(source: string): number {
     let count = 0;
-    for (const n of [...(held.get(source) ?? [])]) {
+    for (const n of [...stored.heldBy(source)]) {
       for (const h of [...n.holdings]) {
         if (h.source !== source) continue;
         release(source, h.weights, n);
@@ -216,7 +92,7 @@
     return count;
   }
 
-  function eventOf(n: Node, weights: string): PartEvent {
+  function eventOf(n: PartNode, weights: string): PartEvent {
     return {
       kind: 'stored',
       model: n.tree.model,
@@ -229,11 +105,11 @@
   }
 
   function query(model: string, salt: string, weights: string, parts: readonly Part[]): Overlap[] {
-    const t = trees.get(JSON.stringify([model, salt]));
+    const t = stored.tree(model, salt);
     if (!t) return [];
     const best = new Map<string, Overlap>();
     let alive: Set<string> | undefined;
-    const walked: Node[] = [];
+    const walked: PartNode[] = [];
     for (const p of parts) {
       const n = t.nodes.get(p.hash);
       if (!n) break;
@@ -256,14 +132,14 @@
   }
 
   function doubt(source: string): number {
-    for (const n of held.get(source) ?? [])
+    for (const n of stored.heldBy(source))
       for (const h of n.holdings) if (h.source === source) h.doubted = true;
-    return held.get(source)?.size ?? 0;
+    return stored.heldBy(source).size;
   }
 
   function doubted(source: string): number {
     let count = 0;
-    for (const n of held.get(source) ?? []) if (n.holdings.some(inDoubt)) count++;
+    for (const n of stored.heldBy(source)) if (n.holdings.some(inDoubt)) count++;
     return count;
     function inDoubt(h: Holding): boolean {
       return h.source === source && h.doubted;
@@ -290,7 +166,7 @@
         hash: p.hash,
         size: p.size,
       };
-      const n = trees.get(JSON.stringify([model, salt]))?.nodes.get(p.hash);
+      const n = stored.part(model, salt, p.hash);
       if (i < count) store(source, e);
       else if (i === count && n && find(n, source, weights)?.doubted) {
         release(source, weights, n);
@@ -303,7 +179,7 @@
 
   function dump(source?: string): { source: string; event: PartEvent }[] {
     const out: { source: string; event: PartEvent }[] = [];
-    for (const n of recent.keys()) {
+    for (const n of stored.all()) {
       for (const h of n.holdings)
         if (source === undefined || h.source === source)
           out.push({ source: h.source, event: eventOf(n, h.weights) });
@@ -316,20 +192,18 @@
     salt: string,
     hash: string,
   ): { source: string; kept: number }[] | undefined {
-    return trees.get(JSON.stringify([model, salt]))?.nodes.get(hash)?.holdings;
+    return stored.part(model, salt, hash)?.holdings;
   }
 
   function learn(model: string, salt: string, parts: readonly WirePart[]): void {
-    const t = trees.get(JSON.stringify([model, salt]));
+    const t = stored.tree(model, salt);
     if (!t) return;
     for (let i = parts.length - 1; i >= 0; i--) {
       const n = t.nodes.get(parts[i][0]);
       if (!n) continue;
       n.size = Math.max(n.size, parts[i][1]);
       if (n.parent === '') {
-        addKids(t, '', -1);
-        n.parent = i === 0 ? model : parts[i - 1][0];
-        addKids(t, n.parent, 1);
+        stored.setParent(n, i === 0 ? model : parts[i - 1][0]);
       }
       touch(n);
     }
@@ -337,8 +211,8 @@
 
   function rows(source?: string): Rows {
     const at = new Map<string, number>();
-    const by = new Map<Tree, Row[]>();
-    for (const n of recent.keys()) {
+    const by = new Map<PartTree, Row[]>();
+    for (const n of stored.all()) {
       for (const h of n.holdings) {
         if (source !== undefined && h.source !== source) continue;
         if (!at.has(h.source)) at.set(h.source, at.size);
@@ -365,14 +239,14 @@
   }
 
   function replace(source: string, list: readonly PartEvent[]): number {
-    const there = new Set<Node>();
+    const there = new Set<PartNode>();
     let changed = 0;
     for (const e of list) {
-      const have = trees.get(JSON.stringify([e.model, e.salt]))?.nodes.get(e.hash);
+      const have = stored.part(e.model, e.salt, e.hash);
       if (!have || find(have, source, e.weights)?.kept !== e.size) changed++;
       there.add(store(source, e));
     }
-    for (const n of [...(held.get(source) ?? [])]) {
+    for (const n of [...stored.heldBy(source)]) {
       if (there.has(n)) continue;
       for (const h of [...n.holdings]) if (h.source === source) release(source, h.weights, n);
       changed++;
@@ -380,16 +254,8 @@
     return changed;
   }
 
-  function size(): number {
-    return recent.size;
-  }
-
   function holding(source: string): number {
-    return held.get(source)?.size ?? 0;
-  }
-
-  function evicted(): number {
-    return evictedCount;
+    return stored.heldBy(source).size;
   }
 
   return {
@@ -405,8 +271,8 @@
     rows,
     takeRows,
     replace,
-    size,
+    size: stored.size,
     holding,
-    evicted,
+    evicted: stored.evicted,
   };
 }
