--- a/src/control/keep.ts
+++ b/src/control/keep.ts
@@ -11,7 +11,7 @@
   targetOf,
 } from '../shared/change-message';
 import { rendezvous } from '../shared/lib';
-import { Bounds } from '../shared/settings';
+import { Bounds } from '../shared/bounds';
 import { Numbered } from '../shared/words';
 import { Owner } from './register';
 import { Slots } from './slots';
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -9,7 +9,7 @@
 import { makeMemberView, MembersTold } from './member-view';
 import { poll } from './poll';
 import { Ports } from './ports';
-import { Bounds } from './settings';
+import { Bounds } from './bounds';
 import {
   askOnce,
   Exchange,
--- a/test/newsrig.ts
+++ b/test/newsrig.ts
@@ -4,7 +4,8 @@
 import { open } from '../src/shared/errors';
 import { follow, Follower } from '../src/shared/follow';
 import { Connection } from '../src/shared/ports';
-import { boundsOf, defaultSettings, Settings } from '../src/shared/settings';
+import { boundsOf } from '../src/shared/bounds';
+import { defaultSettings, Settings } from '../src/shared/settings';
 import { KEYS, Member } from '../src/shared/words';
 import { platform } from '../platform/dialect';
 import { makeNet, SimNet } from '../tools/sim/simwire';
