Taken orders are known by path, base and body, the last 1,024 of them

Cause: an order was known again by the hash of its path and body alone, and among the last 32 orders only. So (1) a taken order that was sent again after 32 more changes was refused with 412; (2) the body that stands already, sent on another base, was confirmed as though it had been taken there.

Each entry now stores the base its order built on, and an order is the same only with the same base. 1,024 are kept, over 100 s at ten changes a second; an order on an older base that may have been taken gets 503 (code `forgotten`), and is refused only if its revision or its own faults show that it never was. Since the body holds the revision and revisions rise, `sum` stays unique in the list. Lists stored without bases are read: each order builds on the revision of the one before; where the first one's base is not known it is left out.

Left: the list at its full length drops one entry for each that it takes, which a difference by position tells as a whole new list.

--- a/src/control/changes.ts
+++ b/src/control/changes.ts
@@ -52,8 +52,9 @@
   'disk',
 ]);
 
-/** Whether a fault tells of the one that was asked rather than of what it was asked for, so that another may do it. */
+/** Whether a fault tells of the one that was asked rather than of what it was asked for, so that another may do it. What a majority no longer remembers, no other remembers either. */
 export function isOfPeer(f: Fault): boolean {
+  if (f.code === 'forgotten') return false;
   return f.sort === 'unknown' || PEER_CODES.has(f.code ?? '');
 }
 
--- a/src/control/deployment-api.ts
+++ b/src/control/deployment-api.ts
@@ -12,6 +12,9 @@
 /** How long a call is worked on before its caller goes on to another controller, as a share of `ackMs`. */
 const ANSWER = 0.2;
 
+/** Faults that the same order would meet again. */
+const FINAL_CODES = new Set(['stands', 'conflict', 'bad-deployment', 'forgotten']);
+
 /** Serves operators who speak by a dialect, and our own interface beside. */
 export function serveDeployment(
   c: Controller,
@@ -103,6 +106,7 @@
   return ports.wire.serve(c.settings.http, take);
 }
 
+/** Whether trying again here can tell no more. */
 function isClear(f: Fault): boolean {
-  return f.code === 'stands' || f.code === 'conflict' || f.code === 'bad-deployment';
+  return FINAL_CODES.has(f.code ?? '');
 }
--- a/src/control/deployment.ts
+++ b/src/control/deployment.ts
@@ -5,9 +5,14 @@
 import { shortHash } from '../shared/lib';
 import { KEYS, Numbered } from '../shared/words';
 import { checkDeployment } from './deployment-check';
-
-/** Changes that are remembered as taken, so that one sent again is known. */
-const REMEMBERED = 32;
+import {
+  isOlderThanMemory,
+  isTaken,
+  mayBeForgotten,
+  readTakenOrders,
+  remember,
+  TakenOrder,
+} from './taken-orders';
 
 /** An operator's change of the deployment, on top of the revision that it builds on: a whole document, or a named change. */
 export interface DeploymentOperation {
@@ -41,30 +46,28 @@
   return out;
 }
 
-/** Works out the deployment that follows from a change and the one that stands; a fault of code `stands` says that the change was taken already. */
+/** The hash of an order's path and body; with its base, it identifies the order. */
+function sumOf(op: DeploymentOperation): string {
+  return shortHash(JSON.stringify([op.change === undefined, op.doc ?? op.change]));
+}
+
+function refused<T>(why: string, code: string): Outcome<T> {
+  return bad('apply', KEYS.deployment, why, 'refused', code);
+}
+
+/** Works out the deployment that follows from an order and the one that stands; a fault of code `stands` says that the order was taken already, and one of code `forgotten` that it may have been. */
 export function makeDeployment(
   op: DeploymentOperation,
   now: Numbered | undefined,
   reader: DocumentReader | undefined,
 ): Outcome<DeploymentValue> {
+  if (!reader) return refused('no documents are read here', 'bad-deployment');
   const stands = now?.value as DeploymentValue | undefined;
-  const sum = shortHash(JSON.stringify([op.change === undefined, op.doc ?? op.change]));
-  function isSame(t: { sum: string }): boolean {
-    return t.sum === sum;
-  }
-  if (!reader)
-    return bad('apply', KEYS.deployment, 'no documents are read here', 'refused', 'bad-deployment');
-  if (stands?.taken.some(isSame))
-    return bad('apply', KEYS.deployment, 'was taken already', 'refused', 'stands');
   const revision = stands?.revision ?? 0;
-  if (op.base !== revision)
-    return bad(
-      'apply',
-      KEYS.deployment,
-      `based on revision ${op.base}, but ${revision} stands`,
-      'refused',
-      'conflict',
-    );
+  const orders = readTakenOrders(stands);
+  const sum = sumOf(op);
+  if (isTaken(orders, op.base, sum)) return refused('was taken already', 'stands');
+  if (op.base !== revision) return refuseBase(op, revision, orders, reader);
   const doc = wholeOf(op, stands, reader);
   const read = doc.chain(reader.deployment).chain(checked);
   function checked(d: Deployment): Either<string[], Deployment> {
@@ -72,22 +75,45 @@
     if (d.revision <= revision) faults.push(`revision ${d.revision} is not above ${revision}`);
     return faults.length > 0 ? Left(faults) : Right(d);
   }
-  if (read.isLeft())
-    return bad(
-      'apply',
-      KEYS.deployment,
-      (read.extract() as string[]).join('; '),
-      'refused',
-      'bad-deployment',
-    );
+  if (read.isLeft()) return refused((read.extract() as string[]).join('; '), 'bad-deployment');
   const fresh = (read.extract() as Deployment).revision;
   return Right({
     revision: fresh,
     doc: doc.extract(),
-    taken: [...(stands?.taken ?? []), { revision: fresh, sum }].slice(-REMEMBERED),
+    taken: remember(orders, { revision: fresh, base: op.base, sum }),
   });
 }
 
+/** Refuses an order whose base is not what stands; one that may have been taken before all that is remembered is left open. */
+function refuseBase(
+  op: DeploymentOperation,
+  revision: number,
+  orders: TakenOrder[],
+  reader: DocumentReader,
+): Outcome<DeploymentValue> {
+  const conflict = `based on revision ${op.base}, but ${revision} stands`;
+  if (!isOlderThanMemory(orders, op.base)) return refused(conflict, 'conflict');
+  const own = revisionOf(op, reader);
+  if (own.isLeft()) return refused((own.extract() as string[]).join('; '), 'bad-deployment');
+  return mayBeForgotten(orders, op.base, own.extract() as number)
+    ? bad('apply', KEYS.deployment, `${conflict}; it may have been taken`, 'unknown', 'forgotten')
+    : refused(conflict, 'conflict');
+}
+
+/** The revision that an order brings, read without its base; the faults of one that is invalid on any base. */
+function revisionOf(op: DeploymentOperation, reader: DocumentReader): Either<string[], number> {
+  function ofChange(change: NamedChange): number {
+    return change.revision;
+  }
+  function ofDocument(document: Deployment): Either<string[], number> {
+    const faults = checkDeployment(document);
+    return faults.length > 0 ? Left(faults) : Right(document.revision);
+  }
+  return op.change === undefined
+    ? reader.deployment(op.doc).chain(ofDocument)
+    : reader.namedChange(op.change).map(ofChange);
+}
+
 function wholeOf(
   op: DeploymentOperation,
   stands: DeploymentValue | undefined,
--- a/src/shared/deployment.ts
+++ b/src/shared/deployment.ts
@@ -77,11 +77,18 @@
   limits: CallerLimits;
 }
 
-/** The committed value of the control key `deployment`: the operators' document as it was sent, which the dialect reads, and the changes that were taken last, by the hash of what was sent. */
+/** An order that was taken, as it is stored. `sum` is unique in a list: the body that it is made from holds the revision, and revisions rise. Earlier releases stored no `base`. */
+export interface StoredOrder {
+  revision: number;
+  base?: number;
+  sum: string;
+}
+
+/** The committed value of the control key `deployment`: the operators' document as it was sent, which the dialect reads, and the orders that were taken last, oldest first. */
 export interface DeploymentValue {
   revision: number;
   doc: unknown;
-  taken: { revision: number; sum: string }[];
+  taken: StoredOrder[];
 }
 
 /** A named change of lists of named items: items to add or to replace, and names to remove, by list. */
--- a/test/deploymentrig.ts
+++ b/test/deploymentrig.ts
@@ -45,7 +45,8 @@
 /** The paths that operators call. */
 export const PATHS = platform.operators.paths;
 
-const SILENCE = 1000;
+/** Operators go on to another controller after this long. */
+export const SILENCE = 1000;
 
 function settingsOf(name: string, ip: string, seeds: string[], bootstrap: boolean): Settings {
   return {
@@ -186,3 +187,66 @@
   for (const p of core) start(p);
   return { w, net, core, controllers, start, pass, settled, call, insist };
 }
+
+/** Sends one order to one controller. */
+export async function post(
+  rig: CoreRig,
+  controller: number,
+  path: string,
+  base: number | undefined,
+  body: unknown,
+): Promise<Heard | undefined> {
+  return rig.settled(rig.call(rig.core[controller], 'POST', path, base, body), 3 * SILENCE);
+}
+
+/** Sends one order to one controller, for the status of its answer. */
+export async function statusOf(
+  rig: CoreRig,
+  controller: number,
+  base: number,
+  body: unknown,
+  path = PATHS.replace,
+): Promise<number | undefined> {
+  return (await post(rig, controller, path, base, body))?.status;
+}
+
+/** Makes the world and has the first configuration, of revision 1, taken. */
+export async function begin(seed: number): Promise<CoreRig> {
+  const rig = makeCore(seed);
+  const first = await rig.settled(
+    rig.insist(0, PATHS.replace, 0, documentOf(1, ['/v1/']), 9000),
+    10000,
+  );
+  expect(first?.status).toBe(200);
+  return rig;
+}
+
+/** Has a configuration taken, from a first controller over to the others. */
+export async function insisted(
+  rig: CoreRig,
+  first: number,
+  base: number,
+  revision: number,
+): Promise<void> {
+  const heard = await rig.settled(
+    rig.insist(first, PATHS.replace, base, documentOf(revision, [`/v${revision}/`]), 9000),
+    10000,
+  );
+  expect([revision, heard?.status]).toEqual([revision, 200]);
+}
+
+/** Cuts a controller off from the others; operators still reach it. */
+export function isolate(rig: CoreRig, victim: Proc): void {
+  for (const other of rig.core) if (other !== victim) rig.w.cut(victim.ip, other.ip, true);
+  for (const other of rig.core) if (other !== victim) rig.w.cut(other.ip, victim.ip, true);
+}
+
+/** What a controller gives as the newest configuration, asked until it answers. */
+export async function described(rig: CoreRig, controller: number): Promise<unknown> {
+  for (let i = 0; i < 40; i++) {
+    const heard = await rig.settled(rig.call(rig.core[controller], 'GET', PATHS.describe));
+    if (heard?.status === 200) return heard.body;
+    await rig.pass(100);
+  }
+  return undefined;
+}
