No verdict on an order from what an owner held; a rank of weights is never lost

Cause: an owner made sure of what stands only where an order conflicted with the value that it held. A deposed or cut-off one still answered 400 (an invalid order), and 200 to a naming of weights at or below the rank it held. Both were true once, but nothing in that moment said so. Now any verdict that makes no change is given on a value that was acquired from a majority for this order; where there is none, the answer is 503.

Besides, a naming without a rank dropped the rank that stood, and a ranked naming of the weights that stand did not store its rank: a lower rank could then come into force after a higher one. The highest rank now stays.

Ruled out: a wrong 200 by an older owner's memory. A held value was accepted and learned by a majority before it is held, each later one is made from it, and ranks and revisions only rise, so "was taken" stays true; a 412 from it was acquired anew before, too.

--- a/src/control/operations.ts
+++ b/src/control/operations.ts
@@ -12,12 +12,20 @@
   keys: { id: string; hash: string }[];
 }
 
+/** Names the weights that a model's engines are brought to; `rank` is the operators' rising number. */
+export interface WeightsNaming {
+  kind: 'weights';
+  model: string;
+  weights: string;
+  rank?: number;
+}
+
 /** A change as operators or duties ask for it. */
 export type Operation =
   | { kind: 'intents'; basedOn: number; doc: unknown }
   | { kind: 'key-add'; tenant: string; id: string; hash: string }
   | { kind: 'key-drop'; tenant: string; id: string }
-  | { kind: 'weights'; model: string; weights: string; rank?: number }
+  | WeightsNaming
   | DeploymentOperation
   | { kind: 'weights-end'; model: string; ended: string[] }
   | { kind: 'engines'; engines: Engine[] }
@@ -50,6 +58,26 @@
   return (now?.value as T | undefined) ?? fresh;
 }
 
+/** Names weights. A ranked naming that is not above the highest one yet is superseded, or was taken; a naming without a rank keeps that of the one before. */
+function nameWeights(op: WeightsNaming, now: Numbered | undefined): Outcome<NamedWeights> {
+  const v = now?.value as NamedWeights | undefined;
+  if (v?.rank !== undefined && op.rank !== undefined && op.rank <= v.rank)
+    return bad('name weights', op.model, `rank ${v.rank} is named already`, 'refused', 'stands');
+  const rank = op.rank ?? v?.rank;
+  const ranked = rank === undefined ? {} : { rank };
+  if (v?.weights === op.weights) return Right({ ...v, ...ranked });
+  const before = v ? [...v.older, v.weights] : ['*'];
+  function isOther(weights: string): boolean {
+    return weights !== op.weights;
+  }
+  return Right({
+    model: op.model,
+    weights: op.weights,
+    older: before.filter(isOther),
+    ...ranked,
+  });
+}
+
 /** Works out the new value of a key from an operation and the value that stands. */
 export function makeValue(
   op: Operation,
@@ -85,22 +113,8 @@
       const v = keep<TenantKeys>(now, { tenant: op.tenant, keys: [] });
       return Right({ tenant: op.tenant, keys: v.keys.filter(other) });
     }
-    case 'weights': {
-      const v = now?.value as NamedWeights | undefined;
-      if (v?.rank !== undefined && op.rank !== undefined && op.rank <= v.rank)
-        return bad('name weights', op.model, `${v.weights} are named already`, 'refused', 'stands');
-      if (v?.weights === op.weights) return Right(v);
-      const before = v ? [...v.older, v.weights] : ['*'];
-      function others(w: string): boolean {
-        return op.kind === 'weights' && w !== op.weights;
-      }
-      return Right({
-        model: op.model,
-        weights: op.weights,
-        older: before.filter(others),
-        ...(op.rank === undefined ? {} : { rank: op.rank }),
-      } as NamedWeights);
-    }
+    case 'weights':
+      return nameWeights(op, now);
     case 'weights-end': {
       const v = now?.value as NamedWeights | undefined;
       function stays(w: string): boolean {
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -311,12 +311,11 @@
     tries = 1,
   ): Promise<Outcome<Numbered>> {
     async function once(left: number): Promise<Outcome<Numbered>> {
-      const stood = owned.has(key);
+      const held = owned.has(key);
       const [f, o] = open(await ensure(key));
       if (f) return Left({ ...f, sort: 'refused' });
       const [g, value] = open(make(o.current));
-      if (g?.code === 'conflict' && stood) return onceAnew(left);
-      if (g) return Left(g);
+      if (g) return held ? onceAnew(left) : Left(g);
       const number = (o.current?.number ?? 0) + 1;
       const [h, c] = open(await commit(key, o, number, value));
       if (!h) {
@@ -331,7 +330,7 @@
         return Right(stands);
       return (stands?.number ?? 0) < number ? once(left - 1) : Left(h);
     }
-    /** What conflicts with the value that an owner holds may fit the one that stands: another may own the key by now, which no refusal would show. */
+    /** A verdict that makes no change counts only by what a majority holds now: another may own the key by now, which nothing would show here. So it is given on a value that was acquired for it. */
     function onceAnew(left: number): Promise<Outcome<Numbered>> {
       owned.delete(key);
       return once(left);
--- a/test/register.test.ts
+++ b/test/register.test.ts
@@ -91,8 +91,25 @@
   });
 }
 
+/** Any fault is by what stands, whatever its code. */
+async function outdatedVerdict(): Promise<void> {
+  for (const code of ['stands', 'bad-deployment', 'conflict']) {
+    const t = await three();
+    const a = t.owner('a');
+    const b = t.owner('b');
+    function unlessOne(now: Numbered | undefined): Outcome<unknown> {
+      return now?.value === 'one' ? bad('change', 'k', 'one stands', 'refused', code) : Right('x');
+    }
+    expect((await t.drive(a.change('k', onTopOf(undefined, 'one')))).isRight()).toBe(true);
+    expect((await t.drive(a.change('k', unlessOne))).extract()).toMatchObject({ code });
+    expect((await twice(t, b, onTopOf('one', 'two'))).isRight()).toBe(true);
+    expect([code, (await twice(t, a, unlessOne)).map(valueOf).extract()]).toEqual([code, 'x']);
+  }
+}
+
 function valueOf(n: Numbered): unknown {
   return n.value;
 }
 
 test('an owner that another has followed refuses nothing by the value that it held', outdatedOwner);
+test('nor does it give any other verdict by that value', outdatedVerdict);
