Operators get an answer within 900 ms, also while a controller is cut off

Cause: an order is tried for 800 ms, but a try begun before that had no bound of its own. With a controller cut off, muffled or deafened, the 503 came after 955 to 1,000 ms; operators go on after a second of silence. A call is now answered after 900 ms at the latest (503, fate open); the try goes on by itself.

--- a/src/control/deployment-api.ts
+++ b/src/control/deployment-api.ts
@@ -1,6 +1,7 @@
+import { beforeDeadline } from '../shared/deadline';
 import { Dialect } from '../shared/dialect';
 import { giveFault, giveJson, takeCalls, takeJson } from '../shared/edge';
-import { Fault, open, Outcome } from '../shared/errors';
+import { Fault, makeFault, open, Outcome } from '../shared/errors';
 import { Call, Listening, Ports } from '../shared/ports';
 import { DeploymentValue } from '../shared/deployment';
 import { KEYS } from '../shared/words';
@@ -9,8 +10,11 @@
 import { Controller } from './controller';
 import { Operation } from './operations';
 
-/** How long a call is worked on before its caller goes on to another controller, as a share of `ackMs`. */
-const ANSWER = 0.2;
+/** For how long a call is tried again here, as a share of `ackMs`. */
+const RETRY_SHARE = 0.2;
+
+/** Operators go on to another controller after a second of silence; an answer that is not clear comes before that. */
+const ANSWER_WITHIN_MS = 900;
 
 /** Faults that the same order would meet again. */
 const FINAL_CODES = new Set(['stands', 'conflict', 'bad-deployment', 'forgotten']);
@@ -31,9 +35,15 @@
     return own(call);
   }
 
-  /** Brings a change about; one whose fate is open is tried again, since one that was taken is known again. */
-  async function change(op: Operation): Promise<Outcome<Changed>> {
-    const until = ports.clock.now() + c.settings.ackMs * ANSWER;
+  /** Brings a change about, or leaves it open while operators still listen. */
+  function change(op: Operation): Promise<Outcome<Changed>> {
+    const late = makeFault('change', c.settings.name, 'no answer yet', 'unknown', 'timeout');
+    return beforeDeadline(ports.clock, tryChange(op), ANSWER_WITHIN_MS, late);
+  }
+
+  /** Tries a change; one whose fate is open is tried again, since one that was taken is known again. */
+  async function tryChange(op: Operation): Promise<Outcome<Changed>> {
+    const until = ports.clock.now() + Math.min(c.settings.ackMs * RETRY_SHARE, ANSWER_WITHIN_MS);
     for (;;) {
       const o = await c.change(op);
       const [f] = open(o);
--- a/test/deployment-isolated.test.ts
+++ b/test/deployment-isolated.test.ts
@@ -1,5 +1,7 @@
+import { Proc } from '../tools/sim/simworld';
 import {
   begin,
+  CoreRig,
   documentOf,
   insisted,
   isolate,
@@ -64,6 +66,47 @@
     }
 }
 
+/** Answers come by then, with room for their way. */
+const LATEST_ANSWER = 0.95 * SILENCE;
+
+/** Ways in which one controller may be in trouble. */
+const TROUBLES: ((rig: CoreRig, victim: Proc) => void)[] = [isolate, muffle, deafen, freeze];
+
+/** Nothing that a controller sends reaches the others. */
+function muffle(rig: CoreRig, victim: Proc): void {
+  for (const other of rig.core) if (other !== victim) rig.w.cut(victim.ip, other.ip, true);
+}
+
+/** Nothing that the others send reaches a controller. */
+function deafen(rig: CoreRig, victim: Proc): void {
+  for (const other of rig.core) if (other !== victim) rig.w.cut(other.ip, victim.ip, true);
+}
+
+function freeze(rig: CoreRig, victim: Proc): void {
+  rig.w.freeze(victim);
+}
+
+/** Whichever controller is asked in the moment of the trouble, an answer comes before operators go on, but from one that is frozen. */
+async function answersInTime(): Promise<void> {
+  for (const [t, trouble] of TROUBLES.entries())
+    for (let victim = 0; victim < 3; victim++)
+      for (let asked = 0; asked < 3; asked++) {
+        if (trouble === freeze && asked === victim) continue;
+        const rig = await begin(70 + victim);
+        trouble(rig, rig.core[victim]);
+        const began = rig.w.now();
+        const status = await statusOf(rig, asked, 1, documentOf(4, ['/v4/']));
+        const took = rig.w.now() - began;
+        expect([t, victim, asked, status]).toEqual([
+          t,
+          victim,
+          asked,
+          asked === victim ? 503 : 200,
+        ]);
+        expect([t, victim, asked, took <= LATEST_ANSWER]).toEqual([t, victim, asked, true]);
+      }
+}
+
 /** What was taken is confirmed, or left open by the one that is cut off. */
 async function resentToCutOff(): Promise<void> {
   for (let victim = 0; victim < 3; victim++) {
@@ -82,4 +125,5 @@
 
 test('a controller that is cut off refuses nothing, and says so within a second', cutOff);
 test('so does one that does not know yet that it is cut off', justCutOff);
+test('an answer comes before operators go on, whichever controller is in trouble', answersInTime);
 test('an order that was taken is never refused, also by one that is cut off', resentToCutOff);
