An order is hashed where it comes in, as its operator sent it

Cause: the key's owner hashed the order. Some text is not the same after the way between two controllers (a lone surrogate becomes U+FFFD, the key `__proto__` loses a letter), so that an order sent to the owner itself and again by way of another controller had two hashes, and was refused with 412 after it was taken. The controller that an operator calls now hashes it and sends the hash along; an earlier release that sends none has it made by the owner, by the same rule.

Test `an order is known by what was sent, whichever way it came`: with the hash made at the owner, `conflict` for `stands`; now it passes. deployment*, weights*, register: 38 of 38 pass.

Left: the stored document still carries such text as it came over; what is read back then differs from it in that text.

--- a/src/control/deployment-api.ts
+++ b/src/control/deployment-api.ts
@@ -8,6 +8,7 @@
 import { OperatorApi } from './api';
 import { Changed } from './changes';
 import { Controller } from './controller';
+import { makeOrder } from './deployment';
 import { Operation } from './operations';
 
 /** For how long a call is tried again here, as a share of `ackMs`. */
@@ -79,13 +80,8 @@
         'no-base',
         'the version that this builds on is missing',
       );
-    const [f] = open(
-      await change({
-        kind: 'deployment',
-        base,
-        ...(call.path === paths.update ? { change: body } : { doc: body }),
-      }),
-    );
+    const kind = call.path === paths.update ? 'update' : 'replace';
+    const [f] = open(await change(makeOrder(base, kind, body)));
     if (f && f.code !== 'stands') return refuse(call, f);
     giveJson(call, 200, { taken: true });
   }
--- a/src/control/deployment.ts
+++ b/src/control/deployment.ts
@@ -20,8 +20,13 @@
   base: number;
   doc?: unknown;
   change?: unknown;
+  /** The hash of the path and body as they were sent; earlier releases leave it out. */
+  sum?: string;
 }
 
+/** Whether an order carries a whole document, or a named change of the one that stands. */
+export type OrderKind = 'replace' | 'update';
+
 /** How documents are read. */
 export type DocumentReader = Pick<Dialect, 'deployment' | 'namedChange'>;
 
@@ -46,9 +51,22 @@
   return out;
 }
 
+function hashOrder(kind: OrderKind, body: unknown): string {
+  return shortHash(JSON.stringify([kind === 'replace', body]));
+}
+
+/** Makes an order of what an operator sent. It is hashed here, since some text does not stay the same on the way to the key's owner. */
+export function makeOrder(base: number, kind: OrderKind, body: unknown): DeploymentOperation {
+  const sum = hashOrder(kind, body);
+  return kind === 'replace'
+    ? { kind: 'deployment', base, doc: body, sum }
+    : { kind: 'deployment', base, change: body, sum };
+}
+
 /** The hash of an order's path and body; with its base, it identifies the order. */
 function sumOf(op: DeploymentOperation): string {
-  return shortHash(JSON.stringify([op.change === undefined, op.doc ?? op.change]));
+  if (op.sum !== undefined) return op.sum;
+  return op.change === undefined ? hashOrder('replace', op.doc) : hashOrder('update', op.change);
 }
 
 function refused<T>(why: string, code: string): Outcome<T> {
--- a/test/deployment-memory.test.ts
+++ b/test/deployment-memory.test.ts
@@ -1,4 +1,5 @@
-import { DeploymentOperation, makeDeployment } from '../src/control/deployment';
+import { Packr } from 'msgpackr';
+import { DeploymentOperation, makeDeployment, makeOrder } from '../src/control/deployment';
 import { REMEMBERED_ORDERS } from '../src/control/taken-orders';
 import { DeploymentValue } from '../src/shared/deployment';
 import { Fault } from '../src/shared/errors';
@@ -84,6 +85,25 @@
   expect(refusal(value, { kind: 'deployment', base: 10, change: doc }).code).toBe('conflict');
 }
 
+/** Text that the connections between controllers do not carry as it is. */
+const ODD_NOTES = ['"\\ud800"', '{"__proto__":{"a":1}}', '{"10":1,"2":[0.1,1e21,-0]}'];
+
+function asForwarded(op: DeploymentOperation): DeploymentOperation {
+  const packr = new Packr({ useRecords: false });
+  return packr.unpack(packr.pack(op)) as DeploymentOperation;
+}
+
+/** An order may reach the key's owner from its operator, or by way of another controller. */
+function identityAsSent(): void {
+  const text = JSON.stringify(documentOf(10, ['/a/']));
+  for (const note of ODD_NOTES) {
+    const body: unknown = JSON.parse(`${text.slice(0, -1)},"note":${note}}`);
+    const op = makeOrder(0, 'replace', body);
+    expect([note, refusal(take(undefined, op), asForwarded(op)).code]).toEqual([note, 'stands']);
+    expect([note, refusal(take(undefined, asForwarded(op)), op).code]).toEqual([note, 'stands']);
+  }
+}
+
 function appendOnly(): void {
   let value = takeMany(REMEMBERED_ORDERS - 2);
   for (let i = REMEMBERED_ORDERS - 1; i < REMEMBERED_ORDERS + 3; i++) {
@@ -148,3 +168,4 @@
   'where an earlier release kept a part of the orders, older ones are left open',
   earlierPartial,
 );
+test('an order is known by what was sent, whichever way it came', identityAsSent);
--- a/test/deployment-refusals.test.ts
+++ b/test/deployment-refusals.test.ts
@@ -85,6 +85,7 @@
     for (const i of [0, 1, 2]) {
       expect([seed, await described(rig, i)]).toEqual([seed, winner]);
       expect([seed, await statusOf(rig, i, 1, loser)]).toEqual([seed, 412]);
+      expect([seed, await statusOf(rig, i, 1, winner)]).toEqual([seed, 200]);
     }
   }
 }
