--- a/src/control/deployment-api.ts
+++ b/src/control/deployment-api.ts
@@ -1,16 +1,24 @@
+import { beforeDeadline } from '../shared/deadline';
 import { Dialect } from '../shared/dialect';
 import { giveFault, giveJson, takeCalls, takeJson } from '../shared/edge';
-import { Fault, open, Outcome } from '../shared/errors';
+import { Fault, makeFault, open, Outcome } from '../shared/errors';
 import { Call, Listening, Ports } from '../shared/ports';
 import { DeploymentValue } from '../shared/deployment';
 import { KEYS } from '../shared/words';
 import { OperatorApi } from './api';
 import { Changed } from './changes';
 import { Controller } from './controller';
+import { makeOrder } from './deployment';
 import { Operation } from './operations';
 
-/** How long a call is worked on before its caller goes on to another controller, as a share of `ackMs`. */
-const ANSWER = 0.2;
+/** For how long a call is tried again here, as a share of `ackMs`. */
+const RETRY_SHARE = 0.2;
+
+/** Operators go on to another controller after a second of silence; an answer that is not clear comes before that. */
+const ANSWER_WITHIN_MS = 900;
+
+/** Faults that the same order would meet again. */
+const FINAL_CODES = new Set(['stands', 'conflict', 'bad-deployment', 'forgotten']);
 
 /** Serves operators who speak by a dialect, and our own interface beside. */
 export function serveDeployment(
@@ -28,9 +36,15 @@
     return own(call);
   }
 
-  /** Brings a change about; one whose fate is open is tried again, since one that was taken is known again. */
-  async function change(op: Operation): Promise<Outcome<Changed>> {
-    const until = ports.clock.now() + c.settings.ackMs * ANSWER;
+  /** Brings a change about, or leaves it open while operators still listen. */
+  function change(op: Operation): Promise<Outcome<Changed>> {
+    const late = makeFault('change', c.settings.name, 'no answer yet', 'unknown', 'timeout');
+    return beforeDeadline(ports.clock, tryChange(op), ANSWER_WITHIN_MS, late);
+  }
+
+  /** Tries a change; one whose fate is open is tried again, since one that was taken is known again. */
+  async function tryChange(op: Operation): Promise<Outcome<Changed>> {
+    const until = ports.clock.now() + Math.min(c.settings.ackMs * RETRY_SHARE, ANSWER_WITHIN_MS);
     for (;;) {
       const o = await c.change(op);
       const [f] = open(o);
@@ -66,13 +80,8 @@
         'no-base',
         'the version that this builds on is missing',
       );
-    const [f] = open(
-      await change({
-        kind: 'deployment',
-        base,
-        ...(call.path === paths.update ? { change: body } : { doc: body }),
-      }),
-    );
+    const kind = call.path === paths.update ? 'update' : 'replace';
+    const [f] = open(await change(makeOrder(base, kind, body)));
     if (f && f.code !== 'stands') return refuse(call, f);
     giveJson(call, 200, { taken: true });
   }
@@ -103,6 +112,7 @@
   return ports.wire.serve(c.settings.http, take);
 }
 
+/** Whether trying again here can tell no more. */
 function isClear(f: Fault): boolean {
-  return f.code === 'stands' || f.code === 'conflict' || f.code === 'bad-deployment';
+  return FINAL_CODES.has(f.code ?? '');
 }
