Callers' connections: only those at rest are closed, as long as they were told

Cause: four ways in which a connection ended whose request had been read, or was about to be. (1) Node arms the idle timer with the limit of the moment an answer ends: an idleTimeoutMs made shorter during a stream closed the connection before the Keep-Alive time that its caller had been told. (2) The idle timer fires before bytes that had arrived are read when the event loop was held up (a deployment being read): the next request met a closed connection. (3) Part of a next head in a stream: at the check of headers the answer in progress was destroyed (the check runs each 30 s by default, now each header limit). (4) Bytes that are no request, or a request behind one with Connection: close: the answer in progress was destroyed. Conclusion: a connection rests for the longest of what its caller was told and the limit of now, and is closed once what had arrived has been read. What was not mended: a caller that half-closes after its request is still answered by a close, as Node can't tell it from one that left.

--- /dev/null
+++ b/src/shared/realhttp-callers.ts
@@ -0,0 +1,125 @@
+import http from 'node:http';
+import net from 'node:net';
+
+/** What is kept about the connection of one caller. */
+interface CallerConnection {
+  /** Requests that were read in part or whole and whose answers have not ended. */
+  underWay: number;
+  /** The request that came last, and its answer. */
+  newest?: { request: http.IncomingMessage; answer: http.ServerResponse };
+  /** Whether no request after the newest one is taken. */
+  closing: boolean;
+  /** How long it may rest, as its caller was last told. */
+  promisedMs: number;
+  restingSince: number;
+  /** Bytes that had been read from it when it came to rest. */
+  bytesAtRest: number;
+}
+
+/** Watches over the connections of a server's callers: only those at rest are ever closed for idleness or for bytes that are no request. */
+export interface CallerConnections {
+  /** Notes a request; `false` says that its connection takes no more. */
+  began(req: http.IncomingMessage, res: http.ServerResponse): boolean;
+  /** Whether a later request has come on the same connection. */
+  isFollowed(req: http.IncomingMessage): boolean;
+  /** Notes the idle time that a caller was told. */
+  promised(socket: net.Socket, ms: number): void;
+  /** Notes that an answer was worded as the last of its connection. */
+  closesAfter(socket: net.Socket): void;
+}
+
+/** Answers to what could not be read as a request, by the error's code. */
+const UNREADABLE: Record<string, string> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+const BAD_REQUEST = '400 Bad Request';
+
+/** Takes over a server's idle and error handling; `idleMs` is the idle limit of now. */
+export function watchCallers(server: http.Server, idleMs: () => number): CallerConnections {
+  const connections = new WeakMap<net.Socket, CallerConnection>();
+  server.on('connection', opened);
+  server.on('timeout', idle);
+  server.on('clientError', unreadable);
+
+  function opened(socket: net.Socket): void {
+    connections.set(socket, {
+      underWay: 0,
+      closing: false,
+      promisedMs: 0,
+      restingSince: performance.now(),
+      bytesAtRest: 0,
+    });
+  }
+
+  function began(req: http.IncomingMessage, res: http.ServerResponse): boolean {
+    const { socket } = req;
+    const c = connections.get(socket);
+    if (c === undefined || c.closing) return false;
+    c.underWay++;
+    c.newest = { request: req, answer: res };
+    res.once('close', ended);
+    function ended(): void {
+      c!.underWay--;
+      restFromNow(socket, c!);
+      if (c!.closing && c!.underWay === 0) socket.destroySoon();
+    }
+    return true;
+  }
+
+  function isFollowed(req: http.IncomingMessage): boolean {
+    return connections.get(req.socket)?.newest?.request !== req;
+  }
+
+  function promised(socket: net.Socket, ms: number): void {
+    const c = connections.get(socket);
+    if (c !== undefined) c.promisedMs = ms;
+  }
+
+  function closesAfter(socket: net.Socket): void {
+    const c = connections.get(socket);
+    if (c !== undefined) c.closing = true;
+  }
+
+  /** Whether no request has begun since the connection came to rest. */
+  function rests(socket: net.Socket, c: CallerConnection): boolean {
+    return c.underWay === 0 && socket.bytesRead === c.bytesAtRest;
+  }
+
+  function restFromNow(socket: net.Socket, c: CallerConnection): void {
+    c.restingSince = performance.now();
+    c.bytesAtRest = socket.bytesRead;
+  }
+
+  /** Closes a connection that has rested for its time, once what had already arrived has been read. */
+  function idle(socket: net.Socket): void {
+    const c = connections.get(socket);
+    if (c === undefined || c.underWay > 0) return;
+    if (!rests(socket, c)) restFromNow(socket, c);
+    const left = Math.max(c.promisedMs, idleMs()) - (performance.now() - c.restingSince);
+    if (left > 0) return void socket.setTimeout(Math.ceil(left));
+    setImmediate(closeAtRest);
+    function closeAtRest(): void {
+      if (rests(socket, c!)) socket.destroy();
+    }
+  }
+
+  /** Answers bytes that are no request, unless a request that was read whole is still to be answered. */
+  function unreadable(error: Error & { code?: string }, stream: NodeJS.WritableStream): void {
+    const socket = stream as net.Socket;
+    const c = connections.get(socket);
+    const underWay = c?.underWay ?? 0;
+    if (c?.newest?.request.complete && underWay > 0 && socket.writable) {
+      c.closing = true;
+      return;
+    }
+    const headSent = underWay > 0 && c?.newest?.answer.headersSent;
+    if (!socket.writable || underWay > 1 || headSent) return void socket.destroy(error);
+    const status = UNREADABLE[error.code ?? ''] ?? BAD_REQUEST;
+    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+    socket.destroySoon();
+  }
+
+  return { began, isFollowed, promised, closesAfter };
+}
--- a/src/shared/realhttp-server.ts
+++ b/src/shared/realhttp-server.ts
@@ -4,10 +4,13 @@
 import { makeFault, Outcome } from './errors';
 import { RawCall, RawListening, ServeLimits } from './ports';
 import { splitAddress } from './realhttp-address';
+import { CallerConnections, watchCallers } from './realhttp-callers';
 
 const MOST_HEADER_BYTES = 65536;
 const BACKLOG = 4096;
+/** The share of the idle limit that callers are told. */
 const TOLD_IDLE = 0.8;
+const MS_PER_S = 1000;
 
 function nothing(): void {}
 
@@ -15,6 +18,7 @@
   req: http.IncomingMessage,
   res: http.ServerResponse,
   limits: () => ServeLimits,
+  callers: CallerConnections,
 ): RawCall {
   const gone = new AbortController();
   const peer = req.socket.remoteAddress ?? '';
@@ -51,20 +55,22 @@
   function head(status: number, headers: string[]): void {
     if (res.headersSent) return;
     const l = limits();
-    if (l.closing || !res.shouldKeepAlive) {
+    if ((l.closing || !res.shouldKeepAlive) && !callers.isFollowed(req)) {
+      callers.closesAfter(req.socket);
       res.shouldKeepAlive = false;
       res.writeHead(status, headers);
     } else {
-      res.writeHead(status, [
-        ...headers,
-        'Connection',
-        'keep-alive',
-        'Keep-Alive',
-        `timeout=${Math.max(1, Math.floor((l.idleTimeoutMs * TOLD_IDLE) / 1000))}`,
-      ]);
+      res.writeHead(status, [...headers, ...keepAlive(l.idleTimeoutMs)]);
     }
   }
 
+  /** Tells the caller how long the connection may rest, in whole seconds. */
+  function keepAlive(idleMs: number): string[] {
+    const toldS = Math.max(1, Math.floor((idleMs * TOLD_IDLE) / MS_PER_S));
+    callers.promised(req.socket, Math.max(idleMs, (toldS * MS_PER_S) / TOLD_IDLE));
+    return ['Connection', 'keep-alive', 'Keep-Alive', `timeout=${toldS}`];
+  }
+
   function piece(bytes: Uint8Array): Promise<boolean> {
     function wait(done: (ok: boolean) => void): void {
       if (gone.signal.aborted || res.destroyed) return done(false);
@@ -115,9 +121,13 @@
   function now(): ServeLimits {
     return limits;
   }
+  function idleMs(): number {
+    return limits.idleTimeoutMs;
+  }
   function request(req: http.IncomingMessage, res: http.ServerResponse): void {
+    if (!callers.began(req, res)) return;
     arrived++;
-    void take(makeCall(req, res, now));
+    void take(makeCall(req, res, now, callers));
   }
   function connection(): void {
     arrived++;
@@ -126,10 +136,17 @@
     return arrived;
   }
   const server = http.createServer(
-    { maxHeaderSize: MOST_HEADER_BYTES, keepAlive: true, noDelay: true, requestTimeout: 0 },
+    {
+      maxHeaderSize: MOST_HEADER_BYTES,
+      keepAlive: true,
+      noDelay: true,
+      requestTimeout: 0,
+      connectionsCheckingInterval: first.headerTimeoutMs,
+    },
     request,
   );
   server.on('connection', connection);
+  const callers = watchCallers(server, idleMs);
   limit(first);
   function limit(l: ServeLimits): void {
     limits = l;
--- /dev/null
+++ b/test/gateway-callers.test.ts
@@ -0,0 +1,379 @@
+import net from 'node:net';
+import {
+  deployment,
+  EngineCall,
+  Rig,
+  route,
+  sealed,
+  startRig,
+  startStandIn,
+  streams,
+} from './gatewayrig';
+
+const REQUEST_ID = 'caller-1';
+
+/** A caller's bare connection: what was received so far, and when that changes. */
+interface BareCaller {
+  write(text: string): void;
+  received(): string;
+  /** Comes once the text received has this in it; `false` where the connection ended first. */
+  has(text: string): Promise<boolean>;
+  closed: Promise<void>;
+  destroy(): void;
+}
+
+async function bareCaller(at: string): Promise<BareCaller> {
+  const [host, port] = at.split(':');
+  const socket = net.connect({ host, port: Number(port) });
+  let text = '';
+  function data(p: Buffer): void {
+    text += p.toString('latin1');
+  }
+  function nothing(): void {}
+  socket.on('data', data);
+  socket.on('error', nothing);
+  function up(done: () => void): void {
+    socket.once('connect', done);
+  }
+  function down(done: () => void): void {
+    socket.once('close', done);
+  }
+  const closed = new Promise<void>(down);
+  await new Promise<void>(up);
+  function write(out: string): void {
+    socket.write(out.replaceAll('\n', '\r\n'), 'latin1');
+  }
+  function received(): string {
+    return text;
+  }
+  function has(wanted: string): Promise<boolean> {
+    function wait(done: (ok: boolean) => void): void {
+      function look(): void {
+        if (!text.includes(wanted)) return;
+        socket.off('data', look);
+        done(true);
+      }
+      function ended(): void {
+        done(text.includes(wanted));
+      }
+      socket.on('data', look);
+      socket.on('close', ended);
+      look();
+    }
+    return new Promise(wait);
+  }
+  function destroy(): void {
+    socket.destroy();
+  }
+  return { write, received, has, closed, destroy };
+}
+
+function request(id = REQUEST_ID, body = 'hello'): string {
+  return `POST /a/x HTTP/1.1
+Host: desk.example
+Plumhollow-Attempt-Id: ${id}
+Plumhollow-Deadline-Ms: 20000
+Authorization: Token k1
+Content-Length: ${body.length}
+
+${body}`;
+}
+
+/** An engine whose streams a test ends: the first event comes at once, the last when told. */
+function heldStreams(): {
+  answer: (c: EngineCall) => void;
+  finish: () => void;
+  held: () => number;
+} {
+  const waiting: EngineCall[] = [];
+  function answer(c: EngineCall): void {
+    c.res.writeHead(200, sealed(c));
+    c.res.write('id: 1\ndata: first\n\n');
+    waiting.push(c);
+  }
+  function finish(): void {
+    for (const c of waiting.splice(0)) c.res.end('id: 2\ndata: last\n\n');
+  }
+  function held(): number {
+    return waiting.length;
+  }
+  return { answer, finish, held };
+}
+
+const ROUTES = [route({ timeoutMs: 20000 })];
+
+function withLimits(idleTimeoutMs: number, headerTimeoutMs = 3000): ReturnType<typeof deployment> {
+  const d = deployment(ROUTES);
+  return { ...d, limits: { ...d.limits, idleTimeoutMs, headerTimeoutMs } };
+}
+
+function tellLimits(rig: Rig, idleTimeoutMs: number): void {
+  rig.tell('deployment', { revision: 2, doc: withLimits(idleTimeoutMs) });
+}
+
+/** A connection of the caller that rests from its first answer on; what it is told under the limits of now. */
+async function resting(rig: Rig): Promise<BareCaller> {
+  const c = await bareCaller(rig.at);
+  c.write(request('resting'));
+  await c.has('first');
+  return c;
+}
+
+async function shorterIdleInStream(): Promise<void> {
+  const engine = heldStreams();
+  const e = await startStandIn('e1', engine.answer);
+  const rig = await startRig({ engines: [e], deployment: withLimits(15000) });
+  const told = await bareCaller(rig.at);
+  told.write(request());
+  expect(await told.has('first')).toBe(true);
+  expect(told.received()).toContain('Keep-Alive: timeout=12');
+  tellLimits(rig, 40);
+  engine.finish();
+  expect(await told.has('last')).toBe(true);
+  const later = await resting(rig);
+  engine.finish();
+  expect(await later.has('last')).toBe(true);
+  expect(later.received()).toContain('Keep-Alive: timeout=1\r');
+  await later.closed;
+  told.write(request('second'));
+  expect(await told.has('Plumhollow-Attempt-Id: second')).toBe(true);
+  engine.finish();
+  told.destroy();
+  await rig.close();
+}
+
+async function shorterIdleBeforeStreamEnds(): Promise<void> {
+  const engine = heldStreams();
+  const e = await startStandIn('e1', engine.answer);
+  const rig = await startRig({ engines: [e], deployment: withLimits(40) });
+  const other = await resting(rig);
+  engine.finish();
+  await other.has('last');
+  const c = await bareCaller(rig.at);
+  c.write(request());
+  expect(await c.has('first')).toBe(true);
+  await other.closed;
+  engine.finish();
+  expect(await c.has('last')).toBe(true);
+  c.destroy();
+  await rig.close();
+}
+
+async function toldTimeIsKept(): Promise<void> {
+  const engine = heldStreams();
+  const e = await startStandIn('e1', engine.answer);
+  const rig = await startRig({ engines: [e], deployment: withLimits(100) });
+  const c = await resting(rig);
+  engine.finish();
+  await c.has('last');
+  const since = performance.now();
+  await c.closed;
+  expect(c.received()).toContain('Keep-Alive: timeout=1\r');
+  expect(performance.now() - since).toBeGreaterThan(1000);
+  await rig.close();
+}
+
+async function longerIdleWhileResting(): Promise<void> {
+  const engine = heldStreams();
+  const e = await startStandIn('e1', engine.answer);
+  const rig = await startRig({ engines: [e], deployment: withLimits(1100) });
+  const early = await resting(rig);
+  engine.finish();
+  await early.has('last');
+  const since = performance.now();
+  tellLimits(rig, 3000);
+  await early.closed;
+  expect(performance.now() - since).toBeGreaterThan(3000 * 0.8);
+  await rig.close();
+}
+
+async function nextRequestAtTheLastMoment(): Promise<void> {
+  const engine = heldStreams();
+  const e = await startStandIn('e1', engine.answer);
+  const rig = await startRig({ engines: [e], deployment: withLimits(100) });
+  const c = await resting(rig);
+  engine.finish();
+  await c.has('last');
+  const since = performance.now();
+  while (performance.now() - since < 900) await turn();
+  c.write(request('second'));
+  while (performance.now() - since < 1600);
+  expect(await c.has('Plumhollow-Attempt-Id: second')).toBe(true);
+  engine.finish();
+  c.destroy();
+  await rig.close();
+}
+
+async function bodyThatCannotBeRead(): Promise<void> {
+  const e = await startStandIn('e1', streams(1));
+  const rig = await startRig({ engines: [e], deployment: withLimits(15000) });
+  const c = await bareCaller(rig.at);
+  c.write(request().replace('Content-Length: 5', 'Transfer-Encoding: chunked') + 'no chunk\n');
+  await c.closed;
+  expect(c.received()).toContain(' 400 ');
+  expect(e.calls.length).toBe(0);
+  await rig.close();
+}
+
+async function partOfNextHead(): Promise<void> {
+  const engine = heldStreams();
+  const e = await startStandIn('e1', engine.answer);
+  const rig = await startRig({
+    engines: [e],
+    deployment: withLimits(15000, 100),
+    settings: { contactMs: 100 },
+  });
+  const c = await bareCaller(rig.at);
+  c.write(request() + 'POST /a/x HT');
+  expect(await c.has('first')).toBe(true);
+  const slow = await bareCaller(rig.at);
+  slow.write('POST /a/x HT');
+  await slow.closed;
+  expect(slow.received()).toContain(' 408 ');
+  engine.finish();
+  expect(await c.has('last')).toBe(true);
+  c.destroy();
+  await rig.close();
+}
+
+async function bytesThatAreNoRequest(): Promise<void> {
+  const engine = heldStreams();
+  const e = await startStandIn('e1', engine.answer);
+  const rig = await startRig({ engines: [e], deployment: withLimits(15000) });
+  const c = await bareCaller(rig.at);
+  c.write(request() + '\x00\x01 no request\n\n');
+  expect(await c.has('first')).toBe(true);
+  engine.finish();
+  expect(await c.has('last')).toBe(true);
+  await c.closed;
+  expect(c.received()).not.toContain(' 400 ');
+  expect(e.calls.length).toBe(1);
+  const alone = await bareCaller(rig.at);
+  alone.write('\x00\x01 no request\n\n');
+  await alone.closed;
+  expect(alone.received()).toContain(' 400 ');
+  await rig.close();
+}
+
+async function pipelined(): Promise<void> {
+  const e = await startStandIn('e1', streams(1));
+  const rig = await startRig({ engines: [e], deployment: withLimits(15000) });
+  const c = await bareCaller(rig.at);
+  c.write(request('one') + request('two', 'second body') + request('three'));
+  expect(await c.has('Plumhollow-Attempt-Id: three')).toBe(true);
+  const order = [...c.received().matchAll(/Attempt-Id: (\w+)/g)].map(firstGroup);
+  expect(order).toEqual(['one', 'two', 'three']);
+  expect([...e.bodies].sort()).toEqual(['hello', 'hello', 'second body']);
+  c.destroy();
+  await rig.close();
+}
+
+function firstGroup(m: RegExpMatchArray): string {
+  return m[1];
+}
+
+async function pipelinedWhileLeaving(): Promise<void> {
+  const engine = heldStreams();
+  const e = await startStandIn('e1', engine.answer);
+  const rig = await startRig({
+    engines: [e],
+    deployment: withLimits(15000),
+    settings: { contactMs: 100, graceMs: 5000 },
+  });
+  const c = await bareCaller(rig.at);
+  c.write(request('one'));
+  const running = await bareCaller(rig.at);
+  running.write(request('two') + request('three'));
+  expect(await c.has('first')).toBe(true);
+  expect(await running.has('first')).toBe(true);
+  const over = rig.gateway.drain();
+  while (engine.held() < 3) await turn();
+  engine.finish();
+  expect(await running.has('Plumhollow-Attempt-Id: three')).toBe(true);
+  await running.has('last\n\n');
+  engine.finish();
+  await over;
+  c.destroy();
+  running.destroy();
+  await rig.close();
+}
+
+function turn(): Promise<void> {
+  function wait(done: () => void): void {
+    setImmediate(done);
+  }
+  return new Promise(wait);
+}
+
+async function requestAfterLastAnswer(): Promise<void> {
+  const engine = heldStreams();
+  const e = await startStandIn('e1', engine.answer);
+  const rig = await startRig({ engines: [e], deployment: withLimits(15000) });
+  const c = await bareCaller(rig.at);
+  c.write(request('one').replace('Authorization', 'Connection: close\nAuthorization'));
+  expect(await c.has('first')).toBe(true);
+  c.write(request('two'));
+  const other = await bareCaller(rig.at);
+  other.write(request('other'));
+  expect(await other.has('first')).toBe(true);
+  engine.finish();
+  await c.closed;
+  expect(c.received()).toContain('last');
+  expect(e.calls.map(idOf)).toEqual(['one', 'other']);
+  other.destroy();
+  await rig.close();
+}
+
+function idOf(q: { headers: Record<string, string | string[] | undefined> }): unknown {
+  return q.headers['plumhollow-attempt-id'];
+}
+
+async function admittedBefore(): Promise<void> {
+  const engine = heldStreams();
+  const e = await startStandIn('e1', engine.answer);
+  const d = withLimits(15000);
+  const rig = await startRig({ engines: [e], deployment: d });
+  const c = await bareCaller(rig.at);
+  c.write(request());
+  expect(await c.has('first')).toBe(true);
+  const slower = { ...d, routes: [{ ...ROUTES[0], timeoutMs: 1 }] };
+  const withdrawn = { ...d, tenants: [] };
+  const dropped = { ...d, routes: [], pools: [], tenants: [] };
+  for (const [i, doc] of [slower, withdrawn, dropped].entries())
+    rig.tell('deployment', { revision: 2 + i, doc });
+  rig.tellEngines([{ ...e, leaving: true }]);
+  rig.tellEngines([]);
+  const refused = await bareCaller(rig.at);
+  refused.write(request('late'));
+  expect(await refused.has(' 404 ')).toBe(true);
+  engine.finish();
+  expect(await c.has('last')).toBe(true);
+  c.destroy();
+  refused.destroy();
+  await rig.close();
+}
+
+test(
+  'an idle time made shorter in a stream leaves the time that its caller was told',
+  shorterIdleInStream,
+);
+test('an idle time that ends elsewhere cuts no stream', shorterIdleBeforeStreamEnds);
+test(
+  'a connection rests for as long as its caller was told, however short the limit',
+  toldTimeIsKept,
+);
+test('a connection at rest is kept for as long as a longer limit says', longerIdleWhileResting);
+test('a part of a next request does not cut the answer in progress', partOfNextHead);
+test('bytes that are no request do not cut the answer in progress', bytesThatAreNoRequest);
+test(
+  'a request that has arrived when its connection has rested its time is answered',
+  nextRequestAtTheLastMoment,
+);
+test('a body that cannot be read gets 400 and reaches no engine', bodyThatCannotBeRead);
+test('requests that come before their turn are answered in order, each with its own', pipelined);
+test(
+  'a router that leaves answers all requests that a connection has brought',
+  pipelinedWhileLeaving,
+);
+test('what comes after the last request of a connection is not sent on', requestAfterLastAnswer);
+test('a request that was admitted ends whole, whatever later deployments drop', admittedBefore);
