Gateway: an engine's silence ends no answer while nowhere else would take it

Cause: three ways in which an attempt was cut around a held-up event loop or a silent engine. (1) watchSilence cut a stream in progress for silence before it was known whether another engine would take it up: with none, the answer was broken off. (2) Its timer fires before bytes that had arrived are read; after a hold-up longer than its bound it cut at once. (3) The connect time-out fired for connections that had come up, which also told 'the machine is dark' and closed the engine's kept connections. Ruled out: a deployment change itself cuts nothing at an engine (gateway-callers: admitted request). Conclusion: the watch judges a turn of the event loop later, and cuts only where the chooser has another engine. GatewayParts moved to parts.ts on the way, which cuts the circle between request.ts and forward.ts.

--- a/src/data/gateway/forward.ts
+++ b/src/data/gateway/forward.ts
@@ -3,7 +3,7 @@
 import { Fault, open } from '../../shared/errors';
 import { HttpConnection, RawCall, RawReply } from '../../shared/ports';
 import { AttemptEnd, Chosen, Load } from './choose';
-import type { GatewayParts } from './request';
+import { GatewayParts } from './parts';
 
 /** What became of an attempt: `not-sent` never reached an engine; `not-run` is the engine's word; `doubt` may have run and gave nothing; `broken` gave a part; `late` was under way when the time was up. */
 export type Attempted =
@@ -27,6 +27,8 @@
   doubted: boolean;
   /** The last event that went to the caller. */
   lastEvent?: string;
+  /** Whether another engine would take it now. */
+  elsewhere(): Promise<boolean>;
 }
 
 /** How long an engine that is there may be silent on all its connections before what may be repeated goes elsewhere, as multiples of the route's aims. */
@@ -86,7 +88,7 @@
   return f.code === 'timeout' ? late(x) : doubt(x);
 }
 
-/** Watches an engine for as long as an attempt lasts: where it is silent on all its connections for an aim, it is asked whether it is still there; where it stays silent, it is taken for lost. */
+/** Watches an engine for as long as an attempt lasts: where it is silent on all its connections for an aim, it is asked whether it is still there; where it stays silent, it is taken for lost, but never while no other engine would take the request. */
 function watchSilence(
   g: GatewayParts,
   call: RawCall,
@@ -105,12 +107,18 @@
   }
   function look(): void {
     if (silent() < soon) off = clock.timer(soon - silent(), look);
+    else off = clock.timer(0, judgeNow);
+  }
+  /** Runs a turn of the event loop after `look`: bytes that arrived while it was held up have been read. */
+  function judgeNow(): void {
+    if (silent() < soon) look();
     else void judge();
   }
   async function judge(): Promise<void> {
     const there = silent() < most && (await g.connections.reaches(c.engine));
+    const goes = !there && g.budget.left(x.pool) && (await x.elsewhere());
     if (stopped) return;
-    if (!there && silent() >= soon && g.budget.left(x.pool)) gone.abort();
+    if (goes && silent() >= soon) gone.abort();
     else off = clock.timer(soon, look);
   }
   function stop(): void {
--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -9,8 +9,9 @@
 import { Engine, KEYS, Numbered } from '../../shared/words';
 import { makeRetryBudget } from './budget';
 import { makeChooser } from './choose';
+import { GatewayCounts, GatewayParts } from './parts';
 import { keepConnections } from './pools';
-import { GatewayCounts, GatewayParts, serveRequest } from './request';
+import { serveRequest } from './request';
 import { makeRouteTable, RouteTable } from './routes';
 import { makeWeightsBook, WeightsEdge } from './weights';
 
--- /dev/null
+++ b/src/data/gateway/parts.ts
@@ -0,0 +1,37 @@
+import { Dialect } from '../../shared/dialect';
+import { Ports } from '../../shared/ports';
+import { Settings } from '../../shared/settings';
+import { Engine } from '../../shared/words';
+import { RetryBudget } from './budget';
+import { Chooser } from './choose';
+import { EngineConnections } from './pools';
+import { RouteTable } from './routes';
+
+/** What a router counts on the request path. */
+export interface GatewayCounts {
+  asked: number;
+  done: number;
+  refused: number;
+  unknown: number;
+  attempts: number;
+  furtherAttempts: number;
+  resumed: number;
+  callersGone: number;
+}
+
+/** All that a request needs on its way. */
+export interface GatewayParts {
+  ports: Ports;
+  settings: Settings;
+  dialect: Dialect;
+  chooser: Chooser;
+  connections: EngineConnections;
+  budget: RetryBudget;
+  counts: GatewayCounts;
+  /** The deployment's look-ups, once this router may serve. */
+  table(): RouteTable | undefined;
+  /** Whether an engine is still listed and not leaving. */
+  stands(e: Engine): boolean;
+  /** Whether this router is so far into its leaving that it takes nothing new. */
+  closed(): boolean;
+}
--- a/src/data/gateway/request.ts
+++ b/src/data/gateway/request.ts
@@ -1,44 +1,11 @@
 import { open } from '../../shared/errors';
 import { CallerRequest, HttpRoute, TenantAccess } from '../../shared/deployment';
-import { Dialect } from '../../shared/dialect';
-import { Ports, RawCall } from '../../shared/ports';
-import { Settings } from '../../shared/settings';
-import { Engine } from '../../shared/words';
-import { RetryBudget } from './budget';
-import { Chooser, Refusal, Wanted } from './choose';
+import { RawCall } from '../../shared/ports';
+import { Refusal, Wanted } from './choose';
 import { Attempted, forward, Taken } from './forward';
-import { EngineConnections } from './pools';
+import { GatewayParts } from './parts';
 import { drawPool, RouteTable } from './routes';
 
-/** What a router counts on the request path. */
-export interface GatewayCounts {
-  asked: number;
-  done: number;
-  refused: number;
-  unknown: number;
-  attempts: number;
-  furtherAttempts: number;
-  resumed: number;
-  callersGone: number;
-}
-
-/** All that a request needs on its way. */
-export interface GatewayParts {
-  ports: Ports;
-  settings: Settings;
-  dialect: Dialect;
-  chooser: Chooser;
-  connections: EngineConnections;
-  budget: RetryBudget;
-  counts: GatewayCounts;
-  /** The deployment's look-ups, once this router may serve. */
-  table(): RouteTable | undefined;
-  /** Whether an engine is still listed and not leaving. */
-  stands(e: Engine): boolean;
-  /** Whether this router is so far into its leaving that it takes nothing new. */
-  closed(): boolean;
-}
-
 /** Connections to engines that may fail before a request is given up, as a multiple of its attempts. */
 const CONNECTS = 3;
 /** When a request may come again that could not be sent, as a share of its route's aim; of `contactMs` where no route is known. */
@@ -96,9 +63,17 @@
     headSent: false,
     doubted: false,
     lastEvent: undefined,
+    elsewhere,
   };
   const avoid = new Set<string>();
   let sent = 0;
+  function wanted(): Wanted {
+    const { route, tenant, pool } = a!;
+    return { request: q!.request, route, pool, tenant, since, until, avoid, again: sent };
+  }
+  async function elsewhere(): Promise<boolean> {
+    return (await g.chooser.choose(wanted())).isRight();
+  }
   let last: Attempted | undefined;
   let refusal: Refusal = {
     status: 503,
@@ -112,16 +87,7 @@
     tried++
   ) {
     if (call.gone.aborted || until - clock.now() < g.settings.transitMs * WORTH) break;
-    const w: Wanted = {
-      request: q.request,
-      route: a.route,
-      pool: a.pool,
-      tenant: a.tenant,
-      since,
-      until,
-      avoid,
-      again: sent,
-    };
+    const w = wanted();
     const chosen = await g.chooser.choose(w);
     if (chosen.isLeft()) {
       refusal = chosen.extract() as Refusal;
--- a/src/shared/realhttp-client.ts
+++ b/src/shared/realhttp-client.ts
@@ -211,7 +211,12 @@
   function wait(done: (o: Outcome<HttpConnection>) => void): void {
     const socket = net.connect({ ...splitAddress(at), localAddress });
     const t = setTimeout(late, within);
+    /** A connection that came up while the event loop was held up counts as in time. */
     function late(): void {
+      setImmediate(giveUp);
+    }
+    function giveUp(): void {
+      if (!socket.connecting) return;
       socket.destroy();
       done(Left(makeFault('connect', at, 'no connection in time', 'refused', 'timeout')));
     }
