--- a/src/shared/realhttpclient.ts
+++ b/src/shared/realhttp-client.ts
@@ -1,7 +1,3 @@
-/**
- * The client side of raw HTTP: one connection, one request on it at a time.
- */
-
 import http from 'node:http';
 import net from 'node:net';
 import { Left, Right } from 'purify-ts';
@@ -9,6 +5,7 @@
 import { HttpConnection, RawAsk, RawReply } from './ports';
 import { ignore, splitAddress } from './realio';
 
+/** How long a connection may be without traffic before the kernel probes its peer. */
 const PROBE_AFTER_MS = 1000;
 
 /** Whether an answer tells where it ends. */
@@ -203,7 +200,7 @@
   return { at, fit, uses: used, ask, onIdle, done: new Promise(waitClosed), close };
 }
 
-/** Opens a connection to an address. */
+/** Connects to a server; a connection that isn't up within the ms is given up. */
 export function connect(
   at: string,
   within: number,
@@ -212,7 +209,12 @@
   function wait(done: (o: Outcome<HttpConnection>) => void): void {
     const socket = net.connect({ ...splitAddress(at), localAddress });
     const t = setTimeout(late, within);
+    /** A connection that came up while the event loop was held up counts as in time. */
     function late(): void {
+      setImmediate(giveUp);
+    }
+    function giveUp(): void {
+      if (!socket.connecting) return;
       socket.destroy();
       done(Left(makeFault('connect', at, 'no connection in time', 'refused', 'timeout')));
     }
--- /dev/null
+++ b/src/shared/realhttp-server.ts
@@ -0,0 +1,145 @@
+import http from 'node:http';
+import net from 'node:net';
+import { Left, Right } from 'purify-ts';
+import { makeFault, Outcome } from './errors';
+import { RawCall, RawListening, ServeLimits } from './ports';
+import { CallerConnections, watchCallers } from './realhttp-callers';
+import { ignore, readBody, splitAddress, writePiece } from './realio';
+
+const MOST_HEADER_BYTES = 65536;
+const BACKLOG = 4096;
+/** The share of the idle limit that callers are told. */
+const TOLD_IDLE = 0.8;
+const MS_PER_S = 1000;
+
+function makeCall(
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+  limits: () => ServeLimits,
+  callers: CallerConnections,
+): RawCall {
+  const gone = new AbortController();
+  const peer = req.socket.remoteAddress ?? '';
+  function closed(): void {
+    if (!res.writableFinished) gone.abort();
+  }
+  res.on('close', closed);
+  res.on('error', ignore);
+  req.on('error', ignore);
+
+  function body(most: number): Promise<Outcome<Uint8Array>> {
+    return readBody(req, most);
+  }
+
+  function head(status: number, headers: string[]): void {
+    if (res.headersSent) return;
+    const l = limits();
+    if ((l.closing || !res.shouldKeepAlive) && !callers.isFollowed(req)) {
+      callers.closesAfter(req.socket);
+      res.shouldKeepAlive = false;
+      res.writeHead(status, headers);
+    } else {
+      res.writeHead(status, [...headers, ...keepAlive(l.idleTimeoutMs)]);
+    }
+  }
+
+  /** Tells the caller how long the connection may rest, in whole seconds. */
+  function keepAlive(idleMs: number): string[] {
+    const toldS = Math.max(1, Math.floor((idleMs * TOLD_IDLE) / MS_PER_S));
+    callers.promised(req.socket, Math.max(idleMs, (toldS * MS_PER_S) / TOLD_IDLE));
+    return ['Connection', 'keep-alive', 'Keep-Alive', `timeout=${toldS}`];
+  }
+
+  function piece(bytes: Uint8Array): Promise<boolean> {
+    return writePiece(res, gone.signal, bytes);
+  }
+
+  function end(bytes?: Uint8Array): void {
+    res.end(bytes);
+  }
+
+  function breakOff(): void {
+    if (req.httpVersion === '1.1') req.socket.destroy();
+    else req.socket.resetAndDestroy();
+  }
+
+  return {
+    method: req.method ?? 'GET',
+    target: req.url ?? '/',
+    headers: req.rawHeaders,
+    fields: req.headers as Record<string, string | undefined>,
+    peer,
+    gone: gone.signal,
+    body,
+    head,
+    piece,
+    end,
+    breakOff,
+  };
+}
+
+/** Listens for callers, whose requests are given as they came. */
+export function serve(
+  at: string,
+  first: ServeLimits,
+  take: (call: RawCall) => Promise<void>,
+): Promise<Outcome<RawListening>> {
+  let limits = first;
+  let arrived = 0;
+  function now(): ServeLimits {
+    return limits;
+  }
+  function idleMs(): number {
+    return limits.idleTimeoutMs;
+  }
+  function request(req: http.IncomingMessage, res: http.ServerResponse): void {
+    if (!callers.began(req, res)) return;
+    arrived++;
+    void take(makeCall(req, res, now, callers));
+  }
+  function connection(): void {
+    arrived++;
+  }
+  function arrivals(): number {
+    return arrived;
+  }
+  const server = http.createServer(
+    {
+      maxHeaderSize: MOST_HEADER_BYTES,
+      keepAlive: true,
+      noDelay: true,
+      requestTimeout: 0,
+      connectionsCheckingInterval: first.headerTimeoutMs,
+    },
+    request,
+  );
+  server.on('connection', connection);
+  const callers = watchCallers(server, idleMs);
+  limit(first);
+  function limit(l: ServeLimits): void {
+    limits = l;
+    server.headersTimeout = l.headerTimeoutMs;
+    server.keepAliveTimeout = l.idleTimeoutMs;
+  }
+  function close(): Promise<void> {
+    function wait(done: () => void): void {
+      server.close(done as () => void);
+      server.closeAllConnections();
+    }
+    return new Promise(wait);
+  }
+  function wait(done: (o: Outcome<RawListening>) => void): void {
+    function failed(e: Error): void {
+      done(Left(makeFault('listen', at, e)));
+    }
+    function up(): void {
+      server.off('error', failed);
+      server.on('error', ignore);
+      const a = server.address() as net.AddressInfo;
+      done(Right({ at: `${a.address}:${a.port}`, close, limit, arrivals }));
+    }
+    server.once('error', failed);
+    server.listen({ ...splitAddress(at), backlog: BACKLOG }, up);
+  }
+  return new Promise(wait);
+}
