Reads count what disks have learned, and refuse askers with older voters

Cause: held-place told only what a disk had accepted, and took no note of the voters that the asker goes by. Ruled out: waiting for the sync before answering.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -201,7 +201,14 @@
     isUp,
     wake,
   });
-  const reads: ReadParts = { slots, owner, voters, askVoter: askShortly, ofOwner: changes.ofOwner };
+  const reads: ReadParts = {
+    slots,
+    owner,
+    voters,
+    askVoter: askShortly,
+    ofOwner: changes.ofOwner,
+    learnHere,
+  };
   const edges: object[] = [
     new HelloEdge(hello),
     acceptor,
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -60,13 +60,25 @@
 }
 
 /** What a disk knows to be accepted: what it accepted itself, or what it learned, which a majority has accepted. */
-function newestOf(
+export function newestOf(
   c: { accepted?: Numbered; learned?: Numbered } | undefined,
 ): Numbered | undefined {
   if (!c?.accepted || !c.learned) return c?.accepted ?? c?.learned;
   return comparePlaces(c.learned, c.accepted) > 0 ? c.learned : c.accepted;
 }
 
+/** The voters that are committed here, where they are later than those that another goes by. */
+export function laterVoters(slots: Slots, sent: Place | undefined): Numbered | undefined {
+  const mine = slots.cells.get(KEYS.voters)?.learned;
+  if (!mine) return undefined;
+  return !sent || comparePlaces(mine, sent) > 0 ? mine : undefined;
+}
+
+/** The place of a change without its value. */
+export function placeOnly(n: Numbered | undefined): Place | undefined {
+  return n && { epoch: n.epoch, by: n.by, number: n.number };
+}
+
 /** The part of a register that each voter's disk plays. */
 export class Acceptor {
   constructor(
@@ -75,12 +87,6 @@
     private readonly ports: Ports,
   ) {}
 
-  private laterVoters(sent: Place | undefined): Numbered | undefined {
-    const mine = this.slots.cells.get(KEYS.voters)?.learned;
-    if (!mine) return undefined;
-    return !sent || comparePlaces(mine, sent) > 0 ? mine : undefined;
-  }
-
   private votes(): boolean {
     return isVoter(this.reach.voters(), this.slots.disk);
   }
@@ -88,7 +94,7 @@
   /** Promises to take nothing of a lower epoch; an epoch that was promised already is not promised again. */
   @message('prepare', PrepareAsk)
   async prepare(m: PrepareAsk): Handled {
-    const later = this.laterVoters(m.voters);
+    const later = laterVoters(this.slots, m.voters);
     const seen = this.slots.cells.get(m.key)?.promised ?? { epoch: 0, by: '' };
     if (later) return Right({ ok: false, seen, voters: later } as Promised);
     if (!this.votes()) return bad('prepare', this.slots.disk, 'not a voter', 'refused', 'no-voter');
@@ -103,7 +109,7 @@
   /** Takes a change unless a higher epoch was promised. */
   @message('accept', AcceptAsk)
   async accept(m: AcceptAsk): Handled {
-    const later = this.laterVoters(m.voters);
+    const later = laterVoters(this.slots, m.voters);
     const c = m.change;
     const cell = this.slots.cells.get(c.key);
     const seen = cell?.promised ?? { epoch: 0, by: '' };
@@ -194,10 +200,6 @@
     return slots.cells.get(KEYS.voters)?.learned;
   }
 
-  function placeOnly(n: Numbered | undefined): Place | undefined {
-    return n && { epoch: n.epoch, by: n.by, number: n.number };
-  }
-
   function isOk(p: Promised): boolean {
     return p.ok;
   }
