A controller that is cut off answers 503 in time, and neither owns nor watches

Cause: an answer waited for asks of 0.35 of the change bound one after another, so that operators met a second of silence; an owner told 400 from a value that another may have changed since; keys stayed owned without a majority, and the platform's list was asked by their owner. Ruled out: refusing calls where no majority is up only: in the first second after a cut the connections still seem up. In our own dialect the owner of the engines' list keeps its key without a majority, as routers are told from it which engines leave.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -348,11 +348,13 @@
   const keeper = makeKeeper({
     wire: settings.wire,
     always,
+    keptAlone: reader ? undefined : KEYS.engines,
     slots,
     owner,
     bounds,
     helds,
     live,
+    hasMajority,
     committed,
     learn: acceptor.learn.bind(acceptor),
     forget: heard.delete.bind(heard),
--- a/src/control/deployment-api.ts
+++ b/src/control/deployment-api.ts
@@ -3,14 +3,15 @@
 import { Fault, open, Outcome } from '../shared/errors';
 import { Call, Listening, Ports } from '../shared/ports';
 import { DeploymentValue } from '../shared/deployment';
+import { within } from '../shared/within';
 import { KEYS } from '../shared/words';
 import { OperatorApi } from './api';
 import { Changed } from './changes';
 import { Controller } from './controller';
 import { Operation } from './operations';
 
-/** How long a call is worked on before its caller goes on to another controller, as a share of `ackMs`. */
-const ANSWER = 0.2;
+/** How long a call is worked on before its caller is sent on to another controller, as a share of `ackMs`: less than the second after which callers go on by themselves. */
+const ANSWER = 0.18;
 
 /** Serves operators who speak by a dialect, and our own interface beside. */
 export function serveDeployment(
@@ -28,8 +29,17 @@
     return own(call);
   }
 
+  /** Has a result in time for its caller, or a fault of unknown fate. */
+  function inTime<T>(step: string, result: Promise<Outcome<T>>): Promise<Outcome<T>> {
+    return within(ports.clock, c.settings.ackMs * ANSWER, step, c.name, result);
+  }
+
+  function change(op: Operation): Promise<Outcome<Changed>> {
+    return inTime('change', insist(op));
+  }
+
   /** Brings a change about; one whose fate is open is tried again, since one that was taken is known again. */
-  async function change(op: Operation): Promise<Outcome<Changed>> {
+  async function insist(op: Operation): Promise<Outcome<Changed>> {
     const until = ports.clock.now() + c.settings.ackMs * ANSWER;
     for (;;) {
       const o = await c.change(op);
@@ -94,7 +104,7 @@
   }
 
   async function describe(call: Call): Promise<void> {
-    const [f, n] = open(await c.newest(KEYS.deployment));
+    const [f, n] = open(await inTime('describe', c.newest(KEYS.deployment)));
     if (f) return refuse(call, f);
     if (!n) return giveFault(call, 404, 'refused', 'none', 'there is no deployment yet');
     giveJson(call, 200, (n.value as DeploymentValue).doc);
--- a/src/control/duties.ts
+++ b/src/control/duties.ts
@@ -18,12 +18,13 @@
   void followMachines(c, ports);
 }
 
-/** Watches the platform's list while this node owns the key `engines`; the register is the fence. Where no majority takes the list, routers are told all the same which engines leave. */
+/** Watches the platform's list while this node owns the key `engines`; the register is the fence. Where no majority takes the list, routers are told all the same which engines leave; but where a dialect is spoken, whoever sees no majority asks nothing, since another may watch by now. */
 export async function watchPlatform(c: Controller, ports: Ports, dialect?: Dialect): Promise<void> {
   while (!c.stopped()) {
     await ports.clock.sleep(c.bounds.platform);
     if (c.settings.platform === '' || !c.owner.owns(KEYS.engines) || !c.chosen(KEYS.engines))
       continue;
+    if (dialect && !c.hasMajority()) continue;
     const [f, list] = open(await listAll(ports, c.settings.platform, c.bounds.status, dialect));
     if (f) {
       ports.log.warn({ step: f.step, peer: f.peer }, f.why);
--- a/src/control/keep.ts
+++ b/src/control/keep.ts
@@ -22,11 +22,14 @@
   wire: string;
   /** Keys that are owned also before they have a value. */
   always: string[];
+  /** The key that an owner keeps while it has no majority. */
+  keptAlone: string | undefined;
   slots: Slots;
   owner: Owner;
   bounds: Bounds;
   helds: Holds;
   live(): string[];
+  hasMajority(): boolean;
   committed(): Numbered[];
   learn(m: { change: Numbered }): Promise<Outcome<unknown>>;
   /** Notes that a change was not heard as it was made. */
@@ -93,8 +96,9 @@
     return x[0];
   }
 
-  /** Owns the keys that are this controller's under the voters that are up, some at once, and no others. */
+  /** Owns the keys that are this controller's under the voters that are up, some at once, and no others; none where no majority is up. */
   async function tendKeys(): Promise<void> {
+    if (!p.hasMajority()) return disownAll();
     const up = p.live();
     const under = up.join(' ');
     if (under !== tended.under) tended = { under, seen: new Set(), mine: new Set() };
@@ -109,6 +113,10 @@
       await Promise.all(wanted.slice(i, i + OWN_AT_ONCE).map(p.owner.own));
   }
 
+  function disownAll(): void {
+    for (const key of p.owner.owned()) if (key !== p.keptAlone) p.owner.disown(key);
+  }
+
   function notOwned(key: string): boolean {
     return !p.owner.owns(key);
   }
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -167,6 +167,11 @@
   current?: Numbered;
 }
 
+/** Whether a change that was refused by one value may be taken by a later one; what was taken once stays taken. */
+function mayDiffer(f: Fault): boolean {
+  return f.code !== 'stands';
+}
+
 function currentOf(o: Owned): Numbered | undefined {
   return o.current;
 }
@@ -323,7 +328,7 @@
       const [f, o] = open(await ensure(key));
       if (f) return Left({ ...f, sort: 'refused' });
       const [g, value] = open(make(o.current));
-      if (g?.code === 'conflict' && stood) return onceAnew(left);
+      if (g && stood && mayDiffer(g)) return onceAnew(left);
       if (g) return Left(g);
       const number = (o.current?.number ?? 0) + 1;
       const [h, c] = open(await commit(key, o, number, value));
@@ -339,7 +344,7 @@
         return Right(stands);
       return (stands?.number ?? 0) < number ? once(left - 1) : Left(h);
     }
-    /** What conflicts with the value that an owner holds may fit the one that stands: another may own the key by now, which no refusal would show. */
+    /** What the value that an owner holds refuses may fit the one that stands: another may own the key by now, which no refusal would show. */
     function onceAnew(left: number): Promise<Outcome<Numbered>> {
       owned.delete(key);
       return once(left);
--- a/test/deploymentrig.ts
+++ b/test/deploymentrig.ts
@@ -1,5 +1,6 @@
 import { Controller, startController } from '../src/control/controller';
 import { serveDeployment } from '../src/control/deployment-api';
+import { startDuties } from '../src/control/duties';
 import { open } from '../src/shared/errors';
 import { askJson } from '../src/shared/lib';
 import { defaultSettings, Settings } from '../src/shared/settings';
@@ -13,6 +14,13 @@
   body: Record<string, unknown>;
 }
 
+/** How a core is made, where it is not three controllers with the usual settings and no duties. */
+export interface CoreWays {
+  size?: number;
+  told?: Partial<Settings>;
+  duties?: boolean;
+}
+
 /** Three controllers in a simulated world, and an operator who speaks as the platform's do. */
 export interface CoreRig {
   w: World;
@@ -46,6 +54,7 @@
 export const PATHS = platform.operators.paths;
 
 const SILENCE = 1000;
+const NAMED = [1, 2, 3, 4, 5];
 
 function settingsOf(name: string, ip: string, seeds: string[], bootstrap: boolean): Settings {
   return {
@@ -92,10 +101,10 @@
 }
 
 /** Makes the world and starts the controllers. */
-export function makeCore(seed: number): CoreRig {
+export function makeCore(seed: number, ways: CoreWays = {}): CoreRig {
   const w = makeWorld(seed, true);
   const net = makeNet(w);
-  const core = [1, 2, 3].map(coreProc);
+  const core = NAMED.slice(0, ways.size ?? 3).map(coreProc);
   const operator = w.proc('operator', '10.9.0.1');
   const seeds = core.map(wireOf);
   const controllers = new Map<string, Controller>();
@@ -116,7 +125,7 @@
       const [f, c] = open(
         await startController(
           ports,
-          settingsOf(p.name, p.ip, seeds, !started.has(p.name)),
+          { ...settingsOf(p.name, p.ip, seeds, !started.has(p.name)), ...ways.told },
           platform,
         ),
       );
@@ -124,6 +133,7 @@
       if (f) return w.trace(`${p.name} did not start: ${f.why}`);
       controllers.set(p.name, c);
       await serveDeployment(c, ports, platform);
+      if (ways.duties) startDuties(c, ports, platform);
     }
   }
 
--- a/tools/sim/simwire.ts
+++ b/tools/sim/simwire.ts
@@ -35,6 +35,8 @@
   sent: { at: string; body: string; givenUpAt?: number }[];
   traffic?: Traffic;
   ports(p: Proc): Ports;
+  /** Breaks all connections between two processes; new ones come up as the links allow. */
+  reset(a: Proc, b: Proc): void;
 }
 
 /** Makes the network: orderly connections that lose nothing until they break, as TCP's do. */
@@ -43,7 +45,15 @@
   const pipes = new Set<{ a: Proc; b: Proc; end: (who: Proc) => void }>();
   const warm = new Set<string>();
   const sent: SimNet['sent'] = [];
-  const net: SimNet = { ports, sent };
+  const net: SimNet = { ports, sent, reset };
+
+  function reset(a: Proc, b: Proc): void {
+    for (const r of [...pipes]) {
+      if (!(r.a === a && r.b === b) && !(r.a === b && r.b === a)) continue;
+      r.end(a);
+      r.end(b);
+    }
+  }
 
   function ipOf(at: string): string {
     return at.slice(0, at.lastIndexOf(':'));
@@ -170,11 +180,11 @@
     for (const r of [...pipes]) {
       if (r.a !== p && r.b !== p) continue;
       const other = r.a === p ? r.b : r.a;
-      function reset(): void {
-        if (w.isCut(p.ip, other.ip)) w.after(200, reset);
+      function resetOther(): void {
+        if (w.isCut(p.ip, other.ip)) w.after(200, resetOther);
         else r.end(other);
       }
-      w.after(w.latency(p.ip, other.ip), reset);
+      w.after(w.latency(p.ip, other.ip), resetOther);
     }
   }
 
