A disk that hangs holds up no start, and one that was full votes again by itself

Cause: a start waited for the first write of the slots and of the votes, so that a node whose disk hung answered nobody; a disk that had been full was written again only with the next change; asks of the own disk and what is caught up on had no time limit, so that a hanging write held up its duties. The simulated disk can run out of room at the n-th write from now.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -18,6 +18,7 @@
   noConnection,
   WIRE_VERSION,
 } from '../shared/connections';
+import { withTimeout } from '../shared/timeout';
 import { makeWaker, Waker } from '../shared/waker';
 import { allVoters, isQuorum, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
 import { Changed, makeChanges } from './changes';
@@ -85,7 +86,7 @@
   const ports: Ports = { ...given, disk: timedDisk(given.disk, given.clock, synced) };
   const [f, kept] = open(await readVotes(ports));
   if (f) return Left(f);
-  const [g, slots] = open(await openSlots(ports, 1 << 20, kept));
+  const [g, slots] = open(await openSlots(ports, 1 << 20, kept, boundsOf(settings).ask));
   return g ? Left(g) : runController(ports, settings, slots, kept, metrics, reader);
 }
 
@@ -155,7 +156,7 @@
     body: unknown,
     within: number,
   ): Promise<Outcome<unknown>> {
-    if (isSelf(v)) return local(type, body);
+    if (isSelf(v)) return withTimeout(ports.clock, within, type, settings.name, local(type, body));
     const ex = helds.up(v.at);
     return ex ? ex.ask(type, body, within) : Left(noConnection(type, v.at));
   }
@@ -176,7 +177,7 @@
   const leases = new Leases(slots, ports, bounds, voters);
   const owner = makeOwner(slots, reach);
   const votes = new Votes(slots, ports, voters, settings.onceKeepMs);
-  await votes.begin(kept);
+  await votes.begin(kept, bounds.ask);
   const roster = new RosterEdge(ports, bounds, voters, joined);
   const changes = makeChanges({
     clock: ports.clock,
@@ -344,6 +345,10 @@
     if (chosen(KEYS.voters)) await owner.change(KEYS.voters, make);
   }
 
+  function learnInTime(m: { change: Numbered }): Promise<Outcome<unknown>> {
+    return withTimeout(ports.clock, bounds.ask, 'learn', settings.name, acceptor.learn(m));
+  }
+
   const always = [KEYS.engines, reader ? KEYS.deployment : KEYS.intents];
   const keeper = makeKeeper({
     wire: settings.wire,
@@ -356,7 +361,7 @@
     live,
     hasMajority,
     committed,
-    learn: acceptor.learn.bind(acceptor),
+    learn: learnInTime,
     forget: heard.delete.bind(heard),
   });
 
@@ -391,6 +396,7 @@
   async function tend(): Promise<void> {
     const tending = addWaker();
     while (!stopped) {
+      keeper.tendDisk();
       await keeper.catchUp();
       if (!voters()) await founding.foundByItself();
       if (voters()) await spreadFounding();
--- a/src/control/deployment-api.ts
+++ b/src/control/deployment-api.ts
@@ -3,7 +3,7 @@
 import { Fault, open, Outcome } from '../shared/errors';
 import { Call, Listening, Ports } from '../shared/ports';
 import { DeploymentValue } from '../shared/deployment';
-import { within } from '../shared/within';
+import { withTimeout } from '../shared/timeout';
 import { KEYS } from '../shared/words';
 import { OperatorApi } from './api';
 import { Changed } from './changes';
@@ -31,7 +31,7 @@
 
   /** Has a result in time for its caller, or a fault of unknown fate. */
   function inTime<T>(step: string, result: Promise<Outcome<T>>): Promise<Outcome<T>> {
-    return within(ports.clock, c.settings.ackMs * ANSWER, step, c.name, result);
+    return withTimeout(ports.clock, c.settings.ackMs * ANSWER, step, c.name, result);
   }
 
   function change(op: Operation): Promise<Outcome<Changed>> {
--- a/src/control/group.ts
+++ b/src/control/group.ts
@@ -1,5 +1,7 @@
 import { Right } from 'purify-ts';
 import { Outcome } from '../shared/errors';
+import { Ports } from '../shared/ports';
+import { withTimeout } from '../shared/timeout';
 
 /** Lines that wait for the disk and are written and synced together, in order. */
 export interface Group<T> {
@@ -46,3 +48,14 @@
 
   return { add, settled };
 }
+
+/** Waits for the first write of a file that is opened, but no longer than a time. */
+export function untilWritten(
+  ports: Ports,
+  within: number,
+  step: string,
+  written: Promise<Outcome<void>>,
+): Promise<Outcome<void>> {
+  if (within === Infinity) return written;
+  return withTimeout(ports.clock, within, step, 'disk', written);
+}
--- a/src/control/keep.ts
+++ b/src/control/keep.ts
@@ -40,6 +40,8 @@
 export interface Keeper {
   catchUp(): Promise<void>;
   tendKeys(): Promise<void>;
+  /** Writes on a disk anew that has failed a write, so that it votes again once there is room. */
+  tendDisk(): void;
 }
 
 /** Keys that are taken over at once; their writes share syncs. */
@@ -121,5 +123,16 @@
     return !p.owner.owns(key);
   }
 
-  return { catchUp, tendKeys };
+  let mending = false;
+
+  function tendDisk(): void {
+    if (mending || p.slots.fit()) return;
+    mending = true;
+    void p.slots.settled().then(over);
+    function over(): void {
+      mending = false;
+    }
+  }
+
+  return { catchUp, tendKeys, tendDisk };
 }
--- a/src/control/slots.ts
+++ b/src/control/slots.ts
@@ -4,7 +4,7 @@
 import { Journal, makeJournal } from '../shared/journal';
 import { Numbered } from '../shared/words';
 import { frame, Unframed, unframe } from './frames';
-import { makeGroup } from './group';
+import { makeGroup, untilWritten } from './group';
 
 /** What a disk holds of one control key. */
 export interface Cell {
@@ -104,11 +104,12 @@
   return slot.values[0] as Whole | undefined;
 }
 
-/** Opens the two slots and the logs between; torn tails are cut, and a disk whose synced data or votes are gone counts as a new one. */
+/** Opens the two slots and the logs between; torn tails are cut, and a disk whose synced data or votes are gone counts as a new one. A disk that takes no write `within` a time is opened all the same, unfit until it does. */
 export async function openSlots(
   ports: Ports,
   mostLog: number,
   kept?: { disk: string; spoilt: boolean; old?: boolean },
+  within = Infinity,
 ): Promise<Outcome<Slots>> {
   const files: Unframed[] = [];
   for (const name of ['slot-0', 'slot-1', 'log-0', 'log-1']) {
@@ -132,7 +133,8 @@
   const cells = new Map<string, Cell>(state.cells);
   const learned = makeJournal();
   let logBytes = 0;
-  let torn = false;
+  let torn = true;
+  let oldForm = read?.old === true;
 
   async function turn(): Promise<Outcome<void>> {
     const gen = state.gen + 1;
@@ -153,19 +155,19 @@
     return Right(undefined);
   }
 
-  if (read?.old) await turn();
-  const first = await turn();
-  if (first.isLeft()) {
-    torn = true;
-    ports.log.error(
-      { step: 'open slots', peer: 'disk' },
-      'the disk takes no writes; this node does not vote',
-    );
+  /** Turns to the other slot; where the one that was read is of version 0.1, to both, so that none of it is left. */
+  async function turnOver(): Promise<Outcome<void>> {
+    if (oldForm) {
+      const o = await turn();
+      if (o.isLeft()) return o;
+      oldForm = false;
+    }
+    return turn();
   }
 
   async function writeBatch(lines: unknown[]): Promise<Outcome<void>> {
     if (torn || logBytes > mostLog) {
-      const o = await turn();
+      const o = await turnOver();
       if (o.isLeft()) {
         torn = true;
         return o;
@@ -188,6 +190,13 @@
   }
 
   const group = makeGroup(writeBatch, behind);
+  const [unwritten] = open(await untilWritten(ports, within, 'open slots', group.settled()));
+  if (unwritten) {
+    ports.log.error(
+      { step: 'open slots', peer: 'disk' },
+      `${unwritten.why}; this node does not vote until the disk takes writes`,
+    );
+  }
 
   function put(l: Line): Promise<Outcome<void>> {
     applyLine(cells, l);
--- a/src/control/votes.ts
+++ b/src/control/votes.ts
@@ -4,7 +4,7 @@
 import { Ports } from '../shared/ports';
 import { isVoter, Voters } from '../shared/words';
 import { frame, unframe } from './frames';
-import { Group, makeGroup } from './group';
+import { Group, makeGroup, untilWritten } from './group';
 import { Slots } from './slots';
 
 /** What became of the run that holds a key, as far as it was told. */
@@ -122,13 +122,14 @@
     return this.torn;
   }
 
-  /** Takes what this disk had kept and starts a new file, so that a torn tail is never written on. */
-  async begin(kept: KeptVotes): Promise<void> {
+  /** Takes what this disk had kept and starts a new file, so that a torn tail is never written on; a disk that takes no write `within` a time is written as soon as it does. */
+  async begin(kept: KeptVotes, within = Infinity): Promise<void> {
     if (kept.old || kept.disk === this.slots.disk)
       for (const vote of kept.votes) this.now.set(vote.key, vote);
     this.file = kept.file;
     this.gen = kept.gen;
-    this.torn = (await this.turn(this.now)).isLeft();
+    this.torn = true;
+    await untilWritten(this.ports, within, 'open votes', this.group.settled());
   }
 
   private async turn(carried: Map<string, Vote>): Promise<Outcome<void>> {
--- a/src/shared/within.ts
+++ b/src/shared/timeout.ts
@@ -2,7 +2,7 @@
 import { Clock } from './ports';
 
 /** Waits for a result, but not past a time; what comes later is dropped, and its fate is told as unknown. */
-export function within<T>(
+export function withTimeout<T>(
   clock: Clock,
   ms: number,
   step: string,
--- a/tools/sim/simworld.ts
+++ b/tools/sim/simworld.ts
@@ -27,6 +27,8 @@
   disk: {
     slow: number;
     full: boolean;
+    /** Writes that there is still room for. */
+    room: number;
     stalled: boolean;
     waiting: (() => void)[];
     inFlight: Set<() => void>;
@@ -133,7 +135,14 @@
       wallOff: 0,
       held: [],
       files: new Map(),
-      disk: { slow: 1, full: false, stalled: false, waiting: [], inFlight: new Set() },
+      disk: {
+        slow: 1,
+        full: false,
+        room: Infinity,
+        stalled: false,
+        waiting: [],
+        inFlight: new Set(),
+      },
     };
     all.set(name, p);
     return p;
@@ -219,31 +228,35 @@
     function cutOf(bytes: Uint8Array): Uint8Array {
       return bytes.subarray(0, Math.floor(dice.next() * (bytes.length + 1)));
     }
-    function write(name: string, bytes: Uint8Array): Promise<Outcome<void>> {
+    /** Stores bytes in place of a file or at its end; without room, or in a loss of power, a part of them. */
+    function store(
+      step: string,
+      name: string,
+      bytes: Uint8Array,
+      atEnd: boolean,
+    ): Promise<Outcome<void>> {
       const copy = Uint8Array.from(bytes);
+      function put(stored: Uint8Array): void {
+        p.files.set(name, atEnd ? join(p.files.get(name), stored) : stored);
+      }
       function run(): Outcome<void> {
-        p.files.set(name, p.disk.full ? cutOf(copy) : copy);
-        return p.disk.full
-          ? Left(makeFault('write file', p.name, 'no space', 'failed', 'disk'))
+        p.disk.room--;
+        const full = p.disk.full || p.disk.room < 0;
+        put(full ? cutOf(copy) : copy);
+        return full
+          ? Left(makeFault(step, p.name, 'no space', 'failed', 'disk'))
           : Right(undefined);
       }
       function torn(): void {
-        p.files.set(name, cutOf(copy));
+        put(cutOf(copy));
       }
       return later(run, torn);
     }
+    function write(name: string, bytes: Uint8Array): Promise<Outcome<void>> {
+      return store('write file', name, bytes, false);
+    }
     function append(name: string, bytes: Uint8Array): Promise<Outcome<void>> {
-      const copy = Uint8Array.from(bytes);
-      function run(): Outcome<void> {
-        p.files.set(name, join(p.files.get(name), p.disk.full ? cutOf(copy) : copy));
-        return p.disk.full
-          ? Left(makeFault('append file', p.name, 'no space', 'failed', 'disk'))
-          : Right(undefined);
-      }
-      function torn(): void {
-        p.files.set(name, join(p.files.get(name), cutOf(copy)));
-      }
-      return later(run, torn);
+      return store('append file', name, bytes, true);
     }
     return { read, write, append };
   }
