--- a/src/control/deployment-api.ts
+++ b/src/control/deployment-api.ts
@@ -1,9 +1,9 @@
-import { beforeDeadline } from '../shared/deadline';
 import { Dialect } from '../shared/dialect';
 import { giveFault, giveJson, takeCalls, takeJson } from '../shared/edge';
-import { Fault, makeFault, open, Outcome } from '../shared/errors';
+import { Fault, open, Outcome } from '../shared/errors';
 import { Call, Listening, Ports } from '../shared/ports';
 import { DeploymentValue } from '../shared/deployment';
+import { withTimeout } from '../shared/timeout';
 import { KEYS } from '../shared/words';
 import { OperatorApi } from './api';
 import { Changed } from './changes';
@@ -11,8 +11,8 @@
 import { makeOrder } from './deployment';
 import { Operation } from './operations';
 
-/** For how long a call is tried again here, as a share of `ackMs`. */
-const RETRY_SHARE = 0.2;
+/** How long a call is worked on before its caller is sent on to another controller, as a share of `ackMs`. */
+const ANSWER_SHARE = 0.18;
 
 /** Operators go on to another controller after a second of silence; an answer that is not clear comes before that. */
 const ANSWER_WITHIN_MS = 900;
@@ -36,15 +36,23 @@
     return own(call);
   }
 
-  /** Brings a change about, or leaves it open while operators still listen. */
+  /** How long a call is worked on here. */
+  function answerWithin(): number {
+    return Math.min(c.settings.ackMs * ANSWER_SHARE, ANSWER_WITHIN_MS);
+  }
+
+  /** Has a result while its caller still listens, or a fault of unknown fate. */
+  function inTime<T>(step: string, result: Promise<Outcome<T>>): Promise<Outcome<T>> {
+    return withTimeout(ports.clock, answerWithin(), step, c.name, result);
+  }
+
   function change(op: Operation): Promise<Outcome<Changed>> {
-    const late = makeFault('change', c.settings.name, 'no answer yet', 'unknown', 'timeout');
-    return beforeDeadline(ports.clock, tryChange(op), ANSWER_WITHIN_MS, late);
+    return inTime('change', tryChange(op));
   }
 
   /** Tries a change; one whose fate is open is tried again, since one that was taken is known again. */
   async function tryChange(op: Operation): Promise<Outcome<Changed>> {
-    const until = ports.clock.now() + Math.min(c.settings.ackMs * RETRY_SHARE, ANSWER_WITHIN_MS);
+    const until = ports.clock.now() + answerWithin();
     for (;;) {
       const o = await c.change(op);
       const [f] = open(o);
@@ -103,7 +111,7 @@
   }
 
   async function describe(call: Call): Promise<void> {
-    const [f, n] = open(await c.newest(KEYS.deployment));
+    const [f, n] = open(await inTime('describe', c.newest(KEYS.deployment)));
     if (f) return refuse(call, f);
     if (!n) return giveFault(call, 404, 'refused', 'none', 'there is no deployment yet');
     giveJson(call, 200, (n.value as DeploymentValue).doc);
--- a/tools/sim/simwire.ts
+++ b/tools/sim/simwire.ts
@@ -31,6 +31,8 @@
   /** The bandwidth of machines' links, where it is limited. */
   links?: ThinLinks;
   ports(p: Proc): Ports;
+  /** Breaks all connections between two processes; new ones come up as the links allow. */
+  reset(a: Proc, b: Proc): void;
 }
 
 /** Makes the network: orderly connections that lose nothing until they break, as TCP's do. */
@@ -38,9 +40,17 @@
   const listeners = new Map<string, Listener>();
   const warm = new Set<string>();
   const sent: SimNet['sent'] = [];
-  const net: SimNet = { ports, sent };
+  const net: SimNet = { ports, sent, reset };
   const { pipes, makePipe, makePair, resetOf } = makePipes(w, weigh, held);
 
+  function reset(a: Proc, b: Proc): void {
+    for (const r of [...pipes]) {
+      if (!(r.a === a && r.b === b) && !(r.a === b && r.b === a)) continue;
+      r.end(a);
+      r.end(b);
+    }
+  }
+
   function weigh(name: string, m: Message): void {
     net.traffic?.weigh(name, m);
   }
