The log holds differences where a key's value is long, and a slot each value once

After: a line holds the difference to what the same disk has learned by then, whole where there is none; a slot says 'the same' where the learned value is the accepted one; a log turns after 64 differences. So that each difference finds its base, a slot is written from the lines that are in the log, not from the memory that is ahead of it; the lines of a failed write go into the next slot. A difference whose base is not held makes it a new disk. Ruled out: differences without a check of the result (a wrong base would go unseen), and longer logs (2,000 differences take seconds to read).

--- /dev/null
+++ b/src/control/cells.ts
@@ -0,0 +1,92 @@
+import { Delta, makeDelta, readDelta } from '../shared/delta';
+import { comparePlaces, Numbered } from '../shared/words';
+
+/** What a disk holds of one control key. */
+export interface Cell {
+  promised: { epoch: number; by: string };
+  accepted?: Numbered;
+  learned?: Numbered;
+}
+
+/** One change of one key; `learned: true` is what was accepted. */
+export interface Line {
+  key: string;
+  promised?: { epoch: number; by: string };
+  accepted?: Numbered;
+  learned?: Numbered | true;
+}
+
+/** A line as the log stores it: a long value as its difference to what the key has learned by then. */
+export interface StoredLine {
+  key: string;
+  promised?: { epoch: number; by: string };
+  accepted?: Numbered;
+  acceptedDelta?: Delta;
+  learned?: Numbered | true;
+  learnedDelta?: Delta;
+}
+
+/** A cell as a slot stores it: `learned: true` where that is what was accepted. */
+export interface StoredCell {
+  promised: { epoch: number; by: string };
+  accepted?: Numbered;
+  learned?: Numbered | true;
+}
+
+/** Applies one line to the cells. */
+export function applyLine(cells: Map<string, Cell>, l: Line): void {
+  const c = cells.get(l.key) ?? { promised: { epoch: 0, by: '' } };
+  if (l.promised) c.promised = l.promised;
+  if (l.accepted) c.accepted = l.accepted;
+  if (l.learned) c.learned = l.learned === true ? c.accepted : l.learned;
+  cells.set(l.key, c);
+}
+
+/** Copies cells, so that lines applied to the copy leave these as they are. */
+export function copyCells(cells: ReadonlyMap<string, Cell>): Map<string, Cell> {
+  const copy = new Map<string, Cell>();
+  for (const [key, c] of cells) copy.set(key, { ...c });
+  return copy;
+}
+
+/** The stored form of a line for a key that has learned `base` by then; `delta` is the difference of its accepted value, where that is known already. */
+export function storeLine(l: Line, base: Numbered | undefined, delta?: Delta): StoredLine {
+  const stored: StoredLine = { key: l.key };
+  if (l.promised) stored.promised = l.promised;
+  if (l.accepted) {
+    const short = delta ?? makeDelta(base, l.accepted);
+    if (short) stored.acceptedDelta = short;
+    else stored.accepted = l.accepted;
+  }
+  if (l.learned) {
+    const short = l.learned === true ? undefined : makeDelta(base, l.learned);
+    if (short) stored.learnedDelta = short;
+    else stored.learned = l.learned;
+  }
+  return stored;
+}
+
+/** Whether a stored line needs what its key has learned before. */
+export function isDifference(s: StoredLine): boolean {
+  return s.acceptedDelta !== undefined || s.learnedDelta !== undefined;
+}
+
+/** Reads a stored line over the cells as all lines before it left them; undefined where a difference does not fit. */
+export function restoreLine(cells: ReadonlyMap<string, Cell>, s: StoredLine): Line | undefined {
+  const base = cells.get(s.key)?.learned;
+  const accepted = s.acceptedDelta ? readDelta(base, s.acceptedDelta) : s.accepted;
+  const learned = s.learnedDelta ? readDelta(base, s.learnedDelta) : s.learned;
+  if ((s.acceptedDelta && !accepted) || (s.learnedDelta && !learned)) return undefined;
+  return { key: s.key, promised: s.promised, accepted, learned };
+}
+
+/** The stored form of a cell. */
+export function storeCell(c: Cell): StoredCell {
+  const same = c.accepted && c.learned && comparePlaces(c.accepted, c.learned) === 0;
+  return { ...c, learned: same ? true : c.learned };
+}
+
+/** Reads a stored cell. */
+export function restoreCell(s: StoredCell): Cell {
+  return { ...s, learned: s.learned === true ? s.accepted : s.learned };
+}
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -109,6 +109,10 @@
   /** Takes a change unless a higher epoch was promised. */
   @message('accept', AcceptAsk)
   async accept(m: AcceptAsk): Handled {
+    return this.take(m);
+  }
+
+  private async take(m: AcceptAsk, delta?: Delta): Handled {
     const later = laterVoters(this.slots, m.voters);
     const c = m.change;
     const cell = this.slots.cells.get(c.key);
@@ -119,7 +123,7 @@
     if (cell?.accepted && comparePlaces(c, cell.accepted) < 0)
       return Right({ ok: false, seen } as Promised);
     const promised = { epoch: c.epoch, by: c.by };
-    const [f] = open(await this.slots.put({ key: c.key, promised, accepted: c }));
+    const [f] = open(await this.slots.put({ key: c.key, promised, accepted: c }, delta));
     if (f) return Left(f);
     return Right({ ok: true, seen: promised } as Promised);
   }
@@ -129,7 +133,7 @@
   async acceptDelta(m: AcceptDeltaAsk): Handled {
     const change = readDelta(this.slots.cells.get(m.delta.key)?.learned, m.delta);
     return change
-      ? this.accept({ change, voters: m.voters })
+      ? this.take({ change, voters: m.voters }, m.delta)
       : bad('accept', this.slots.disk, 'not the base here', 'refused', 'whole');
   }
 
--- a/src/control/slots.ts
+++ b/src/control/slots.ts
@@ -1,25 +1,28 @@
 import { Left, Right } from 'purify-ts';
 import { bad, open, Outcome } from '../shared/errors';
+import { Delta } from '../shared/delta';
 import { Ports } from '../shared/ports';
 import { Journal, makeJournal } from '../shared/journal';
-import { Numbered } from '../shared/words';
+import {
+  applyLine,
+  Cell,
+  copyCells,
+  isDifference,
+  Line,
+  restoreCell,
+  restoreLine,
+  StoredCell,
+  storeCell,
+  StoredLine,
+  storeLine,
+} from './cells';
 import { frame, Unframed, unframe } from './frames';
 import { makeGroup, untilWritten } from './group';
 
-/** What a disk holds of one control key. */
-export interface Cell {
-  promised: { epoch: number; by: string };
-  accepted?: Numbered;
-  learned?: Numbered;
-}
+export { applyLine, Cell, Line };
 
-/** One line of the log: what changed of one key; `learned: true` is what was accepted. */
-export interface Line {
-  key: string;
-  promised?: { epoch: number; by: string };
-  accepted?: Numbered;
-  learned?: Numbered | true;
-}
+/** Differences that a log holds at the most, for each is read anew at the start. */
+const MOST_DIFFERENCES = 64;
 
 /** A node's kept state: a random disk id, the founding it agreed to, and its cells; where synced data is gone, the id is a new one. */
 export interface Slots {
@@ -29,7 +32,8 @@
   learned: Journal;
   founding(): unknown;
   found(v: unknown): Promise<Outcome<void>>;
-  put(l: Line): Promise<Outcome<void>>;
+  /** Applies a line and comes back when it is synced; `delta` is its accepted value as the difference to what is learned here, where that is at hand. */
+  put(l: Line, delta?: Delta): Promise<Outcome<void>>;
   settled(): Promise<Outcome<void>>;
   fit(): boolean;
   spoilt: boolean;
@@ -40,38 +44,43 @@
   disk: string;
   founding?: unknown;
   spoilt?: boolean;
-  cells: [string, Cell][];
+  cells: [string, StoredCell][];
+}
+
+/** A line on its way to the log; a founding is no line of a key. */
+interface Waiting {
+  line?: Line;
+  stored: StoredLine | { founding: unknown };
 }
 
 interface Found {
   whole: Whole;
+  cells: Map<string, Cell>;
   spoilt: boolean;
   old?: boolean;
 }
 
-/** Applies one line of the log to the cells. */
-export function applyLine(cells: Map<string, Cell>, l: Line): void {
-  const c = cells.get(l.key) ?? { promised: { epoch: 0, by: '' } };
-  if (l.promised) c.promised = l.promised;
-  if (l.accepted) c.accepted = l.accepted;
-  if (l.learned) c.learned = l.learned === true ? c.accepted : l.learned;
-  cells.set(l.key, c);
-}
-
 function genOf(log: Unframed): number {
   if (log.old) return 0;
   return (log.values[0] as { gen?: number } | undefined)?.gen ?? 0;
 }
 
-function applyLog(w: Whole, cells: Map<string, Cell>, log: Unframed): void {
-  for (const batch of (log.old ? [log.values] : log.values.slice(1)) as (Line & {
+/** Applies a log; false where one of its differences does not fit. */
+function applyLog(w: Whole, cells: Map<string, Cell>, log: Unframed): boolean {
+  for (const batch of (log.old ? [log.values] : log.values.slice(1)) as (StoredLine & {
     founding?: unknown;
   })[][]) {
     for (const l of batch) {
-      if (l.founding !== undefined) w.founding = l.founding;
-      else applyLine(cells, l);
+      if (l.founding !== undefined) {
+        w.founding = l.founding;
+        continue;
+      }
+      const line = restoreLine(cells, l);
+      if (!line) return false;
+      applyLine(cells, line);
     }
   }
+  return true;
 }
 
 /** Reads both slots and both logs: the newest whole slot, its log, and the next log where the slot after it can't be read. */
@@ -84,26 +93,35 @@
       slots[0].spoilt ||
       logs[0].values.length > 1 ||
       logs[1].values.length > 1
-      ? { whole: { gen: 0, disk: '', cells: [] }, spoilt: true }
+      ? { whole: { gen: 0, disk: '', cells: [] }, cells: new Map(), spoilt: true }
       : undefined;
   const log = logs[i];
   const next = logs[1 - i];
-  const cells = new Map(best.cells);
-  applyLog(best, cells, log);
+  const cells = new Map<string, Cell>();
+  for (const [key, c] of best.cells) cells.set(key, restoreCell(c));
+  const fits = applyLog(best, cells, log);
   const old = slots[i].old === true;
-  let spoilt = !old && (genOf(log) !== best.gen || log.spoilt);
+  let spoilt = !fits || (!old && (genOf(log) !== best.gen || log.spoilt));
   if (!wholes[1 - i] && !old) {
     const follows = genOf(next) === best.gen + 1;
-    if (follows) applyLog(best, cells, next);
+    if (follows) spoilt ||= !applyLog(best, cells, next);
     spoilt ||= next.spoilt || (follows && log.torn && next.values.length > 1);
   }
-  return { whole: { ...best, cells: [...cells] }, spoilt, old };
+  return { whole: { ...best, cells: [] }, cells, spoilt, old };
 }
 
 function wholeOf(slot: Unframed): Whole | undefined {
   return slot.values[0] as Whole | undefined;
 }
 
+function storeEntry([key, c]: [string, Cell]): [string, StoredCell] {
+  return [key, storeCell(c)];
+}
+
+function storedOf(x: Waiting): unknown {
+  return x.stored;
+}
+
 /** Opens the two slots and the logs between; torn tails are cut, and a disk whose synced data or votes are gone counts as a new one. A disk that takes no write `within` a time is opened all the same, unfit until it does. */
 export async function openSlots(
   ports: Ports,
@@ -121,7 +139,7 @@
   let state: Whole = read?.whole ?? { gen: 0, disk: ports.dice.id(), cells: [] };
   const votesGone =
     kept !== undefined &&
-    (kept.spoilt || (!kept.old && kept.disk !== state.disk && state.cells.length > 0));
+    (kept.spoilt || (!kept.old && kept.disk !== state.disk && (read?.cells.size ?? 0) > 0));
   if (read?.spoilt || votesGone) {
     const was = state.disk;
     state = { ...state, disk: ports.dice.id(), spoilt: true };
@@ -130,9 +148,12 @@
       `synced data of disk ${was} is gone; this node counts as a new disk ${state.disk} and does not vote until it is named in the place of the old one`,
     );
   }
-  const cells = new Map<string, Cell>(state.cells);
+  const cells = read?.cells ?? new Map<string, Cell>();
+  /** What the files give: the cells without the lines that still wait for the log. */
+  const written = copyCells(cells);
   const learned = makeJournal();
   let logBytes = 0;
+  let differences = 0;
   let torn = true;
   let oldForm = read?.old === true;
 
@@ -143,7 +164,7 @@
       disk: state.disk,
       founding: state.founding,
       spoilt: state.spoilt,
-      cells: [...cells],
+      cells: [...written].map(storeEntry),
     };
     const [f] = open(await ports.disk.write(`log-${gen % 2}`, frame({ gen })));
     if (f) return Left(f);
@@ -151,6 +172,7 @@
     if (g) return Left(g);
     state = { ...next, cells: [] };
     logBytes = 0;
+    differences = 0;
     torn = false;
     return Right(undefined);
   }
@@ -165,23 +187,32 @@
     return turn();
   }
 
-  async function writeBatch(lines: unknown[]): Promise<Outcome<void>> {
-    if (torn || logBytes > mostLog) {
+  function isLogFull(): boolean {
+    return logBytes > mostLog || differences > MOST_DIFFERENCES;
+  }
+
+  /** Writes lines behind one another; those of a write that failed are in the slot that is written next. */
+  async function writeBatch(batch: Waiting[]): Promise<Outcome<void>> {
+    const o = await writeLines(batch);
+    if (o.isLeft()) torn = true;
+    for (const x of batch) if (x.line) applyLine(written, x.line);
+    return o;
+  }
+
+  async function writeLines(batch: Waiting[]): Promise<Outcome<void>> {
+    if (torn || isLogFull()) {
       const o = await turnOver();
-      if (o.isLeft()) {
-        torn = true;
-        return o;
-      }
+      if (o.isLeft()) return o;
     }
-    if (lines.length === 0) return Right(undefined);
-    const bytes = frame(lines);
+    if (batch.length === 0) return Right(undefined);
+    const bytes = frame(batch.map(storedOf));
     const [g] = open(await ports.disk.append(`log-${state.gen % 2}`, bytes));
     if (g) {
-      torn = true;
       ports.log.error({ step: g.step, peer: g.peer }, g.why);
       return bad('write log', 'disk', g.why, 'failed', 'disk');
     }
     logBytes += bytes.length;
+    for (const x of batch) if (x.line && isDifference(x.stored as StoredLine)) differences++;
     return Right(undefined);
   }
 
@@ -198,15 +229,16 @@
     );
   }
 
-  function put(l: Line): Promise<Outcome<void>> {
-    applyLine(cells, l);
-    if (l.learned) learned.add(l.key);
-    return group.add(l);
+  function put(line: Line, delta?: Delta): Promise<Outcome<void>> {
+    const stored = storeLine(line, cells.get(line.key)?.learned, delta);
+    applyLine(cells, line);
+    if (line.learned) learned.add(line.key);
+    return group.add({ line, stored });
   }
 
   function found(v: unknown): Promise<Outcome<void>> {
     state.founding = v;
-    return group.add({ founding: v });
+    return group.add({ stored: { founding: v } });
   }
 
   function founding(): unknown {
--- /dev/null
+++ b/test/log-differences.test.ts
@@ -0,0 +1,184 @@
+import { Right } from 'purify-ts';
+import { Cell, openSlots, Slots } from '../src/control/slots';
+import { frame } from '../src/control/frames';
+import { Acceptor, makeOwner } from '../src/control/register';
+import { makeDelta } from '../src/shared/delta';
+import { dispatch } from '../src/shared/edge';
+import { open, Outcome } from '../src/shared/errors';
+import { Disk, Ports } from '../src/shared/ports';
+import { Numbered, Voter, Voters } from '../src/shared/words';
+import { makeNet } from '../tools/sim/simwire';
+import { makeWorld } from '../tools/sim/simworld';
+
+const MOST_LOG = 1 << 20;
+
+type Files = Map<string, Uint8Array>;
+
+interface Written {
+  files: Files;
+  bytes: number;
+  writes: number;
+}
+
+/** A disk in memory that counts what is written on it. */
+function diskOn(w: Written): Disk {
+  async function read(name: string): Promise<Outcome<Uint8Array | undefined>> {
+    return Right(w.files.get(name));
+  }
+  function count(bytes: Uint8Array): void {
+    w.bytes += bytes.length;
+    w.writes++;
+  }
+  async function write(name: string, bytes: Uint8Array): Promise<Outcome<void>> {
+    count(bytes);
+    w.files.set(name, Uint8Array.from(bytes));
+    return Right(undefined);
+  }
+  async function append(name: string, bytes: Uint8Array): Promise<Outcome<void>> {
+    count(bytes);
+    w.files.set(name, Buffer.concat([w.files.get(name) ?? new Uint8Array(0), bytes]));
+    return Right(undefined);
+  }
+  return { read, write, append };
+}
+
+function portsOn(w: Written): Ports {
+  const world = makeWorld(1, false);
+  return { ...makeNet(world).ports(world.proc('node', '10.1.0.1')), disk: diskOn(w) };
+}
+
+async function opened(w: Written): Promise<Slots> {
+  return (await openSlots(portsOn(w), MOST_LOG)).extract() as Slots;
+}
+
+/** A document of some hundred kilobytes, of which a change touches one route. */
+function documentAt(revision: number): object {
+  const routes: object[] = [];
+  for (let i = 0; i < 1400; i++)
+    routes.push({
+      name: `route-${i}`,
+      hostname: `host-${i % 40}.example`,
+      pathPrefix: `/prefix-${i}/`,
+      routeType: 'streaming',
+      timeoutMs: 4000 + (revision % 1400 === i ? revision : 0),
+      targetLatencyMs: 300,
+      priority: i % 3,
+      service: `service-${i % 6}`,
+      maxAttempts: 2,
+      public: false,
+      sessionAffinity: true,
+      resumable: true,
+      targetGapMs: 250,
+    });
+  const tenants: object[] = [];
+  for (let i = 0; i < 80; i++) tenants.push({ name: `tenant-${i}`, apiKeys: [`key-${i}`] });
+  return { revision, routes, tenants };
+}
+
+/** One controller's register on a disk of its own, which is its only voter. */
+async function alone(w: Written): Promise<{ slots: Slots; owner: ReturnType<typeof makeOwner> }> {
+  const slots = await opened(w);
+  function voters(): Voters {
+    return { now: [{ disk: slots.disk, at: 'here' }] };
+  }
+  function ask(_: Voter, type: string, body: unknown): Promise<Outcome<unknown>> {
+    return dispatch([acceptor], type, body, undefined, 'here');
+  }
+  function nothing(): void {}
+  function learnHere(change: Numbered): Promise<unknown> {
+    return acceptor.learn({ change });
+  }
+  const reach = { by: 'a.1', within: 1, voters, ask, learned: nothing, learnHere };
+  const acceptor = new Acceptor(slots, reach, portsOn(w));
+  return { slots, owner: makeOwner(slots, reach) };
+}
+
+const CHANGES = 150;
+
+async function changesCostLittle(): Promise<void> {
+  const w: Written = { files: new Map(), bytes: 0, writes: 0 };
+  const { slots, owner } = await alone(w);
+  const whole = JSON.stringify(documentAt(1)).length;
+  expect(whole).toBeGreaterThan(300_000);
+  for (let revision = 1; revision <= CHANGES; revision++) {
+    function make(): Outcome<unknown> {
+      return Right(documentAt(revision));
+    }
+    expect(open(await owner.change('deployment', make))[0]).toBeUndefined();
+    if (revision % 10 === 0) {
+      const again = await opened({ files: new Map(w.files), bytes: 0, writes: 0 });
+      expect(again.disk).toBe(slots.disk);
+      expect(again.spoilt).toBe(false);
+      expect(again.cells.get('deployment')).toEqual(slots.cells.get('deployment'));
+    }
+  }
+  const held = slots.cells.get('deployment')!;
+  expect(held.accepted).toBe(held.learned);
+  expect(w.bytes / CHANGES).toBeLessThan(whole * 0.06);
+  let kept = 0;
+  for (const bytes of w.files.values()) kept += bytes.length;
+  expect(kept).toBeLessThan(whole * 4);
+}
+
+/** A difference whose base the files do not hold: what was synced is gone, and the disk says so. */
+async function baseGone(): Promise<void> {
+  const learned = { key: 'k', epoch: 1, by: 'a', number: 1, value: documentAt(1) };
+  const next = { ...learned, number: 2, value: documentAt(2) };
+  for (const base of [learned, { ...learned, number: 7 }]) {
+    const cell: Cell = { promised: { epoch: 1, by: 'a' }, accepted: base, learned: base };
+    const files: Files = new Map([
+      ['slot-1', frame({ gen: 1, disk: 'd', cells: [['k', cell]] })],
+      [
+        'log-1',
+        Buffer.concat([
+          frame({ gen: 1 }),
+          frame([{ key: 'k', acceptedDelta: makeDelta(learned, next) }]),
+        ]),
+      ],
+    ]);
+    const s = await opened({ files, bytes: 0, writes: 0 });
+    const fits = base === learned;
+    expect({ fits, kept: s.disk === 'd', spoilt: s.spoilt }).toEqual({
+      fits,
+      kept: fits,
+      spoilt: !fits,
+    });
+    if (fits) expect(s.cells.get('k')?.accepted).toEqual(next);
+  }
+}
+
+/** A folder whose slots hold both values of each cell and whose log holds whole ones, as all did before. */
+async function wholeFolder(): Promise<void> {
+  function at(number: number): Numbered {
+    return { key: 'k', epoch: 1, by: 'a', number, value: documentAt(number) };
+  }
+  const cell: Cell = { promised: { epoch: 1, by: 'a' }, accepted: at(2), learned: at(1) };
+  const files: Files = new Map([
+    ['slot-1', frame({ gen: 1, disk: 'd', cells: [['k', cell]] })],
+    [
+      'log-1',
+      Buffer.concat([
+        frame({ gen: 1 }),
+        frame([{ key: 'k', learned: true }]),
+        frame([{ key: 'k', promised: { epoch: 1, by: 'a' }, accepted: at(3) }]),
+        frame([
+          { key: 'k', learned: true },
+          { key: 'k', accepted: at(4) },
+        ]),
+      ]),
+    ],
+  ]);
+  for (let i = 0; i < 3; i++) {
+    const s = await opened({ files, bytes: 0, writes: 0 });
+    expect(s.disk).toBe('d');
+    expect(s.spoilt).toBe(false);
+    expect(s.cells.get('k')).toEqual({ ...cell, accepted: at(4), learned: at(3) });
+  }
+}
+
+test(
+  'changes of a long document cost the disk little, and are read again whole',
+  changesCostLittle,
+);
+test('a difference without its base makes it a new disk', baseGone);
+test('a data folder of whole lines is read as before', wholeFolder);
