--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -109,6 +109,10 @@
   /** Takes a change unless a higher epoch was promised. */
   @message('accept', AcceptAsk)
   async accept(m: AcceptAsk): Handled {
+    return this.take(m);
+  }
+
+  private async take(m: AcceptAsk, delta?: Delta): Handled {
     const later = laterVoters(this.slots, m.voters);
     const c = m.change;
     const cell = this.slots.cells.get(c.key);
@@ -120,7 +124,7 @@
       return Right({ ok: false, seen } as Promised);
     const promised = { epoch: c.epoch, by: c.by };
     const accepted = { ...c, value: sharing(cell?.learned?.value, c.value) };
-    const [f] = open(await this.slots.put({ key: c.key, promised, accepted }));
+    const [f] = open(await this.slots.put({ key: c.key, promised, accepted }, delta));
     if (f) return Left(f);
     return Right({ ok: true, seen: promised } as Promised);
   }
@@ -130,7 +134,7 @@
   async acceptDelta(m: AcceptDeltaAsk): Handled {
     const change = readDelta(this.slots.cells.get(m.delta.key)?.learned, m.delta);
     return change
-      ? this.accept({ change, voters: m.voters })
+      ? this.take({ change, voters: m.voters }, m.delta)
       : bad('accept', this.slots.disk, 'not the base here', 'refused', 'whole');
   }
 
