A controller that is told to end votes on until its disk is needed no longer

Cause: on SIGTERM a controller told the others (`core-leave`) and ended at once. Its place was taken afterwards, by a joint set that needs a majority of the old set without it. With one of three voters away at that moment no majority was left for good; and where the one that came back had missed a change, the leaver was one of only two copies.

Now it leaves in src/control/leave.ts: it owns nothing and holds no duty (`live` leaves it out as before, and a term gives no fence), but answers votes, accepts, reads, leases and operators, until one of these holds, which is logged as `reason`: not-voting; replaced (a set without it stands, and a majority of that set has, by each disk's own word, all that it has); covered (nobody would take its place, no joint set is under way, every live voter has all that it has, and those that let it go are a majority); all-leave; grace-over (0.75 of `graceMs`). What another voter lacks it is sent, in batches (src/control/replicate.ts, message `lacking`). Of two that leave, the one that the others let go first goes first, and the second waits for its return. The program then answers the calls that it has taken, for 0.15 of `graceMs` at the most, before it ends.

Ruled out: leaving as soon as a majority has everything (the one that lags may be the one that is left); waiting for a fixed time.

The simulated fleet's way to stop a controller leaves first, as the program does.

--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -1,14 +1,11 @@
 import { Left, Right } from 'purify-ts';
 import { dispatch, Handled } from '../shared/edge';
-import { Fault, open, Outcome } from '../shared/errors';
+import { open, Outcome } from '../shared/errors';
 import { rendezvous } from '../shared/lib';
-import { hasList } from '../shared/follow';
 import { makeMetrics, Metrics, timedDisk } from '../shared/metrics';
-import { poll } from '../shared/poll';
 import { Listening, Ports, Connection } from '../shared/ports';
-import { Bounds, boundsOf, Settings } from '../shared/settings';
+import { boundsOf, Settings } from '../shared/settings';
 import {
-  askOnce,
   closeSilent,
   converse,
   Exchange,
@@ -18,57 +15,28 @@
   noConnection,
   WIRE_VERSION,
 } from '../shared/connections';
-import { makeWaker, Waker } from '../shared/waker';
-import { allVoters, isQuorum, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
+import { makeWakers } from '../shared/waker';
+import { allVoters, KEYS, Numbered, Voter, Voters } from '../shared/words';
 import { Changed, makeChanges } from './changes';
+import { Controller } from './controller-interface';
+import { makeEffects } from './effects';
 import { DocumentReader } from './deployment';
 import { makeFounding } from './founding';
 import { makeKeeper } from './keep';
+import { leaveVoters } from './leave';
 import { Leases } from './leases';
-import { keyOf, Operation } from './operations';
+import { makeMembership } from './membership';
+import { Operation } from './operations';
 import { ControlEdge } from './peers';
 import { ReadEdge, ReadParts, readNewest } from './read';
-import { Acceptor, makeOwner, Owner, Reach } from './register';
+import { Acceptor, makeOwner, Reach } from './register';
+import { ReplicaEdge } from './replicate';
 import { RosterEdge } from './roster';
+import { tellSeeds } from './seeds';
 import { openSlots, Slots } from './slots';
 import { KeptVotes, readVotes, Votes } from './votes';
 
-/** A running controller. */
-export interface Controller {
-  name: string;
-  by: string;
-  hello: Hello;
-  settings: Settings;
-  bounds: Bounds;
-  slots: Slots;
-  leases: Leases;
-  votes: Votes;
-  owner: Owner;
-  roster: RosterEdge;
-  /** Makes a waker that wakes when a peer has come or gone, or the voters have changed. */
-  addWaker(): Waker;
-  metrics: Metrics;
-  edges: object[];
-  voters(): Voters | undefined;
-  live(): string[];
-  isUp(x: Voter): boolean;
-  /** Whether a voter's machine is there with another disk, so that its own is gone. */
-  isEmptied(x: Voter): boolean;
-  isLeaving(x: Voter): boolean;
-  chosen(key: string): boolean;
-  change(op: Operation): Promise<Outcome<Changed>>;
-  found(without: string[]): Promise<Outcome<Voters>>;
-  effect(key: string, p: Place, within: number): Promise<boolean>;
-  value<T>(key: string): { place: Numbered; value: T } | undefined;
-  /** What is committed of a key, never older than what was acknowledged before the call. */
-  newest(key: string): Promise<Outcome<Numbered | undefined>>;
-  heardLive(key: string): boolean;
-  hasMajority(): boolean;
-  askVoter(v: Voter, type: string, body: unknown, within: number): Promise<Outcome<unknown>>;
-  leave(): Promise<void>;
-  stop(): Promise<void>;
-  stopped(): boolean;
-}
+export type { Controller } from './controller-interface';
 
 /** Starts a controller: its disk, its votes, its leases, its connections. */
 export async function startController(
@@ -114,26 +82,13 @@
     settings.changeBoundMs,
   );
   const taking = new Set<Exchange>();
-  const upSince = new Map<string, number>();
-  const wakers: Waker[] = [];
+  const { add: addWaker, wake } = makeWakers(ports.clock);
   let hints: string[] = [];
-  let leaving = false;
   let stopped = false;
 
-  function addWaker(): Waker {
-    wakers.push(makeWaker(ports.clock));
-    return wakers[wakers.length - 1];
-  }
-
-  function wake(): void {
-    for (const w of wakers) w.wake();
-  }
-
   function voters(): Voters | undefined {
-    return (
-      ((slots.cells.get(KEYS.voters)?.learned?.value ?? slots.founding()) as Voters | undefined) ??
-      undefined
-    );
+    const known = slots.cells.get(KEYS.voters)?.learned?.value ?? slots.founding();
+    return (known as Voters | undefined) ?? undefined;
   }
 
   function learned(n: Numbered, before?: Numbered): void {
@@ -145,10 +100,6 @@
     wake();
   }
 
-  function isSelf(v: Voter): boolean {
-    return v.disk === slots.disk;
-  }
-
   async function askVoter(
     v: Voter,
     type: string,
@@ -168,16 +119,22 @@
     return dispatch(edges, type, body, undefined, settings.name);
   }
 
-  const reach: Reach = { by, within: bounds.ask, voters, ask: askVoter, learned, learnHere };
   function learnHere(n: Numbered): Promise<unknown> {
     return acceptor.learn({ change: n });
   }
+  const reach: Reach = { by, within: bounds.ask, voters, ask: askVoter, learned, learnHere };
   const acceptor = new Acceptor(slots, reach, ports);
   const leases = new Leases(slots, ports, bounds, voters);
   const owner = makeOwner(slots, reach);
   const votes = new Votes(slots, ports, voters, settings.onceKeepMs);
   await votes.begin(kept);
-  const roster = new RosterEdge(ports, bounds, voters, joined);
+  const self: Voter = { disk: slots.disk, at: settings.wire };
+  const membership = makeMembership({ clock: ports.clock, self, voters, up, saidLeaving });
+  const { isSelf, isUp, isEmptied, isLeaving, live, hasMajority } = membership;
+  const roster = new RosterEdge(ports, bounds, voters, joined, membership.leaving);
+  function saidLeaving(disk: string, upSince: number | undefined): boolean {
+    return roster.isLeaving(disk, upSince);
+  }
   const changes = makeChanges({
     clock: ports.clock,
     dice: ports.dice,
@@ -201,6 +158,18 @@
     isUp,
     wake,
   });
+  const { effect, change } = makeEffects({
+    clock: ports.clock,
+    settings,
+    bounds,
+    voters,
+    askVoter,
+    commit,
+    effectTook,
+  });
+  function commit(op: Operation): Promise<Outcome<Changed>> {
+    return changes.commit(op);
+  }
   const reads: ReadParts = { slots, owner, voters, askVoter: askShortly, ofOwner: changes.ofOwner };
   const edges: object[] = [
     new HelloEdge(hello),
@@ -210,6 +179,7 @@
     roster,
     peers,
     new ReadEdge(reads),
+    new ReplicaEdge(slots),
   ];
   const helds = holdAll(ports, {
     hello,
@@ -219,14 +189,30 @@
     onUp,
     onDown: wake,
   });
-  const founding = makeFounding({ settings, bounds, clock: ports.clock, slots, voters, who });
+  const founding = makeFounding({
+    settings,
+    bounds,
+    clock: ports.clock,
+    slots,
+    voters,
+    who,
+    askVoter: askShortly,
+    commitFounding,
+  });
+
+  async function commitFounding(v: Voters): Promise<void> {
+    function make(now: Numbered | undefined): Outcome<unknown> {
+      return Right(now?.value ?? v);
+    }
+    if (chosen(KEYS.voters)) await owner.change(KEYS.voters, make);
+  }
 
   function up(at: string): Exchange | undefined {
     return helds.up(at);
   }
 
   function onUp(ex: Exchange): void {
-    upSince.set(ex.peer, ports.clock.now());
+    membership.noteUp(ex.peer);
     wake();
   }
 
@@ -240,61 +226,10 @@
     reachAll();
   }
 
-  function live(): string[] {
-    const v = voters();
-    if (!v) return [];
-    return allVoters(v).filter(isHere).map(atOf);
-  }
-
-  function isHere(x: Voter): boolean {
-    return isUp(x) && !isLeaving(x);
-  }
-
-  function isLeaving(x: Voter): boolean {
-    return isSelf(x) ? leaving : roster.isLeaving(x.disk, upSince.get(x.at));
-  }
-
-  function isEmptied(x: Voter): boolean {
-    const disk = helds.up(x.at)?.hello?.disk;
-    return disk !== undefined && disk !== x.disk;
-  }
-
-  /** Whether a voter is up with its own disk; an emptied one at its address is not that voter. */
-  function isUp(x: Voter): boolean {
-    if (isSelf(x)) return true;
-    const ex = helds.up(x.at);
-    return ex !== undefined && (ex.hello?.disk ?? x.disk) === x.disk;
-  }
-
   function chosen(key: string): boolean {
     return rendezvous(key, live())[0] === settings.wire;
   }
 
-  async function effect(key: string, p: Place, within: number): Promise<boolean> {
-    const v = voters();
-    if (!v) return false;
-    function one(x: Voter): Promise<Outcome<unknown>> {
-      return askVoter(
-        x,
-        'effect',
-        { key, epoch: p.epoch, by: p.by, number: p.number, within },
-        within * 1.1,
-      );
-    }
-    return (await poll(v, one)).isRight();
-  }
-
-  async function change(op: Operation): Promise<Outcome<Changed>> {
-    const began = ports.clock.now();
-    const [f, r] = open(await changes.commit(op));
-    if (f) return Left(f);
-    const waits =
-      settings.strict && op.kind !== 'engines' && op.kind !== 'duty' && op.kind !== 'voters';
-    const inEffect = waits && (await effect(keyOf(op), r.place, bounds.effect));
-    if (inEffect) effectTook(ports.clock.now() - began);
-    return Right({ ...r, inEffect });
-  }
-
   function newest(key: string): Promise<Outcome<Numbered | undefined>> {
     return readNewest(reads, key);
   }
@@ -317,24 +252,8 @@
     helds.want(core.filter(other));
   }
 
-  function who(at: string): Promise<Outcome<unknown>> {
-    const ex = helds.up(at);
-    return ex
-      ? ex.ask('who', {}, bounds.ask)
-      : Promise.resolve(Left<Fault, unknown>(noConnection('who', at)));
-  }
-
-  async function spreadFounding(): Promise<void> {
-    const v = slots.founding() as Voters | undefined;
-    if (!v || slots.cells.get(KEYS.voters)?.learned) return;
-    async function tell(x: Voter): Promise<void> {
-      if (!isSelf(x)) await helds.up(x.at)?.ask('found', v, bounds.ask);
-    }
-    await Promise.all(v.now.map(tell));
-    function make(now: Numbered | undefined): Outcome<unknown> {
-      return Right(now?.value ?? v);
-    }
-    if (chosen(KEYS.voters)) await owner.change(KEYS.voters, make);
+  async function who(at: string): Promise<Outcome<unknown>> {
+    return up(at)?.ask('who', {}, bounds.ask) ?? Left(noConnection('who', at));
   }
 
   const always = [KEYS.engines, reader ? KEYS.deployment : KEYS.intents];
@@ -347,36 +266,16 @@
     helds,
     live,
     committed,
-    learn: acceptor.learn.bind(acceptor),
-    forget: heard.delete.bind(heard),
+    learn,
+    forget,
   });
 
-  async function take(o: Outcome<unknown>): Promise<void> {
-    const [f, list] = open(o);
-    if (f) return;
-    for (const n of list as Numbered[]) {
-      await acceptor.learn({ change: n });
-      heard.delete(n.key);
-    }
+  function learn(m: { change: Numbered }): Promise<Outcome<unknown>> {
+    return acceptor.learn(m);
   }
 
-  /** Tells the seeds that are not of the core where it is: they are asked first, and may be machines that know of nobody. A node that has lost the core asks them. */
-  async function tellSeeds(): Promise<void> {
-    while (!stopped) {
-      const v = voters();
-      function isOther(at: string): boolean {
-        return at !== settings.wire && !helds.up(at);
-      }
-      for (const at of settings.seeds.filter(isOther)) {
-        if (v && !hasMajority())
-          await take(
-            await askOnce(ports, hello, edges, at, 'missing', hasList(committed()), bounds.dial),
-          );
-        else if (v && !allVoters(v).map(atOf).includes(at))
-          await askOnce(ports, hello, edges, at, 'here', v, bounds.dial);
-      }
-      await ports.clock.sleep(bounds.lease * (0.8 + 0.4 * ports.dice.next()));
-    }
+  function forget(key: string): void {
+    heard.delete(key);
   }
 
   async function tend(): Promise<void> {
@@ -384,7 +283,7 @@
     while (!stopped) {
       await keeper.catchUp();
       if (!voters()) await founding.foundByItself();
-      if (voters()) await spreadFounding();
+      if (voters()) await founding.spread();
       reachAll();
       if (voters()) await keeper.tendKeys();
       await tending.wait(bounds.renew * (0.8 + 0.4 * ports.dice.next()), bounds.pause * 0.1);
@@ -412,23 +311,24 @@
     return heard.has(key);
   }
 
-  function hasMajority(): boolean {
-    const v = voters();
-    const disks = new Set<string>();
-    for (const x of v ? allVoters(v) : []) if (isUp(x)) disks.add(x.disk);
-    return v !== undefined && isQuorum(v, disks);
+  function joiners(): Voter[] {
+    return roster.joiners();
   }
 
-  /** Tells the other controllers that this one ends, so that they take its keys over at once. */
-  async function leave(): Promise<void> {
-    leaving = true;
-    const v = voters();
-    function tell(x: Voter): Promise<unknown> | undefined {
-      return isSelf(x)
-        ? undefined
-        : helds.up(x.at)?.ask('core-leave', { disk: slots.disk, at: settings.wire }, bounds.dial);
-    }
-    if (v) await Promise.all(allVoters(v).map(tell));
+  function leave(): Promise<unknown> {
+    const { clock, log } = ports;
+    return leaveVoters({
+      clock,
+      log,
+      bounds,
+      slots,
+      self,
+      membership,
+      voters,
+      joiners,
+      askVoter: askShortly,
+      wake,
+    });
   }
 
   async function stop(): Promise<void> {
@@ -444,7 +344,20 @@
 
   reachAll();
   void tend();
-  void tellSeeds();
+  void tellSeeds({
+    ports,
+    settings,
+    bounds,
+    hello,
+    edges,
+    helds,
+    voters,
+    hasMajority,
+    committed,
+    learn,
+    forget,
+    stopped: isStopped,
+  });
   void closeSilent(ports, taking, bounds.silence, isStopped);
   return Right({
     name: settings.name,
@@ -465,6 +378,7 @@
     isUp,
     isEmptied,
     isLeaving,
+    leaving: membership.leaving,
     chosen,
     change,
     found: founding.found,
--- a/src/control/founding.ts
+++ b/src/control/founding.ts
@@ -2,7 +2,7 @@
 import { bad, open, Outcome } from '../shared/errors';
 import { Clock } from '../shared/ports';
 import { Bounds, Settings } from '../shared/settings';
-import { isVoter, Voter, Voters } from '../shared/words';
+import { isVoter, KEYS, Voter, Voters } from '../shared/words';
 import { Slots } from './slots';
 
 /** How the disk of a founder is named that was not there. */
@@ -21,6 +21,9 @@
   slots: Slots;
   voters(): Voters | undefined;
   who(at: string): Promise<Outcome<unknown>>;
+  askVoter(v: Voter, type: string, body: unknown): Promise<Outcome<unknown>>;
+  /** Commits the founders as the voters, where this controller owns that key. */
+  commitFounding(v: Voters): Promise<void>;
 }
 
 /** The founding of a blank fleet. */
@@ -29,6 +32,8 @@
   found(without: string[]): Promise<Outcome<Voters>>;
   /** Founds where this start may, and it is this founder's turn. */
   foundByItself(): Promise<void>;
+  /** Tells the other founders what was founded, until the voters are committed. */
+  spread(): Promise<void>;
 }
 
 /** Makes the founding of one controller. */
@@ -112,5 +117,15 @@
     await found(founders.filter(isAway));
   }
 
-  return { found, foundByItself };
+  async function spread(): Promise<void> {
+    const v = slots.founding() as Voters | undefined;
+    if (!v || slots.cells.get(KEYS.voters)?.learned) return;
+    async function tell(x: Voter): Promise<void> {
+      if (x.disk !== slots.disk) await p.askVoter(x, 'found', v);
+    }
+    await Promise.all(v.now.map(tell));
+    await p.commitFounding(v);
+  }
+
+  return { found, foundByItself, spread };
 }
--- /dev/null
+++ b/src/control/membership.ts
@@ -0,0 +1,104 @@
+import { Exchange } from '../shared/connections';
+import { Clock } from '../shared/ports';
+import { allVoters, isQuorum, Voter, Voters } from '../shared/words';
+
+/** What the view of the voters is made of. */
+export interface MembershipParts {
+  clock: Clock;
+  /** This controller's own place among the voters. */
+  self: Voter;
+  voters(): Voters | undefined;
+  /** The connection to a controller, while it is up. */
+  up(at: string): Exchange | undefined;
+  /** Whether a disk said that it leaves, and has not come back since a time. */
+  saidLeaving(disk: string, upSince: number | undefined): boolean;
+}
+
+/** How the voters stand, as this controller sees them. */
+export interface Membership {
+  isSelf(x: Voter): boolean;
+  /** Whether a voter is up with its own disk; an emptied one at its address is not that voter. */
+  isUp(x: Voter): boolean;
+  /** Whether a voter's machine is there with another disk, so that its own is gone. */
+  isEmptied(x: Voter): boolean;
+  isLeaving(x: Voter): boolean;
+  /** The addresses of the voters that are up and stay. */
+  live(): string[];
+  hasMajority(): boolean;
+  /** Notes that the connection to a controller has come up. */
+  noteUp(at: string): void;
+  /** Notes that this controller leaves. */
+  beginLeave(): void;
+  leaving(): boolean;
+}
+
+/** Makes the view of the voters. */
+export function makeMembership(p: MembershipParts): Membership {
+  const upSince = new Map<string, number>();
+  let isEnding = false;
+
+  function isSelf(x: Voter): boolean {
+    return x.disk === p.self.disk;
+  }
+
+  function isUp(x: Voter): boolean {
+    if (isSelf(x)) return true;
+    const exchange = p.up(x.at);
+    return exchange !== undefined && (exchange.hello?.disk ?? x.disk) === x.disk;
+  }
+
+  function isEmptied(x: Voter): boolean {
+    const disk = p.up(x.at)?.hello?.disk;
+    return disk !== undefined && disk !== x.disk;
+  }
+
+  function isLeaving(x: Voter): boolean {
+    return isSelf(x) ? isEnding : p.saidLeaving(x.disk, upSince.get(x.at));
+  }
+
+  function isHere(x: Voter): boolean {
+    return isUp(x) && !isLeaving(x);
+  }
+
+  function live(): string[] {
+    const v = p.voters();
+    return v ? allVoters(v).filter(isHere).map(atOf) : [];
+  }
+
+  function hasMajority(): boolean {
+    const v = p.voters();
+    return v !== undefined && isQuorum(v, new Set(allVoters(v).filter(isUp).map(diskOf)));
+  }
+
+  function noteUp(at: string): void {
+    upSince.set(at, p.clock.now());
+  }
+
+  function beginLeave(): void {
+    isEnding = true;
+  }
+
+  function leaving(): boolean {
+    return isEnding;
+  }
+
+  return {
+    isSelf,
+    isUp,
+    isEmptied,
+    isLeaving,
+    live,
+    hasMajority,
+    noteUp,
+    beginLeave,
+    leaving,
+  };
+}
+
+function atOf(x: Voter): string {
+  return x.at;
+}
+
+function diskOf(x: Voter): string {
+  return x.disk;
+}
--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -15,6 +15,11 @@
   @field('string') at!: string;
 }
 
+/** The answer to a controller that leaves: whether the one that answers stays until that one is back or replaced. */
+export interface LeaveReply {
+  stays: boolean;
+}
+
 /** What controllers say of themselves: that they would vote, and that they leave. */
 export class RosterEdge {
   private readonly asked = new Map<string, Voter & { since: number; last: number }>();
@@ -25,6 +30,7 @@
     private readonly bounds: Bounds,
     private readonly voters: () => Voters | undefined,
     private readonly told: () => void,
+    private readonly leaving: () => boolean,
   ) {}
 
   /** Hears from a quorum member that does not vote. */
@@ -39,13 +45,14 @@
     return Right(true);
   }
 
-  /** Hears from a controller that it ends. */
+  /** Hears from a controller that it ends; it says so again until it has ended. */
   @message('core-leave', JoinAsk)
   async leave(m: JoinAsk): Handled {
+    const isNews = !this.left.has(m.disk);
     this.left.set(m.disk, this.ports.clock.now());
     this.asked.delete(m.at);
-    this.told();
-    return Right(true);
+    if (isNews) this.told();
+    return Right({ stays: !this.leaving() } as LeaveReply);
   }
 
   /** Those that asked lately and do not vote, the longest waiting first. */
--- a/src/control/term.ts
+++ b/src/control/term.ts
@@ -15,7 +15,7 @@
 export interface Term {
   /** Notes what is known of the duty by now; called often, so that the time of each change is known. */
   watch(): void;
-  /** The fence, where this node holds the duty and a majority said so just now; takes the duty where it is free. Nothing where another holds it. `waitedMs` is how long its work has waited. */
+  /** The fence, where this node holds the duty and a majority said so just now; takes the duty where it is free. Nothing where another holds it, or this node leaves. `waitedMs` is how long its work has waited. */
   fence(waitedMs: number): Promise<number | undefined>;
   /** Whether the fence may still be acted under, at this very moment. */
   fresh(): boolean;
@@ -89,6 +89,7 @@
     function over(): void {
       asking = undefined;
     }
+    if (c.leaving()) return undefined;
     if (fresh()) return held;
     if (!asking) {
       asking = ask(waitedMs);
--- a/src/shared/settings.ts
+++ b/src/shared/settings.ts
@@ -101,6 +101,10 @@
   handOver: number;
   /** A voter that is unreachable for this long gives way to a machine that is here. */
   lost: number;
+  /** A controller that was told to end stays this long at the most. */
+  leave: number;
+  /** It answers the calls that it has taken within this, after that. */
+  lastCalls: number;
   /** A majority of the founders waits this long for the rest, where it may found. */
   foundWait: number;
   /** A taken connection that is silent for this long is closed. */
@@ -151,6 +155,8 @@
     joinSoon: s.changeBoundMs * 0.15,
     handOver: s.ackMs * 0.1,
     lost: s.catchUpMs * 0.5,
+    leave: s.graceMs * 0.75,
+    lastCalls: s.graceMs * 0.15,
     foundWait: s.contactMs * 0.25,
     silence: s.contactMs,
     termFresh: s.leaseMs * 0.05,
--- a/src/shared/waker.ts
+++ b/src/shared/waker.ts
@@ -34,3 +34,28 @@
 
   return { wait, wake };
 }
+
+/** The wakers of all loops of a process. */
+export interface Wakers {
+  /** Makes a waker for one more loop. */
+  add(): Waker;
+  /** Wakes all loops. */
+  wake(): void;
+}
+
+/** Makes a process's wakers. */
+export function makeWakers(clock: Clock): Wakers {
+  const wakers: Waker[] = [];
+
+  function add(): Waker {
+    const waker = makeWaker(clock);
+    wakers.push(waker);
+    return waker;
+  }
+
+  function wake(): void {
+    for (const waker of wakers) waker.wake();
+  }
+
+  return { add, wake };
+}
--- a/tools/sim/simcore.ts
+++ b/tools/sim/simcore.ts
@@ -112,6 +112,34 @@
   f.starts.get(name)!();
 }
 
+/** Tells a controller to end, as the platform does: it leaves, stops, and is killed after its grace at the latest. Tells the ms that it took, once it has ended. */
+export function terminate(f: SimFleet, name: string): () => number | undefined {
+  const p = procOf(f, name);
+  const { life } = p;
+  const began = f.w.now();
+  let tookMs: number | undefined;
+  function end(): void {
+    tookMs ??= f.w.now() - began;
+    if (p.life === life) f.w.kill(p, false);
+  }
+  f.w.after(f.controllers.get(name)!.settings.graceMs, end);
+  void f.stops.get(name)!().then(end);
+  function took(): number | undefined {
+    return tookMs;
+  }
+  return took;
+}
+
+/** Tells a controller to end, and runs virtual time on until it has; gives the ms that it took. */
+export async function terminated(f: SimFleet, name: string): Promise<number> {
+  const took = terminate(f, name);
+  function isOver(): boolean {
+    return took() !== undefined;
+  }
+  await until(f, Infinity, isOver, 1);
+  return took()!;
+}
+
 /** Sends changes as the operator does, one after the other, to the next controller after each failure; keeps what was acknowledged. */
 export function makeOperator(
   f: SimFleet,
--- a/tools/sim/simfleet.ts
+++ b/tools/sim/simfleet.ts
@@ -1,6 +1,7 @@
 import { Controller, startController } from '../../src/control/controller';
 import { serveOperators } from '../../src/control/api';
 import { startDuties } from '../../src/control/duties';
+import { countCalls, endService } from '../../src/control/shutdown';
 import { startRouter } from '../../src/data/router';
 import { serveIndex } from '../../src/index/api';
 import { Indexer, startIndexer } from '../../src/index/indexer';
@@ -175,9 +176,16 @@
       const [f, ctl] = open(await startController(ports, settings(c.name, c.wire, c.http, c.zone)));
       if (f) return w.trace(`${c.name} did not start: ${f.why}`);
       controllers.set(c.name, ctl);
-      stops.set(c.name, ctl.stop);
-      await serveOperators(ctl, ports);
+      stops.set(c.name, leaveAndStop);
+      const calls = countCalls(ports.wire);
+      const [, listening] = open(await serveOperators(ctl, { ...ports, wire: calls.wire }));
       startDuties(ctl, ports);
+      async function leaveAndStop(): Promise<void> {
+        const { clock } = ports;
+        await ctl!.leave();
+        await endService({ clock, bounds: ctl!.bounds, listening: listening!, calls });
+        await ctl!.stop();
+      }
     }
     if (c === spare) continue;
     const ixIp = ipOf(c.wire).replace('.1.', '.5.');
