One reader of bodies and one writer of pieces for both HTTP servers

What changes: realwire reads bodies by events, as realhttp did, in place of an iteration; both refuse a body whose request was destroyed before it was read (no test brings that about).

--- /dev/null
+++ b/src/shared/realhttpclient.ts
@@ -0,0 +1,232 @@
+/**
+ * The client side of raw HTTP: one connection, one request on it at a time.
+ */
+
+import http from 'node:http';
+import net from 'node:net';
+import { Left, Right } from 'purify-ts';
+import { makeFault, Outcome } from './errors';
+import { HttpConnection, RawAsk, RawReply } from './ports';
+import { ignore, splitAddress } from './realio';
+
+const PROBE_AFTER_MS = 1000;
+
+/** Whether an answer tells where it ends. */
+function isFramed(method: string, res: http.IncomingMessage): boolean {
+  const s = res.statusCode ?? 0;
+  return (
+    res.headers['content-length'] !== undefined ||
+    /\bchunked\b/i.test(res.headers['transfer-encoding'] ?? '') ||
+    method === 'HEAD' ||
+    s === 204 ||
+    s === 304
+  );
+}
+
+function makeReply(
+  at: string,
+  q: RawAsk,
+  req: http.ClientRequest,
+  res: http.IncomingMessage,
+  over: () => void,
+  cut: () => string | undefined,
+): RawReply {
+  const step = `${q.method} ${q.target}`;
+  const queue: Buffer[] = [];
+  const framed = isFramed(q.method, res);
+  let ended: Outcome<undefined> | undefined;
+  let waiter: ((o: Outcome<Uint8Array | undefined>) => void) | undefined;
+
+  function data(p: Buffer): void {
+    if (waiter === undefined) {
+      queue.push(p);
+      res.pause();
+      return;
+    }
+    const told = waiter;
+    waiter = undefined;
+    told(Right(p));
+  }
+  function finish(o: Outcome<undefined>): void {
+    if (ended !== undefined) return;
+    ended = o;
+    over();
+    if (queue.length === 0) waiter?.(o);
+  }
+  function end(): void {
+    finish(res.complete && framed ? Right(undefined) : broken('ended without its end'));
+  }
+  function broken(why: unknown): Outcome<undefined> {
+    return Left(makeFault(step, at, why, 'unknown', cut() ?? 'broken'));
+  }
+  function failed(e: Error): void {
+    finish(broken(e));
+  }
+  function closed(): void {
+    if (!res.readableEnded || !res.complete) finish(broken('closed'));
+  }
+  res.on('data', data);
+  res.on('end', end);
+  res.on('error', failed);
+  res.on('close', closed);
+
+  function next(): Promise<Outcome<Uint8Array | undefined>> {
+    function wait(done: (o: Outcome<Uint8Array | undefined>) => void): void {
+      const p = queue.shift();
+      if (p !== undefined) {
+        if (queue.length === 0) res.resume();
+        return done(Right(p));
+      }
+      if (ended !== undefined) return done(ended);
+      waiter = done;
+    }
+    return new Promise(wait);
+  }
+  function cancel(): void {
+    over();
+    req.destroy();
+  }
+  return {
+    status: res.statusCode ?? 0,
+    headers: res.rawHeaders,
+    fields: res.headers as Record<string, string | undefined>,
+    next,
+    cancel,
+  };
+}
+
+/** Puts requests on a connection, one at a time; an agent of its own keeps it between them. */
+function makeConnection(at: string, socket: net.Socket): HttpConnection {
+  const agent = new http.Agent({ keepAlive: true, maxSockets: 1, maxFreeSockets: 1 });
+  let busy = false;
+  let uses = 0;
+  let surplus = false;
+  let told: () => void = ignore;
+  agent.createConnection = createConnection as never;
+  (agent as { keepSocketAlive?: unknown }).keepSocketAlive = keepSocketAlive;
+  socket.setNoDelay(true);
+  socket.setKeepAlive(true, PROBE_AFTER_MS);
+  socket.on('data', data);
+  socket.on('error', ignore);
+
+  function createConnection(): net.Socket {
+    return socket;
+  }
+  function keepSocketAlive(): boolean {
+    process.nextTick(released);
+    return true;
+  }
+  function released(): void {
+    busy = false;
+    if (fit()) told();
+  }
+  function data(): void {
+    if (busy) return;
+    surplus = true;
+    socket.destroy();
+  }
+  function fit(): boolean {
+    return !busy && !surplus && !socket.destroyed && socket.writable && !socket.readableEnded;
+  }
+  function used(): number {
+    return uses;
+  }
+  function onIdle(tell: () => void): void {
+    told = tell;
+  }
+  function close(): void {
+    socket.destroy();
+  }
+  function waitClosed(done: (v: { surplus: boolean }) => void): void {
+    function closed(): void {
+      done({ surplus });
+    }
+    socket.once('close', closed);
+  }
+
+  function ask(q: RawAsk, within: number, gone: AbortSignal): Promise<Outcome<RawReply>> {
+    const step = `${q.method} ${q.target}`;
+    function wait(done: (o: Outcome<RawReply>) => void): void {
+      if (!fit())
+        return done(Left(makeFault(step, at, 'the connection is not fit', 'refused', 'not-fit')));
+      if (gone.aborted)
+        return done(Left(makeFault(step, at, 'the caller went away', 'refused', 'caller-gone')));
+      busy = true;
+      uses++;
+      let whole = false;
+      let cut: string | undefined;
+      const req = http.request({
+        agent,
+        ...splitAddress(at),
+        method: q.method,
+        path: q.target,
+        headers: q.headers as never,
+        setHost: false,
+      });
+      const t = setTimeout(late, within);
+      function cutBy(): string | undefined {
+        return cut;
+      }
+      function late(): void {
+        cut = 'timeout';
+        req.destroy(new Error('no answer in time'));
+      }
+      function left(): void {
+        cut = 'caller-gone';
+        req.destroy(new Error('the caller went away'));
+      }
+      function over(): void {
+        clearTimeout(t);
+        gone.removeEventListener('abort', left);
+      }
+      function failed(e: Error & { code?: string }): void {
+        if (whole) surplus = true;
+        over();
+        socket.destroy();
+        done(Left(makeFault(step, at, e, 'unknown', cut ?? e.code)));
+      }
+      function answered(res: http.IncomingMessage): void {
+        function ended(): void {
+          whole = res.complete;
+        }
+        res.on('end', ended);
+        done(Right(makeReply(at, q, req, res, over, cutBy)));
+      }
+      gone.addEventListener('abort', left, { once: true });
+      req.on('error', failed);
+      req.on('response', answered);
+      req.end(q.body);
+    }
+    return new Promise(wait);
+  }
+
+  return { at, fit, uses: used, ask, onIdle, done: new Promise(waitClosed), close };
+}
+
+/** Opens a connection to an address. */
+export function connect(
+  at: string,
+  within: number,
+  localAddress: string | undefined,
+): Promise<Outcome<HttpConnection>> {
+  function wait(done: (o: Outcome<HttpConnection>) => void): void {
+    const socket = net.connect({ ...splitAddress(at), localAddress });
+    const t = setTimeout(late, within);
+    function late(): void {
+      socket.destroy();
+      done(Left(makeFault('connect', at, 'no connection in time', 'refused', 'timeout')));
+    }
+    function failed(e: Error & { code?: string }): void {
+      clearTimeout(t);
+      done(Left(makeFault('connect', at, e, 'refused', e.code)));
+    }
+    function up(): void {
+      clearTimeout(t);
+      socket.off('error', failed);
+      done(Right(makeConnection(at, socket)));
+    }
+    socket.once('error', failed);
+    socket.once('connect', up);
+  }
+  return new Promise(wait);
+}
--- a/src/shared/realwire.ts
+++ b/src/shared/realwire.ts
@@ -5,13 +5,9 @@
 import { makeFault, Outcome } from './errors';
 import { Call, Listening, Message, Connection, Wire } from './ports';
 import { askBy } from './realask';
+import { readBody, splitAddress, writePiece } from './realio';
 import { makeFeed } from './lib';
 
-function split(at: string): { host: string; port: number } {
-  const i = at.lastIndexOf(':');
-  return { host: at.slice(0, i), port: Number(at.slice(i + 1)) };
-}
-
 function listen(
   server: net.Server,
   at: string,
@@ -27,11 +23,15 @@
       done(Right({ at: `${a.address}:${a.port}`, close }));
     }
     server.once('error', failed);
-    server.listen({ ...split(at), backlog: 1024 }, up);
+    server.listen({ ...splitAddress(at), backlog: 1024 }, up);
   }
   return new Promise(wait);
 }
 
+function textOf(bytes: Uint8Array): string {
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('utf8');
+}
+
 function makeCall(req: http.IncomingMessage, res: http.ServerResponse): Call {
   const url = new URL(req.url ?? '/', 'http://node');
   const gone = new AbortController();
@@ -45,44 +45,13 @@
   res.on('error', broke);
   req.on('error', broke);
   async function body(most: number): Promise<Outcome<string>> {
-    const parts: Buffer[] = [];
-    let size = 0;
-    try {
-      for await (const p of req) {
-        size += (p as Buffer).length;
-        if (size > most)
-          return Left(
-            makeFault(
-              'read body',
-              req.socket.remoteAddress ?? '',
-              `over ${most} bytes`,
-              'refused',
-              'too-large',
-            ),
-          );
-        parts.push(p as Buffer);
-      }
-    } catch (e) {
-      return Left(makeFault('read body', req.socket.remoteAddress ?? '', e, 'refused', 'bad-body'));
-    }
-    return Right(Buffer.concat(parts).toString('utf8'));
+    return (await readBody(req, most)).map(textOf);
   }
   function head(status: number, headers: Record<string, string>): void {
     if (!res.headersSent) res.writeHead(status, headers);
   }
   function piece(text: string): Promise<boolean> {
-    function wait(done: (ok: boolean) => void): void {
-      if (gone.signal.aborted || res.destroyed) return done(false);
-      if (res.write(text)) return done(true);
-      function drained(): void {
-        res.off('close', drained);
-        res.off('drain', drained);
-        done(!gone.signal.aborted);
-      }
-      res.once('drain', drained);
-      res.once('close', drained);
-    }
-    return new Promise(wait);
+    return writePiece(res, gone.signal, text);
   }
   function end(text?: string): void {
     res.end(text);
@@ -179,7 +148,7 @@
 
 function dial(at: string, within: number, localAddress?: string): Promise<Outcome<Connection>> {
   function wait(done: (o: Outcome<Connection>) => void): void {
-    const socket = net.connect({ ...split(at), localAddress });
+    const socket = net.connect({ ...splitAddress(at), localAddress });
     function late(): void {
       socket.destroy();
       done(Left(makeFault('dial', at, 'no stream in time', 'refused', 'timeout')));
@@ -204,7 +173,7 @@
 export function realWire(connectWithin: number, bind = ''): Wire {
   const localAddress = bind === '' ? undefined : bind;
   function bound(at: string): string {
-    return bind === '' ? at : `${bind}:${split(at).port}`;
+    return bind === '' ? at : `${bind}:${splitAddress(at).port}`;
   }
   function serveHere(at: string, take: (call: Call) => Promise<void>): Promise<Outcome<Listening>> {
     return serve(bound(at), take);
