--- /dev/null
+++ b/test/disk-spoilt.test.ts
@@ -0,0 +1,127 @@
+import { crc32 } from 'node:zlib';
+import { pack } from 'msgpackr';
+import { openSlots } from '../src/control/slots';
+import { KeptVotes, readVotes, Votes } from '../src/control/votes';
+import { open } from '../src/shared/errors';
+import { acceptedLine, Files, numberOf, opened, portsOn, spoils } from './diskrig';
+
+async function everyCut(): Promise<void> {
+  const files: Files = new Map();
+  const s = await opened(files);
+  const ends: { log: number; number: number }[] = [{ log: files.get('log-1')!.length, number: 0 }];
+  for (let n = 1; n <= 6; n++) {
+    await s.put(acceptedLine(n));
+    ends.push({ log: files.get('log-1')!.length, number: n });
+  }
+  const log = files.get('log-1')!;
+  for (let cut = ends[0].log; cut <= log.length; cut++) {
+    const want = ends.filter(before).pop()!.number;
+    function before(e: { log: number }): boolean {
+      return e.log <= cut;
+    }
+    for (const hole of [0, 700]) {
+      const torn: Files = new Map(files);
+      torn.set('log-1', Buffer.concat([log.subarray(0, cut), Buffer.alloc(hole)]));
+      const again = await opened(torn, 9);
+      expect({ cut, hole, number: numberOf(again), disk: again.disk }).toEqual({
+        cut,
+        hole,
+        number: want,
+        disk: s.disk,
+      });
+    }
+  }
+}
+
+async function everySpoiltByte(): Promise<void> {
+  const files: Files = new Map();
+  const first = await opened(files);
+  await first.put(acceptedLine(1));
+  const s = await opened(files);
+  for (let n = 2; n <= 4; n++) await s.put(acceptedLine(n));
+  let kept = 0;
+  for (const x of spoils(files)) {
+    const again = await opened(x.files, 9);
+    const same = again.disk === first.disk;
+    if (same) kept++;
+    expect({ what: x.what, forgot: same && numberOf(again) !== 4, spoilt: again.spoilt }).toEqual({
+      what: x.what,
+      forgot: false,
+      spoilt: !same,
+    });
+    const later = await opened(x.files, 10);
+    expect({ what: x.what, disk: later.disk, spoilt: later.spoilt }).toEqual({
+      what: x.what,
+      disk: again.disk,
+      spoilt: again.spoilt,
+    });
+  }
+  expect(kept).toBeGreaterThan(files.get('slot-0')!.length + files.get('slot-1')!.length);
+}
+
+test('a log cut at any byte, or with a hole at its end, gives what was whole before it', everyCut);
+
+test(
+  'a byte changed anywhere loses nothing, or makes it a new disk that does not vote',
+  everySpoiltByte,
+);
+
+function oldFrame(v: unknown): Buffer {
+  const body = pack(v);
+  const head = Buffer.alloc(8);
+  head.writeUInt32BE(body.length, 0);
+  head.writeUInt32BE(crc32(body), 4);
+  return Buffer.concat([head, body]);
+}
+
+async function oldFolder(): Promise<void> {
+  const one = { key: 'k', epoch: 1, by: 'a', number: 1, value: 1 };
+  const vote = { key: 'x', run: 'r1', state: 'done' };
+  const files: Files = new Map([
+    ['slot-1', oldFrame({ gen: 1, disk: 'd', cells: [] })],
+    [
+      'slot-0',
+      oldFrame({
+        gen: 2,
+        disk: 'd',
+        cells: [['k', { promised: { epoch: 1, by: 'a' }, accepted: one }]],
+      }),
+    ],
+    ['log-1', Buffer.alloc(0)],
+    ['log-0', Buffer.concat([oldFrame(acceptedLine(5)), oldFrame({ key: 'k', learned: true })])],
+    ['votes-1', Buffer.concat([oldFrame({ gen: 4 }), oldFrame({ vote })])],
+    ['votes-0', oldFrame({ gen: 3 })],
+  ]);
+  for (let i = 0; i < 4; i++) {
+    const kept = (await readVotes(portsOn(files))).extract() as KeptVotes;
+    const [, s] = open(await openSlots(portsOn(files), 1 << 20, kept));
+    expect({
+      i,
+      disk: s!.disk,
+      spoilt: s!.spoilt,
+      number: numberOf(s!),
+      learned: s!.cells.get('k')?.learned?.number,
+    }).toEqual({ i, disk: 'd', spoilt: false, number: 5, learned: 5 });
+    const votes = new Votes(s!, portsOn(files), nobody, 1000);
+    await votes.begin(kept);
+    expect((await votes.held({ begins: 'x' })).extract()).toMatchObject({ votes: [vote] });
+  }
+  function nobody(): undefined {
+    return undefined;
+  }
+}
+
+async function noVotes(): Promise<void> {
+  const files: Files = new Map();
+  const s = await opened(files);
+  await s.put(acceptedLine(1));
+  for (const disk of [s.disk, '']) {
+    const [, again] = open(
+      await openSlots(portsOn(new Map(files), 9), 1 << 20, { disk, spoilt: false }),
+    );
+    expect(again!.disk === s.disk).toBe(disk === s.disk);
+  }
+}
+
+test('a data folder of version 0.1 is taken over whole, and stays so', oldFolder);
+test('a disk whose votes files are gone counts as a new one', noVotes);
--- /dev/null
+++ b/test/diskrig.ts
@@ -0,0 +1,139 @@
+/**
+ * Slots and voters on disks of the simulated world, for tests of what a disk keeps.
+ */
+
+import { Right } from 'purify-ts';
+import { Acceptor, makeOwner, Reach } from '../src/control/register';
+import { openSlots, Slots } from '../src/control/slots';
+import { dispatch } from '../src/shared/edge';
+import { bad, open, Outcome } from '../src/shared/errors';
+import { Ports } from '../src/shared/ports';
+import { Voter, Voters } from '../src/shared/words';
+import { seededDice } from '../tools/sim/dice';
+import { makeNet } from '../tools/sim/simwire';
+import { makeWorld } from '../tools/sim/simworld';
+
+/** The files of a disk, by name. */
+export type Files = Map<string, Uint8Array>;
+
+/** Ports whose disk holds these files. */
+export function portsOn(files: Files, seed = 3): Ports {
+  const w = makeWorld(1, false);
+  const base = makeNet(w).ports(w.proc('node', '127.10.1.1'));
+  async function read(name: string): Promise<Outcome<Uint8Array | undefined>> {
+    return Right(files.get(name));
+  }
+  async function write(name: string, bytes: Uint8Array): Promise<Outcome<void>> {
+    files.set(name, Uint8Array.from(bytes));
+    return Right(undefined);
+  }
+  async function append(name: string, bytes: Uint8Array): Promise<Outcome<void>> {
+    files.set(name, Buffer.concat([files.get(name) ?? new Uint8Array(0), bytes]));
+    return Right(undefined);
+  }
+  return { ...base, dice: seededDice(seed), disk: { read, write, append } };
+}
+
+/** Opens the slots on these files. */
+export async function opened(files: Files, seed = 3): Promise<Slots> {
+  const [f, s] = open(await openSlots(portsOn(files, seed), 1 << 20));
+  expect(f).toBeUndefined();
+  return s!;
+}
+
+/** Three voters on files of their own; messages pass only where `passes` says so. */
+export async function three(): Promise<{
+  node: (
+    i: number,
+    life: string,
+    passes: (to: number, type: string) => boolean,
+  ) => Promise<ReturnType<typeof makeOwner>>;
+  cell: (i: number) => unknown;
+  lose: (i: number) => Promise<void>;
+  replace: (i: number) => Promise<void>;
+}> {
+  const files: Files[] = [new Map(), new Map(), new Map()];
+  const slots: Slots[] = [];
+  const acceptors: Acceptor[] = [];
+  const set: Voter[] = [];
+  for (const [i, x] of files.entries()) {
+    slots.push(await opened(x, i));
+    set.push({ disk: slots[i].disk, at: String(i) });
+  }
+  const kept = files.map(copyOf);
+  let next: Voter[] | undefined;
+  function voters(): Voters {
+    return { now: set, next };
+  }
+  function nothing(): void {}
+  async function node(
+    i: number,
+    life: string,
+    passes: (to: number, type: string) => boolean,
+  ): Promise<ReturnType<typeof makeOwner>> {
+    const reach: Reach = { by: life, within: 100, voters, ask, learned: nothing, learnHere };
+    async function learnHere(): Promise<unknown> {
+      return undefined;
+    }
+    async function ask(v: Voter, type: string, body: unknown): Promise<Outcome<unknown>> {
+      if (!passes(Number(v.at), type)) return bad(type, v.at, 'cut', 'unknown', 'timeout');
+      return dispatch([acceptors[Number(v.at)]], type, body, undefined, v.at);
+    }
+    for (const [k, s] of slots.entries()) acceptors[k] = new Acceptor(s, reach, portsOn(files[k]));
+    return makeOwner(slots[i], reach);
+  }
+  function cell(i: number): unknown {
+    return slots[i].cells.get('k')?.learned?.value;
+  }
+  async function lose(i: number): Promise<void> {
+    files[i] = copyOf(kept[i]);
+    slots[i] = await opened(files[i], i);
+  }
+  async function replace(i: number): Promise<void> {
+    files[i] = new Map();
+    slots[i] = await opened(files[i], i + 20);
+    next = set.with(i, { disk: slots[i].disk, at: String(i) });
+  }
+  return { node, cell, lose, replace };
+}
+
+function copyOf(f: Files): Files {
+  return new Map(f);
+}
+
+/** An operation that succeeds with this value. */
+export function value(v: string): () => Outcome<unknown> {
+  function make(): Outcome<unknown> {
+    return Right(v);
+  }
+  return make;
+}
+
+/** The number of the value that was learned or accepted last. */
+export function numberOf(s: Slots): number {
+  return s.cells.get('k')?.accepted?.number ?? 0;
+}
+
+/** A log entry that accepts this number. */
+export function acceptedLine(n: number): Parameters<Slots['put']>[0] {
+  return {
+    key: 'k',
+    promised: { epoch: 1, by: 'a' },
+    accepted: { key: 'k', epoch: 1, by: 'a', number: n, value: 'v'.repeat(n * 5) },
+  };
+}
+
+/** Files with one byte changed, and with one of them emptied or gone, for every file and byte. */
+export function* spoils(files: Files): Generator<{ what: string; files: Files }> {
+  for (const [name, bytes] of files) {
+    for (let at = 0; at < bytes.length; at++) {
+      const bent = Uint8Array.from(bytes);
+      bent[at] ^= 0x41;
+      yield { what: `${name} at ${at}`, files: new Map(files).set(name, bent) };
+    }
+    yield { what: `${name} emptied`, files: new Map(files).set(name, new Uint8Array(0)) };
+    const less = new Map(files);
+    less.delete(name);
+    yield { what: `${name} gone`, files: less };
+  }
+}
--- a/test/platform-ledger.test.ts
+++ b/test/platform-ledger.test.ts
@@ -1,7 +1,7 @@
-import { ConfigDoc, Run } from '../tools/standins/platform/book';
+import { Run } from '../tools/standins/platform/book';
 import { judgeDay } from '../tools/standins/platform/ledger';
 import { BOUNDS } from '../tools/standins/platform/site';
-import { EDGE, Good, good, later, OTHER, rules, spoilt, textOf } from './platform-book';
+import { EDGE, Good, good, rules, spoilt, textOf } from './platform-book';
 
 function keepsQuiet(): void {
   expect(rules(good())).toEqual([]);
@@ -150,137 +150,6 @@
   expect(spoilt(misdirected)).toEqual([]);
 }
 
-function config(): void {
-  function olderService(g: Good): void {
-    later(g, {}, { routes: [{ ...g.doc.routes[1], service: 'roster-desk' }] });
-  }
-  function droppedRoute(g: Good): void {
-    later(g, {}, { routes: [g.doc.routes[0]] });
-  }
-  function revokedKey(g: Good): void {
-    later(g, {}, { tenants: g.doc.tenants.slice(1) });
-  }
-  function justNow(g: Good): void {
-    later(g, { at: 17900, ackAt: 18100 }, { routes: [g.doc.routes[0]] });
-  }
-  function stillUnknown(g: Good): void {
-    later(
-      g,
-      {},
-      { routes: [...g.doc.routes, { ...g.doc.routes[1], name: 'new', pathPrefix: '/new/' }] },
-    );
-    g.book.runs.length = 0;
-    g.book.arrivals.length = 0;
-    Object.assign(g.t, { target: '/new/x', status: 404, seal: undefined, answer: '' });
-  }
-  function invalid(g: Good): void {
-    later(g, { valid: false });
-  }
-  function both(g: Good): void {
-    later(g, { at: 100, ackAt: 200 });
-    g.book.configs.push({
-      ...g.config,
-      doc: { ...g.doc, revision: 6 },
-      base: 1,
-      at: 300,
-      ackAt: 400,
-    });
-  }
-  function refusedRules(g: Good): void {
-    g.book.configs.push({
-      ...g.config,
-      doc: { ...g.doc, revision: 6, routes: [{ ...g.doc.routes[1], service: 'roster-desk' }] },
-      base: 1,
-      outcome: 'refused',
-      ackAt: undefined,
-    });
-    g.r.service = 'roster-desk';
-  }
-  for (const spoil of [
-    olderService,
-    droppedRoute,
-    revokedKey,
-    stillUnknown,
-    invalid,
-    both,
-    refusedRules,
-  ])
-    expect(spoilt(spoil)).toEqual(['CONFIG']);
-  expect(spoilt(justNow)).toEqual([]);
-}
-
-function goesBack(): void {
-  function back(gap: number, life: number, router: string): (g: Good) => void {
-    function spoil(g: Good): void {
-      const c = later(
-        g,
-        { at: 19500, ackAt: 19600 },
-        { routes: [...g.doc.routes, { ...g.doc.routes[1], name: 'new', pathPrefix: '/new/' }] },
-      );
-      Object.assign(g.t, { target: '/new/x' });
-      g.a.target = '/new/x';
-      const id = 't2';
-      g.book.tries.set(id, {
-        ...g.t,
-        id,
-        life,
-        router,
-        sentAt: g.r.beganAt + gap,
-        status: 404,
-        seal: undefined,
-        answerId: undefined,
-        answer: '',
-      });
-      expect(c.doc.revision).toBe(5);
-    }
-    return spoil;
-  }
-  expect(spoilt(back(300, 1, EDGE))).toEqual(['CONFIG']);
-  expect(spoilt(back(200, 1, EDGE))).toEqual([]);
-  expect(spoilt(back(300, 2, EDGE))).toEqual([]);
-  expect(spoilt(back(300, 1, OTHER))).toEqual([]);
-}
-
-function lost(): void {
-  function older(g: Good): void {
-    later(g, {});
-    g.book.readBackAsked = true;
-    g.book.readBack = g.doc;
-  }
-  function none(g: Good): void {
-    g.book.readBackAsked = true;
-  }
-  function other(g: Good): void {
-    g.book.readBackAsked = true;
-    g.book.readBack = { ...g.doc, routes: [] };
-  }
-  function same(g: Good): void {
-    g.book.readBackAsked = true;
-    g.book.readBack = JSON.parse(JSON.stringify(g.doc)) as ConfigDoc;
-  }
-  function cutInRoll(g: Good): void {
-    g.book.troubles.push({ kind: 'term', who: EDGE, at: 20005, until: 24000, planned: true });
-    Object.assign(g.t, {
-      end: 'cut',
-      status: undefined,
-      seal: undefined,
-      answerId: undefined,
-      answer: '',
-    });
-  }
-  function cutInTrouble(g: Good): void {
-    cutInRoll(g);
-    g.book.troubles.push({ kind: 'crash', who: 'i-2.1', at: 18000, until: 18100, planned: false });
-  }
-  function engineBroke(g: Good): void {
-    cutInRoll(g);
-    g.r.broke = true;
-  }
-  for (const spoil of [older, none, cutInRoll]) expect(spoilt(spoil)).toEqual(['LOST']);
-  expect(spoilt(other)).toEqual(['CONFIG']);
-  for (const spoil of [same, cutInTrouble, engineBroke]) expect(spoilt(spoil)).toEqual([]);
-}
-
 function budget(): void {
   function tries(n: number): (g: Good) => void {
     function spoil(g: Good): void {
@@ -312,23 +181,6 @@
   expect(spoilt(between)).toEqual([]);
 }
 
-function version(): void {
-  function named(ackAt: number, more: object = {}): (g: Good) => void {
-    function spoil(g: Good): void {
-      g.book.versions.push({ model: 'roster510', revision: 2, at: ackAt - 10, ackAt, ...more });
-    }
-    return spoil;
-  }
-  function unsettled(g: Good): void {
-    named(12000)(g);
-    g.book.troubles.push({ kind: 'kill', who: 'core', at: 14000, until: 14500, planned: false });
-  }
-  expect(spoilt(named(12000))).toEqual(['VERSION']);
-  expect(spoilt(named(12100))).toEqual([]);
-  expect(spoilt(named(12000, { model: 'another' }))).toEqual([]);
-  expect(spoilt(unsettled)).toEqual([]);
-}
-
 function one(): void {
   function ordered(...seen: [number, string, number][]): (g: Good) => void {
     function spoil(g: Good): void {
@@ -371,20 +223,6 @@
   expect(spoilt(many(6))).toEqual(['CONFIG', 'DENIED']);
 }
 
-function acks(): void {
-  function late(g: Good): void {
-    later(g, { at: 5000, ackAt: 9100 });
-  }
-  function never(g: Good): void {
-    later(g, { at: 5000, ackAt: undefined, outcome: 'unclear' });
-  }
-  for (const spoil of [late, never]) expect(spoilt(spoil)).toEqual(['ACKS']);
-  const g = good();
-  late(g);
-  g.book.troubles.push({ kind: 'kill', who: 'core', at: 6000, until: 6500, planned: false });
-  expect(rules(g)).toEqual([]);
-}
-
 test('a good book breaks no rule; a tenant on a public route does', keepsQuiet);
 test('MIXED', mixed);
 test('UNASKED', unasked);
@@ -393,12 +231,7 @@
 test('ORDER', order);
 test('ROUTE', route);
 test('DRAIN', drain);
-test('CONFIG: handled as only an older version allows, invalid, raced, refused', config);
-test('CONFIG: goes back within a life', goesBack);
-test('LOST: what was acknowledged, and requests cut around planned work', lost);
 test('BUDGET', budget);
 test('STALE and WALL', memory);
-test('VERSION', version);
 test('ONE', one);
 test('DENIED', denied);
-test('ACKS', acks);
