--- a/test/smoke.test.ts
+++ b/test/smoke.test.ts
@@ -8,11 +8,11 @@
   configure,
   Fleet,
   makeFleet,
-  readLedgers,
   startAll,
   stopAll,
   until,
-} from '../tools/fleet/fleet';
+} from '../tools/fleet/processes';
+import { readLedgers } from '../tools/fleet/fleet';
 import { edgeNames, judge } from '../tools/standins/ledger';
 
 const fleets: Fleet[] = [];
--- a/tools/fleet/faults.ts
+++ b/tools/fleet/faults.ts
@@ -1,7 +1,7 @@
 import { rmSync } from 'node:fs';
 import { askJson } from '../../src/shared/lib';
 import { listed } from '../standins/deploy';
-import { controlOf, type Fleet, type Proc } from './fleet';
+import { controlOf, type Fleet, type Proc } from './processes';
 
 /** The faults that the runner brings about on real processes. */
 export const FAULTS = [
--- a/tools/fleet/machines.ts
+++ b/tools/fleet/machines.ts
@@ -4,7 +4,8 @@
 import { Clock } from '../../src/shared/ports';
 import { Book, troubled } from '../standins/platform/book';
 import { kept } from '../standins/platform/serve';
-import { SettingsOf, settingsText, Site } from '../standins/platform/site';
+import { SettingsOf, settingsText } from '../standins/platform/settingsfile';
+import { Site } from '../standins/platform/site';
 
 /** A process of ours, in its present life. */
 export interface Proc {
--- a/tools/sim/placing.ts
+++ b/tools/sim/placing.ts
@@ -13,53 +13,10 @@
 } from '../../src/data/gateway/placement';
 import { Dice } from '../../src/shared/ports';
 import { makeAgenda } from './agenda';
+import { makePartCache, PartCache } from './partcache';
 import { seededDice } from './dice';
-
-/** What is played: a pool, its routers, and the requests that come. */
-export interface PlacingWorld {
-  engines: number;
-  routers: number;
-  zones: number;
-  seconds: number;
-  longPerS: number;
-  shortPerS: number;
-  things: number;
-  batch: number;
-  cacheTokens: number;
-  /** Ms by which what indexers and the load board tell is late. */
-  lagMs: number;
-  /** Every third engine is slower by this. */
-  slow: number;
-  /** Tokens that the store holds; none where there is no store. */
-  storeTokens: number;
-  /** When an engine looks for what it keeps of a prompt. */
-  looksAt: 'admission' | 'reading';
-}
-
-/** What came of one way of placing. */
-export interface PlacingResult {
-  way: PlaceWay;
-  requests: number;
-  refused: number;
-  /** Shares inside the aim. */
-  longInAim: number;
-  shortInAim: number;
-  /** Ms to the first event. */
-  longMean: number;
-  long95: number;
-  shortMean: number;
-  short95: number;
-  /** The share of long answers that ended in time. */
-  ended: number;
-  /** Tokens of shared parts that were read although an engine or the store kept them. */
-  readAgain: number;
-  moved: number;
-  /** The share of all worth that was earned, less prices for tokens read again and moved. */
-  score: number;
-}
-
-/** What counts, in the proportions of a deployment: long and short requests in time and late, 1,000 tokens read again, GB moved. */
-const WORTH = { long: 2, short: 3, late: 0.1, readAgain: 1.1, movedGb: 0.044 };
+import { PlacingWorld, USUAL } from './placingworld';
+import { LONG_AIM, PlacingResult, SHORT_AIM, tally, WORTH } from './placingscore';
 
 interface Job {
   parts: readonly Part[];
@@ -83,8 +40,7 @@
   pace: number;
   running: Job[];
   waiting: Job[];
-  kept: Map<string, number>;
-  keptTokens: number;
+  kept: PartCache;
   moveUntil: number;
   stepping: boolean;
 }
@@ -95,27 +51,9 @@
 const PAIRS_MS = 3.2e-7;
 const CHUNK = 1024;
 const SETUP_MS = 8;
+
 /** Tokens of one event. */
 const STRIDE = 7;
-const LONG_AIM = 600;
-const SHORT_AIM = 300;
-
-/** The usual world: one small fleet. */
-export const USUAL: PlacingWorld = {
-  engines: 13,
-  routers: 9,
-  zones: 3,
-  seconds: 40,
-  longPerS: 19,
-  shortPerS: 165,
-  things: 200,
-  batch: 12,
-  cacheTokens: 140000,
-  lagMs: 120,
-  slow: 1.3,
-  storeTokens: 1900000,
-  looksAt: 'reading',
-};
 
 /** Plays one way of placing in a world. */
 export function playPlacing(world: PlacingWorld, way: PlaceWay, seed: number): PlacingResult {
@@ -130,14 +68,12 @@
       pace: i % 3 === 2 ? world.slow : 1,
       running: [],
       waiting: [],
-      kept: new Map(),
-      keptTokens: 0,
+      kept: makePartCache(),
       moveUntil: 0,
       stepping: false,
     });
   }
-  const storeKept = new Map<string, number>();
-  let storeUsed = 0;
+  const storeKept = makePartCache();
   const everRead = new Set<string>();
   const pool: PoolView = {
     name: 'p',
@@ -184,53 +120,29 @@
     return mean * Math.exp(spread * u - (spread * spread) / 2);
   }
 
-  function keptOf(kept: Map<string, number>, parts: readonly Part[]): number {
-    let t = 0;
-    for (const p of parts) {
-      if (!kept.has(p.hash)) break;
-      t += p.size;
-    }
-    return t;
-  }
-
   function overlap(parts: readonly Part[]): OverlapAnswer {
     const out: OverlapAnswer = [];
     for (const e of engines) {
-      const kept = keptOf(e.kept, parts);
+      const kept = e.kept.tokensOf(parts);
       let coming = 0;
       for (const j of [...e.running, ...e.waiting])
         if (j.parts[0].hash === parts[0].hash && j.done < j.tokensIn)
           coming = Math.max(coming, parts[0].size - kept);
       if (kept + coming > 0) out.push([e.spot.id, kept, coming]);
     }
-    const inStore = keptOf(storeKept, parts);
+    const inStore = storeKept.tokensOf(parts);
     if (inStore > 0) out.push(['s', inStore, 0]);
     return out;
   }
 
   function keep(e: SimEngine, p: Part): void {
-    if (e.kept.delete(p.hash)) e.keptTokens -= p.size;
-    e.kept.set(p.hash, p.size);
-    e.keptTokens += p.size;
-    let used = e.keptTokens;
-    for (const j of e.running) used += j.tokensIn + j.given;
-    for (const [hash, size] of e.kept) {
-      if (used <= world.cacheTokens) break;
-      e.kept.delete(hash);
-      e.keptTokens -= size;
-      used -= size;
-    }
+    let room = world.cacheTokens;
+    for (const j of e.running) room -= j.tokensIn + j.given;
+    e.kept.put(p, room);
   }
 
   function put(p: Part): void {
-    if (storeKept.delete(p.hash)) storeUsed -= p.size;
-    storeKept.set(p.hash, p.size);
-    storeUsed += p.size;
-    for (const [hash, size] of storeKept) {
-      if (storeUsed <= world.storeTokens) break;
-      storeKept.delete(hash);
-      storeUsed -= size;
-    }
+    storeKept.put(p, world.storeTokens);
   }
 
   function arrive(): void {
@@ -300,7 +212,7 @@
       let from = storeKept;
       if (fetch) {
         from = fetch.source.side.name === 's' ? storeKept : engines.find(bySource)!.kept;
-        const has = keptOf(from, parts) - keptOf(engine.kept, parts);
+        const has = from.tokensOf(parts) - engine.kept.tokensOf(parts);
         if (has > 0) {
           const far = fetch.source.side.zone === engine.spot.zone ? 1 : 2;
           engine.moveUntil =
@@ -345,7 +257,7 @@
 
   function look(e: SimEngine, j: Job): void {
     j.looked = true;
-    j.done = Math.min(j.tokensIn - 1, keptOf(e.kept, j.parts));
+    j.done = Math.min(j.tokensIn - 1, e.kept.tokensOf(j.parts));
     let before = 0;
     for (const p of j.parts.slice(0, -1)) {
       before += p.size;
@@ -456,21 +368,6 @@
   };
 }
 
-function tally(list: number[], aim: number): { inAim: number; mean: number; p95: number } {
-  const s = list.sort(up);
-  let sum = 0;
-  let inAim = 0;
-  for (const x of s) {
-    sum += Math.min(x, 6000);
-    if (x <= aim) inAim++;
-  }
-  return { inAim: inAim / s.length, mean: sum / s.length, p95: s[Math.floor(s.length * 0.95)] };
-}
-
-function up(a: number, b: number): number {
-  return a - b;
-}
-
 function say(r: PlacingResult): string {
   return `${r.way.padEnd(11)} long: mean ${Math.round(r.longMean)} ms, 95 % ${Math.round(r.long95)} ms, in aim ${r.longInAim.toFixed(3)}, ended ${r.ended.toFixed(3)}; short: mean ${Math.round(r.shortMean)} ms, 95 % ${Math.round(r.short95)} ms, in aim ${r.shortInAim.toFixed(3)}; read again ${r.readAgain}, moved ${r.moved}, refused ${r.refused} of ${r.requests}, score ${r.score.toFixed(3)}`;
 }
--- a/tools/sim/simfaults.ts
+++ b/tools/sim/simfaults.ts
@@ -1,5 +1,5 @@
 import { Dice } from '../../src/shared/ports';
-import { EngineWays } from '../standins/engine';
+import { EngineWays } from '../standins/engineways';
 import { SimFleet } from './simfleet';
 import { Proc } from './simworld';
 
--- a/tools/sim/simrun.ts
+++ b/tools/sim/simrun.ts
@@ -1,5 +1,5 @@
 import { Report, runCallers, Seen } from '../standins/callers';
-import { LedgerEntry } from '../standins/engine';
+import { LedgerEntry } from '../standins/engineways';
 import { edgeNames, judge, Verdict } from '../standins/ledger';
 import { seededDice } from './dice';
 import { askCore, makeSimFleet, SimFleet, simIntents } from './simfleet';
--- a/tools/sim/simwire.ts
+++ b/tools/sim/simwire.ts
@@ -1,6 +1,5 @@
 import { Left, Right } from 'purify-ts';
 import { makeFault, Outcome } from '../../src/shared/errors';
-import { makeFeed } from '../../src/shared/lib';
 import {
   Ask,
   Call,
@@ -12,6 +11,7 @@
   Wire,
 } from '../../src/shared/ports';
 import { Proc, World } from './simworld';
+import { makePipes, Pipe, PipeEnds } from './simpipe';
 import { Traffic } from './traffic';
 
 interface Listener {
@@ -21,13 +21,6 @@
   takeConnection?: (s: Connection) => void;
 }
 
-interface Pipe {
-  send(run: () => void): void;
-  broken(): boolean;
-  breakOff(): void;
-}
-
-const GIVE_UP = 8000;
 const LATE = 1000;
 
 /** The simulated network over a world. */
@@ -40,142 +33,23 @@
 /** Makes the network: orderly connections that lose nothing until they break, as TCP's do. */
 export function makeNet(w: World): SimNet {
   const listeners = new Map<string, Listener>();
-  const pipes = new Set<{ a: Proc; b: Proc; end: (who: Proc) => void }>();
   const warm = new Set<string>();
   const sent: SimNet['sent'] = [];
   const net: SimNet = { ports, sent };
+  const { pipes, makePipe, makePair, resetOf } = makePipes(w, weigh);
 
-  function ipOf(at: string): string {
-    return at.slice(0, at.lastIndexOf(':'));
+  function weigh(name: string, m: Message): void {
+    net.traffic?.weigh(name, m);
   }
 
-  function makePipe(from: Proc, to: Proc, onBreak: () => void): Pipe {
-    const queue: (() => void)[] = [];
-    const life = to.life;
-    let busy = false;
-    let since: number | undefined;
-    let over = false;
-    function breakOff(): void {
-      if (over) return;
-      over = true;
-      queue.length = 0;
-    }
-    function pump(): void {
-      if (over || queue.length === 0) {
-        busy = false;
-        return;
-      }
-      if (w.isCut(from.ip, to.ip) || w.isCut(to.ip, from.ip) || !to.powered) {
-        since = since ?? w.now();
-        if (w.now() - since > GIVE_UP) {
-          breakOff();
-          onBreak();
-          return;
-        }
-        w.after(40, pump);
-        return;
-      }
-      since = undefined;
-      if (!to.alive || to.life !== life) {
-        breakOff();
-        onBreak();
-        return;
-      }
-      const run = queue.shift()!;
-      function go(): void {
-        if (to.alive && to.life === life) run();
-      }
-      w.onProc(to, go);
-      w.after(0, pump);
-    }
-    function send(run: () => void): void {
-      if (over) return;
-      queue.push(run);
-      if (busy) return;
-      busy = true;
-      w.after(w.latency(from.ip, to.ip), pump);
-    }
-    function broken(): boolean {
-      return over;
-    }
-    return { send, broken, breakOff };
-  }
-
-  function makePair(a: Proc, b: Proc): [Connection, Connection] {
-    const ends = new Map<Proc, () => void>();
-    const rec = { a, b, end };
-    pipes.add(rec);
-    const toB = makePipe(a, b, endBoth);
-    const toA = makePipe(b, a, endBoth);
-    function endBoth(): void {
-      end(a);
-      end(b);
-    }
-    function end(who: Proc): void {
-      ends.get(who)?.();
-    }
-    function side(me: Proc, out: Pipe, back: Pipe): Connection {
-      const hand = makeFeed<Message>();
-      let over = false;
-      const life = me.life;
-      function wait(done: () => void): void {
-        function ended(): void {
-          if (over) return;
-          over = true;
-          out.breakOff();
-          back.breakOff();
-          pipes.delete(rec);
-          function tell(): void {
-            if (!me.alive || me.life !== life) return;
-            hand.end();
-            done();
-          }
-          w.onProc(me, tell);
-        }
-        ends.set(me, ended);
-      }
-      const done = new Promise<void>(wait);
-      function send(m: Message): boolean {
-        if (over || !me.alive || me.life !== life) return false;
-        const copy = structuredClone(m);
-        net.traffic?.weigh(me.name, m);
-        function arrive(): void {
-          adds.get(me === a ? b : a)?.(copy);
-        }
-        out.send(arrive);
-        return true;
-      }
-      function close(): void {
-        end(me);
-        w.after(w.latency(a.ip, b.ip), other);
-        function other(): void {
-          if (!w.isCut(a.ip, b.ip) && !w.isCut(b.ip, a.ip)) end(me === a ? b : a);
-          else w.after(GIVE_UP, otherLate);
-        }
-        function otherLate(): void {
-          end(me === a ? b : a);
-        }
-      }
-      adds.set(me, hand.add);
-      return { peer: me === a ? b.ip : a.ip, feed: hand.feed, done, send, close };
-    }
-    const adds = new Map<Proc, (m: Message) => void>();
-    return [side(a, toB, toA), side(b, toA, toB)];
+  function ipOf(at: string): string {
+    return at.slice(0, at.lastIndexOf(':'));
   }
 
   w.onDeath(died);
   function died(p: Proc, power: boolean): void {
     for (const [at, l] of listeners) if (l.proc === p) listeners.delete(at);
-    if (power) return;
-    for (const r of [...pipes]) {
-      if (r.a !== p && r.b !== p) continue;
-      const other = r.a === p ? r.b : r.a;
-      function reset(): void {
-        if (w.isCut(p.ip, other.ip)) w.after(200, reset);
-        else r.end(other);
-      }
-      w.after(w.latency(p.ip, other.ip), reset);
-    }
+    if (!power) resetOf(p);
   }
 
   function reachable(from: Proc, to: Proc | undefined): boolean {
@@ -336,7 +210,7 @@
             return fail('refused', 'ECONNREFUSED');
           }
           warm.add(`${p.ip} ${q.at}`);
-          const rec = { a: p, b: l.proc, end: ended };
+          const rec: PipeEnds = { a: p, b: l.proc, end: ended };
           pipes.add(rec);
           function ended(who: Proc): void {
             if (who === p) broke();
@@ -348,7 +222,7 @@
           }
           w.onProc(l.proc, takeIt);
         }
-        function makeCall(rec: { a: Proc; b: Proc; end: (who: Proc) => void }): Call {
+        function makeCall(rec: PipeEnds): Call {
           const url = new URL(q.path, 'http://node');
           let closed = false;
           async function body(most: number): Promise<Outcome<string>> {
--- a/tools/standins/deploy.ts
+++ b/tools/standins/deploy.ts
@@ -1,5 +1,5 @@
 import { Engine, Intents, Service, Tenant } from '../../src/shared/words';
-import { EngineWays } from './engine';
+import { EngineWays } from './engineways';
 
 /** The shape of one of the two deployments, on one machine's loopback addresses. */
 export interface Deployment {
--- a/tools/standins/engine.ts
+++ b/tools/standins/engine.ts
@@ -1,63 +1,14 @@
-import {
-  EngineLine,
-  EngineOrder,
-  EventBatch,
-  GenerateAsk,
-  Part,
-  PartEvent,
-} from '../../src/shared/contracts/engine';
+import { EngineLine, EngineOrder, GenerateAsk, Part } from '../../src/shared/contracts/engine';
 import { giveFault, giveJson, handles, takeCalls, takeJson } from '../../src/shared/edge';
 import { Outcome } from '../../src/shared/errors';
 import { askJson } from '../../src/shared/lib';
 import { Call, Listening, Ports } from '../../src/shared/ports';
 import { compareEpochs } from '../../src/shared/words';
-
-/** How a stand-in engine behaves. */
-export interface EngineWays {
-  id: string;
-  at: string;
-  zone: string;
-  model: string;
-  weights: string;
-  batch: number;
-  queue: number;
-  mostTokens: number;
-  prefillMs: number;
-  decodeMs: number;
-  keepBatches: number;
-  loseEvents: number;
-  swapMs: number;
-  odd?: 'skips' | 'repeats' | 'splices' | 'foreign';
-  feed?: 'repeats' | 'back' | 'epoch';
-  ledger: (entry: LedgerEntry) => void;
-}
-
-/** One thing that an engine really did. */
-export interface LedgerEntry {
-  kind: 'began' | 'ended' | 'broke' | 'turned' | 'order' | 'fenced';
-  engine: string;
-  at: number;
-  takenAt?: number;
-  request?: string;
-  tenant?: string;
-  salt?: string;
-  weights?: string;
-  repeatable?: boolean;
-  urgent?: boolean;
-  tag?: string;
-  reused?: { tokens: number; madeBy: string[]; madeWeights: string[]; madeSalts: string[] };
-  order?: EngineOrder;
-}
+import { EngineCache, Kept, makeEngineCache } from './enginecache';
+import { EngineWays, LedgerEntry } from './engineways';
 
 const LOOK = 2;
 
-interface Kept extends Part {
-  salt: string;
-  weights: string;
-  parent: string;
-  madeBy: string;
-}
-
 /** A running stand-in engine. */
 export interface StandInEngine {
   ways: EngineWays;
@@ -69,14 +20,8 @@
 
 /** Handlers of the engine contract. */
 class EngineEdge {
-  private readonly cache = new Map<string, Kept>();
-  private tokens = 0;
-  private epoch: string;
   private other = { request: 'nobody', tag: 'none' };
-  private seq = 0;
-  private batches: EventBatch[] = [];
-  private pending: PartEvent[] = [];
-  private readonly waiters = new Set<() => void>();
+  private readonly cache: EngineCache;
   private running = 0;
   private waiting: { urgent: boolean; go: () => void }[] = [];
   private prefills: { urgent: boolean; go: () => void }[] = [];
@@ -89,66 +34,16 @@
     private readonly ports: Ports,
     readonly ways: EngineWays,
   ) {
-    this.epoch = ports.dice.id();
-  }
-
-  private keyOf(salt: string, weights: string, hash: string): string {
-    return `${salt}|${weights}|${hash}`;
-  }
-
-  private tell(kind: 'stored' | 'removed', k: Kept): void {
-    this.pending.push({
-      kind,
-      model: this.ways.model,
-      weights: k.weights,
-      salt: k.salt,
-      parent: k.parent,
-      hash: k.hash,
-      size: k.size,
-    });
-  }
-
-  private flush(): void {
-    if (this.pending.length === 0) return;
-    this.seq++;
-    const lost = this.ports.dice.next() < this.ways.loseEvents;
-    if (!lost) this.batches.push({ seq: this.seq, events: this.pending });
-    this.pending = [];
-    if (this.batches.length > this.ways.keepBatches) this.batches.shift();
-    for (const w of [...this.waiters]) w();
-  }
-
-  private keep(k: Kept): void {
-    const key = this.keyOf(k.salt, k.weights, k.hash);
-    const had = this.cache.get(key);
-    if (had) {
-      this.cache.delete(key);
-      this.cache.set(key, had);
-      return;
-    }
-    this.cache.set(key, k);
-    this.tokens += k.size;
-    this.tell('stored', k);
-    while (this.tokens > this.ways.mostTokens) {
-      const [oldKey, old] = this.cache.entries().next().value as [string, Kept];
-      this.cache.delete(oldKey);
-      this.tokens -= old.size;
-      this.tell('removed', old);
-    }
+    this.cache = makeEngineCache(ports, ways);
   }
 
   kept(): number {
-    return this.tokens;
+    return this.cache.tokens();
   }
 
   /** How many tokens of a prompt are really held. */
   overlap(salt: string, weights: string, parts: readonly Part[]): number {
-    let t = 0;
-    for (const p of parts) {
-      if (!this.cache.has(this.keyOf(salt, weights, p.hash))) break;
-      t += p.size;
-    }
-    return t;
+    return this.cache.overlap(salt, weights, parts);
   }
 
   private async slot(urgent: boolean): Promise<void> {
@@ -227,7 +122,7 @@
     const fetched = q.fetch && !call.gone.aborted ? await this.fetch(q) : undefined;
     const reused: Kept[] = [];
     for (const p of q.parts) {
-      const k = this.cache.get(this.keyOf(q.salt, weights, p.hash));
+      const k = this.cache.find(q.salt, weights, p.hash);
       if (!k) break;
       reused.push(k);
     }
@@ -239,12 +134,12 @@
     this.unread -= unread;
     const prefillMs = ways.prefillMs * tokens || ports.clock.now() - start;
     let parent = reused.length > 0 ? reused[reused.length - 1].hash : ways.model;
-    for (const k of reused) this.keep(k);
+    for (const k of reused) this.cache.keep(k);
     for (const p of read) {
-      this.keep({ ...p, salt: q.salt, weights, parent, madeBy: q.tenant });
+      this.cache.keep({ ...p, salt: q.salt, weights, parent, madeBy: q.tenant });
       parent = p.hash;
     }
-    this.flush();
+    this.cache.flush();
     await this.decode(call, q, reused, { read: tokens, prefillMs, fetched });
     this.free();
   }
@@ -323,7 +218,7 @@
     let tokens = 0;
     for (const p of parts) {
       tokens += p.size;
-      this.keep(p);
+      this.cache.keep(p);
     }
     return { tokens, ms: this.ports.clock.now() - start };
   }
@@ -336,7 +231,7 @@
     const parts: Kept[] = [];
     let tokens = 0;
     for (const h of q.hashes) {
-      const k = this.cache.get(this.keyOf(q.salt, q.weights, h));
+      const k = this.cache.find(q.salt, q.weights, h);
       if (!k) break;
       parts.push(k);
       tokens += k.size;
@@ -349,46 +244,14 @@
   async put(call: Call): Promise<void> {
     const q = (await takeJson(call, 1 << 24)) as { parts: Kept[] } | undefined;
     if (!q) return;
-    for (const p of q.parts) this.keep(p);
-    this.flush();
+    for (const p of q.parts) this.cache.keep(p);
+    this.cache.flush();
     giveJson(call, 200, { kept: q.parts.length });
   }
 
   @handles('GET', '/api/kv-events')
   async events(call: Call): Promise<void> {
-    const { feed } = this.ways;
-    if (feed === 'epoch') this.epoch = this.ports.dice.id();
-    if (feed === 'epoch') this.ways.feed = undefined;
-    const same = call.query.get('epoch') === this.epoch;
-    const after = same ? Number(call.query.get('after') ?? 0) : 0;
-    if (same && this.seq <= after)
-      await this.more(Number(call.query.get('wait') ?? 1000), call.gone);
-    function later(b: EventBatch): boolean {
-      return feed === 'back' ? b.seq <= after : b.seq > (feed === 'repeats' ? after - 5 : after);
-    }
-    const oldest = this.batches[0]?.seq ?? this.seq + 1;
-    giveJson(call, 200, {
-      epoch: this.epoch,
-      lost: oldest > after + 1,
-      last: feed === 'back' ? after - 2 : this.seq,
-      batches: this.batches.filter(later),
-    });
-  }
-
-  private more(within: number, gone: AbortSignal): Promise<void> {
-    const { waiters, ports } = this;
-    function wait(done: () => void): void {
-      const off = ports.clock.timer(within, go);
-      gone.addEventListener('abort', go, { once: true });
-      function go(): void {
-        off();
-        gone.removeEventListener('abort', go);
-        waiters.delete(go);
-        done();
-      }
-      waiters.add(go);
-    }
-    return new Promise(wait);
+    giveJson(call, 200, await this.cache.events(call.query, call.gone));
   }
 
   @handles('GET', '/api/status')
--- a/tools/standins/ledger.ts
+++ b/tools/standins/ledger.ts
@@ -1,4 +1,4 @@
-import { LedgerEntry } from './engine';
+import { LedgerEntry } from './engineways';
 import { Report, Seen } from './callers';
 
 /** What the ledgers of engines and callers prove or disprove. */
--- a/tools/standins/platform/batch.ts
+++ b/tools/standins/platform/batch.ts
@@ -3,6 +3,7 @@
 import { Ground, H, partsOf, wireName } from './ground';
 import { Batch, EngineSpec, EngineTroubles, Job } from './jobs';
 import { Exchange } from './serve';
+import { makeTransfers } from './transfers';
 
 /** What the batch is told of its engine. */
 export interface BatchOf {
@@ -27,7 +28,7 @@
   const surplus = new WeakMap<object, string>();
   let counter = 0;
   let readFree = 0;
-  let linkFree = 0;
+  const { fetch, keepParts } = makeTransfers({ ground, spec, keeper, versions });
   const batch: Batch = {
     queue,
     running,
@@ -245,32 +246,6 @@
     return spec.stepMs * (1 + running.size / spec.capacity) * troubles.slow * warm();
   }
 
-  /** What a source keeps of the prompt beyond one's own, and how long the move takes. */
-  function fetch(j: Job, had: KeptPart[]): { parts: KeptPart[]; ms: number } {
-    const at = j.x.headers[H.source];
-    const none = { parts: [], ms: 0 };
-    if (at === undefined) return none;
-    const source = ground.sources.get(at);
-    if (!source || !source.alive()) return { parts: [], ms: 150 };
-    const theirs = source.keeper.match(j.model, j.salt, j.parts);
-    const more: KeptPart[] = [];
-    let tokens = 0;
-    for (let i = had.length; i < theirs.length; i++) {
-      more.push({ ...theirs[i] });
-      tokens += theirs[i].tokens;
-    }
-    if (more.length === 0) return { parts: [], ms: 1 };
-    source.keeper.touch(theirs);
-    const now = clock.now();
-    const far = source.zone === spec.zone ? 1 : 2;
-    const ms =
-      ((tokens * spec.kvTokenBytes * 8) / (spec.bandwidthMbps * 1000)) * far * ground.links.slow;
-    if (linkFree - now > 2000) return none;
-    linkFree = Math.max(now, linkFree) + ms;
-    book.movedTokens += tokens;
-    return { parts: more, ms: linkFree - now };
-  }
-
   function wait(j: Job, ms: number, then: (j: Job) => void): void {
     const life = j.stop;
     const off = clock.timer(ms, go);
@@ -292,46 +267,6 @@
     j.stop = stop;
   }
 
-  function keepParts(j: Job): void {
-    const version = versions.get(j.model) ?? 1;
-    keeper.release(j.tokensIn);
-    j.held -= j.tokensIn;
-    const fresh: KeptPart[] = [];
-    for (const p of j.parts) {
-      const mine = {
-        salt: j.salt,
-        id: p.id,
-        model: j.model,
-        tokens: p.tokens,
-        size: p.tokens,
-        version: madeUnder(j, p.id) ?? version,
-        tenant: madeBy(j, p.id),
-      };
-      keeper.put(mine);
-      fresh.push(mine);
-    }
-    const at = j.x.headers[H.target];
-    const target = at === undefined ? undefined : ground.sources.get(at);
-    if (!target || !target.alive()) return;
-    function arrive(): void {
-      if (target!.alive()) for (const p of fresh) target!.keeper.put(p);
-    }
-    clock.timer(
-      ((j.tokensIn * spec.kvTokenBytes * 8) / (spec.bandwidthMbps * 1000)) * ground.links.slow,
-      arrive,
-    );
-  }
-
-  function madeUnder(j: Job, id: string): number | undefined {
-    for (const u of j.run!.used) if (u.id === id) return u.version;
-    return undefined;
-  }
-
-  function madeBy(j: Job, id: string): string | undefined {
-    for (const u of j.run!.used) if (u.id === id) return u.tenant;
-    return j.run!.tenant;
-  }
-
   function first(j: Job): void {
     const r = j.run!;
     if (r.startedAt === undefined) {
--- a/tools/standins/standin.ts
+++ b/tools/standins/standin.ts
@@ -2,7 +2,8 @@
 import { Ports } from '../../src/shared/ports';
 import { realClock, realDice, realDisk, realLog } from '../../src/shared/real';
 import { realWire } from '../../src/shared/realwire';
-import { EngineWays, LedgerEntry, startEngine } from './engine';
+import { startEngine } from './engine';
+import { EngineWays, LedgerEntry } from './engineways';
 import { startLinks } from './links';
 import { startPlatform } from './platform';
 
