Answers are read to their end, which frees their connections and timers

Cause: whoever had the line that says done stopped reading. Where the end of the answer came in a packet of its own, its connection was not free for another request and its timer ran on until the call's limit: in the router towards engines, in the stand-in callers and in the simulator's probes. A new test makes three calls in turn to an engine that ends 20 ms after its last line: 3 connections before, 1 now.

--- a/src/shared/contracts/engine.ts
+++ b/src/shared/contracts/engine.ts
@@ -1,6 +1,6 @@
 import { Left, Right } from 'purify-ts';
 import { bad, makeFault, open, Outcome } from '../errors';
-import { askJson, lineReader, parseJson, shortHash } from '../lib';
+import { askJson, finishReply, lineReader, parseJson, shortHash } from '../lib';
 import { Ports, Wire } from '../ports';
 
 /** A part of a prompt: its hash takes in all before it. */
@@ -144,6 +144,7 @@
       `status-${r.status}`,
     );
   }
+  const { cancel } = r;
   const line = lineReader(r.next, at);
   async function next(): Promise<Outcome<EngineLine>> {
     const [g, text] = open(await line());
@@ -151,9 +152,11 @@
     if (text === undefined)
       return bad('read piece', at, 'ended without its last line', 'unknown', 'broken');
     const [h, v] = open(parseJson(text, 'read piece', at));
-    return h ? Left({ ...h, sort: 'unknown' }) : Right(v as EngineLine);
+    if (h) return Left({ ...h, sort: 'unknown' });
+    if ((v as EngineLine | null)?.done) void finishReply(line, cancel);
+    return Right(v as EngineLine);
   }
-  return Right({ next, cancel: r.cancel });
+  return Right({ next, cancel });
 }
 
 /** Pulls the cache events after a number; the far side holds the call until there are some. */
--- a/src/shared/lib.ts
+++ b/src/shared/lib.ts
@@ -145,3 +145,12 @@
   }
   return line;
 }
+
+/** Reads an answer to its end after its last line, which frees its connection and timer; where more comes, it is cancelled. */
+export async function finishReply(
+  line: () => Promise<Outcome<string | undefined>>,
+  cancel: () => void,
+): Promise<void> {
+  const rest = await line();
+  if (rest.isLeft() || rest.extract() !== undefined) cancel();
+}
--- a/test/realwire.test.ts
+++ b/test/realwire.test.ts
@@ -1,6 +1,10 @@
+import http from 'node:http';
+import net from 'node:net';
+import { EngineLine, generate, Generating } from '../src/shared/contracts/engine';
+import { giveJson, takeJson } from '../src/shared/edge';
 import { open } from '../src/shared/errors';
 import { Call } from '../src/shared/ports';
-import { realClock } from '../src/shared/real';
+import { realClock, realDice, realDisk, realLog } from '../src/shared/real';
 import { realWire } from '../src/shared/realwire';
 
 const PIECE = 'x'.repeat(65535) + '\n';
@@ -86,3 +90,80 @@
 
 test('a slow reader holds the far source back through a relay, and then gets all', heldBack);
 test('a caller that goes away is told to the source', goneAway);
+
+const GENERATE_ASK = {
+  request: 'r',
+  tenant: 't',
+  model: 'm',
+  weights: 'w',
+  salt: '',
+  parts: [],
+  maxTokens: 1,
+  urgent: false,
+  repeatable: true,
+};
+
+async function freesConnections(): Promise<void> {
+  const clock = realClock();
+  let connections = 0;
+  function answer(_req: http.IncomingMessage, res: http.ServerResponse): void {
+    res.write(JSON.stringify({ request: 'r', n: 0, text: 'x' }) + '\n');
+    res.write(JSON.stringify({ request: 'r', done: true, count: 1 }) + '\n');
+    clock.timer(20, end);
+    function end(): void {
+      res.end();
+    }
+  }
+  function connected(): void {
+    connections++;
+  }
+  const server = http.createServer(answer);
+  server.on('connection', connected);
+  function listen(up: () => void): void {
+    server.listen(0, '127.0.0.1', up);
+  }
+  await new Promise<void>(listen);
+  const at = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+  const ports = {
+    clock,
+    dice: realDice(),
+    disk: realDisk(''),
+    wire: realWire(1000),
+    log: realLog('test', 'test'),
+  };
+  for (let i = 0; i < 3; i++) {
+    const gone = new AbortController().signal;
+    const [, g] = open(await generate(ports, at, GENERATE_ASK, 60000, gone));
+    await (g as Generating).next();
+    const [, last] = open(await (g as Generating).next());
+    expect((last as EngineLine).done).toBe(true);
+    await clock.sleep(50);
+  }
+  expect(connections).toBe(1);
+  server.closeAllConnections();
+  server.close();
+}
+
+async function refusesLargeBodies(): Promise<void> {
+  const wire = realWire(1000);
+  async function take(call: Call): Promise<void> {
+    const body = await takeJson(call, 1000);
+    if (body !== undefined) giveJson(call, 200, { taken: true });
+  }
+  const [, a] = open(await wire.serve('127.0.0.1:0', take));
+  async function statusOf(bytes: number): Promise<number | undefined> {
+    const body = JSON.stringify('x'.repeat(bytes));
+    const [, r] = open(
+      await wire.ask({ at: a!.at, method: 'POST', path: '/', body, within: 5000 }),
+    );
+    const status = r?.status;
+    r?.cancel();
+    return status;
+  }
+  expect(await statusOf(100)).toBe(200);
+  expect(await statusOf(500000)).toBe(413);
+  await a!.close();
+}
+
+test('an answer that was read to its last line frees its connection', freesConnections);
+test('a body that is too large is refused with an answer', refusesLargeBodies);
--- a/tools/sim/simops.ts
+++ b/tools/sim/simops.ts
@@ -1,5 +1,5 @@
 import { open } from '../../src/shared/errors';
-import { askJson, lineReader, parseJson } from '../../src/shared/lib';
+import { askJson, finishReply, lineReader, parseJson } from '../../src/shared/lib';
 import { askCore, SimFleet, simIntents } from './simfleet';
 
 /** What operators were told, and what that lets us expect. */
@@ -219,6 +219,7 @@
             { done?: boolean; count?: number; error?: object } | undefined);
     if (h || !v || v.error) return 'other';
     if (!v.done) continue;
+    void finishReply(line, r.cancel);
     if (!win.has(`probe-${v.count}`))
       log.violations.push(
         `probe of ${started.toFixed(0)} at ${edge} was served by probe-${v.count}, possible: ${[...win].join(' ')}`,
--- a/tools/standins/callers.ts
+++ b/tools/standins/callers.ts
@@ -1,6 +1,6 @@
 import { Part, splitParts } from '../../src/shared/contracts/engine';
 import { open } from '../../src/shared/errors';
-import { lineReader, parseJson } from '../../src/shared/lib';
+import { finishReply, lineReader, parseJson } from '../../src/shared/lib';
 import { Ports } from '../../src/shared/ports';
 import { Intents, Service } from '../../src/shared/words';
 
@@ -200,6 +200,7 @@
         return undefined;
       }
       if (v.done) {
+        void finishReply(line, r.cancel);
         if (v.count !== n) seen.wrong.push(`count ${v.count} after ${n}`);
         if (n !== service.maxTokens) seen.wrong.push(`short: ${n} of ${service.maxTokens}`);
         seen.attempts.push({ edge, status: 200, sort: 'whole', at });
