What a returned controller missed is learned under shared syncs

Cause: a controller that comes back learned what it had missed one key after the other, a sync each. test/catch-up.test.ts: three controllers, 1,400 routes and 80 tenants, named changes and every twentieth a whole document, one away and another restarted midway; then some restarts of the one while changes go through it, and last it and one other left alone. Refuted, the tests stay: a returned controller never owned the deployment by an older value, none told an older one, and one that is behind with one other left takes the next change on the newest. The bound is 4,000 ms; the test asks for a quarter.

--- a/src/control/keep.ts
+++ b/src/control/keep.ts
@@ -72,13 +72,21 @@
     const told = r as LearnedAfter | undefined;
     const [g, list] = open(await (all ?? lacking(ex, told)));
     if (g) return;
-    for (const n of list as Numbered[]) {
-      if ((await p.learn({ change: n })).isLeft()) return;
-      p.forget(n.key);
-    }
+    if (!(await learnAll(list as Numbered[]))) return;
     if (told) caught.set(at, told);
   }
 
+  /** Learns changes under shared syncs; tells whether all are kept. */
+  async function learnAll(list: readonly Numbered[]): Promise<boolean> {
+    let kept = true;
+    async function one(change: Numbered): Promise<void> {
+      if ((await p.learn({ change })).isRight()) p.forget(change.key);
+      else kept = false;
+    }
+    await Promise.all(list.map(one));
+    return kept;
+  }
+
   function missing(ex: Exchange): Promise<Outcome<unknown>> {
     return ex.ask('missing', hasList(p.committed()), p.bounds.ask);
   }
