--- a/src/control/keep.ts
+++ b/src/control/keep.ts
@@ -93,12 +93,15 @@
     if (!fault) await learnAll(changes as Numbered[]);
   }
 
-  async function learnAll(changes: Numbered[]): Promise<boolean> {
-    for (const change of changes) {
-      if ((await p.learn({ change })).isLeft()) return false;
-      p.forget(change.key);
+  /** Learns changes under shared syncs; tells whether all are kept. */
+  async function learnAll(changes: readonly Numbered[]): Promise<boolean> {
+    let kept = true;
+    async function one(change: Numbered): Promise<void> {
+      if ((await p.learn({ change })).isRight()) p.forget(change.key);
+      else kept = false;
     }
-    return true;
+    await Promise.all(changes.map(one));
+    return kept;
   }
 
   function held(key: string): Numbered | undefined {
@@ -107,14 +110,16 @@
 
   /** Learns what was fetched; a difference whose base has moved on meanwhile is fetched anew in the next round. */
   async function learnMessages(messages: ChangeMessage[]): Promise<boolean> {
-    let whole = true;
+    const changes: Numbered[] = [];
+    let isWhole = true;
     for (const message of messages) {
       const target = targetOf(message);
       if (isReached(held(target.key), target)) continue;
       const change = readChange(held(target.key), message);
-      whole = change !== undefined && (await learnAll([change])) && whole;
+      if (change) changes.push(change);
+      else isWhole = false;
     }
-    return whole;
+    return (await learnAll(changes)) && isWhole;
   }
 
   /** Owns the keys that are this controller's under the voters that are up, some at once, and no others; none where no majority is up. */
