Status and metrics tell how each voter stands; voters, owners and duties are logged

`/v1/fleet` has `standing`, and `plumhollow status` and `/metrics` show the same: for each voter its state, the epoch under which it learned the voters, and how many changes it is behind, by its own answer (message `progress`, bounded batches); whether any one voter may be lost with a majority that has all changes left, and if not, why (joint-set, voter-away, voter-behind, too-few); and the joint set under way, with its age as known here.

A controller writes a structured line at once for each change of the voters or of their owner and epoch, for each new holder of a duty with its fence, and for why it may leave (`Log.notice`: info lines stand in a ring in memory only, which a process that ends takes along).

--- a/src/control/api.ts
+++ b/src/control/api.ts
@@ -10,6 +10,7 @@
 import { NamedWeights } from '../shared/weights';
 import { Operation, TenantKeys } from './operations';
 import { reached } from './peers';
+import { voterRows, votersStatus } from './voter-status';
 import { replaceVoter } from './voters';
 
 class ApplyAsk {
@@ -237,6 +238,7 @@
       diskFit: c.slots.fit(),
       diskSpoilt: c.slots.spoilt,
       voters: c.voters(),
+      standing: await votersStatus(c),
       live: c.live(),
       majority: c.hasMajority(),
       members: c.leases.members(),
@@ -266,6 +268,7 @@
       `plumhollow_controller_live_voters ${c.live().length}`,
       `plumhollow_controller_disk_fit ${c.slots.fit() ? 1 : 0}`,
       `plumhollow_controller_intents_revision ${c.value(KEYS.intents)?.place.number ?? 0}`,
+      ...voterRows(await votersStatus(c)),
     ];
     call.head(200, { 'content-type': 'text/plain; version=0.0.4' });
     call.end(await c.metrics.text(rows));
--- a/src/control/controller-interface.ts
+++ b/src/control/controller-interface.ts
@@ -16,7 +16,7 @@
 /** The part of the view of the voters that the rest of a controller goes by. */
 type View = Pick<
   Membership,
-  'live' | 'isUp' | 'isEmptied' | 'isLeaving' | 'hasMajority' | 'leaving'
+  'live' | 'isUp' | 'isEmptied' | 'isLeaving' | 'hasMajority' | 'leaving' | 'jointForMs'
 >;
 
 /** A running controller. */
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -17,7 +17,8 @@
 } from '../shared/connections';
 import { makeWakers } from '../shared/waker';
 import { allVoters, KEYS, Numbered, Voter, Voters } from '../shared/words';
-import { Changed, makeChanges } from './changes';
+import { logChange } from './change-log';
+import { makeChanges } from './changes';
 import { Controller } from './controller-interface';
 import { makeEffects } from './effects';
 import { DocumentReader } from './deployment';
@@ -26,7 +27,6 @@
 import { leaveVoters } from './leave';
 import { Leases } from './leases';
 import { makeMembership } from './membership';
-import { Operation } from './operations';
 import { ControlEdge } from './peers';
 import { ReadEdge, ReadParts, readNewest } from './read';
 import { Acceptor, makeOwner, Reach } from './register';
@@ -95,7 +95,9 @@
     heard.add(n.key);
     if (!n.key.startsWith(KEYS.duty)) leases.push(n, n.by === by, before);
     if (n.by !== by) owner.passed(n.key, n.epoch);
+    logChange(ports.log, n, before);
     if (n.key !== KEYS.voters) return;
+    membership.noteVoters(n.value as Voters);
     reachAll();
     wake();
   }
@@ -124,6 +126,7 @@
   }
   const reach: Reach = { by, within: bounds.ask, voters, ask: askVoter, learned, learnHere };
   const acceptor = new Acceptor(slots, reach, ports);
+  const learn = acceptor.learn.bind(acceptor);
   const leases = new Leases(slots, ports, bounds, voters);
   const owner = makeOwner(slots, reach);
   const votes = new Votes(slots, ports, voters, settings.onceKeepMs);
@@ -164,12 +167,9 @@
     bounds,
     voters,
     askVoter,
-    commit,
+    commit: changes.commit,
     effectTook,
   });
-  function commit(op: Operation): Promise<Outcome<Changed>> {
-    return changes.commit(op);
-  }
   const reads: ReadParts = { slots, owner, voters, askVoter: askShortly, ofOwner: changes.ofOwner };
   const edges: object[] = [
     new HelloEdge(hello),
@@ -270,10 +270,6 @@
     forget,
   });
 
-  function learn(m: { change: Numbered }): Promise<Outcome<unknown>> {
-    return acceptor.learn(m);
-  }
-
   function forget(key: string): void {
     heard.delete(key);
   }
@@ -379,6 +375,7 @@
     isEmptied,
     isLeaving,
     leaving: membership.leaving,
+    jointForMs: membership.jointForMs,
     chosen,
     change,
     found: founding.found,
--- a/src/control/leave.ts
+++ b/src/control/leave.ts
@@ -39,7 +39,7 @@
   p.wake();
   const reason = await Promise.race([untilFree(), untilLate()]);
   const tookMs = p.clock.now() - began;
-  p.log.info({ step: 'leave', peer: p.self.at, reason, tookMs }, `leaves as ${reason}`);
+  p.log.notice({ step: 'leave', peer: p.self.at, reason, tookMs }, `leaves as ${reason}`);
   return reason;
 
   async function untilLate(): Promise<LeaveReason> {
--- a/src/control/membership.ts
+++ b/src/control/membership.ts
@@ -30,12 +30,17 @@
   /** Notes that this controller leaves. */
   beginLeave(): void;
   leaving(): boolean;
+  /** Notes the voters that were learned. */
+  noteVoters(v: Voters): void;
+  /** For how many ms a joint set has been known here; 0 where none stands. */
+  jointForMs(): number;
 }
 
 /** Makes the view of the voters. */
 export function makeMembership(p: MembershipParts): Membership {
   const upSince = new Map<string, number>();
   let isEnding = false;
+  let jointSince: number | undefined;
 
   function isSelf(x: Voter): boolean {
     return x.disk === p.self.disk;
@@ -82,6 +87,14 @@
     return isEnding;
   }
 
+  function noteVoters(v: Voters): void {
+    jointSince = v.next && (jointSince ?? p.clock.now());
+  }
+
+  function jointForMs(): number {
+    return jointSince === undefined ? 0 : p.clock.now() - jointSince;
+  }
+
   return {
     isSelf,
     isUp,
@@ -92,6 +105,8 @@
     noteUp,
     beginLeave,
     leaving,
+    noteVoters,
+    jointForMs,
   };
 }
 
--- a/src/control/replicate.ts
+++ b/src/control/replicate.ts
@@ -1,7 +1,7 @@
 import { Left, Right } from 'purify-ts';
 import { field, Handled, message } from '../shared/edge';
 import { bad, Fault, open, Outcome } from '../shared/errors';
-import { Numbered, Place, Voter } from '../shared/words';
+import { KEYS, Numbered, Place, Voter } from '../shared/words';
 import { reached } from './peers';
 import { Slots } from './slots';
 
@@ -38,6 +38,26 @@
     const [f] = open(await this.slots.settled());
     return f ? Left(f) : Right({ disk: this.slots.disk, lacking } as LackingReply);
   }
+
+  /** Tells how many changes before these places what this disk has learned is. */
+  @message('progress', LackingAsk)
+  async progress(m: LackingAsk): Handled {
+    const { cells } = this.slots;
+    let behind = 0;
+    for (const place of m.places) {
+      const learned = cells.get(place.key)?.learned;
+      if (!reached(learned, place)) behind += Math.max(1, place.number - (learned?.number ?? 0));
+    }
+    return Right({ epoch: cells.get(KEYS.voters)?.learned?.epoch ?? 0, behind } as Progress);
+  }
+}
+
+/** How far a disk is, as against some places. */
+export interface Progress {
+  /** Under which epoch it has learned the voters. */
+  epoch: number;
+  /** How many changes of the keys that it was asked about it has not learned. */
+  behind: number;
 }
 
 /** What bringing a voter up to date needs of its controller. */
@@ -48,8 +68,7 @@
 
 /** Brings a voter to have learned, on its synced disk and by its own word, all that is committed here now; safe to repeat, and each batch that it took stays. */
 export async function bringUpToDate(p: ReplicateParts, to: Voter): Promise<Outcome<void>> {
-  const committed: Numbered[] = [];
-  for (const cell of p.slots.cells.values()) if (cell.learned) committed.push(cell.learned);
+  const committed = learnedHere(p.slots);
   for (let i = 0; i < committed.length; i += KEYS_AT_ONCE) {
     const [f] = open(await bringBatch(p, to, committed.slice(i, i + KEYS_AT_ONCE)));
     if (f) return Left(f);
@@ -57,6 +76,26 @@
   return Right(undefined);
 }
 
+function learnedHere(slots: Slots): Numbered[] {
+  const out: Numbered[] = [];
+  for (const cell of slots.cells.values()) if (cell.learned) out.push(cell.learned);
+  return out;
+}
+
+/** How far a voter is behind all that is learned here. */
+export async function progressOf(p: ReplicateParts, of: Voter): Promise<Outcome<Progress>> {
+  const committed = learnedHere(p.slots);
+  const whole: Progress = { epoch: 0, behind: 0 };
+  for (let i = 0; i < committed.length; i += KEYS_AT_ONCE) {
+    const places = committed.slice(i, i + KEYS_AT_ONCE).map(placeOf);
+    const [f, part] = open(await p.askVoter(of, 'progress', { places }));
+    if (f) return Left(f);
+    whole.epoch = (part as Progress).epoch;
+    whole.behind += (part as Progress).behind;
+  }
+  return Right(whole);
+}
+
 async function bringBatch(
   p: ReplicateParts,
   to: Voter,
--- a/src/programs/plumhollow.ts
+++ b/src/programs/plumhollow.ts
@@ -8,6 +8,7 @@
 import { Wire } from '../shared/ports';
 import { realWire } from '../shared/realwire';
 import { Intents } from '../shared/words';
+import { VoterStatus, VotersStatus } from '../control/voter-status';
 import { VERSION } from './common';
 
 const FINE = 0;
@@ -185,6 +186,25 @@
   process.exit(found.length > 0 ? FINDINGS : FINE);
 }
 
+/** The voters, whether they bear a loss and why not, and the joint set that is under way. */
+function standingLines(s: VotersStatus): string[] {
+  function voter(x: VoterStatus): string {
+    const progress =
+      x.behind === undefined ? 'no answer' : `epoch ${x.epoch}, ${x.behind} changes behind`;
+    return `  ${x.at} ${x.state}, ${progress}`;
+  }
+  function reason(x: { reason: string; at?: string }): string {
+    return x.at ? `${x.reason} ${x.at}` : x.reason;
+  }
+  const joint = s.joint
+    ? [`joint set with ${s.joint.next.join(' ')} for ${Math.round(s.joint.sinceMs)} ms`]
+    : [];
+  const bears = s.bearsLoss
+    ? 'a loss now would be borne'
+    : `no loss would be borne now: ${s.reasons.map(reason).join(', ')}`;
+  return ['voters', ...s.voters.map(voter), ...joint, bears];
+}
+
 async function status(): Promise<void> {
   const b = (await need('GET', '/v1/fleet')).body as {
     controller: string;
@@ -192,6 +212,7 @@
     diskFit: boolean;
     live: string[];
     revision: number;
+    standing: VotersStatus;
     members: { name: string; role: string; at: string; zone: string }[];
     engines: { id: string; at: string; weights: string; leaving: boolean }[];
   };
@@ -206,6 +227,7 @@
     [
       `seen by ${b.controller}: ${b.majority ? 'in a majority' : 'no majority'}, disk ${b.diskFit ? 'fit' : 'unfit'}, revision ${b.revision}`,
       `core ${b.live.join(' ')}`,
+      ...standingLines(b.standing),
       'members',
       ...b.members.map(member),
       'engines',
--- a/src/shared/ports.ts
+++ b/src/shared/ports.ts
@@ -170,6 +170,8 @@
 /** The log: a ring in memory, written out at `error`. */
 export interface Log {
   info(fields: object, text: string): void;
+  /** A rare line that is written out at once. */
+  notice(fields: object, text: string): void;
   warn(fields: object, text: string): void;
   error(fields: object, text: string): void;
 }
--- a/src/shared/real.ts
+++ b/src/shared/real.ts
@@ -105,7 +105,7 @@
   return { read, write, append };
 }
 
-/** Bunyan's ring in memory, written out to standard error when something goes wrong. */
+/** Bunyan's ring in memory, written out to standard error when something goes wrong; notices are written out at once. */
 export function realLog(program: string, name: string, records = 200): Log {
   const ring = new bunyan.RingBuffer({ limit: records });
   const log = bunyan.createLogger({
@@ -113,9 +113,13 @@
     node: name,
     streams: [{ level: 'info', type: 'raw', stream: ring }],
   });
+  const notices = bunyan.createLogger({ name: program, node: name, stream: process.stderr });
   function info(fields: object, text: string): void {
     log.info(fields, text);
   }
+  function notice(fields: object, text: string): void {
+    notices.info(fields, text);
+  }
   function warn(fields: object, text: string): void {
     log.warn(fields, text);
   }
@@ -125,5 +129,5 @@
       process.stderr.write(JSON.stringify(r, bunyan.safeCycles()) + '\n');
     ring.records.length = 0;
   }
-  return { info, warn, error };
+  return { info, notice, warn, error };
 }
--- a/tools/sim/simworld.ts
+++ b/tools/sim/simworld.ts
@@ -254,7 +254,7 @@
         `${p.name} ${(fields as { step?: string }).step ?? ''} ${(fields as { peer?: string }).peer ?? ''}: ${text}`,
       );
     }
-    return { info: nothing, warn: say, error: say };
+    return { info: nothing, notice: nothing, warn: say, error: say };
   }
 
   function kill(p: Proc, power: boolean): void {
