--- a/src/control/leave.ts
+++ b/src/control/leave.ts
@@ -11,7 +11,7 @@
 export type LeaveReason = 'not-voting' | 'replaced' | 'covered' | 'all-leave' | 'grace-over';
 
 /** How often a leaving controller looks whether it may go, as a share of `pause`. */
-const LOOK = 0.1;
+const LOOK = 0.5;
 
 /** What leaving needs of its controller. */
 export interface LeaveParts {
