--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -3,12 +3,10 @@
 import { open, Outcome } from '../shared/errors';
 import { rendezvous } from '../shared/lib';
 import { makeMetrics, Metrics, timedDisk } from '../shared/metrics';
-import { Listening, Ports, Connection } from '../shared/ports';
+import { Listening, Ports } from '../shared/ports';
 import { boundsOf } from '../shared/bounds';
 import { Settings } from '../shared/settings';
 import {
-  closeSilent,
-  converse,
   Exchange,
   Hello,
   HelloEdge,
@@ -19,7 +17,9 @@
 import { withTimeout } from '../shared/timeout';
 import { makeWakers } from '../shared/waker';
 import { allVoters, KEYS, Numbered, Voter, Voters } from '../shared/words';
-import { Changed, makeChanges } from './changes';
+import { logChange } from './change-log';
+import { acceptConnections } from './accepted';
+import { makeChanges } from './changes';
 import { Controller } from './controller-interface';
 import { makeEffects } from './effects';
 import { DocumentReader } from './deployment';
@@ -28,7 +28,6 @@
 import { leaveVoters } from './leave';
 import { Leases } from './leases';
 import { makeMembership } from './membership';
-import { Operation } from './operations';
 import { ControlEdge } from './peers';
 import { ReadEdge, ReadParts, readNewest } from './read';
 import { Acceptor, makeOwner, Reach } from './register';
@@ -83,7 +82,6 @@
     "from a change's arrival at its owner to its effect everywhere",
     settings.changeBoundMs,
   );
-  const taking = new Set<Exchange>();
   const { add: addWaker, wake } = makeWakers(ports.clock);
   let hints: string[] = [];
   let stopped = false;
@@ -93,11 +91,13 @@
     return (known as Voters | undefined) ?? undefined;
   }
 
-  function learned(n: Numbered): void {
+  function learned(n: Numbered, before?: Numbered): void {
     heard.add(n.key);
     if (!n.key.startsWith(KEYS.duty)) leases.push(n, n.by === by);
     if (n.by !== by) owner.passed(n.key, n.epoch);
+    logChange(ports.log, n, before);
     if (n.key !== KEYS.voters) return;
+    membership.noteVoters(n.value as Voters);
     reachAll();
     wake();
   }
@@ -126,6 +126,9 @@
   }
   const reach: Reach = { by, within: bounds.ask, voters, ask: askVoter, learned, learnHere };
   const acceptor = new Acceptor(slots, reach, ports);
+  function learn(m: { change: Numbered }): Promise<Outcome<unknown>> {
+    return withTimeout(ports.clock, bounds.ask, 'learn', settings.name, acceptor.learn(m));
+  }
   const leases = new Leases(slots, ports, bounds, voters);
   const owner = makeOwner(slots, reach);
   const votes = new Votes(slots, ports, voters, settings.onceKeepMs);
@@ -166,12 +169,9 @@
     bounds,
     voters,
     askVoter,
-    commit,
+    commit: changes.commit,
     effectTook,
   });
-  function commit(op: Operation): Promise<Outcome<Changed>> {
-    return changes.commit(op);
-  }
   const reads: ReadParts = {
     slots,
     owner,
@@ -281,10 +281,6 @@
     forget,
   });
 
-  function learn(m: { change: Numbered }): Promise<Outcome<unknown>> {
-    return withTimeout(ports.clock, bounds.ask, 'learn', settings.name, acceptor.learn(m));
-  }
-
   function forget(key: string): void {
     heard.delete(key);
   }
@@ -302,18 +298,17 @@
     }
   }
 
-  const [g, listening] = open(await ports.wire.accept(settings.wire, taken));
+  const [g, listening] = open(
+    await acceptConnections({
+      ports,
+      at: settings.wire,
+      edges,
+      silence: bounds.silence,
+      stopped: isStopped,
+    }),
+  );
   if (g) return Left(g);
 
-  function taken(s: Connection): void {
-    const ex = converse(ports, s, edges);
-    taking.add(ex);
-    void ex.done.then(over);
-    function over(): void {
-      taking.delete(ex);
-    }
-  }
-
   function value<T>(key: string): { place: Numbered; value: T } | undefined {
     const n = slots.cells.get(key)?.learned;
     return n && { place: n, value: n.value as T };
@@ -370,7 +365,6 @@
     forget,
     stopped: isStopped,
   });
-  void closeSilent(ports, taking, bounds.silence, isStopped);
   return Right({
     name: settings.name,
     by,
@@ -391,6 +385,7 @@
     isEmptied,
     isLeaving,
     leaving: membership.leaving,
+    jointForMs: membership.jointForMs,
     chosen,
     change,
     found: founding.found,
--- a/src/control/leave.ts
+++ b/src/control/leave.ts
@@ -11,7 +11,7 @@
 export type LeaveReason = 'not-voting' | 'replaced' | 'covered' | 'all-leave' | 'grace-over';
 
 /** How often a leaving controller looks whether it may go, as a share of `pause`. */
-const LOOK = 0.1;
+const LOOK = 0.5;
 
 /** What leaving needs of its controller. */
 export interface LeaveParts {
@@ -39,7 +39,7 @@
   p.wake();
   const reason = await Promise.race([untilFree(), untilLate()]);
   const tookMs = p.clock.now() - began;
-  p.log.info({ step: 'leave', peer: p.self.at, reason, tookMs }, `leaves as ${reason}`);
+  p.log.notice({ step: 'leave', peer: p.self.at, reason, tookMs }, `leaves as ${reason}`);
   return reason;
 
   async function untilLate(): Promise<LeaveReason> {
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -23,7 +23,7 @@
   within: number;
   voters(): Voters | undefined;
   ask(v: Voter, type: string, body: unknown, within: number): Promise<Outcome<unknown>>;
-  learned(n: Numbered): void;
+  learned(n: Numbered, before?: Numbered): void;
   learnHere(n: Numbered): Promise<unknown>;
 }
 
@@ -152,7 +152,8 @@
   async learn(m: LearnAsk): Handled {
     const c = m.change;
     const cell = this.slots.cells.get(c.key);
-    const fresh = !cell?.learned || comparePlaces(c, cell.learned) > 0;
+    const before = cell?.learned;
+    const fresh = !before || comparePlaces(c, before) > 0;
     const same = cell?.accepted && comparePlaces(cell.accepted, c) === 0;
     const [f] = open(
       await (fresh
@@ -160,7 +161,7 @@
         : this.slots.settled()),
     );
     if (f) return Left(f);
-    if (fresh) this.reach.learned(c);
+    if (fresh) this.reach.learned(c, before);
     this.ports.log.info({ step: 'learn', peer: c.by }, `${c.key} ${c.epoch}.${c.number}`);
     return Right({ disk: this.slots.disk });
   }
