--- a/src/programs/plumhollow.ts
+++ b/src/programs/plumhollow.ts
@@ -9,6 +9,7 @@
 import { realWire } from '../shared/realwire';
 import { Intents } from '../shared/words';
 import { VERSION } from './common';
+import { addHistoryCommands } from './history-command';
 
 const FINE = 0;
 const FINDINGS = 1;
@@ -334,4 +335,5 @@
   .description('found a blank fleet while a minority of the founders is not there')
   .requiredOption('--without <addresses...>', 'the founders that are not there (ip:port)')
   .action(found);
+addHistoryCommands(program, { say, fail });
 void program.parseAsync();
