Simulated network: one-way delivery on established connections, and resets

Cause: a link that was cut one way carried nothing either way, so no controller heard a peer that did not hear it; connections could not be reset without a death. The first is an option, so that earlier schedules play as before.

--- a/tools/sim/simwire.ts
+++ b/tools/sim/simwire.ts
@@ -11,6 +11,7 @@
   Connection,
   Wire,
 } from '../../src/shared/ports';
+import { GIVE_UP, makePipes, NetWays, Pipe } from './simpipe';
 import { Proc, World } from './simworld';
 import { Traffic } from './traffic';
 
@@ -21,13 +22,6 @@
   takeConnection?: (s: Connection) => void;
 }
 
-interface Pipe {
-  send(run: () => void): void;
-  broken(): boolean;
-  breakOff(): void;
-}
-
-const GIVE_UP = 8000;
 const LATE = 1000;
 
 /** The simulated network over a world. */
@@ -35,72 +29,23 @@
   sent: { at: string; body: string; givenUpAt?: number }[];
   traffic?: Traffic;
   ports(p: Proc): Ports;
+  /** Resets all connections of a process, at both ends. */
+  resetConnections(p: Proc): void;
 }
 
 /** Makes the network: orderly connections that lose nothing until they break, as TCP's do. */
-export function makeNet(w: World): SimNet {
+export function makeNet(w: World, ways: NetWays = {}): SimNet {
   const listeners = new Map<string, Listener>();
   const pipes = new Set<{ a: Proc; b: Proc; end: (who: Proc) => void }>();
   const warm = new Set<string>();
   const sent: SimNet['sent'] = [];
-  const net: SimNet = { ports, sent };
+  const net: SimNet = { ports, sent, resetConnections };
+  const { isBlocked, makePipe } = makePipes(w, ways);
 
   function ipOf(at: string): string {
     return at.slice(0, at.lastIndexOf(':'));
   }
 
-  function makePipe(from: Proc, to: Proc, onBreak: () => void): Pipe {
-    const queue: (() => void)[] = [];
-    const life = to.life;
-    let busy = false;
-    let since: number | undefined;
-    let over = false;
-    function breakOff(): void {
-      if (over) return;
-      over = true;
-      queue.length = 0;
-    }
-    function pump(): void {
-      if (over || queue.length === 0) {
-        busy = false;
-        return;
-      }
-      if (w.isCut(from.ip, to.ip) || w.isCut(to.ip, from.ip) || !to.powered) {
-        since = since ?? w.now();
-        if (w.now() - since > GIVE_UP) {
-          breakOff();
-          onBreak();
-          return;
-        }
-        w.after(40, pump);
-        return;
-      }
-      since = undefined;
-      if (!to.alive || to.life !== life) {
-        breakOff();
-        onBreak();
-        return;
-      }
-      const run = queue.shift()!;
-      function go(): void {
-        if (to.alive && to.life === life) run();
-      }
-      w.onProc(to, go);
-      w.after(0, pump);
-    }
-    function send(run: () => void): void {
-      if (over) return;
-      queue.push(run);
-      if (busy) return;
-      busy = true;
-      w.after(w.latency(from.ip, to.ip), pump);
-    }
-    function broken(): boolean {
-      return over;
-    }
-    return { send, broken, breakOff };
-  }
-
   function makePair(a: Proc, b: Proc): [Connection, Connection] {
     const ends = new Map<Proc, () => void>();
     const rec = { a, b, end };
@@ -178,6 +123,14 @@
     }
   }
 
+  function resetConnections(p: Proc): void {
+    for (const r of [...pipes]) {
+      if (r.a !== p && r.b !== p) continue;
+      r.end(r.a);
+      r.end(r.b);
+    }
+  }
+
   function reachable(from: Proc, to: Proc | undefined): boolean {
     return to !== undefined && to.powered && !w.isCut(from.ip, to.ip) && !w.isCut(to.ip, from.ip);
   }
@@ -313,8 +266,9 @@
         }
         function arrive(): void {
           if (!mine()) return;
-          if (!reachable(p, to)) {
-            if (warm.has(`${p.ip} ${q.at}`)) {
+          const isWarm = warm.has(`${p.ip} ${q.at}`);
+          if (isWarm && to ? isBlocked(p, to) : !reachable(p, to)) {
+            if (isWarm) {
               if (w.now() - asked < LATE) w.after(100, arrive);
               return;
             }
