History checker: tells orders that took effect and were refused when sent again

Cause: of such an order the shrunk part told two calls around its effect, not the order itself, for an order that was refused counts as without effect. A violation is judged again with the orders excused that had a call without an answer; those that are needed to explain it are told with all of their calls. Only the account of a violation changes, never the verdict. Conclusion: the finding names its order.

--- a/src/shared/history/orders.ts
+++ b/src/shared/history/orders.ts
@@ -18,6 +18,10 @@
   return call.answer === 'ok';
 }
 
+function isChange(call: HistoryCall): boolean {
+  return call.kind !== 'read';
+}
+
 function isRefused(call: HistoryCall): boolean {
   return call.answer === 'refused';
 }
@@ -73,15 +77,24 @@
   return orders;
 }
 
-/** Folds the calls of one register. A change that was refused has no effect, whatever else was heard of it. */
-export function foldCalls(calls: HistoryCall[]): Folded {
+/** The orders that were refused, but sent without an answer as well: they may have taken effect before they were refused. */
+export function doubtfulOrders(calls: HistoryCall[]): string[] {
+  function isUnknown(call: HistoryCall): boolean {
+    return call.answer === 'unknown';
+  }
+  const doubtful: string[] = [];
+  for (const [order, group] of groupByOrder(calls.filter(isChange)))
+    if (group.some(isUnknown) && group.some(isRefused) && !group.some(isAcknowledged))
+      doubtful.push(order);
+  return doubtful;
+}
+
+/** Folds the calls of one register. A change that was refused has no effect, whatever else was heard of it, unless it is excused. */
+export function foldCalls(calls: HistoryCall[], excused: ReadonlySet<string> = new Set()): Folded {
   const folded: Folded = { operations: [], contradictions: [] };
   function isRead(call: HistoryCall): boolean {
     return call.kind === 'read';
   }
-  function isChange(call: HistoryCall): boolean {
-    return call.kind !== 'read';
-  }
   for (const call of calls.filter(isRead).filter(isAcknowledged))
     folded.operations.push(operationOf(call, 'read'));
   for (const [order, group] of groupByOrder(calls.filter(isChange))) {
@@ -91,7 +104,8 @@
       const lines = [...acknowledged.slice(0, 1), ...refused.slice(0, 1)].map(lineOf);
       folded.contradictions.push({ order, lines });
       folded.operations.push(effectOf(group));
-    } else if (refused.length > 0) folded.operations.push(...rejectionsOf(group));
+    } else if (refused.length > 0 && !excused.has(order))
+      folded.operations.push(...rejectionsOf(group));
     else folded.operations.push(effectOf(group));
   }
   return folded;
--- a/src/shared/history/verdict.ts
+++ b/src/shared/history/verdict.ts
@@ -2,13 +2,13 @@
 import { HistoryCall } from './calls';
 import { linearize } from './linearize';
 import { EMPTY_REGISTER, Operation } from './model';
-import { foldCalls } from './orders';
+import { doubtfulOrders, foldCalls } from './orders';
 import { shrinkViolation } from './shrink';
 
 /** What was found at one register. */
 export interface Finding {
   key: string;
-  sort: 'not linearizable' | 'acknowledged and refused' | 'undecided';
+  sort: 'not linearizable' | 'acknowledged and refused' | 'in effect and refused' | 'undecided';
   /** The lines of the calls that can't all be so. */
   lines: number[];
   /** The lines of open calls beside them, which can't explain them either. */
@@ -47,6 +47,31 @@
   };
 }
 
+function isLinearizable(calls: HistoryCall[], excused: ReadonlySet<string>): boolean {
+  return linearize(foldCalls(calls, excused).operations, EMPTY_REGISTER) === 'linearizable';
+}
+
+/** The orders that explain a violation: they took effect from a call without an answer, and were refused when they were sent again. None where that does not explain it. */
+function refusedInEffect(calls: HistoryCall[]): string[] {
+  const excused = new Set(doubtfulOrders(calls));
+  if (!isLinearizable(calls, excused)) return [];
+  for (const order of [...excused]) {
+    excused.delete(order);
+    if (!isLinearizable(calls, excused)) excused.add(order);
+  }
+  return [...excused];
+}
+
+function explain(key: string, calls: HistoryCall[], operations: Operation[]): Finding[] {
+  const findings: Finding[] = [];
+  for (const order of refusedInEffect(calls)) {
+    const lines: number[] = [];
+    for (const call of calls) if (call.order === order) lines.push(call.line);
+    findings.push({ key, sort: 'in effect and refused', lines, openLines: [] });
+  }
+  return findings.length > 0 ? findings : [findingOf(key, shrinkViolation(operations))];
+}
+
 function checkKey(key: string, calls: HistoryCall[]): Finding[] {
   const { operations, contradictions } = foldCalls(calls);
   const findings: Finding[] = [];
@@ -54,7 +79,7 @@
     findings.push({ key, sort: 'acknowledged and refused', lines, openLines: [] });
   const result = linearize(operations, EMPTY_REGISTER);
   if (result === 'undecided') findings.push({ key, sort: result, lines: [], openLines: [] });
-  if (result === 'violation') findings.push(findingOf(key, shrinkViolation(operations)));
+  if (result === 'violation') findings.push(...explain(key, calls, operations));
   return findings;
 }
 
--- a/test/history.test.ts
+++ b/test/history.test.ts
@@ -79,6 +79,17 @@
     ],
     told: [3, 5],
   },
+  'an order took effect without an answer and is refused when it is sent again': {
+    lines: [
+      change(0, 1, 0, 10),
+      change(1, 2, 20, 30, { ...UNKNOWN, order: 'a' }),
+      read(2, 32, 38),
+      change(2, 3, 40, 50),
+      change(1, 2, 60, 70, { ...REFUSED, order: 'a' }),
+      read(3, 80, 90),
+    ],
+    told: [2, 5],
+  },
   'an order that was taken is refused when it is sent again': {
     lines: [change(0, 1, 0, 10, { order: 'a' }), change(0, 1, 20, 30, { ...REFUSED, order: 'a' })],
     told: [1, 2],
