--- /dev/null
+++ b/test/worst-days.test.ts
@@ -0,0 +1,82 @@
+import { Right } from 'purify-ts';
+import { Controller } from '../src/control/controller';
+import { checkHistory } from '../src/shared/history/verdict';
+import { parseHistory, HistoryCall } from '../src/shared/history/calls';
+import { playWorstDay, scheduleOf, WorstDay, WorstWays } from '../tools/sim/worst/day';
+import { WORST_FAULTS, WorstFaultKind } from '../tools/sim/worst/faults';
+
+const FEWEST_ACKNOWLEDGED = 100;
+
+async function keepsRules(seed: number, ways: WorstWays = {}): Promise<WorstDay> {
+  const day = await playWorstDay(seed, ways);
+  expect({ seed, violations: day.violations }).toEqual({ seed, violations: [] });
+  expect(day.acknowledged).toBeGreaterThan(FEWEST_ACKNOWLEDGED);
+  return day;
+}
+
+async function randomDays(from: number): Promise<void> {
+  for (let seed = from; seed < from + 3; seed++) await keepsRules(seed);
+}
+
+function firstDays(): Promise<void> {
+  return randomDays(1);
+}
+
+function laterDays(): Promise<void> {
+  return randomDays(4);
+}
+
+async function sameAgain(): Promise<void> {
+  const [first, second] = [await playWorstDay(8), await playWorstDay(8)];
+  expect(second.history).toBe(first.history);
+  expect(second.faults).toEqual(first.faults);
+  const parsed = parseHistory(first.history);
+  expect(checkHistory(parsed.extract() as HistoryCall[]).calls).toBe(first.calls);
+}
+
+function drawsAll(): void {
+  const drawn = new Set<WorstFaultKind>();
+  for (let seed = 1; seed <= 40; seed++)
+    for (const fault of scheduleOf(seed)) drawn.add(fault.kind);
+  expect([...drawn].sort()).toEqual([...WORST_FAULTS].sort());
+}
+
+/** Reads give what this controller has heard of, without asking the others. */
+function readsOwnMemory(controller: Controller): void {
+  async function newest(key: string): ReturnType<Controller['newest']> {
+    return Right(controller.value(key)?.place);
+  }
+  controller.newest = newest;
+}
+
+/** Acknowledges a change before it is made. */
+function acknowledgesAtOnce(controller: Controller): void {
+  const { change } = controller;
+  async function changeLater(operation: Parameters<typeof change>[0]): ReturnType<typeof change> {
+    void change(operation);
+    return Right({ place: { epoch: 0, by: '', number: 0 }, inEffect: false, value: undefined });
+  }
+  controller.change = changeLater;
+}
+
+async function spoiltCore(spoil: (controller: Controller) => void): Promise<number> {
+  let caught = 0;
+  for (let seed = 1; seed <= 2; seed++)
+    if ((await playWorstDay(seed, { spoil })).violations.length > 0) caught++;
+  return caught;
+}
+
+async function catchesStaleReads(): Promise<void> {
+  expect(await spoiltCore(readsOwnMemory)).toBe(2);
+}
+
+async function catchesEarlyAnswers(): Promise<void> {
+  expect(await spoiltCore(acknowledgesAtOnce)).toBe(2);
+}
+
+test('worst days keep the rules', firstDays);
+test('more worst days keep the rules', laterDays);
+test('a day is the same again by its seed, and its history can be read', sameAgain);
+test('schedules draw every fault', drawsAll);
+test('reads from memory alone are caught', catchesStaleReads);
+test('answers before the change is made are caught', catchesEarlyAnswers);
--- a/tools/sim/sim.ts
+++ b/tools/sim/sim.ts
@@ -6,6 +6,7 @@
 import { RunResult, runSeed, RunWays } from './simrun';
 import { makeTraffic } from './traffic';
 import { MECHANISMS } from './without';
+import { runWorstDays } from './worst/main';
 
 /** A run in short, as a worker tells it. */
 interface Short {
@@ -155,6 +156,20 @@
   return text === undefined ? undefined : Number(text);
 }
 
+async function worst(o: {
+  seeds: string;
+  from: string;
+  seed?: string;
+  trace?: boolean;
+}): Promise<void> {
+  const failed = await runWorstDays({
+    from: Number(o.seed ?? o.from),
+    seeds: o.seed === undefined ? Number(o.seeds) : 1,
+    verbose: o.trace === true,
+  });
+  process.exit(failed > 0 ? 1 : 0);
+}
+
 async function main(): Promise<void> {
   const cmd = new Command('sim')
     .option('--seeds <n>', 'how many seeds', '20')
@@ -169,6 +184,7 @@
     .option('--long <n>', 'long requests a second')
     .option('--jobs <n>', 'processes at once; one less than the processors where left out')
     .option('--traffic', 'with --seed: messages and kB between our processes for 1,000 requests')
+    .option('--worst', "worst days of the core: storms of operators' changes under faults")
     .option('--trace', 'with --seed: print the trace')
     .parse();
   const o = cmd.opts() as {
@@ -178,6 +194,7 @@
     faults: string;
     deployment: string;
     trace?: boolean;
+    worst?: boolean;
     without?: string;
     brief?: boolean;
     traffic?: boolean;
@@ -186,6 +203,7 @@
     long?: string;
     jobs?: string;
   };
+  if (o.worst) return worst(o);
   if (
     !DEPLOYMENTS.includes(o.deployment) ||
     (o.without !== undefined && !(o.without in MECHANISMS))
