--- a/test/worst-days.test.ts
+++ b/test/worst-days.test.ts
@@ -1,11 +1,13 @@
 import { Right } from 'purify-ts';
 import { Controller } from '../src/control/controller';
+import { applyLine, Line } from '../src/control/slots';
 import { checkHistory } from '../src/shared/history/verdict';
 import { parseHistory, HistoryCall } from '../src/shared/history/calls';
 import { playWorstDay, scheduleOf, WorstDay, WorstWays } from '../tools/sim/worst/day';
-import { WORST_FAULTS, WorstFaultKind } from '../tools/sim/worst/faults';
+import { WORST_FAULTS, WorstFault, WorstFaultKind } from '../tools/sim/worst/faults';
 
 const FEWEST_ACKNOWLEDGED = 100;
+const UNWRITTEN_LINES = 10;
 
 async function keepsRules(seed: number, ways: WorstWays = {}): Promise<WorstDay> {
   const day = await playWorstDay(seed, ways);
@@ -59,10 +61,31 @@
   controller.change = changeLater;
 }
 
-async function spoiltCore(spoil: (controller: Controller) => void): Promise<number> {
+/** Tells that a disk holds what is written only with the lines that follow. */
+function writesLate(controller: Controller): void {
+  const { slots } = controller;
+  const { put } = slots;
+  const unwritten: Line[] = [];
+  async function putLater(line: Line): ReturnType<typeof put> {
+    applyLine(slots.cells, line);
+    unwritten.push(line);
+    if (unwritten.length > UNWRITTEN_LINES) void put(unwritten.shift()!);
+    return Right(undefined);
+  }
+  slots.put = putLater;
+}
+
+function powerLoss(at: number): WorstFault {
+  return { at, kind: 'power-all', target: 0, trigger: 'acknowledged', delay: 1, ms: 2000 };
+}
+
+async function spoiltCore(
+  spoil: (controller: Controller) => void,
+  schedule?: WorstFault[],
+): Promise<number> {
   let caught = 0;
   for (let seed = 1; seed <= 2; seed++)
-    if ((await playWorstDay(seed, { spoil })).violations.length > 0) caught++;
+    if ((await playWorstDay(seed, { spoil, schedule })).violations.length > 0) caught++;
   return caught;
 }
 
@@ -74,9 +97,15 @@
   expect(await spoiltCore(acknowledgesAtOnce)).toBe(2);
 }
 
+async function catchesLateWrites(): Promise<void> {
+  const schedule = [8000, 15000, 22000].map(powerLoss);
+  expect(await spoiltCore(writesLate, schedule)).toBe(2);
+}
+
 test('worst days keep the rules', firstDays);
 test('more worst days keep the rules', laterDays);
 test('a day is the same again by its seed, and its history can be read', sameAgain);
 test('schedules draw every fault', drawsAll);
 test('reads from memory alone are caught', catchesStaleReads);
 test('answers before the change is made are caught', catchesEarlyAnswers);
+test('answers before the disk has written are caught', catchesLateWrites);
--- a/tools/sim/sim.ts
+++ b/tools/sim/sim.ts
@@ -161,7 +161,9 @@
   from: string;
   seed?: string;
   trace?: boolean;
+  without?: string;
 }): Promise<void> {
+  if (o.without) MECHANISMS[o.without]();
   const failed = await runWorstDays({
     from: Number(o.seed ?? o.from),
     seeds: o.seed === undefined ? Number(o.seeds) : 1,
@@ -203,7 +205,6 @@
     long?: string;
     jobs?: string;
   };
-  if (o.worst) return worst(o);
   if (
     !DEPLOYMENTS.includes(o.deployment) ||
     (o.without !== undefined && !(o.without in MECHANISMS))
@@ -211,6 +212,7 @@
     process.stderr.write(`sim: there is no ${o.without ?? o.deployment}\n`);
     return process.exit(2);
   }
+  if (o.worst) return worst(o);
   const ways: RunWays = {
     deployment: o.deployment,
     faults: Number(o.faults),
