--- a/tools/sim/sim.ts
+++ b/tools/sim/sim.ts
@@ -162,12 +162,14 @@
   seed?: string;
   trace?: boolean;
   without?: string;
+  faults?: string;
 }): Promise<void> {
   if (o.without) MECHANISMS[o.without]();
   const failed = await runWorstDays({
     from: Number(o.seed ?? o.from),
     seeds: o.seed === undefined ? Number(o.seeds) : 1,
     verbose: o.trace === true,
+    faultCount: rate(o.faults),
   });
   process.exit(failed > 0 ? 1 : 0);
 }
@@ -212,7 +214,10 @@
     process.stderr.write(`sim: there is no ${o.without ?? o.deployment}\n`);
     return process.exit(2);
   }
-  if (o.worst) return worst(o);
+  if (o.worst)
+    return worst(
+      cmd.getOptionValueSource('faults') === 'default' ? { ...o, faults: undefined } : o,
+    );
   const ways: RunWays = {
     deployment: o.deployment,
     faults: Number(o.faults),
--- a/tools/sim/worst/day.ts
+++ b/tools/sim/worst/day.ts
@@ -14,6 +14,8 @@
 export interface WorstWays extends CoreWays {
   /** The faults; drawn by the seed where left out. */
   schedule?: WorstFault[];
+  /** How many faults are drawn; by the seed where left out. */
+  faultCount?: number;
 }
 
 /** What became of a day. */
@@ -186,9 +188,10 @@
 }
 
 /** The faults that a seed draws. */
-export function scheduleOf(seed: number): WorstFault[] {
+export function scheduleOf(seed: number, faultCount?: number): WorstFault[] {
   const dice = seededDice(seed * 7919 + 1);
-  const count = FEWEST_FAULTS + Math.floor(dice.next() * (MOST_FAULTS - FEWEST_FAULTS));
+  const drawn = FEWEST_FAULTS + Math.floor(dice.next() * (MOST_FAULTS - FEWEST_FAULTS));
+  const count = faultCount ?? drawn;
   return drawWorstFaults(dice, { from: 3000, to: DAY_MS - 4000 }, count);
 }
 
@@ -197,7 +200,7 @@
   const size = seededDice(seed * 104729).next() < LARGE_SHARE ? 5 : 3;
   const core = makeWorstCore(seed, size, ways);
   const recorder = makeHistoryRecorder();
-  const schedule = ways.schedule ?? scheduleOf(seed);
+  const schedule = ways.schedule ?? scheduleOf(seed, ways.faultCount);
   let injector: Injector | undefined;
   function sent(): void {
     injector?.sent();
--- a/tools/sim/worst/main.ts
+++ b/tools/sim/worst/main.ts
@@ -7,6 +7,8 @@
   seeds: number;
   /** Prints the trace and the history, and the shortest known schedule of a violation. */
   verbose: boolean;
+  /** How many faults are drawn for each day; by the seed where left out. */
+  faultCount?: number;
 }
 
 const TOLD_VIOLATIONS = 3;
@@ -32,7 +34,10 @@
   const faults: Record<string, number> = {};
   let longestCalmMs = 0;
   for (let seed = run.from; seed < run.from + run.seeds; seed++) {
-    const day = await playWorstDay(seed, { keepLines: run.verbose });
+    const day = await playWorstDay(seed, {
+      keepLines: run.verbose,
+      faultCount: run.faultCount,
+    });
     sums.calls += day.calls;
     sums.acknowledged += day.acknowledged;
     sums.refused += day.refused;
