--- a/src/control/changes.ts
+++ b/src/control/changes.ts
@@ -4,18 +4,21 @@
 import { rendezvous } from '../shared/lib';
 import { Exchange, noConnection } from '../shared/connections';
 import { Clock, Dice } from '../shared/ports';
-import { Bounds, Settings } from '../shared/settings';
-import { Intents, IntentsValue, Numbered, Place, Voters } from '../shared/words';
+import { Bounds } from '../shared/bounds';
+import { Settings } from '../shared/settings';
+import { Intents, IntentsValue, KEYS, Numbered, Place, Voters } from '../shared/words';
 import { DocumentReader } from './deployment';
 import { checkIntents } from './intents';
 import { keyOf, makeValue, Operation } from './operations';
 import { Owner } from './register';
+import { DutyValue } from './term';
 
 /** What became of a change. */
 export interface Changed {
   place: Place;
   inEffect: boolean;
-  value: unknown;
+  /** The duty as it stands, where the change was of one; other values may be large, and nobody reads them here. */
+  duty?: DutyValue;
 }
 
 interface Parts {
@@ -52,8 +55,9 @@
   'disk',
 ]);
 
-/** Whether a fault tells of the one that was asked rather than of what it was asked for, so that another may do it. */
+/** Whether a fault tells of the one that was asked rather than of what it was asked for, so that another may do it. What a majority no longer remembers, no other remembers either. */
 export function isOfPeer(f: Fault): boolean {
+  if (f.code === 'forgotten') return false;
   return f.sort === 'unknown' || PEER_CODES.has(f.code ?? '');
 }
 
@@ -93,7 +97,7 @@
     return {
       place: { epoch: n.epoch, by: n.by, number: n.number },
       inEffect: false,
-      value: n.value,
+      ...(n.key.startsWith(KEYS.duty) ? { duty: n.value as DutyValue } : {}),
     };
   }
 
--- a/src/control/deployment-api.ts
+++ b/src/control/deployment-api.ts
@@ -3,14 +3,22 @@
 import { Fault, open, Outcome } from '../shared/errors';
 import { Call, Listening, Ports } from '../shared/ports';
 import { DeploymentValue } from '../shared/deployment';
+import { withTimeout } from '../shared/timeout';
 import { KEYS } from '../shared/words';
 import { OperatorApi } from './api';
 import { Changed } from './changes';
 import { Controller } from './controller';
+import { makeOrder } from './deployment';
 import { Operation } from './operations';
 
-/** How long a call is worked on before its caller goes on to another controller, as a share of `ackMs`. */
-const ANSWER = 0.2;
+/** How long a call is worked on before its caller is sent on to another controller, as a share of `ackMs`. */
+const ANSWER_SHARE = 0.18;
+
+/** Operators go on to another controller after a second of silence; an answer that is not clear comes before that. */
+const ANSWER_WITHIN_MS = 900;
+
+/** Faults that the same order would meet again. */
+const FINAL_CODES = new Set(['stands', 'conflict', 'bad-deployment', 'forgotten']);
 
 /** Serves operators who speak by a dialect, and our own interface beside. */
 export function serveDeployment(
@@ -28,9 +36,23 @@
     return own(call);
   }
 
-  /** Brings a change about; one whose fate is open is tried again, since one that was taken is known again. */
-  async function change(op: Operation): Promise<Outcome<Changed>> {
-    const until = ports.clock.now() + c.settings.ackMs * ANSWER;
+  /** How long a call is worked on here. */
+  function answerWithin(): number {
+    return Math.min(c.settings.ackMs * ANSWER_SHARE, ANSWER_WITHIN_MS);
+  }
+
+  /** Has a result while its caller still listens, or a fault of unknown fate. */
+  function inTime<T>(step: string, result: Promise<Outcome<T>>): Promise<Outcome<T>> {
+    return withTimeout(ports.clock, answerWithin(), step, c.name, result);
+  }
+
+  function change(op: Operation): Promise<Outcome<Changed>> {
+    return inTime('change', tryChange(op));
+  }
+
+  /** Tries a change; one whose fate is open is tried again, since one that was taken is known again. */
+  async function tryChange(op: Operation): Promise<Outcome<Changed>> {
+    const until = ports.clock.now() + answerWithin();
     for (;;) {
       const o = await c.change(op);
       const [f] = open(o);
@@ -66,13 +88,8 @@
         'no-base',
         'the version that this builds on is missing',
       );
-    const [f] = open(
-      await change({
-        kind: 'deployment',
-        base,
-        ...(call.path === paths.update ? { change: body } : { doc: body }),
-      }),
-    );
+    const kind = call.path === paths.update ? 'update' : 'replace';
+    const [f] = open(await change(makeOrder(base, kind, body)));
     if (f && f.code !== 'stands') return refuse(call, f);
     giveJson(call, 200, { taken: true });
   }
@@ -94,7 +111,7 @@
   }
 
   async function describe(call: Call): Promise<void> {
-    const [f, n] = open(await c.newest(KEYS.deployment));
+    const [f, n] = open(await inTime('describe', c.newest(KEYS.deployment)));
     if (f) return refuse(call, f);
     if (!n) return giveFault(call, 404, 'refused', 'none', 'there is no deployment yet');
     giveJson(call, 200, (n.value as DeploymentValue).doc);
@@ -103,6 +120,7 @@
   return ports.wire.serve(c.settings.http, take);
 }
 
+/** Whether trying again here can tell no more. */
 function isClear(f: Fault): boolean {
-  return f.code === 'stands' || f.code === 'conflict' || f.code === 'bad-deployment';
+  return FINAL_CODES.has(f.code ?? '');
 }
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -1,6 +1,6 @@
 import { isDeepStrictEqual } from 'node:util';
 import { Left, Right } from 'purify-ts';
-import { Delta, makeDelta, readDelta } from '../shared/delta';
+import { Delta, makeDelta, readDelta, sharing } from '../shared/delta';
 import { field, Handled, message } from '../shared/edge';
 import { bad, Fault, open, Outcome } from '../shared/errors';
 import { Ports } from '../shared/ports';
@@ -23,7 +23,7 @@
   within: number;
   voters(): Voters | undefined;
   ask(v: Voter, type: string, body: unknown, within: number): Promise<Outcome<unknown>>;
-  learned(n: Numbered, before?: Numbered): void;
+  learned(n: Numbered): void;
   learnHere(n: Numbered): Promise<unknown>;
 }
 
@@ -60,13 +60,25 @@
 }
 
 /** What a disk knows to be accepted: what it accepted itself, or what it learned, which a majority has accepted. */
-function newestOf(
+export function newestOf(
   c: { accepted?: Numbered; learned?: Numbered } | undefined,
 ): Numbered | undefined {
   if (!c?.accepted || !c.learned) return c?.accepted ?? c?.learned;
   return comparePlaces(c.learned, c.accepted) > 0 ? c.learned : c.accepted;
 }
 
+/** The voters that are committed here, where they are later than those that another goes by. */
+export function laterVoters(slots: Slots, sent: Place | undefined): Numbered | undefined {
+  const mine = slots.cells.get(KEYS.voters)?.learned;
+  if (!mine) return undefined;
+  return !sent || comparePlaces(mine, sent) > 0 ? mine : undefined;
+}
+
+/** The place of a change without its value. */
+export function placeOnly(n: Numbered | undefined): Place | undefined {
+  return n && { epoch: n.epoch, by: n.by, number: n.number };
+}
+
 /** The part of a register that each voter's disk plays. */
 export class Acceptor {
   constructor(
@@ -75,12 +87,6 @@
     private readonly ports: Ports,
   ) {}
 
-  private laterVoters(sent: Place | undefined): Numbered | undefined {
-    const mine = this.slots.cells.get(KEYS.voters)?.learned;
-    if (!mine) return undefined;
-    return !sent || comparePlaces(mine, sent) > 0 ? mine : undefined;
-  }
-
   private votes(): boolean {
     return isVoter(this.reach.voters(), this.slots.disk);
   }
@@ -88,7 +94,7 @@
   /** Promises to take nothing of a lower epoch; an epoch that was promised already is not promised again. */
   @message('prepare', PrepareAsk)
   async prepare(m: PrepareAsk): Handled {
-    const later = this.laterVoters(m.voters);
+    const later = laterVoters(this.slots, m.voters);
     const seen = this.slots.cells.get(m.key)?.promised ?? { epoch: 0, by: '' };
     if (later) return Right({ ok: false, seen, voters: later } as Promised);
     if (!this.votes()) return bad('prepare', this.slots.disk, 'not a voter', 'refused', 'no-voter');
@@ -103,7 +109,11 @@
   /** Takes a change unless a higher epoch was promised. */
   @message('accept', AcceptAsk)
   async accept(m: AcceptAsk): Handled {
-    const later = this.laterVoters(m.voters);
+    return this.take(m);
+  }
+
+  private async take(m: AcceptAsk, delta?: Delta): Handled {
+    const later = laterVoters(this.slots, m.voters);
     const c = m.change;
     const cell = this.slots.cells.get(c.key);
     const seen = cell?.promised ?? { epoch: 0, by: '' };
@@ -113,7 +123,8 @@
     if (cell?.accepted && comparePlaces(c, cell.accepted) < 0)
       return Right({ ok: false, seen } as Promised);
     const promised = { epoch: c.epoch, by: c.by };
-    const [f] = open(await this.slots.put({ key: c.key, promised, accepted: c }));
+    const accepted = { ...c, value: sharing(cell?.learned?.value, c.value) };
+    const [f] = open(await this.slots.put({ key: c.key, promised, accepted }, delta));
     if (f) return Left(f);
     return Right({ ok: true, seen: promised } as Promised);
   }
@@ -123,7 +134,7 @@
   async acceptDelta(m: AcceptDeltaAsk): Handled {
     const change = readDelta(this.slots.cells.get(m.delta.key)?.learned, m.delta);
     return change
-      ? this.accept({ change, voters: m.voters })
+      ? this.take({ change, voters: m.voters }, m.delta)
       : bad('accept', this.slots.disk, 'not the base here', 'refused', 'whole');
   }
 
@@ -141,7 +152,6 @@
   async learn(m: LearnAsk): Handled {
     const c = m.change;
     const cell = this.slots.cells.get(c.key);
-    const before = cell?.learned;
     const fresh = !cell?.learned || comparePlaces(c, cell.learned) > 0;
     const same = cell?.accepted && comparePlaces(cell.accepted, c) === 0;
     const [f] = open(
@@ -150,7 +160,7 @@
         : this.slots.settled()),
     );
     if (f) return Left(f);
-    if (fresh) this.reach.learned(c, before);
+    if (fresh) this.reach.learned(c);
     this.ports.log.info({ step: 'learn', peer: c.by }, `${c.key} ${c.epoch}.${c.number}`);
     return Right({ disk: this.slots.disk });
   }
@@ -161,6 +171,10 @@
   current?: Numbered;
 }
 
+function currentOf(o: Owned): Numbered | undefined {
+  return o.current;
+}
+
 /** The owner's side: one turn at a time for each key. */
 export interface Owner {
   /** Makes a change; where another owner came between, it is made anew up to `tries` times if it certainly did not stand. */
@@ -170,6 +184,8 @@
     tries?: number,
   ): Promise<Outcome<Numbered>>;
   own(key: string): Promise<Outcome<Numbered | undefined>>;
+  /** Takes a key anew; whatever is under way for it before counts for nothing. */
+  ownAnew(key: string): Promise<Outcome<Numbered | undefined>>;
   owns(key: string): boolean;
   owned(): string[];
   disown(key: string): void;
@@ -194,10 +210,6 @@
     return slots.cells.get(KEYS.voters)?.learned;
   }
 
-  function placeOnly(n: Numbered | undefined): Place | undefined {
-    return n && { epoch: n.epoch, by: n.by, number: n.number };
-  }
-
   function isOk(p: Promised): boolean {
     return p.ok;
   }
@@ -294,7 +306,13 @@
       owned.delete(key);
       return Left({ ...g, step: `learn ${key}`, sort: 'unknown' });
     }
-    return Right(change);
+    return Right(learnedHere(change) ?? change);
+  }
+
+  /** A change as it is kept here, where it shares with earlier versions what did not change. */
+  function learnedHere(change: Numbered): Numbered | undefined {
+    const learned = slots.cells.get(change.key)?.learned;
+    return learned && comparePlaces(learned, change) === 0 ? learned : undefined;
   }
 
   async function ensure(key: string): Promise<Outcome<Owned>> {
@@ -311,12 +329,11 @@
     tries = 1,
   ): Promise<Outcome<Numbered>> {
     async function once(left: number): Promise<Outcome<Numbered>> {
-      const stood = owned.has(key);
+      const held = owned.has(key);
       const [f, o] = open(await ensure(key));
       if (f) return Left({ ...f, sort: 'refused' });
       const [g, value] = open(make(o.current));
-      if (g?.code === 'conflict' && stood) return onceAnew(left);
-      if (g) return Left(g);
+      if (g) return held ? onceAnew(left) : Left(g);
       const number = (o.current?.number ?? 0) + 1;
       const [h, c] = open(await commit(key, o, number, value));
       if (!h) {
@@ -331,7 +348,7 @@
         return Right(stands);
       return (stands?.number ?? 0) < number ? once(left - 1) : Left(h);
     }
-    /** What conflicts with the value that an owner holds may fit the one that stands: another may own the key by now, which no refusal would show. */
+    /** A verdict that makes no change counts only by what a majority holds now: another may own the key by now, which nothing would show here. So it is given on a value that was acquired for it. */
     function onceAnew(left: number): Promise<Outcome<Numbered>> {
       owned.delete(key);
       return once(left);
@@ -344,10 +361,15 @@
 
   function own(key: string): Promise<Outcome<Numbered | undefined>> {
     async function run(): Promise<Outcome<Numbered | undefined>> {
-      function current(o: Owned): Numbered | undefined {
-        return o.current;
-      }
-      return (await ensure(key)).map(current);
+      return (await ensure(key)).map(currentOf);
+    }
+    return inTurn(key, run);
+  }
+
+  function ownAnew(key: string): Promise<Outcome<Numbered | undefined>> {
+    async function run(): Promise<Outcome<Numbered | undefined>> {
+      owned.delete(key);
+      return (await ensure(key)).map(currentOf);
     }
     return inTurn(key, run);
   }
@@ -369,5 +391,5 @@
     if ((owned.get(key)?.epoch ?? Infinity) <= epoch) owned.delete(key);
   }
 
-  return { change, own, owns, owned: ownedKeys, disown, passed };
+  return { change, own, ownAnew, owns, owned: ownedKeys, disown, passed };
 }
--- a/tools/sim/simwire.ts
+++ b/tools/sim/simwire.ts
@@ -1,6 +1,5 @@
 import { Left, Right } from 'purify-ts';
 import { makeFault, Outcome } from '../../src/shared/errors';
-import { makeFeed } from '../../src/shared/lib';
 import {
   Ask,
   Call,
@@ -11,8 +10,9 @@
   Connection,
   Wire,
 } from '../../src/shared/ports';
-import { GIVE_UP, makePipes, NetWays, Pipe } from './simpipe';
 import { Proc, World } from './simworld';
+import { makePipes, NetWays, Pipe, PipeEnds } from './simpipe';
+import { ThinLinks } from './thin-links';
 import { Traffic } from './traffic';
 
 interface Listener {
@@ -28,107 +28,45 @@
 export interface SimNet {
   sent: { at: string; body: string; givenUpAt?: number }[];
   traffic?: Traffic;
+  /** The bandwidth of machines' links, where it is limited. */
+  links?: ThinLinks;
   ports(p: Proc): Ports;
-  /** Resets all connections of a process, at both ends. */
-  resetConnections(p: Proc): void;
+  /** Breaks all connections between two processes; new ones come up as the links allow. */
+  reset(a: Proc, b: Proc): void;
 }
 
 /** Makes the network: orderly connections that lose nothing until they break, as TCP's do. */
 export function makeNet(w: World, ways: NetWays = {}): SimNet {
   const listeners = new Map<string, Listener>();
-  const pipes = new Set<{ a: Proc; b: Proc; end: (who: Proc) => void }>();
   const warm = new Set<string>();
   const sent: SimNet['sent'] = [];
-  const net: SimNet = { ports, sent, resetConnections };
-  const { isBlocked, makePipe } = makePipes(w, ways);
+  const net: SimNet = { ports, sent, reset };
+  const { isBlocked, pipes, makePipe, makePair, resetOf } = makePipes(w, weigh, held, ways);
 
-  function ipOf(at: string): string {
-    return at.slice(0, at.lastIndexOf(':'));
+  function reset(a: Proc, b: Proc): void {
+    for (const r of [...pipes]) {
+      if (!(r.a === a && r.b === b) && !(r.a === b && r.b === a)) continue;
+      r.end(a);
+      r.end(b);
+    }
   }
 
-  function makePair(a: Proc, b: Proc): [Connection, Connection] {
-    const ends = new Map<Proc, () => void>();
-    const rec = { a, b, end };
-    pipes.add(rec);
-    const toB = makePipe(a, b, endBoth);
-    const toA = makePipe(b, a, endBoth);
-    function endBoth(): void {
-      end(a);
-      end(b);
-    }
-    function end(who: Proc): void {
-      ends.get(who)?.();
-    }
-    function side(me: Proc, out: Pipe, back: Pipe): Connection {
-      const hand = makeFeed<Message>();
-      let over = false;
-      const life = me.life;
-      function wait(done: () => void): void {
-        function ended(): void {
-          if (over) return;
-          over = true;
-          out.breakOff();
-          back.breakOff();
-          pipes.delete(rec);
-          function tell(): void {
-            if (!me.alive || me.life !== life) return;
-            hand.end();
-            done();
-          }
-          w.onProc(me, tell);
-        }
-        ends.set(me, ended);
-      }
-      const done = new Promise<void>(wait);
-      function send(m: Message): boolean {
-        if (over || !me.alive || me.life !== life) return false;
-        const copy = structuredClone(m);
-        net.traffic?.weigh(me.name, m);
-        function arrive(): void {
-          adds.get(me === a ? b : a)?.(copy);
-        }
-        out.send(arrive);
-        return true;
-      }
-      function close(): void {
-        end(me);
-        w.after(w.latency(a.ip, b.ip), other);
-        function other(): void {
-          if (!w.isCut(a.ip, b.ip) && !w.isCut(b.ip, a.ip)) end(me === a ? b : a);
-          else w.after(GIVE_UP, otherLate);
-        }
-        function otherLate(): void {
-          end(me === a ? b : a);
-        }
-      }
-      adds.set(me, hand.add);
-      return { peer: me === a ? b.ip : a.ip, feed: hand.feed, done, send, close };
-    }
-    const adds = new Map<Proc, (m: Message) => void>();
-    return [side(a, toB, toA), side(b, toA, toB)];
+  function weigh(name: string, m: Message): void {
+    net.traffic?.weigh(name, m);
+  }
+
+  function held(from: string, to: string, m: Message): number | undefined {
+    return net.links?.delay(from, to, m);
+  }
+
+  function ipOf(at: string): string {
+    return at.slice(0, at.lastIndexOf(':'));
   }
 
   w.onDeath(died);
   function died(p: Proc, power: boolean): void {
     for (const [at, l] of listeners) if (l.proc === p) listeners.delete(at);
-    if (power) return;
-    for (const r of [...pipes]) {
-      if (r.a !== p && r.b !== p) continue;
-      const other = r.a === p ? r.b : r.a;
-      function reset(): void {
-        if (w.isCut(p.ip, other.ip)) w.after(200, reset);
-        else r.end(other);
-      }
-      w.after(w.latency(p.ip, other.ip), reset);
-    }
-  }
-
-  function resetConnections(p: Proc): void {
-    for (const r of [...pipes]) {
-      if (r.a !== p && r.b !== p) continue;
-      r.end(r.a);
-      r.end(r.b);
-    }
+    if (!power) resetOf(p);
   }
 
   function reachable(from: Proc, to: Proc | undefined): boolean {
@@ -290,7 +228,7 @@
             return fail('refused', 'ECONNREFUSED');
           }
           warm.add(`${p.ip} ${q.at}`);
-          const rec = { a: p, b: l.proc, end: ended };
+          const rec: PipeEnds = { a: p, b: l.proc, end: ended };
           pipes.add(rec);
           function ended(who: Proc): void {
             if (who === p) broke();
@@ -302,7 +240,7 @@
           }
           w.onProc(l.proc, takeIt);
         }
-        function makeCall(rec: { a: Proc; b: Proc; end: (who: Proc) => void }): Call {
+        function makeCall(rec: PipeEnds): Call {
           const url = new URL(q.path, 'http://node');
           let closed = false;
           async function body(most: number): Promise<Outcome<string>> {
--- a/tools/sim/worst/faults.ts
+++ b/tools/sim/worst/faults.ts
@@ -155,6 +155,11 @@
     }
   }
 
+  function resetConnections(target: Member): void {
+    for (const peer of others(target)) net.reset(target.proc, peer.proc);
+    net.reset(target.proc, core.operator);
+  }
+
   function cutLinks(links: [string, string][], on: boolean): void {
     for (const [from, to] of links) core.cut(from, to, on);
   }
@@ -172,7 +177,7 @@
   function cutOff(target: Member, fault: WorstFault): void {
     const links = linksOf(target, fault.kind);
     cutLinks(links, true);
-    if (fault.kind === 'cut-reset') net.resetConnections(target.proc);
+    if (fault.kind === 'cut-reset') resetConnections(target);
     function heal(): void {
       cutLinks(links, false);
     }
@@ -250,7 +255,7 @@
       case 'cut-pair':
         return cutOff(target, fault);
       case 'reset':
-        return net.resetConnections(target.proc);
+        return resetConnections(target);
       case 'operator-cut':
         return cutOperator(target, fault);
       case 'kill':
