--- a/src/programs/plumhollow.ts
+++ b/src/programs/plumhollow.ts
@@ -10,6 +10,7 @@
 import { Intents } from '../shared/words';
 import { VoterStatus, VotersStatus } from '../control/voter-status';
 import { VERSION } from './common';
+import { addHistoryCommands } from './history-command';
 
 const FINE = 0;
 const FINDINGS = 1;
@@ -356,4 +357,5 @@
   .description('found a blank fleet while a minority of the founders is not there')
   .requiredOption('--without <addresses...>', 'the founders that are not there (ip:port)')
   .action(found);
+addHistoryCommands(program, { say, fail });
 void program.parseAsync();
--- a/tools/sim/sim.ts
+++ b/tools/sim/sim.ts
@@ -6,6 +6,7 @@
 import { RunResult, runSeed, RunWays } from './simrun';
 import { makeTraffic } from './traffic';
 import { MECHANISMS } from './without';
+import { runWorstDays } from './worst/main';
 
 /** A run in short, as a worker tells it. */
 interface Short {
@@ -155,6 +156,24 @@
   return text === undefined ? undefined : Number(text);
 }
 
+async function worst(o: {
+  seeds: string;
+  from: string;
+  seed?: string;
+  trace?: boolean;
+  without?: string;
+  faults?: string;
+}): Promise<void> {
+  if (o.without) MECHANISMS[o.without]();
+  const failed = await runWorstDays({
+    from: Number(o.seed ?? o.from),
+    seeds: o.seed === undefined ? Number(o.seeds) : 1,
+    verbose: o.trace === true,
+    faultCount: rate(o.faults),
+  });
+  process.exit(failed > 0 ? 1 : 0);
+}
+
 async function main(): Promise<void> {
   const cmd = new Command('sim')
     .option('--seeds <n>', 'how many seeds', '20')
@@ -169,6 +188,7 @@
     .option('--long <n>', 'long requests a second')
     .option('--jobs <n>', 'processes at once; one less than the processors where left out')
     .option('--traffic', 'with --seed: messages and kB between our processes for 1,000 requests')
+    .option('--worst', "worst days of the core: storms of operators' changes under faults")
     .option('--trace', 'with --seed: print the trace')
     .parse();
   const o = cmd.opts() as {
@@ -178,6 +198,7 @@
     faults: string;
     deployment: string;
     trace?: boolean;
+    worst?: boolean;
     without?: string;
     brief?: boolean;
     traffic?: boolean;
@@ -193,6 +214,10 @@
     process.stderr.write(`sim: there is no ${o.without ?? o.deployment}\n`);
     return process.exit(2);
   }
+  if (o.worst)
+    return worst(
+      cmd.getOptionValueSource('faults') === 'default' ? { ...o, faults: undefined } : o,
+    );
   const ways: RunWays = {
     deployment: o.deployment,
     faults: Number(o.faults),
--- a/tools/sim/simpipe.ts
+++ b/tools/sim/simpipe.ts
@@ -20,8 +20,16 @@
   end: (who: Proc) => void;
 }
 
+/** What a network does beyond the simplest. */
+export interface NetWays {
+  /** A link that is cut one way goes on to deliver what established connections carry the other way; otherwise they carry nothing. */
+  deliversOneWay?: boolean;
+}
+
 /** Makes pipes and knows who is connected. */
 export interface Pipes {
+  /** Whether an established connection carries nothing in this direction. */
+  isBlocked(from: Proc, to: Proc): boolean;
   pipes: Set<PipeEnds>;
   makePipe(from: Proc, to: Proc, onBreak: () => void): Pipe;
   makePair(a: Proc, b: Proc): [Connection, Connection];
@@ -36,9 +44,15 @@
   w: World,
   weigh: (name: string, m: Message) => void,
   held: (from: string, to: string, m: Message) => number | undefined,
+  ways: NetWays = {},
 ): Pipes {
   const pipes = new Set<PipeEnds>();
 
+  function isBlocked(from: Proc, to: Proc): boolean {
+    if (w.isCut(from.ip, to.ip) || !to.powered) return true;
+    return !ways.deliversOneWay && w.isCut(to.ip, from.ip);
+  }
+
   function makePipe(from: Proc, to: Proc, onBreak: () => void): Pipe {
     const queue: (() => void)[] = [];
     const life = to.life;
@@ -55,7 +69,7 @@
         busy = false;
         return;
       }
-      if (w.isCut(from.ip, to.ip) || w.isCut(to.ip, from.ip) || !to.powered) {
+      if (isBlocked(from, to)) {
         since = since ?? w.now();
         if (w.now() - since > GIVE_UP) {
           breakOff();
@@ -170,5 +184,5 @@
     }
   }
 
-  return { pipes, makePipe, makePair, resetOf };
+  return { isBlocked, pipes, makePipe, makePair, resetOf };
 }
--- a/tools/sim/simwire.ts
+++ b/tools/sim/simwire.ts
@@ -11,7 +11,7 @@
   Wire,
 } from '../../src/shared/ports';
 import { Proc, World } from './simworld';
-import { makePipes, Pipe, PipeEnds } from './simpipe';
+import { makePipes, NetWays, Pipe, PipeEnds } from './simpipe';
 import { ThinLinks } from './thin-links';
 import { Traffic } from './traffic';
 
@@ -36,12 +36,12 @@
 }
 
 /** Makes the network: orderly connections that lose nothing until they break, as TCP's do. */
-export function makeNet(w: World): SimNet {
+export function makeNet(w: World, ways: NetWays = {}): SimNet {
   const listeners = new Map<string, Listener>();
   const warm = new Set<string>();
   const sent: SimNet['sent'] = [];
   const net: SimNet = { ports, sent, reset };
-  const { pipes, makePipe, makePair, resetOf } = makePipes(w, weigh, held);
+  const { isBlocked, pipes, makePipe, makePair, resetOf } = makePipes(w, weigh, held, ways);
 
   function reset(a: Proc, b: Proc): void {
     for (const r of [...pipes]) {
@@ -204,8 +204,9 @@
         }
         function arrive(): void {
           if (!mine()) return;
-          if (!reachable(p, to)) {
-            if (warm.has(`${p.ip} ${q.at}`)) {
+          const isWarm = warm.has(`${p.ip} ${q.at}`);
+          if (isWarm && to ? isBlocked(p, to) : !reachable(p, to)) {
+            if (isWarm) {
               if (w.now() - asked < LATE) w.after(100, arrive);
               return;
             }
