--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -2,18 +2,12 @@
 import { dispatch, Handled } from '../shared/edge';
 import { open, Outcome } from '../shared/errors';
 import { rendezvous } from '../shared/lib';
+import { helloOf } from '../shared/hello';
 import { makeMetrics, Metrics, timedDisk } from '../shared/metrics';
 import { Listening, Ports } from '../shared/ports';
 import { boundsOf } from '../shared/bounds';
 import { Settings } from '../shared/settings';
-import {
-  Exchange,
-  Hello,
-  HelloEdge,
-  holdAll,
-  noConnection,
-  WIRE_VERSION,
-} from '../shared/connections';
+import { Exchange, HelloEdge, holdAll, noConnection } from '../shared/connections';
 import { withTimeout } from '../shared/timeout';
 import { makeWakers } from '../shared/waker';
 import { allVoters, KEYS, Numbered, Voter, Voters } from '../shared/words';
@@ -67,14 +61,7 @@
   reader?: DocumentReader,
 ): Promise<Outcome<Controller>> {
   const bounds = boundsOf(settings);
-  const hello: Hello = {
-    version: WIRE_VERSION,
-    name: settings.name,
-    role: 'controller',
-    at: settings.wire,
-    zone: settings.zone,
-    disk: slots.disk,
-  };
+  const hello = helloOf(settings, 'controller', slots.disk);
   const heard = new Set<string>();
   const by = `${settings.name}.${ports.dice.id().slice(0, 8)}`;
   const effectTook = metrics.times(
--- a/src/index/indexer.ts
+++ b/src/index/indexer.ts
@@ -1,3 +1,4 @@
+import { helloOf } from '../shared/hello';
 import { Left, Right } from 'purify-ts';
 import { EventBatch, EventsAnswer } from '../shared/contracts/engine';
 import { open, Outcome } from '../shared/errors';
@@ -5,7 +6,7 @@
 import { Ports, Connection } from '../shared/ports';
 import { Bounds, boundsOf } from '../shared/bounds';
 import { Settings } from '../shared/settings';
-import { converse, Hello, HelloEdge, holdAll, WIRE_VERSION } from '../shared/connections';
+import { converse, HelloEdge, holdAll } from '../shared/connections';
 import { Dialect } from '../shared/dialect';
 import { Member } from '../shared/words';
 import { Coming, makeComing, Unheard } from './coming';
@@ -64,13 +65,7 @@
   listens = true,
 ): Promise<Outcome<Indexer>> {
   const bounds: Bounds = boundsOf(settings);
-  const hello: Hello = {
-    version: WIRE_VERSION,
-    name: settings.name,
-    role: 'indexer',
-    at: settings.wire,
-    zone: settings.zone,
-  };
+  const hello = helloOf(settings, 'indexer');
   const member: Member = {
     name: settings.name,
     role: 'indexer',
