Two of five controllers that are cut off together answer 503 as well

Refuted as a hole: the two see each other but no majority, so they own nothing, ask nothing of the platform and answer 503 within the second.

--- a/test/cut-off.test.ts
+++ b/test/cut-off.test.ts
@@ -23,8 +23,18 @@
   'one way out': oneWayOut,
   'one way in': oneWayIn,
   'with resets': withResets,
+  'two together': twoTogether,
 };
 
+/** The sizes of the core for each cut: two of three would be a majority. */
+const SIZES: [string, number[]][] = [
+  ['both ways', [3, 5]],
+  ['one way out', [3, 5]],
+  ['one way in', [3, 5]],
+  ['with resets', [3, 5]],
+  ['two together', [5]],
+];
+
 function oneWayOut(f: CoreRig, p: Proc, others: Proc[]): void {
   for (const o of others) f.w.cut(p.ip, o.ip, true);
 }
@@ -43,6 +53,14 @@
   for (const o of others) f.net.reset(p, o);
 }
 
+/** One more is cut off with it: the two see each other, and no majority of five. */
+function twoTogether(f: CoreRig, p: Proc, others: Proc[]): void {
+  const partner = others[others.length - 1];
+  const rest = others.slice(0, -1);
+  bothWays(f, p, rest);
+  bothWays(f, partner, rest);
+}
+
 function slowLinks(f: CoreRig, p: Proc, others: Proc[]): void {
   for (const o of others) {
     f.w.slow(p.ip, o.ip, 400);
@@ -239,8 +257,8 @@
 
 async function allCuts(): Promise<void> {
   const faults: string[] = [];
-  for (const name of Object.keys(CUTS))
-    for (const size of [3, 5])
+  for (const [name, sizes] of SIZES)
+    for (const size of sizes)
       for (const told of BOUNDS)
         for (const role of ROLES) faults.push(...(await cutForTwenty(name, size, told, role)));
   expect(faults).toEqual([]);
