--- /dev/null
+++ b/test/model.test.ts
@@ -0,0 +1,84 @@
+/** A small fixed part of the model checker's schedules, and every invariant seen to catch. */
+import {
+  exploreExhaustively,
+  Exploration,
+  exploreRandomly,
+  othersThan,
+} from '../tools/model/explore';
+import { INVARIANTS, InvariantName } from '../tools/model/invariants';
+import { MUTATIONS, UNCHANGED } from '../tools/model/mutations';
+import { WORLDS } from '../tools/model/worlds';
+
+const SEED = 1;
+const SCHEDULES = 20;
+const EXHAUSTIVE_SCHEDULES = 100;
+
+/** The mutation and the world by which each invariant is seen to catch, and the most schedules it may take. */
+const SEEN_TO_CATCH: Record<InvariantName, [mutation: string, world: string, schedules: number]> = {
+  'one-value': ['numbering', 'race', 10],
+  'acknowledged-kept': ['read-majority', 'race', 30],
+  'one-per-base': ['adoption', 'race', 10],
+  'refused-stays-out': ['doubt', 'race', 30],
+  'class-refused-stays-out': ['doubt-class', 'two-keys', 60],
+  'taken-stays-taken': ['order-memory', 'race', 10],
+  'majority-holds': ['majority', 'wipe', 10],
+  'disk-stays': ['slot-sync', 'power', 10],
+  'owner-not-behind': ['highest-accepted', 'race', 30],
+  'promises-rise': ['rising-epochs', 'race', 10],
+};
+
+/** What to show where an invariant was broken: the steps, and how it was broken. */
+function stepsOf(found: Exploration): string[] {
+  const told: string[] = [];
+  for (const v of found.broken?.violations ?? []) told.push(`${v.invariant}: ${v.text}`);
+  return [...(found.broken?.labels ?? []), ...told];
+}
+
+async function holdsAtRandom(world: string): Promise<void> {
+  const subject = { plan: WORLDS[world], mutation: UNCHANGED, known: new Set<InvariantName>() };
+  const found = await exploreRandomly(subject, { schedules: SCHEDULES }, SEED);
+  expect(stepsOf(found)).toEqual([]);
+  expect(found.tally).toMatchObject({ schedules: SCHEDULES, cutOff: 0 });
+}
+
+async function holdsExhaustively(): Promise<void> {
+  const subject = {
+    plan: WORLDS['two-orders'],
+    mutation: UNCHANGED,
+    known: new Set<InvariantName>(),
+  };
+  const found = await exploreExhaustively(subject, { schedules: EXHAUSTIVE_SCHEDULES });
+  expect(stepsOf(found)).toEqual([]);
+  expect(found.tally.states.size).toBeGreaterThan(EXHAUSTIVE_SCHEDULES);
+}
+
+async function catches(invariant: InvariantName): Promise<void> {
+  const [mutation, world, schedules] = SEEN_TO_CATCH[invariant];
+  const subject = {
+    plan: WORLDS[world],
+    mutation: MUTATIONS[mutation],
+    known: othersThan(invariant),
+  };
+  const found = await exploreRandomly(subject, { schedules, shrinks: 0 }, SEED);
+  expect(found.broken?.violations).toMatchObject([{ invariant }]);
+  expect(found.foundAfter).toBeLessThanOrEqual(schedules);
+}
+
+async function isReproducible(): Promise<void> {
+  async function steps(): Promise<string[]> {
+    const subject = {
+      plan: WORLDS.race,
+      mutation: MUTATIONS.adoption,
+      known: othersThan('one-per-base'),
+    };
+    return stepsOf(await exploreRandomly(subject, { schedules: 10, shrinks: 5 }, SEED));
+  }
+  const first = await steps();
+  expect(first.length).toBeGreaterThan(0);
+  expect(await steps()).toEqual(first);
+}
+
+test.each(['race', 'power', 'wipe'])('the invariants hold at random in world %s', holdsAtRandom);
+test('the invariants hold in the first schedules of an exhaustive search', holdsExhaustively);
+test.each(Object.keys(INVARIANTS) as InvariantName[])('%s is seen to catch', catches);
+test('a seed names the same schedule each time', isReproducible);
