Model: changes of the voters through the real joint set

World voters: an operator replaces wiped disks by moveVoters while another deploys; leases and votes are stand-ins.

--- a/tools/model/mutations.ts
+++ b/tools/model/mutations.ts
@@ -19,6 +19,8 @@
   slots?(slots: Slots): Slots;
   ownerReach?(reach: Reach, slots: Slots): Reach;
   changesOwner?(owner: Owner): Owner;
+  /** The owner by which a change of the voters commits the keys anew. */
+  carryingOwner?(owner: Owner): Owner;
   reads?(parts: ReadParts): ReadParts;
   handle?(
     slots: Slots,
@@ -145,6 +147,14 @@
   return { ...reach, voters };
 }
 
+/** A change of the voters that commits no key anew for the new disks. */
+function carryNothing(owner: Owner): Owner {
+  async function own(): ReturnType<Owner['own']> {
+    return Right(undefined);
+  }
+  return { ...owner, own };
+}
+
 /** A read that goes by what is learned here. */
 function readHere(parts: ReadParts): ReadParts {
   async function askVoter(v: Voter): Promise<Outcome<unknown>> {
@@ -242,6 +252,11 @@
     summary: 'an owner is content with its own disk',
     ownerReach: ownDiskOnly,
   },
+  'carried-keys': {
+    breaks: 'majority-holds',
+    summary: 'a change of the voters commits no key anew for the new disks',
+    carryingOwner: carryNothing,
+  },
   'read-majority': {
     breaks: 'acknowledged-kept',
     summary: 'a read asks no majority',
--- a/tools/model/node.ts
+++ b/tools/model/node.ts
@@ -17,11 +17,13 @@
 import { Checker } from './invariants';
 import { Mutation } from './mutations';
 import { Endpoint, Network } from './network';
+import { replaceEmptied, VotersEdge } from './replace';
 import { digest, Scheduler } from './scheduler';
 
 /** What an operator asks of a node. */
 export const ORDER = 'model-order';
 export const READ = 'model-read';
+export const REPLACE = 'model-replace';
 
 /** What the nodes of a world share. */
 export interface NodeParts {
@@ -41,7 +43,7 @@
   change(op: Operation): Promise<Outcome<Changed>>;
   newest(key: string): Promise<Outcome<Numbered | undefined>>;
   local(type: string, body: unknown): Promise<Outcome<unknown>>;
-  voters(): Voters | undefined;
+  replace(): Promise<Outcome<Voters>>;
 }
 
 /** A core machine. */
@@ -136,7 +138,7 @@
     const reads: ReadParts = { slots, owner, voters, askVoter, ofOwner: changes.ofOwner };
     const readsHere = mutation.reads?.(reads) ?? reads;
     const peers = new ControlEdge({ by, slots, voters, changeHere: changes.here } as never);
-    const edges: object[] = [acceptor, peers, new ReadEdge(reads)];
+    const edges: object[] = [acceptor, peers, new ReadEdge(reads), new VotersEdge(slots)];
 
     function voters(): Voters | undefined {
       return (slots.cells.get(KEYS.voters)?.learned?.value ?? slots.founding()) as
@@ -187,7 +189,25 @@
       return readNewest(readsHere, key);
     }
 
-    return { slots, change: changes.commit, newest, local, voters };
+    function diskAt(at: string): string | undefined {
+      return peer(at)?.disk();
+    }
+
+    function replace(): Promise<Outcome<Voters>> {
+      const { commit: change } = changes;
+      return replaceEmptied({
+        name,
+        slots,
+        owner: mutation.carryingOwner?.(owner) ?? owner,
+        ports,
+        voters,
+        change,
+        askVoter,
+        diskAt,
+      });
+    }
+
+    return { slots, change: changes.commit, newest, local, replace };
   }
 
   function peer(at: string): ModelNode | undefined {
@@ -239,6 +259,7 @@
     if (!process) return never();
     if (type === ORDER) return process.change(body as Operation);
     if (type === READ) return process.newest((body as { key: string }).key);
+    if (type === REPLACE) return process.replace();
     return process.local(type, body);
   }
 
--- a/tools/model/worlds.ts
+++ b/tools/model/worlds.ts
@@ -45,6 +45,7 @@
 const again: Step = { do: 'deploy again' };
 const name: Step = { do: 'name weights' };
 const read: Step = { do: 'read', key: KEYS.deployment };
+const replace: Step = { do: 'replace emptied voters' };
 const readWeights: Step = { do: 'read', key: WEIGHTS_KEY };
 
 /** The worlds by name. */
@@ -129,6 +130,16 @@
     },
     mostLog: SMALL_LOG,
   },
+  voters: {
+    summary: '3 voters, an operator who replaces wiped disks beside one who deploys',
+    voters: 3,
+    scripts: [
+      [deploy, replace, deploy, replace, replace],
+      [deploy, deploy, again, read],
+    ],
+    budgets: { ...NO_FAULTS, wipe: 2, power: 1, loss: 1, lateTimer: 2 },
+    mostLog: LARGE_LOG,
+  },
   'one-order': {
     summary: 'for the exhaustive search: 3 voters, one order and a read, no fault',
     voters: 3,
