--- a/tools/model/worlds.ts
+++ b/tools/model/worlds.ts
@@ -60,6 +60,17 @@
     budgets: { ...NO_FAULTS, loss: 2, duplicate: 2, lateTimer: 4, cut: 1, freeze: 1 },
     mostLog: LARGE_LOG,
   },
+  reads: {
+    summary: '3 voters, an operator who deploys and two who read; a freeze, a cut, late timers',
+    voters: 3,
+    scripts: [
+      [deploy, deploy, read],
+      [read, read, read],
+      [read, deploy, read],
+    ],
+    budgets: { ...NO_FAULTS, freeze: 2, cut: 2, lateTimer: 6 },
+    mostLog: LARGE_LOG,
+  },
   crash: {
     summary: '3 voters, two operators; crashes, small logs',
     voters: 3,
