A router without a deployment answers 503 with Retry-After to everything

Cause: before the first deployment was known, a body over bodyMostBytes got 413 and a request that could not be read got 400: refusals that clients don't retry, by limits that are not the operator's. Ruled out: 404 and 401 were never said before a deployment; readiness answers 503 until lease, engines and deployment are there; a deployment that can't be read changes nothing of this. Conclusion: from the start to the first deployment the only answer is 503 with Retry-After.

--- a/src/data/gateway/request.ts
+++ b/src/data/gateway/request.ts
@@ -34,12 +34,7 @@
   const q = await read(g, call);
   if (!q) return;
   const table = g.table();
-  if (!table)
-    return refuse(g, call, {
-      status: 503,
-      why: 'this router has no deployment yet',
-      retryAfterMs: g.settings.contactMs * AGAIN.contact,
-    });
+  if (!table) return refuse(g, call, notYet(g));
   if (g.closed())
     return refuse(g, call, {
       status: 503,
@@ -145,7 +140,9 @@
   if (limits && headerBytes(call) > limits.maxHeaderBytes)
     return answer(g, call, 431, 'the headers are too large');
   const [f, body] = open(await call.body(limits?.maxBodyBytes ?? g.settings.bodyMostBytes));
+  if (f && !limits) return refuse(g, call, notYet(g));
   if (f) return answer(g, call, f.code === 'too-large' ? 413 : 400, f.why);
+  if (!g.table()) return refuse(g, call, notYet(g));
   const r = g.dialect.callers.read(call.method, call.target, call.fields);
   if (r.isLeft()) return answer(g, call, 400, r.extract() as string);
   return { request: r.extract() as CallerRequest, body };
@@ -192,9 +189,19 @@
 }
 
 /** Refuses what has not run and never will, with a time to come again. */
-function refuse(g: GatewayParts, call: RawCall, r: Refusal): void {
+function refuse(g: GatewayParts, call: RawCall, r: Refusal): undefined {
   g.counts.refused++;
   say(call, r.status, r.why, ['Retry-After', (r.retryAfterMs / 1000).toFixed(3)]);
+  return undefined;
+}
+
+/** The refusal of a router that cannot tell yet which requests are allowed. */
+function notYet(g: GatewayParts): Refusal {
+  return {
+    status: 503,
+    why: 'this router has no deployment yet',
+    retryAfterMs: g.settings.contactMs * AGAIN.contact,
+  };
 }
 
 /** Gives up what may have run. */
--- a/test/gateway-leave.test.ts
+++ b/test/gateway-leave.test.ts
@@ -35,6 +35,36 @@
   e.close();
 }
 
+async function deniesNothingEarly(): Promise<void> {
+  const rig = await startRig({ live: false, settings: { bodyMostBytes: 10 } });
+  const asks = [
+    { path: '/unknown/x' },
+    { key: 'unknown' },
+    { key: '' },
+    { body: 'x'.repeat(1000) },
+    { headers: { 'Plumhollow-Attempt-Id': '' } },
+  ];
+  async function refused(): Promise<void> {
+    for (const more of asks) {
+      const got = await ask(rig.at, more);
+      expect(got.status).toBe(503);
+      expect(Number(got.headers['retry-after'])).toBeGreaterThan(0);
+    }
+    expect(await statusAt(rig.readiness)).toBe(503);
+  }
+  await refused();
+  rig.live(true);
+  await refused();
+  rig.tellEngines([]);
+  await refused();
+  rig.tell('deployment', { revision: 1, doc: undefined });
+  await refused();
+  rig.tell('deployment', { revision: 2, doc: deployment([route({})]) });
+  expect(await statusAt(rig.readiness)).toBe(200);
+  expect((await ask(rig.at, { path: '/unknown/x' })).status).toBe(404);
+  await rig.close();
+}
+
 async function leavingEngine(): Promise<void> {
   const a = await startStandIn('e1', streams(1));
   const b = await startStandIn('e2', streams(1));
@@ -220,6 +250,7 @@
   'a router is ready once it has a deployment, engines and a lease, and serves on without',
   beforeDeployment,
 );
+test('a router without a deployment denies nothing', deniesNothingEarly);
 test('an engine that leaves or is gone gets nothing more', leavingEngine);
 test(
   'an engine that leaves while a request waits for its connection gets nothing',
