--- a/src/control/replicate.ts
+++ b/src/control/replicate.ts
@@ -7,6 +7,8 @@
 
 /** Keys that one message asks about at the most. */
 const KEYS_AT_ONCE = 256;
+/** Rounds in which voters are brought up to date at the most. */
+const ROUNDS = 8;
 /** Values that are on their way to a voter at once. */
 const VALUES_AT_ONCE = 16;
 
@@ -66,14 +68,16 @@
   askVoter(v: Voter, type: string, body: unknown): Promise<Outcome<unknown>>;
 }
 
-/** Brings a voter to have learned, on its synced disk and by its own word, all that is committed here now; safe to repeat, and each batch that it took stays. */
-export async function bringUpToDate(p: ReplicateParts, to: Voter): Promise<Outcome<void>> {
+/** Brings a voter to have learned, on its synced disk and by its own word, all that is committed here now, and tells how many keys it had lacked; safe to repeat, and each batch that it took stays. */
+export async function bringUpToDate(p: ReplicateParts, to: Voter): Promise<Outcome<number>> {
   const committed = learnedHere(p.slots);
+  let lacked = 0;
   for (let i = 0; i < committed.length; i += KEYS_AT_ONCE) {
-    const [f] = open(await bringBatch(p, to, committed.slice(i, i + KEYS_AT_ONCE)));
+    const [f, count] = open(await bringBatch(p, to, committed.slice(i, i + KEYS_AT_ONCE)));
     if (f) return Left(f);
+    lacked += count;
   }
-  return Right(undefined);
+  return Right(lacked);
 }
 
 function learnedHere(slots: Slots): Numbered[] {
@@ -100,16 +104,16 @@
   p: ReplicateParts,
   to: Voter,
   batch: readonly Numbered[],
-): Promise<Outcome<void>> {
+): Promise<Outcome<number>> {
   const [f, missing] = open(await lackingOf(p, to, batch));
   if (f) return Left(f);
-  if (missing.length === 0) return Right(undefined);
+  if (missing.length === 0) return Right(0);
   const [g] = open(await sendValues(p, to, missing));
   if (g) return Left(g);
   const [h, still] = open(await lackingOf(p, to, missing));
   if (h) return Left(h);
   return still.length === 0
-    ? Right(undefined)
+    ? Right(missing.length)
     : bad('replicate', to.at, `still lacks ${still[0].key}`, 'unknown', 'pending');
 }
 
@@ -154,3 +158,18 @@
 function atStep(f: Fault): Fault {
   return { ...f, step: 'replicate' };
 }
+
+/** Brings voters up to date until a round finds that they lack nothing, since keys may be committed anew meanwhile; after so many rounds the last one counts. */
+export async function bringAllUpToDate(
+  p: ReplicateParts,
+  voters: readonly Voter[],
+  rounds = ROUNDS,
+): Promise<Outcome<void>> {
+  let lacked = 0;
+  for (const voter of voters) {
+    const [f, count] = open(await bringUpToDate(p, voter));
+    if (f) return Left(f);
+    lacked += count;
+  }
+  return lacked === 0 || rounds <= 1 ? Right(undefined) : bringAllUpToDate(p, voters, rounds - 1);
+}
--- a/src/control/voters.ts
+++ b/src/control/voters.ts
@@ -5,7 +5,7 @@
 import { askOnce } from '../shared/connections';
 import { isVoter, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
 import { Controller } from './controller';
-import { bringUpToDate, ReplicateParts } from './replicate';
+import { bringAllUpToDate, ReplicateParts } from './replicate';
 import { Vote } from './votes';
 
 const HEX = [...'0123456789abcdef'];
@@ -119,11 +119,9 @@
   }
   const [i] = open(await carryKeys(c, [...held.keys]));
   if (i) return Left(i);
-  for (const x of next.filter(isFresh)) {
-    const [g] = open(await bringUpToDate(replicating(c), x));
-    if (g && !(isOverdue && isRepair)) return Left(ofNewcomer(g));
-    if (g) ports.log.warn({ step: g.step, peer: g.peer }, `counts before it has all: ${g.why}`);
-  }
+  const [j] = open(await bringAllUpToDate(replicating(c), next.filter(isFresh)));
+  if (j && !(isOverdue && isRepair)) return Left(ofNewcomer(j));
+  if (j) ports.log.warn({ step: j.step, peer: j.peer }, `counts before it has all: ${j.why}`);
   return endJoint(c, place.number, next);
 }
 
--- a/tools/model/node.ts
+++ b/tools/model/node.ts
@@ -11,7 +11,8 @@
 import { dispatch } from '../../src/shared/edge';
 import { open, Outcome } from '../../src/shared/errors';
 import { Dice, Ports } from '../../src/shared/ports';
-import { Bounds, Settings } from '../../src/shared/settings';
+import { Bounds } from '../../src/shared/bounds';
+import { Settings } from '../../src/shared/settings';
 import { allVoters, KEYS, Numbered, Voter, Voters } from '../../src/shared/words';
 import { Folder, makeFolder } from './disk';
 import { Checker } from './invariants';
@@ -135,7 +136,14 @@
       up,
       local,
     });
-    const reads: ReadParts = { slots, owner, voters, askVoter, ofOwner: changes.ofOwner };
+    const reads: ReadParts = {
+      slots,
+      owner,
+      voters,
+      askVoter,
+      ofOwner: changes.ofOwner,
+      learnHere,
+    };
     const readsHere = mutation.reads?.(reads) ?? reads;
     const peers = new ControlEdge({ by, slots, voters, changeHere: changes.here } as never);
     const edges: object[] = [acceptor, peers, new ReadEdge(reads), new VotersEdge(slots)];
