The callers' API and placement parted by job; no circle between api and router (moves)

What moved, unchanged: RouterParts, RouterCounts, Attempt to data/parts.ts; CallerAsk and the checked request (now CheckedAsk) to data/caller-ask.ts; the types of placement to gateway/placement-types.ts.

--- a/src/data/api.ts
+++ b/src/data/api.ts
@@ -3,48 +3,17 @@
   generate,
   GenerateAsk,
   Generating,
-  Part,
   splitParts,
   tokenise,
 } from '../shared/contracts/engine';
-import { field, giveFault, giveJson, handles, readAs, takeJson } from '../shared/edge';
+import { giveFault, giveJson, handles, readAs, takeJson } from '../shared/edge';
 import { Fault, open } from '../shared/errors';
 import { wholeHash } from '../shared/lib';
 import { Call } from '../shared/ports';
-import { Service } from '../shared/words';
 import { holdKey, tellRun, votersMark } from './once';
 import { Overlap, Placement } from './place';
-import type { RouterParts } from './router';
-
-class CallerAsk {
-  @field('string', false) service?: string;
-  @field('string', false) label?: string;
-  @field('string', false) prompt?: string;
-  @field('list', false) tokens?: number[];
-  @field('number', false) maxTokens?: number;
-  @field('number', false) deadlineMs?: number;
-}
-
-interface Checked {
-  tenant: string;
-  salt: string;
-  service: Service;
-  parts: Part[];
-  maxTokens: number;
-  since: number;
-  until: number;
-  key?: string;
-}
-
-function isToken(t: unknown): boolean {
-  return Number.isInteger(t) && (t as number) >= 0;
-}
-
-function tokensOf(parts: readonly Part[]): number {
-  let t = 0;
-  for (const p of parts) t += p.size;
-  return t;
-}
+import { CallerAsk, CheckedAsk, isToken, tokensOf } from './caller-ask';
+import { RouterParts } from './parts';
 
 /** The callers' HTTP interface. */
 export class CallerApi {
@@ -63,7 +32,7 @@
     return undefined;
   }
 
-  private async check(call: Call): Promise<Checked | undefined> {
+  private async check(call: Call): Promise<CheckedAsk | undefined> {
     const { r } = this;
     const again = r.bounds.pause * 5;
     if (r.draining()) return this.refuse(call, 503, 'draining', 'this router is leaving', again);
@@ -129,7 +98,7 @@
     this.underWay--;
   }
 
-  private async carry(call: Call, c: Checked): Promise<void> {
+  private async carry(call: Call, c: CheckedAsk): Promise<void> {
     const { r } = this;
     const { clock } = r.ports;
     const run = r.runId();
@@ -228,7 +197,7 @@
 
   private async forward(
     call: Call,
-    c: Checked,
+    c: CheckedAsk,
     p: Placement,
     run: string,
     urgent: boolean,
@@ -293,7 +262,7 @@
     call: Call,
     g: Generating,
     first: EngineLine,
-    c: Checked,
+    c: CheckedAsk,
     p: Placement,
     run: string,
   ): Promise<Fault | undefined> {
@@ -360,7 +329,7 @@
     return f;
   }
 
-  private note(c: Checked, p: Placement, line: EngineLine): void {
+  private note(c: CheckedAsk, p: Placement, line: EngineLine): void {
     const { r } = this;
     const reused = line.reused ?? [];
     r.counts.needed += tokensOf(c.parts);
--- a/src/data/gateway/choose.ts
+++ b/src/data/gateway/choose.ts
@@ -7,7 +7,8 @@
 import { boundsOf, Settings } from '../../shared/settings';
 import { Engine, KEYS } from '../../shared/words';
 import { reachIndexers } from './indexers';
-import { EngineSpot, makePlacement, NoPlace, PlaceAsk, Placed, StoreSpot } from './placement';
+import { makePlacement } from './placement';
+import { EngineSpot, NoPlace, PlaceAsk, Placed, StoreSpot } from './placement-types';
 import { Ending } from './standing';
 import { Expected, saltUnder, WeightsBook } from './weights';
 
--- a/src/data/router.ts
+++ b/src/data/router.ts
@@ -1,74 +1,18 @@
 import { Left, Right } from 'purify-ts';
 import { open, Outcome } from '../shared/errors';
 import { takeCalls } from '../shared/edge';
-import { follow, Follower } from '../shared/follow';
-import { makeMetrics, Metrics } from '../shared/metrics';
+import { follow } from '../shared/follow';
+import { makeMetrics } from '../shared/metrics';
 import { Ports, Connection } from '../shared/ports';
-import { Bounds, boundsOf, Settings } from '../shared/settings';
+import { boundsOf, Settings } from '../shared/settings';
 import { converse, Hello, HelloEdge, WIRE_VERSION } from '../shared/connections';
 import { IntentsValue, KEYS, Member, Numbered, Rule, Service } from '../shared/words';
 import { Dialect } from '../shared/dialect';
 import { CallerApi } from './api';
-import { Engines, Seen, watchEngines } from './engines';
+import { Seen, watchEngines } from './engines';
 import { startGateway } from './gateway/gateway';
-import { makePlacer, Placer } from './place';
-
-/** What a router counts, for metrics. */
-export interface RouterCounts {
-  asked: number;
-  done: number;
-  refused: number;
-  unknown: number;
-  attempts: number;
-  secondTries: number;
-  needed: number;
-  reused: number;
-  expected: number;
-  unindexed: number;
-  fetched: number;
-}
-
-/** An attempt whose first piece is still to come; it is cut when what it was placed under no longer holds. */
-export interface Attempt {
-  tenant: string;
-  salt: string;
-  model: string;
-  weights: string;
-  seen: Seen;
-  since: number;
-  watched?: boolean;
-  cut: AbortController;
-}
-
-/** All that a request needs on its way. */
-export interface RouterParts {
-  ports: Ports;
-  settings: Settings;
-  bounds: Bounds;
-  follower: Follower;
-  engines: Engines;
-  placer: Placer;
-  counts: RouterCounts;
-  metrics: Metrics;
-  firstTook(ms: number): void;
-  tenantOf(hash: string): string | undefined;
-  serviceOf(
-    tenant: string,
-    service: string | undefined,
-    label: string | undefined,
-  ): Service | 'missing' | 'foreign';
-  saltOf(tenant: string): string | undefined;
-  freshWeights(model: string): {
-    now: (s: Seen) => string | undefined;
-    old?: (s: Seen) => string | undefined;
-    queried: string[];
-  };
-  allowSecond(service: Service): boolean;
-  earn(service: Service): void;
-  runId(): string;
-  underWay: Set<Attempt>;
-  draining(): boolean;
-}
+import { Attempt, RouterCounts, RouterParts } from './parts';
+import { makePlacer } from './place';
 
 /** A running router. */
 export interface Router {
--- a/tools/sim/placing.ts
+++ b/tools/sim/placing.ts
@@ -1,16 +1,16 @@
 import { Command } from 'commander';
 import { Part } from '../../src/shared/contracts/engine';
 import { EngineLoad, OverlapAnswer } from '../../src/shared/loads';
+import { makePlacement } from '../../src/data/gateway/placement';
 import {
   EngineSpot,
-  makePlacement,
   PlaceAsk,
   Placement,
   PlaceWay,
   Placed,
   PoolView,
   Underway,
-} from '../../src/data/gateway/placement';
+} from '../../src/data/gateway/placement-types';
 import { Dice } from '../../src/shared/ports';
 import { makeAgenda } from './agenda';
 import { seededDice } from './dice';
