Taking a deployment costs what changed: items read once, look-ups made from those before

Cause: each change read the whole document and built all maps anew, in a process with a third of a core. Ruled out: faults remembered under a former path (only items without a fault are kept); doubled host and prefix (the table is then made anew). It rests on documents not being changed in place.

--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -185,7 +185,7 @@
         { step: 'read deployment', peer: settings.name },
         (d.extract() as string[]).join('; '),
       );
-    current = makeRouteTable(d.extract() as Deployment);
+    current = makeRouteTable(d.extract() as Deployment, current);
     connections.idleMs(current.limits.idleTimeoutMs);
     server!.limit(limits());
   }
