A request that may run once is not run again while it is under way here

Cause: an attempt id that came again on another connection, while its first request was at an engine, was sent to an engine as well. Ruled out: 503 or 429 as the answer, since both promise that the request never runs; 502 promises nothing. Only requests under way at this router are known: one that has ended, or that is at another router, is not. Conclusion: clients give each try an id of its own, so this costs them nothing.

--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -126,6 +126,7 @@
     table,
     stands,
     closed,
+    runsOnce: new Set(),
   };
 
   function limits(): ServeLimits {
--- a/src/data/gateway/parts.ts
+++ b/src/data/gateway/parts.ts
@@ -34,4 +34,6 @@
   stands(e: Engine): boolean;
   /** Whether this router is so far into its leaving that it takes nothing new. */
   closed(): boolean;
+  /** Ids of requests under way that may run once only. */
+  runsOnce: Set<string>;
 }
--- a/src/data/gateway/request.ts
+++ b/src/data/gateway/request.ts
@@ -13,6 +13,10 @@
 /** The least time that is worth another attempt, as a share of `transitMs`. */
 const WORTH = 0.1;
 
+/** Answers to what may have run: they promise nothing. */
+const BAD_GATEWAY = 502;
+const GATEWAY_TIMEOUT = 504;
+
 /** A request that was read: what it asks for, whole. */
 interface Read {
   request: CallerRequest;
@@ -46,6 +50,8 @@
   const until = since + Math.min(q.request.deadlineMs ?? a.route.timeoutMs, a.route.timeoutMs);
   g.budget.asked(a.pool);
   const repeatable = a.route.kind === 'safe' || a.route.resumable;
+  if (!repeatable && g.runsOnce.has(q.request.id)) return giveUp(g, call, BAD_GATEWAY);
+  if (!repeatable) g.runsOnce.add(q.request.id);
   const x: Taken = {
     request: q.request,
     route: a.route,
@@ -124,10 +130,12 @@
       break;
   }
 
+  if (!repeatable) g.runsOnce.delete(q.request.id);
   if (last === 'answered') g.counts.done++;
   else if (last === 'caller-gone' || call.gone.aborted) g.counts.callersGone++;
   else if (x.headSent) breakOff(g, call);
-  else if (x.doubted) giveUp(g, call, last === 'late' || clock.now() >= until ? 504 : 502);
+  else if (x.doubted)
+    giveUp(g, call, last === 'late' || clock.now() >= until ? GATEWAY_TIMEOUT : BAD_GATEWAY);
   else refuse(g, call, refusal);
 }
 
--- a/test/gateway-callers.test.ts
+++ b/test/gateway-callers.test.ts
@@ -328,6 +328,25 @@
   return q.headers['plumhollow-attempt-id'];
 }
 
+async function sameIdAgain(): Promise<void> {
+  const engine = heldStreams();
+  const e = await startStandIn('e1', engine.answer);
+  const rig = await startRig({ engines: [e], deployment: withLimits(15000) });
+  const first = await bareCaller(rig.at);
+  first.write(request('one'));
+  expect(await first.has('first')).toBe(true);
+  const again = await bareCaller(rig.at);
+  again.write(request('one'));
+  expect(await again.has('HTTP/1.1')).toBe(true);
+  expect(again.received()).toContain(' 502 ');
+  expect(e.calls.length).toBe(1);
+  engine.finish();
+  expect(await first.has('last')).toBe(true);
+  first.destroy();
+  again.destroy();
+  await rig.close();
+}
+
 async function admittedBefore(): Promise<void> {
   const engine = heldStreams();
   const e = await startStandIn('e1', engine.answer);
@@ -376,4 +395,5 @@
   pipelinedWhileLeaving,
 );
 test('what comes after the last request of a connection is not sent on', requestAfterLastAnswer);
+test('a request that may run once is not run again while it is under way', sameIdAgain);
 test('a request that was admitted ends whole, whatever later deployments drop', admittedBefore);
