--- a/src/data/gateway/choose.ts
+++ b/src/data/gateway/choose.ts
@@ -8,7 +8,8 @@
 import { boundsOf } from '../../shared/bounds';
 import { Engine, KEYS } from '../../shared/words';
 import { reachIndexers } from './indexers';
-import { EngineSpot, makePlacement, NoPlace, PlaceAsk, Placed, StoreSpot } from './placement';
+import { makePlacement } from './placement';
+import { EngineSpot, NoPlace, PlaceAsk, Placed, StoreSpot } from './placement-types';
 import { Ending } from './standing';
 import { Expected, saltUnder, WeightsBook } from './weights';
 
--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -126,6 +126,7 @@
     table,
     stands,
     closed,
+    runsOnce: new Set(),
   };
 
   function limits(): ServeLimits {
@@ -185,7 +186,7 @@
         { step: 'read deployment', peer: settings.name },
         (d.extract() as string[]).join('; '),
       );
-    current = makeRouteTable(d.extract() as Deployment);
+    current = makeRouteTable(d.extract() as Deployment, current);
     connections.idleMs(current.limits.idleTimeoutMs);
     server!.limit(limits());
   }
