--- a/tools/model/explore.ts
+++ b/tools/model/explore.ts
@@ -211,6 +211,26 @@
   return runSchedule(subject, choose, tally);
 }
 
+/** Runs the schedule of some labels; those that aren't enabled in their turn are passed over, and at the end the oldest event is next each time. */
+export async function replay(subject: Subject, labels: readonly string[]): Promise<Exploration> {
+  const tally = makeTally();
+  let at = 0;
+  function choose(events: ModelEvent[]): number {
+    while (at < labels.length) {
+      const label = labels[at++];
+      const i = events.findIndex(isNamed);
+      if (i >= 0) return i;
+      function isNamed(event: ModelEvent): boolean {
+        return event.label === label;
+      }
+    }
+    return 0;
+  }
+  const trace = await runSchedule(subject, choose, tally);
+  const isBroken = trace.violations.length > 0;
+  return { tally, ...(isBroken ? { broken: trace, foundAfter: 1 } : {}) };
+}
+
 /** Runs all schedules, up to a number of them; one that comes to a state that was met ends there. */
 export async function exploreExhaustively(subject: Subject, limits: Limits): Promise<Exploration> {
   const tally = makeTally();
--- a/tools/model/model.ts
+++ b/tools/model/model.ts
@@ -1,11 +1,13 @@
 /** The command line of the model checker. */
 import { Command } from 'commander';
+import { readFileSync } from 'node:fs';
 import {
   Exploration,
   exploreExhaustively,
   exploreRandomly,
   Limits,
   othersThan,
+  replay,
   Subject,
 } from './explore';
 import { INVARIANTS, InvariantName } from './invariants';
@@ -17,6 +19,7 @@
   schedules: string;
   seed: string;
   exhaustive?: boolean;
+  replay?: string;
   without?: string;
   known?: string;
   only?: InvariantName;
@@ -54,12 +57,24 @@
   return new Set((list?.split(',') ?? []) as InvariantName[]);
 }
 
+function explore(subject: Subject, limits: Limits, options: Options): Promise<Exploration> {
+  if (options.replay !== undefined) return replay(subject, readSteps(options.replay));
+  return options.exhaustive
+    ? exploreExhaustively(subject, limits)
+    : exploreRandomly(subject, limits, Number(options.seed));
+}
+
+function readSteps(file: string): string[] {
+  return readFileSync(file, 'utf8').trimEnd().split('\n');
+}
+
 async function main(): Promise<void> {
   const options = new Command('model')
     .option('--world <name>', Object.keys(WORLDS).join(', '), 'race')
     .option('--schedules <n>', 'the most schedules', '1000')
     .option('--seed <n>', 'the seed of random schedules', '1')
     .option('--exhaustive', 'all schedules instead of random ones')
+    .option('--replay <file>', 'the schedule of a file, one step a line')
     .option('--without <mechanism>', `leave one out: ${Object.keys(MUTATIONS).join(', ')}`)
     .option('--known <invariants>', 'count these violations and go on, for faults that are known')
     .option('--only <invariant>', 'count the violations of all others and go on')
@@ -84,9 +99,7 @@
     mutation,
     known: options.only ? othersThan(options.only) : knownOf(options.known),
   };
-  const found = options.exhaustive
-    ? await exploreExhaustively(subject, limits)
-    : await exploreRandomly(subject, limits, Number(options.seed));
+  const found = await explore(subject, limits, options);
   report(found);
   process.exitCode = found.broken ? 1 : 0;
 }
--- a/tools/model/scheduler.ts
+++ b/tools/model/scheduler.ts
@@ -86,10 +86,11 @@
   return { add, enabled, describe };
 }
 
-/** Comes back once no promise can go on without a further event. */
-export function drainMicrotasks(): Promise<void> {
+/** Comes back once no promise can go on without a further event: ticks come after all microtasks. */
+export async function drainMicrotasks(): Promise<void> {
   function wait(done: () => void): void {
     process.nextTick(done);
   }
-  return new Promise(wait);
+  await Promise.resolve();
+  await new Promise<void>(wait);
 }
--- a/tools/model/worlds.ts
+++ b/tools/model/worlds.ts
@@ -71,6 +71,17 @@
     budgets: { ...NO_FAULTS, freeze: 2, cut: 2, lateTimer: 6 },
     mostLog: LARGE_LOG,
   },
+  settle: {
+    summary: '3 voters, a read at a node that is cut off from the owner and takes the key over',
+    voters: 3,
+    scripts: [
+      [deploy, again, deploy],
+      [again, again, read],
+      [again, deploy],
+    ],
+    budgets: { ...NO_FAULTS, cut: 1 },
+    mostLog: LARGE_LOG,
+  },
   crash: {
     summary: '3 voters, two operators; crashes, small logs',
     voters: 3,
