--- a/tools/model/explore.ts
+++ b/tools/model/explore.ts
@@ -49,6 +49,8 @@
   schedules: number;
   /** No schedule begins later than this; without it, all are run. */
   ms?: number;
+  /** Exhaustively, only schedules with as many choices other than the oldest event. */
+  deviations?: number;
   /** The most schedules that are run to shorten one that breaks an invariant. */
   shrinks?: number;
 }
@@ -231,24 +233,30 @@
   return { tally, ...(isBroken ? { broken: trace, foundAfter: 1 } : {}) };
 }
 
-/** Runs all schedules, up to a number of them; one that comes to a state that was met ends there. */
+function isDeviation(choice: number): boolean {
+  return choice > 0;
+}
+
+/** Runs all schedules, up to a number of them; one that comes to a state that was met with as many deviations left ends there. */
 export async function exploreExhaustively(subject: Subject, limits: Limits): Promise<Exploration> {
   const tally = makeTally();
-  const met = new Set<string>();
+  const met = new Map<string, number>();
   const open: number[][] = [[]];
   const until = performance.now() + (limits.ms ?? Infinity);
   while (open.length > 0 && tally.schedules < limits.schedules && performance.now() < until) {
     const prefix = open.pop()!;
     const path = [...prefix];
+    const left = (limits.deviations ?? Infinity) - prefix.filter(isDeviation).length;
     function choose(_events: ModelEvent[], step: number): number {
       if (step >= path.length) path.push(0);
       return path[step];
     }
     function visit(events: ModelEvent[], step: number, digest: string): boolean {
       if (step < prefix.length) return true;
-      if (met.has(digest)) return false;
-      met.add(digest);
-      for (let i = events.length - 1; i > 0; i--) open.push([...path.slice(0, step), i]);
+      if ((met.get(digest) ?? -1) >= left) return false;
+      met.set(digest, left);
+      for (let i = left > 0 ? events.length - 1 : 0; i > 0; i--)
+        open.push([...path.slice(0, step), i]);
       return true;
     }
     const trace = await runSchedule(subject, choose, tally, visit);
--- a/tools/model/model.ts
+++ b/tools/model/model.ts
@@ -19,6 +19,7 @@
   schedules: string;
   seed: string;
   exhaustive?: boolean;
+  deviations?: string;
   replay?: string;
   without?: string;
   known?: string;
@@ -74,6 +75,7 @@
     .option('--schedules <n>', 'the most schedules', '1000')
     .option('--seed <n>', 'the seed of random schedules', '1')
     .option('--exhaustive', 'all schedules instead of random ones')
+    .option('--deviations <n>', 'exhaustively, how often another than the oldest event is next')
     .option('--replay <file>', 'the schedule of a file, one step a line')
     .option('--without <mechanism>', `leave one out: ${Object.keys(MUTATIONS).join(', ')}`)
     .option('--known <invariants>', 'count these violations and go on, for faults that are known')
@@ -92,6 +94,7 @@
   say(`${options.world}: ${plan.summary}; ${mutation.summary}`);
   const limits: Limits = {
     schedules: Number(options.schedules),
+    deviations: options.deviations === undefined ? undefined : Number(options.deviations),
     ms: options.minutes === undefined ? undefined : Number(options.minutes) * MINUTE,
   };
   const subject: Subject = {
