Test: an order sent again after 1,100 others, past what the core remembers

Cause: 200 others are within the 1,024 orders that are remembered; past them the answer must be unclear, never a refusal. Stricter than before.

--- a/test/worst-days-found.test.ts
+++ b/test/worst-days-found.test.ts
@@ -5,7 +5,7 @@
 const FOUND_SEEDS = [2024];
 
 /** More changes than any operator makes between two calls of one order. */
-const CHANGES_BETWEEN = 200;
+const CHANGES_BETWEEN = 1100;
 
 const TAKEN = 200;
 const LOWEST_UNCLEAR = 500;
@@ -33,6 +33,6 @@
 
 test('worst days that have failed keep the rules', foundSeeds);
 test(
-  'an order that was taken is not refused when it is sent again after 200 others',
+  'an order that was taken is not refused when it is sent again after 1,100 others',
   takenOrderIsSentAgain,
 );
