Time-outs of connects and of silence are judged after what had arrived is read

Calls and streams of our own wire had the same early time-out as connections to engines had. Mended: the watch always asks by a new connection before it judges, which takes a poll of the event loop; the connect time-outs of realwire and realask wait for that poll too. Price: one connection more to an engine that was silent beyond three aims. Conclusion: no time-out of a connect is taken from a held-up event loop.

--- a/src/data/gateway/forward.ts
+++ b/src/data/gateway/forward.ts
@@ -107,15 +107,12 @@
   }
   function look(): void {
     if (silent() < soon) off = clock.timer(soon - silent(), look);
-    else off = clock.timer(0, judgeNow);
-  }
-  /** Runs a turn of the event loop after `look`: bytes that arrived while it was held up have been read. */
-  function judgeNow(): void {
-    if (silent() < soon) look();
     else void judge();
   }
+  /** Asks in any case, so that bytes that arrived while the event loop was held up are read before it judges. */
   async function judge(): Promise<void> {
-    const there = silent() < most && (await g.connections.reaches(c.engine));
+    const reached = await g.connections.reaches(c.engine);
+    const there = reached && silent() < most;
     const goes = !there && g.budget.left(x.pool) && (await x.elsewhere());
     if (stopped) return;
     if (goes && silent() >= soon) gone.abort();
--- a/src/shared/realask.ts
+++ b/src/shared/realask.ts
@@ -68,10 +68,19 @@
 
       function given(socket: import('node:net').Socket): void {
         if (!socket.connecting) return up();
-        dialled = setTimeout(cut, connectWithin, 'ECONNTIMEOUT');
+        dialled = setTimeout(lateDial, connectWithin);
         socket.once('connect', up);
       }
 
+      /** A connection that came up while the event loop was held up counts as in time. */
+      function lateDial(): void {
+        setImmediate(giveUpDial);
+      }
+
+      function giveUpDial(): void {
+        if (!connected) cut('ECONNTIMEOUT');
+      }
+
       function answered(res: http.IncomingMessage): void {
         const pieces = res[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
         const text = new TextDecoder();
--- a/src/shared/realwire.ts
+++ b/src/shared/realwire.ts
@@ -180,7 +180,12 @@
 function dial(at: string, within: number, localAddress?: string): Promise<Outcome<Connection>> {
   function wait(done: (o: Outcome<Connection>) => void): void {
     const socket = net.connect({ ...split(at), localAddress });
+    /** A connection that came up while the event loop was held up counts as in time. */
     function late(): void {
+      setImmediate(giveUp);
+    }
+    function giveUp(): void {
+      if (!socket.connecting) return;
       socket.destroy();
       done(Left(makeFault('dial', at, 'no stream in time', 'refused', 'timeout')));
     }
--- a/test/gateway-engines.test.ts
+++ b/test/gateway-engines.test.ts
@@ -1,4 +1,5 @@
 import { realHttp } from '../src/shared/realhttp';
+import { realWire } from '../src/shared/realwire';
 import {
   ask,
   deployment,
@@ -98,6 +99,20 @@
   e.close();
 }
 
+async function wireWhileHeldUp(): Promise<void> {
+  const e = await startStandIn('e1', streams(1));
+  const wire = realWire(20);
+  const asking = wire.ask({ at: e.at, method: 'GET', path: '/x', headers: {}, within: 2000 });
+  await turn();
+  holdUp(60);
+  (await asking).unsafeCoerce().cancel();
+  const dialling = wire.dial(e.at, 20);
+  holdUp(60);
+  (await dialling).unsafeCoerce().close();
+  e.close();
+}
+
+test('calls and streams whose connection came up during a hold-up go on', wireWhileHeldUp);
 test('a silent engine keeps its stream while no other engine would take it', pausesAlone);
 test('a router that was held up takes no engine for silent whose bytes had arrived', heldUpRouter);
 test('a connection that came up while the event loop was held up is used', connectsWhileHeldUp);
