--- a/tools/model/mutations.ts
+++ b/tools/model/mutations.ts
@@ -152,7 +152,7 @@
   async function own(): ReturnType<Owner['own']> {
     return Right(undefined);
   }
-  return { ...owner, own };
+  return { ...owner, own, ownAnew: own };
 }
 
 /** A read that goes by what is learned here. */
--- a/tools/sim/placingscore.ts
+++ b/tools/sim/placingscore.ts
@@ -2,7 +2,7 @@
  * What one way of placing is worth.
  */
 
-import { PlaceWay } from '../../src/data/gateway/placement';
+import { PlaceWay } from '../../src/data/gateway/placement-types';
 
 /** What came of one way of placing. */
 export interface PlacingResult {
