What is unchanged in a list is told as a list; what can't be read is sent whole

Now such a difference is a splice of nothing; a follower asks whole for what it can't read and pauses where that fails too, and a sender sends it whole next. Tests: delta.test.ts (the equal list failed before), lease-costs.test.ts.

--- a/src/control/keep.ts
+++ b/src/control/keep.ts
@@ -108,18 +108,18 @@
     return p.slots.cells.get(key)?.learned;
   }
 
-  /** Learns what was fetched; a difference whose base has moved on meanwhile is fetched anew in the next round. */
-  async function learnMessages(messages: ChangeMessage[]): Promise<boolean> {
+  /** Learns what was fetched, and gives the keys that could not be read or kept. */
+  async function learnMessages(messages: ChangeMessage[]): Promise<string[]> {
     const changes: Numbered[] = [];
-    let isWhole = true;
+    const unread: string[] = [];
     for (const message of messages) {
       const target = targetOf(message);
       if (isReached(held(target.key), target)) continue;
       const change = readChange(held(target.key), message);
       if (change) changes.push(change);
-      else isWhole = false;
+      else unread.push(target.key);
     }
-    return (await learnAll(changes)) && isWhole;
+    return (await learnAll(changes)) ? unread : [...unread, ...changes.map(keyOfChange)];
   }
 
   /** Owns the keys that are this controller's under the voters that are up, some at once, and no others; none where no majority is up. */
@@ -160,3 +160,7 @@
 
   return { catchUp, tendKeys, tendDisk };
 }
+
+function keyOfChange(change: Numbered): string {
+  return change.key;
+}
--- a/src/control/news-sender.ts
+++ b/src/control/news-sender.ts
@@ -79,7 +79,8 @@
       return false;
     }
     for (const message of messages) noteApplied(targetOf(message));
-    for (const entry of (answer as ChangesAnswer).lacking) noteLacking(entry);
+    const bases = new Map(messages.map(baseOf));
+    for (const entry of (answer as ChangesAnswer).lacking) noteLacking(entry, bases);
     parts.onApplied();
     return true;
   }
@@ -88,8 +89,14 @@
     if (!isReached(applied.get(target.key), target)) applied.set(target.key, placeOf(target));
   }
 
-  function noteLacking([key, epoch, by, number]: AppliedEntry): void {
-    applied.set(key, { epoch, by, number });
+  /** Has a key sent again: as a difference to what the follower holds, or whole where such a difference was what it could not read. */
+  function noteLacking(
+    [key, epoch, by, number]: AppliedEntry,
+    bases: Map<string, Place | undefined>,
+  ): void {
+    const held = { epoch, by, number };
+    if (isReached(bases.get(key), held)) applied.delete(key);
+    else applied.set(key, held);
     pending.add(key);
   }
 
@@ -112,3 +119,7 @@
 
   return { send, confirm };
 }
+
+function baseOf(message: ChangeMessage): [string, Place | undefined] {
+  return [targetOf(message).key, message.kind === 'delta' ? message.delta.base : undefined];
+}
--- a/src/shared/catch-up.ts
+++ b/src/shared/catch-up.ts
@@ -6,8 +6,8 @@
 /** What fetching missed changes needs of its node. */
 export interface CatchUpParts {
   held(key: string): Numbered | undefined;
-  /** Applies what came; false where that failed. */
-  apply(messages: ChangeMessage[]): Promise<boolean>;
+  /** Applies what came, and gives the keys that could not be read or kept. */
+  apply(messages: ChangeMessage[]): Promise<string[]>;
   /** How long an answer may take. */
   within: number;
 }
@@ -27,11 +27,21 @@
     return held ? appliedEntries([held])[0] : [key, 0, '', 0];
   }
 
+  /** Fetches keys; what can't be read over what is held here is fetched whole. */
   async function fetchFrom(exchange: Exchange, keys: string[]): Promise<boolean> {
-    const asked = { held: keys.map(heldEntry) };
-    const [fault, messages] = open(await exchange.ask('fetch-changes', asked, parts.within));
-    if (fault) return false;
-    return parts.apply(messages as ChangeMessage[]);
+    const unread = await fetchEntries(exchange, keys.map(heldEntry));
+    if (!unread || unread.length === 0) return unread !== undefined;
+    const left = await fetchEntries(exchange, unread.map(wholeEntry));
+    return left?.length === 0;
+  }
+
+  /** Fetches the newest versions over the held ones; gives the keys that could not be read, or nothing where no answer came. */
+  async function fetchEntries(
+    exchange: Exchange,
+    held: AppliedEntry[],
+  ): Promise<string[] | undefined> {
+    const [fault, messages] = open(await exchange.ask('fetch-changes', { held }, parts.within));
+    return fault ? undefined : parts.apply(messages as ChangeMessage[]);
   }
 
   /** Comes back when what is missing was fetched, here or by another call; false where this controller did not give it. */
@@ -58,6 +68,11 @@
   return catchUp;
 }
 
+/** Asks for a key whole. */
+function wholeEntry(key: string): AppliedEntry {
+  return [key, 0, '', 0];
+}
+
 function keyOf(entry: AppliedEntry): string {
   return entry[0];
 }
--- a/src/shared/delta.ts
+++ b/src/shared/delta.ts
@@ -139,6 +139,12 @@
   return out;
 }
 
+/** The patch that leaves a value as it is. */
+function unchanged(value: unknown): Patch {
+  if (Array.isArray(value)) return { splice: [0, 0, []] };
+  return isPlainObject(value) ? { set: {}, drop: [] } : { put: value };
+}
+
 /** Where a value stands, without it. */
 export function placeOf(n: Place): Place {
   return { epoch: n.epoch, by: n.by, number: n.number };
@@ -150,7 +156,7 @@
   const before = digestOf(base.value);
   if (before.bytes < SHORT) return undefined;
   const whole = digestOf(n.value);
-  const patch: Patch = diff(base.value, n.value) ?? { set: {}, drop: [] };
+  const patch: Patch = diff(base.value, n.value) ?? unchanged(n.value);
   if (JSON.stringify(patch).length > whole.bytes * WORTHWHILE) return undefined;
   return { key: n.key, ...placeOf(n), base: placeOf(base), patch, sum: whole.hash };
 }
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -130,9 +130,12 @@
     return state.get(key);
   }
 
-  async function applyChanges(messages: ChangeMessage[]): Promise<boolean> {
-    applyMessages({ apply: take, held }, messages);
-    return true;
+  async function applyChanges(messages: ChangeMessage[]): Promise<string[]> {
+    return applyMessages({ apply: take, held }, messages).lacking.map(keyOf);
+  }
+
+  function keyOf(entry: AppliedEntry): string {
+    return entry[0];
   }
 
   edges.push(
--- a/test/delta.test.ts
+++ b/test/delta.test.ts
@@ -53,3 +53,41 @@
 
 test('a difference turns any value into any other, and leaves the first as it was', anyTwo);
 test('a delta is read over its own base only', overItsBaseOnly);
+
+/** A takeover commits the same value under a higher epoch; a list then stays a list. */
+function sameValueAgain(): void {
+  const list = Array.from({ length: 100 }, itemOf);
+  for (const value of [list, { doc: list }]) {
+    const one: Numbered = { key: 'k', epoch: 1, by: 'a', number: 1, value };
+    const two: Numbered = { ...one, epoch: 2 };
+    const delta = makeDelta(one, two)!;
+    expect(JSON.stringify(delta).length).toBeLessThan(300);
+    expect(readDelta(one, delta)).toEqual(two);
+  }
+}
+
+function itemOf(_: unknown, i: number): object {
+  return { name: `item-${i}`, text: 'some text that makes the whole long' };
+}
+
+/** Items move, change, come and go by their names. */
+function itemsByName(): void {
+  const { next } = seededDice(9);
+  function some(): object[] {
+    const items: object[] = [];
+    for (let i = 0; i < 12; i++)
+      if (next() < 0.7) items.push({ name: `n${i}`, at: Math.floor(next() * 3) });
+    return next() < 0.2 ? items.reverse() : items;
+  }
+  let byItems = 0;
+  for (let i = 0; i < 2000; i++) {
+    const [a, b] = [some(), some()];
+    const patch = diff(a, b);
+    if (patch && 'items' in patch) byItems++;
+    expect(patch ? patched(a, patch) : a).toEqual(b);
+  }
+  expect(byItems).toBeGreaterThan(100);
+}
+
+test('a value that is committed again is told as unchanged, also a list', sameValueAgain);
+test('lists of named items differ by item', itemsByName);
--- a/test/lease-costs.test.ts
+++ b/test/lease-costs.test.ts
@@ -2,6 +2,7 @@
 import { LeaseAsk, Leases } from '../src/control/leases';
 import { ControlEdge } from '../src/control/peers';
 import { Slots } from '../src/control/slots';
+import { ChangeMessage } from '../src/shared/change-message';
 import { Exchange } from '../src/shared/connections';
 import { open } from '../src/shared/errors';
 import { FollowEdge } from '../src/shared/follow-edge';
@@ -241,3 +242,35 @@
 );
 test('a renewal in short on another connection is asked to tell all', wholeOnAnotherStream);
 test('controllers tell what they learned after a count of their life', learnedAfter);
+
+/** A follower that can't read a difference is sent the whole next, and no further message. */
+async function unreadableIsSentWhole(): Promise<void> {
+  const r = rig(0);
+  const kinds: string[] = [];
+  const base = largeValue(1);
+  async function ask(type: string, body: unknown): Promise<unknown> {
+    if (type !== 'changes') return Right(true);
+    const [message] = body as ChangeMessage[];
+    kinds.push(message.kind);
+    return Right({ lacking: message.kind === 'delta' ? [hasOf(base)] : [] });
+  }
+  const ex = { ask } as unknown as Exchange;
+  r.learn(base);
+  r.leases.push(base);
+  await r.ask({ member: memberOf('edge-1'), has: [hasOf(base)] }, ex);
+  const later = largeValue(2);
+  r.learn(later);
+  r.leases.push(later);
+  for (let i = 0; i < 50; i++) await Promise.resolve();
+  expect(kinds).toEqual(['delta', 'compressed']);
+}
+
+function largeValue(number: number): Numbered {
+  const items = Array.from({ length: 200 }, itemOf);
+  function itemOf(_: unknown, i: number): object {
+    return { name: `item-${i}`, at: i === 7 ? number : 0 };
+  }
+  return { ...numbered('large', number), value: items };
+}
+
+test('a difference that a follower can not read is followed by the whole', unreadableIsSentWhole);
