--- a/test/news-storm.test.ts
+++ b/test/news-storm.test.ts
@@ -36,7 +36,7 @@
   const took = await rig.until(everyoneHas(rig, 1), 20000);
   const whole = JSON.stringify(largeDocument(1, ROUTES, 0)).length;
   expect(took).toBeLessThan(CHANGE_BOUND_MS);
-  expect(rig.bytesPerFollower()).toBeLessThan(whole / 2);
+  expect(rig.bytesPerFollower()).toBeLessThan(whole / 8);
 }
 
 /** Changes come faster than a follower could be sent wholes; each has each change within the bound. */
