--- a/test/realwire.test.ts
+++ b/test/realwire.test.ts
@@ -103,16 +103,25 @@
   repeatable: true,
 };
 
+/** Turns of the event loop in which what was sent on loopback is read. */
+const TURNS = 500;
+
 async function freesConnections(): Promise<void> {
   const clock = realClock();
+  const ends: (() => void)[] = [];
+  const finished: Promise<void>[] = [];
   let connections = 0;
   function answer(_req: http.IncomingMessage, res: http.ServerResponse): void {
     res.write(JSON.stringify({ request: 'r', n: 0, text: 'x' }) + '\n');
     res.write(JSON.stringify({ request: 'r', done: true, count: 1 }) + '\n');
-    clock.timer(20, end);
     function end(): void {
       res.end();
     }
+    ends.push(end);
+    function wait(done: () => void): void {
+      res.on('finish', done);
+    }
+    finished.push(new Promise<void>(wait));
   }
   function connected(): void {
     connections++;
@@ -137,11 +146,13 @@
     await (g as Generating).next();
     const [, last] = open(await (g as Generating).next());
     expect((last as EngineLine).done).toBe(true);
-    await clock.sleep(50);
+    ends.shift()!();
+    await finished.shift();
+    for (let turn = 0; turn < TURNS; turn++) await new Promise(setImmediate);
   }
-  expect(connections).toBe(1);
   server.closeAllConnections();
   server.close();
+  expect(connections).toBe(1);
 }
 
 async function refusesLargeBodies(): Promise<void> {
