--- a/tools/sim/worst/core.ts
+++ b/tools/sim/worst/core.ts
@@ -15,8 +15,6 @@
   controller?: Controller;
   /** Faults that trouble it now. */
   troubles: number;
-  /** Its disk was emptied, and the new one may not vote yet. */
-  emptied: boolean;
   /** When its last trouble ended. */
   troubledAt: number;
   /** It was replaced and never comes back. */
@@ -104,7 +102,7 @@
   function addMember(): Member {
     const index = all.length + 1;
     const proc = world.proc(`core-${index}`, `10.1.0.${index}`);
-    const member = { proc, troubles: 0, emptied: false, troubledAt: -Infinity, isGone: false };
+    const member = { proc, troubles: 0, troubledAt: -Infinity, isGone: false };
     all.push(member);
     return member;
   }
@@ -145,9 +143,7 @@
     member.proc.disk.slow = 1;
     member.proc.disk.stalled = false;
     member.controller = undefined;
-    if (!how.wipe) return;
-    member.proc.files.clear();
-    member.emptied = true;
+    if (how.wipe) member.proc.files.clear();
   }
 
   function back(member: Member): void {
@@ -160,7 +156,7 @@
     lose(member, { power: true, wipe: true });
     member.isGone = true;
     const fresh = addMember();
-    fresh.emptied = true;
+    fresh.troubledAt = world.now();
     start(fresh);
     return fresh;
   }
--- a/tools/sim/worst/day.ts
+++ b/tools/sim/worst/day.ts
@@ -44,6 +44,14 @@
 const FEWEST_FAULTS = 6;
 const MOST_FAULTS = 24;
 const LARGE_SHARE = 0.3;
+/** How often the closing fault waits for the change's acknowledgement. */
+const CLOSES_ACKNOWLEDGED_SHARE = 0.5;
+/** The longest from there, or from the change's sending, to the closing fault. */
+const CLOSING_MOST_MS = 400;
+/** For how long the machines are dark. */
+const DARK_MS = [300, 1300] as const;
+/** How far apart they come back at the most. */
+const BACK_APART_MS = 200;
 
 interface Scene {
   core: WorstCore;
@@ -138,10 +146,45 @@
   }
 }
 
+/** The members in an order drawn by the seed. */
+function shuffled(core: WorstCore): Member[] {
+  const drawn = new Map<Member, number>();
+  for (const member of core.members()) drawn.set(member, core.world.dice.next());
+  function byDraw(a: Member, b: Member): number {
+    return drawn.get(a)! - drawn.get(b)!;
+  }
+  return core.members().sort(byDraw);
+}
+
+/**
+ * Right after a change was sent or acknowledged, as many members as may be lost lose their disks, and all
+ * others their power. By then every member that was lost before has had `catchUpMs`.
+ */
+async function closeDay(scene: Scene): Promise<void> {
+  const { core, storm } = scene;
+  const { world, settings } = core;
+  await world.run(world.now() + settings.catchUpMs);
+  const change = drawChange('closing', storm.known('reader'), world.dice);
+  const sent = storm.insist('reader', change, settings.ackMs);
+  if (world.dice.next() < CLOSES_ACKNOWLEDGED_SHARE) await settled(core, settings.ackMs, sent);
+  await world.run(world.now() + world.dice.next() * CLOSING_MOST_MS);
+  const order = shuffled(core);
+  for (const [index, member] of order.entries())
+    core.lose(member, { power: true, wipe: index < core.tolerated });
+  core.disturb(world.now());
+  await world.run(world.now() + DARK_MS[0] + world.dice.next() * (DARK_MS[1] - DARK_MS[0]));
+  for (const member of order) {
+    core.back(member);
+    await world.run(world.now() + world.dice.next() * BACK_APART_MS);
+  }
+  core.disturb(world.now());
+}
+
 async function endDay(scene: Scene, injector: Injector): Promise<void> {
   const { core, storm, violations } = scene;
   injector.endAll();
   for (const member of core.members()) core.back(member);
+  await closeDay(scene);
   function isBack(): boolean {
     return allVote(core);
   }
--- a/tools/sim/worst/faults.ts
+++ b/tools/sim/worst/faults.ts
@@ -55,10 +55,7 @@
 
 const ACK_DELAY_MS = 4;
 const SENT_DELAY_MS = [5, 400] as const;
-const CATCH_UP_MS = 4000;
-const MARGIN_MS = 500;
 const SLOW_TIMES = 100;
-const WIPES = new Set<WorstFaultKind>(['wipe', 'wipe-power-all', 'replace']);
 const UNCOUNTED = new Set<WorstFaultKind>(['reset', 'operator-cut', 'power-all', 'rolling']);
 const LASTING = new Set<WorstFaultKind>(['disk-stall', 'disk-slow', 'disk-full']);
 
@@ -102,22 +99,18 @@
   let armed: WorstFault[] = [];
   let isOver = false;
 
-  function isLost(member: Member, margin: number): boolean {
-    if (member.emptied && core.votes(member)) {
-      member.emptied = false;
-      member.troubledAt = world.now() + CATCH_UP_MS - margin;
-    }
-    const isTroubled = member.troubles > 0 || member.emptied || !member.proc.alive;
-    return isTroubled || member.troubledAt + margin > world.now();
+  /** By the clock alone, whether or not the member has caught up: that is what it must have done by then. */
+  function isLost(member: Member): boolean {
+    const isTroubled = member.troubles > 0 || !member.proc.alive;
+    return isTroubled || member.troubledAt + core.settings.catchUpMs > world.now();
   }
 
   /** Whether the core bears the loss of this member, too. */
   function bears(target: Member, kind: WorstFaultKind): boolean {
     if (UNCOUNTED.has(kind)) return true;
-    const margin = WIPES.has(kind) ? CATCH_UP_MS : MARGIN_MS;
     let lost = 0;
-    for (const member of core.members()) if (member !== target && isLost(member, margin)) lost++;
-    return lost < core.tolerated && !(WIPES.has(kind) && target.emptied);
+    for (const member of core.members()) if (member !== target && isLost(member)) lost++;
+    return lost < core.tolerated;
   }
 
   function targetOf(fault: WorstFault): Member {
