Test, failing: a kill in the midst of a write of votes, and a loss of power in a later life

Found on reading the second file that decides whether a disk is the voter that it was. A process killed between the write and the sync of its votes leaves bytes that the next life reads and does not sync; a loss of power takes them away, the numbers of the files have a gap, and a sound disk gets a new identity. The slots sync what they read since; the votes did not.

--- /dev/null
+++ b/test/disk-killed.test.ts
@@ -0,0 +1,84 @@
+/**
+ * A process that is killed between a write and its sync, and a loss of power in a later life: what the later life
+ * read was never synced, and is gone then.
+ */
+
+import { openSlots, Slots } from '../src/control/slots';
+import { KeptVotes, readVotes, Votes } from '../src/control/votes';
+import { open } from '../src/shared/errors';
+import { Ports } from '../src/shared/ports';
+import { Folder, makeFolder, Remainder } from '../tools/model/disk';
+import { acceptedLine, numberOf, portsOn } from './diskrig';
+
+const REMAINDERS: Remainder[] = ['lost', 'empty', 'torn', 'kept'];
+const MOST_SYNCS = 12;
+const KEEP_MS = 1000;
+
+/** Ports of one life on a folder; from the sync with this number on, none comes back. */
+function portsOf(folder: Folder, life: number, syncs: number): Ports {
+  let left = syncs;
+  function schedule(_label: string, sync: () => void): void {
+    if (left-- > 0) sync();
+  }
+  return { ...portsOn(new Map(), life), disk: folder.port(schedule) };
+}
+
+/** Starts a life as a controller does; undefined where it did not come that far. */
+async function start(folder: Folder, life: number, syncs: number): Promise<Slots | undefined> {
+  const ports = portsOf(folder, life, syncs);
+  function nobody(): undefined {
+    return undefined;
+  }
+  async function run(): Promise<Slots> {
+    const kept = (await readVotes(ports)).extract() as KeptVotes;
+    const [, slots] = open(await openSlots(ports, 1 << 20, kept));
+    await new Votes(slots!, ports, nobody, KEEP_MS).begin(kept);
+    await slots!.put(acceptedLine(life));
+    return slots!;
+  }
+  return Promise.race([run(), turnsOf()]);
+}
+
+/** Lets all run that can, and gives nothing. */
+async function turnsOf(): Promise<undefined> {
+  function turn(go: () => void): void {
+    setImmediate(go);
+  }
+  for (let i = 0; i < 20; i++) await new Promise<void>(turn);
+  return undefined;
+}
+
+async function killedInAnyWrite(): Promise<void> {
+  for (let syncs = 0; syncs < MOST_SYNCS; syncs++) {
+    for (const remainder of REMAINDERS) {
+      const folder = makeFolder();
+      let disk = '';
+      for (let life = 1; life <= 4; life++) disk = (await start(folder, life, Infinity))!.disk;
+      await start(folder, 5, syncs);
+      await start(folder, 6, Infinity);
+      const names = folder.unsynced();
+      folder.losePower(new Map(names.map(withRemainder)));
+      function withRemainder(name: string): [string, Remainder] {
+        return [name, remainder];
+      }
+      const again = await start(folder, 7, Infinity);
+      const what = { syncs, remainder, names };
+      expect({
+        ...what,
+        disk: again!.disk,
+        spoilt: again!.spoilt,
+        number: numberOf(again!),
+      }).toEqual({
+        ...what,
+        disk,
+        spoilt: false,
+        number: 7,
+      });
+    }
+  }
+}
+
+test(
+  'a process killed in any write, then a life, then a loss of power: the disk is the voter that it was',
+  killedInAnyWrite,
+);
