Votes: the files that a start reads are synced before the next one is written

Mend: one reader for both kinds of files takes note of what it read, and syncs it before anything is built on it. A file of votes that was never completed is passed over and written anew, so that three interrupted writes in a row no longer use up the files that hold the votes; its entries go in parts, as in the log.

--- a/src/control/slots.ts
+++ b/src/control/slots.ts
@@ -18,6 +18,7 @@
 } from './cells';
 import { frame, framesOf, Unframed, unframe } from './frames';
 import { makeGroup, untilWritten } from './group';
+import { makeSyncedReader } from './synced-read';
 
 export { applyLine, Cell, Line };
 
@@ -130,11 +131,10 @@
   within = Infinity,
 ): Promise<Outcome<Slots>> {
   const files: Unframed[] = [];
-  const unsynced = new Set<string>();
+  const reader = makeSyncedReader(ports.disk);
   for (const name of ['slot-0', 'slot-1', 'log-0', 'log-1']) {
-    const [f, bytes] = open(await ports.disk.read(name));
+    const [f, bytes] = open(await reader.read(name));
     if (f) return Left(f);
-    if (bytes && bytes.length > 0) unsynced.add(name);
     files.push(unframe(bytes));
   }
   const read = readWhole(files.slice(0, 2), files.slice(2));
@@ -179,22 +179,9 @@
     return Right(undefined);
   }
 
-  /**
-   * Syncs what was read: a process that died before its sync leaves bytes that a loss of power would
-   * still take away, and the next turn writes over what they follow.
-   */
-  async function syncRead(): Promise<Outcome<void>> {
-    for (const name of unsynced) {
-      const o = await ports.disk.append(name, new Uint8Array());
-      if (o.isLeft()) return o;
-      unsynced.delete(name);
-    }
-    return Right(undefined);
-  }
-
   /** Turns to the other slot; where the one that was read is of version 0.1, to both, so that none of it is left. */
   async function turnOver(): Promise<Outcome<void>> {
-    const synced = await syncRead();
+    const synced = await reader.sync();
     if (synced.isLeft()) return synced;
     if (oldForm) {
       const o = await turn();
--- a/src/control/votes.ts
+++ b/src/control/votes.ts
@@ -3,9 +3,10 @@
 import { bad, open, Outcome } from '../shared/errors';
 import { Ports } from '../shared/ports';
 import { isVoter, Voters } from '../shared/words';
-import { frame, unframe } from './frames';
+import { frame, framesOf, Unframed, unframe } from './frames';
 import { Group, makeGroup, untilWritten } from './group';
 import { Slots } from './slots';
+import { makeSyncedReader } from './synced-read';
 
 /** What became of the run that holds a key, as far as it was told. */
 export type RunState = 'running' | 'done' | 'unknown';
@@ -51,6 +52,23 @@
   disk: string;
   spoilt: boolean;
   old?: boolean;
+  /** Syncs the files that were read. */
+  sync(): Promise<Outcome<void>>;
+}
+
+/** A file of votes that was written whole: its head, and the batches behind it. */
+interface VotesFile {
+  index: number;
+  gen: number;
+  disk: string;
+  batches: VoteLine[][];
+}
+
+/** Reads a file; none where it was never written whole, so that the files before it still hold all votes. */
+function fileOf(index: number, u: Unframed): VotesFile | undefined {
+  const head = u.values[0] as { gen: number; disk: string } | undefined;
+  const batches = (u.old ? [u.values.slice(1)] : u.values.slice(1)) as VoteLine[][];
+  return head && batches.length > 0 ? { index, ...head, batches } : undefined;
 }
 
 function byGen(a: { gen: number }, b: { gen: number }): number {
@@ -63,20 +81,16 @@
 
 /** Reads the files of votes, oldest first, and tells whether synced votes are gone. */
 export async function readVotes(ports: Ports): Promise<Outcome<KeptVotes>> {
-  const found: { i: number; gen: number; disk: string; batches: VoteLine[][] }[] = [];
+  const found: VotesFile[] = [];
+  const reader = makeSyncedReader(ports.disk);
   let spoilt = false;
-  for (const i of FILES) {
-    const [f, bytes] = open(await ports.disk.read(`votes-${i}`));
+  for (const index of FILES) {
+    const [f, bytes] = open(await reader.read(`votes-${index}`));
     if (f) return Left(f);
     const u = unframe(bytes);
     spoilt ||= u.spoilt;
-    const head = u.values[0] as { gen: number; disk: string } | undefined;
-    if (head)
-      found.push({
-        i,
-        ...head,
-        batches: (u.old ? [u.values.slice(1)] : u.values.slice(1)) as VoteLine[][],
-      });
+    const file = fileOf(index, u);
+    if (file) found.push(file);
   }
   found.sort(byGen);
   const votes = new Map<string, Vote>();
@@ -90,11 +104,12 @@
   spoilt ||= found.length > 1 && last.gen - found[0].gen !== found.length - 1;
   return Right({
     votes: [...votes.values()],
-    file: last?.i ?? 0,
+    file: last?.index ?? 0,
     gen: last?.gen ?? 0,
     disk: last?.disk ?? '',
     spoilt,
     old: last !== undefined && last.disk === undefined,
+    sync: reader.sync,
   });
 }
 
@@ -106,6 +121,7 @@
   private gen = 0;
   private turnedAt: number;
   private torn = false;
+  private syncRead?: () => Promise<Outcome<void>>;
   private readonly group: Group<object>;
 
   constructor(
@@ -129,27 +145,35 @@
     this.file = kept.file;
     this.gen = kept.gen;
     this.torn = true;
+    this.syncRead = kept.sync;
     await untilWritten(this.ports, within, 'open votes', this.group.settled());
   }
 
+  /** Writes the next file: its head with the first of the carried votes, then the rest of them, each synced. */
   private async turn(carried: Map<string, Vote>): Promise<Outcome<void>> {
+    const synced = (await this.syncRead?.()) ?? Right(undefined);
+    if (synced.isLeft()) return synced;
     const to = (this.file + 1) % FILES.length;
-    const [f] = open(
-      await this.ports.disk.write(
-        `votes-${to}`,
-        Buffer.concat([
-          frame({ gen: this.gen + 1, disk: this.slots.disk }),
-          frame([...carried.values()].map(asLine)),
-        ]),
-      ),
-    );
-    if (f) return bad(f.step, f.peer, f.why, f.sort, f.code);
+    const head = frame({ gen: this.gen + 1, disk: this.slots.disk });
+    const [first, ...rest] = framesOf([...carried.values()].map(asLine));
+    let written = await this.ports.disk.write(`votes-${to}`, Buffer.concat([head, first]));
+    for (const bytes of rest)
+      if (written.isRight()) written = await this.ports.disk.append(`votes-${to}`, bytes);
+    if (written.isLeft()) return written;
     this.file = to;
     this.gen++;
     this.turnedAt = this.ports.clock.now();
     return Right(undefined);
   }
 
+  private async append(lines: object[]): Promise<Outcome<void>> {
+    for (const bytes of framesOf(lines)) {
+      const o = await this.ports.disk.append(`votes-${this.file}`, bytes);
+      if (o.isLeft()) return o;
+    }
+    return Right(undefined);
+  }
+
   private find(key: string): Vote | undefined {
     return this.now.get(key) ?? this.before.get(key);
   }
@@ -170,7 +194,7 @@
       this.now = new Map();
     }
     if (lines.length === 0) return Right(undefined);
-    const o = await this.ports.disk.append(`votes-${this.file}`, frame(lines));
+    const o = await this.append(lines);
     if (o.isLeft()) this.torn = true;
     return o;
   }
--- a/test/disk.test.ts
+++ b/test/disk.test.ts
@@ -1,3 +1,4 @@
+import { Right } from 'purify-ts';
 import { Acceptor } from '../src/control/register';
 import { openSlots } from '../src/control/slots';
 import { KeptVotes, readVotes, Votes } from '../src/control/votes';
@@ -83,7 +84,10 @@
     slow,
   );
   const votes = new Votes(slots!, slow, voters, 1000);
-  await votes.begin({ votes: [], file: 0, gen: 0, disk: '', spoilt: false });
+  await votes.begin({ votes: [], file: 0, gen: 0, disk: '', spoilt: false, sync: nothingToSync });
+  async function nothingToSync(): Promise<Outcome<void>> {
+    return Right(undefined);
+  }
   const change = { key: 'k', epoch: 1, by: 'a.1', number: 1, value: 1 };
   const vote = { key: 'x', run: 'r1', state: 'running' };
   const acts = [
