Logs: identity of disks, majorities, steps of voter changes, what a router lacks to start

The hypotheses of the incident could not be told apart by what was logged: voters by address only, so that an emptied disk did not show; nothing of majorities; a voter change that took 3.9 s without a word of which step it was.

--- a/src/control/change-log.ts
+++ b/src/control/change-log.ts
@@ -1,7 +1,10 @@
-import { Log } from '../shared/ports';
+import { Clock, Log } from '../shared/ports';
 import { KEYS, Numbered, Voter, Voters } from '../shared/words';
 import { DutyValue } from './term';
 
+/** How much of a disk's identity is logged. */
+const DISK_CHARACTERS = 8;
+
 /** Writes a line for each change of the voters or of their owner, and of the holder of a duty. */
 export function logChange(log: Log, n: Numbered, before: Numbered | undefined): void {
   if (n.key === KEYS.voters) logVoters(log, n, n.value as Voters);
@@ -9,9 +12,9 @@
 }
 
 function logVoters(log: Log, { epoch, by, number }: Numbered, { now, next }: Voters): void {
-  const becomes = next ? ` become ${next.map(atOf).join(' ')}` : '';
+  const becomes = next ? ` become ${next.map(textOf).join(' ')}` : '';
   const fields = { step: 'voters', peer: by, epoch, number };
-  log.notice(fields, `voters ${now.map(atOf).join(' ')}${becomes}`);
+  log.notice(fields, `voters ${now.map(textOf).join(' ')}${becomes}`);
 }
 
 function logDuty(log: Log, n: Numbered, before: Numbered | undefined): void {
@@ -21,6 +24,21 @@
   log.notice(fields, `${holder} holds ${n.key}`);
 }
 
-function atOf(x: Voter): string {
-  return x.at;
+/** A voter by its address and the beginning of its disk's identity, so that an emptied disk shows. */
+function textOf(x: Voter): string {
+  return `${x.at}/${x.disk.slice(0, DISK_CHARACTERS)}`;
+}
+
+/** Makes a function that is told whether a majority is up, and logs when that changes, and after how long. */
+export function makeMajorityLog(log: Log, clock: Clock, self: string): (isUp: boolean) => void {
+  let was: boolean | undefined;
+  let since = clock.now();
+  function note(isUp: boolean): void {
+    if (isUp === was) return;
+    const tookMs = Math.round(clock.now() - since);
+    log.notice({ step: 'majority', peer: self, tookMs }, isUp ? 'a majority is up' : 'no majority');
+    was = isUp;
+    since = clock.now();
+  }
+  return note;
 }
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -11,7 +11,7 @@
 import { withTimeout } from '../shared/timeout';
 import { makeWakers } from '../shared/waker';
 import { allVoters, KEYS, Numbered, Voter, Voters } from '../shared/words';
-import { logChange } from './change-log';
+import { logChange, makeMajorityLog } from './change-log';
 import { acceptConnections } from './accepted';
 import { makeChanges } from './changes';
 import { Controller } from './controller-interface';
@@ -274,7 +274,9 @@
 
   async function tend(): Promise<void> {
     const tending = addWaker();
+    const noteMajority = makeMajorityLog(ports.log, ports.clock, settings.wire);
     while (!stopped) {
+      noteMajority(hasMajority());
       keeper.tendDisk();
       await keeper.catchUp();
       if (!voters()) await founding.foundByItself();
--- a/src/control/voters.ts
+++ b/src/control/voters.ts
@@ -6,6 +6,7 @@
 import { isVoter, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
 import { Controller } from './controller';
 import { bringAllUpToDate, ReplicateParts } from './replicate';
+import { makeStepTimes, StepTimes } from './step-times';
 import { Vote } from './votes';
 
 const HEX = [...'0123456789abcdef'];
@@ -96,6 +97,21 @@
   ports: Ports,
   place: Place,
   isOverdue: boolean,
+): Promise<Outcome<Voters>> {
+  const times = makeStepTimes(ports.clock);
+  const settled = await settleInSteps(c, ports, place, isOverdue, times.timed);
+  const [f] = open(settled);
+  const fields = { step: 'settle voters', peer: c.name, number: place.number, ...times.took() };
+  ports.log.notice(fields, f ? `not settled at ${f.step} ${f.peer}: ${f.why}` : 'settled');
+  return settled;
+}
+
+async function settleInSteps(
+  c: Controller,
+  ports: Ports,
+  place: Place,
+  isOverdue: boolean,
+  timed: StepTimes['timed'],
 ): Promise<Outcome<Voters>> {
   const [f, joint] = open(await knownHere(c, ports, place));
   if (f) return Left(f);
@@ -108,20 +124,21 @@
   }
   const isRepair = now.length === next.length && now.filter(isOut).every(c.isEmptied);
   if (!isRepair) {
-    const [g] = open(await inEffectAt(c, joint, place));
+    const [g] = open(await timed('effectMs', inEffectAt(c, joint, place)));
     if (g) return Left({ ...g, step: 'tell the joint set' });
   }
-  const [h, held] = open(await gather(c, now, place));
+  const [h, held] = open(await timed('gatherMs', gather(c, now, place)));
   if (h) return Left({ ...h, step: 'gather from the old set' });
   for (const x of next.filter(isFresh)) {
-    const [g] = open(await copyVotes(c, x, held.votes));
+    const [g] = open(await timed('votesMs', copyVotes(c, x, held.votes)));
     if (g) return Left(ofNewcomer(g));
   }
-  const [i] = open(await carryKeys(c, [...held.keys]));
+  const [i] = open(await timed('keysMs', carryKeys(c, [...held.keys])));
   if (i) return Left(i);
-  const [j] = open(await bringAllUpToDate(replicating(c), next.filter(isFresh)));
+  const upToDate = bringAllUpToDate(replicating(c), next.filter(isFresh));
+  const [j] = open(await timed('upToDateMs', upToDate));
   if (j && !(isOverdue && isRepair)) return Left(ofNewcomer(j));
-  if (j) ports.log.warn({ step: j.step, peer: j.peer }, `counts before it has all: ${j.why}`);
+  if (j) ports.log.notice({ step: j.step, peer: j.peer }, `counts before it has all: ${j.why}`);
   return endJoint(c, place.number, next);
 }
 
--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -67,6 +67,9 @@
   let leftAt = 0;
   let listed = new Set<string>();
   let routersSeen: number | undefined;
+  const began = clock.now();
+  let isStartLogged = false;
+  let lackLoggedAt = began;
 
   /** The routers that are live, where a majority's leases tell them; otherwise the most that were ever told. */
   function routers(): number | undefined {
@@ -94,6 +97,27 @@
     return leased && current !== undefined && follower.value(KEYS.engines) !== undefined;
   }
 
+  /** What this router lacks to take requests. */
+  function lacking(): string[] {
+    const out: string[] = [];
+    if (!leased) out.push('leases');
+    if (current === undefined) out.push('deployment');
+    if (follower.value(KEYS.engines) === undefined) out.push('engines');
+    return out;
+  }
+
+  /** Logs when this router first takes requests, and what it lacks as long as it does not. */
+  function logStart(): void {
+    if (isStartLogged) return;
+    const fields = { step: 'start', peer: settings.name, tookMs: Math.round(clock.now() - began) };
+    isStartLogged = serves();
+    if (isStartLogged) ports.log.notice(fields, 'takes requests');
+    else if (clock.now() - lackLoggedAt > settings.contactMs) {
+      lackLoggedAt = clock.now();
+      ports.log.notice(fields, `takes no requests yet: lacks ${lacking().join(', ')}`);
+    }
+  }
+
   function ready(): boolean {
     return serves() && !leaving;
   }
@@ -215,7 +239,7 @@
   }
 
   function look(): void {
-    serves();
+    logStart();
     routers();
     off = clock.timer(settings.contactMs * LOOK * 5, look);
   }
--- a/test/gatewayrig.ts
+++ b/test/gatewayrig.ts
@@ -248,7 +248,7 @@
   if (ways.engines) tellEngines(ways.engines);
   if (ways.deployment) tell(KEYS.deployment, { revision: 1, doc: ways.deployment });
   function sink(): void {}
-  const log = { info: sink, warn: sink, error: sink };
+  const log = { info: sink, notice: sink, warn: sink, error: sink };
   const follower = {
     live: isLive,
     value,
--- a/tools/model/node.ts
+++ b/tools/model/node.ts
@@ -72,7 +72,7 @@
 
 function nothing(): void {}
 
-const log = { info: nothing, warn: nothing, error: nothing };
+const log = { info: nothing, notice: nothing, warn: nothing, error: nothing };
 
 /** Makes a machine whose process isn't started. */
 export function makeNode(name: string, parts: NodeParts): ModelNode {
--- a/tools/model/world.ts
+++ b/tools/model/world.ts
@@ -45,7 +45,7 @@
 
 function nothing(): void {}
 
-const SILENT = { info: nothing, warn: nothing, error: nothing };
+const SILENT = { info: nothing, notice: nothing, warn: nothing, error: nothing };
 
 function fixedDice(): Dice {
   function next(): number {
