An attempt to settle a joint set goes on where the last one ended

Cause: where a newcomer was not level in time, the next attempt committed every key anew, under a higher epoch. Each of these is news to every follower (68 on a grown site) and lacked by the newcomer again, so that the attempts themselves kept the newcomer and the controllers busy. Mend: what was committed under both majorities, and that no router goes by the old set alone, is remembered for the number of the joint set. Ruled out: keys that are taken from an owner of the old set after that; a majority of it knows the joint set before the first is carried.

--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -5,7 +5,7 @@
 import { Bounds } from '../shared/bounds';
 import { allVoters, isVoter, KEYS, Place, Voter, Voters } from '../shared/words';
 import { Controller } from './controller';
-import { moveVoters, NEWCOMER_UNFIT, returnVoters } from './voters';
+import { makeJointProgress, moveVoters, NEWCOMER_UNFIT, returnVoters } from './voters';
 
 /** How a voter's machine stands: there with its disk, away, away for good while, leaving by its own word, or there with another disk. */
 export type Standing = 'here' | 'away' | 'lost' | 'leaving' | 'emptied';
@@ -162,6 +162,7 @@
 export async function followMachines(c: Controller, ports: Ports): Promise<void> {
   const waker = c.addWaker();
   const awaySince = new Map<string, number>();
+  const progress = makeJointProgress();
   let jointSet: { number: number; since: number } | undefined;
   while (!c.stopped()) {
     await waker.wait(c.bounds.renew * (0.8 + 0.4 * ports.dice.next()), c.bounds.pause * 0.1);
@@ -188,7 +189,8 @@
       { step: 'follow machines', peer: c.name },
       `voters ${now.map(atOf).join(' ')} become ${set.map(atOf).join(' ')}`,
     );
-    const [g] = open(await moveVoters(c, ports, set, next !== undefined && isOverdue(stood.place)));
+    const overdue = next !== undefined && isOverdue(stood.place);
+    const [g] = open(await moveVoters(c, ports, set, overdue, progress));
     if (!g) {
       waker.wake();
       continue;
--- a/src/control/voters.ts
+++ b/src/control/voters.ts
@@ -19,6 +19,31 @@
   return JSON.stringify(a.map(text).sort()) === JSON.stringify(b.map(text).sort());
 }
 
+/**
+ * What was done for a joint set so far, so that another attempt goes on where the last one ended: a key that is
+ * committed anew is news to every follower, and to the newcomer that was not level in time.
+ */
+export interface JointProgress {
+  /** The number of the joint set. */
+  number?: number;
+  /** Whether no router goes by the old set alone any more. */
+  isInEffect: boolean;
+  /** Keys that were committed under both majorities since a majority of the old set knows the joint one. */
+  carried: Set<string>;
+}
+
+/** Makes the progress of a joint set for which nothing was done. */
+export function makeJointProgress(): JointProgress {
+  return { isInEffect: false, carried: new Set() };
+}
+
+function beginProgress(progress: JointProgress, number: number): void {
+  if (progress.number === number) return;
+  progress.number = number;
+  progress.isInEffect = false;
+  progress.carried.clear();
+}
+
 /** The code of a fault that tells that a new voter's disk takes no writes. */
 export const NEWCOMER_UNFIT = 'newcomer-unfit';
 
@@ -58,6 +83,7 @@
   ports: Ports,
   next: Voter[],
   isOverdue = false,
+  progress = makeJointProgress(),
 ): Promise<Outcome<Voters>> {
   const stood = c.value<Voters>(KEYS.voters);
   if (!stood)
@@ -71,11 +97,11 @@
       'refused',
       'conflict',
     );
-  if (v.next) return settleVoters(c, ports, stood.place, isOverdue);
+  if (v.next) return settleVoters(c, ports, stood.place, isOverdue, progress);
   const [g, r] = open(
     await c.change({ kind: 'voters', voters: { now: v.now, next }, basedOn: stood.place.number }),
   );
-  return g ? Left(g) : settleVoters(c, ports, r.place, isOverdue);
+  return g ? Left(g) : settleVoters(c, ports, r.place, isOverdue, progress);
 }
 
 /** Ends a joint set by going back to the one that stood before; all that was committed meanwhile has its majority, too. */
@@ -97,9 +123,11 @@
   ports: Ports,
   place: Place,
   isOverdue: boolean,
+  progress: JointProgress,
 ): Promise<Outcome<Voters>> {
   const times = makeStepTimes(ports.clock);
-  const settled = await settleInSteps(c, ports, place, isOverdue, times.timed);
+  beginProgress(progress, place.number);
+  const settled = await settleInSteps(c, ports, place, isOverdue, progress, times.timed);
   const [f] = open(settled);
   const fields = { step: 'settle voters', peer: c.name, number: place.number, ...times.took() };
   ports.log.notice(fields, f ? `not settled at ${f.step} ${f.peer}: ${f.why}` : 'settled');
@@ -111,6 +139,7 @@
   ports: Ports,
   place: Place,
   isOverdue: boolean,
+  progress: JointProgress,
   timed: StepTimes['timed'],
 ): Promise<Outcome<Voters>> {
   const [f, joint] = open(await knownHere(c, ports, place));
@@ -123,9 +152,10 @@
     return !isVoter({ now: next }, x.disk);
   }
   const isRepair = now.length === next.length && now.filter(isOut).every(c.isEmptied);
-  if (!isRepair) {
+  if (!isRepair && !progress.isInEffect) {
     const [g] = open(await timed('effectMs', inEffectAt(c, joint, place)));
     if (g) return Left({ ...g, step: 'tell the joint set' });
+    progress.isInEffect = true;
   }
   const [h, held] = open(await timed('gatherMs', gather(c, now, place)));
   if (h) return Left({ ...h, step: 'gather from the old set' });
@@ -133,7 +163,7 @@
     const [g] = open(await timed('votesMs', copyVotes(c, x, held.votes)));
     if (g) return Left(ofNewcomer(g));
   }
-  const [i] = open(await timed('keysMs', carryKeys(c, [...held.keys])));
+  const [i] = open(await timed('keysMs', carryKeys(c, [...held.keys], progress.carried)));
   if (i) return Left(i);
   const upToDate = bringAllUpToDate(replicating(c), next.filter(isFresh));
   const [j] = open(await timed('upToDateMs', upToDate));
@@ -244,18 +274,26 @@
   return Right(undefined);
 }
 
-/** Commits every key anew, some at once. */
-async function carryKeys(c: Controller, keys: string[]): Promise<Outcome<unknown>> {
-  const rest = keys.filter(isOther);
+/** Commits every key anew, some at once, but for those that were carried to this joint set before. */
+async function carryKeys(
+  c: Controller,
+  keys: string[],
+  carried: Set<string>,
+): Promise<Outcome<unknown>> {
+  function isLeft(key: string): boolean {
+    return key !== KEYS.voters && !carried.has(key);
+  }
+  async function carry(key: string): Promise<Outcome<unknown>> {
+    const owned = await c.owner.ownAnew(key);
+    if (owned.isRight()) carried.add(key);
+    return owned;
+  }
+  const rest = keys.filter(isLeft);
   for (let i = 0; i < rest.length; i += AT_ONCE) {
-    for (const o of await Promise.all(rest.slice(i, i + AT_ONCE).map(c.owner.ownAnew))) {
+    for (const o of await Promise.all(rest.slice(i, i + AT_ONCE).map(carry))) {
       const [f] = open(o);
       if (f) return Left(makeFault(f.step, f.peer, f.why, 'unknown', f.code));
     }
   }
   return Right(undefined);
 }
-
-function isOther(key: string): boolean {
-  return key !== KEYS.voters;
-}
