--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -3,7 +3,7 @@
 import { open } from '../shared/errors';
 import { Ports } from '../shared/ports';
 import { Bounds } from '../shared/bounds';
-import { allVoters, isVoter, KEYS, Place, Voter, Voters } from '../shared/words';
+import { allVoters, isVoter, KEYS, Voter, Voters } from '../shared/words';
 import { Controller } from './controller';
 import { makeJointProgress, moveVoters, NEWCOMER_UNFIT, returnVoters } from './voters';
 
@@ -163,7 +163,6 @@
   const waker = c.addWaker();
   const awaySince = new Map<string, number>();
   const progress = makeJointProgress();
-  let jointSet: { number: number; since: number } | undefined;
   while (!c.stopped()) {
     await waker.wait(c.bounds.renew * (0.8 + 0.4 * ports.dice.next()), c.bounds.pause * 0.1);
     const v = c.voters();
@@ -189,8 +188,7 @@
       { step: 'follow machines', peer: c.name },
       `voters ${now.map(atOf).join(' ')} become ${set.map(atOf).join(' ')}`,
     );
-    const overdue = next !== undefined && isOverdue(stood.place);
-    const [g] = open(await moveVoters(c, ports, set, overdue, progress));
+    const [g] = open(await moveVoters(c, ports, set, isOverdue, progress));
     if (!g) {
       waker.wake();
       continue;
@@ -211,10 +209,8 @@
   }
 
   /** Whether a joint set has stood for longer than the repair of a disk may take. */
-  function isOverdue(place: Place): boolean {
-    const t = ports.clock.now();
-    if (jointSet?.number !== place.number) jointSet = { number: place.number, since: t };
-    return t - jointSet.since > c.bounds.repair;
+  function isOverdue(): boolean {
+    return c.jointForMs() > c.bounds.repair;
   }
 
   function note(v: Voters): void {
--- a/src/control/voters.ts
+++ b/src/control/voters.ts
@@ -82,7 +82,7 @@
   c: Controller,
   ports: Ports,
   next: Voter[],
-  isOverdue = false,
+  isOverdue: () => boolean = isNever,
   progress = makeJointProgress(),
 ): Promise<Outcome<Voters>> {
   const stood = c.value<Voters>(KEYS.voters);
@@ -104,6 +104,10 @@
   return g ? Left(g) : settleVoters(c, ports, r.place, isOverdue, progress);
 }
 
+function isNever(): boolean {
+  return false;
+}
+
 /** Ends a joint set by going back to the one that stood before; all that was committed meanwhile has its majority, too. */
 export async function returnVoters(
   c: Controller,
@@ -122,7 +126,7 @@
   c: Controller,
   ports: Ports,
   place: Place,
-  isOverdue: boolean,
+  isOverdue: () => boolean,
   progress: JointProgress,
 ): Promise<Outcome<Voters>> {
   const times = makeStepTimes(ports.clock);
@@ -138,7 +142,7 @@
   c: Controller,
   ports: Ports,
   place: Place,
-  isOverdue: boolean,
+  isOverdue: () => boolean,
   progress: JointProgress,
   timed: StepTimes['timed'],
 ): Promise<Outcome<Voters>> {
@@ -167,7 +171,7 @@
   if (i) return Left(i);
   const upToDate = bringAllUpToDate(replicating(c), next.filter(isFresh));
   const [j] = open(await timed('upToDateMs', upToDate));
-  if (j && !(isOverdue && isRepair)) return Left(ofNewcomer(j));
+  if (j && !(isOverdue() && isRepair)) return Left(ofNewcomer(j));
   if (j) ports.log.notice({ step: j.step, peer: j.peer }, `counts before it has all: ${j.why}`);
   return endJoint(c, place.number, next);
 }
