A joint set's keys are committed anew by their owners, and a value committed anew is no news

Cause: bringing keys to a joint set took each from its owner (the voters' owner acquired it), which its owner outbid within its next turn. With exactly a majority left each voter is needed, so a lost bid failed the round, and the next one began anew; each bid is a new epoch of the key, which every follower had to fetch before it got a lease. Mend: owners commit their keys anew when they are asked to; an acquisition that was refused for voters that were not known here is tried again at once; a value that is committed anew under the same number is neither sent to followers nor asked of them for a lease, and differences are made over it.

--- a/src/control/changes.ts
+++ b/src/control/changes.ts
@@ -42,6 +42,8 @@
   commit(op: Operation): Promise<Outcome<Changed>>;
   /** Asks a key's owner; where that one does not answer, this node takes its place. */
   ofOwner(key: string, type: string, body: unknown): Promise<Outcome<unknown>>;
+  /** Has a key's owner commit its value anew; where that one does not answer, nobody takes its place. */
+  settle(key: string): Promise<Outcome<unknown>>;
 }
 
 const TRIES = 3;
@@ -151,5 +153,12 @@
     return f && isOfPeer(f) ? p.local(type, body) : o;
   }
 
-  return { here, commit, ofOwner };
+  async function settle(key: string): Promise<Outcome<unknown>> {
+    const at = rendezvous(key, p.live())[0];
+    if (at === undefined) return Left(nobody('settle'));
+    if (at === settings.wire) return owner.ownAnew(key);
+    return p.up(at)?.ask('settle', { key }, bounds.ask) ?? Left(noConnection('settle', at));
+  }
+
+  return { here, commit, ofOwner, settle };
 }
--- a/src/control/controller-interface.ts
+++ b/src/control/controller-interface.ts
@@ -39,6 +39,8 @@
   voters(): Voters | undefined;
   chosen(key: string): boolean;
   change(op: Operation): Promise<Outcome<Changed>>;
+  /** Has a key's owner commit its value anew. */
+  settle(key: string): Promise<Outcome<unknown>>;
   found(without: string[]): Promise<Outcome<Voters>>;
   effect(key: string, p: Place, within: number): Promise<boolean>;
   value<T>(key: string): { place: Numbered; value: T } | undefined;
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -377,6 +377,7 @@
     jointForMs: membership.jointForMs,
     chosen,
     change,
+    settle: changes.settle,
     found: founding.found,
     effect,
     value,
--- a/src/control/leases.ts
+++ b/src/control/leases.ts
@@ -1,6 +1,12 @@
 import { isDeepStrictEqual } from 'node:util';
 import { Left, Right } from 'purify-ts';
-import { AppliedEntry, appliedEntries, ChangeMessage, isReached } from '../shared/change-message';
+import {
+  AppliedEntry,
+  appliedEntries,
+  ChangeMessage,
+  isCurrent,
+  isReached,
+} from '../shared/change-message';
 import { field, Handled, message } from '../shared/edge';
 import { bad } from '../shared/errors';
 import { Ports } from '../shared/ports';
@@ -53,7 +59,7 @@
 }
 
 function covers(has: Map<string, Place>, n: Place & { key: string }): boolean {
-  return isReached(has.get(n.key), n);
+  return isCurrent(has.get(n.key), n);
 }
 
 function lifeOf(m: Member): string {
--- a/src/control/news-sender.ts
+++ b/src/control/news-sender.ts
@@ -2,6 +2,7 @@
   AppliedEntry,
   ChangeMessage,
   ChangesAnswer,
+  isCurrent,
   isReached,
   targetOf,
 } from '../shared/change-message';
@@ -45,7 +46,7 @@
   let sending = false;
 
   function isLacking(change: Numbered | undefined): change is Numbered {
-    return change !== undefined && !isReached(applied.get(change.key), change);
+    return change !== undefined && !isCurrent(applied.get(change.key), change);
   }
 
   function send(key: string): void {
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -263,11 +263,13 @@
     return o;
   }
 
-  /** Has a higher epoch promised; once more where it was refused for one that was not known here. */
+  /** Has a higher epoch promised; once more where it was refused for one, or for voters, that were not known here. */
   async function acquire(key: string, again = true): Promise<Outcome<Owned>> {
+    const under = votersPlace();
     const epoch = Math.max(highest.get(key) ?? 0, slots.cells.get(key)?.promised.epoch ?? 0) + 1;
     const [f, got] = open(await ask(key, 'prepare', { key, epoch, by: reach.by }));
-    if (f) return again && (highest.get(key) ?? 0) >= epoch ? acquire(key, false) : Left(f);
+    const isNews = (highest.get(key) ?? 0) >= epoch || votersPlace() !== under;
+    if (f) return again && isNews ? acquire(key, false) : Left(f);
     let best: Numbered | undefined;
     for (const p of got)
       if (p.accepted && (!best || comparePlaces(p.accepted, best) > 0)) best = p.accepted;
--- a/src/control/version-history.ts
+++ b/src/control/version-history.ts
@@ -1,6 +1,6 @@
 import { ChangeMessage, wholeMessage } from '../shared/change-message';
-import { makeDelta } from '../shared/delta';
-import { comparePlaces, Numbered, Place } from '../shared/words';
+import { makeDelta, placeOf } from '../shared/delta';
+import { Numbered, Place } from '../shared/words';
 
 /** The versions of each key that were committed here lately, for differences to what other nodes hold. */
 export interface VersionHistory {
@@ -33,12 +33,14 @@
     if (versions.list.length > KEPT_VERSIONS) versions.list.shift();
   }
 
+  /** The version that a node holds, under the place that it knows it by: a later owner may have committed it anew. */
   function heldVersion(versions: Versions, held: Place | undefined): Numbered | undefined {
     if (!held) return undefined;
     function isHeld(version: Numbered): boolean {
-      return comparePlaces(version, held!) === 0;
+      return version.number === held!.number;
     }
-    return versions.list.findLast(isHeld);
+    const version = versions.list.findLast(isHeld);
+    return version && { ...version, ...placeOf(held) };
   }
 
   function makeMessage(versions: Versions, change: Numbered, held?: Place): ChangeMessage {
--- a/src/control/voters.ts
+++ b/src/control/voters.ts
@@ -278,7 +278,10 @@
   return Right(undefined);
 }
 
-/** Commits every key anew, some at once, but for those that were carried to this joint set before. */
+/**
+ * Has every key committed anew, some at once, but for those that were carried to this joint set before. Its owner
+ * does so: another that took it would be outbid by the owner again, and where just a majority is left a lost bid fails.
+ */
 async function carryKeys(
   c: Controller,
   keys: string[],
@@ -288,9 +291,9 @@
     return key !== KEYS.voters && !carried.has(key);
   }
   async function carry(key: string): Promise<Outcome<unknown>> {
-    const owned = await c.owner.ownAnew(key);
-    if (owned.isRight()) carried.add(key);
-    return owned;
+    const settled = await c.settle(key);
+    if (settled.isRight()) carried.add(key);
+    return settled;
   }
   const rest = keys.filter(isLeft);
   for (let i = 0; i < rest.length; i += AT_ONCE) {
--- a/src/shared/change-message.ts
+++ b/src/shared/change-message.ts
@@ -76,6 +76,14 @@
   return { key: message.key, ...placeOf(message), value: value.extract() };
 }
 
+/**
+ * Whether a held committed version has the value of the one that is wanted, or a later one. A value that a later owner
+ * commits anew keeps its number, and of what is committed under one number there is one value.
+ */
+export function isCurrent(held: Place | undefined, wanted: Place): boolean {
+  return held !== undefined && (held.number === wanted.number || isReached(held, wanted));
+}
+
 /** Whether a held version is the one that is wanted, or a later one. */
 export function isReached(held: Place | undefined, wanted: Place): boolean {
   return held !== undefined && comparePlaces(held, wanted) >= 0;
--- a/src/shared/follow-edge.ts
+++ b/src/shared/follow-edge.ts
@@ -3,6 +3,7 @@
   AppliedEntry,
   ChangeMessage,
   ChangesAnswer,
+  isCurrent,
   isReached,
   readChange,
   targetOf,
@@ -68,7 +69,7 @@
   /** Tells whether a change was applied here. */
   @message('has')
   async has(change: Numbered): Handled {
-    return Right(isReached(this.parts.held(change.key), change));
+    return Right(isCurrent(this.parts.held(change.key), change));
   }
 
   /** Hears from a controller where the core is, for one that has this process among its seeds. */
--- /dev/null
+++ b/test/recommitted.test.ts
@@ -0,0 +1,94 @@
+/**
+ * A value that a later owner commits anew, unchanged: it is no news, and it bars no follower from its lease.
+ */
+
+import { makeVersionHistory } from '../src/control/version-history';
+import { isCurrent, isReached, readChange } from '../src/shared/change-message';
+import { KEYS, Numbered } from '../src/shared/words';
+import { back, lose, makeOperator, running, until } from '../tools/sim/simcore';
+import { SimFleet } from '../tools/sim/simfleet';
+import { all, applied, CORE, founded } from './rosterrig';
+
+const VALUE = { routes: Array.from({ length: 200 }, nameOf) };
+
+function nameOf(_: unknown, index: number): { name: string; path: string } {
+  return { name: `route-${index}`, path: `/a/long/enough/path/${index}/` };
+}
+
+function version(epoch: number, by: string, number: number, value: unknown): Numbered {
+  return { key: 'k', epoch, by, number, value };
+}
+
+function sameNumber(): void {
+  const held = version(1, 'a', 5, VALUE);
+  const anew = version(4, 'b', 5, VALUE);
+  expect({ current: isCurrent(held, anew), reached: isReached(held, anew) }).toEqual({
+    current: true,
+    reached: false,
+  });
+  expect(isCurrent(held, version(4, 'b', 6, VALUE))).toBe(false);
+  expect(isCurrent(undefined, anew)).toBe(false);
+}
+
+/** A controller that started anew knows the value by the later epoch only; a follower holds it by the earlier one. */
+function differenceAcrossEpochs(): void {
+  const history = makeVersionHistory();
+  const anew = version(4, 'b', 5, VALUE);
+  const next = version(4, 'b', 6, { routes: [...VALUE.routes, nameOf(0, 200)] });
+  history.note(anew);
+  history.note(next);
+  const held = version(1, 'a', 5, VALUE);
+  const message = history.messageFor(next, held);
+  expect(message.kind).toBe('delta');
+  expect(readChange(held, message)).toEqual(next);
+}
+
+function ownersOf(f: SimFleet): Set<string> {
+  const owners = new Set<string>();
+  for (const c of running(f)) {
+    const learned = c.slots.cells.get(KEYS.intents)?.learned;
+    if (learned) owners.add(learned.by);
+  }
+  return owners;
+}
+
+function isJoint(f: SimFleet): boolean {
+  for (const c of running(f)) if (c.voters()?.next) return true;
+  return false;
+}
+
+/** While a joint set stands, keys are committed anew by the owners that they have. */
+async function ownersStay(): Promise<void> {
+  for (const seed of [1, 2, 3, 4, 5, 6]) {
+    const f = await founded(seed, 5, 2);
+    const o = makeOperator(f);
+    await applied(f, o);
+    lose(f, 'core-2', true);
+    lose(f, 'core-4', true);
+    await f.w.run(f.w.now() + 1500);
+    const before = ownersOf(f);
+    expect(before.size).toBe(1);
+    back(f, 'core-2');
+    back(f, 'core-4');
+    function begun(): boolean {
+      return isJoint(f);
+    }
+    expect(await until(f, f.w.now() + 5000, begun, 1)).toBeDefined();
+    const seen = new Set<string>();
+    while (isJoint(f)) {
+      for (const by of ownersOf(f)) seen.add(by);
+      await f.w.run(f.w.now() + 1);
+    }
+    expect({ seed, seen: [...seen] }).toEqual({ seed, seen: [...before] });
+    expect(
+      await until(f, f.w.now() + 5000, all(f, [...CORE, 'core-4', 'core-5']), 5),
+    ).toBeDefined();
+  }
+}
+
+test('a version that was committed anew is current, one with a later number is not', sameNumber);
+test(
+  'a difference goes to a follower that holds the value by an earlier epoch',
+  differenceAcrossEpochs,
+);
+test('the owners of keys stay the same while a joint set stands', ownersStay);
--- a/tools/model/replace.ts
+++ b/tools/model/replace.ts
@@ -67,7 +67,7 @@
   const controller = {
     name: p.name,
     bounds: { renew: 0, effect: 0, ask: 0 },
-    owner: p.owner,
+    settle: p.owner.ownAnew,
     change: p.change,
     askVoter: p.askVoter,
     isEmptied,
