Soaks on real processes: signals, restarts and changes that overlap, drawn by seed

Ends and starts of one process come in turn, those of different ones overlap; one disk is lost at a time.

--- a/test/platform-rig.ts
+++ b/test/platform-rig.ts
@@ -2,33 +2,14 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { PlayedDay, playDay } from '../tools/fleet/platform';
-import { Guarantees } from '../tools/standins/platform/ground';
-import { BOUNDS, makeSite, Site } from '../tools/standins/platform/site';
+import { makePatientSite, WIDE_BOUNDS } from '../tools/fleet/busy-machine';
+import { SoakStep } from '../tools/fleet/soak';
+import { Site } from '../tools/standins/platform/site';
 
-/** Bounds for a machine that is slow or busy: times are far wider, what is counted is not. */
-const WIDE: Guarantees = {
-  ...BOUNDS,
-  ackMs: 30000,
-  drainMs: 20000,
-  configApplyMs: 20000,
-  rollbackSlackMs: 2000,
-  versionMs: 60000,
-  lossSlackMs: 2000,
-  leaseMs: 1000,
-};
-
-/** A small site whose clients wait long; the addresses are this process's own. */
+/** A small site; the addresses are this process's own. */
 function small(name: string, folder: string): Site {
-  const site = makeSite(
-    name,
-    { edges: 4, engines: 3, scale: 0.12 },
-    2 + (process.pid % 250),
-    folder,
-  )!;
-  for (const t of site.traffic) Object.assign(t, { deadlineMs: 20000, furtherTries: 3 });
-  for (const r of site.config.routes)
-    Object.assign(r, { timeoutMs: 20000, targetLatencyMs: 5000, targetGapMs: 2000 });
-  return site;
+  const size = { edges: 4, engines: 3, scale: 0.12 };
+  return makePatientSite(name, size, 2 + (process.pid % 250), folder)!;
 }
 
 const running = new Set<() => Promise<void>>();
@@ -38,6 +19,7 @@
   name: string,
   seconds: number,
   troubles: readonly string[],
+  steps: readonly SoakStep[] = [],
 ): Promise<PlayedDay> {
   const folder = mkdtempSync(join(tmpdir(), 'plumhollow-day-'));
   function begun(end: () => Promise<void>): void {
@@ -52,8 +34,9 @@
     folder,
     seconds,
     troubles,
+    steps,
     seed: 3,
-    judged: WIDE,
+    judged: WIDE_BOUNDS,
     begun,
   });
 }
--- /dev/null
+++ b/tools/fleet/busy-machine.ts
@@ -0,0 +1,31 @@
+/** Days on a machine that is slow or busy: times are far wider, what is counted is not. */
+
+import { Guarantees } from '../standins/platform/ground';
+import { BOUNDS, makeSite, Site, SiteSize } from '../standins/platform/site';
+
+/** Bounds to judge such days by. */
+export const WIDE_BOUNDS: Guarantees = {
+  ...BOUNDS,
+  ackMs: 30000,
+  drainMs: 20000,
+  configApplyMs: 20000,
+  rollbackSlackMs: 2000,
+  versionMs: 60000,
+  lossSlackMs: 2000,
+  leaseMs: 1000,
+};
+
+/** A site whose clients wait long; `net` is the second number of its loopback addresses. */
+export function makePatientSite(
+  name: string,
+  size: SiteSize,
+  net: number,
+  folder: string,
+): Site | undefined {
+  const site = makeSite(name, size, net, folder);
+  if (!site) return undefined;
+  for (const t of site.traffic) Object.assign(t, { deadlineMs: 20000, furtherTries: 3 });
+  for (const r of site.config.routes)
+    Object.assign(r, { timeoutMs: 20000, targetLatencyMs: 5000, targetGapMs: 2000 });
+  return site;
+}
--- a/tools/fleet/fleet.ts
+++ b/tools/fleet/fleet.ts
@@ -8,6 +8,7 @@
 import { FAULTS, injectFault } from './faults';
 import { edgeNames, isClean, judge } from '../standins/ledger';
 import { PlatformOptions, runPlatform } from './platform';
+import { runSoaks, SoakOptions } from './soak-run';
 import {
   allReady,
   configure,
@@ -179,11 +180,15 @@
     .option('--engines <n>', 'engines on the platform', '4')
     .option('--seconds <n>', 'how long callers call', '20')
     .option('--fault <name>', `a fault halfway, or \`all\` in turn: ${FAULTS.join(', ')}`)
+    .option('--soak <seeds>', "soaks on the users' platform: so many seeds, on both sites in turn")
+    .option('--from <seed>', 'the first seed of soaks', '1')
+    .option('--steps <n>', 'steps a second of soaks', '0.6')
     .option('--net <n>', 'second number of the loopback addresses', '10')
     .option('--place-by <way>', 'index or affinity', 'index')
     .option('--scale <x>', "callers' rate against the brief's", '1')
     .parse();
-  const o = cmd.opts() as RunnerWays & Partial<PlatformOptions>;
+  const o = cmd.opts() as RunnerWays & Partial<SoakOptions>;
+  if (o.soak !== undefined) process.exit((await runSoaks(o as SoakOptions)) ? 0 : 1);
   if (o.platform !== undefined) process.exit((await runPlatform(o as PlatformOptions)) ? 0 : 1);
   const d = makeDeployment(cmd.args[0], Number(o.net));
   if (!d || (o.fault !== undefined && o.fault !== 'all' && !FAULTS.includes(o.fault))) {
--- a/tools/fleet/machines.ts
+++ b/tools/fleet/machines.ts
@@ -42,6 +42,7 @@
 export function makeMachines(site: Site, clock: Clock, book: Book, folder: string): Machines {
   const procs = new Map<string, Proc>();
   const ending = new Set<Promise<void>>();
+  const turns = new Map<string, Promise<void>>();
   let stopped = false;
   const seeds = site.cores.map(controlOf);
   function controlOf(c: { control: string }): string {
@@ -154,8 +155,25 @@
     return k.promise;
   }
 
-  async function kill(name: string, pauseMs: number): Promise<void> {
+  /** Runs one end and start of a process after the other, where several overlap. */
+  function inTurn(name: string, run: (p: Proc) => Promise<void>): Promise<void> {
     const p = procs.get(name)!;
+    function next(): Promise<void> {
+      return run(p);
+    }
+    const mine = (turns.get(name) ?? Promise.resolve()).then(next);
+    turns.set(name, mine);
+    return mine;
+  }
+
+  function kill(name: string, pauseMs: number): Promise<void> {
+    return inTurn(name, killNow);
+    function killNow(p: Proc): Promise<void> {
+      return killOnce(p, name, pauseMs);
+    }
+  }
+
+  async function killOnce(p: Proc, name: string, pauseMs: number): Promise<void> {
     const over = troubled(book, 'kill', p.who);
     await end(p, 'SIGKILL');
     await clock.sleep(pauseMs);
@@ -163,8 +181,14 @@
     over();
   }
 
-  async function wipe(name: string, pauseMs: number): Promise<void> {
-    const p = procs.get(name)!;
+  function wipe(name: string, pauseMs: number): Promise<void> {
+    return inTurn(name, wipeNow);
+    function wipeNow(p: Proc): Promise<void> {
+      return wipeOnce(p, name, pauseMs);
+    }
+  }
+
+  async function wipeOnce(p: Proc, name: string, pauseMs: number): Promise<void> {
     const over = troubled(book, 'wipe', p.who);
     await end(p, 'SIGKILL');
     if (p.of.data !== undefined) rmSync(p.of.data, { recursive: true, force: true });
@@ -173,8 +197,14 @@
     over();
   }
 
-  async function roll(name: string): Promise<void> {
-    const p = procs.get(name)!;
+  function roll(name: string): Promise<void> {
+    return inTurn(name, rollNow);
+    function rollNow(p: Proc): Promise<void> {
+      return rollOnce(p, name);
+    }
+  }
+
+  async function rollOnce(p: Proc, name: string): Promise<void> {
     const over = troubled(book, 'term', p.who, true);
     await end(p, 'SIGTERM');
     await clock.sleep(200);
--- a/tools/fleet/platform.ts
+++ b/tools/fleet/platform.ts
@@ -9,6 +9,7 @@
 import { DayReport, reportDay } from '../standins/platform/ledger';
 import { makeSite, Site, SITES } from '../standins/platform/site';
 import { makeMachines } from './machines';
+import { SoakStep } from './soak';
 import { Played, TROUBLES } from './troubles';
 
 /** How a day is played on real processes. */
@@ -18,6 +19,8 @@
   seconds: number;
   /** Troubles in turn, evenly over the day; each is waited for. */
   troubles: readonly string[];
+  /** Troubles that overlap, each begun at its time; after those in turn. */
+  steps?: readonly SoakStep[];
   seed: number;
   /** Bounds that the ledger judges by, where they are others than those that the processes are told. */
   judged?: Guarantees;
@@ -58,6 +61,18 @@
   }
 }
 
+/** Begins each step at its time, whether or not those before it are over; comes back when all are. */
+async function overlap(p: Played, steps: readonly SoakStep[]): Promise<void> {
+  const { clock } = p.day.ground;
+  const begun = clock.now();
+  const running: Promise<void>[] = [];
+  for (const { at, trouble } of steps) {
+    await clock.sleep(Math.max(0, begun + at - clock.now()));
+    running.push(TROUBLES[trouble](p));
+  }
+  await Promise.all(running);
+}
+
 /** Plays one day: real processes of ours, and stand-ins for everything around. */
 export async function playDay(ways: PlayWays): Promise<PlayedDay> {
   const clock = realClock();
@@ -83,7 +98,7 @@
     const readyMs = Math.round(clock.now() - begun);
     const clients = day.clients(entry, ways.seconds * 1000, machines.lifeOf);
     const played: Played = { day, machines, clients };
-    await Promise.all([clients.run(), bring(played, ways)]);
+    await Promise.all([clients.run(), bring(played, ways), overlap(played, ways.steps ?? [])]);
     await day.operator.readBack(ways.site.bounds.contactMs);
     const ended: string[] = [];
     for (const [name, p] of machines.procs) for (const e of p.ended) ended.push(`${name} ${e}`);
