--- a/test/disk-torn.test.ts
+++ b/test/disk-torn.test.ts
@@ -90,6 +90,44 @@
   await fc.assert(fc.asyncProperty(which, fates, keeps), { numRuns: 150 });
 }
 
+/** A slot and the head of its log are written whole, over a file that is emptied first. */
+async function inTheMidstOfSlot(): Promise<void> {
+  const files: Files = new Map();
+  const ports = portsOn(files);
+  const writes: { append: Append; files: Files }[] = [];
+  function write(name: string, bytes: Uint8Array): Promise<Outcome<void>> {
+    const append = { name, before: new Uint8Array(0), bytes: Uint8Array.from(bytes) };
+    writes.push({ append, files: new Map(files) });
+    return ports.disk.write(name, bytes);
+  }
+  const noting: Ports = { ...ports, disk: { ...ports.disk, write } };
+  const [, slots] = open(await openSlots(noting, 1 << 20));
+  await slots!.put(largeLine(1, VALUE_BYTES));
+  await slots!.put(largeLine(2, VALUE_BYTES));
+  writes.length = 0;
+  await slots!.put(largeLine(3, 10));
+  expect(writes.some(isLarge)).toBe(true);
+
+  async function keeps(at: number, fates: PartFate[]): Promise<void> {
+    const { append, files: found } = writes[at];
+    const after = new Map(found);
+    after.set(append.name, leftOf(append.before, append.bytes, fates));
+    const [, again] = open(await openSlots(portsOn(after, 9), 1 << 20));
+    expect({ at, fates, disk: again!.disk, number: numberOf(again!) }).toEqual({
+      at,
+      fates,
+      disk: slots!.disk,
+      number: 2,
+    });
+  }
+  const which = fc.integer({ min: 0, max: writes.length - 1 });
+  await fc.assert(fc.asyncProperty(which, fc.tuple(fate, fate, fate), keeps), { numRuns: 80 });
+}
+
+function isLarge(x: { append: Append }): boolean {
+  return x.append.bytes.length > PART_BYTES;
+}
+
 function isThere(x: PartFate): boolean {
   return x === 'there';
 }
@@ -98,3 +136,8 @@
   'a loss of power in the midst of a large write loses nothing that was synced, nor the vote',
   inTheMidst,
 );
+
+test(
+  'a loss of power in the midst of a slot loses nothing that was synced, nor the vote',
+  inTheMidstOfSlot,
+);
