--- a/test/gateway-callers.test.ts
+++ b/test/gateway-callers.test.ts
@@ -1,4 +1,3 @@
-import net from 'node:net';
 import {
   deployment,
   EngineCall,
@@ -9,65 +8,10 @@
   startStandIn,
   streams,
 } from './gatewayrig';
+import { bareCaller, BareCaller } from './bare-caller';
 
 const REQUEST_ID = 'caller-1';
 
-/** A caller's bare connection: what was received so far, and when that changes. */
-interface BareCaller {
-  write(text: string): void;
-  received(): string;
-  /** Comes once the text received has this in it; `false` where the connection ended first. */
-  has(text: string): Promise<boolean>;
-  closed: Promise<void>;
-  destroy(): void;
-}
-
-async function bareCaller(at: string): Promise<BareCaller> {
-  const [host, port] = at.split(':');
-  const socket = net.connect({ host, port: Number(port) });
-  let text = '';
-  function data(p: Buffer): void {
-    text += p.toString('latin1');
-  }
-  function nothing(): void {}
-  socket.on('data', data);
-  socket.on('error', nothing);
-  function up(done: () => void): void {
-    socket.once('connect', done);
-  }
-  function down(done: () => void): void {
-    socket.once('close', done);
-  }
-  const closed = new Promise<void>(down);
-  await new Promise<void>(up);
-  function write(out: string): void {
-    socket.write(out.replaceAll('\n', '\r\n'), 'latin1');
-  }
-  function received(): string {
-    return text;
-  }
-  function has(wanted: string): Promise<boolean> {
-    function wait(done: (ok: boolean) => void): void {
-      function look(): void {
-        if (!text.includes(wanted)) return;
-        socket.off('data', look);
-        done(true);
-      }
-      function ended(): void {
-        done(text.includes(wanted));
-      }
-      socket.on('data', look);
-      socket.on('close', ended);
-      look();
-    }
-    return new Promise(wait);
-  }
-  function destroy(): void {
-    socket.destroy();
-  }
-  return { write, received, has, closed, destroy };
-}
-
 function request(id = REQUEST_ID, body = 'hello'): string {
   return `POST /a/x HTTP/1.1
 Host: desk.example
--- a/test/gateway-late-bytes.test.ts
+++ b/test/gateway-late-bytes.test.ts
@@ -1,5 +1,6 @@
 import net from 'node:net';
 import { ask, deployment, Rig, route, startRig } from './gatewayrig';
+import { say } from './bare-caller';
 
 /** A request as it came to an engine. */
 interface Arrived {
@@ -237,26 +238,6 @@
   await r.close();
 }
 
-/** Says bytes to a router, and gives back all that comes until the connection ends. */
-function say(at: string, text: string): Promise<string> {
-  const [host, port] = at.split(':');
-  function wait(done: (text: string) => void): void {
-    const s = net.connect({ host, port: Number(port) });
-    let got = '';
-    function data(p: Buffer): void {
-      got += p.toString('latin1');
-    }
-    function over(): void {
-      done(got);
-    }
-    s.on('data', data);
-    s.on('error', nothing);
-    s.on('close', over);
-    s.write(text.replaceAll('\n', '\r\n'), 'latin1');
-  }
-  return new Promise(wait);
-}
-
 const HEAD = `POST /a/x HTTP/1.1
 Host: desk.example
 Plumhollow-Attempt-Id: outer
--- a/test/gateway-transcripts.test.ts
+++ b/test/gateway-transcripts.test.ts
@@ -1,5 +1,6 @@
 import net from 'node:net';
 import { deployment, route, startRig } from './gatewayrig';
+import { say } from './bare-caller';
 
 /** A bare peer: it shows what was said to it and says what a test has written down. */
 interface Bare {
@@ -64,26 +65,6 @@
     .replace(/priority: \d/, 'priority: (0 to 9)');
 }
 
-/** Says a request in its bytes, and gives back all that comes until the connection ends. */
-function say(at: string, text: string): Promise<string> {
-  const [host, port] = at.split(':');
-  function wait(done: (text: string) => void): void {
-    const s = net.connect({ host, port: Number(port) });
-    let got = '';
-    function data(p: Buffer): void {
-      got += p.toString('latin1');
-    }
-    function over(): void {
-      done(got);
-    }
-    s.on('data', data);
-    s.on('error', over);
-    s.on('close', over);
-    s.write(text.replaceAll('\n', '\r\n'), 'latin1');
-  }
-  return new Promise(wait);
-}
-
 function request(path: string): string {
   return `POST ${path} HTTP/1.1
 Host: desk.example
