A file of votes that could not be written at the start is written again and again

Cause: an emptied disk that was full (or slower than ask) at its start left its votes unwritten, and nothing tried again where nobody votes for keys; its slots were written later. After a loss of power it had keys and no votes, and counted as a new disk; with two more disks lost no majority was left for good.

--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -151,7 +151,7 @@
   while (!c.stopped()) {
     const v = c.voters();
     const self: Voter = { disk: c.slots.disk, at: c.settings.wire };
-    const wants = c.settings.quorumMember && c.slots.fit() && !c.isLeaving(self);
+    const wants = c.settings.quorumMember && c.slots.fit() && c.votes.fit() && !c.isLeaving(self);
     if (wants && v && !isVoter(v, self.disk))
       for (const x of allVoters(v)) void c.askVoter(x, 'join', self, c.bounds.ask);
     await waker.wait(c.bounds.renew * (0.8 + 0.4 * ports.dice.next()), c.bounds.pause * 0.1);
--- a/src/control/votes.ts
+++ b/src/control/votes.ts
@@ -84,11 +84,13 @@
   const found: VotesFile[] = [];
   const reader = makeSyncedReader(ports.disk);
   let spoilt = false;
+  let begunBy: string | undefined;
   for (const index of FILES) {
     const [f, bytes] = open(await reader.read(`votes-${index}`));
     if (f) return Left(f);
     const u = unframe(bytes);
     spoilt ||= u.spoilt;
+    begunBy ??= (u.values[0] as { disk?: string } | undefined)?.disk;
     const file = fileOf(index, u);
     if (file) found.push(file);
   }
@@ -106,7 +108,7 @@
     votes: [...votes.values()],
     file: last?.index ?? 0,
     gen: last?.gen ?? 0,
-    disk: last?.disk ?? '',
+    disk: last?.disk ?? begunBy ?? '',
     spoilt,
     old: last !== undefined && last.disk === undefined,
     sync: reader.sync,
@@ -147,6 +149,20 @@
     this.torn = true;
     this.syncRead = kept.sync;
     await untilWritten(this.ports, within, 'open votes', this.group.settled());
+    if (this.torn && within !== Infinity) void this.writeUntilFit(within);
+  }
+
+  /** Writes the first file again and again: without one, a disk that holds control keys counts as a new one. */
+  private async writeUntilFit(pause: number): Promise<void> {
+    while (this.torn) {
+      await this.ports.clock.sleep(pause);
+      await this.group.settled();
+    }
+  }
+
+  /** Whether this disk has taken a file of votes, and all that was written since. */
+  fit(): boolean {
+    return !this.torn;
   }
 
   /** Writes the next file: its head with the first of the carried votes, then the rest of them, each synced. */
--- a/test/worst-days.test.ts
+++ b/test/worst-days.test.ts
@@ -108,6 +108,12 @@
   expect(await spoiltCore(writesLate, schedule)).toBe(2);
 }
 
+/** A disk that was emptied is full at its start, so that its files of votes are written late; then the day closes. */
+async function emptiedAndFull(): Promise<void> {
+  await keepsRules(5310);
+}
+
+test('an emptied disk that was full at its start stays the voter that it was', emptiedAndFull);
 test('worst days keep the rules', firstDays);
 test('more worst days keep the rules', laterDays);
 test('a day is the same again by its seed, and its history can be read', sameAgain);
