--- a/src/data/gateway/forward.ts
+++ b/src/data/gateway/forward.ts
@@ -3,6 +3,7 @@
 import { Fault, open } from '../../shared/errors';
 import { HttpConnection, RawCall, RawReply } from '../../shared/ports';
 import { AttemptEnd, Chosen, Load } from './choose';
+import { RequestInFlight } from './in-flight';
 import { GatewayParts } from './parts';
 
 /** What became of an attempt: `not-sent` never reached an engine; `not-run` is the engine's word; `doubt` may have run and gave nothing; `broken` gave a part; `late` was under way when the time was up. */
@@ -21,8 +22,7 @@
   sentAt: number;
   /** Whether it may run more than once, or be taken up where it broke off. */
   repeatable: boolean;
-  /** Whether the caller has been given the head of an answer. */
-  headSent: boolean;
+  inFlight: RequestInFlight;
   /** Whether an attempt may have run. */
   doubted: boolean;
   /** The last event that went to the caller. */
@@ -115,8 +115,10 @@
     const there = reached && silent() < most;
     const goes = !there && g.budget.left(x.pool) && (await x.elsewhere());
     if (stopped) return;
-    if (goes && silent() >= soon) gone.abort();
-    else off = clock.timer(soon, look);
+    if (goes && silent() >= soon) {
+      x.inFlight.silentEngines++;
+      gone.abort();
+    } else off = clock.timer(soon, look);
   }
   function stop(): void {
     stopped = true;
@@ -153,7 +155,7 @@
     load.ended('not-run');
     return 'not-run';
   }
-  if (verdict === 'doubt' || (x.headSent && !isSuccess(reply.status))) {
+  if (verdict === 'doubt' || (x.inFlight.answerBegan && !isSuccess(reply.status))) {
     reply.cancel();
     load.ended('doubt');
     return doubt(x);
@@ -193,7 +195,7 @@
 
 function doubt(x: Taken): Attempted {
   x.doubted = true;
-  return x.headSent ? 'broken' : 'doubt';
+  return x.inFlight.answerBegan ? 'broken' : 'doubt';
 }
 
 function isSuccess(status: number): boolean {
@@ -265,8 +267,8 @@
 
 /** Gives the head once; a stream that may be taken up elsewhere tells no length. */
 function giveHead(call: RawCall, x: Taken, status: number, headers: RawHeaders): void {
-  if (x.headSent) return;
-  x.headSent = true;
+  if (x.inFlight.answerBegan) return;
+  x.inFlight.answerBegan = true;
   if (!x.route.resumable) return call.head(status, headers);
   const out: RawHeaders = [];
   for (let i = 0; i < headers.length; i += 2)
--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -9,6 +9,8 @@
 import { Engine, KEYS, Numbered } from '../../shared/words';
 import { makeRetryBudget } from './budget';
 import { makeChooser } from './choose';
+import { makeDrain } from './drain';
+import { trackInFlight } from './in-flight';
 import { GatewayCounts, GatewayParts } from './parts';
 import { keepConnections } from './pools';
 import { serveRequest } from './request';
@@ -30,14 +32,8 @@
 const OLDER = 0.7;
 /** Where their naming is only caught up on, this router was not in touch: they serve for this share of `contactMs`. */
 const OUT_OF_TOUCH = 0.7;
-/** How much of the grace a drain takes at the most. */
-const DRAIN = 0.85;
-/** A router that leaves takes new requests for this share of the grace. */
-const TAKES = 0.5;
-/** A router without new connections and requests for this share of `contactMs` is out of the callers' list. */
-const QUIET = 0.85;
-/** How often a router that serves, or drains, looks at itself, as a share of `contactMs`. */
-const LOOK = 0.02;
+/** How often a router that serves looks at itself, as a share of `contactMs`. */
+const LOOK = 0.1;
 
 /** Starts the request path: readiness, then callers; what it takes of our own messages is added to `edges`. */
 export async function startGateway(
@@ -62,9 +58,6 @@
   };
   let current: RouteTable | undefined;
   let leased = false;
-  let leaving = false;
-  let underWay = 0;
-  let leftAt = 0;
   let listed = new Set<string>();
   let routersSeen: number | undefined;
   const began = clock.now();
@@ -119,17 +112,15 @@
   }
 
   function ready(): boolean {
-    return serves() && !leaving;
+    return serves() && !draining.isLeaving();
   }
 
   function stands(e: Engine): boolean {
     return listed.has(e.id) && !follower.leaving(e.id);
   }
 
-  function closed(): boolean {
-    return leaving && clock.now() - leftAt > settings.graceMs * TAKES;
-  }
-
+  const inFlight = trackInFlight(clock, ports.log, settings);
+  const draining = makeDrain(clock, ports.log, settings, inFlight);
   const weights = makeWeightsBook(
     clock,
     settings.weightsBoundMs * OLDER,
@@ -149,7 +140,8 @@
     counts,
     table,
     stands,
-    closed,
+    draining,
+    inFlight,
     runsOnce: new Set(),
   };
 
@@ -158,14 +150,14 @@
     return {
       headerTimeoutMs: l?.headerTimeoutMs ?? settings.contactMs * FIRST_LIMITS.header,
       idleTimeoutMs: l?.idleTimeoutMs ?? settings.contactMs * FIRST_LIMITS.idle,
-      closing: leaving,
+      closing: draining.isLeaving(),
     };
   }
 
   async function taken(call: RawCall): Promise<void> {
-    underWay++;
-    await serveRequest(parts, call).catch(broke);
-    underWay--;
+    const request = inFlight.began();
+    await serveRequest(parts, call, request).catch(broke);
+    inFlight.ended(request);
     function broke(e: Error): void {
       ports.log.error({ step: 'serve request', peer: call.peer }, e.stack ?? e.message);
       call.breakOff();
@@ -216,21 +208,13 @@
   }
 
   async function drain(): Promise<void> {
-    leaving = true;
-    leftAt = clock.now();
+    draining.begin();
     server!.limit(limits());
-    let seen = server!.arrivals();
-    let quiet = leftAt;
-    while (clock.now() - leftAt < settings.graceMs * DRAIN) {
-      await clock.sleep(settings.contactMs * LOOK);
-      if (server!.arrivals() !== seen) quiet = clock.now();
-      seen = server!.arrivals();
-      if (underWay === 0 && clock.now() - quiet > settings.contactMs * QUIET) break;
-    }
+    await draining.run(server!);
   }
 
   async function stop(): Promise<void> {
-    leaving = true;
+    draining.begin();
     off();
     chooser.stop();
     connections.stop();
@@ -241,7 +225,7 @@
   function look(): void {
     logStart();
     routers();
-    off = clock.timer(settings.contactMs * LOOK * 5, look);
+    off = clock.timer(settings.contactMs * LOOK, look);
   }
 
   void follower.changes.observe(changed);
--- a/src/data/gateway/parts.ts
+++ b/src/data/gateway/parts.ts
@@ -4,6 +4,8 @@
 import { Engine } from '../../shared/words';
 import { RetryBudget } from './budget';
 import { Chooser } from './choose';
+import { Drain } from './drain';
+import { InFlight } from './in-flight';
 import { EngineConnections } from './pools';
 import { RouteTable } from './routes';
 
@@ -32,8 +34,8 @@
   table(): RouteTable | undefined;
   /** Whether an engine is still listed and not leaving. */
   stands(e: Engine): boolean;
-  /** Whether this router is so far into its leaving that it takes nothing new. */
-  closed(): boolean;
+  draining: Drain;
+  inFlight: InFlight;
   /** Ids of requests under way that may run once only. */
   runsOnce: Set<string>;
 }
--- a/src/data/gateway/request.ts
+++ b/src/data/gateway/request.ts
@@ -3,6 +3,7 @@
 import { RawCall } from '../../shared/ports';
 import { Refusal, Wanted } from './choose';
 import { Attempted, forward, Taken } from './forward';
+import { CutOffCause, RequestInFlight } from './in-flight';
 import { GatewayParts } from './parts';
 import { drawPool, RouteTable } from './routes';
 
@@ -31,15 +32,19 @@
 }
 
 /** Serves one request: read, allow, route, choose, forward, events back. */
-export async function serveRequest(g: GatewayParts, call: RawCall): Promise<void> {
+export async function serveRequest(
+  g: GatewayParts,
+  call: RawCall,
+  inFlight: RequestInFlight,
+): Promise<void> {
   const { clock } = g.ports;
-  const since = clock.now();
+  const since = inFlight.arrivedAt;
   g.counts.asked++;
   const q = await read(g, call);
   if (!q) return;
   const table = g.table();
   if (!table) return refuse(g, call, notYet(g));
-  if (g.closed())
+  if (g.draining.closed())
     return refuse(g, call, {
       status: 503,
       why: 'this router is leaving',
@@ -48,6 +53,9 @@
   const a = allow(g, call, table, q.request);
   if (!a) return;
   const until = since + Math.min(q.request.deadlineMs ?? a.route.timeoutMs, a.route.timeoutMs);
+  inFlight.id = q.request.id;
+  inFlight.route = a.route.name;
+  inFlight.until = until;
   g.budget.asked(a.pool);
   const repeatable = a.route.kind === 'safe' || a.route.resumable;
   if (!repeatable && g.runsOnce.has(q.request.id)) return giveUp(g, call, BAD_GATEWAY);
@@ -61,7 +69,7 @@
     until,
     sentAt: since,
     repeatable,
-    headSent: false,
+    inFlight,
     doubted: false,
     lastEvent: undefined,
     elsewhere,
@@ -76,6 +84,7 @@
     return (await g.chooser.choose(wanted())).isRight();
   }
   let last: Attempted | undefined;
+  let cause: CutOffCause = 'attempts-used-up';
   let refusal: Refusal = {
     status: 503,
     why: 'no engine can be reached',
@@ -87,11 +96,15 @@
     sent < a.route.maxAttempts && tried < a.route.maxAttempts * CONNECTS;
     tried++
   ) {
-    if (call.gone.aborted || until - clock.now() < g.settings.transitMs * WORTH) break;
+    if (call.gone.aborted || until - clock.now() < g.settings.transitMs * WORTH) {
+      cause = 'time-up';
+      break;
+    }
     const w = wanted();
     const chosen = await g.chooser.choose(w);
     if (chosen.isLeft()) {
       refusal = chosen.extract() as Refusal;
+      cause = 'no-engine';
       break;
     }
     const c = chosen.unsafeCoerce();
@@ -110,16 +123,22 @@
       g.connections.giveBack(c.engine, connection);
       continue;
     }
-    if (clock.now() >= until || call.gone.aborted || (sent > 0 && !g.budget.spend(a.pool))) {
+    const isTimeUp = clock.now() >= until || call.gone.aborted;
+    if (isTimeUp || (sent > 0 && !g.budget.spend(a.pool))) {
+      cause = isTimeUp ? 'time-up' : 'retry-budget';
       load.ended('caller-gone');
       g.connections.giveBack(c.engine, connection);
       break;
     }
     g.counts.attempts++;
+    inFlight.engine = c.engine.id;
+    inFlight.attempts++;
     if (sent > 0) g.counts.furtherAttempts++;
-    if (x.headSent) g.counts.resumed++;
+    if (inFlight.answerBegan) g.counts.resumed++;
     last = await forward(g, call, x, c, connection, load, sent + 1 < a.route.maxAttempts);
     if (last !== 'not-sent') sent++;
+    if (last === 'late') cause = 'time-up';
+    if (last === 'broken' && !canResume(x)) cause = 'engine-broke-off';
     if (
       last === 'answered' ||
       last === 'caller-gone' ||
@@ -133,14 +152,14 @@
   if (!repeatable) g.runsOnce.delete(q.request.id);
   if (last === 'answered') g.counts.done++;
   else if (last === 'caller-gone' || call.gone.aborted) g.counts.callersGone++;
-  else if (x.headSent) breakOff(g, call);
+  else if (inFlight.answerBegan) breakOff(g, call, inFlight, cause);
   else if (x.doubted)
     giveUp(g, call, last === 'late' || clock.now() >= until ? GATEWAY_TIMEOUT : BAD_GATEWAY);
   else refuse(g, call, refusal);
 }
 
 function canResume(x: Taken): boolean {
-  return x.route.resumable && (!x.headSent || x.lastEvent !== undefined);
+  return x.route.resumable && (!x.inFlight.answerBegan || x.lastEvent !== undefined);
 }
 
 async function read(g: GatewayParts, call: RawCall): Promise<Read | undefined> {
@@ -218,7 +237,13 @@
   say(call, status, 'the engine was lost; the request may have run');
 }
 
-function breakOff(g: GatewayParts, call: RawCall): void {
+function breakOff(
+  g: GatewayParts,
+  call: RawCall,
+  inFlight: RequestInFlight,
+  cause: CutOffCause,
+): void {
   g.counts.unknown++;
+  g.inFlight.cutOff(inFlight, cause, g.draining.leavingMs());
   call.breakOff();
 }
