--- /dev/null
+++ b/test/gateway-drain.test.ts
@@ -0,0 +1,178 @@
+import http from 'node:http';
+import { Dice } from '../src/shared/ports';
+import { seededDice } from '../tools/sim/dice';
+import {
+  ask,
+  deployment,
+  EngineCall,
+  Got,
+  Rig,
+  route,
+  sealed,
+  startRig,
+  startStandIn,
+} from './gatewayrig';
+import { ManualClock, manualClock } from './manual-clock';
+
+const GRACE_MS = 8000;
+const CONTACT_MS = 3000;
+/** The last part of the grace, in which what was taken early may be cut off. */
+const LAST_PART = 5 / 6;
+/** How long after its SIGTERM a router may take what it might not finish. */
+const EARLY_MS = 3000;
+const SEEDS = 60;
+/** The longest time that a request has. */
+const LONG_MS = 7500;
+const STEP_MS = 60;
+
+/** A request to a router that was told to end. Times are in ms. */
+interface LateRequest {
+  /** When it comes, from the SIGTERM on. */
+  at: number;
+  deadlineMs: number;
+  /** How long the engine works on it. */
+  workMs: number;
+}
+
+/** What became of it. */
+interface Outcome {
+  got: Got;
+  /** Whether it reached an engine. */
+  isPassedOn: boolean;
+  /** When its answer ended, from the SIGTERM on. */
+  endedAt: number;
+}
+
+function drawn(dice: Dice): LateRequest {
+  const deadlineMs = 500 + Math.floor(dice.next() * 6500);
+  return {
+    at: Math.floor(dice.next() * GRACE_MS * 0.83),
+    deadlineMs,
+    workMs: Math.floor(dice.next() * deadlineMs),
+  };
+}
+
+/** A rig of one engine that holds its answers until they are let go. */
+interface HoldingRig {
+  rig: Rig;
+  clock: ManualClock;
+  /** Ends the answers that are held, the oldest first. */
+  held: (() => void)[];
+  /** Asks, and comes once the engine holds the answer or it has ended otherwise. */
+  asks(more?: Parameters<typeof ask>[1]): Promise<{ asked: Promise<Got>; finish?: () => void }>;
+}
+
+async function startHoldingRig(): Promise<HoldingRig> {
+  const clock = manualClock();
+  const held: (() => void)[] = [];
+  let tellHeld = nothing;
+  function nothing(): void {}
+  function answer(c: EngineCall): void {
+    c.res.writeHead(200, sealed(c));
+    c.res.write('id: 1\ndata: x\n\n');
+    function end(): void {
+      c.res.end('id: 2\ndata: y\n\n');
+    }
+    held.push(end);
+    tellHeld();
+  }
+  const rig = await startRig({
+    engines: [await startStandIn('e1', answer)],
+    deployment: deployment([route({ timeoutMs: LONG_MS })]),
+    settings: { graceMs: GRACE_MS, contactMs: CONTACT_MS },
+    clock,
+  });
+  async function asks(more: Parameters<typeof ask>[1] = {}): ReturnType<HoldingRig['asks']> {
+    const before = held.length;
+    function wait(done: () => void): void {
+      tellHeld = done;
+    }
+    const passedOn = new Promise<void>(wait);
+    const headers = { 'Plumhollow-Deadline-Ms': String(LONG_MS), ...more.headers };
+    const asked = ask(rig.at, { ...more, headers });
+    await Promise.race([asked, passedOn]);
+    return { asked, finish: held[before] };
+  }
+  return { rig, clock, held, asks };
+}
+
+/** Asks until an engine holds the answer: connecting may take too long on a busy machine. */
+async function asksUntilHeld(
+  r: HoldingRig,
+  more?: Parameters<typeof ask>[1],
+): Promise<{ asked: Promise<Got>; finish: () => void }> {
+  for (;;) {
+    const { asked, finish } = await r.asks(more);
+    if (finish) return { asked, finish };
+    await r.clock.advance(CONTACT_MS);
+  }
+}
+
+/** Plays one request, on a connection that was open before, to a router that leaves while another request is in flight. */
+async function play(request: LateRequest): Promise<Outcome> {
+  const r = await startHoldingRig();
+  const { rig, clock } = r;
+  const agent = new http.Agent({ keepAlive: true });
+  const first = await asksUntilHeld(r, { agent });
+  const underWay = await asksUntilHeld(r);
+  first.finish();
+  expect((await first.asked).status).toBe(200);
+  const told = clock.now();
+  let isDrained = false;
+  let isStopped = false;
+  async function leave(): Promise<void> {
+    await rig.gateway.drain();
+    isDrained = true;
+    await rig.close();
+    isStopped = true;
+  }
+  const left = leave();
+  await clock.advance(request.at);
+  expect(isDrained).toBe(false);
+  const headers = { 'Plumhollow-Deadline-Ms': String(request.deadlineMs) };
+  const { asked, finish } = await r.asks({ agent, headers });
+  for (let ms = 0; ms < request.workMs && !isDrained; ms += STEP_MS) await clock.advance(STEP_MS);
+  finish?.();
+  const got = await asked;
+  const endedAt = clock.now() - told;
+  while (!isStopped) await clock.advance(CONTACT_MS);
+  await Promise.all([left, underWay.asked]);
+  agent.destroy();
+  return { got, isPassedOn: finish !== undefined, endedAt };
+}
+
+/** Whether a router kept its word: the answer came whole, or it was refused unsent, or it was taken early and had most of the grace. */
+function isKept(request: LateRequest, o: Outcome): boolean {
+  if (o.got.whole && o.got.status === 200) return true;
+  if (!o.isPassedOn) return o.got.status === 503 && Number(o.got.headers['retry-after']) > 0;
+  const isOver = o.endedAt - request.at >= request.deadlineMs;
+  const hadMost = request.at <= EARLY_MS && o.endedAt >= GRACE_MS * LAST_PART;
+  return isOver || hadMost;
+}
+
+async function keepsItsWord(): Promise<void> {
+  const broken: unknown[] = [];
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const request = drawn(seededDice(seed));
+    const o = await play(request);
+    if (!isKept(request, o)) broken.push({ seed, request, endedAt: o.endedAt });
+  }
+  expect(broken).toEqual([]);
+}
+
+async function recorded(): Promise<void> {
+  const request = { at: 3767, deadlineMs: 6000, workMs: 4000 };
+  const o = await play(request);
+  expect({ kept: isKept(request, o), status: o.got.status }).toEqual({ kept: true, status: 503 });
+}
+
+async function servesEarly(): Promise<void> {
+  for (const at of [0, 1000, 2200]) {
+    const { got } = await play({ at, deadlineMs: 6000, workMs: 1500 });
+    expect({ at, status: got.status, whole: got.whole }).toEqual({ at, status: 200, whole: true });
+  }
+}
+
+test('a router gives up nothing that it took long after it was told to end', keepsItsWord);
+test('a request that may last longer than the drain goes elsewhere', recorded);
+test('a router that was just told to end serves on', servesEarly);
