--- a/test/platform-ledger-config.test.ts
+++ b/test/platform-ledger-config.test.ts
@@ -127,6 +127,21 @@
     cutInRoll(g);
     g.r.broke = true;
   }
+  /** A request that is sent so long after a SIGTERM, and cut in the last part of the grace while its engine is at work. */
+  function cutAtTheEnd(sentAfter: number, runEndsAfter: number): (g: Good) => void {
+    function spoil(g: Good): void {
+      cutInRoll(g);
+      const at = g.t.sentAt - sentAfter;
+      g.book.troubles[0].at = at;
+      Object.assign(g.t, { deadlineMs: 6000, timeoutMs: 6000 });
+      g.r.endedAt = at + runEndsAfter;
+      g.t.endedAt = at + runEndsAfter;
+    }
+    return spoil;
+  }
+  for (const spoil of [cutAtTheEnd(3767, 6807), cutAtTheEnd(2900, 5000)])
+    expect(spoilt(spoil, 'roster-check')).toEqual(['LOST']);
+  expect(spoilt(cutAtTheEnd(2900, 6807), 'roster-check')).toEqual([]);
   for (const spoil of [older, none, cutInRoll]) expect(spoilt(spoil)).toEqual(['LOST']);
   expect(spoilt(other)).toEqual(['CONFIG']);
   for (const spoil of [same, cutInTrouble, engineBroke]) expect(spoilt(spoil)).toEqual([]);
--- a/tools/standins/platform/conduct.ts
+++ b/tools/standins/platform/conduct.ts
@@ -144,6 +144,10 @@
   return `{${out.join(',')}}`;
 }
 
+/** What is sent to a machine within this of its SIGTERM may be cut in the last part of the grace. */
+const TAKEN_EARLY_MS = 3000;
+const LAST_PART = 5 / 6;
+
 /** Requests that were read whole and then cut, around planned work and with no unplanned trouble. */
 function cuts(l: Lookup, say: Say): void {
   for (const t of l.book.tries.values()) {
@@ -163,9 +167,11 @@
     }
     const runs = l.runsById.get(t.id) ?? [];
     if (t.endedAt - t.sentAt >= Math.min(t.deadlineMs, t.timeoutMs)) continue;
+    const isEarly = t.sentAt <= work.at + TAKEN_EARLY_MS;
     if (runs.some(brokeOrSlow)) continue;
     function brokeOrSlow(r: { broke: boolean; endedAt?: number }): boolean {
-      return r.broke || (r.endedAt ?? Infinity) > work!.at + (l.bounds.graceS * 1000) / 2;
+      const lastPart = work!.at + l.bounds.graceS * 1000 * LAST_PART;
+      return r.broke || (isEarly && (r.endedAt ?? Infinity) > lastPart);
     }
     const passed = l.book.arrivals.some(mine);
     function mine(a: { id: string }): boolean {
