A SIGTERM that comes again cuts nothing off; a router's own drain is bound by the grace

Before, a second SIGTERM ended a program at once, whatever was in flight, and a router of our own manner drained for a share of the bound of weights, which may be longer than the grace. A second SIGINT still ends at once.

--- a/src/programs/common.ts
+++ b/src/programs/common.ts
@@ -10,16 +10,12 @@
 import { realWire } from '../shared/realwire';
 import { Settings } from '../shared/settings';
 import { boundsOf } from '../shared/bounds';
+import { Running } from './running';
+import { makeShutdown } from './shutdown';
 
 /** The version that all programs tell. */
 export const VERSION = '0.1.0';
 
-/** Something running that can drain and stop. */
-export interface Running {
-  drain(): Promise<void>;
-  stop(): Promise<void>;
-}
-
 /** Starts a program's library; without a dialect it speaks our own manner. */
 export type Start = (
   ports: Ports,
@@ -36,7 +32,7 @@
   return f ? Left([sayFault(f)]) : dialect.settings(text);
 }
 
-/** Runs a daemon: settings, ports, start, drain at SIGTERM, end at a second signal. The platform names its settings file in a variable; otherwise flags and a file of our own are read. */
+/** Runs a daemon: settings, ports, start, drain at SIGTERM or SIGINT. The platform names its settings file in a variable; otherwise flags and a file of our own are read. */
 export async function runDaemon(
   program: string,
   doc: string,
@@ -92,23 +88,13 @@
     process.stderr.write(`${program}: ${sayFault(f)}\n`);
     process.exit(1);
   }
-  const running = o.extract() as Running;
-  let signals = 0;
-  async function leave(): Promise<void> {
-    if (++signals > 1) process.exit(1);
-    await running.drain();
-    await running.stop();
-    process.exit(0);
-  }
-  function signalled(): void {
-    void leave();
-  }
+  const shutdown = makeShutdown(o.extract() as Running, process.exit);
   function broke(e: unknown): void {
     log.error({ step: 'run', peer: s.name }, String((e as Error)?.stack ?? e));
     process.exit(1);
   }
-  process.on('SIGTERM', signalled);
-  process.on('SIGINT', signalled);
+  process.on('SIGTERM', shutdown);
+  process.on('SIGINT', shutdown);
   process.on('uncaughtException', broke);
   process.on('unhandledRejection', broke);
   process.stdout.write(`${program} ${s.name} is up\n`);
--- a/src/programs/router.ts
+++ b/src/programs/router.ts
@@ -5,7 +5,8 @@
 import { Fault, open, Outcome } from '../shared/errors';
 import { Ports } from '../shared/ports';
 import { Settings } from '../shared/settings';
-import { runDaemon, Running } from './common';
+import { runDaemon } from './common';
+import { Running } from './running';
 
 async function start(
   ports: Ports,
--- /dev/null
+++ b/src/programs/running.ts
@@ -0,0 +1,5 @@
+/** Something running that can drain and stop. */
+export interface Running {
+  drain(): Promise<void>;
+  stop(): Promise<void>;
+}
--- a/src/shared/bounds.ts
+++ b/src/shared/bounds.ts
@@ -81,7 +81,7 @@
     feedWait: s.leavingBoundMs * 3,
     circuit: s.leavingBoundMs * 0.5,
     join: s.changeBoundMs * 0.5,
-    drain: s.weightsBoundMs * 0.8,
+    drain: s.graceMs * 0.8,
     orderFresh: lease * 0.2,
     leavingCut: s.leavingBoundMs * 0.4,
     feedHold: s.changeBoundMs * 0.5,
--- /dev/null
+++ b/test/shutdown.test.ts
@@ -0,0 +1,65 @@
+import { makeShutdown } from '../src/programs/shutdown';
+import { boundsOf } from '../src/shared/bounds';
+import { defaultSettings } from '../src/shared/settings';
+
+/** A running program whose drain ends when a test says so, and what became of it. */
+function program(): { shutdown: ReturnType<typeof makeShutdown>; finish(): void; did: string[] } {
+  const did: string[] = [];
+  let finish = nothing;
+  function nothing(): void {}
+  function wait(done: () => void): void {
+    finish = done;
+  }
+  const drained = new Promise<void>(wait);
+  function drain(): Promise<void> {
+    did.push('drain');
+    return drained;
+  }
+  async function stop(): Promise<void> {
+    did.push('stop');
+  }
+  function exit(code: number): void {
+    did.push(`exit ${code}`);
+  }
+  return { shutdown: makeShutdown({ drain, stop }, exit), finish, did };
+}
+
+function settled(): Promise<void> {
+  function wait(done: () => void): void {
+    setImmediate(done);
+  }
+  return new Promise(wait);
+}
+
+async function again(): Promise<void> {
+  const p = program();
+  for (let i = 0; i < 3; i++) p.shutdown('SIGTERM');
+  await settled();
+  expect(p.did).toEqual(['drain']);
+  p.finish();
+  await settled();
+  expect(p.did).toEqual(['drain', 'stop', 'exit 0']);
+}
+
+async function impatient(): Promise<void> {
+  for (const first of ['SIGTERM', 'SIGINT'] as const) {
+    const p = program();
+    p.shutdown(first);
+    p.shutdown('SIGINT');
+    await settled();
+    expect(p.did).toEqual(['drain', 'exit 1']);
+  }
+}
+
+function withinGrace(): void {
+  for (const weightsBoundMs of [1000, 8000, 60000])
+    for (const graceMs of [1000, 8000, 20000]) {
+      const bounds = boundsOf({ ...defaultSettings(), weightsBoundMs, graceMs });
+      expect(bounds.drain).toBeLessThan(graceMs);
+      expect(bounds.leave + bounds.lastCalls).toBeLessThan(graceMs);
+    }
+}
+
+test('a SIGTERM that comes again cuts nothing off', again);
+test('a SIGINT that comes again ends a program at once', impatient);
+test('whatever the bounds, programs drain within the grace', withinGrace);
