--- a/src/data/gateway/drain.ts
+++ b/src/data/gateway/drain.ts
@@ -7,7 +7,7 @@
 /** How much of the grace a drain takes at the most. */
 const DRAIN = 0.93;
 /** For this share of the grace callers are still sent to a router that leaves, and it takes all that comes. */
-const LISTED = 0.35;
+const LISTED = 0.3;
 /** A router without new connections and requests for this share of `contactMs` is out of the callers' list. */
 const QUIET = 0.85;
 /** How often a router that drains looks at itself, as a share of `contactMs`. */
