--- a/src/data/gateway/choose.ts
+++ b/src/data/gateway/choose.ts
@@ -1,6 +1,6 @@
 import { Either, Left, Right } from 'purify-ts';
-import { Hello, WIRE_VERSION } from '../../shared/connections';
 import { CallerRequest, HttpRoute, PartStore, Pool, TenantAccess } from '../../shared/deployment';
+import { helloOf } from '../../shared/hello';
 import { Follower } from '../../shared/follow';
 import { OverlapAnswer, WirePart } from '../../shared/loads';
 import { Ports } from '../../shared/ports';
@@ -106,13 +106,7 @@
     zone: p.settings.zone,
     pause: p.settings.contactMs * PAUSE,
   });
-  const hello: Hello = {
-    version: WIRE_VERSION,
-    name: p.settings.name,
-    role: 'router',
-    at: p.settings.wire,
-    zone: p.settings.zone,
-  };
+  const hello = helloOf(p.settings, 'router');
   const indexers = reachIndexers(p.ports, bounds, p.follower, hello, placement.loads, p.routers);
   const gone = new Set<string>();
   let listed: Engine[] | undefined;
--- a/src/data/router.ts
+++ b/src/data/router.ts
@@ -6,7 +6,8 @@
 import { Ports, Connection } from '../shared/ports';
 import { boundsOf } from '../shared/bounds';
 import { Settings } from '../shared/settings';
-import { converse, Hello, HelloEdge, WIRE_VERSION } from '../shared/connections';
+import { converse, HelloEdge } from '../shared/connections';
+import { helloOf } from '../shared/hello';
 import { IntentsValue, KEYS, Member, Numbered, Rule, Service } from '../shared/words';
 import { Dialect } from '../shared/dialect';
 import { CallerApi } from './api';
@@ -33,21 +34,9 @@
   drain(): Promise<void>;
 }
 
-/** Starts a router that speaks by a dialect: it follows the core, and its gateway takes callers. */
-export async function startDialectRouter(
-  ports: Ports,
-  settings: Settings,
-  dialect: Dialect,
-): Promise<Outcome<RunningRouter>> {
-  const bounds = boundsOf(settings);
-  const hello: Hello = {
-    version: WIRE_VERSION,
-    name: settings.name,
-    role: 'router',
-    at: settings.wire,
-    zone: settings.zone,
-  };
-  const member: Member = {
+/** What a router is in the fleet's list, in this life of its process. */
+function memberOf(ports: Ports, settings: Settings): Member {
+  return {
     name: settings.name,
     role: 'router',
     at: settings.wire,
@@ -55,6 +44,17 @@
     zone: settings.zone,
     life: ports.dice.id().slice(0, 8),
   };
+}
+
+/** Starts a router that speaks by a dialect: it follows the core, and its gateway takes callers. */
+export async function startDialectRouter(
+  ports: Ports,
+  settings: Settings,
+  dialect: Dialect,
+): Promise<Outcome<RunningRouter>> {
+  const bounds = boundsOf(settings);
+  const hello = helloOf(settings, 'router');
+  const member = memberOf(ports, settings);
   const edges: object[] = [new HelloEdge(hello)];
   const follower = follow(ports, bounds, hello, member, settings.seeds, edges);
   function taken(s: Connection): void {
@@ -78,21 +78,8 @@
 /** Starts a router: it follows the core, watches engines, and takes callers. */
 export async function startRouter(ports: Ports, settings: Settings): Promise<Outcome<Router>> {
   const bounds = boundsOf(settings);
-  const hello: Hello = {
-    version: WIRE_VERSION,
-    name: settings.name,
-    role: 'router',
-    at: settings.wire,
-    zone: settings.zone,
-  };
-  const member: Member = {
-    name: settings.name,
-    role: 'router',
-    at: settings.wire,
-    http: settings.http,
-    zone: settings.zone,
-    life: ports.dice.id().slice(0, 8),
-  };
+  const hello = helloOf(settings, 'router');
+  const member = memberOf(ports, settings);
   const edges: object[] = [new HelloEdge(hello)];
   const counts: RouterCounts = {
     asked: 0,
