At the end of a drain, what no engine has begun on is answered with 502, not cut

Cause: what waited at an engine as the drain ended got a closed connection, which is no answer. Its attempt is given up now, and its caller told that it may have run.

--- a/src/data/gateway/drain.ts
+++ b/src/data/gateway/drain.ts
@@ -2,7 +2,7 @@
 
 import { Clock, Log, RawListening } from '../../shared/ports';
 import { Settings } from '../../shared/settings';
-import { InFlight } from './in-flight';
+import { InFlight, RequestInFlight } from './in-flight';
 
 /** How much of the grace a drain takes at the most. */
 const DRAIN = 0.93;
@@ -10,6 +10,8 @@
 const LISTED = 0.3;
 /** A router without new connections and requests for this share of `contactMs` is out of the callers' list. */
 const QUIET = 0.85;
+/** How long, of the grace, the last answers may take to be written. */
+const LAST_ANSWERS = 0.02;
 /** How often a router that drains looks at itself, as a share of `contactMs`. */
 const LOOK = 0.02;
 
@@ -20,6 +22,8 @@
   leavingMs(): number | undefined;
   /** Whether a request may be taken whose time is over at `until`, in ms of the clock port. */
   takes(until: number): boolean;
+  /** Whether the drain's time is over: no further attempt begins. */
+  isOver(): boolean;
   /** Begins to leave. */
   begin(): void;
   /** Comes once nothing is in flight and nothing new comes, or at the end of the drain's time. */
@@ -29,6 +33,7 @@
 /** Makes the drain of a router that serves. */
 export function makeDrain(clock: Clock, log: Log, settings: Settings, requests: InFlight): Drain {
   let began: number | undefined;
+  let over = false;
 
   function isLeaving(): boolean {
     return began !== undefined;
@@ -44,6 +49,10 @@
     return isListed || until <= began + settings.graceMs * DRAIN;
   }
 
+  function isOver(): boolean {
+    return over;
+  }
+
   function begin(): void {
     began ??= clock.now();
   }
@@ -61,9 +70,27 @@
       if (requests.count() === 0 && quietMs > settings.contactMs * QUIET) break;
     }
     logStep(server, 'has drained');
+    over = true;
+    await answerUnanswered();
     for (const request of requests.all()) requests.cutOff(request, 'drain-ended', leavingMs());
   }
 
+  /** Gives up the attempts whose engines have not answered yet, so that their callers get an answer rather than a closed connection. */
+  async function answerUnanswered(): Promise<void> {
+    const end = leavingMs()! + settings.graceMs * LAST_ANSWERS;
+    for (const request of unanswered()) request.abandonAttempt?.();
+    while (unanswered().length > 0 && leavingMs()! < end)
+      await clock.sleep(settings.contactMs * LOOK);
+  }
+
+  function unanswered(): RequestInFlight[] {
+    return [...requests.all()].filter(hasNoAnswer);
+  }
+
+  function hasNoAnswer(request: RequestInFlight): boolean {
+    return !request.answerBegan;
+  }
+
   function logStep(server: RawListening, what: string): void {
     const fields = {
       step: 'drain',
@@ -75,5 +102,5 @@
     log.notice(fields, what);
   }
 
-  return { isLeaving, leavingMs, takes, begin, run };
+  return { isLeaving, leavingMs, takes, isOver, begin, run };
 }
--- a/src/data/gateway/forward.ts
+++ b/src/data/gateway/forward.ts
@@ -62,6 +62,7 @@
       lastEvent: x.lastEvent,
     },
   );
+  x.inFlight.abandonAttempt = connection.close;
   const watch = x.repeatable && more ? watchSilence(g, call, x, c) : undefined;
   const [f, reply] = open(await connection.ask(worded, left, watch?.signal ?? call.gone));
   if (f) {
--- a/src/data/gateway/in-flight.ts
+++ b/src/data/gateway/in-flight.ts
@@ -18,6 +18,8 @@
   silentEngines: number;
   /** Whether the caller has the head of an answer. */
   answerBegan: boolean;
+  /** Ends the attempt that is under way, as if its engine were lost. */
+  abandonAttempt?: () => void;
 }
 
 /** Why a connection was closed in the middle of an answer. */
--- a/src/data/gateway/request.ts
+++ b/src/data/gateway/request.ts
@@ -95,6 +95,7 @@
       cause = 'time-up';
       break;
     }
+    if (g.draining.isOver()) break;
     const w = wanted();
     const chosen = await g.chooser.choose(w);
     if (chosen.isLeft()) {
@@ -131,7 +132,9 @@
     if (sent > 0) g.counts.furtherAttempts++;
     if (inFlight.answerBegan) g.counts.resumed++;
     last = await forward(g, call, x, c, connection, load, sent + 1 < a.route.maxAttempts);
+    inFlight.abandonAttempt = undefined;
     if (last !== 'not-sent') sent++;
+    if (g.draining.isOver()) break;
     if (last === 'late') cause = 'time-up';
     if (last === 'broken' && !canResume(x)) cause = 'engine-broke-off';
     if (
