--- a/test/gateway-callers.test.ts
+++ b/test/gateway-callers.test.ts
@@ -1,14 +1,6 @@
-import {
-  deployment,
-  EngineCall,
-  Rig,
-  route,
-  sealed,
-  startRig,
-  startStandIn,
-  streams,
-} from './gatewayrig';
+import { deployment, Rig, route, startRig, startStandIn, streams } from './gatewayrig';
 import { bareCaller, BareCaller } from './bare-caller';
+import { heldStreams } from './held-streams';
 
 const REQUEST_ID = 'caller-1';
 
@@ -23,27 +15,6 @@
 ${body}`;
 }
 
-/** An engine whose streams a test ends: the first event comes at once, the last when told. */
-function heldStreams(): {
-  answer: (c: EngineCall) => void;
-  finish: () => void;
-  held: () => number;
-} {
-  const waiting: EngineCall[] = [];
-  function answer(c: EngineCall): void {
-    c.res.writeHead(200, sealed(c));
-    c.res.write('id: 1\ndata: first\n\n');
-    waiting.push(c);
-  }
-  function finish(): void {
-    for (const c of waiting.splice(0)) c.res.end('id: 2\ndata: last\n\n');
-  }
-  function held(): number {
-    return waiting.length;
-  }
-  return { answer, finish, held };
-}
-
 const ROUTES = [route({ timeoutMs: 20000 })];
 
 function withLimits(idleTimeoutMs: number, headerTimeoutMs = 3000): ReturnType<typeof deployment> {
--- a/test/gateway-drain.test.ts
+++ b/test/gateway-drain.test.ts
@@ -1,17 +1,8 @@
 import http from 'node:http';
 import { Dice } from '../src/shared/ports';
 import { seededDice } from '../tools/sim/dice';
-import {
-  ask,
-  deployment,
-  EngineCall,
-  Got,
-  Rig,
-  route,
-  sealed,
-  startRig,
-  startStandIn,
-} from './gatewayrig';
+import { ask, deployment, Got, Rig, route, startRig, startStandIn } from './gatewayrig';
+import { heldStreams } from './held-streams';
 import { ManualClock, manualClock } from './manual-clock';
 
 const GRACE_MS = 8000;
@@ -58,48 +49,28 @@
 interface HoldingRig {
   rig: Rig;
   clock: ManualClock;
-  /** Ends the answers that are held, the oldest first. */
-  held: (() => void)[];
   /** Asks, and comes once the engine holds the answer or it has ended otherwise. */
   asks(more?: Parameters<typeof ask>[1]): Promise<{ asked: Promise<Got>; finish?: () => void }>;
 }
 
 async function startHoldingRig(isSilent = false): Promise<HoldingRig> {
   const clock = manualClock();
-  const held: (() => void)[] = [];
-  let tellHeld = nothing;
-  function nothing(): void {}
-  function answer(c: EngineCall): void {
-    function begin(): void {
-      c.res.writeHead(200, sealed(c));
-      c.res.write('id: 1\ndata: x\n\n');
-    }
-    function end(): void {
-      if (isSilent) begin();
-      c.res.end('id: 2\ndata: y\n\n');
-    }
-    if (!isSilent) begin();
-    held.push(end);
-    tellHeld();
-  }
+  const streams = heldStreams(isSilent);
   const rig = await startRig({
-    engines: [await startStandIn('e1', answer)],
+    engines: [await startStandIn('e1', streams.answer)],
     deployment: deployment([route({ timeoutMs: LONG_MS })]),
     settings: { graceMs: GRACE_MS, contactMs: CONTACT_MS },
     clock,
   });
   async function asks(more: Parameters<typeof ask>[1] = {}): ReturnType<HoldingRig['asks']> {
-    const before = held.length;
-    function wait(done: () => void): void {
-      tellHeld = done;
-    }
-    const passedOn = new Promise<void>(wait);
+    const before = streams.held();
+    const passedOn = streams.next();
     const headers = { 'Plumhollow-Deadline-Ms': String(LONG_MS), ...more.headers };
     const asked = ask(rig.at, { ...more, headers });
     await Promise.race([asked, passedOn]);
-    return { asked, finish: held[before] };
+    return { asked, finish: streams.ends[before] };
   }
-  return { rig, clock, held, asks };
+  return { rig, clock, asks };
 }
 
 /** Asks until an engine holds the answer: connecting may take too long on a busy machine. */
