--- /dev/null
+++ b/test/gateway-drain-end.test.ts
@@ -0,0 +1,149 @@
+import { bareCaller, BareCaller } from './bare-caller';
+import { deployment, Rig, route, startRig, startStandIn } from './gatewayrig';
+import { heldStreams, HeldStreams } from './held-streams';
+import { ManualClock, manualClock } from './manual-clock';
+
+const GRACE_MS = 8000;
+const CONTACT_MS = 3000;
+/** The share of the grace after which a drain ends, and the one for which a router that leaves takes all that comes. */
+const DRAIN = 0.93;
+const LISTED = 0.3;
+/** The longest time that a request has. */
+const LONG_MS = 7500;
+/** How long a process is held up as its signal comes. */
+const HELD_UP_MS = 600;
+/** How often a drain looks at itself, and a router that serves. */
+const LOOK_MS = 60;
+const ROUTER_LOOK_MS = 300;
+
+let requests = 0;
+
+function request(deadlineMs = LONG_MS): string {
+  return [
+    'POST /a/x HTTP/1.1',
+    'Host: desk.example',
+    `Plumhollow-Attempt-Id: late-${++requests}`,
+    'Plumhollow-Model: m',
+    `Plumhollow-Deadline-Ms: ${deadlineMs}`,
+    'Authorization: Token k1',
+    'Content-Length: 0\n\n',
+  ].join('\n');
+}
+
+interface DrainRig {
+  rig: Rig;
+  clock: ManualClock;
+  streams: HeldStreams;
+  /** A caller with a connection that an answer came on before. */
+  kept: BareCaller;
+  /** Tells the router to end, and comes once it has closed. */
+  leave(): Promise<void>;
+  /** When it had closed, in ms of the clock. */
+  closedAt(): number | undefined;
+}
+
+async function startDrainRig(): Promise<DrainRig> {
+  const clock = manualClock();
+  const streams = heldStreams();
+  const rig = await startRig({
+    engines: [await startStandIn('e1', streams.answer)],
+    deployment: deployment([route({ timeoutMs: LONG_MS })]),
+    settings: { graceMs: GRACE_MS, contactMs: CONTACT_MS },
+    clock,
+  });
+  const kept = await bareCaller(rig.at);
+  await begin(kept, streams);
+  streams.finish();
+  expect(await kept.has('data: last')).toBe(true);
+  let closed: number | undefined;
+  async function leave(): Promise<void> {
+    await rig.gateway.drain();
+    await rig.close();
+    closed = clock.now();
+  }
+  function closedAt(): number | undefined {
+    return closed;
+  }
+  return { rig, clock, streams, kept, leave, closedAt };
+}
+
+/** Sends a request and comes once an engine holds its answer. */
+async function begin(caller: BareCaller, streams: HeldStreams): Promise<void> {
+  const isHeld = streams.next();
+  caller.write(request());
+  await isHeld;
+}
+
+async function advanceUntilClosed(r: DrainRig): Promise<void> {
+  while (r.closedAt() === undefined) await r.clock.advance(CONTACT_MS);
+}
+
+/** A request lies unread as the drain comes to its end, as where the process was held up. */
+async function arrivesUnread(quietMs: number): Promise<string> {
+  const r = await startDrainRig();
+  const left = r.leave();
+  await r.clock.advance(quietMs);
+  expect(r.closedAt()).toBeUndefined();
+  r.kept.write(request());
+  r.clock.holdUp(HELD_UP_MS);
+  await Promise.race([r.kept.has('data: first'), r.kept.closed]);
+  r.streams.finish();
+  await advanceUntilClosed(r);
+  await Promise.all([left, r.kept.closed]);
+  return r.kept.received().split('data: last').pop()!;
+}
+
+async function answersAtQuietEnd(): Promise<void> {
+  expect(await arrivesUnread(CONTACT_MS * 0.82)).toMatch(/HTTP\/1.1 (200|503) /);
+}
+
+async function answersAtLastEnd(): Promise<void> {
+  const r = await startDrainRig();
+  const held = await bareCaller(r.rig.at);
+  await begin(held, r.streams);
+  const left = r.leave();
+  await r.clock.advance(GRACE_MS * DRAIN - HELD_UP_MS / 2);
+  expect(r.closedAt()).toBeUndefined();
+  r.kept.write(request());
+  r.clock.holdUp(HELD_UP_MS);
+  await r.kept.closed;
+  await advanceUntilClosed(r);
+  await left;
+  const late = r.kept.received().split('data: last').pop()!;
+  expect(late).toMatch(/HTTP\/1.1 503 [^]*retry-after/i);
+}
+
+/** The process was held up while its signal came; all bounds count from when the signal may have been sent. */
+async function countsFromTheSignal(): Promise<void> {
+  const r = await startDrainRig();
+  const held = await bareCaller(r.rig.at);
+  await begin(held, r.streams);
+  await r.clock.advance(ROUTER_LOOK_MS);
+  const sentAt = r.clock.now();
+  r.clock.holdUp(HELD_UP_MS);
+  const left = r.leave();
+  await r.clock.advance(sentAt + GRACE_MS * LISTED + LOOK_MS - r.clock.now());
+  r.kept.write(request());
+  expect(await r.kept.has('503')).toBe(true);
+  await advanceUntilClosed(r);
+  await left;
+  expect(r.closedAt()! - sentAt).toBeLessThanOrEqual(GRACE_MS * DRAIN + 2 * LOOK_MS);
+}
+
+/** Where nothing was held up, nothing is taken off the grace. */
+async function countsFromNow(): Promise<void> {
+  const r = await startDrainRig();
+  await r.clock.advance(ROUTER_LOOK_MS);
+  const toldAt = r.clock.now();
+  const left = r.leave();
+  await r.clock.advance(GRACE_MS * LISTED - LOOK_MS);
+  await begin(r.kept, r.streams);
+  await advanceUntilClosed(r);
+  await left;
+  expect(r.closedAt()! - toldAt).toBeGreaterThanOrEqual(GRACE_MS * DRAIN);
+}
+
+test('a request that lies unread as a quiet drain ends is answered', answersAtQuietEnd);
+test('a request that lies unread as the last of a drain comes is answered', answersAtLastEnd);
+test('a drain that began late counts from when its signal may have been sent', countsFromTheSignal);
+test('a drain that began in time has all of its grace', countsFromNow);
--- a/test/manual-clock.ts
+++ b/test/manual-clock.ts
@@ -11,6 +11,8 @@
 export interface ManualClock extends Clock {
   /** Moves the clock on, ringing each timer at its own time; what waits on sockets is let run between them. */
   advance(ms: number): Promise<void>;
+  /** Lets time pass while nothing runs, as where a process is held up; timers that fell due ring at its end, all in one turn. */
+  holdUp(ms: number): void;
 }
 
 /** Lets all that is ready on sockets run. */
@@ -65,5 +67,13 @@
     await settle();
   }
 
-  return { now, wall: String, sleep, timer, advance };
+  function holdUp(ms: number): void {
+    time += ms;
+    for (let t = nextBy(time); t; t = nextBy(time)) {
+      timers.delete(t);
+      t.ring();
+    }
+  }
+
+  return { now, wall: String, sleep, timer, advance, holdUp };
 }
