A router that closes reads and answers what has arrived, and writes its answers out

Cause: a drain ended, and closeAllConnections destroyed the sockets, without a read: what lay unread (a loop held up over lossSlackMs makes it LOST) got nothing, and an answer counted as ended when it was handed over.

--- a/src/data/gateway/drain.ts
+++ b/src/data/gateway/drain.ts
@@ -10,7 +10,7 @@
 const LISTED = 0.3;
 /** A router without new connections and requests for this share of `contactMs` is out of the callers' list. */
 const QUIET = 0.85;
-/** How long, of the grace, the last answers may take to be written. */
+/** How long, of the grace, the last answers may take to be written: once those of the drain's end, once those of the close. */
 const LAST_ANSWERS = 0.02;
 /** How often a router that drains looks at itself, as a share of `contactMs`. */
 const LOOK = 0.02;
@@ -28,10 +28,13 @@
   begin(): void;
   /** Comes once nothing is in flight and nothing new comes, or at the end of the drain's time. */
   run(server: RawListening): Promise<void>;
+  /** Ends the drain, and closes the server; what arrives meanwhile is refused. */
+  close(server: RawListening): Promise<void>;
 }
 
 /** Makes the drain of a router that serves. */
 export function makeDrain(clock: Clock, log: Log, settings: Settings, requests: InFlight): Drain {
+  const endsAfterMs = settings.graceMs * DRAIN;
   let began: number | undefined;
   let over = false;
 
@@ -45,8 +48,9 @@
 
   function takes(until: number): boolean {
     if (began === undefined) return true;
+    if (over) return false;
     const isListed = clock.now() - began <= settings.graceMs * LISTED;
-    return isListed || until <= began + settings.graceMs * DRAIN;
+    return isListed || until <= began + endsAfterMs;
   }
 
   function isOver(): boolean {
@@ -60,19 +64,34 @@
   async function run(server: RawListening): Promise<void> {
     begin();
     logStep(server, 'is told to end');
+    await untilDrained(server);
+    await server.readArrived();
+    logStep(server, 'has drained');
+    over = true;
+    await answerUnanswered();
+    for (const request of requests.all()) requests.cutOff(request, 'drain-ended', leavingMs());
+  }
+
+  /** Waits until nothing is in flight and nothing comes, also of what had arrived while this process was held up. */
+  async function untilDrained(server: RawListening): Promise<void> {
     let seen = server.arrivals();
     let quietSince = clock.now();
-    while (leavingMs()! < settings.graceMs * DRAIN) {
+    while (leavingMs()! < endsAfterMs) {
       await clock.sleep(settings.contactMs * LOOK);
       if (server.arrivals() !== seen) quietSince = clock.now();
       seen = server.arrivals();
       const quietMs = clock.now() - quietSince;
-      if (requests.count() === 0 && quietMs > settings.contactMs * QUIET) break;
+      if (requests.count() > 0 || quietMs <= settings.contactMs * QUIET) continue;
+      await server.readArrived();
+      if (server.arrivals() === seen) return;
     }
-    logStep(server, 'has drained');
+  }
+
+  async function close(server: RawListening): Promise<void> {
+    begin();
     over = true;
-    await answerUnanswered();
-    for (const request of requests.all()) requests.cutOff(request, 'drain-ended', leavingMs());
+    const cutOff = await server.close(settings.graceMs * LAST_ANSWERS);
+    logStep(server, 'has closed', { cutOff });
   }
 
   /** Gives up the attempts whose engines have not answered yet, so that their callers get an answer rather than a closed connection. */
@@ -91,16 +110,17 @@
     return !request.answerBegan;
   }
 
-  function logStep(server: RawListening, what: string): void {
+  function logStep(server: RawListening, what: string, more: object = {}): void {
     const fields = {
       step: 'drain',
       peer: settings.name,
       tookMs: Math.round(leavingMs()!),
       inFlight: requests.count(),
       arrivals: server.arrivals(),
+      ...more,
     };
     log.notice(fields, what);
   }
 
-  return { isLeaving, leavingMs, takes, isOver, begin, run };
+  return { isLeaving, leavingMs, takes, isOver, begin, run, close };
 }
--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -157,6 +157,7 @@
   async function taken(call: RawCall): Promise<void> {
     const request = inFlight.began();
     await serveRequest(parts, call, request).catch(broke);
+    await call.written;
     inFlight.ended(request);
     function broke(e: Error): void {
       ports.log.error({ step: 'serve request', peer: call.peer }, e.stack ?? e.message);
@@ -218,8 +219,7 @@
     off();
     chooser.stop();
     connections.stop();
-    await server!.close();
-    await readiness!.close();
+    await Promise.all([draining.close(server!), readiness!.close(0)]);
   }
 
   function look(): void {
--- a/src/data/gateway/in-flight.ts
+++ b/src/data/gateway/in-flight.ts
@@ -18,6 +18,8 @@
   silentEngines: number;
   /** Whether the caller has the head of an answer. */
   answerBegan: boolean;
+  /** Whether it was logged as cut off. */
+  isCutOff: boolean;
   /** Ends the attempt that is under way, as if its engine were lost. */
   abandonAttempt?: () => void;
 }
@@ -37,7 +39,7 @@
   ended(request: RequestInFlight): void;
   count(): number;
   all(): Iterable<RequestInFlight>;
-  /** Logs that a request was cut off; `leavingMs` is the time since this router was told to end. */
+  /** Logs once that a request was cut off; `leavingMs` is the time since this router was told to end. */
   cutOff(request: RequestInFlight, cause: CutOffCause, leavingMs?: number): void;
 }
 
@@ -57,6 +59,7 @@
       attempts: 0,
       silentEngines: 0,
       answerBegan: false,
+      isCutOff: false,
     };
     requests.add(request);
     return request;
@@ -85,6 +88,8 @@
   }
 
   function cutOff(request: RequestInFlight, cause: CutOffCause, leavingMs?: number): void {
+    if (request.isCutOff) return;
+    request.isCutOff = true;
     if (!mayLog()) {
       unlogged++;
       return;
--- a/src/shared/ports.ts
+++ b/src/shared/ports.ts
@@ -107,6 +107,8 @@
   piece(bytes: Uint8Array): Promise<boolean>;
   end(bytes?: Uint8Array): void;
   breakOff(): void;
+  /** Comes once the answer has been written out, or its connection is closed. */
+  written: Promise<void>;
 }
 
 /** How a raw server treats its callers' connections; it may change while it listens. */
@@ -118,10 +120,15 @@
 }
 
 /** A raw server that listens. */
-export interface RawListening extends Listening {
+export interface RawListening {
+  at: string;
   limit(l: ServeLimits): void;
   /** Connections and requests that have come so far. */
   arrivals(): number;
+  /** Comes once all that has arrived by now was read and given to its handler. */
+  readArrived(): Promise<void>;
+  /** Ends listening, has what has arrived answered, and closes all connections, those with answers that are not written out after `withinMs`; gives how many these were. */
+  close(withinMs: number): Promise<number>;
 }
 
 /** The answer to a raw request; pieces are pulled, undefined is a whole end. */
--- a/src/shared/realhttp-server.ts
+++ b/src/shared/realhttp-server.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import net from 'node:net';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import { Left, Right } from 'purify-ts';
 import { makeFault, Outcome } from './errors';
 import { RawCall, RawListening, ServeLimits } from './ports';
@@ -11,12 +12,15 @@
 /** The share of the idle limit that callers are told. */
 const TOLD_IDLE = 0.8;
 const MS_PER_S = 1000;
+/** Turns of the event loop after which all that had arrived has been read: a connection is accepted in one, its request is read in the next, and the first may lack its reads. */
+const READING_TURNS = 4;
 
 function makeCall(
   req: http.IncomingMessage,
   res: http.ServerResponse,
   limits: () => ServeLimits,
   callers: CallerConnections,
+  written: Promise<void>,
 ): RawCall {
   const gone = new AbortController();
   const peer = req.socket.remoteAddress ?? '';
@@ -75,6 +79,7 @@
     piece,
     end,
     breakOff,
+    written,
   };
 }
 
@@ -93,9 +98,10 @@
     return limits.idleTimeoutMs;
   }
   function request(req: http.IncomingMessage, res: http.ServerResponse): void {
-    if (!callers.began(req, res)) return;
+    const written = callers.began(req, res);
+    if (written === undefined) return;
     arrived++;
-    void take(makeCall(req, res, now, callers));
+    void take(makeCall(req, res, now, callers, written));
   }
   function connection(): void {
     arrived++;
@@ -121,12 +127,27 @@
     server.headersTimeout = l.headerTimeoutMs;
     server.keepAliveTimeout = l.idleTimeoutMs;
   }
-  function close(): Promise<void> {
-    function wait(done: () => void): void {
-      server.close(done as () => void);
-      server.closeAllConnections();
+  async function readArrived(): Promise<void> {
+    for (let turn = 0; turn < READING_TURNS; turn++) await nextTurn();
+  }
+  /** Ends listening; connections stay. */
+  function stopListening(): void {
+    net.Server.prototype.close.call(server);
+  }
+  async function close(withinMs: number): Promise<number> {
+    const end = performance.now() + withinMs;
+    limit({ ...limits, closing: true });
+    await readArrived();
+    stopListening();
+    await readArrived();
+    while (callers.underWay() > 0 && performance.now() < end) {
+      await callers.settled(end - performance.now());
+      await readArrived();
     }
-    return new Promise(wait);
+    const cutOff = callers.underWay();
+    server.close();
+    server.closeAllConnections();
+    return cutOff;
   }
   function wait(done: (o: Outcome<RawListening>) => void): void {
     function failed(e: Error): void {
@@ -136,7 +157,7 @@
       server.off('error', failed);
       server.on('error', ignore);
       const a = server.address() as net.AddressInfo;
-      done(Right({ at: `${a.address}:${a.port}`, close, limit, arrivals }));
+      done(Right({ at: `${a.address}:${a.port}`, close, limit, arrivals, readArrived }));
     }
     server.once('error', failed);
     server.listen({ ...splitAddress(at), backlog: BACKLOG }, up);
--- a/test/gateway-drain-end.test.ts
+++ b/test/gateway-drain-end.test.ts
@@ -38,8 +38,9 @@
   kept: BareCaller;
   /** Tells the router to end, and comes once it has closed. */
   leave(): Promise<void>;
-  /** When it had closed, in ms of the clock. */
-  closedAt(): number | undefined;
+  /** When its drain had ended, in ms of the clock. */
+  drainedAt(): number | undefined;
+  hasClosed(): boolean;
 }
 
 async function startDrainRig(): Promise<DrainRig> {
@@ -55,16 +56,21 @@
   await begin(kept, streams);
   streams.finish();
   expect(await kept.has('data: last')).toBe(true);
-  let closed: number | undefined;
+  let drained: number | undefined;
+  let isClosed = false;
   async function leave(): Promise<void> {
     await rig.gateway.drain();
+    drained = clock.now();
     await rig.close();
-    closed = clock.now();
+    isClosed = true;
   }
-  function closedAt(): number | undefined {
-    return closed;
+  function drainedAt(): number | undefined {
+    return drained;
   }
-  return { rig, clock, streams, kept, leave, closedAt };
+  function hasClosed(): boolean {
+    return isClosed;
+  }
+  return { rig, clock, streams, kept, leave, drainedAt, hasClosed };
 }
 
 /** Sends a request and comes once an engine holds its answer. */
@@ -75,7 +81,7 @@
 }
 
 async function advanceUntilClosed(r: DrainRig): Promise<void> {
-  while (r.closedAt() === undefined) await r.clock.advance(CONTACT_MS);
+  while (!r.hasClosed()) await r.clock.advance(LOOK_MS);
 }
 
 /** A request lies unread as the drain comes to its end, as where the process was held up. */
@@ -83,7 +89,7 @@
   const r = await startDrainRig();
   const left = r.leave();
   await r.clock.advance(quietMs);
-  expect(r.closedAt()).toBeUndefined();
+  expect(r.drainedAt()).toBeUndefined();
   r.kept.write(request());
   r.clock.holdUp(HELD_UP_MS);
   await Promise.race([r.kept.has('data: first'), r.kept.closed]);
@@ -103,7 +109,7 @@
   await begin(held, r.streams);
   const left = r.leave();
   await r.clock.advance(GRACE_MS * DRAIN - HELD_UP_MS / 2);
-  expect(r.closedAt()).toBeUndefined();
+  expect(r.drainedAt()).toBeUndefined();
   r.kept.write(request());
   r.clock.holdUp(HELD_UP_MS);
   await r.kept.closed;
@@ -127,7 +133,7 @@
   expect(await r.kept.has('503')).toBe(true);
   await advanceUntilClosed(r);
   await left;
-  expect(r.closedAt()! - sentAt).toBeLessThanOrEqual(GRACE_MS * DRAIN + 2 * LOOK_MS);
+  expect(r.drainedAt()! - sentAt).toBeLessThanOrEqual(GRACE_MS * DRAIN + 2 * LOOK_MS);
 }
 
 /** Where nothing was held up, nothing is taken off the grace. */
@@ -140,7 +146,7 @@
   await begin(r.kept, r.streams);
   await advanceUntilClosed(r);
   await left;
-  expect(r.closedAt()! - toldAt).toBeGreaterThanOrEqual(GRACE_MS * DRAIN);
+  expect(r.drainedAt()! - toldAt).toBeGreaterThanOrEqual(GRACE_MS * DRAIN);
 }
 
 test('a request that lies unread as a quiet drain ends is answered', answersAtQuietEnd);
--- /dev/null
+++ b/test/realhttp-close.test.ts
@@ -0,0 +1,115 @@
+import { once } from 'node:events';
+import http from 'node:http';
+import net from 'node:net';
+import { RawCall, RawListening } from '../src/shared/ports';
+import { realHttp } from '../src/shared/realhttp';
+import { bareCaller } from './bare-caller';
+
+const LIMITS = { headerTimeoutMs: 3000, idleTimeoutMs: 15000, closing: false };
+/** Far more than a connection's buffers hold. */
+const LARGE = Buffer.alloc(24 << 20, 'x');
+const REQUEST = 'POST /a HTTP/1.1\nHost: desk.example\nContent-Length: 2\n\nhi';
+const REQUEST_BYTES = REQUEST.replaceAll('\n', '\r\n');
+/** How long a close may take where nothing should hold it up. */
+const PATIENCE_MS = 20000;
+/** How long a close may take where a caller holds it up. */
+const SHORT_MS = 50;
+
+function nothing(): void {}
+
+async function serve(take: (call: RawCall) => Promise<void>): Promise<RawListening> {
+  return (await realHttp().serve('127.0.0.1:0', LIMITS, take)).unsafeCoerce();
+}
+
+async function answersShortly(call: RawCall): Promise<void> {
+  await call.body(100);
+  call.head(200, ['Content-Length', '2']);
+  call.end(Buffer.from('ok'));
+}
+
+async function answersAtLength(call: RawCall): Promise<void> {
+  call.head(200, ['Content-Length', String(LARGE.length)]);
+  call.end(LARGE);
+}
+
+function answersIn(text: string): number {
+  return text.split('HTTP/1.1 200').length - 1;
+}
+
+/** A connection that has just come up; nothing was read from it yet. */
+async function connected(at: string): Promise<net.Socket> {
+  const [host, port] = at.split(':');
+  const socket = net.connect({ host, port: Number(port) });
+  socket.on('error', nothing);
+  await once(socket, 'connect');
+  return socket;
+}
+
+async function writesItOut(): Promise<void> {
+  const server = await serve(answersAtLength);
+  const asked = http.get(`http://${server.at}/`, { agent: false });
+  const [answer] = (await once(asked, 'response')) as [http.IncomingMessage];
+  let size = 0;
+  function count(piece: Buffer): void {
+    size += piece.length;
+  }
+  answer.pause();
+  const closed = server.close(PATIENCE_MS);
+  answer.on('data', count);
+  answer.resume();
+  answer.on('error', nothing);
+  await Promise.all([once(answer, 'close'), closed]);
+  expect({ size, whole: answer.complete }).toEqual({ size: LARGE.length, whole: true });
+}
+
+async function givesUpOnTheSlow(): Promise<void> {
+  const server = await serve(answersAtLength);
+  const socket = await connected(server.at);
+  socket.write(REQUEST_BYTES);
+  await once(socket, 'readable');
+  await server.close(SHORT_MS);
+  socket.resume();
+  await once(socket, 'close');
+  expect(socket.bytesRead).toBeLessThan(LARGE.length);
+}
+
+async function answersWhatArrived(): Promise<void> {
+  const server = await serve(answersShortly);
+  const kept = await bareCaller(server.at);
+  kept.write(REQUEST);
+  expect(await kept.has('ok')).toBe(true);
+  kept.write(REQUEST);
+  await Promise.all([server.close(PATIENCE_MS), kept.closed]);
+  expect(answersIn(kept.received())).toBe(2);
+}
+
+async function answersNewConnections(): Promise<void> {
+  const server = await serve(answersShortly);
+  const socket = await connected(server.at);
+  let got = '';
+  function data(piece: Buffer): void {
+    got += piece.toString('latin1');
+  }
+  socket.on('data', data);
+  socket.write(REQUEST_BYTES);
+  await Promise.all([server.close(PATIENCE_MS), once(socket, 'close')]);
+  expect(answersIn(got)).toBe(1);
+}
+
+async function closesTheResting(): Promise<void> {
+  const server = await serve(answersShortly);
+  const kept = await bareCaller(server.at);
+  kept.write(REQUEST);
+  expect(await kept.has('ok')).toBe(true);
+  await Promise.all([server.close(PATIENCE_MS), kept.closed]);
+  const [host, port] = server.at.split(':');
+  const late = net.connect({ host, port: Number(port) });
+  const [refused] = (await once(late, 'error')) as [NodeJS.ErrnoException];
+  expect(refused.code).toBe('ECONNREFUSED');
+}
+
+test('an answer that was handed over is written out before its connection closes', writesItOut);
+test('a caller that does not read holds a close up for its time only', givesUpOnTheSlow);
+test('a request that has arrived as a server closes is answered', answersWhatArrived);
+test('a request on a new connection is answered as a server closes', answersNewConnections);
+test('connections at rest are closed, and new ones are refused', closesTheResting);
