A drain counts from when its signal may have been sent

Cause: the times of a drain counted from when the signal is handled; a process that was held up for 0.6 s took requests beyond 3 s of its SIGTERM (0.3 of the grace and the lag) and cut beyond its grace (0.93 and the lag).

--- a/src/data/gateway/drain.ts
+++ b/src/data/gateway/drain.ts
@@ -2,6 +2,7 @@
 
 import { Clock, Log, RawListening } from '../../shared/ports';
 import { Settings } from '../../shared/settings';
+import { StallWatch } from '../../shared/stalls';
 import { InFlight, RequestInFlight } from './in-flight';
 
 /** How much of the grace a drain takes at the most. */
@@ -12,6 +13,8 @@
 const QUIET = 0.85;
 /** How long, of the grace, the last answers may take to be written: once those of the drain's end, once those of the close. */
 const LAST_ANSWERS = 0.02;
+/** The most of the grace that may have passed before a signal is handled. */
+const MOST_LATE = 0.5;
 /** How often a router that drains looks at itself, as a share of `contactMs`. */
 const LOOK = 0.02;
 
@@ -32,8 +35,14 @@
   close(server: RawListening): Promise<void>;
 }
 
-/** Makes the drain of a router that serves. */
-export function makeDrain(clock: Clock, log: Log, settings: Settings, requests: InFlight): Drain {
+/** Makes the drain of a router that serves. Its time counts from when the signal may have been sent, which is before it is handled where the process was held up. */
+export function makeDrain(
+  clock: Clock,
+  log: Log,
+  settings: Settings,
+  requests: InFlight,
+  stalls: StallWatch,
+): Drain {
   const endsAfterMs = settings.graceMs * DRAIN;
   let began: number | undefined;
   let over = false;
@@ -58,7 +67,7 @@
   }
 
   function begin(): void {
-    began ??= clock.now();
+    began ??= Math.max(stalls.earliest(), clock.now() - settings.graceMs * MOST_LATE);
   }
 
   async function run(server: RawListening): Promise<void> {
--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import { Follower } from '../../shared/follow';
 import { HttpWire, Ports, RawCall, ServeLimits } from '../../shared/ports';
 import { Settings } from '../../shared/settings';
+import { watchStalls } from '../../shared/stalls';
 import { NamedWeights } from '../../shared/weights';
 import { Engine, KEYS, Numbered } from '../../shared/words';
 import { makeRetryBudget } from './budget';
@@ -33,7 +34,7 @@
 /** Where their naming is only caught up on, this router was not in touch: they serve for this share of `contactMs`. */
 const OUT_OF_TOUCH = 0.7;
 /** How often a router that serves looks at itself, as a share of `contactMs`. */
-const LOOK = 0.1;
+const LOOK = 0.05;
 
 /** Starts the request path: readiness, then callers; what it takes of our own messages is added to `edges`. */
 export async function startGateway(
@@ -120,7 +121,8 @@
   }
 
   const inFlight = trackInFlight(clock, ports.log, settings);
-  const draining = makeDrain(clock, ports.log, settings, inFlight);
+  const stalls = watchStalls(clock, settings.contactMs * LOOK);
+  const draining = makeDrain(clock, ports.log, settings, inFlight, stalls);
   const weights = makeWeightsBook(
     clock,
     settings.weightsBoundMs * OLDER,
@@ -223,6 +225,7 @@
   }
 
   function look(): void {
+    stalls.look();
     logStart();
     routers();
     off = clock.timer(settings.contactMs * LOOK, look);
