Answers are written out within one share of the grace; tests of changes and engines while a router leaves

settle() and close() apart: what is cut is logged as it is cut, and a 502 of the drain's end is waited for there.

--- a/src/data/gateway/drain.ts
+++ b/src/data/gateway/drain.ts
@@ -3,7 +3,7 @@
 import { Clock, Log, RawListening } from '../../shared/ports';
 import { Settings } from '../../shared/settings';
 import { StallWatch } from '../../shared/stalls';
-import { InFlight, RequestInFlight } from './in-flight';
+import { InFlight } from './in-flight';
 
 /** How much of the grace a drain takes at the most. */
 const DRAIN = 0.93;
@@ -11,7 +11,7 @@
 const LISTED = 0.3;
 /** A router without new connections and requests for this share of `contactMs` is out of the callers' list. */
 const QUIET = 0.85;
-/** How long, of the grace, the last answers may take to be written: once those of the drain's end, once those of the close. */
+/** How long, of the grace, the last answers may take to be written after the drain's end. */
 const LAST_ANSWERS = 0.02;
 /** The most of the grace that may have passed before a signal is handled. */
 const MOST_LATE = 0.5;
@@ -74,11 +74,9 @@
     begin();
     logStep(server, 'is told to end');
     await untilDrained(server);
-    await server.readArrived();
     logStep(server, 'has drained');
     over = true;
-    await answerUnanswered();
-    for (const request of requests.all()) requests.cutOff(request, 'drain-ended', leavingMs());
+    answerUnanswered();
   }
 
   /** Waits until nothing is in flight and nothing comes, also of what had arrived while this process was held up. */
@@ -94,29 +92,21 @@
       await server.readArrived();
       if (server.arrivals() === seen) return;
     }
+    await server.readArrived();
   }
 
   async function close(server: RawListening): Promise<void> {
     begin();
     over = true;
-    const cutOff = await server.close(settings.graceMs * LAST_ANSWERS);
+    const cutOff = await server.settle(settings.graceMs * LAST_ANSWERS);
+    for (const request of requests.all()) requests.cutOff(request, 'drain-ended', leavingMs());
+    await server.close();
     logStep(server, 'has closed', { cutOff });
   }
 
   /** Gives up the attempts whose engines have not answered yet, so that their callers get an answer rather than a closed connection. */
-  async function answerUnanswered(): Promise<void> {
-    const end = leavingMs()! + settings.graceMs * LAST_ANSWERS;
-    for (const request of unanswered()) request.abandonAttempt?.();
-    while (unanswered().length > 0 && leavingMs()! < end)
-      await clock.sleep(settings.contactMs * LOOK);
-  }
-
-  function unanswered(): RequestInFlight[] {
-    return [...requests.all()].filter(hasNoAnswer);
-  }
-
-  function hasNoAnswer(request: RequestInFlight): boolean {
-    return !request.answerBegan;
+  function answerUnanswered(): void {
+    for (const request of requests.all()) if (!request.answerBegan) request.abandonAttempt?.();
   }
 
   function logStep(server: RawListening, what: string, more: object = {}): void {
--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -221,7 +221,7 @@
     off();
     chooser.stop();
     connections.stop();
-    await Promise.all([draining.close(server!), readiness!.close(0)]);
+    await Promise.all([draining.close(server!), readiness!.close()]);
   }
 
   function look(): void {
--- a/src/shared/ports.ts
+++ b/src/shared/ports.ts
@@ -120,15 +120,14 @@
 }
 
 /** A raw server that listens. */
-export interface RawListening {
-  at: string;
+export interface RawListening extends Listening {
   limit(l: ServeLimits): void;
   /** Connections and requests that have come so far. */
   arrivals(): number;
   /** Comes once all that has arrived by now was read and given to its handler. */
   readArrived(): Promise<void>;
-  /** Ends listening, has what has arrived answered, and closes all connections, those with answers that are not written out after `withinMs`; gives how many these were. */
-  close(withinMs: number): Promise<number>;
+  /** Ends listening, has what has arrived answered, and comes once all answers are written out, or after `withinMs`; gives how many are not. */
+  settle(withinMs: number): Promise<number>;
 }
 
 /** The answer to a raw request; pieces are pulled, undefined is a whole end. */
--- a/src/shared/realhttp-server.ts
+++ b/src/shared/realhttp-server.ts
@@ -134,7 +134,7 @@
   function stopListening(): void {
     net.Server.prototype.close.call(server);
   }
-  async function close(withinMs: number): Promise<number> {
+  async function settle(withinMs: number): Promise<number> {
     const end = performance.now() + withinMs;
     limit({ ...limits, closing: true });
     await readArrived();
@@ -144,10 +144,14 @@
       await callers.settled(end - performance.now());
       await readArrived();
     }
-    const cutOff = callers.underWay();
-    server.close();
-    server.closeAllConnections();
-    return cutOff;
+    return callers.underWay();
+  }
+  function close(): Promise<void> {
+    function wait(done: () => void): void {
+      server.close(done as () => void);
+      server.closeAllConnections();
+    }
+    return new Promise(wait);
   }
   function wait(done: (o: Outcome<RawListening>) => void): void {
     function failed(e: Error): void {
@@ -157,7 +161,7 @@
       server.off('error', failed);
       server.on('error', ignore);
       const a = server.address() as net.AddressInfo;
-      done(Right({ at: `${a.address}:${a.port}`, close, limit, arrivals, readArrived }));
+      done(Right({ at: `${a.address}:${a.port}`, close, limit, arrivals, readArrived, settle }));
     }
     server.once('error', failed);
     server.listen({ ...splitAddress(at), backlog: BACKLOG }, up);
--- /dev/null
+++ b/test/gateway-drain-changes.test.ts
@@ -0,0 +1,138 @@
+import { KEYS } from '../src/shared/words';
+import { bareCaller } from './bare-caller';
+import {
+  ask,
+  deployment,
+  Got,
+  Rig,
+  route,
+  sealed,
+  startRig,
+  startStandIn,
+  turnsAway,
+} from './gatewayrig';
+import { heldStreams, HeldStreams } from './held-streams';
+import { ManualClock, manualClock } from './manual-clock';
+
+const GRACE_MS = 8000;
+const CONTACT_MS = 3000;
+const LONG_MS = 6000;
+const STEP_MS = 60;
+
+interface LeavingRig {
+  rig: Rig;
+  clock: ManualClock;
+  streams: HeldStreams;
+  /** Ends the answers that are held, and comes once the router has closed. */
+  finish(): Promise<void>;
+}
+
+/** A router that is told to end while it waits for a held answer. */
+async function startLeaving(): Promise<{ leaving: LeavingRig; asked: Promise<Got> }> {
+  const clock = manualClock();
+  const streams = heldStreams();
+  const rig = await startRig({
+    engines: [await startStandIn('e1', streams.answer)],
+    deployment: deployment([route({ timeoutMs: LONG_MS })]),
+    settings: { graceMs: GRACE_MS, contactMs: CONTACT_MS },
+    clock,
+  });
+  const isHeld = streams.next();
+  const asked = ask(rig.at, { headers: { 'Plumhollow-Deadline-Ms': String(LONG_MS) } });
+  await isHeld;
+  let isClosed = false;
+  async function leave(): Promise<void> {
+    await rig.gateway.drain();
+    await rig.close();
+    isClosed = true;
+  }
+  const left = leave();
+  async function finish(): Promise<void> {
+    streams.finish();
+    await asked;
+    while (!isClosed) await clock.advance(STEP_MS);
+    await left;
+  }
+  return { leaving: { rig, clock, streams, finish }, asked };
+}
+
+let revision = 1;
+
+/** Hundreds of changes come while a router leaves; the last has none of what the request came by. */
+async function changesKeepWhatIsInFlight(): Promise<void> {
+  const CHANGES = 300;
+  const { leaving, asked } = await startLeaving();
+  const { rig, clock } = leaving;
+  for (let i = 0; i < CHANGES; i++) {
+    const timeoutMs = i % 2 === 0 ? 100 : LONG_MS;
+    const doc = deployment([route({ timeoutMs })], { limits: limitsOf(2000 + i) });
+    rig.tell(KEYS.deployment, { revision: ++revision, doc });
+    if (i % 10 === 0) await clock.advance(STEP_MS);
+  }
+  const doc = deployment([route({ name: 'other', prefix: '/other/' })], { tenants: [], pools: [] });
+  rig.tell(KEYS.deployment, { revision: ++revision, doc });
+  await clock.advance(STEP_MS);
+  await leaving.finish();
+  expect(await asked).toMatchObject({ status: 200, whole: true });
+}
+
+function limitsOf(idleTimeoutMs: number): ReturnType<typeof deployment>['limits'] {
+  return { ...deployment([]).limits, idleTimeoutMs };
+}
+
+/** A change of the limits does not have a router that leaves keep its connections. */
+async function answersStillClose(): Promise<void> {
+  const { leaving } = await startLeaving();
+  const { rig } = leaving;
+  const doc = deployment([route({ timeoutMs: LONG_MS })], { limits: limitsOf(9000) });
+  rig.tell(KEYS.deployment, { revision: ++revision, doc });
+  const got = await ask(rig.at, { path: '/nowhere/' });
+  expect(got.status).toBe(404);
+  expect(got.headers.connection).toBe('close');
+  await leaving.finish();
+}
+
+/** An engine that leaves turns away what a router that leaves sends it; another one takes it. */
+async function enginesLeaveToo(): Promise<void> {
+  const { leaving } = await startLeaving();
+  const { rig, clock } = leaving;
+  function answers(c: Parameters<typeof turnsAway>[0]): void {
+    c.res.writeHead(200, sealed(c));
+    c.res.end('id: 1\ndata: served\n\n');
+  }
+  const goes = await startStandIn('e2', turnsAway);
+  const stays = await startStandIn('e3', answers);
+  rig.tellEngines([{ ...goes, leaving: true }, stays]);
+  await clock.advance(STEP_MS);
+  const got = await ask(rig.at, { headers: { 'Plumhollow-Deadline-Ms': '2000' } });
+  expect(got).toMatchObject({ status: 200, whole: true });
+  await leaving.finish();
+  goes.close();
+  stays.close();
+}
+
+/** After an answer that was worded as its connection's last, no further one may come on it; what was sent there is passed on to no engine. */
+async function lastAnswersAreWhole(): Promise<void> {
+  const { leaving } = await startLeaving();
+  const { rig, streams } = leaving;
+  const caller = await bareCaller(rig.at);
+  function request(id: string): string {
+    return `POST /a/x HTTP/1.1\nHost: desk.example\nPlumhollow-Attempt-Id: ${id}\nPlumhollow-Model: m\nPlumhollow-Deadline-Ms: 2000\nAuthorization: Token k1\nContent-Length: 0\n\n`;
+  }
+  const isHeld = streams.next();
+  caller.write(request('first'));
+  await isHeld;
+  expect(await caller.has('data: first')).toBe(true);
+  expect(caller.received()).toMatch(/connection: close/i);
+  const held = streams.held();
+  caller.write(request('second'));
+  await leaving.finish();
+  await caller.closed;
+  expect(caller.received()).toContain('data: last');
+  expect(streams.held()).toBeLessThanOrEqual(held);
+}
+
+test('changes while a router leaves end nothing that is in flight', changesKeepWhatIsInFlight);
+test('a router that leaves closes after each answer, also after a change', answersStillClose);
+test('an engine that leaves while its router leaves hands requests on', enginesLeaveToo);
+test('an answer that is the last of its connection comes whole', lastAnswersAreWhole);
--- a/test/realhttp-close.test.ts
+++ b/test/realhttp-close.test.ts
@@ -32,6 +32,12 @@
   call.end(LARGE);
 }
 
+/** Ends a server as a program does. */
+async function end(server: RawListening, withinMs = PATIENCE_MS): Promise<void> {
+  await server.settle(withinMs);
+  await server.close();
+}
+
 function answersIn(text: string): number {
   return text.split('HTTP/1.1 200').length - 1;
 }
@@ -54,7 +60,7 @@
     size += piece.length;
   }
   answer.pause();
-  const closed = server.close(PATIENCE_MS);
+  const closed = end(server);
   answer.on('data', count);
   answer.resume();
   answer.on('error', nothing);
@@ -67,7 +73,7 @@
   const socket = await connected(server.at);
   socket.write(REQUEST_BYTES);
   await once(socket, 'readable');
-  await server.close(SHORT_MS);
+  await end(server, SHORT_MS);
   socket.resume();
   await once(socket, 'close');
   expect(socket.bytesRead).toBeLessThan(LARGE.length);
@@ -79,7 +85,7 @@
   kept.write(REQUEST);
   expect(await kept.has('ok')).toBe(true);
   kept.write(REQUEST);
-  await Promise.all([server.close(PATIENCE_MS), kept.closed]);
+  await Promise.all([end(server), kept.closed]);
   expect(answersIn(kept.received())).toBe(2);
 }
 
@@ -92,7 +98,7 @@
   }
   socket.on('data', data);
   socket.write(REQUEST_BYTES);
-  await Promise.all([server.close(PATIENCE_MS), once(socket, 'close')]);
+  await Promise.all([end(server), once(socket, 'close')]);
   expect(answersIn(got)).toBe(1);
 }
 
@@ -101,7 +107,7 @@
   const kept = await bareCaller(server.at);
   kept.write(REQUEST);
   expect(await kept.has('ok')).toBe(true);
-  await Promise.all([server.close(PATIENCE_MS), kept.closed]);
+  await Promise.all([end(server), kept.closed]);
   const [host, port] = server.at.split(':');
   const late = net.connect({ host, port: Number(port) });
   const [refused] = (await once(late, 'error')) as [NodeJS.ErrnoException];
