--- a/src/data/gateway/forward.ts
+++ b/src/data/gateway/forward.ts
@@ -2,7 +2,7 @@
 import { RawHeaders, StreamEvent } from '../../shared/dialect';
 import { Fault, open } from '../../shared/errors';
 import { HttpConnection, RawCall, RawReply } from '../../shared/ports';
-import { AttemptEnd, Chosen, Load } from './choose';
+import { AttemptEnd, Chosen, Load, Wanted } from './choose';
 import { RequestInFlight } from './in-flight';
 import { GatewayParts } from './parts';
 
@@ -27,8 +27,18 @@
   doubted: boolean;
   /** The last event that went to the caller. */
   lastEvent?: string;
-  /** Whether another engine would take it now. */
-  elsewhere(): Promise<boolean>;
+  /** Connections that one engine of its pool takes from all callers. */
+  maxConnections: number;
+  /** Engines that were tried. */
+  avoid: Set<string>;
+  /** Attempts that reached an engine. */
+  sent: number;
+}
+
+/** What a request asks of the engine that is to be chosen now. */
+export function wantedOf(x: Taken): Wanted {
+  const { request, route, pool, tenant, until, avoid, sent } = x;
+  return { request, route, pool, tenant, since: x.inFlight.arrivedAt, until, avoid, again: sent };
 }
 
 /** How long an engine that is there may be silent on all its connections before what may be repeated goes elsewhere, as multiples of the route's aims. */
@@ -114,7 +124,7 @@
   async function judge(): Promise<void> {
     const reached = await g.connections.reaches(c.engine);
     const there = reached && silent() < most;
-    const goes = !there && g.budget.left(x.pool) && (await x.elsewhere());
+    const goes = !there && g.budget.left(x.pool) && (await g.chooser.choose(wantedOf(x))).isRight();
     if (stopped) return;
     if (goes && silent() >= soon) {
       x.inFlight.silentEngines++;
--- a/src/data/gateway/request.ts
+++ b/src/data/gateway/request.ts
@@ -1,8 +1,8 @@
 import { open } from '../../shared/errors';
 import { CallerRequest, HttpRoute, TenantAccess } from '../../shared/deployment';
-import { RawCall } from '../../shared/ports';
-import { Refusal, Wanted } from './choose';
-import { Attempted, forward, Taken } from './forward';
+import { HttpConnection, RawCall } from '../../shared/ports';
+import { Chosen, Load, Refusal } from './choose';
+import { Attempted, forward, Taken, wantedOf } from './forward';
 import { CutOffCause, RequestInFlight } from './in-flight';
 import { GatewayParts } from './parts';
 import { drawPool, RouteTable } from './routes';
@@ -14,6 +14,10 @@
 /** The least time that is worth another attempt, as a share of `transitMs`. */
 const WORTH = 0.1;
 
+/** Why a router that is sound refuses. */
+const NO_DEPLOYMENT = 'this router has no deployment yet';
+const LEAVING = 'this router is leaving';
+
 /** Answers to what may have run: they promise nothing. */
 const BAD_GATEWAY = 502;
 const GATEWAY_TIMEOUT = 504;
@@ -37,123 +41,141 @@
   call: RawCall,
   inFlight: RequestInFlight,
 ): Promise<void> {
-  const { clock } = g.ports;
-  const since = inFlight.arrivedAt;
   g.counts.asked++;
+  const x = await admit(g, call, inFlight);
+  if (!x) return;
+  g.budget.asked(x.pool);
+  const { id } = x.request;
+  if (!x.repeatable && g.runsOnce.has(id)) return giveUp(g, call, BAD_GATEWAY);
+  if (!x.repeatable) g.runsOnce.add(id);
+  const end = await attempt(g, call, x);
+  if (!x.repeatable) g.runsOnce.delete(id);
+  finish(g, call, x, end);
+}
+
+/** Reads a request and judges whether it is taken; nothing where it was answered already. */
+async function admit(
+  g: GatewayParts,
+  call: RawCall,
+  inFlight: RequestInFlight,
+): Promise<Taken | undefined> {
   const q = await read(g, call);
-  if (!q) return;
+  if (!q) return undefined;
   const table = g.table();
-  if (!table) return refuse(g, call, notYet(g));
+  if (!table) return refuse(g, call, comeAgain(g, NO_DEPLOYMENT));
   const a = allow(g, call, table, q.request);
-  if (!a) return;
-  const until = since + Math.min(q.request.deadlineMs ?? a.route.timeoutMs, a.route.timeoutMs);
-  if (!g.draining.takes(until)) return refuse(g, call, leaves(g));
+  if (!a) return undefined;
+  const { timeoutMs } = a.route;
+  const until = inFlight.arrivedAt + Math.min(q.request.deadlineMs ?? timeoutMs, timeoutMs);
+  if (!g.draining.takes(until)) return refuse(g, call, comeAgain(g, LEAVING));
   inFlight.id = q.request.id;
   inFlight.route = a.route.name;
   inFlight.until = until;
-  g.budget.asked(a.pool);
-  const repeatable = a.route.kind === 'safe' || a.route.resumable;
-  if (!repeatable && g.runsOnce.has(q.request.id)) return giveUp(g, call, BAD_GATEWAY);
-  if (!repeatable) g.runsOnce.add(q.request.id);
-  const x: Taken = {
+  return {
     request: q.request,
     route: a.route,
     tenant: a.tenant,
     pool: a.pool,
+    maxConnections: table.pool(a.pool)?.maxConnections ?? 1,
     body: q.body,
     until,
-    sentAt: since,
-    repeatable,
+    sentAt: inFlight.arrivedAt,
+    repeatable: a.route.kind === 'safe' || a.route.resumable,
     inFlight,
     doubted: false,
     lastEvent: undefined,
-    elsewhere,
-  };
-  const avoid = new Set<string>();
-  let sent = 0;
-  function wanted(): Wanted {
-    const { route, tenant, pool } = a!;
-    return { request: q!.request, route, pool, tenant, since, until, avoid, again: sent };
-  }
-  async function elsewhere(): Promise<boolean> {
-    return (await g.chooser.choose(wanted())).isRight();
-  }
-  let last: Attempted | undefined;
-  let cause: CutOffCause = 'attempts-used-up';
-  let refusal: Refusal = {
-    status: 503,
-    why: 'no engine can be reached',
-    retryAfterMs: a.route.aimMs * AGAIN.aim,
+    avoid: new Set(),
+    sent: 0,
   };
+}
 
-  for (
-    let tried = 0;
-    sent < a.route.maxAttempts && tried < a.route.maxAttempts * CONNECTS;
-    tried++
-  ) {
-    if (call.gone.aborted || until - clock.now() < g.settings.transitMs * WORTH) {
-      cause = 'time-up';
-      break;
-    }
-    if (g.draining.isOver()) break;
-    const w = wanted();
-    const chosen = await g.chooser.choose(w);
-    if (chosen.isLeft()) {
-      refusal = chosen.extract() as Refusal;
-      cause = 'no-engine';
-      break;
-    }
+/** How the attempts of a request came to their end. */
+interface AttemptsEnd {
+  last?: Attempted;
+  /** Why an answer that has begun is cut off. */
+  cause: CutOffCause;
+  /** The refusal of what no engine has run. */
+  refusal: Refusal;
+}
+
+/** Sends a request to engines in turn until one has answered, or none may be tried any more. */
+async function attempt(g: GatewayParts, call: RawCall, x: Taken): Promise<AttemptsEnd> {
+  const { clock } = g.ports;
+  const { maxAttempts } = x.route;
+  const end: AttemptsEnd = { cause: 'attempts-used-up', refusal: unreachable(x.route) };
+  for (let tried = 0; x.sent < maxAttempts && tried < maxAttempts * CONNECTS; tried++) {
+    if (call.gone.aborted || x.until - clock.now() < g.settings.transitMs * WORTH)
+      return { ...end, cause: 'time-up' };
+    if (g.draining.isOver()) return end;
+    const wanted = wantedOf(x);
+    const chosen = await g.chooser.choose(wanted);
+    if (chosen.isLeft())
+      return { ...end, refusal: chosen.extract() as Refusal, cause: 'no-engine' };
     const c = chosen.unsafeCoerce();
-    const load = g.chooser.began(c, w);
-    avoid.add(c.engine.id);
-    const [f, connection] = open(
-      await g.connections.take(c.engine, table.pool(a.pool)?.maxConnections ?? 1),
-    );
-    if (f) {
-      if (f.code === 'no-connection') load.turnedAway('not-run');
-      load.ended('not-run');
-      continue;
-    }
-    if (!g.stands(c.engine)) {
-      load.ended('not-run');
-      g.connections.giveBack(c.engine, connection);
-      continue;
-    }
-    const isTimeUp = clock.now() >= until || call.gone.aborted;
-    if (isTimeUp || (sent > 0 && !g.budget.spend(a.pool))) {
-      cause = isTimeUp ? 'time-up' : 'retry-budget';
+    const load = g.chooser.began(c, wanted);
+    x.avoid.add(c.engine.id);
+    const connection = await connect(g, x, c, load);
+    if (!connection) continue;
+    const isTimeUp = clock.now() >= x.until || call.gone.aborted;
+    if (isTimeUp || (x.sent > 0 && !g.budget.spend(x.pool))) {
       load.ended('caller-gone');
       g.connections.giveBack(c.engine, connection);
-      break;
+      return { ...end, cause: isTimeUp ? 'time-up' : 'retry-budget' };
     }
-    g.counts.attempts++;
-    inFlight.engine = c.engine.id;
-    inFlight.attempts++;
-    if (sent > 0) g.counts.furtherAttempts++;
-    if (inFlight.answerBegan) g.counts.resumed++;
-    last = await forward(g, call, x, c, connection, load, sent + 1 < a.route.maxAttempts);
-    inFlight.abandonAttempt = undefined;
-    if (last !== 'not-sent') sent++;
-    if (g.draining.isOver()) break;
-    if (last === 'late') cause = 'time-up';
-    if (last === 'broken' && !canResume(x)) cause = 'engine-broke-off';
-    if (
-      last === 'answered' ||
-      last === 'caller-gone' ||
-      last === 'late' ||
-      (last === 'broken' && !canResume(x)) ||
-      (last === 'doubt' && !repeatable)
-    )
-      break;
+    countAttempt(g, x, c);
+    end.last = await forward(g, call, x, c, connection, load, x.sent + 1 < maxAttempts);
+    x.inFlight.abandonAttempt = undefined;
+    if (end.last !== 'not-sent') x.sent++;
+    if (g.draining.isOver()) return end;
+    if (end.last === 'late') return { ...end, cause: 'time-up' };
+    if (end.last === 'broken' && !canResume(x)) return { ...end, cause: 'engine-broke-off' };
+    if (end.last === 'answered' || end.last === 'caller-gone') return end;
+    if (end.last === 'doubt' && !x.repeatable) return end;
   }
+  return end;
+}
 
-  if (!repeatable) g.runsOnce.delete(q.request.id);
+/** Takes a connection to the engine that was chosen; nothing where there is none, or the engine has gone meanwhile. */
+async function connect(
+  g: GatewayParts,
+  x: Taken,
+  c: Chosen,
+  load: Load,
+): Promise<HttpConnection | undefined> {
+  const [f, connection] = open(await g.connections.take(c.engine, x.maxConnections));
+  if (f) {
+    if (f.code === 'no-connection') load.turnedAway('not-run');
+    load.ended('not-run');
+    return undefined;
+  }
+  if (g.stands(c.engine)) return connection;
+  load.ended('not-run');
+  g.connections.giveBack(c.engine, connection);
+  return undefined;
+}
+
+function countAttempt(g: GatewayParts, x: Taken, c: Chosen): void {
+  g.counts.attempts++;
+  if (x.sent > 0) g.counts.furtherAttempts++;
+  if (x.inFlight.answerBegan) g.counts.resumed++;
+  x.inFlight.engine = c.engine.id;
+  x.inFlight.attempts++;
+}
+
+/** Ends a request whose attempts have ended. */
+function finish(
+  g: GatewayParts,
+  call: RawCall,
+  x: Taken,
+  { last, cause, refusal }: AttemptsEnd,
+): void {
   if (last === 'answered') g.counts.done++;
   else if (last === 'caller-gone' || call.gone.aborted) g.counts.callersGone++;
-  else if (inFlight.answerBegan) breakOff(g, call, inFlight, cause);
-  else if (x.doubted)
-    giveUp(g, call, last === 'late' || clock.now() >= until ? GATEWAY_TIMEOUT : BAD_GATEWAY);
-  else refuse(g, call, refusal);
+  else if (x.inFlight.answerBegan) breakOff(g, call, x.inFlight, cause);
+  else if (x.doubted) {
+    const isTimeUp = last === 'late' || g.ports.clock.now() >= x.until;
+    giveUp(g, call, isTimeUp ? GATEWAY_TIMEOUT : BAD_GATEWAY);
+  } else refuse(g, call, refusal);
 }
 
 function canResume(x: Taken): boolean {
@@ -165,9 +187,9 @@
   if (limits && headerBytes(call) > limits.maxHeaderBytes)
     return answer(g, call, 431, 'the headers are too large');
   const [f, body] = open(await call.body(limits?.maxBodyBytes ?? g.settings.bodyMostBytes));
-  if (f && !limits) return refuse(g, call, notYet(g));
+  if (f && !limits) return refuse(g, call, comeAgain(g, NO_DEPLOYMENT));
   if (f) return answer(g, call, f.code === 'too-large' ? 413 : 400, f.why);
-  if (!g.table()) return refuse(g, call, notYet(g));
+  if (!g.table()) return refuse(g, call, comeAgain(g, NO_DEPLOYMENT));
   const r = g.dialect.callers.read(call.method, call.target, call.fields);
   if (r.isLeft()) return answer(g, call, 400, r.extract() as string);
   return { request: r.extract() as CallerRequest, body };
@@ -220,22 +242,14 @@
   return undefined;
 }
 
-/** The refusal of a router that cannot tell yet which requests are allowed. */
-function notYet(g: GatewayParts): Refusal {
-  return {
-    status: 503,
-    why: 'this router has no deployment yet',
-    retryAfterMs: g.settings.contactMs * AGAIN.contact,
-  };
+/** A refusal whose cause lies in this router. */
+function comeAgain(g: GatewayParts, why: string): Refusal {
+  return { status: 503, why, retryAfterMs: g.settings.contactMs * AGAIN.contact };
 }
 
-/** The refusal of a router that leaves before the request's time is over. */
-function leaves(g: GatewayParts): Refusal {
-  return {
-    status: 503,
-    why: 'this router is leaving',
-    retryAfterMs: g.settings.contactMs * AGAIN.contact,
-  };
+/** The refusal where no engine could be connected to. */
+function unreachable(route: HttpRoute): Refusal {
+  return { status: 503, why: 'no engine can be reached', retryAfterMs: route.aimMs * AGAIN.aim };
 }
 
 /** Gives up what may have run. */
