--- a/src/data/gateway/drain.ts
+++ b/src/data/gateway/drain.ts
@@ -13,6 +13,8 @@
 const QUIET = 0.85;
 /** How long, of the grace, the last answers may take to be written after the drain's end. */
 const LAST_ANSWERS = 0.02;
+/** How long a router that takes no new connections still answers what is on its way on those that it has, as a share of `transitMs`. */
+const LINGER = 0.5;
 /** The most of the grace that may have passed before a signal is handled. */
 const MOST_LATE = 0.5;
 /** How often a router that drains looks at itself, as a share of `contactMs`. */
@@ -98,7 +100,8 @@
   async function close(server: RawListening): Promise<void> {
     begin();
     over = true;
-    const cutOff = await server.settle(settings.graceMs * LAST_ANSWERS);
+    const lingerMs = settings.transitMs * LINGER;
+    const cutOff = await server.settle(lingerMs, settings.graceMs * LAST_ANSWERS);
     for (const request of requests.all()) requests.cutOff(request, 'drain-ended', leavingMs());
     await server.close();
     logStep(server, 'has closed', { cutOff });
--- a/src/shared/ports.ts
+++ b/src/shared/ports.ts
@@ -126,8 +126,8 @@
   arrivals(): number;
   /** Comes once all that has arrived by now was read and given to its handler. */
   readArrived(): Promise<void>;
-  /** Ends listening, has what has arrived answered, and comes once all answers are written out, or after `withinMs`; gives how many are not. */
-  settle(withinMs: number): Promise<number>;
+  /** Ends listening, has what has arrived and what comes within `lingerMs` answered, and comes once all answers are written out, or after `withinMs`; gives how many are not. */
+  settle(lingerMs: number, withinMs: number): Promise<number>;
 }
 
 /** The answer to a raw request; pieces are pulled, undefined is a whole end. */
--- a/src/shared/realhttp-server.ts
+++ b/src/shared/realhttp-server.ts
@@ -1,6 +1,6 @@
 import http from 'node:http';
 import net from 'node:net';
-import { setImmediate as nextTurn } from 'node:timers/promises';
+import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises';
 import { Left, Right } from 'purify-ts';
 import { makeFault, Outcome } from './errors';
 import { RawCall, RawListening, ServeLimits } from './ports';
@@ -134,11 +134,12 @@
   function stopListening(): void {
     net.Server.prototype.close.call(server);
   }
-  async function settle(withinMs: number): Promise<number> {
+  async function settle(lingerMs: number, withinMs: number): Promise<number> {
     const end = performance.now() + withinMs;
     limit({ ...limits, closing: true });
     await readArrived();
     stopListening();
+    await sleep(lingerMs);
     await readArrived();
     while (callers.underWay() > 0 && performance.now() < end) {
       await callers.settled(end - performance.now());
--- a/test/realhttp-close.test.ts
+++ b/test/realhttp-close.test.ts
@@ -32,9 +32,12 @@
   call.end(LARGE);
 }
 
+/** How long a server answers what comes on the connections that it has. */
+const LINGER_MS = 500;
+
 /** Ends a server as a program does. */
-async function end(server: RawListening, withinMs = PATIENCE_MS): Promise<void> {
-  await server.settle(withinMs);
+async function end(server: RawListening, withinMs = PATIENCE_MS, lingerMs = 0): Promise<void> {
+  await server.settle(lingerMs, withinMs);
   await server.close();
 }
 
@@ -102,6 +105,37 @@
   expect(answersIn(got)).toBe(1);
 }
 
+/** A request that is sent on a connection that came up just before the server stopped listening. */
+async function answersWhatIsOnItsWay(): Promise<void> {
+  const server = await serve(answersShortly);
+  const caller = await bareCaller(server.at);
+  const ended = end(server, PATIENCE_MS, LINGER_MS);
+  const [host, port] = server.at.split(':');
+  for (let refused = false; !refused;) {
+    const late = net.connect({ host, port: Number(port) });
+    refused = await isRefused(late);
+    late.destroy();
+  }
+  caller.write(REQUEST);
+  await Promise.all([ended, caller.closed]);
+  expect(answersIn(caller.received())).toBe(1);
+  expect(caller.received()).toMatch(/connection: close/i);
+}
+
+function isRefused(socket: net.Socket): Promise<boolean> {
+  function wait(done: (isRefused: boolean) => void): void {
+    function up(): void {
+      done(false);
+    }
+    function failed(): void {
+      done(true);
+    }
+    socket.once('connect', up);
+    socket.once('error', failed);
+  }
+  return new Promise(wait);
+}
+
 async function closesTheResting(): Promise<void> {
   const server = await serve(answersShortly);
   const kept = await bareCaller(server.at);
@@ -118,4 +152,5 @@
 test('a caller that does not read holds a close up for its time only', givesUpOnTheSlow);
 test('a request that has arrived as a server closes is answered', answersWhatArrived);
 test('a request on a new connection is answered as a server closes', answersNewConnections);
+test('a request that is on its way as a server ends listening is answered', answersWhatIsOnItsWay);
 test('connections at rest are closed, and new ones are refused', closesTheResting);
