--- a/test/platform-ledger-config.test.ts
+++ b/test/platform-ledger-config.test.ts
@@ -147,6 +147,36 @@
   for (const spoil of [same, cutInTrouble, engineBroke]) expect(spoilt(spoil)).toEqual([]);
 }
 
+/** Requests of kept connections that were passed on and left without an answer, with no planned work about. */
+function keptCuts(): void {
+  function cut(count: number, more: Partial<Good['t']> = {}): (g: Good) => void {
+    function spoil(g: Good): void {
+      g.book.runs.length = 0;
+      for (let i = 1; i <= count; i++) {
+        const id = `t${i}`;
+        const cutTry = { ...g.t, id, onKept: true, end: 'cut' as const, status: undefined };
+        g.book.tries.set(id, { ...cutTry, seal: undefined, answer: '', times: [], ...more });
+        if (i > 1) g.book.arrivals.push({ ...g.a, id });
+      }
+    }
+    return spoil;
+  }
+  function ofEngineInTrouble(g: Good): void {
+    cut(4)(g);
+    const until = g.t.endedAt;
+    g.book.troubles.push({ kind: 'crash', who: g.a.instance, at: until, until, planned: false });
+  }
+  function outOfTouch(g: Good): void {
+    cut(4)(g);
+    g.book.troubles.push({ kind: 'kill', who: EDGE, at: 19000, until: 19500, planned: false });
+  }
+  expect(spoilt(cut(4))).toEqual(['LOST']);
+  expect(spoilt(cut(3))).toEqual([]);
+  expect(spoilt(cut(4, { onKept: false }))).toEqual([]);
+  expect(spoilt(cut(4, { endedAt: 23100 }))).toEqual([]);
+  for (const spoil of [ofEngineInTrouble, outOfTouch]) expect(spoilt(spoil)).toEqual([]);
+}
+
 function version(): void {
   function named(ackAt: number, more: object = {}): (g: Good) => void {
     function spoil(g: Good): void {
@@ -180,5 +210,6 @@
 test('CONFIG: handled as only an older version allows, invalid, raced, refused', config);
 test('CONFIG: goes back within a life', goesBack);
 test('LOST: what was acknowledged, and requests cut around planned work', lost);
+test('LOST: requests of kept connections, at any time', keptCuts);
 test('VERSION', version);
 test('ACKS', acks);
--- a/tools/fleet/busy-machine.ts
+++ b/tools/fleet/busy-machine.ts
@@ -38,3 +38,12 @@
   for (const engine of site.engines) engine.stepMs = SLOW_STEP_MS;
   return site;
 }
+
+/** How long a client that reads slowly rests after each read, in ms. */
+const REST_MS = 400;
+
+/** Has some of a site's clients read slowly. */
+export function slowReaders(site: Site): Site {
+  site.clientRestMs = REST_MS;
+  return site;
+}
--- a/tools/fleet/machines.ts
+++ b/tools/fleet/machines.ts
@@ -25,8 +25,8 @@
   startAll(): Promise<void>;
   /** Kills a process, and starts it again after the pause. */
   kill(name: string, pauseMs: number): Promise<void>;
-  /** Stops a process by SIGTERM, with SIGKILL after the grace, and starts it again. */
-  roll(name: string): Promise<void>;
+  /** Stops a process by SIGTERM, with SIGKILL after the grace, and starts it again; one that is held up handles its signal `heldUpMs` late. */
+  roll(name: string, heldUpMs?: number): Promise<void>;
   freeze(name: string, ms: number): Promise<void>;
   /** Kills a process whose disk is lost with it. */
   wipe(name: string, pauseMs: number): Promise<void>;
@@ -197,16 +197,23 @@
     over();
   }
 
-  function roll(name: string): Promise<void> {
+  function roll(name: string, heldUpMs = 0): Promise<void> {
     return inTurn(name, rollNow);
     function rollNow(p: Proc): Promise<void> {
-      return rollOnce(p, name);
+      return rollOnce(p, name, heldUpMs);
     }
   }
 
-  async function rollOnce(p: Proc, name: string): Promise<void> {
+  async function rollOnce(p: Proc, name: string, heldUpMs: number): Promise<void> {
+    const { child } = p;
+    if (heldUpMs > 0) child?.kill('SIGSTOP');
     const over = troubled(book, 'term', p.who, true);
-    await end(p, 'SIGTERM');
+    const ended = end(p, 'SIGTERM');
+    if (heldUpMs > 0) {
+      await clock.sleep(heldUpMs);
+      child?.kill('SIGCONT');
+    }
+    await ended;
     await clock.sleep(200);
     await start(name);
     over();
--- a/tools/fleet/soak-run.ts
+++ b/tools/fleet/soak-run.ts
@@ -3,7 +3,7 @@
 import { resolve } from 'node:path';
 import { seededDice } from '../sim/dice';
 import { SITES } from '../standins/platform/site';
-import { makePatientSite, slowEngines, WIDE_BOUNDS } from './busy-machine';
+import { makePatientSite, slowEngines, slowReaders, WIDE_BOUNDS } from './busy-machine';
 import { PlatformOptions, PlayedDay, playDay } from './platform';
 import { drawSoak, SoakStep } from './soak';
 
@@ -25,6 +25,11 @@
   return seed % 4 >= 2;
 }
 
+/** Half of the seeds, of those with slow engines and of the others. */
+function hasSlowReaders(seed: number): boolean {
+  return seed % 8 >= 4;
+}
+
 interface Soaked {
   seed: number;
   steps: SoakStep[];
@@ -43,6 +48,7 @@
   });
   const site = makePatientSite(name, size, Number(o.net), folder)!;
   if (hasSlowEngines(seed)) slowEngines(site);
+  if (hasSlowReaders(seed)) slowReaders(site);
   const day = await playDay({
     site,
     folder,
--- a/tools/fleet/troubles.ts
+++ b/tools/fleet/troubles.ts
@@ -82,7 +82,49 @@
   for (const e of edges) if (e.zone === zones[0]) there.add(e.name);
   const names: string[] = [];
   for (const [name, x] of p.machines.procs) if (there.has(x.of.name)) names.push(name);
-  await Promise.all(names.slice(0, Math.max(1, names.length - 1)).map(p.machines.roll));
+  await Promise.all(names.slice(0, Math.max(1, names.length - 1)).map(roll));
+  function roll(name: string): Promise<void> {
+    return p.machines.roll(name);
+  }
+}
+
+/** How long a process is held up as its SIGTERM comes, in ms. */
+const HELD_UP_MS = 800;
+
+/** Restarts two routers at once that are held up as their signals come, as on a busy machine. */
+async function rollHeldUp(p: Played): Promise<void> {
+  await Promise.all(namesOf(p, 'router').slice(0, 2).map(roll));
+  function roll(name: string): Promise<void> {
+    return p.machines.roll(name, HELD_UP_MS);
+  }
+}
+
+const STORM_CHANGES = 40;
+const STORM_GAP_MS = 100;
+
+/** Changes of all routes' time-outs, of the limits and of a route, a tenth of a second apart; the time-outs never fall below the clients' own. */
+async function configStorm(p: Played): Promise<void> {
+  const { clock } = p.day.ground;
+  for (let n = 0; n < STORM_CHANGES; n++) {
+    const next = clock.now() + STORM_GAP_MS;
+    await change(p, alter);
+    await clock.sleep(Math.max(0, next - clock.now()));
+    function alter(doc: ConfigDoc): void {
+      const had = doc.routes.length;
+      doc.routes = doc.routes.filter(isOther);
+      const isBack = doc.routes.length < had;
+      for (const r of doc.routes) r.timeoutMs += isBack ? -500 : 500;
+      doc.limits.idleTimeoutMs += isBack ? -100 : 100;
+      if (isBack) return;
+      doc.routes.push({ ...doc.routes[1], name: STORM_ROUTE, pathPrefix: `/${STORM_ROUTE}/` });
+    }
+  }
+}
+
+const STORM_ROUTE = 'storm';
+
+function isOther(r: { name: string }): boolean {
+  return r.name !== STORM_ROUTE;
 }
 
 function rolls(role: string, count: number): Trouble {
@@ -161,6 +203,7 @@
   const host = day.config.routes[0].hostname;
   await change(p, add);
   function add(doc: ConfigDoc): void {
+    doc.routes = doc.routes.filter(isNotAdded);
     doc.routes.push({ ...doc.routes[1], name: 'added', pathPrefix: '/added/' });
   }
   await probeAll(p, host, '/added/x', key);
@@ -169,7 +212,10 @@
   await probeAll(p, host, '/never/x', key);
   await change(p, remove);
   function remove(doc: ConfigDoc): void {
-    doc.routes.pop();
+    doc.routes = doc.routes.filter(isNotAdded);
+  }
+  function isNotAdded(r: { name: string }): boolean {
+    return r.name !== 'added';
   }
   await day.ground.clock.sleep(day.site.bounds.configApplyMs + 200);
   await probeAll(p, host, '/added/x', key);
@@ -260,6 +306,7 @@
   'roll-router': rolls('router', 1),
   'roll-routers': rolls('router', 3),
   'roll-zone': rollMostOfZone,
+  'roll-held-up': rollHeldUp,
   'roll-controller': rolls('controller', 1),
   'crash-engine': crashes('reset'),
   'dark-engine': crashes('dark'),
@@ -267,6 +314,7 @@
   'version-bump': bump,
   revoke,
   config,
+  'config-storm': configStorm,
   race,
   'bad-config': badConfig,
   garble: engines('garble', { garble: 0.3 }, WHILE),
--- a/tools/standins/platform/book.ts
+++ b/tools/standins/platform/book.ts
@@ -94,6 +94,8 @@
   lastEvent?: number;
   /** It only shows which configuration is in force. */
   probe: boolean;
+  /** Sent on a connection that had served a request before. */
+  onKept?: boolean;
   sentAt: number;
   /** When its last byte was written. */
   writtenAt: number;
--- a/tools/standins/platform/channel.ts
+++ b/tools/standins/platform/channel.ts
@@ -134,12 +134,13 @@
   }
 }
 
-/** Opens a connection; `stray` gets bytes that come while no request waits. */
+/** Opens a connection; `stray` gets bytes that come while no request waits. One that reads slowly rests for `restMs` after each read. */
 export function openChannel(
   clock: Clock,
   at: string,
   dialMs: number,
   stray: (bytes: string) => void,
+  restMs = 0,
 ): Promise<Channel | undefined> {
   const up = kept<Channel | undefined>();
   const socket = net.connect(splitAt(at));
@@ -152,7 +153,15 @@
   let came: (piece: string) => void = nothing;
   let lastByteAt = 0;
 
+  function rest(): void {
+    socket.pause();
+    clock.timer(restMs, goOn);
+    function goOn(): void {
+      socket.resume();
+    }
+  }
   function data(b: Buffer): void {
+    if (restMs > 0) rest();
     if (!reading) {
       stray(b.toString('latin1'));
       return;
--- a/tools/standins/platform/clients.ts
+++ b/tools/standins/platform/clients.ts
@@ -28,6 +28,8 @@
   /** The life of a router's process. */
   lifeOf(router: string): number;
   forMs: number;
+  /** How long every eighth client rests after each read of its connections; 0: not at all. */
+  restMs: number;
 }
 
 /** One request to make, whatever tries it takes. */
@@ -51,6 +53,8 @@
 }
 
 const DIAL_MS = 1000;
+/** One client in so many reads slowly, where any do. */
+const SLOW_READERS = 8;
 const PROMISES = new Set([429, 503, 408, 421]);
 const FINAL = new Set([400, 401, 404, 413, 431]);
 
@@ -109,21 +113,26 @@
     return note;
   }
 
+  function rests(client: string): number {
+    return Number(client.split('-')[1]) % SLOW_READERS === 0 ? ways.restMs : 0;
+  }
+
   async function channelTo(
     node: EdgeNode,
     client: string,
     anew: boolean,
-  ): Promise<Channel | undefined> {
+  ): Promise<{ channel?: Channel; isKept: boolean }> {
     const pool = pools.get(client) ?? [];
     pools.set(client, pool);
     for (let i = pool.length - 1; i >= 0 && !anew; i--) {
       const c = pool[i];
       if (c.usable()) {
         pool.splice(i, 1);
-        return c;
+        return { channel: c, isKept: true };
       }
     }
-    return openChannel(clock, node.frontend, DIAL_MS, stray(node.ip));
+    const channel = await openChannel(clock, node.frontend, DIAL_MS, stray(node.ip), rests(client));
+    return { channel, isKept: false };
   }
 
   function begin(
@@ -246,7 +255,7 @@
       const left = endAt - clock.now();
       if (left < 50) return;
       const node = entry.nodeFor(w.client, w.zone, nth);
-      const channel = await channelTo(node, w.client, nth > 0);
+      const { channel, isKept } = await channelTo(node, w.client, nth > 0);
       const real = channel ? nodeAt(channel.at) : node;
       const t = begin(
         {
@@ -265,6 +274,7 @@
         false,
       );
       t.lastEvent = lastEvent;
+      t.onKept = isKept;
       const r = await send(t, channel, more, quietMs);
       if (channel?.usable()) pools.get(w.client)!.push(channel);
       else channel?.close();
--- a/tools/standins/platform/conduct.ts
+++ b/tools/standins/platform/conduct.ts
@@ -10,6 +10,7 @@
   goesBack(l, handled, say);
   readBack(l, say);
   cuts(l, say);
+  keptCuts(l, say);
   denied(l, say);
 }
 
@@ -185,6 +186,33 @@
   }
 }
 
+/** So many requests of kept connections may a machine in touch pass on and then leave without an answer. */
+const MOST_KEPT_CUTS = 3;
+
+/** Requests of kept connections that were passed on to sound engines and ended without an answer, at any time. */
+function keptCuts(l: Lookup, say: Say): void {
+  const byRouter = new Map<string, Try[]>();
+  for (const t of l.book.tries.values()) {
+    if (!t.onKept || t.end !== 'cut' || t.status !== undefined) continue;
+    const isTimeUp = t.endedAt - t.sentAt >= Math.min(t.deadlineMs, t.timeoutMs);
+    if (isTimeUp || !l.inTouch(t.router, t.sentAt) || !l.inTouch(t.router, t.endedAt)) continue;
+    if (isPassedToSound(l, t)) byRouter.set(t.router, [...(byRouter.get(t.router) ?? []), t]);
+  }
+  for (const [router, all] of byRouter)
+    if (all.length > MOST_KEPT_CUTS)
+      say('LOST', `${router}: ${all.length} requests of kept connections, such as ${all[0].id}`);
+}
+
+function isPassedToSound(l: Lookup, t: Try): boolean {
+  return l.book.arrivals.some(isSound) && !(l.runsById.get(t.id) ?? []).some(broke);
+  function isSound(a: { id: string; instance: string }): boolean {
+    return a.id === t.id && !l.troubled([a.instance], t.sentAt - l.bounds.contactMs, t.endedAt);
+  }
+  function broke(r: { broke: boolean }): boolean {
+    return r.broke;
+  }
+}
+
 /** Proper requests that were ended with a 3xx or 4xx of our own. */
 function denied(l: Lookup, say: Say): void {
   let all = 0;
--- a/tools/standins/platform/day.ts
+++ b/tools/standins/platform/day.ts
@@ -82,6 +82,7 @@
       config,
       lifeOf,
       forMs,
+      restMs: site.clientRestMs ?? 0,
     };
     clients = makeClients(ground, e, ways);
     return clients;
--- a/tools/standins/platform/site.ts
+++ b/tools/standins/platform/site.ts
@@ -29,6 +29,8 @@
   app: string;
   config: ConfigDoc;
   traffic: Traffic[];
+  /** How long some clients rest after each read, in ms; none do where it is not given. */
+  clientRestMs?: number;
   ports: Ports;
 }
 
