--- a/test/gateway-drain-changes.test.ts
+++ b/test/gateway-drain-changes.test.ts
@@ -1,42 +1,19 @@
 import { KEYS } from '../src/shared/words';
 import { bareCaller } from './bare-caller';
-import {
-  ask,
-  deployment,
-  Got,
-  Rig,
-  route,
-  sealed,
-  startRig,
-  startStandIn,
-  turnsAway,
-} from './gatewayrig';
-import { heldStreams, HeldStreams } from './held-streams';
-import { ManualClock, manualClock } from './manual-clock';
+import { HeldRig, startHeldRig } from './drainrig';
+import { ask, deployment, Got, route, sealed, startStandIn, turnsAway } from './gatewayrig';
 
-const GRACE_MS = 8000;
-const CONTACT_MS = 3000;
 const LONG_MS = 6000;
 const STEP_MS = 60;
 
-interface LeavingRig {
-  rig: Rig;
-  clock: ManualClock;
-  streams: HeldStreams;
+interface LeavingRig extends HeldRig {
   /** Ends the answers that are held, and comes once the router has closed. */
   finish(): Promise<void>;
 }
 
 /** A router that is told to end while it waits for a held answer. */
 async function startLeaving(): Promise<{ leaving: LeavingRig; asked: Promise<Got> }> {
-  const clock = manualClock();
-  const streams = heldStreams();
-  const rig = await startRig({
-    engines: [await startStandIn('e1', streams.answer)],
-    deployment: deployment([route({ timeoutMs: LONG_MS })]),
-    settings: { graceMs: GRACE_MS, contactMs: CONTACT_MS },
-    clock,
-  });
+  const { rig, clock, streams } = await startHeldRig(LONG_MS);
   const isHeld = streams.next();
   const asked = ask(rig.at, { headers: { 'Plumhollow-Deadline-Ms': String(LONG_MS) } });
   await isHeld;
--- a/test/gateway-drain-end.test.ts
+++ b/test/gateway-drain-end.test.ts
@@ -1,10 +1,7 @@
 import { bareCaller, BareCaller } from './bare-caller';
-import { deployment, Rig, route, startRig, startStandIn } from './gatewayrig';
-import { heldStreams, HeldStreams } from './held-streams';
-import { ManualClock, manualClock } from './manual-clock';
+import { CONTACT_MS, GRACE_MS, HeldRig, startHeldRig } from './drainrig';
+import { HeldStreams } from './held-streams';
 
-const GRACE_MS = 8000;
-const CONTACT_MS = 3000;
 /** The share of the grace after which a drain ends, and the one for which a router that leaves takes all that comes. */
 const DRAIN = 0.93;
 const LISTED = 0.3;
@@ -30,10 +27,7 @@
   ].join('\n');
 }
 
-interface DrainRig {
-  rig: Rig;
-  clock: ManualClock;
-  streams: HeldStreams;
+interface DrainRig extends HeldRig {
   /** A caller with a connection that an answer came on before. */
   kept: BareCaller;
   /** Tells the router to end, and comes once it has closed. */
@@ -44,14 +38,7 @@
 }
 
 async function startDrainRig(): Promise<DrainRig> {
-  const clock = manualClock();
-  const streams = heldStreams();
-  const rig = await startRig({
-    engines: [await startStandIn('e1', streams.answer)],
-    deployment: deployment([route({ timeoutMs: LONG_MS })]),
-    settings: { graceMs: GRACE_MS, contactMs: CONTACT_MS },
-    clock,
-  });
+  const { rig, clock, streams } = await startHeldRig(LONG_MS);
   const kept = await bareCaller(rig.at);
   await begin(kept, streams);
   streams.finish();
--- a/test/gateway-drain.test.ts
+++ b/test/gateway-drain.test.ts
@@ -1,12 +1,10 @@
 import http from 'node:http';
 import { Dice } from '../src/shared/ports';
 import { seededDice } from '../tools/sim/dice';
-import { ask, deployment, Got, Rig, route, startRig, startStandIn } from './gatewayrig';
-import { heldStreams } from './held-streams';
-import { ManualClock, manualClock } from './manual-clock';
+import { CONTACT_MS, GRACE_MS, startHeldRig } from './drainrig';
+import { ask, Got, Rig } from './gatewayrig';
+import { ManualClock } from './manual-clock';
 
-const GRACE_MS = 8000;
-const CONTACT_MS = 3000;
 /** The last part of the grace, in which what was taken early may be cut off. */
 const LAST_PART = 5 / 6;
 /** How long after its SIGTERM a router may take what it might not finish. */
@@ -54,14 +52,7 @@
 }
 
 async function startHoldingRig(isSilent = false): Promise<HoldingRig> {
-  const clock = manualClock();
-  const streams = heldStreams(isSilent);
-  const rig = await startRig({
-    engines: [await startStandIn('e1', streams.answer)],
-    deployment: deployment([route({ timeoutMs: LONG_MS })]),
-    settings: { graceMs: GRACE_MS, contactMs: CONTACT_MS },
-    clock,
-  });
+  const { rig, clock, streams } = await startHeldRig(LONG_MS, isSilent);
   async function asks(more: Parameters<typeof ask>[1] = {}): ReturnType<HoldingRig['asks']> {
     const before = streams.held();
     const passedOn = streams.next();
