--- a/test/newsrig.ts
+++ b/tools/sim/news/rig.ts
@@ -1,16 +1,17 @@
-import { Controller, startController } from '../src/control/controller';
-import { DeploymentValue } from '../src/shared/deployment';
-import { Hello, HelloEdge, converse, WIRE_VERSION } from '../src/shared/connections';
-import { open } from '../src/shared/errors';
-import { follow, Follower } from '../src/shared/follow';
-import { Connection } from '../src/shared/ports';
-import { boundsOf } from '../src/shared/bounds';
-import { defaultSettings, Settings } from '../src/shared/settings';
-import { KEYS, Member } from '../src/shared/words';
-import { platform } from '../platform/dialect';
-import { makeNet, SimNet } from '../tools/sim/simwire';
-import { makeWorld, Proc, World } from '../tools/sim/simworld';
-import { makeThinLinks } from '../tools/sim/thin-links';
+import { Controller, startController } from '../../../src/control/controller';
+import { DeploymentValue } from '../../../src/shared/deployment';
+import { Hello, HelloEdge, converse, WIRE_VERSION } from '../../../src/shared/connections';
+import { open, Outcome } from '../../../src/shared/errors';
+import { wholeHash } from '../../../src/shared/lib';
+import { follow, Follower } from '../../../src/shared/follow';
+import { Connection, Ports } from '../../../src/shared/ports';
+import { boundsOf } from '../../../src/shared/bounds';
+import { defaultSettings, Settings } from '../../../src/shared/settings';
+import { KEYS, Member } from '../../../src/shared/words';
+import { platform } from '../../../platform/dialect';
+import { makeNet, SimNet } from '../simwire';
+import { makeWorld, Proc, World } from '../simworld';
+import { makeThinLinks } from '../thin-links';
 
 /** A core of five and many followers behind thin links, in a simulated world. */
 export interface NewsRig {
@@ -28,18 +29,41 @@
   change(operation: object, most: number): Promise<number | undefined>;
   /** The revision that a follower has applied. */
   revisionAt(name: string): number;
+  /** A test for `until`: every follower has a revision, and holds leases of a majority. */
+  everyoneHas(revision: number): () => boolean;
+  /** Comes back after some virtual time, which must be run on meanwhile. */
+  sleep(ms: number): Promise<void>;
+  /** The controller that owns a key now. */
+  ownerOf(key: string): Controller | undefined;
+  /** Kills the process that owns a key. */
+  killOwner(key: string): void;
   /** Mean bytes that a follower has received so far. */
   bytesPerFollower(): number;
+  /** Connections of followers that have ended so far. */
+  lostConnections(): number;
 }
 
-/** The grown deployment: five controllers, and bounds as its settings tell them. */
+/** The grown deployment has five controllers. */
 const CONTROLLERS = 5;
-const BOUNDS = { changeBoundMs: 2500, ackMs: 5000, contactMs: 4000, catchUpMs: 6000, tolerated: 2 };
+/** What the settings of the grown deployments tell. */
+export const NEWS_BOUNDS = {
+  changeBoundMs: 2500,
+  leavingBoundMs: 4000,
+  ackMs: 5000,
+  contactMs: 4000,
+  catchUpMs: 6000,
+  tolerated: 2,
+};
 const CONTROLLER_MEGABITS = 120;
 const FOLLOWER_MEGABITS = 7;
 /** Virtual time runs on in steps, so that what was begun meanwhile takes its first turn. */
 const STEP_MS = 5;
 
+/** An address for each of up to 65,000 followers. */
+function followerAddress(i: number): string {
+  return `10.2.${Math.floor(i / 250)}.${(i % 250) + 1}`;
+}
+
 /** A document of many routes; `moved` ones go to another service. */
 export function largeDocument(revision: number, routes: number, moved: number): object {
   const list: object[] = [];
@@ -79,6 +103,24 @@
   };
 }
 
+/** A route whose texts are drawn, as operators' names hardly compress. */
+export function drawnRoute(i: number, service: string): object {
+  const text = wholeHash(`route ${i}`);
+  return {
+    ...routeOf(i, service),
+    name: `r-${text.slice(0, 8)}`,
+    hostname: `${text.slice(8, 14)}.example`,
+    pathPrefix: `/${text.slice(14, 22)}/`,
+  };
+}
+
+/** A document of routes whose texts are drawn. */
+export function drawnDocument(revision: number, routes: number): object {
+  const list: object[] = [];
+  for (let i = 0; i < routes; i++) list.push(drawnRoute(i, 'engines'));
+  return { ...largeDocument(revision, 0, 0), routes: list };
+}
+
 /** Makes the world and starts the core; followers are started by `startFollower`. */
 export function makeNewsRig(seed: number, followerCount: number): NewsRig {
   const world = makeWorld(seed, true);
@@ -87,10 +129,11 @@
   const controllers = new Map<string, Controller>();
   const followers = new Map<string, Follower>();
   const core: Proc[] = [];
+  let lost = 0;
   const followerProcs: Proc[] = [];
   for (let i = 1; i <= CONTROLLERS; i++) core.push(world.proc(`core-${i}`, `10.1.0.${i}`));
   for (let i = 1; i <= followerCount; i++)
-    followerProcs.push(world.proc(`edge-${i}`, `10.2.0.${i}`));
+    followerProcs.push(world.proc(`edge-${i}`, followerAddress(i)));
   const seeds = core.slice(0, 3).map(wireOf);
 
   function megabitsOf(ip: string): number {
@@ -104,7 +147,7 @@
   function settingsOf(proc: Proc): Settings {
     return {
       ...defaultSettings(),
-      ...BOUNDS,
+      ...NEWS_BOUNDS,
       name: proc.name,
       dialect: 'platform',
       strict: false,
@@ -127,8 +170,24 @@
     else controllers.set(proc.name, controller);
   }
 
+  /** Ports whose connections are counted as they end. */
+  function countingLost(ports: Ports): Ports {
+    async function dial(at: string, within: number): Promise<Outcome<Connection>> {
+      const dialled = await ports.wire.dial(at, within);
+      void dialled.ifRight(watch);
+      return dialled;
+    }
+    function watch(connection: Connection): void {
+      void connection.done.then(ended);
+    }
+    function ended(): void {
+      lost++;
+    }
+    return { ...ports, wire: { ...ports.wire, dial } };
+  }
+
   function startFollower(proc: Proc): void {
-    const ports = net.ports(proc);
+    const ports = countingLost(net.ports(proc));
     const at = wireOf(proc);
     const hello: Hello = { version: WIRE_VERSION, name: proc.name, role: 'router', at, zone: '' };
     const life = ports.dice.id().slice(0, 8);
@@ -179,6 +238,44 @@
     return sum / followerProcs.length;
   }
 
+  function everyoneHas(revision: number): () => boolean {
+    function isThere(proc: Proc): boolean {
+      return revisionAt(proc.name) >= revision && followers.get(proc.name)!.live();
+    }
+    function hasEveryone(): boolean {
+      return followerProcs.every(isThere);
+    }
+    return hasEveryone;
+  }
+
+  function sleep(ms: number): Promise<void> {
+    function wait(done: () => void): void {
+      world.after(Math.max(1, ms), done);
+    }
+    return new Promise(wait);
+  }
+
+  function ownerOf(key: string): Controller | undefined {
+    for (const controller of controllers.values())
+      if (controller.owner.owns(key) && controller.chosen(key)) return controller;
+    return undefined;
+  }
+
+  function killOwner(key: string): void {
+    const name = ownerOf(key)?.name;
+    const proc = core.find(isOwner);
+    function isOwner(x: Proc): boolean {
+      return x.name === name;
+    }
+    if (!proc) return;
+    world.kill(proc, false);
+    controllers.delete(proc.name);
+  }
+
+  function lostConnections(): number {
+    return lost;
+  }
+
   for (const proc of core) void startCore(proc);
   return {
     world,
@@ -191,6 +288,11 @@
     until,
     change,
     revisionAt,
+    everyoneHas,
+    sleep,
+    ownerOf,
+    killOwner,
     bytesPerFollower,
+    lostConnections,
   };
 }
