--- a/src/control/keep.ts
+++ b/src/control/keep.ts
@@ -5,7 +5,7 @@
 import {
   AppliedEntry,
   appliedEntries,
-  ChangeMessage,
+  InlineChange,
   isReached,
   readChange,
   targetOf,
@@ -56,7 +56,12 @@
 /** Makes the keeper; each of its rounds costs by what changed, not by how many keys there are. */
 export function makeKeeper(p: KeeperParts): Keeper {
   const caught = new Map<string, LearnedAfter>();
-  const fetchMissing = makeCatchUp({ held, apply: learnMessages, within: p.bounds.ask });
+  const missed = makeCatchUp({
+    held,
+    apply: learnMessages,
+    exchanges: p.helds.all,
+    within: p.bounds.ask,
+  });
   let tended = { under: '', seen: new Set<string>(), mine: new Set<string>() };
 
   /** Asks each other controller for what it learned since it was asked last, and the first time for all that is not here. */
@@ -74,7 +79,7 @@
     const told = answer as LearnedAfter | undefined;
     const [other, entries] = open(await learnedThere(ex, told));
     if (other?.code === 'not-known') return takeWhole(ex);
-    if (other || !(await fetchMissing(ex, entries as AppliedEntry[]))) return;
+    if (other || !(await missed.fetch(ex, entries as AppliedEntry[]))) return;
     if (told) caught.set(at, told);
   }
 
@@ -109,7 +114,7 @@
   }
 
   /** Learns what was fetched, and gives the keys that could not be read or kept. */
-  async function learnMessages(messages: ChangeMessage[]): Promise<string[]> {
+  async function learnMessages(messages: InlineChange[]): Promise<string[]> {
     const changes: Numbered[] = [];
     const unread: string[] = [];
     for (const message of messages) {
--- a/src/control/leases.ts
+++ b/src/control/leases.ts
@@ -9,6 +9,7 @@
 } from '../shared/change-message';
 import { field, Handled, message } from '../shared/edge';
 import { bad } from '../shared/errors';
+import { PieceAsk } from '../shared/pieces';
 import { Ports } from '../shared/ports';
 import { Bounds } from '../shared/bounds';
 import { Exchange } from '../shared/connections';
@@ -26,11 +27,15 @@
   @field('boolean', false) deltas?: boolean;
   /** Whether the node fetches what it lacks; otherwise the answer brings it whole. */
   @field('boolean', false) fetches?: boolean;
+  /** Whether the node fetches in pieces what is long. */
+  @field('boolean', false) pieces?: boolean;
 }
 
 /** A node's ask for the newest versions of some keys, with the versions that it holds. */
 export class FetchAsk {
   @field('list') held!: AppliedEntry[];
+  /** Whether the node fetches in pieces what is long. */
+  @field('boolean', false) pieces?: boolean;
 }
 
 class EffectAsk {
@@ -185,7 +190,7 @@
       has,
       ex,
       upTo,
-      sender: same ? before!.sender : this.senderFor(ex, m.member.name, has),
+      sender: same ? before!.sender : this.senderFor(ex, m, has),
     };
     this.holders.set(life, holder);
     this.poke();
@@ -217,24 +222,38 @@
     for (const [key, epoch, by, number] of m.held) {
       const held: Place = { epoch, by, number };
       const newest = this.newest(key);
-      if (newest && !isReached(held, newest)) out.push(this.history.messageFor(newest, held));
+      if (newest && !isReached(held, newest))
+        out.push(this.history.messageFor(newest, held, m.pieces === true));
     }
     return Right(out);
   }
 
+  /** Gives one piece of a change that this or another controller offered. */
+  @message('change-piece', PieceAsk)
+  async piece(m: PieceAsk): Handled {
+    const bytes = this.history.piece(m);
+    return bytes
+      ? Right(bytes)
+      : bad('change piece', this.slots.disk, `${m.key} is not to be had`, 'refused', 'not-known');
+  }
+
   private newest(key: string): Numbered | undefined {
     return key.startsWith(KEYS.duty) ? undefined : this.slots.cells.get(key)?.learned;
   }
 
-  private senderFor(exchange: Exchange, name: string, applied: Map<string, Place>): NewsSender {
+  private senderFor(exchange: Exchange, ask: LeaseAsk, applied: Map<string, Place>): NewsSender {
+    const { history } = this;
+    function messageFor(change: Numbered, held: Place | undefined): ChangeMessage {
+      return history.messageFor(change, held, ask.pieces === true);
+    }
     return makeNewsSender({
       exchange,
-      name,
+      name: ask.member.name,
       applied,
       within: this.bounds.ask,
       log: this.ports.log,
       newest: this.newest.bind(this),
-      messageFor: this.history.messageFor,
+      messageFor,
       onApplied: this.poke.bind(this),
     });
   }
--- a/src/control/news-sender.ts
+++ b/src/control/news-sender.ts
@@ -37,11 +37,14 @@
 
 /**
  * Makes a sender with one message under way at a time. Keys that change meanwhile wait by name, so a follower that is
- * behind is sent one difference to the newest version, however many versions there were in between.
+ * behind is sent one difference to the newest version, however many versions there were in between. What is long is
+ * offered: the follower fetches it at its own pace, and other keys go ahead meanwhile.
  */
 export function makeNewsSender(parts: NewsSenderParts): NewsSender {
   const { applied } = parts;
   const pending = new Set<string>();
+  /** For each key that was offered last, the version that the follower held then. */
+  const offeredTo = new Map<string, Place | undefined>();
   const confirming = new Set<string>();
   let sending = false;
 
@@ -64,12 +67,26 @@
     const messages: ChangeMessage[] = [];
     for (const key of pending) {
       const change = parts.newest(key);
-      if (isLacking(change)) messages.push(parts.messageFor(change, applied.get(key)));
+      if (isLacking(change) && !isBeingFetched(key)) messages.push(messageFor(change));
     }
     pending.clear();
     return messages;
   }
 
+  function messageFor(change: Numbered): ChangeMessage {
+    const held = applied.get(change.key);
+    const message = parts.messageFor(change, held);
+    if (message.kind === 'offer') offeredTo.set(change.key, held);
+    return message;
+  }
+
+  /** Whether the follower was offered this key and has not moved on: once it has, it asks by itself for what is newer. */
+  function isBeingFetched(key: string): boolean {
+    if (offeredTo.has(key) && offeredTo.get(key) === applied.get(key)) return true;
+    offeredTo.delete(key);
+    return false;
+  }
+
   /** Sends what is pending; false where the follower did not answer: its next renewal tells what it lacks. */
   async function sendPending(): Promise<boolean> {
     const messages = takePending();
@@ -79,7 +96,7 @@
       parts.log.warn({ step: 'send changes', peer: parts.name }, fault.why);
       return false;
     }
-    for (const message of messages) noteApplied(targetOf(message));
+    for (const message of messages) if (message.kind !== 'offer') noteApplied(targetOf(message));
     const bases = new Map(messages.map(baseOf));
     for (const entry of (answer as ChangesAnswer).lacking) noteLacking(entry, bases);
     parts.onApplied();
@@ -122,5 +139,10 @@
 }
 
 function baseOf(message: ChangeMessage): [string, Place | undefined] {
-  return [targetOf(message).key, message.kind === 'delta' ? message.delta.base : undefined];
+  return [targetOf(message).key, baseIn(message)];
+}
+
+function baseIn(message: ChangeMessage): Place | undefined {
+  if (message.kind === 'delta') return message.delta.base;
+  return message.kind === 'compressed-delta' ? message.base : undefined;
 }
--- a/src/control/version-history.ts
+++ b/src/control/version-history.ts
@@ -1,27 +1,43 @@
-import { ChangeMessage, wholeMessage } from '../shared/change-message';
+import {
+  ChangeMessage,
+  ChangeOffer,
+  deltaMessage,
+  InlineChange,
+  offerOf,
+  wholeMessage,
+} from '../shared/change-message';
 import { makeDelta, placeOf } from '../shared/delta';
+import { PIECE_BYTES, PieceAsk } from '../shared/pieces';
 import { Numbered, Place } from '../shared/words';
 
 /** The versions of each key that were committed here lately, for differences to what other nodes hold. */
 export interface VersionHistory {
   /** Takes note of a version that is committed. */
   note(change: Numbered): void;
-  /** The message that brings a node from the version that it holds to `change`. */
-  messageFor(change: Numbered, held: Place | undefined): ChangeMessage;
+  /** The message that brings a node from the version that it holds to `change`; only a node that fetches pieces is offered what is long. */
+  messageFor(change: Numbered, held: Place | undefined, pieces: boolean): ChangeMessage;
+  /** One piece of an offered change; nothing where its versions are not known here any more, or gave other bytes. */
+  piece(ask: PieceAsk): Uint8Array | undefined;
 }
 
 /** Versions kept of each key; they share what did not change. */
 const KEPT_VERSIONS = 128;
 
+/** Offered changes of which the bytes are kept, or known not to be had; the one that was asked for last stands at the end. */
+const KEPT_OFFERS = 32;
+
 interface Versions {
   list: Numbered[];
   newest: Numbered;
-  messages: Map<string, ChangeMessage>;
+  messages: Map<string, InlineChange>;
 }
 
 /** Makes a history that is empty. */
 export function makeVersionHistory(): VersionHistory {
   const byKey = new Map<string, Versions>();
+  const offers = new WeakMap<InlineChange, ChangeOffer>();
+  /** The bytes of offers by their sum; nothing for a sum that the versions here do not give. */
+  const offered = new Map<string, Uint8Array | undefined>();
 
   function note(change: Numbered): void {
     const versions = byKey.get(change.key);
@@ -33,29 +49,27 @@
     if (versions.list.length > KEPT_VERSIONS) versions.list.shift();
   }
 
-  /** The version that a node holds, under the place that it knows it by: a later owner may have committed it anew. */
-  function heldVersion(versions: Versions, held: Place | undefined): Numbered | undefined {
-    if (!held) return undefined;
-    function isHeld(version: Numbered): boolean {
-      return version.number === held!.number;
+  /** The version of a number, under the place that a node knows it by: a later owner may have committed it anew. */
+  function versionAt(versions: Versions, place: Place | undefined): Numbered | undefined {
+    if (!place) return undefined;
+    function isAt(version: Numbered): boolean {
+      return version.number === place!.number;
     }
-    const version = versions.list.findLast(isHeld);
-    return version && { ...version, ...placeOf(held) };
+    const version = versions.list.findLast(isAt);
+    return version && { ...version, ...placeOf(place) };
   }
 
-  function makeMessage(versions: Versions, change: Numbered, held?: Place): ChangeMessage {
-    const delta = makeDelta(heldVersion(versions, held), change);
-    return delta ? { kind: 'delta', delta } : wholeMessage(change);
+  function makeMessage(versions: Versions, change: Numbered, held?: Place): InlineChange {
+    const delta = makeDelta(versionAt(versions, held), change);
+    return delta ? deltaMessage(delta) : wholeMessage(change);
   }
 
-  function messageFor(change: Numbered, held: Place | undefined): ChangeMessage {
-    if (!byKey.has(change.key)) note(change);
-    const versions = byKey.get(change.key)!;
+  function inlineFor(versions: Versions, change: Numbered, held?: Place): InlineChange {
     if (versions.newest !== change) {
       versions.newest = change;
       versions.messages.clear();
     }
-    const version = heldVersion(versions, held);
+    const version = versionAt(versions, held);
     const name = version ? `${version.epoch} ${version.by} ${version.number}` : '';
     const known = versions.messages.get(name);
     if (known) return known;
@@ -64,5 +78,58 @@
     return message;
   }
 
-  return { note, messageFor };
+  function messageFor(change: Numbered, held: Place | undefined, pieces: boolean): ChangeMessage {
+    if (!byKey.has(change.key)) note(change);
+    const versions = byKey.get(change.key)!;
+    const message = inlineFor(versions, change, held);
+    if (!pieces) return withoutCompressedDelta(message, versions, change, held);
+    return offerWhereLong(message);
+  }
+
+  /** The message for a node of an earlier release, which knows no compressed differences. */
+  function withoutCompressedDelta(
+    message: InlineChange,
+    versions: Versions,
+    change: Numbered,
+    held: Place | undefined,
+  ): InlineChange {
+    if (message.kind !== 'compressed-delta') return message;
+    const delta = makeDelta(versionAt(versions, held), change);
+    return delta ? { kind: 'delta', delta } : wholeMessage(change);
+  }
+
+  function offerWhereLong(message: InlineChange): ChangeMessage {
+    if (message.kind === 'whole' || message.kind === 'delta') return message;
+    if (message.bytes.length <= PIECE_BYTES) return message;
+    const offer = offers.get(message) ?? offerOf(message);
+    offers.set(message, offer);
+    keep(offer.sum, message.bytes);
+    return offer;
+  }
+
+  function keep(newest: string, bytes: Uint8Array | undefined): void {
+    offered.delete(newest);
+    offered.set(newest, bytes);
+    for (const sum of offered.keys()) {
+      if (offered.size <= KEPT_OFFERS) return;
+      offered.delete(sum);
+    }
+  }
+
+  /** Makes the bytes of a change that another controller offered, from the versions that are known here. */
+  function makeOffered(ask: PieceAsk): Uint8Array | undefined {
+    const versions = byKey.get(ask.key);
+    const change = versions && versionAt(versions, ask.place);
+    if (!change || (ask.base && !versionAt(versions, ask.base))) return undefined;
+    offerWhereLong(makeMessage(versions, change, ask.base));
+    return offered.get(ask.sum);
+  }
+
+  function piece(ask: PieceAsk): Uint8Array | undefined {
+    const bytes = offered.has(ask.sum) ? offered.get(ask.sum) : makeOffered(ask);
+    keep(ask.sum, bytes);
+    return bytes && new Uint8Array(bytes.subarray(ask.start, ask.start + PIECE_BYTES));
+  }
+
+  return { note, messageFor, piece };
 }
--- a/src/shared/catch-up.ts
+++ b/src/shared/catch-up.ts
@@ -1,22 +1,39 @@
-import { AppliedEntry, appliedEntries, ChangeMessage, isReached } from './change-message';
+import {
+  AppliedEntry,
+  appliedEntries,
+  ChangeMessage,
+  ChangeOffer,
+  InlineChange,
+  isReached,
+} from './change-message';
 import { Exchange } from './connections';
 import { open } from './errors';
+import { makePieceFetcher } from './pieces';
 import { Numbered } from './words';
 
 /** What fetching missed changes needs of its node. */
 export interface CatchUpParts {
   held(key: string): Numbered | undefined;
   /** Applies what came, and gives the keys that could not be read or kept. */
-  apply(messages: ChangeMessage[]): Promise<string[]>;
+  apply(messages: InlineChange[]): Promise<string[]>;
+  /** The controllers that can be asked now. */
+  exchanges(): Exchange[];
   /** How long an answer may take. */
   within: number;
 }
 
-/** Makes the fetching of missed changes: each key from one controller at a time, however many tell that it is missing. */
-export function makeCatchUp(
-  parts: CatchUpParts,
-): (exchange: Exchange, lacking: AppliedEntry[]) => Promise<boolean> {
+/** Fetches missed changes: each key from one controller at a time, however many tell that it is missing. */
+export interface CatchUp {
+  /** Comes back when what is missing was fetched, here or by another call; false where this controller did not give it. */
+  fetch(exchange: Exchange, lacking: AppliedEntry[]): Promise<boolean>;
+  /** Fetches a change that a controller offers, unless its key is being fetched; true once it is applied. */
+  accept(exchange: Exchange, offer: ChangeOffer): Promise<boolean>;
+}
+
+/** Makes the fetching of missed changes. */
+export function makeCatchUp(parts: CatchUpParts): CatchUp {
   const fetching = new Map<string, Promise<boolean>>();
+  const pieces = makePieceFetcher(parts);
 
   function isMissing([key, epoch, by, number]: AppliedEntry): boolean {
     return !isReached(parts.held(key), { epoch, by, number });
@@ -35,28 +52,62 @@
     return left?.length === 0;
   }
 
-  /** Fetches the newest versions over the held ones; gives the keys that could not be read, or nothing where no answer came. */
+  /** Fetches the newest versions over the held ones; gives the keys that could not be read, or nothing where not all came. */
   async function fetchEntries(
     exchange: Exchange,
     held: AppliedEntry[],
   ): Promise<string[] | undefined> {
-    const [fault, messages] = open(await exchange.ask('fetch-changes', { held }, parts.within));
-    return fault ? undefined : parts.apply(messages as ChangeMessage[]);
+    const ask = { held, pieces: true };
+    const [fault, messages] = open(await exchange.ask('fetch-changes', ask, parts.within));
+    return fault ? undefined : applyAll(exchange, messages as ChangeMessage[]);
   }
 
-  /** Comes back when what is missing was fetched, here or by another call; false where this controller did not give it. */
-  async function catchUp(exchange: Exchange, lacking: AppliedEntry[]): Promise<boolean> {
-    const missing = lacking.filter(isMissing).map(keyOf);
-    const keys = missing.filter(isNotUnderWay);
-    const others = missing.map(underWay);
-    if (keys.length === 0) return (await Promise.all(others)).every(isTrue);
-    const done = fetchFrom(exchange, keys);
+  /** Applies what came at once, then each offered change as it is here. */
+  async function applyAll(
+    exchange: Exchange,
+    messages: readonly ChangeMessage[],
+  ): Promise<string[] | undefined> {
+    const inline: InlineChange[] = [];
+    const offers: ChangeOffer[] = [];
+    for (const message of messages) {
+      if (message.kind === 'offer') offers.push(message);
+      else inline.push(message);
+    }
+    const unread = await parts.apply(inline);
+    for (const offer of offers) {
+      const message = await pieces.fetch(offer, exchange);
+      if (!message) return undefined;
+      unread.push(...(await parts.apply([message])));
+    }
+    return unread;
+  }
+
+  /** Notes that keys are being fetched until that is done. */
+  async function noteFetching(keys: readonly string[], done: Promise<boolean>): Promise<boolean> {
     for (const key of keys) fetching.set(key, done);
     const fetched = await done;
     for (const key of keys) if (fetching.get(key) === done) fetching.delete(key);
     return fetched;
   }
 
+  async function fetch(exchange: Exchange, lacking: AppliedEntry[]): Promise<boolean> {
+    const missing = lacking.filter(isMissing).map(keyOf);
+    const keys = missing.filter(isNotUnderWay);
+    const others = missing.map(underWay);
+    if (keys.length === 0) return (await Promise.all(others)).every(isTrue);
+    return noteFetching(keys, fetchFrom(exchange, keys));
+  }
+
+  async function accept(exchange: Exchange, offer: ChangeOffer): Promise<boolean> {
+    if (!isNotUnderWay(offer.key) || isReached(parts.held(offer.key), offer)) return false;
+    return noteFetching([offer.key], acceptOffer(exchange, offer));
+  }
+
+  async function acceptOffer(exchange: Exchange, offer: ChangeOffer): Promise<boolean> {
+    const unread = await applyAll(exchange, [offer]);
+    return unread?.length === 0;
+  }
+
   function isNotUnderWay(key: string): boolean {
     return !fetching.has(key);
   }
@@ -65,7 +116,7 @@
     return fetching.get(key);
   }
 
-  return catchUp;
+  return { fetch, accept };
 }
 
 /** Asks for a key whole. */
--- a/src/shared/change-message.ts
+++ b/src/shared/change-message.ts
@@ -1,12 +1,15 @@
-import { deflateRawSync, inflateRawSync } from 'node:zlib';
-import { pack, unpack } from 'msgpackr';
+import { pack } from 'msgpackr';
+import { compress, decompress, deflate } from './compression';
 import { Delta, placeOf, readDelta } from './delta';
 import { digestOf } from './digest';
-import { guard } from './lib';
+import { hashOfBytes } from './lib';
 import { comparePlaces, Numbered, Place } from './words';
 
-/** A committed change on its way to a node that lacks it: the value, the compressed value, or a difference. */
-export type ChangeMessage = WholeChange | CompressedChange | DeltaChange;
+/** A committed change on its way to a node that lacks it, in a form that is read at once. */
+export type InlineChange = WholeChange | CompressedChange | DeltaChange | CompressedDelta;
+
+/** A committed change on its way to a node that lacks it: itself, or the offer of one that is fetched in pieces. */
+export type ChangeMessage = InlineChange | ChangeOffer;
 
 /** The whole value. */
 export interface WholeChange {
@@ -27,18 +30,36 @@
   delta: Delta;
 }
 
+/** A difference, compressed. */
+export interface CompressedDelta extends Place {
+  kind: 'compressed-delta';
+  key: string;
+  base: Place;
+  bytes: Uint8Array;
+}
+
+/** A compressed value or difference that is too long for one message: the receiver fetches its bytes in pieces. */
+export interface ChangeOffer extends Place {
+  kind: 'offer';
+  key: string;
+  /** The version that the difference is made to; none where the bytes hold a whole value. */
+  base?: Place;
+  /** How many bytes there are. */
+  size: number;
+  /** A hash of the bytes: the same at each controller that makes them from the same versions. */
+  sum: string;
+}
+
 /** How far a node has applied a key: key, epoch, owner, number. */
 export type AppliedEntry = [string, number, string, number];
 
-/** What a node answers to changes: the keys that it could not read, with the version of each that it holds. */
+/** What a node answers to changes: the keys that it could not read, with the version of each that it holds. What it is offered it fetches afterwards. */
 export interface ChangesAnswer {
   lacking: AppliedEntry[];
 }
 
-/** A value with a longer text than this is compressed. */
+/** A value with a longer text, or a difference of more bytes, is compressed. */
 const COMPRESSED_ABOVE = 4096;
-/** Speed before size: controllers have little processor time. */
-const COMPRESSION_LEVEL = 1;
 
 /** Lists how far each key has been applied. */
 export function appliedEntries(changes: Iterable<Numbered>): AppliedEntry[] {
@@ -48,10 +69,34 @@
 }
 
 /** Makes the message that carries a value whole, compressed where that pays. */
-export function wholeMessage(change: Numbered): ChangeMessage {
+export function wholeMessage(change: Numbered): InlineChange {
   if (digestOf(change.value).bytes <= COMPRESSED_ABOVE) return { kind: 'whole', change };
-  const bytes = deflateRawSync(pack(change.value), { level: COMPRESSION_LEVEL });
-  return { kind: 'compressed', key: change.key, ...placeOf(change), bytes };
+  return { kind: 'compressed', key: change.key, ...placeOf(change), bytes: compress(change.value) };
+}
+
+/** Makes the message that carries a difference, compressed where that pays. */
+export function deltaMessage(delta: Delta): InlineChange {
+  const packed = pack(delta);
+  if (packed.length <= COMPRESSED_ABOVE) return { kind: 'delta', delta };
+  const { key, base } = delta;
+  return { kind: 'compressed-delta', key, ...placeOf(delta), base, bytes: deflate(packed) };
+}
+
+/** Makes the offer of a message that is too long to be sent at once. */
+export function offerOf(message: CompressedChange | CompressedDelta): ChangeOffer {
+  const { key, bytes } = message;
+  const base = message.kind === 'compressed-delta' ? message.base : undefined;
+  const sum = hashOfBytes(bytes);
+  return { kind: 'offer', key, ...placeOf(message), base, size: bytes.length, sum };
+}
+
+/** The message whose bytes were fetched; nothing where they are not those that were offered. */
+export function fetchedMessage(offer: ChangeOffer, bytes: Uint8Array): InlineChange | undefined {
+  if (hashOfBytes(bytes) !== offer.sum) return undefined;
+  const { key, base } = offer;
+  return base
+    ? { kind: 'compressed-delta', key, ...placeOf(offer), base, bytes }
+    : { kind: 'compressed', key, ...placeOf(offer), bytes };
 }
 
 /** The key and version that a message brings. */
@@ -64,16 +109,14 @@
 /** Reads a message over what is held; undefined where it can't be read here. */
 export function readChange(
   held: Numbered | undefined,
-  message: ChangeMessage,
+  message: InlineChange,
 ): Numbered | undefined {
   if (message.kind === 'whole') return message.change;
   if (message.kind === 'delta') return readDelta(held, message.delta);
-  function inflate(): unknown {
-    return unpack(inflateRawSync((message as CompressedChange).bytes));
-  }
-  const value = guard('read change', message.key, inflate);
-  if (value.isLeft()) return undefined;
-  return { key: message.key, ...placeOf(message), value: value.extract() };
+  const read = decompress('read change', message.key, message.bytes);
+  if (read.isLeft()) return undefined;
+  if (message.kind === 'compressed-delta') return readDelta(held, read.extract() as Delta);
+  return { key: message.key, ...placeOf(message), value: read.extract() };
 }
 
 /**
--- a/src/shared/connections.ts
+++ b/src/shared/connections.ts
@@ -233,6 +233,8 @@
   want(ats: Iterable<string>): void;
   up(at: string): Exchange | undefined;
   ats(): string[];
+  /** The connections that are up. */
+  all(): Exchange[];
   stop(): void;
 }
 
@@ -260,12 +262,21 @@
     return [...helds.keys()];
   }
 
+  function all(): Exchange[] {
+    const out: Exchange[] = [];
+    for (const h of helds.values()) {
+      const ex = h.up();
+      if (ex) out.push(ex);
+    }
+    return out;
+  }
+
   function stop(): void {
     stopped = true;
     for (const h of helds.values()) h.stop();
   }
 
-  return { want, up, ats, stop };
+  return { want, up, ats, all, stop };
 }
 
 /** Closes taken connections that have been silent, as a peer that holds one never is; it ends with the process. */
--- a/src/shared/follow-edge.ts
+++ b/src/shared/follow-edge.ts
@@ -2,12 +2,15 @@
 import {
   AppliedEntry,
   ChangeMessage,
+  ChangeOffer,
   ChangesAnswer,
+  InlineChange,
   isCurrent,
   isReached,
   readChange,
   targetOf,
 } from './change-message';
+import { Exchange } from './connections';
 import { Handled, message } from './edge';
 import { Numbered, Voters } from './words';
 
@@ -19,6 +22,8 @@
   held(key: string): Numbered | undefined;
   /** Where the core is, as far as is known here. */
   whereCore(): unknown;
+  /** Fetches and applies what a controller offers. */
+  fetchOffer(offer: ChangeOffer, from: Exchange): void;
   /** Hears where the core is. */
   coreFound(voters: Voters | undefined): void;
   /** Hears which engines leave. */
@@ -28,7 +33,7 @@
 /** Applies messages that bring changes, and lists the keys that could not be read. */
 export function applyMessages(
   parts: Pick<FollowEdgeParts, 'apply' | 'held'>,
-  messages: readonly ChangeMessage[],
+  messages: readonly InlineChange[],
 ): ChangesAnswer {
   const lacking: AppliedEntry[] = [];
   for (const one of messages) {
@@ -55,8 +60,13 @@
 
   /** Takes committed changes in whatever form they come, and tells which could not be read. */
   @message('changes')
-  async changes(messages: ChangeMessage[]): Handled {
-    return Right(applyMessages(this.parts, messages));
+  async changes(messages: ChangeMessage[], from: Exchange): Handled {
+    const inline: InlineChange[] = [];
+    for (const one of messages) {
+      if (one.kind === 'offer') this.parts.fetchOffer(one, from);
+      else inline.push(one);
+    }
+    return Right(applyMessages(this.parts, inline));
   }
 
   /** Hears which engines leave, where the core could not make that a change. */
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -1,12 +1,13 @@
 import { Stream as Feed } from 'most';
 import { Left } from 'purify-ts';
 import { makeCatchUp } from './catch-up';
-import { AppliedEntry, appliedEntries, ChangeMessage } from './change-message';
+import { AppliedEntry, ChangeOffer, InlineChange } from './change-message';
 import { Fault, open, Outcome } from './errors';
 import { applyMessages, FollowEdge } from './follow-edge';
 import { makeJournal } from './journal';
 import { makeFeed } from './lib';
-import { makeMemberView, MembersTold } from './member-view';
+import { LeaseAnswer, makeRenewals } from './lease-renewal';
+import { makeMemberView } from './member-view';
 import { poll } from './poll';
 import { Ports } from './ports';
 import { Bounds } from './bounds';
@@ -55,16 +56,6 @@
   stop(): void;
 }
 
-interface LeaseAnswer extends MembersTold {
-  granted: boolean;
-  disk: string;
-  /** What is missing here, from a controller that sends it whole. */
-  missing?: Numbered[];
-  /** How far the keys stand that are missing here, to be fetched. */
-  lacking?: AppliedEntry[];
-  voters?: Voters;
-}
-
 /** Follows the core: finds it from the seeds, renews a lease at each controller, applies news. */
 export function follow(
   ports: Ports,
@@ -130,7 +121,16 @@
     return state.get(key);
   }
 
-  async function applyChanges(messages: ChangeMessage[]): Promise<string[]> {
+  function exchanges(): Exchange[] {
+    return helds.all();
+  }
+
+  /** Fetches what a controller offers, and has the controllers know soon that it is applied. */
+  function fetchOffer(offer: ChangeOffer, from: Exchange): void {
+    void catchUp.accept(from, offer).then(renewals.wake);
+  }
+
+  async function applyChanges(messages: InlineChange[]): Promise<string[]> {
     return applyMessages({ apply: take, held }, messages).lacking.map(keyOf);
   }
 
@@ -142,12 +142,25 @@
     new FollowEdge({
       apply: take,
       held,
+      fetchOffer,
       whereCore: who,
       coreFound: told,
       enginesLeave: advised,
     }),
   );
-  const catchUp = makeCatchUp({ held, apply: applyChanges, within: bounds.ask });
+  const catchUp = makeCatchUp({ held, apply: applyChanges, exchanges, within: bounds.ask });
+  const renewals = makeRenewals({
+    ports,
+    bounds,
+    member,
+    state,
+    applied,
+    catchUp,
+    take,
+    grant,
+    votersTold,
+    stopped: isStopped,
+  });
   const helds = holdAll(ports, {
     hello,
     edges,
@@ -170,61 +183,22 @@
     return isQuorum(v, good) || dead.size === allVoters(v).length;
   }
 
-  /** How far the keys have been applied that changed after a count; undefined where that is too long ago. */
-  function changedAfter(count: number): AppliedEntry[] | undefined {
-    const out: Numbered[] = [];
-    const keys = applied.after(count);
-    for (const k of keys ?? []) out.push(state.get(k)!);
-    return keys && appliedEntries(out);
+  function onUp(ex: Exchange): void {
+    void renewals.renew(ex);
   }
 
-  async function renew(ex: Exchange): Promise<void> {
-    let up = true;
-    let told: number | undefined;
-    let whole = false;
-    void ex.done.then(down);
-    function down(): void {
-      up = false;
-    }
-    while (up && !stopped) {
-      const sent = ports.clock.now();
-      const now = applied.count();
-      const changed = told === undefined || whole ? undefined : changedAfter(told);
-      const ask =
-        changed === undefined
-          ? { member, fetches: true, has: appliedEntries(state.values()) }
-          : { member, fetches: true, deltas: true, ...(changed.length > 0 ? { changed } : {}) };
-      const [f, r] = open(await ex.ask('claim', ask, bounds.ask));
-      told = undefined;
-      if (f) {
-        if (f.code === 'bad-shape') whole = true;
-        if (f.code === 'tell-all' || f.code === 'bad-shape') continue;
-        if (f.code === 'not-founded') await ports.clock.sleep(bounds.pause);
-        else await ports.clock.sleep(bounds.renew * 0.5);
-        continue;
-      }
-      const c = r as LeaseAnswer;
-      if (c.voters) founded = c.voters;
-      if (!c.granted) {
-        if (!(await takeMissing(ex, c))) await ports.clock.sleep(bounds.renew * 0.5);
-        else if (changed) told = now;
-        continue;
-      }
-      told = now;
-      refused.delete(ex.peer);
-      view.grant(c.disk, sent + bounds.lease, c);
-      reach();
-      await ports.clock.sleep(bounds.renew * (0.8 + 0.4 * ports.dice.next()));
-    }
+  function grant(answer: LeaseAnswer, ex: Exchange, sent: number): void {
+    refused.delete(ex.peer);
+    view.grant(answer.disk, sent + bounds.lease, answer);
+    reach();
   }
 
-  /** Takes what a controller told as missing; false where nothing came of it. */
-  async function takeMissing(ex: Exchange, answer: LeaseAnswer): Promise<boolean> {
-    return answer.lacking ? catchUp(ex, answer.lacking) : take(answer.missing ?? []);
+  function votersTold(told: Voters): void {
+    founded = told;
   }
 
-  function onUp(ex: Exchange): void {
-    void renew(ex);
+  function isStopped(): boolean {
+    return stopped;
   }
 
   function onRefused(f: Fault): void {
--- a/src/shared/lib.ts
+++ b/src/shared/lib.ts
@@ -27,6 +27,11 @@
   return createHash('sha256').update(text).digest('hex').slice(0, 16);
 }
 
+/** A short hash of bytes in hex. */
+export function hashOfBytes(bytes: Uint8Array): string {
+  return createHash('sha256').update(bytes).digest('hex').slice(0, 16);
+}
+
 /** A whole hash of text in hex. */
 export function wholeHash(text: string): string {
   return createHash('sha256').update(text).digest('hex');
--- a/test/lease-costs.test.ts
+++ b/test/lease-costs.test.ts
@@ -209,6 +209,7 @@
   const edge = new FollowEdge({
     apply: take,
     held: heldOf,
+    fetchOffer: none,
     whereCore: none,
     coreFound: none,
     enginesLeave: none,
@@ -222,9 +223,11 @@
     patch: { put: 'k0 3' },
     sum: '',
   };
-  expect(await edge.changes([{ kind: 'delta', delta }])).toEqual(Right({ lacking: [] }));
+  expect(await edge.changes([{ kind: 'delta', delta }], exchange())).toEqual(
+    Right({ lacking: [] }),
+  );
   const later = { ...delta, number: 5, base: { epoch: 1, by: 'core', number: 4 } };
-  expect(await edge.changes([{ kind: 'delta', delta: later }])).toEqual(
+  expect(await edge.changes([{ kind: 'delta', delta: later }], exchange())).toEqual(
     Right({ lacking: [hasOf(held)] }),
   );
   expect(took).toEqual([]);
--- a/test/news-sender.test.ts
+++ b/test/news-sender.test.ts
@@ -45,6 +45,9 @@
   function newestOf(): Numbered | undefined {
     return newest;
   }
+  function messageFor(change: Numbered, held: Place | undefined): ChangeMessage {
+    return history.messageFor(change, held, true);
+  }
   const sender = makeNewsSender({
     exchange: { ask } as unknown as Exchange,
     name: 'edge-1',
@@ -52,7 +55,7 @@
     log: { warn: nothing } as unknown as Log,
     applied,
     newest: newestOf,
-    messageFor: history.messageFor,
+    messageFor,
     onApplied: nothing,
   });
   function learn(number: number): void {
--- a/test/recommitted.test.ts
+++ b/test/recommitted.test.ts
@@ -3,7 +3,7 @@
  */
 
 import { makeVersionHistory } from '../src/control/version-history';
-import { isCurrent, isReached, readChange } from '../src/shared/change-message';
+import { InlineChange, isCurrent, isReached, readChange } from '../src/shared/change-message';
 import { KEYS, Numbered } from '../src/shared/words';
 import { back, lose, makeOperator, running, until } from '../tools/sim/simcore';
 import { SimFleet } from '../tools/sim/simfleet';
@@ -38,7 +38,7 @@
   history.note(anew);
   history.note(next);
   const held = version(1, 'a', 5, VALUE);
-  const message = history.messageFor(next, held);
+  const message = history.messageFor(next, held, false) as InlineChange;
   expect(message.kind).toBe('delta');
   expect(readChange(held, message)).toEqual(next);
 }
--- a/tools/sim/news/play.ts
+++ b/tools/sim/news/play.ts
@@ -49,7 +49,7 @@
 
 const START_MS = 3000;
 const START_MOST_MS = 30000;
-const REST_MS = 6000;
+const REST_MS = 3000;
 const RETRY_MS = 300;
 const STEP_MS = 10;
 const MOST = 0.99;
