--- a/src/control/changes.ts
+++ b/src/control/changes.ts
@@ -3,6 +3,7 @@
 import { bad, Fault, open, Outcome } from '../shared/errors';
 import { rendezvous } from '../shared/lib';
 import { Exchange, noConnection } from '../shared/connections';
+import { askPacked } from '../shared/packed';
 import { Clock, Dice } from '../shared/ports';
 import { Bounds } from '../shared/bounds';
 import { Settings } from '../shared/settings';
@@ -41,7 +42,7 @@
   /** Has the key's owner make a change, and makes it here where that one does not. */
   commit(op: Operation): Promise<Outcome<Changed>>;
   /** Asks a key's owner; where that one does not answer, this node takes its place. */
-  ofOwner(key: string, type: string, body: unknown): Promise<Outcome<unknown>>;
+  ofOwner(key: string, type: string, body: object): Promise<Outcome<unknown>>;
   /** Has a key's owner commit its value anew; where that one does not answer, nobody takes its place. */
   settle(key: string): Promise<Outcome<unknown>>;
 }
@@ -119,8 +120,10 @@
     };
   }
 
-  async function ask(at: string, type: string, body: unknown): Promise<Outcome<unknown>> {
-    return p.up(at)?.ask(type, body, bounds.handOver) ?? Left(noConnection(type, at));
+  async function ask(at: string, type: string, body: object): Promise<Outcome<unknown>> {
+    const exchange = p.up(at);
+    if (!exchange) return Left(noConnection(type, at));
+    return askPacked(exchange, type, body, bounds.handOver);
   }
 
   async function commit(op: Operation, rounds = TRIES, inDoubt = false): Promise<Outcome<Changed>> {
@@ -144,7 +147,7 @@
     return commit(op, rounds - 1, doubted);
   }
 
-  async function ofOwner(key: string, type: string, body: unknown): Promise<Outcome<unknown>> {
+  async function ofOwner(key: string, type: string, body: object): Promise<Outcome<unknown>> {
     const at = rendezvous(key, p.live())[0];
     if (at === undefined) return Left(nobody(type));
     if (at === settings.wire) return p.local(type, body);
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -4,6 +4,7 @@
 import { rendezvous } from '../shared/lib';
 import { helloOf } from '../shared/hello';
 import { makeMetrics, Metrics, timedDisk } from '../shared/metrics';
+import { PackedEdge } from '../shared/packed';
 import { Listening, Ports } from '../shared/ports';
 import { boundsOf } from '../shared/bounds';
 import { Settings } from '../shared/settings';
@@ -13,6 +14,7 @@
 import { allVoters, KEYS, Numbered, Voter, Voters } from '../shared/words';
 import { logChange, makeMajorityLog } from './change-log';
 import { acceptConnections } from './accepted';
+import { askOther } from './ask-other';
 import { makeChanges } from './changes';
 import { Controller } from './controller-interface';
 import { makeEffects } from './effects';
@@ -89,15 +91,14 @@
     wake();
   }
 
-  async function askVoter(
+  function askVoter(
     v: Voter,
     type: string,
     body: unknown,
     within: number,
   ): Promise<Outcome<unknown>> {
-    if (isSelf(v)) return withTimeout(ports.clock, within, type, settings.name, local(type, body));
-    const ex = helds.up(v.at);
-    return ex ? ex.ask(type, body, within) : Left(noConnection(type, v.at));
+    if (!membership.isSelf(v)) return askOther(up(v.at), v, type, body, within);
+    return withTimeout(ports.clock, within, type, settings.name, local(type, body));
   }
 
   function askShortly(v: Voter, type: string, body: unknown): Promise<Outcome<unknown>> {
@@ -122,7 +123,7 @@
   await votes.begin(kept, bounds.ask);
   const self: Voter = { disk: slots.disk, at: settings.wire };
   const membership = makeMembership({ clock: ports.clock, self, voters, up, saidLeaving });
-  const { isSelf, isUp, isEmptied, isLeaving, live, hasMajority } = membership;
+  const { isUp, isEmptied, isLeaving, live, hasMajority } = membership;
   const roster = new RosterEdge(ports, bounds, voters, joined, membership.leaving);
   function saidLeaving(disk: string, upSince: number | undefined): boolean {
     return roster.isLeaving(disk, upSince);
@@ -177,6 +178,7 @@
     new ReadEdge(reads),
     new ReplicaEdge(slots),
   ];
+  edges.push(new PackedEdge(edges));
   const helds = holdAll(ports, {
     hello,
     edges,
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -248,12 +248,11 @@
     const voters = reach.voters();
     if (!voters) return bad(type, reach.by, 'not founded', 'refused', 'not-founded');
     const seen: Promised[] = [];
+    const under = { voters: placeOnly(votersPlace()) };
+    const short = delta && { delta, ...under };
+    const whole = { ...body, ...under };
     async function one(v: Voter): Promise<Outcome<Promised>> {
-      const more = { voters: placeOnly(votersPlace()) };
-      const r = (await askShort(v, 'accept-delta', delta && { delta, ...more }, type, {
-        ...body,
-        ...more,
-      })) as Outcome<Promised>;
+      const r = (await askShort(v, 'accept-delta', short, type, whole)) as Outcome<Promised>;
       const [, p] = open(r);
       if (p) seen.push(p);
       return r;
@@ -299,11 +298,11 @@
     }
     const voters = reach.voters()!;
     void reach.learnHere(change);
+    const short = { place: { key, ...placeOnly(change) } };
+    const whole = { change };
     const [g] = open(await poll(voters, learn));
     function learn(v: Voter): Promise<Outcome<unknown>> {
-      return askShort(v, 'learn-accepted', { place: { key, ...placeOnly(change) } }, 'learn', {
-        change,
-      });
+      return askShort(v, 'learn-accepted', short, 'learn', whole);
     }
     if (g) {
       owned.delete(key);
