--- a/tools/sim/news/play.ts
+++ b/tools/sim/news/play.ts
@@ -3,7 +3,7 @@
 import { open } from '../../../src/shared/errors';
 import { Message } from '../../../src/shared/ports';
 import { Engine, KEYS, Numbered } from '../../../src/shared/words';
-import { drawnDocument, drawnRoute, makeNewsRig, NewsRig } from './rig';
+import { drawnDocument, drawnRoute, makeNewsRig, NewsRig, ProcessorShares } from './rig';
 
 /** What is played. */
 export interface NewsWays {
@@ -20,6 +20,8 @@
   enginesGapMs: number;
   /** Whether the controller that acts as the owner of the deployment dies amid the storm. */
   loseOwner: boolean;
+  /** The machines' processors; left out, what processes do takes no time. */
+  processors?: ProcessorShares;
 }
 
 /** Times in ms by share of the followers and changes. */
@@ -206,7 +208,7 @@
 
 /** Plays and measures. */
 export async function playNews(ways: NewsWays): Promise<NewsResult> {
-  const rig = makeNewsRig(ways.seed, ways.followers);
+  const rig = makeNewsRig(ways.seed, ways.followers, ways.processors);
   const result = { leaseAsks: 0, refusedLeases: 0 };
   function weigh(_: string, message: Message): void {
     const granted = (message.body as { granted?: boolean } | undefined)?.granted;
--- a/tools/sim/news/rig.ts
+++ b/tools/sim/news/rig.ts
@@ -9,10 +9,17 @@
 import { defaultSettings, Settings } from '../../../src/shared/settings';
 import { KEYS, Member } from '../../../src/shared/words';
 import { platform } from '../../../platform/dialect';
+import { makeProcessors } from '../processors';
 import { makeNet, SimNet } from '../simwire';
 import { makeWorld, Proc, World } from '../simworld';
 import { makeThinLinks } from '../thin-links';
 
+/** The shares of a processor that machines have. */
+export interface ProcessorShares {
+  controller: number;
+  follower: number;
+}
+
 /** A core of five and many followers behind thin links, in a simulated world. */
 export interface NewsRig {
   world: World;
@@ -122,8 +129,13 @@
 }
 
 /** Makes the world and starts the core; followers are started by `startFollower`. */
-export function makeNewsRig(seed: number, followerCount: number): NewsRig {
+export function makeNewsRig(
+  seed: number,
+  followerCount: number,
+  processors?: ProcessorShares,
+): NewsRig {
   const world = makeWorld(seed, true);
+  if (processors) world.processors = makeProcessors(shareOf);
   const net = makeNet(world);
   net.links = makeThinLinks(world.now, megabitsOf);
   const controllers = new Map<string, Controller>();
@@ -136,6 +148,10 @@
     followerProcs.push(world.proc(`edge-${i}`, followerAddress(i)));
   const seeds = core.slice(0, 3).map(wireOf);
 
+  function shareOf(proc: Proc): number {
+    return proc.ip.startsWith('10.1.') ? processors!.controller : processors!.follower;
+  }
+
   function megabitsOf(ip: string): number {
     return ip.startsWith('10.1.') ? CONTROLLER_MEGABITS : FOLLOWER_MEGABITS;
   }
--- a/tools/sim/simworld.ts
+++ b/tools/sim/simworld.ts
@@ -3,12 +3,8 @@
 import { makeFault, Outcome } from '../../src/shared/errors';
 import { Clock, Dice, Disk, Log } from '../../src/shared/ports';
 import { seededDice } from './dice';
-
-interface Event {
-  at: number;
-  n: number;
-  run: () => void;
-}
+import { makeEventHeap, SimEvent } from './event-heap';
+import { Processors } from './processors';
 
 /** One simulated process on a machine of its own. */
 export interface Proc {
@@ -62,12 +58,14 @@
   traceHash(): string;
   lines: string[];
   run(untilMs: number): Promise<void>;
+  /** What processes do takes them time, where that is simulated. */
+  processors?: Processors;
 }
 
 /** Makes a world from a seed; nothing in it depends on anything else. */
 export function makeWorld(seed: number, keepLines: boolean): World {
   const dice = seededDice(seed);
-  const heap: Event[] = [];
+  const events = makeEventHeap();
   const all = new Map<string, Proc>();
   const cuts = new Set<string>();
   const slows = new Map<string, number>();
@@ -77,37 +75,6 @@
   let count = 0;
   let hash = 2166136261;
 
-  function less(a: Event, b: Event): boolean {
-    return a.at < b.at || (a.at === b.at && a.n < b.n);
-  }
-
-  function push(e: Event): void {
-    let i = heap.push(e) - 1;
-    while (i > 0) {
-      const up = (i - 1) >> 1;
-      if (!less(heap[i], heap[up])) break;
-      [heap[i], heap[up]] = [heap[up], heap[i]];
-      i = up;
-    }
-  }
-
-  function pop(): Event {
-    const top = heap[0];
-    const last = heap.pop()!;
-    if (heap.length === 0) return top;
-    heap[0] = last;
-    let i = 0;
-    for (;;) {
-      const l = 2 * i + 1;
-      let m = i;
-      if (l < heap.length && less(heap[l], heap[m])) m = l;
-      if (l + 1 < heap.length && less(heap[l + 1], heap[m])) m = l + 1;
-      if (m === i) return top;
-      [heap[i], heap[m]] = [heap[m], heap[i]];
-      i = m;
-    }
-  }
-
   function now(): number {
     return time;
   }
@@ -115,8 +82,8 @@
   function nothing(): void {}
 
   function after(ms: number, run: () => void): () => void {
-    const e: Event = { at: time + Math.max(0, ms), n: ++count, run };
-    push(e);
+    const e: SimEvent = { at: time + Math.max(0, ms), n: ++count, run };
+    events.push(e);
     function off(): void {
       e.run = nothing;
     }
@@ -158,8 +125,13 @@
   }
 
   function onProc(p: Proc, run: () => void): void {
+    const busyMs = world.processors?.busyMs(p, time) ?? 0;
     if (p.frozen) p.held.push(run);
+    else if (busyMs > 0) after(busyMs, again);
     else run();
+    function again(): void {
+      onProc(p, run);
+    }
   }
 
   function clock(p: Proc): Clock {
@@ -359,17 +331,18 @@
   }
 
   async function run(untilMs: number): Promise<void> {
-    while (heap.length > 0 && heap[0].at <= untilMs) {
-      const e = pop();
+    for (let e = events.popUntil(untilMs); e; e = events.popUntil(untilMs)) {
       time = e.at;
       if (e.run === nothing) continue;
+      world.processors?.began();
       e.run();
       await settle();
+      world.processors?.ended(time);
     }
     time = untilMs;
   }
 
-  return {
+  const world: World = {
     dice,
     now,
     after,
@@ -396,4 +369,5 @@
     lines,
     run,
   };
+  return world;
 }
