--- a/src/control/duties.ts
+++ b/src/control/duties.ts
@@ -18,7 +18,7 @@
   void followMachines(c, ports);
 }
 
-/** Watches the platform's list while this node owns the key `engines`; the register is the fence. Where no majority takes the list, routers are told all the same which engines leave; but where a dialect is spoken, whoever sees no majority asks nothing, since another may watch by now. */
+/** Watches the platform's list while this node owns the key `engines`; the register is the fence. Routers are told at once which engines leave, whatever becomes of the list; but where a dialect is spoken, whoever sees no majority asks nothing, since another may watch by now. */
 export async function watchPlatform(c: Controller, ports: Ports, dialect?: Dialect): Promise<void> {
   while (!c.stopped()) {
     await ports.clock.sleep(c.bounds.platform);
@@ -33,13 +33,22 @@
     const now = c.value<Engine[]>(KEYS.engines)?.value;
     const next = settleWarm(now ?? [], list.sort(byId));
     if (JSON.stringify(now) === JSON.stringify(next)) continue;
+    const leaving = newlyLeaving(now ?? [], next);
+    if (leaving.length > 0) c.leases.tell('leaving', leaving);
     const [g] = open(await c.change({ kind: 'engines', engines: next }));
-    if (!g) continue;
-    ports.log.warn({ step: g.step, peer: g.peer }, g.why);
-    c.leases.tell('leaving', next.filter(isLeaving).map(idOf));
+    if (g) ports.log.warn({ step: g.step, peer: g.peer }, g.why);
   }
 }
 
+/** The engines that leave by a list and not by the one before it. */
+function newlyLeaving(before: readonly Engine[], list: readonly Engine[]): string[] {
+  const known = new Set(before.filter(isLeaving).map(idOf));
+  function isNew(engine: Engine): boolean {
+    return isLeaving(engine) && !known.has(engine.id);
+  }
+  return list.filter(isNew).map(idOf);
+}
+
 function isLeaving(e: Engine): boolean {
   return e.leaving;
 }
--- a/src/shared/bounds.ts
+++ b/src/shared/bounds.ts
@@ -23,6 +23,8 @@
   drain: number;
   orderFresh: number;
   leavingCut: number;
+  /** How long it is remembered that an engine is heard to leave, where lists show it serving. */
+  leavingAdvice: number;
   feedHold: number;
   gather: number;
   coming: number;
@@ -84,6 +86,7 @@
     drain: s.graceMs * 0.8,
     orderFresh: lease * 0.2,
     leavingCut: s.leavingBoundMs * 0.4,
+    leavingAdvice: s.leavingBoundMs,
     feedHold: s.changeBoundMs * 0.5,
     gather: s.leavingBoundMs * 0.1,
     coming: s.changeBoundMs * 0.75,
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -7,6 +7,7 @@
 import { makeJournal } from './journal';
 import { makeFeed } from './lib';
 import { LeaseAnswer, makeRenewals } from './lease-renewal';
+import { makeLeavingAdvice } from './leaving-advice';
 import { makeMemberView } from './member-view';
 import { poll } from './poll';
 import { Ports } from './ports';
@@ -23,6 +24,7 @@
 import {
   allVoters,
   comparePlaces,
+  Engine,
   isQuorum,
   KEYS,
   Member,
@@ -72,7 +74,7 @@
   const membership = makeFeed<Member[]>();
   const advice = makeFeed<string[]>();
   const view = makeMemberView(ports.clock.now, membership.add);
-  let advisedIds = new Set<string>();
+  const leavingAdvice = makeLeavingAdvice(ports.clock.now, bounds.leavingAdvice);
   let founded: Voters | undefined;
   let stopped = false;
 
@@ -96,7 +98,7 @@
       if (have && comparePlaces(n, have) <= 0) continue;
       state.set(n.key, n);
       applied.add(n.key);
-      if (n.key === KEYS.engines) advisedIds = new Set();
+      if (n.key === KEYS.engines) leavingAdvice.listed(n.value as Engine[]);
       any = true;
       changes.add(n);
     }
@@ -105,14 +107,10 @@
   }
 
   function advised(ids: string[]): void {
-    advisedIds = new Set(ids);
+    leavingAdvice.hear(ids);
     advice.add(ids);
   }
 
-  function leaving(id: string): boolean {
-    return advisedIds.has(id);
-  }
-
   function who(): unknown {
     return { voters: voters(), core: core() };
   }
@@ -326,7 +324,7 @@
     places,
     take,
     changes: changes.feed,
-    leaving,
+    leaving: leavingAdvice.leaves,
     advice: advice.feed,
     membership: membership.feed,
     coreTell,
