--- a/src/control/api.ts
+++ b/src/control/api.ts
@@ -268,6 +268,7 @@
       `plumhollow_controller_live_voters ${c.live().length}`,
       `plumhollow_controller_disk_fit ${c.slots.fit() ? 1 : 0}`,
       `plumhollow_controller_intents_revision ${c.value(KEYS.intents)?.place.number ?? 0}`,
+      ...c.leases.lagRows(),
       ...voterRows(await votersStatus(c)),
     ];
     call.head(200, { 'content-type': 'text/plain; version=0.0.4' });
--- /dev/null
+++ b/src/control/follower-lag.ts
@@ -0,0 +1,51 @@
+/**
+ * How far followers are behind what is learned here.
+ */
+import { Numbered, Place } from '../shared/words';
+
+/** Versions of a key of which the time is kept. */
+const KEPT_VERSIONS = 128;
+
+/** When versions were learned here. */
+export interface FollowerLag {
+  /** Takes note of a version as it is learned. */
+  note(change: Numbered): void;
+  /** For how long a follower has lacked a later version than the one that it holds, in ms. */
+  lagMs(key: string, held: Place | undefined): number;
+}
+
+interface LearnedAt {
+  number: number;
+  at: number;
+}
+
+/** Makes the times; a version that is committed anew keeps its time. */
+export function makeFollowerLag(now: () => number): FollowerLag {
+  const byKey = new Map<string, LearnedAt[]>();
+
+  function note({ key, number }: Numbered): void {
+    const versions = byKey.get(key) ?? [];
+    byKey.set(key, versions);
+    if (number <= (versions.at(-1)?.number ?? 0)) return;
+    versions.push({ number, at: now() });
+    if (versions.length > KEPT_VERSIONS) versions.shift();
+  }
+
+  function lagMs(key: string, held: Place | undefined): number {
+    function isLater(version: LearnedAt): boolean {
+      return version.number > (held?.number ?? 0);
+    }
+    const first = byKey.get(key)?.find(isLater);
+    return first ? now() - first.at : 0;
+  }
+
+  return { note, lagMs };
+}
+
+/** The longest lags of routers by key, as figures for collectors. */
+export function lagRows(keys: Iterable<string>, lagOf: (key: string) => number): string[] {
+  const rows: string[] = [];
+  for (const key of keys)
+    rows.push(`plumhollow_controller_router_lag_ms{key="${key}"} ${Math.round(lagOf(key))}`);
+  return rows;
+}
--- a/src/control/leases.ts
+++ b/src/control/leases.ts
@@ -14,6 +14,7 @@
 import { Bounds } from '../shared/bounds';
 import { Exchange } from '../shared/connections';
 import { comparePlaces, KEYS, Member, Numbered, Place, Voters } from '../shared/words';
+import { FollowerLag, lagRows, makeFollowerLag } from './follower-lag';
 import { makeNewsSender, NewsSender } from './news-sender';
 import { Slots } from './slots';
 import { makeVersionHistory } from './version-history';
@@ -67,6 +68,11 @@
   return isCurrent(has.get(n.key), n);
 }
 
+/** Who holds which duty is no concern of followers, and changes often. */
+function isForFollowers(key: string): boolean {
+  return !key.startsWith(KEYS.duty);
+}
+
 function lifeOf(m: Member): string {
   return `${m.name} ${m.life}`;
 }
@@ -95,6 +101,7 @@
   private readonly holders = new Map<string, Holder>();
   private readonly waiters = new Set<() => void>();
   private readonly history = makeVersionHistory();
+  private readonly lag: FollowerLag;
   /** Keys of which somebody waits for the effect, with how many do. */
   private readonly awaited = new Map<string, number>();
   private readonly startedAt: number;
@@ -107,7 +114,8 @@
     private readonly voters: () => Voters | undefined,
   ) {
     this.startedAt = ports.clock.now();
-    for (const n of this.learned()) this.history.note(n);
+    this.lag = makeFollowerLag(ports.clock.now);
+    for (const n of this.learned()) this.note(n);
   }
 
   /** The nodes whose lease here has not ended. */
@@ -142,12 +150,42 @@
     return out.sort(byName);
   }
 
-  /** What is learned here of some keys, or of all, and told to followers: all but who holds which duty, which is no concern of theirs and changes often. */
+  private note(n: Numbered): void {
+    this.history.note(n);
+    this.lag.note(n);
+  }
+
+  /** For how long, at the most, a live router has lacked a later version of a key than it holds, in ms. */
+  routerLagMs(key: string): number {
+    const now = this.ports.clock.now();
+    let most = 0;
+    for (const h of this.holders.values())
+      if (h.until > now && h.member.role === 'router')
+        most = Math.max(most, this.lag.lagMs(key, h.has.get(key)));
+    return most;
+  }
+
+  /** The lags of routers, as figures for collectors. */
+  lagRows(): string[] {
+    const keys = [...this.slots.cells.keys()].filter(isForFollowers);
+    return lagRows(keys, this.routerLagMs.bind(this));
+  }
+
+  /** Logs that a node has lacked a key for over half of the bound of changes. */
+  private logLag(name: string, missing: readonly Numbered[], has: Map<string, Place>): void {
+    for (const { key } of missing) {
+      const lagMs = Math.round(this.lag.lagMs(key, has.get(key)));
+      if (lagMs > this.bounds.lagLogged)
+        this.ports.log.warn({ step: 'follower behind', peer: name, lagMs }, `it lacks ${key}`);
+    }
+  }
+
+  /** What is learned here of some keys, or of all, and told to followers. */
   private learned(keys: Iterable<string> = this.slots.cells.keys()): Numbered[] {
     const out: Numbered[] = [];
     for (const k of keys) {
       const n = this.slots.cells.get(k)?.learned;
-      if (n && !k.startsWith(KEYS.duty)) out.push(n);
+      if (n && isForFollowers(k)) out.push(n);
     }
     return out;
   }
@@ -176,6 +214,7 @@
     const upTo = this.slots.learned.count();
     const missing = this.missing(has, same ? before!.upTo : undefined);
     const disk = this.slots.disk;
+    this.logLag(m.member.name, missing, has);
     if (missing.length > 0 && m.fetches) {
       const lacking = appliedEntries(missing);
       return Right({ granted: false, disk, lacking, voters, members: [] });
@@ -238,7 +277,7 @@
   }
 
   private newest(key: string): Numbered | undefined {
-    return key.startsWith(KEYS.duty) ? undefined : this.slots.cells.get(key)?.learned;
+    return isForFollowers(key) ? this.slots.cells.get(key)?.learned : undefined;
   }
 
   private senderFor(exchange: Exchange, ask: LeaseAsk, applied: Map<string, Place>): NewsSender {
@@ -261,7 +300,7 @@
   /** Takes note of a change that is learned here; its owner sends it to the followers, the others leave that to the followers' next renewals. */
   push(n: Numbered, own = true): void {
     this.poke();
-    this.history.note(n);
+    this.note(n);
     if (own) for (const h of this.holders.values()) h.sender.send(n.key);
     else if (this.awaited.has(n.key)) this.confirmAll(n.key);
   }
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -123,7 +123,7 @@
     if (cell?.accepted && comparePlaces(c, cell.accepted) < 0)
       return Right({ ok: false, seen } as Promised);
     const promised = { epoch: c.epoch, by: c.by };
-    const accepted = { ...c, value: sharing(cell?.learned?.value, c.value) };
+    const accepted = delta ? c : { ...c, value: sharing(cell?.learned?.value, c.value) };
     const [f] = open(await this.slots.put({ key: c.key, promised, accepted }, delta));
     if (f) return Left(f);
     return Right({ ok: true, seen: promised } as Promised);
--- a/src/shared/bounds.ts
+++ b/src/shared/bounds.ts
@@ -23,6 +23,8 @@
   drain: number;
   orderFresh: number;
   leavingCut: number;
+  /** A node that has lacked a change for longer is logged. */
+  lagLogged: number;
   /** How long it is remembered that an engine is heard to leave, where lists show it serving. */
   leavingAdvice: number;
   feedHold: number;
@@ -86,6 +88,7 @@
     drain: s.graceMs * 0.8,
     orderFresh: lease * 0.2,
     leavingCut: s.leavingBoundMs * 0.4,
+    lagLogged: s.changeBoundMs * 0.5,
     leavingAdvice: s.leavingBoundMs,
     feedHold: s.changeBoundMs * 0.5,
     gather: s.leavingBoundMs * 0.1,
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -1,7 +1,7 @@
 import { Stream as Feed } from 'most';
 import { Left } from 'purify-ts';
 import { makeCatchUp } from './catch-up';
-import { AppliedEntry, ChangeOffer, InlineChange } from './change-message';
+import { AppliedEntry, ChangeOffer, InlineChange, isReached } from './change-message';
 import { Fault, open, Outcome } from './errors';
 import { applyMessages, FollowEdge } from './follow-edge';
 import { makeJournal } from './journal';
@@ -125,7 +125,10 @@
 
   /** Fetches what a controller offers, and has the controllers know soon that it is applied. */
   function fetchOffer(offer: ChangeOffer, from: Exchange): void {
-    void catchUp.accept(from, offer).then(renewals.wake);
+    void catchUp.accept(from, offer).then(tell);
+    function tell(): void {
+      if (isReached(state.get(offer.key), offer)) renewals.wake();
+    }
   }
 
   async function applyChanges(messages: InlineChange[]): Promise<string[]> {
