--- a/src/control/changes.ts
+++ b/src/control/changes.ts
@@ -3,7 +3,7 @@
 import { bad, Fault, open, Outcome } from '../shared/errors';
 import { rendezvous } from '../shared/lib';
 import { Exchange, noConnection } from '../shared/connections';
-import { askPacked } from '../shared/packed';
+import { askPacked, packedBytes } from '../shared/packed';
 import { Clock, Dice } from '../shared/ports';
 import { Bounds } from '../shared/bounds';
 import { Settings } from '../shared/settings';
@@ -48,6 +48,8 @@
 }
 
 const TRIES = 3;
+/** Compressed bytes of an order, some 3,000 routes, for which its owner is given as long again: a busy owner is not a dead one. */
+const HAND_OVER_BYTES = 131072;
 const PEER_CODES = new Set([
   'no-stream',
   'timeout',
@@ -123,7 +125,8 @@
   async function ask(at: string, type: string, body: object): Promise<Outcome<unknown>> {
     const exchange = p.up(at);
     if (!exchange) return Left(noConnection(type, at));
-    return askPacked(exchange, type, body, bounds.handOver);
+    const within = bounds.handOver * (1 + packedBytes(body) / HAND_OVER_BYTES);
+    return askPacked(exchange, type, body, within);
   }
 
   async function commit(op: Operation, rounds = TRIES, inDoubt = false): Promise<Outcome<Changed>> {
--- a/src/shared/packed.ts
+++ b/src/shared/packed.ts
@@ -40,6 +40,11 @@
   return packed;
 }
 
+/** Bytes of an ask's body where they are compressed, 0 where it is short. */
+export function packedBytes(body: object): number {
+  return packedBody(body)?.length ?? 0;
+}
+
 /** Asks with a compressed body where it is long; a peer of an earlier release is asked as before. */
 export async function askPacked(
   exchange: Exchange,
