--- a/src/control/changes.ts
+++ b/src/control/changes.ts
@@ -48,8 +48,8 @@
 }
 
 const TRIES = 3;
-/** Compressed bytes of an order, some 3,000 routes, for which its owner is given as long again: a busy owner is not a dead one. */
-const HAND_OVER_BYTES = 131072;
+/** Compressed bytes of an order, some 3,500 routes, for which its owner is given as long again: a busy owner is not a dead one. */
+const HAND_OVER_BYTES = 65536;
 const PEER_CODES = new Set([
   'no-stream',
   'timeout',
