--- a/src/control/version-history.ts
+++ b/src/control/version-history.ts
@@ -40,6 +40,7 @@
   const offered = new Map<string, Uint8Array | undefined>();
 
   function note(change: Numbered): void {
+    forgetUnknown();
     const versions = byKey.get(change.key);
     if (!versions) {
       byKey.set(change.key, { list: [change], newest: change, messages: new Map() });
@@ -49,6 +50,11 @@
     if (versions.list.length > KEPT_VERSIONS) versions.list.shift();
   }
 
+  /** Forgets which sums could not be given: the versions that they need may be known from now on. */
+  function forgetUnknown(): void {
+    for (const [sum, bytes] of offered) if (bytes === undefined) offered.delete(sum);
+  }
+
   /** The version of a number, under the place that a node knows it by: a later owner may have committed it anew. */
   function versionAt(versions: Versions, place: Place | undefined): Numbered | undefined {
     if (!place) return undefined;
--- a/test/pieces.test.ts
+++ b/test/pieces.test.ts
@@ -94,6 +94,18 @@
   expect(behind.asked.length).toBeLessThanOrEqual(2);
 }
 
+/** A controller that was asked for a version before it had learned it gives it afterwards. */
+function onceLearned(): void {
+  const offer = offerFor(VERSIONS, VERSIONS[0]);
+  const { key, base, sum } = offer;
+  const ask: PieceAsk = { key, place: VERSIONS[1], base, sum, start: 0 };
+  const history = makeVersionHistory();
+  history.note(VERSIONS[0]);
+  expect(history.piece(ask)).toBeUndefined();
+  history.note(VERSIONS[1]);
+  expect(history.piece(ask)).toHaveLength(PIECE_BYTES);
+}
+
 /** What has been fetched when all controllers were lost is not fetched again. */
 async function goesOn(): Promise<void> {
   const offer = offerFor(VERSIONS, VERSIONS[0]);
@@ -165,6 +177,7 @@
 
 test('pieces come from all controllers that know the versions, each once', fromAll);
 test('a controller that lacks the version or is lost is asked no more', withoutTheLost);
+test('a controller gives a version once it has learned it', onceLearned);
 test('what was fetched is not fetched again', goesOn);
 test('bytes that were not offered are no change', spoiltBytes);
 test('a change that was committed anew is given under its new place', committedAnew);
