--- a/tools/sim/news/play.ts
+++ b/tools/sim/news/play.ts
@@ -63,9 +63,15 @@
   sent: Moments;
   acknowledged: Moments;
   enginesRead: Moments;
-  /** By follower: when a deployment of at least a revision, or a list of at least a number, was applied. */
-  applied: Map<string, { at: number; revision: number }[]>;
-  listed: Map<string, { at: number; number: number }[]>;
+  /** By follower: which deployments and lists it applied. */
+  deployments: Map<string, Applied[]>;
+  lists: Map<string, Applied[]>;
+}
+
+/** The number of a version, and when a follower applied it. */
+interface Applied {
+  at: number;
+  number: number;
 }
 
 function spreadOf(times: number[]): Spread {
@@ -83,16 +89,16 @@
 
 function watchFollowers(rig: NewsRig, watched: Watched): void {
   for (const [name, follower] of rig.followers) {
-    const applied: { at: number; revision: number }[] = [];
-    const listed: { at: number; number: number }[] = [];
-    watched.applied.set(name, applied);
-    watched.listed.set(name, listed);
+    const deployments: Applied[] = [];
+    const lists: Applied[] = [];
+    watched.deployments.set(name, deployments);
+    watched.lists.set(name, lists);
     function changed(n: Numbered): void {
       const at = rig.world.now();
       if (n.key === KEYS.deployment)
-        applied.push({ at, revision: (n.value as DeploymentValue).revision });
+        deployments.push({ at, number: (n.value as DeploymentValue).revision });
       if (n.key === KEYS.engines)
-        listed.push({ at, number: Number((n.value as Engine[])[0]?.id ?? 0) });
+        lists.push({ at, number: Number((n.value as Engine[])[0]?.id ?? 0) });
     }
     void follower.changes.observe(changed);
   }
@@ -167,33 +173,15 @@
   }
 }
 
-function firstAtLeast<T extends { at: number }>(
-  seen: readonly T[],
-  reaches: (x: T) => boolean,
-): number {
-  return seen.find(reaches)?.at ?? Infinity;
-}
-
-function changeTimes(watched: Watched): number[] {
-  const times: number[] = [];
-  for (const [revision, acknowledged] of watched.acknowledged)
-    for (const seen of watched.applied.values()) {
-      const at = firstAtLeast(seen, isReached);
-      times.push(Math.max(0, at - acknowledged));
-      function isReached(x: { revision: number }): boolean {
-        return x.revision >= revision;
-      }
-    }
-  return times;
-}
-
-function engineTimes(watched: Watched): number[] {
+/** For each version and follower, from a moment until the follower applied that version or a later one. */
+function timesUntilApplied(since: Moments, applied: Watched['lists']): number[] {
   const times: number[] = [];
-  for (const [number, read] of watched.enginesRead)
-    for (const seen of watched.listed.values()) {
-      times.push(firstAtLeast(seen, isReached) - read);
-      function isReached(x: { number: number }): boolean {
-        return x.number >= number;
+  for (const [number, from] of since)
+    for (const versions of applied.values()) {
+      const at = versions.find(isReached)?.at ?? Infinity;
+      times.push(Math.max(0, at - from));
+      function isReached(version: Applied): boolean {
+        return version.number >= number;
       }
     }
   return times;
@@ -223,8 +211,8 @@
     sent: new Map(),
     acknowledged: new Map(),
     enginesRead: new Map(),
-    applied: new Map(),
-    listed: new Map(),
+    deployments: new Map(),
+    lists: new Map(),
   };
   watchFollowers(rig, watched);
   const storm: Storm = { watched, isOver: false, revision: 1, routes: ways.routes };
@@ -242,8 +230,8 @@
   return {
     ...result,
     acknowledged: spreadOf(acknowledgedTimes(watched)),
-    changes: spreadOf(changeTimes(watched)),
-    engines: spreadOf(engineTimes(watched)),
+    changes: spreadOf(timesUntilApplied(watched.acknowledged, watched.deployments)),
+    engines: spreadOf(timesUntilApplied(watched.enginesRead, watched.lists)),
     bytesPerFollower: Math.round(rig.bytesPerFollower() - before.bytes),
     lostConnections: rig.lostConnections() - before.lost,
     processorMs: Math.round((processor.user + processor.system) / 1000),
