--- a/tools/fleet/soak.ts
+++ b/tools/fleet/soak.ts
@@ -39,6 +39,7 @@
   'config',
   'config-storm',
   'config-storm',
+  'long-changes',
   'race',
   'revoke',
   'version-bump',
--- a/tools/fleet/troubles.ts
+++ b/tools/fleet/troubles.ts
@@ -1,3 +1,4 @@
+import { wholeHash } from '../../src/shared/lib';
 import { ConfigDoc, ConfigSent, troubled } from '../standins/platform/book';
 import { Day } from '../standins/platform/day';
 import { EngineLife } from '../standins/platform/engine';
@@ -127,6 +128,31 @@
   return r.name !== STORM_ROUTE;
 }
 
+const LONG_CHANGES = 3;
+const ROUTES_OF_A_LONG_CHANGE = 1400;
+const LONG_ROUTE = 'long-';
+
+/** Changes that add many routes each, one upon the other, and one that takes them all away. */
+async function longChanges(p: Played): Promise<void> {
+  for (let n = 0; n < LONG_CHANGES; n++) {
+    await change(p, add);
+    function add(doc: ConfigDoc): void {
+      for (let i = 0; i < ROUTES_OF_A_LONG_CHANGE; i++) {
+        const name = `${LONG_ROUTE}${wholeHash(`${n} ${i}`).slice(0, 12)}`;
+        doc.routes.push({ ...doc.routes[1], name, pathPrefix: `/${name}/` });
+      }
+    }
+  }
+  await change(p, remove);
+  function remove(doc: ConfigDoc): void {
+    doc.routes = doc.routes.filter(isShort);
+  }
+}
+
+function isShort(r: { name: string }): boolean {
+  return !r.name.startsWith(LONG_ROUTE);
+}
+
 function rolls(role: string, count: number): Trouble {
   async function bring(p: Played): Promise<void> {
     for (const name of namesOf(p, role).slice(0, count)) await p.machines.roll(name);
@@ -315,6 +341,7 @@
   revoke,
   config,
   'config-storm': configStorm,
+  'long-changes': longChanges,
   race,
   'bad-config': badConfig,
   garble: engines('garble', { garble: 0.3 }, WHILE),
