--- a/test/platform-held-up.test.ts
+++ b/test/platform-held-up.test.ts
@@ -1,4 +1,4 @@
-import { slowEngines, slowReaders } from '../tools/fleet/busy-machine';
+import { slowReaders, withLongAnswers } from '../tools/fleet/busy-machine';
 import { SoakStep } from '../tools/fleet/soak';
 import { Site } from '../tools/standins/platform/site';
 import { shortDay } from './platform-rig';
@@ -12,15 +12,12 @@
 ];
 
 /** Engines are slow, and nearly full of long answers; some clients read slowly. */
-function withLongAnswers(site: Site): Site {
-  const [long, short] = site.traffic;
-  long.perS = 7;
-  short.perS = 3;
-  return slowReaders(slowEngines(site));
+function withSlowReaders(site: Site): Site {
+  return slowReaders(withLongAnswers(site));
 }
 
 async function heldUp(): Promise<void> {
-  const day = await shortDay('sbr', 20, [], SIGNALS, { edges: 3, alter: withLongAnswers });
+  const day = await shortDay('sbr', 20, [], SIGNALS, { edges: 3, alter: withSlowReaders });
   const { broken, ended, allReady } = day;
   expect({ broken, ended, allReady }).toEqual({ broken: {}, ended: [], allReady: true });
   expect(day.served).toBeGreaterThan(day.asked * 0.5);
--- a/test/platform-restarts.test.ts
+++ b/test/platform-restarts.test.ts
@@ -1,6 +1,5 @@
-import { slowEngines } from '../tools/fleet/busy-machine';
+import { withLongAnswers } from '../tools/fleet/busy-machine';
 import { SoakStep } from '../tools/fleet/soak';
-import { Site } from '../tools/standins/platform/site';
 import { shortDay } from './platform-rig';
 
 /** Most routers of a zone are restarted at once, twice, beside other restarts and changes. */
@@ -11,14 +10,6 @@
   { at: 11000, trouble: 'roll-zone' },
 ];
 
-/** Engines are slow, and nearly full of long answers. */
-function withLongAnswers(site: Site): Site {
-  const [long, short] = site.traffic;
-  long.perS = 7;
-  short.perS = 3;
-  return slowEngines(site);
-}
-
 async function longAnswers(): Promise<void> {
   const day = await shortDay('sbr', 20, [], RESTARTS, { edges: 9, alter: withLongAnswers });
   const { broken, ended, allReady } = day;
--- a/tools/fleet/busy-machine.ts
+++ b/tools/fleet/busy-machine.ts
@@ -47,3 +47,14 @@
   site.clientRestMs = REST_MS;
   return site;
 }
+
+/** Requests a second of the long and of the short kind that nearly fill slow engines. */
+const NEARLY_FULL = { long: 7, short: 3 };
+
+/** Has a site's engines be slow, and nearly full of long answers. */
+export function withLongAnswers(site: Site): Site {
+  const [long, short] = site.traffic;
+  long.perS = NEARLY_FULL.long;
+  short.perS = NEARLY_FULL.short;
+  return slowEngines(site);
+}
