--- a/test/platform-long-changes.test.ts
+++ b/test/platform-long-changes.test.ts
@@ -10,11 +10,30 @@
   { at: 6000, trouble: 'revoke' },
 ];
 
+/** Invalid changes of each kind amid storms and long changes. */
+const INVALID: SoakStep[] = [
+  { at: 500, trouble: 'config-storm' },
+  { at: 1000, trouble: 'bad-config' },
+  { at: 3000, trouble: 'long-changes' },
+  { at: 3200, trouble: 'bad-config' },
+  { at: 4500, trouble: 'config-storm' },
+  { at: 5000, trouble: 'bad-config' },
+];
+
 async function longChanges(): Promise<void> {
-  const day = await shortDay('aoc', 14, [], STEPS, { edges: 6 });
+  await expectSound(STEPS);
+}
+
+async function invalidChanges(): Promise<void> {
+  await expectSound(INVALID);
+}
+
+async function expectSound(steps: readonly SoakStep[]): Promise<void> {
+  const day = await shortDay('aoc', 14, [], steps, { edges: 6 });
   const { broken, ended, allReady } = day;
   expect({ broken, ended, allReady }).toEqual({ broken: {}, ended: [], allReady: true });
   expect(day.served).toBeGreaterThan(day.asked * 0.5);
 }
 
 test('long changes amid restarts break no rule', longChanges);
+test('invalid changes amid storms and long changes break no rule', invalidChanges);
