--- a/src/control/cells.ts
+++ b/src/control/cells.ts
@@ -42,6 +42,13 @@
   cells.set(l.key, c);
 }
 
+/** All values that are learned in some cells. */
+export function learnedOf(cells: ReadonlyMap<string, Cell>): Numbered[] {
+  const values: Numbered[] = [];
+  for (const cell of cells.values()) if (cell.learned) values.push(cell.learned);
+  return values;
+}
+
 /** Copies cells, so that lines applied to the copy leave these as they are. */
 export function copyCells(cells: ReadonlyMap<string, Cell>): Map<string, Cell> {
   const copy = new Map<string, Cell>();
--- a/src/control/changes.ts
+++ b/src/control/changes.ts
@@ -8,10 +8,11 @@
 import { Bounds } from '../shared/bounds';
 import { Settings } from '../shared/settings';
 import { Intents, IntentsValue, KEYS, Numbered, Place, Voters } from '../shared/words';
-import { DocumentReader } from './deployment';
+import { DocumentReader, identityOf, verdictByBase } from './deployment';
 import { checkIntents } from './intents';
 import { keyOf, makeValue, Operation } from './operations';
 import { Owner } from './register';
+import { makeSingleFlight } from './single-flight';
 import { DutyValue } from './term';
 
 /** What became of a change. */
@@ -33,6 +34,8 @@
   live(): string[];
   up(at: string): Exchange | undefined;
   local(type: string, body: unknown): Promise<Outcome<unknown>>;
+  /** Reads what a majority holds as committed of a key, without its owner; a fault where a change may be under way. */
+  readSettled(key: string): Promise<Outcome<Numbered | undefined>>;
 }
 
 /** How changes are made, here or by the key's owner. */
@@ -45,6 +48,8 @@
   ofOwner(key: string, type: string, body: object): Promise<Outcome<unknown>>;
   /** Has a key's owner commit its value anew; where that one does not answer, nobody takes its place. */
   settle(key: string): Promise<Outcome<unknown>>;
+  /** Whether an order is being worked on here as by the key's owner, and is not stuck. */
+  isUnderWay(identity: string): boolean;
 }
 
 const TRIES = 3;
@@ -77,9 +82,16 @@
   );
 }
 
+/** What identifies an operator's order; other changes have no identity. */
+function identityOfOrder(op: Operation): string | undefined {
+  return op.kind === 'deployment' ? identityOf(op) : undefined;
+}
+
 /** Makes the changes of one controller. */
 export function makeChanges(p: Parts): Changes {
   const { settings, bounds, owner } = p;
+  const madeHere = makeSingleFlight<Outcome<Changed>>(p.clock);
+  const committed = makeSingleFlight<Outcome<Changed>>(p.clock);
 
   /** Another may have made the change already; a conflict with what stands may then be with the change itself. */
   function makeAgain(op: Operation, now: Numbered | undefined): Outcome<unknown> {
@@ -95,13 +107,22 @@
     return f.sort === 'refused' && isOfPeer(f) ? { ...f, sort: 'unknown' } : f;
   }
 
+  /** Makes a change as the key's owner; one that is sent again meanwhile has the same outcome. */
   async function here(op: Operation, tries = 1, inDoubt = false): Promise<Outcome<Changed>> {
-    const key = keyOf(op);
+    const made = await madeHere.run(identityOfOrder(op), start);
+    return inDoubt ? made.mapLeft(leaveOpen) : made;
+
+    async function start(): Promise<Outcome<Changed>> {
+      return (await owner.change(keyOf(op), make, tries)).map(changed);
+    }
+
     function make(now: Numbered | undefined): Outcome<unknown> {
       return inDoubt ? makeAgain(op, now) : makeValue(op, now, p.reader);
     }
-    const made = (await owner.change(key, make, tries)).map(changed);
-    return inDoubt ? made.mapLeft(leaveOpen) : made;
+  }
+
+  function isUnderWay(identity: string): boolean {
+    return (madeHere.underWayForMs(identity) ?? Infinity) < bounds.orderStuck;
   }
 
   function changed(n: Numbered): Changed {
@@ -129,7 +150,38 @@
     return askPacked(exchange, type, body, within);
   }
 
-  async function commit(op: Operation, rounds = TRIES, inDoubt = false): Promise<Outcome<Changed>> {
+  /** Whether an owner that did not answer in time is alive and works on the order: then nobody takes its place. */
+  async function isWorkedOn(at: string, op: Operation, fault: Fault): Promise<boolean> {
+    const identity = identityOfOrder(op);
+    if (identity === undefined || fault.code !== 'timeout') return false;
+    const reply = await p.up(at)?.ask('order-under-way', { identity }, bounds.dial);
+    return reply?.extract() === true;
+  }
+
+  /**
+   * Has a change made. An order that was taken or refused by what stands is answered by a read, at any controller:
+   * its owner is left to the changes that are made, and is not outbid for a verdict.
+   */
+  function commit(op: Operation): Promise<Outcome<Changed>> {
+    return committed.run(identityOfOrder(op), start);
+
+    async function start(): Promise<Outcome<Changed>> {
+      const verdict = await verdictByRead(op);
+      return verdict ? Left(verdict) : commitByOwner(op);
+    }
+  }
+
+  async function verdictByRead(op: Operation): Promise<Fault | undefined> {
+    if (op.kind !== 'deployment' || !p.reader) return undefined;
+    const [fault, now] = open(await p.readSettled(keyOf(op)));
+    return fault ? undefined : verdictByBase(op, now, p.reader);
+  }
+
+  async function commitByOwner(
+    op: Operation,
+    rounds = TRIES,
+    inDoubt = false,
+  ): Promise<Outcome<Changed>> {
     const key = keyOf(op);
     const at = rendezvous(key, p.live())[0];
     if (at === undefined) return Left(nobody('change'));
@@ -142,12 +194,13 @@
           ? { ...f, sort: 'unknown', code: 'in-doubt' }
           : f,
       );
+    if (await isWorkedOn(at, op, f)) return Left(f);
     const doubted = inDoubt || f.sort === 'unknown';
     const [g, now] = open(await owner.own(key));
     if (!g) return doubted && isMade(op, now) ? Right(changed(now!)) : here(op, TRIES, doubted);
     if (rounds <= 1) return Left({ ...g, sort: doubted ? 'unknown' : 'refused' });
     await p.clock.sleep(bounds.pause * (0.05 + 0.15 * p.dice.next()));
-    return commit(op, rounds - 1, doubted);
+    return commitByOwner(op, rounds - 1, doubted);
   }
 
   async function ofOwner(key: string, type: string, body: object): Promise<Outcome<unknown>> {
@@ -166,5 +219,5 @@
     return p.up(at)?.ask('settle', { key }, bounds.ask) ?? Left(noConnection('settle', at));
   }
 
-  return { here, commit, ofOwner, settle };
+  return { here, commit, ofOwner, settle, isUnderWay };
 }
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -11,9 +11,10 @@
 import { Exchange, HelloEdge, holdAll, noConnection } from '../shared/connections';
 import { withTimeout } from '../shared/timeout';
 import { makeWakers } from '../shared/waker';
-import { allVoters, KEYS, Numbered, Voter, Voters } from '../shared/words';
+import { allVoters, atOf, KEYS, Numbered, Voter, Voters } from '../shared/words';
 import { logChange, makeMajorityLog } from './change-log';
 import { acceptConnections } from './accepted';
+import { learnedOf } from './cells';
 import { askOther } from './ask-other';
 import { makeChanges } from './changes';
 import { Controller } from './controller-interface';
@@ -25,8 +26,9 @@
 import { Leases } from './leases';
 import { makeMembership } from './membership';
 import { ControlEdge } from './peers';
-import { ReadEdge, ReadParts, readNewest } from './read';
-import { Acceptor, makeOwner, Reach } from './register';
+import { ReadEdge, ReadParts, readNewest, readSettled } from './read';
+import { Acceptor, Reach } from './acceptor';
+import { makeOwner } from './register';
 import { ReplicaEdge } from './replicate';
 import { RosterEdge } from './roster';
 import { tellSeeds } from './seeds';
@@ -139,6 +141,7 @@
     live,
     up,
     local,
+    readSettled: readSettledHere,
   });
   const peers = new ControlEdge({
     by,
@@ -146,6 +149,7 @@
     mayFound: settings.bootstrap,
     voters,
     changeHere: changes.here,
+    isUnderWay: changes.isUnderWay,
     committed,
     hinted,
     isUp,
@@ -228,32 +232,33 @@
     return rendezvous(key, live())[0] === settings.wire;
   }
 
+  function readSettledHere(key: string): Promise<Outcome<Numbered | undefined>> {
+    return readSettled(reads, key);
+  }
+
   function newest(key: string): Promise<Outcome<Numbered | undefined>> {
     return readNewest(reads, key);
   }
 
   function committed(): Numbered[] {
-    const out: Numbered[] = [];
-    for (const c of slots.cells.values()) if (c.learned) out.push(c.learned);
-    return out;
+    return learnedOf(slots.cells);
+  }
+  function isOther(at: string): boolean {
+    return at !== settings.wire;
   }
 
   /** Holds connections to the voters and to those that would be; to the founders and to where others said that the core is, while it knows no voters. */
   function reachAll(): void {
     const v = voters();
-    function other(at: string): boolean {
-      return at !== settings.wire;
-    }
     const core = v
       ? [...allVoters(v), ...roster.joiners()].map(atOf)
       : [...settings.founders, ...settings.seeds, ...hints];
-    helds.want(core.filter(other));
+    helds.want(core.filter(isOther));
   }
 
   async function who(at: string): Promise<Outcome<unknown>> {
     return up(at)?.ask('who', {}, bounds.ask) ?? Left(noConnection('who', at));
   }
-
   const always = [KEYS.engines, reader ? KEYS.deployment : KEYS.intents];
   const keeper = makeKeeper({
     wire: settings.wire,
@@ -392,7 +397,3 @@
     stopped: isStopped,
   });
 }
-
-function atOf(x: { at: string }): string {
-  return x.at;
-}
--- a/src/control/deployment.ts
+++ b/src/control/deployment.ts
@@ -1,7 +1,7 @@
 import { Either, Left, Right } from 'purify-ts';
 import { Deployment, DeploymentValue, NamedChange } from '../shared/deployment';
 import { Dialect } from '../shared/dialect';
-import { bad, Outcome } from '../shared/errors';
+import { Fault, makeFault, Outcome } from '../shared/errors';
 import { shortHash } from '../shared/lib';
 import { KEYS, Numbered } from '../shared/words';
 import { checkDeployment } from './deployment-check';
@@ -69,8 +69,30 @@
   return op.change === undefined ? hashOrder('replace', op.doc) : hashOrder('update', op.change);
 }
 
+function refusal(why: string, code: string): Fault {
+  return makeFault('apply', KEYS.deployment, why, 'refused', code);
+}
+
 function refused<T>(why: string, code: string): Outcome<T> {
-  return bad('apply', KEYS.deployment, why, 'refused', code);
+  return Left(refusal(why, code));
+}
+
+/** What identifies an order wherever and however often it is sent. */
+export function identityOf(op: DeploymentOperation): string {
+  return `${op.base} ${sumOf(op)}`;
+}
+
+/** The verdict on an order that needs no look into what it brings: it was taken already, or builds on what no longer stands. */
+export function verdictByBase(
+  op: DeploymentOperation,
+  now: Numbered | undefined,
+  reader: DocumentReader,
+): Fault | undefined {
+  const stands = now?.value as DeploymentValue | undefined;
+  const revision = stands?.revision ?? 0;
+  const orders = readTakenOrders(stands);
+  if (isTaken(orders, op.base, sumOf(op))) return refusal('was taken already', 'stands');
+  return op.base === revision ? undefined : refuseBase(op, revision, orders, reader);
 }
 
 /** Works out the deployment that follows from an order and the one that stands; a fault of code `stands` says that the order was taken already, and one of code `forgotten` that it may have been. */
@@ -83,9 +105,8 @@
   const stands = now?.value as DeploymentValue | undefined;
   const revision = stands?.revision ?? 0;
   const orders = readTakenOrders(stands);
-  const sum = sumOf(op);
-  if (isTaken(orders, op.base, sum)) return refused('was taken already', 'stands');
-  if (op.base !== revision) return refuseBase(op, revision, orders, reader);
+  const verdict = verdictByBase(op, now, reader);
+  if (verdict) return Left(verdict);
   const doc = wholeOf(op, stands, reader);
   const read = doc.chain(reader.deployment).chain(checked);
   function checked(d: Deployment): Either<string[], Deployment> {
@@ -98,7 +119,7 @@
   return Right({
     revision: fresh,
     doc: doc.extract(),
-    taken: remember(orders, { revision: fresh, base: op.base, sum }),
+    taken: remember(orders, { revision: fresh, base: op.base, sum: sumOf(op) }),
   });
 }
 
@@ -108,14 +129,15 @@
   revision: number,
   orders: TakenOrder[],
   reader: DocumentReader,
-): Outcome<DeploymentValue> {
+): Fault {
   const conflict = `based on revision ${op.base}, but ${revision} stands`;
-  if (!isOlderThanMemory(orders, op.base)) return refused(conflict, 'conflict');
+  if (!isOlderThanMemory(orders, op.base)) return refusal(conflict, 'conflict');
   const own = revisionOf(op, reader);
-  if (own.isLeft()) return refused((own.extract() as string[]).join('; '), 'bad-deployment');
+  if (own.isLeft()) return refusal((own.extract() as string[]).join('; '), 'bad-deployment');
+  const why = `${conflict}; it may have been taken`;
   return mayBeForgotten(orders, op.base, own.extract() as number)
-    ? bad('apply', KEYS.deployment, `${conflict}; it may have been taken`, 'unknown', 'forgotten')
-    : refused(conflict, 'conflict');
+    ? makeFault('apply', KEYS.deployment, why, 'unknown', 'forgotten')
+    : refusal(conflict, 'conflict');
 }
 
 /** The revision that an order brings, read without its base; the faults of one that is invalid on any base. */
--- a/src/control/membership.ts
+++ b/src/control/membership.ts
@@ -1,6 +1,6 @@
 import { Exchange } from '../shared/connections';
 import { Clock } from '../shared/ports';
-import { allVoters, isQuorum, Voter, Voters } from '../shared/words';
+import { allVoters, atOf, isQuorum, Voter, Voters } from '../shared/words';
 
 /** What the view of the voters is made of. */
 export interface MembershipParts {
@@ -110,10 +110,6 @@
   };
 }
 
-function atOf(x: Voter): string {
-  return x.at;
-}
-
 function diskOf(x: Voter): string {
   return x.disk;
 }
--- a/src/control/peers.ts
+++ b/src/control/peers.ts
@@ -2,7 +2,16 @@
 import { Handled, message } from '../shared/edge';
 import { bad, Outcome } from '../shared/errors';
 import { appliedEntries } from '../shared/change-message';
-import { allVoters, comparePlaces, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
+import {
+  allVoters,
+  atOf,
+  comparePlaces,
+  KEYS,
+  Numbered,
+  Place,
+  Voter,
+  Voters,
+} from '../shared/words';
 import { LearnedAfter } from './keep';
 import { Operation } from './operations';
 import { Slots } from './slots';
@@ -17,6 +26,12 @@
     return this.c.changeHere(op);
   }
 
+  /** Tells whether an operator's order is being worked on here, as by the key's owner. */
+  @message('order-under-way')
+  async orderUnderWay(m: { identity: string }): Handled {
+    return Right(this.c.isUnderWay(m.identity));
+  }
+
   /** Gives what is committed here and not yet at the asker, who tells its places. */
   @message('missing')
   async missing(has: [string, number, string, number][]): Handled {
@@ -110,16 +125,13 @@
   }
 }
 
-function atOf(x: { at: string }): string {
-  return x.at;
-}
-
 interface ControlParts {
   by: string;
   slots: Slots;
   mayFound: boolean;
   voters(): Voters | undefined;
   changeHere(op: Operation): Promise<Outcome<unknown>>;
+  isUnderWay(identity: string): boolean;
   committed(): Numbered[];
   hinted(ats: string[]): void;
   isUp(x: Voter): boolean;
--- a/src/control/read.ts
+++ b/src/control/read.ts
@@ -1,21 +1,12 @@
 import { Left, Right } from 'purify-ts';
 import { Handled, message } from '../shared/edge';
 import { bad, open, Outcome } from '../shared/errors';
-import { poll } from '../shared/poll';
-import { comparePlaces, KEYS, Numbered, Place, Voter, Voters } from '../shared/words';
-import { laterVoters, newestOf, Owner, placeOnly } from './register';
+import { KEYS, Numbered, Voter, Voters } from '../shared/words';
+import { HeldPlace } from './acceptor';
+import { isLaterHeld, pollHeldPlaces } from './held-places';
+import { Owner } from './register';
 import { Slots } from './slots';
 
-/** How far a disk has a key; `voters` where the asker goes by older ones, so that its majority counts for nothing. */
-interface HeldPlace {
-  disk: string;
-  accepted?: Place;
-  voters?: Numbered;
-}
-
-/** Before every place. */
-const NO_PLACE: Place = { epoch: 0, by: '', number: 0 };
-
 /** Polls of one read: a second one where the first shows that the voters are others by now. */
 const POLLS = 2;
 
@@ -34,17 +25,6 @@
 export class ReadEdge {
   constructor(private readonly r: ReadParts) {}
 
-  /** Tells how far this disk has a key: what it has accepted, or learned as accepted by a majority. It waits for no write: memory is never behind the disk. */
-  @message('held-place')
-  async heldPlace(m: { key: string; voters?: Place }): Handled {
-    const { slots } = this.r;
-    return Right({
-      disk: slots.disk,
-      accepted: placeOnly(newestOf(slots.cells.get(m.key))),
-      voters: laterVoters(slots, m.voters),
-    } as HeldPlace);
-  }
-
   /** Takes a key anew, as its owner, from what a majority holds: what was accepted is committed. */
   @message('settle')
   async settle(m: { key: string }): Handled {
@@ -56,31 +36,33 @@
 export async function readNewest(
   r: ReadParts,
   key: string,
-  polls = POLLS,
 ): Promise<Outcome<Numbered | undefined>> {
-  const v = r.voters();
-  if (!v) return bad('read', key, 'not founded', 'refused', 'not-founded');
-  const known = r.slots.cells.get(KEYS.voters)?.learned;
-  let newer: Numbered | undefined;
-  async function one(x: Voter): Promise<Outcome<HeldPlace>> {
-    const ask = { key, voters: placeOnly(known) };
-    const o = (await r.askVoter(x, 'held-place', ask)) as Outcome<HeldPlace>;
-    newer = open(o)[1]?.voters ?? newer;
-    return o;
-  }
-  function counts(h: HeldPlace, x: Voter): boolean {
-    return h.disk === x.disk && !h.voters;
-  }
-  const [f, got] = open(await poll(v, one, counts));
-  if (newer && comparePlaces(newer, known ?? NO_PLACE) > 0) {
-    void r.learnHere(newer);
-    if (f && polls > 1) return readNewest(r, key, polls - 1);
-  }
+  const [f, held] = open(await readPlaces(r, key));
   if (f) return Left(f);
   const mine = r.slots.cells.get(key)?.learned;
-  function later(h: HeldPlace): boolean {
-    return h.accepted !== undefined && (!mine || comparePlaces(h.accepted, mine) > 0);
-  }
-  if (!got.some(later)) return Right(mine);
+  if (!isLaterHeld(held, mine)) return Right(mine);
   return r.ofOwner(key, 'settle', { key }) as Promise<Outcome<Numbered | undefined>>;
 }
+
+/** Reads as `readNewest` does, with a fault instead where a later place was accepted than is known here as committed: a change may be under way. */
+export async function readSettled(
+  r: ReadParts,
+  key: string,
+): Promise<Outcome<Numbered | undefined>> {
+  const [f, held] = open(await readPlaces(r, key));
+  if (f) return Left(f);
+  const mine = r.slots.cells.get(key)?.learned;
+  return isLaterHeld(held, mine)
+    ? bad('read', key, 'a later change was accepted', 'unknown', 'unsettled')
+    : Right(mine);
+}
+
+async function readPlaces(r: ReadParts, key: string, polls = POLLS): Promise<Outcome<HeldPlace[]>> {
+  const known = r.slots.cells.get(KEYS.voters)?.learned;
+  const { held, laterVoters } = await pollHeldPlaces(r.voters(), r.askVoter, key, known);
+  if (laterVoters) {
+    void r.learnHere(laterVoters);
+    if (held.isLeft() && polls > 1) return readPlaces(r, key, polls - 1);
+  }
+  return held;
+}
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -1,172 +1,15 @@
+/** The owner's side of the registers: who changes a key, under a rising epoch. */
+
 import { isDeepStrictEqual } from 'node:util';
 import { Left, Right } from 'purify-ts';
-import { Delta, makeDelta, readDelta, sharing } from '../shared/delta';
-import { field, Handled, message } from '../shared/edge';
+import { Delta, makeDelta } from '../shared/delta';
 import { bad, Fault, open, Outcome } from '../shared/errors';
-import { Ports } from '../shared/ports';
 import { poll } from '../shared/poll';
-import {
-  compareEpochs,
-  comparePlaces,
-  isVoter,
-  KEYS,
-  Numbered,
-  Place,
-  Voter,
-  Voters,
-} from '../shared/words';
+import { comparePlaces, KEYS, Numbered, Voter } from '../shared/words';
+import { HeldPlace, placeOnly, Promised, Reach } from './acceptor';
+import { isLaterHeld, pollHeldPlaces } from './held-places';
 import { Slots } from './slots';
 
-/** How the registers reach the other voters; `by` tells this life of this node from every other. */
-export interface Reach {
-  by: string;
-  within: number;
-  voters(): Voters | undefined;
-  ask(v: Voter, type: string, body: unknown, within: number): Promise<Outcome<unknown>>;
-  learned(n: Numbered, before?: Numbered): void;
-  learnHere(n: Numbered): Promise<unknown>;
-}
-
-class PrepareAsk {
-  @field('string') key!: string;
-  @field('number') epoch!: number;
-  @field('string') by!: string;
-  @field('object', false) voters?: Place;
-}
-
-class AcceptAsk {
-  @field('object') change!: Numbered;
-  @field('object', false) voters?: Place;
-}
-
-class AcceptDeltaAsk {
-  @field('object') delta!: Delta;
-  @field('object', false) voters?: Place;
-}
-
-class LearnedAsk {
-  @field('object') place!: Place & { key: string };
-}
-
-class LearnAsk {
-  @field('object') change!: Numbered;
-}
-
-interface Promised {
-  ok: boolean;
-  seen: { epoch: number; by: string };
-  accepted?: Numbered;
-  voters?: Numbered;
-}
-
-/** What a disk knows to be accepted: what it accepted itself, or what it learned, which a majority has accepted. */
-export function newestOf(
-  c: { accepted?: Numbered; learned?: Numbered } | undefined,
-): Numbered | undefined {
-  if (!c?.accepted || !c.learned) return c?.accepted ?? c?.learned;
-  return comparePlaces(c.learned, c.accepted) > 0 ? c.learned : c.accepted;
-}
-
-/** The voters that are committed here, where they are later than those that another goes by. */
-export function laterVoters(slots: Slots, sent: Place | undefined): Numbered | undefined {
-  const mine = slots.cells.get(KEYS.voters)?.learned;
-  if (!mine) return undefined;
-  return !sent || comparePlaces(mine, sent) > 0 ? mine : undefined;
-}
-
-/** The place of a change without its value. */
-export function placeOnly(n: Numbered | undefined): Place | undefined {
-  return n && { epoch: n.epoch, by: n.by, number: n.number };
-}
-
-/** The part of a register that each voter's disk plays. */
-export class Acceptor {
-  constructor(
-    private readonly slots: Slots,
-    private readonly reach: Reach,
-    private readonly ports: Ports,
-  ) {}
-
-  private votes(): boolean {
-    return isVoter(this.reach.voters(), this.slots.disk);
-  }
-
-  /** Promises to take nothing of a lower epoch; an epoch that was promised already is not promised again. */
-  @message('prepare', PrepareAsk)
-  async prepare(m: PrepareAsk): Handled {
-    const later = laterVoters(this.slots, m.voters);
-    const seen = this.slots.cells.get(m.key)?.promised ?? { epoch: 0, by: '' };
-    if (later) return Right({ ok: false, seen, voters: later } as Promised);
-    if (!this.votes()) return bad('prepare', this.slots.disk, 'not a voter', 'refused', 'no-voter');
-    if (m.epoch <= seen.epoch) return Right({ ok: false, seen } as Promised);
-    const promised = { epoch: m.epoch, by: m.by };
-    const accepted = newestOf(this.slots.cells.get(m.key));
-    const [f] = open(await this.slots.put({ key: m.key, promised }));
-    if (f) return Left(f);
-    return Right({ ok: true, seen: promised, accepted } as Promised);
-  }
-
-  /** Takes a change unless a higher epoch was promised. */
-  @message('accept', AcceptAsk)
-  accept(m: AcceptAsk): Handled {
-    return this.take(m);
-  }
-
-  private async take(m: AcceptAsk, delta?: Delta): Handled {
-    const later = laterVoters(this.slots, m.voters);
-    const c = m.change;
-    const cell = this.slots.cells.get(c.key);
-    const seen = cell?.promised ?? { epoch: 0, by: '' };
-    if (later) return Right({ ok: false, seen, voters: later } as Promised);
-    if (!this.votes()) return bad('accept', this.slots.disk, 'not a voter', 'refused', 'no-voter');
-    if (compareEpochs(c, seen) < 0) return Right({ ok: false, seen } as Promised);
-    if (cell?.accepted && comparePlaces(c, cell.accepted) < 0)
-      return Right({ ok: false, seen } as Promised);
-    const promised = { epoch: c.epoch, by: c.by };
-    const accepted = delta ? c : { ...c, value: sharing(cell?.learned?.value, c.value) };
-    const [f] = open(await this.slots.put({ key: c.key, promised, accepted }, delta));
-    if (f) return Left(f);
-    return Right({ ok: true, seen: promised } as Promised);
-  }
-
-  /** Takes a change told as the difference to what is learned here. */
-  @message('accept-delta', AcceptDeltaAsk)
-  async acceptDelta(m: AcceptDeltaAsk): Handled {
-    const change = readDelta(this.slots.cells.get(m.delta.key)?.learned, m.delta);
-    return change
-      ? this.take({ change, voters: m.voters }, m.delta)
-      : bad('accept', this.slots.disk, 'not the base here', 'refused', 'whole');
-  }
-
-  /** Keeps as committed what was accepted at a place. */
-  @message('learn-accepted', LearnedAsk)
-  async learnAccepted(m: LearnedAsk): Handled {
-    const change = this.slots.cells.get(m.place.key)?.accepted;
-    return change && comparePlaces(change, m.place) === 0
-      ? this.learn({ change })
-      : bad('learn', this.slots.disk, 'not accepted here', 'refused', 'whole');
-  }
-
-  /** Keeps what is committed, and carries it to the followers. */
-  @message('learn', LearnAsk)
-  async learn(m: LearnAsk): Handled {
-    const c = m.change;
-    const cell = this.slots.cells.get(c.key);
-    const before = cell?.learned;
-    const fresh = !before || comparePlaces(c, before) > 0;
-    const same = cell?.accepted && comparePlaces(cell.accepted, c) === 0;
-    const [f] = open(
-      await (fresh
-        ? this.slots.put({ key: c.key, learned: same ? true : c })
-        : this.slots.settled()),
-    );
-    if (f) return Left(f);
-    if (fresh) this.reach.learned(c, before);
-    this.ports.log.info({ step: 'learn', peer: c.by }, `${c.key} ${c.epoch}.${c.number}`);
-    return Right({ disk: this.slots.disk });
-  }
-}
-
 interface Owned {
   epoch: number;
   current?: Numbered;
@@ -325,6 +168,19 @@
     return Right(v);
   }
 
+  /**
+   * Whether no disk of a majority has accepted anything later. A verdict that makes no change counts only by what a
+   * majority holds now; it is confirmed by a read, since taking the key anew would cost a majority a write each.
+   */
+  async function isStillNewest(key: string, o: Owned): Promise<boolean> {
+    const { held } = await pollHeldPlaces(reach.voters(), askShortly, key, votersPlace());
+    return held.isRight() && !isLaterHeld(held.extract() as HeldPlace[], o.current);
+  }
+
+  function askShortly(v: Voter, type: string, body: unknown): Promise<Outcome<unknown>> {
+    return reach.ask(v, type, body, reach.within);
+  }
+
   function change(
     key: string,
     make: (now: Numbered | undefined) => Outcome<unknown>,
@@ -335,7 +191,7 @@
       const [f, o] = open(await ensure(key));
       if (f) return Left({ ...f, sort: 'refused' });
       const [g, value] = open(make(o.current));
-      if (g) return held ? onceAnew(left) : Left(g);
+      if (g) return held && !(await isStillNewest(key, o)) ? onceAnew(left) : Left(g);
       const number = (o.current?.number ?? 0) + 1;
       const [h, c] = open(await commit(key, o, number, value));
       if (!h) {
@@ -350,7 +206,7 @@
         return Right(stands);
       return (stands?.number ?? 0) < number ? once(left - 1) : Left(h);
     }
-    /** A verdict that makes no change counts only by what a majority holds now: another may own the key by now, which nothing would show here. So it is given on a value that was acquired for it. */
+    /** Another may own the key by now, which nothing would show here: the verdict is given on a value that is acquired for it. */
     function onceAnew(left: number): Promise<Outcome<Numbered>> {
       owned.delete(key);
       return once(left);
--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -3,7 +3,7 @@
 import { open } from '../shared/errors';
 import { Ports } from '../shared/ports';
 import { Bounds } from '../shared/bounds';
-import { allVoters, isVoter, KEYS, Voter, Voters } from '../shared/words';
+import { allVoters, atOf, isVoter, KEYS, Voter, Voters } from '../shared/words';
 import { Controller } from './controller';
 import { makeJointProgress, moveVoters, NEWCOMER_UNFIT, returnVoters } from './voters';
 
@@ -259,7 +259,3 @@
     return true;
   }
 }
-
-function atOf(x: { at: string }): string {
-  return x.at;
-}
--- a/src/control/voter-status.ts
+++ b/src/control/voter-status.ts
@@ -1,5 +1,5 @@
 import { open } from '../shared/errors';
-import { allVoters, isQuorum, Voter, Voters } from '../shared/words';
+import { allVoters, atOf, isQuorum, Voter, Voters } from '../shared/words';
 import { Controller } from './controller-interface';
 import { progressOf } from './replicate';
 
@@ -84,10 +84,6 @@
   return reasons.length > 0 ? reasons : [{ reason: 'too-few' }];
 }
 
-function atOf(x: Voter): string {
-  return x.at;
-}
-
 function diskOf(x: VoterStatus): string {
   return x.disk;
 }
--- a/src/data/place.ts
+++ b/src/data/place.ts
@@ -5,7 +5,7 @@
 import { Ports } from '../shared/ports';
 import { Bounds } from '../shared/bounds';
 import { Hello, holdAll } from '../shared/connections';
-import { CacheStore, IntentsValue, KEYS, Member } from '../shared/words';
+import { atOf, CacheStore, IntentsValue, KEYS, Member } from '../shared/words';
 import { Engines, Seen } from './engines';
 
 /** How much a doubted token counts of a sure one. */
@@ -85,10 +85,6 @@
     return m.role === 'indexer';
   }
 
-  function atOf(m: Member): string {
-    return m.at;
-  }
-
   async function overlaps(
     model: string,
     salt: string,
--- a/src/index/indexer.ts
+++ b/src/index/indexer.ts
@@ -8,7 +8,7 @@
 import { Settings } from '../shared/settings';
 import { converse, HelloEdge, holdAll } from '../shared/connections';
 import { Dialect } from '../shared/dialect';
-import { Member } from '../shared/words';
+import { atOf, Member } from '../shared/words';
 import { Coming, makeComing, Unheard } from './coming';
 import { dumpOfPeer } from './dump';
 import { GapCounts, makeGaps } from './gaps';
@@ -288,10 +288,6 @@
     return m.role === 'indexer' && m.name !== settings.name;
   }
 
-  function atOf(m: Member): string {
-    return m.at;
-  }
-
   async function join(): Promise<void> {
     await ports.clock.sleep(dialect ? bounds.joinSoon : bounds.join);
     while (!stopped && !follower.live()) await ports.clock.sleep(bounds.pause);
--- a/src/shared/follow.ts
+++ b/src/shared/follow.ts
@@ -23,6 +23,7 @@
 } from './connections';
 import {
   allVoters,
+  atOf,
   comparePlaces,
   Engine,
   isQuorum,
@@ -87,10 +88,6 @@
     return v ? allVoters(v).map(atOf) : [];
   }
 
-  function atOf(x: { at: string }): string {
-    return x.at;
-  }
-
   function take(list: Numbered[]): boolean {
     let any = false;
     for (const n of list) {
--- a/src/shared/words.ts
+++ b/src/shared/words.ts
@@ -162,6 +162,11 @@
   return v !== undefined && allVoters(v).some(mine);
 }
 
+/** The address of a node, a voter or an engine. */
+export function atOf(x: { at: string }): string {
+  return x.at;
+}
+
 /** All voters of both sets, each disk once. */
 export function allVoters(v: Voters): Voter[] {
   const m = new Map<string, Voter>();
--- a/test/disk.test.ts
+++ b/test/disk.test.ts
@@ -1,5 +1,5 @@
 import { Right } from 'purify-ts';
-import { Acceptor } from '../src/control/register';
+import { Acceptor } from '../src/control/acceptor';
 import { openSlots } from '../src/control/slots';
 import { KeptVotes, readVotes, Votes } from '../src/control/votes';
 import { dispatch } from '../src/shared/edge';
--- a/test/diskrig.ts
+++ b/test/diskrig.ts
@@ -3,7 +3,8 @@
  */
 
 import { Right } from 'purify-ts';
-import { Acceptor, makeOwner, Reach } from '../src/control/register';
+import { Acceptor, Reach } from '../src/control/acceptor';
+import { makeOwner } from '../src/control/register';
 import { openSlots, Slots } from '../src/control/slots';
 import { dispatch } from '../src/shared/edge';
 import { bad, open, Outcome } from '../src/shared/errors';
--- a/test/full-disk.test.ts
+++ b/test/full-disk.test.ts
@@ -1,5 +1,5 @@
 import { isDeepStrictEqual } from 'node:util';
-import { Acceptor } from '../src/control/register';
+import { Acceptor } from '../src/control/acceptor';
 import { openSlots, Slots } from '../src/control/slots';
 import { KeptVotes, readVotes, Votes } from '../src/control/votes';
 import { dispatch } from '../src/shared/edge';
--- a/test/hand-over.test.ts
+++ b/test/hand-over.test.ts
@@ -3,7 +3,8 @@
 import { makeOrder } from '../src/control/deployment';
 import { boundsOf } from '../src/shared/bounds';
 import { Exchange } from '../src/shared/connections';
-import { Outcome } from '../src/shared/errors';
+import { bad, Outcome } from '../src/shared/errors';
+import { realClock } from '../src/shared/real';
 import { defaultSettings } from '../src/shared/settings';
 import { drawnDocument } from '../tools/sim/news/rig';
 
@@ -23,7 +24,11 @@
   function live(): string[] {
     return [OWNER];
   }
-  const parts = { settings, bounds: boundsOf(settings), up, live };
+  async function readSettled(): Promise<Outcome<unknown>> {
+    return bad('read', 'deployment', 'not read here', 'unknown', 'unsettled');
+  }
+  const clock = realClock();
+  const parts = { clock, settings, bounds: boundsOf(settings), up, live, readSettled };
   const changes = makeChanges(parts as unknown as Parameters<typeof makeChanges>[0]);
   const order = makeOrder(0, 'replace', drawnDocument(1, routes));
   expect((await changes.commit(order)).isRight()).toBe(true);
--- a/test/lease-costs.test.ts
+++ b/test/lease-costs.test.ts
@@ -174,6 +174,7 @@
     mayFound: false,
     voters: unused,
     changeHere: unused,
+    isUnderWay: unused,
     committed: unused,
     hinted: unused,
     isUp: unused,
--- a/test/log-differences.test.ts
+++ b/test/log-differences.test.ts
@@ -1,7 +1,8 @@
 import { Right } from 'purify-ts';
 import { Cell, openSlots, Slots } from '../src/control/slots';
 import { frame } from '../src/control/frames';
-import { Acceptor, makeOwner } from '../src/control/register';
+import { Acceptor } from '../src/control/acceptor';
+import { makeOwner } from '../src/control/register';
 import { makeDelta } from '../src/shared/delta';
 import { dispatch } from '../src/shared/edge';
 import { open, Outcome } from '../src/shared/errors';
--- a/test/reads.test.ts
+++ b/test/reads.test.ts
@@ -1,6 +1,7 @@
 import { Right } from 'purify-ts';
 import { ReadEdge, ReadParts, readNewest } from '../src/control/read';
-import { Acceptor, makeOwner, Owner, Reach } from '../src/control/register';
+import { Acceptor, Reach } from '../src/control/acceptor';
+import { makeOwner, Owner } from '../src/control/register';
 import { openSlots, Slots } from '../src/control/slots';
 import { dispatch } from '../src/shared/edge';
 import { bad, open, Outcome } from '../src/shared/errors';
--- a/test/register.test.ts
+++ b/test/register.test.ts
@@ -1,5 +1,6 @@
 import { Right } from 'purify-ts';
-import { Acceptor, makeOwner, Owner, Reach } from '../src/control/register';
+import { Acceptor, Reach } from '../src/control/acceptor';
+import { makeOwner, Owner } from '../src/control/register';
 import { openSlots } from '../src/control/slots';
 import { dispatch } from '../src/shared/edge';
 import { bad, open, Outcome } from '../src/shared/errors';
--- a/tools/model/mutations.ts
+++ b/tools/model/mutations.ts
@@ -2,7 +2,8 @@
 import { Right } from 'purify-ts';
 import { Changed } from '../../src/control/changes';
 import { ReadParts } from '../../src/control/read';
-import { Owner, Reach } from '../../src/control/register';
+import { Reach } from '../../src/control/acceptor';
+import { Owner } from '../../src/control/register';
 import { Line, Slots } from '../../src/control/slots';
 import { Fault, Outcome } from '../../src/shared/errors';
 import { Disk } from '../../src/shared/ports';
@@ -22,6 +23,8 @@
   /** The owner by which a change of the voters commits the keys anew. */
   carryingOwner?(owner: Owner): Owner;
   reads?(parts: ReadParts): ReadParts;
+  /** Whether no order is answered by a read: what its owner does wrong is then not hidden by one that went before. */
+  withoutVerdictsByRead?: boolean;
   handle?(
     slots: Slots,
     type: string,
@@ -239,11 +242,13 @@
   },
   'highest-accepted': {
     breaks: 'owner-not-behind',
+    withoutVerdictsByRead: true,
     summary: 'an owner adopts the first accepted value instead of the highest',
     ownerReach: adoptFirst,
   },
   adoption: {
     breaks: 'one-per-base',
+    withoutVerdictsByRead: true,
     summary: 'an owner adopts nothing that was accepted before it',
     ownerReach: adoptNothing,
   },
@@ -264,6 +269,7 @@
   },
   'order-memory': {
     breaks: 'taken-stays-taken',
+    withoutVerdictsByRead: true,
     summary: 'the memory of taken orders holds none',
     changesOwner: forgetOrders,
   },
--- a/tools/model/node.ts
+++ b/tools/model/node.ts
@@ -4,12 +4,13 @@
 import { DocumentReader } from '../../src/control/deployment';
 import { Operation } from '../../src/control/operations';
 import { ControlEdge } from '../../src/control/peers';
-import { ReadEdge, ReadParts, readNewest } from '../../src/control/read';
-import { Acceptor, makeOwner, Owner, Reach } from '../../src/control/register';
+import { ReadEdge, ReadParts, readNewest, readSettled } from '../../src/control/read';
+import { Acceptor, Reach } from '../../src/control/acceptor';
+import { makeOwner, Owner } from '../../src/control/register';
 import { openSlots, Slots } from '../../src/control/slots';
 import { Exchange } from '../../src/shared/connections';
 import { dispatch } from '../../src/shared/edge';
-import { open, Outcome } from '../../src/shared/errors';
+import { bad, open, Outcome } from '../../src/shared/errors';
 import { Dice, Ports } from '../../src/shared/ports';
 import { Bounds } from '../../src/shared/bounds';
 import { Settings } from '../../src/shared/settings';
@@ -90,6 +91,11 @@
     return `${name}-disk-${++ids}`;
   }
 
+  /** Time stands still in the model: what takes too long is chosen, not measured. */
+  function steps(): number {
+    return 0;
+  }
+
   function portsOf(): Ports {
     function sync(label: string, run: () => void): void {
       scheduler.add(node, { class: 'progress', kind: 'sync', label: `${name} ${label}`, run });
@@ -106,7 +112,12 @@
       return new Promise(wait);
     }
     const disk = folder.port(sync);
-    return { clock: { sleep }, dice, disk: mutation.disk?.(disk) ?? disk, log } as unknown as Ports;
+    return {
+      clock: { sleep, now: steps },
+      dice,
+      disk: mutation.disk?.(disk) ?? disk,
+      log,
+    } as unknown as Ports;
   }
 
   async function run(life: number): Promise<void> {
@@ -128,13 +139,14 @@
       clock: ports.clock,
       dice,
       settings: { wire: name, name } as Settings,
-      bounds: { handOver: 0, pause: 0 } as Bounds,
+      bounds: { handOver: 0, pause: 0, dial: 0, orderStuck: 1 } as Bounds,
       owner: mutation.changesOwner?.(owner) ?? owner,
       reader,
       voters,
       live,
       up,
       local,
+      readSettled: readSettledHere,
     });
     const reads: ReadParts = {
       slots,
@@ -145,7 +157,8 @@
       learnHere,
     };
     const readsHere = mutation.reads?.(reads) ?? reads;
-    const peers = new ControlEdge({ by, slots, voters, changeHere: changes.here } as never);
+    const { here: changeHere, isUnderWay } = changes;
+    const peers = new ControlEdge({ by, slots, voters, changeHere, isUnderWay } as never);
     const edges: object[] = [acceptor, peers, new ReadEdge(reads), new VotersEdge(slots)];
 
     function voters(): Voters | undefined {
@@ -196,6 +209,12 @@
       return v.disk === slots.disk || (network.isUp(node, to) && to.disk() === v.disk);
     }
 
+    async function readSettledHere(key: string): Promise<Outcome<Numbered | undefined>> {
+      if (mutation.withoutVerdictsByRead)
+        return bad('read', key, 'not read', 'unknown', 'unsettled');
+      return readSettled(readsHere, key);
+    }
+
     function newest(key: string): Promise<Outcome<Numbered | undefined>> {
       return readNewest(readsHere, key);
     }
