--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -42,6 +42,8 @@
   const owned = new Map<string, Owned>();
   const turns = new Map<string, Promise<unknown>>();
   const highest = new Map<string, number>();
+  /** Turns that take a key anew and have not begun. */
+  const nextAnew = new Map<string, Promise<Outcome<Numbered | undefined>>>();
 
   function inTurn<T>(key: string, run: () => Promise<T>): Promise<T> {
     const before = turns.get(key) ?? Promise.resolve();
@@ -224,12 +226,19 @@
     return inTurn(key, run);
   }
 
+  /** Callers that come before a turn begins share it: whatever it then finds is not older than their calls. */
   function ownAnew(key: string): Promise<Outcome<Numbered | undefined>> {
+    const waiting = nextAnew.get(key);
+    if (waiting) return waiting;
+    const next = inTurn(key, run);
+    nextAnew.set(key, next);
+    return next;
+
     async function run(): Promise<Outcome<Numbered | undefined>> {
+      nextAnew.delete(key);
       owned.delete(key);
       return (await ensure(key)).map(currentOf);
     }
-    return inTurn(key, run);
   }
 
   function owns(key: string): boolean {
--- a/test/register.test.ts
+++ b/test/register.test.ts
@@ -108,9 +108,26 @@
   }
 }
 
+/** Readers that have a key settled at the same time: one settling is under way, and one for all who came meanwhile. */
+async function settledTogether(): Promise<void> {
+  const t = await three();
+  const a = t.owner('a');
+  expect((await t.drive(a.change('k', onTopOf(undefined, 'one')))).isRight()).toBe(true);
+  const first = a.ownAnew('k');
+  await Promise.resolve();
+  await Promise.resolve();
+  const later = [a.ownAnew('k'), a.ownAnew('k'), a.ownAnew('k'), a.ownAnew('k')];
+  const all = await t.drive(Promise.all([first, ...later]));
+  const epochs = new Set<number>();
+  for (const o of all) epochs.add((o.extract() as Numbered).epoch);
+  expect([...epochs]).toEqual([2, 3]);
+  expect((await t.drive(a.ownAnew('k'))).extract()).toMatchObject({ epoch: 4, value: 'one' });
+}
+
 function valueOf(n: Numbered): unknown {
   return n.value;
 }
 
 test('an owner that another has followed refuses nothing by the value that it held', outdatedOwner);
 test('nor does it give any other verdict by that value', outdatedVerdict);
+test('settlings of a key that wait for their turn are done in one', settledTogether);
