--- a/src/control/changes.ts
+++ b/src/control/changes.ts
@@ -3,12 +3,12 @@
 import { bad, Fault, open, Outcome } from '../shared/errors';
 import { rendezvous } from '../shared/lib';
 import { Exchange, noConnection } from '../shared/connections';
-import { askPacked, packedBytes } from '../shared/packed';
 import { Clock, Dice } from '../shared/ports';
 import { Bounds } from '../shared/bounds';
 import { Settings } from '../shared/settings';
 import { Intents, IntentsValue, KEYS, Numbered, Place, Voters } from '../shared/words';
 import { DocumentReader, identityOf, verdictByBase } from './deployment';
+import { handOver } from './hand-over';
 import { checkIntents } from './intents';
 import { keyOf, makeValue, Operation } from './operations';
 import { Owner } from './register';
@@ -48,13 +48,11 @@
   ofOwner(key: string, type: string, body: object): Promise<Outcome<unknown>>;
   /** Has a key's owner commit its value anew; where that one does not answer, nobody takes its place. */
   settle(key: string): Promise<Outcome<unknown>>;
-  /** Whether an order is being worked on here as by the key's owner, and is not stuck. */
+  /** Whether an order is being worked on here, as by the key's owner. */
   isUnderWay(identity: string): boolean;
 }
 
 const TRIES = 3;
-/** Compressed bytes of an order, some 3,500 routes, for which its owner is given as long again: a busy owner is not a dead one. */
-const HAND_OVER_BYTES = 65536;
 const PEER_CODES = new Set([
   'no-stream',
   'timeout',
@@ -90,8 +88,8 @@
 /** Makes the changes of one controller. */
 export function makeChanges(p: Parts): Changes {
   const { settings, bounds, owner } = p;
-  const madeHere = makeSingleFlight<Outcome<Changed>>(p.clock);
-  const committed = makeSingleFlight<Outcome<Changed>>(p.clock);
+  const madeHere = makeSingleFlight<Outcome<Changed>>();
+  const committed = makeSingleFlight<Outcome<Changed>>();
 
   /** Another may have made the change already; a conflict with what stands may then be with the change itself. */
   function makeAgain(op: Operation, now: Numbered | undefined): Outcome<unknown> {
@@ -121,10 +119,6 @@
     }
   }
 
-  function isUnderWay(identity: string): boolean {
-    return (madeHere.underWayForMs(identity) ?? Infinity) < bounds.orderStuck;
-  }
-
   function changed(n: Numbered): Changed {
     return {
       place: { epoch: n.epoch, by: n.by, number: n.number },
@@ -143,19 +137,15 @@
     };
   }
 
-  async function ask(at: string, type: string, body: object): Promise<Outcome<unknown>> {
+  async function handOverTo(at: string, op: Operation): Promise<Outcome<unknown>> {
     const exchange = p.up(at);
-    if (!exchange) return Left(noConnection(type, at));
-    const within = bounds.handOver * (1 + packedBytes(body) / HAND_OVER_BYTES);
-    return askPacked(exchange, type, body, within);
+    return exchange
+      ? handOver(p, exchange, op, identityOfOrder(op))
+      : Left(noConnection('change', at));
   }
 
-  /** Whether an owner that did not answer in time is alive and works on the order: then nobody takes its place. */
-  async function isWorkedOn(at: string, op: Operation, fault: Fault): Promise<boolean> {
-    const identity = identityOfOrder(op);
-    if (identity === undefined || fault.code !== 'timeout') return false;
-    const reply = await p.up(at)?.ask('order-under-way', { identity }, bounds.dial);
-    return reply?.extract() === true;
+  async function ask(at: string, type: string, body: object): Promise<Outcome<unknown>> {
+    return p.up(at)?.ask(type, body, bounds.handOver) ?? Left(noConnection(type, at));
   }
 
   /**
@@ -186,7 +176,7 @@
     const at = rendezvous(key, p.live())[0];
     if (at === undefined) return Left(nobody('change'));
     if (at === settings.wire) return here(op, TRIES, inDoubt);
-    const [f, r] = open(await ask(at, 'change', op));
+    const [f, r] = open(await handOverTo(at, op));
     if (!f) return Right(r as Changed);
     if (!isOfPeer(f))
       return Left(
@@ -194,7 +184,6 @@
           ? { ...f, sort: 'unknown', code: 'in-doubt' }
           : f,
       );
-    if (await isWorkedOn(at, op, f)) return Left(f);
     const doubted = inDoubt || f.sort === 'unknown';
     const [g, now] = open(await owner.own(key));
     if (!g) return doubted && isMade(op, now) ? Right(changed(now!)) : here(op, TRIES, doubted);
@@ -219,5 +208,5 @@
     return p.up(at)?.ask('settle', { key }, bounds.ask) ?? Left(noConnection('settle', at));
   }
 
-  return { here, commit, ofOwner, settle, isUnderWay };
+  return { here, commit, ofOwner, settle, isUnderWay: madeHere.isUnderWay };
 }
--- a/src/control/single-flight.ts
+++ b/src/control/single-flight.ts
@@ -1,30 +1,22 @@
 /** Work that is asked for again while it is under way, and is done once. */
 
-import { Clock } from '../shared/ports';
-
 /** Joins calls for the same work. */
 export interface SingleFlight<T> {
   /** Starts the work of an identity, or joins that which is under way; work without an identity is always started. */
   run(identity: string | undefined, start: () => Promise<T>): Promise<T>;
-  /** For how many ms the work of an identity is under way; undefined where it is not. */
-  underWayForMs(identity: string): number | undefined;
-}
-
-interface Flight<T> {
-  beganAt: number;
-  result: Promise<T>;
+  isUnderWay(identity: string): boolean;
 }
 
 /** Makes an empty set of flights. */
-export function makeSingleFlight<T>(clock: Clock): SingleFlight<T> {
-  const flights = new Map<string, Flight<T>>();
+export function makeSingleFlight<T>(): SingleFlight<T> {
+  const flights = new Map<string, Promise<T>>();
 
   function run(identity: string | undefined, start: () => Promise<T>): Promise<T> {
     if (identity === undefined) return start();
     const flight = flights.get(identity);
-    if (flight) return flight.result;
+    if (flight) return flight;
     const result = start();
-    flights.set(identity, { beganAt: clock.now(), result });
+    flights.set(identity, result);
     void result.finally(over);
     function over(): void {
       flights.delete(identity!);
@@ -32,10 +24,9 @@
     return result;
   }
 
-  function underWayForMs(identity: string): number | undefined {
-    const flight = flights.get(identity);
-    return flight && clock.now() - flight.beganAt;
+  function isUnderWay(identity: string): boolean {
+    return flights.has(identity);
   }
 
-  return { run, underWayForMs };
+  return { run, isUnderWay };
 }
--- a/src/shared/bounds.ts
+++ b/src/shared/bounds.ts
@@ -36,8 +36,8 @@
   joinSoon: number;
   /** Whoever is asked to make a change in another's place waits this long for it. */
   handOver: number;
-  /** An order that its owner works on for longer may be made by another in its place. */
-  orderStuck: number;
+  /** An owner that tells that it works on an order is waited for so much longer. */
+  orderUnderWay: number;
   /**
    * A voter that is unreachable for this long gives way to a machine that is here. What follows takes up to
    * `leaseHeld`, until no router goes by the old set alone, and must be over `catchUpMs` after that machine's start.
@@ -100,7 +100,7 @@
     repairEach: s.changeBoundMs * 5,
     joinSoon: s.changeBoundMs * 0.15,
     handOver: s.ackMs * 0.1,
-    orderStuck: s.ackMs * 0.35,
+    orderUnderWay: s.ackMs * 0.35,
     lost: s.catchUpMs * 0.25,
     repair: s.catchUpMs * 0.5,
     leave: s.graceMs * 0.75,
