--- a/test/model.test.ts
+++ b/test/model.test.ts
@@ -67,6 +67,22 @@
   expect(found.foundAfter).toBeLessThanOrEqual(schedules);
 }
 
+/** Further mutations: what each breaks, the world, and the most schedules it may take. */
+const FURTHER_MUTATIONS: [mutation: string, world: string, schedules: number][] = [
+  ['verdict-majority', 'crash', 60],
+];
+
+async function catchesFurther(mutation: string, world: string, schedules: number): Promise<void> {
+  const invariant = MUTATIONS[mutation].breaks!;
+  const subject = {
+    plan: WORLDS[world],
+    mutation: MUTATIONS[mutation],
+    known: othersThan(invariant),
+  };
+  const found = await exploreRandomly(subject, { schedules, shrinks: 0 }, SEED);
+  expect(found.broken?.violations).toMatchObject([{ invariant }]);
+}
+
 async function isReproducible(): Promise<void> {
   async function steps(): Promise<string[]> {
     const subject = {
@@ -84,6 +100,7 @@
 test.each(['race', 'power', 'wipe'])('the invariants hold at random in world %s', holdsAtRandom);
 test('the invariants hold in the first schedules of an exhaustive search', holdsExhaustively);
 test.each(Object.keys(INVARIANTS) as InvariantName[])('%s is seen to catch', catches);
+test.each(FURTHER_MUTATIONS)('%s is seen to be caught in world %s', catchesFurther);
 test('a seed names the same schedule each time', isReproducible);
 
 /** Schedules that broke an invariant before its cause was mended: file, world. */
--- a/tools/model/mutations.ts
+++ b/tools/model/mutations.ts
@@ -267,6 +267,11 @@
     summary: 'a read asks no majority',
     reads: readHere,
   },
+  'verdict-majority': {
+    breaks: 'taken-stays-taken',
+    summary: 'a verdict that is given by a read asks no majority',
+    reads: readHere,
+  },
   'order-memory': {
     breaks: 'taken-stays-taken',
     withoutVerdictsByRead: true,
