--- a/test/platform-long-changes.test.ts
+++ b/test/platform-long-changes.test.ts
@@ -10,14 +10,16 @@
   { at: 6000, trouble: 'revoke' },
 ];
 
-/** Invalid changes of each kind amid storms and long changes. */
+/** Invalid changes of each kind, whole and of named items, amid storms and long changes. */
 const INVALID: SoakStep[] = [
   { at: 500, trouble: 'config-storm' },
   { at: 1000, trouble: 'bad-config' },
   { at: 3000, trouble: 'long-changes' },
   { at: 3200, trouble: 'bad-config' },
+  { at: 3400, trouble: 'bad-update' },
   { at: 4500, trouble: 'config-storm' },
   { at: 5000, trouble: 'bad-config' },
+  { at: 5200, trouble: 'bad-update' },
 ];
 
 async function longChanges(): Promise<void> {
--- a/tools/fleet/soak.ts
+++ b/tools/fleet/soak.ts
@@ -40,6 +40,8 @@
   'config-storm',
   'config-storm',
   'long-changes',
+  'bad-config',
+  'bad-update',
   'race',
   'revoke',
   'version-bump',
--- a/tools/fleet/troubles.ts
+++ b/tools/fleet/troubles.ts
@@ -1,4 +1,5 @@
 import { wholeHash } from '../../src/shared/lib';
+import { SPOILT, spoiltItems } from './invalid-changes';
 import { ConfigDoc, ConfigSent, troubled } from '../standins/platform/book';
 import { Day } from '../standins/platform/day';
 import { EngineLife } from '../standins/platform/engine';
@@ -266,23 +267,25 @@
 
 async function badConfig(p: Played): Promise<void> {
   const { day } = p;
-  function unknown(doc: ConfigDoc): void {
-    doc.routes[0].service = 'nobody';
-  }
-  function same(doc: ConfigDoc): void {
-    doc.routes.push({ ...doc.routes[0], name: 'twin' });
-  }
-  function shared(doc: ConfigDoc): void {
-    doc.tenants[1].apiKeys.push(doc.tenants[0].apiKeys[0]);
-  }
   function older(doc: ConfigDoc): void {
     doc.revision = day.config.revision;
     doc.limits.idleTimeoutMs++;
   }
-  function zero(doc: ConfigDoc): void {
-    doc.routes[0].timeoutMs = 0;
+  for (const spoil of [...SPOILT, older]) await change(p, spoil);
+}
+
+/** The same through changes of named items. */
+async function badUpdate(p: Played): Promise<void> {
+  const { day } = p;
+  for (const spoil of SPOILT) {
+    const base = day.config.revision;
+    const doc = JSON.parse(JSON.stringify(day.config)) as ConfigDoc;
+    doc.revision = base + 1;
+    spoil(doc);
+    await day.operator.update(spoiltItems(day.config, doc), doc, base, 20000);
   }
-  for (const spoil of [unknown, same, shared, older, zero]) await change(p, spoil);
+  const same = { ...day.config };
+  await day.operator.update({ revision: same.revision }, same, same.revision, 20000);
 }
 
 async function eventsLost(p: Played): Promise<void> {
@@ -344,6 +347,7 @@
   'long-changes': longChanges,
   race,
   'bad-config': badConfig,
+  'bad-update': badUpdate,
   garble: engines('garble', { garble: 0.3 }, WHILE),
   'lost-answers': engines('lost', { lost: 0.3 }, WHILE),
   'break-off': engines('break', { breakOff: 0.3 }, WHILE),
