--- a/src/shared/settings/settings.ts
+++ b/src/shared/settings/settings.ts
@@ -62,6 +62,15 @@
   /** An engine's address is not given to another within this. */
   reuseMs: number;
   revokeMs: number;
+  /** Zones that may be lost at once, each with all of its machines. */
+  toleratedZones: number;
+  /** An evacuated zone's engines get no new work after this. */
+  evacuateMs: number;
+  /** After a cut has healed, every controller counts all acknowledged additions to tallies within this. */
+  mergeMs: number;
+  /** Requests a second that a cold engine may get, as a ratio to what it bears, and how many more. */
+  warmUpOvershootRatio: number;
+  warmUpSlack: number;
   /** Calls a second that the platform takes from the whole fleet. */
   platformRate: number;
   platformLagMs: number;
@@ -233,6 +242,31 @@
     default: 2000,
   },
   revokeMs: { doc: 'a withdrawn key is refused within this', format: positive, default: 5000 },
+  toleratedZones: {
+    doc: 'zones that may be lost at once, each with all of its machines',
+    format: notNegative,
+    default: 0,
+  },
+  evacuateMs: {
+    doc: "an evacuated zone's engines get no new work after this",
+    format: positive,
+    default: 5000,
+  },
+  mergeMs: {
+    doc: 'after a cut has healed, all acknowledged additions to tallies are counted everywhere within this',
+    format: positive,
+    default: 3000,
+  },
+  warmUpOvershootRatio: {
+    doc: 'requests a second that a cold engine may get, as a ratio to what it bears',
+    format: positive,
+    default: 1.5,
+  },
+  warmUpSlack: {
+    doc: 'requests a second that a cold engine may get beside that ratio',
+    format: notNegative,
+    default: 5,
+  },
   platformRate: {
     doc: 'calls a second that the platform takes from the whole fleet',
     format: positive,
--- a/src/shared/state/control-keys.ts
+++ b/src/shared/state/control-keys.ts
@@ -11,4 +11,5 @@
   weights: 'weights/',
   deployment: 'deployment',
   duty: 'duty/',
+  evacuations: 'evacuations',
 } as const;
--- a/src/shared/state/deployment.ts
+++ b/src/shared/state/deployment.ts
@@ -38,6 +38,10 @@
   linkMbps: number;
   /** Calls of the cache feed that one engine holds at once. */
   feedCalls: number;
+  /** How long an engine is cold after its start, in ms; 0 where it is not. */
+  warmUpMs: number;
+  /** Requests a second that a cold engine bears; 0 where nothing is said. */
+  warmUpPerS: number;
   models: string[];
 }
 
--- a/test/data/gateway-fixture.ts
+++ b/test/data/gateway-fixture.ts
@@ -145,6 +145,8 @@
         tokenBytes: 10,
         linkMbps: 100,
         feedCalls: 4,
+        warmUpMs: 0,
+        warmUpPerS: 0,
         models: ['m'],
       },
     ],
--- a/test/platform/settings-file.test.ts
+++ b/test/platform/settings-file.test.ts
@@ -28,6 +28,7 @@
 b = "r"
 [faultTolerance]
 machines = 1
+zones = 1
 [limits]
 cpuShare = 0.81
 memoryMb = 346
@@ -39,6 +40,10 @@
 revocationStrict = false
 retryWindowS = 10
 graceS = 8
+evacuateMs = 5500
+mergeMs = 3500
+warmupOvershoot = 1.25
+warmupSlack = 6
 [platformApi]
 address = "10.200.0.56:8161"
 ratePerS = 47.0
@@ -71,6 +76,11 @@
     memoryMb: 346,
     cores: 0.81,
     tolerated: 1,
+    toleratedZones: 1,
+    evacuateMs: 5500,
+    mergeMs: 3500,
+    warmUpOvershootRatio: 1.25,
+    warmUpSlack: 6,
     zones: { a: 'r', b: 'r' },
     data: '/data/x',
     bootstrap: true,
