--- a/src/index/block-store.ts
+++ b/src/index/block-store.ts
@@ -35,61 +35,43 @@
   childCountsOfMissing: Map<string, number>;
 }
 
-/** Blocks and their holdings, in order of use. */
-export interface BlockStore {
-  tree: (model: string, salt: string) => PrefixTree | undefined;
-  block: (model: string, salt: string, hash: string) => BlockNode | undefined;
-  /** All blocks, the least recently used first. */
-  all: () => IterableIterator<BlockNode>;
-  /** The blocks that a source holds. */
-  heldBy: (source: string) => ReadonlySet<BlockNode>;
-  find: (node: BlockNode, source: string, weights: string) => Holding | undefined;
-  /** Notes that a source holds a block. */
-  store: (source: string, event: BlockEvent) => BlockNode;
-  /** Notes that a source holds a block no longer. */
-  release: (source: string, weights: string, node: BlockNode) => void;
-  /** Marks a block as used just now. */
-  touch: (node: BlockNode) => void;
-  /** Moves a block below another parent. */
-  setParent: (node: BlockNode, parent: string) => void;
-  size: () => number;
-  /** How many blocks were evicted so far. */
-  evicted: () => number;
-}
-
 const NO_BLOCKS: ReadonlySet<BlockNode> = new Set();
 
 function treeKey(model: string, salt: string): string {
   return JSON.stringify([model, salt]);
 }
 
-/** Makes an empty store of at most this many blocks. */
-export function makeBlockStore(maxBlocks: number): BlockStore {
-  const trees = new Map<string, PrefixTree>();
+/** Blocks and their holdings, in order of use; empty at first. */
+export class BlockStore {
+  private readonly trees = new Map<string, PrefixTree>();
   /** All blocks, in order of use. */
-  const byUse = new Map<BlockNode, true>();
-  const bySource = new Map<string, Set<BlockNode>>();
-  let evictedCount = 0;
+  private readonly byUse = new Map<BlockNode, true>();
+  private readonly bySource = new Map<string, Set<BlockNode>>();
+  private evictedCount = 0;
 
-  function ensureTree(model: string, salt: string): PrefixTree {
+  /** Keeps at most `maxBlocks`. */
+  constructor(private readonly maxBlocks: number) {}
+
+  private ensureTree(model: string, salt: string): PrefixTree {
     const key = treeKey(model, salt);
-    const tree = trees.get(key) ?? {
+    const tree = this.trees.get(key) ?? {
       model,
       salt,
       nodes: new Map<string, BlockNode>(),
       childCountsOfMissing: new Map<string, number>(),
     };
-    trees.set(key, tree);
+    this.trees.set(key, tree);
     return tree;
   }
 
-  function touch(node: BlockNode): void {
-    byUse.delete(node);
-    byUse.set(node, true);
+  /** Marks a block as used just now. */
+  touch(node: BlockNode): void {
+    this.byUse.delete(node);
+    this.byUse.set(node, true);
   }
 
   /** Counts a block's children, also while the block itself is not held. */
-  function addChildren(tree: PrefixTree, parent: string, more: number): void {
+  private addChildren(tree: PrefixTree, parent: string, more: number): void {
     const node = tree.nodes.get(parent);
     if (node) {
       node.childCount += more;
@@ -100,36 +82,37 @@
     else tree.childCountsOfMissing.delete(parent);
   }
 
-  function remove(node: BlockNode): void {
+  private remove(node: BlockNode): void {
     const { tree } = node;
     tree.nodes.delete(node.hash);
-    byUse.delete(node);
-    addChildren(tree, node.parent, -1);
+    this.byUse.delete(node);
+    this.addChildren(tree, node.parent, -1);
     if (node.childCount > 0) tree.childCountsOfMissing.set(node.hash, node.childCount);
-    for (const { source } of node.holdings) bySource.get(source)?.delete(node);
-    if (tree.nodes.size === 0) trees.delete(treeKey(tree.model, tree.salt));
+    for (const { source } of node.holdings) this.bySource.get(source)?.delete(node);
+    if (tree.nodes.size === 0) this.trees.delete(treeKey(tree.model, tree.salt));
   }
 
-  function find(node: BlockNode, source: string, weights: string): Holding | undefined {
+  /** What a source holds of a block under some weights. */
+  find(node: BlockNode, source: string, weights: string): Holding | undefined {
     for (const holding of node.holdings)
       if (holding.source === source && holding.weights === weights) return holding;
     return undefined;
   }
 
-  function ensureNode({ model, salt, hash, parent, size }: BlockEvent): BlockNode {
-    const tree = ensureTree(model, salt);
+  private ensureNode({ model, salt, hash, parent, size }: BlockEvent): BlockNode {
+    const tree = this.ensureTree(model, salt);
     const known = tree.nodes.get(hash);
     if (known) return known;
     const childCount = tree.childCountsOfMissing.get(hash) ?? 0;
     const node: BlockNode = { hash, parent, size, childCount, holdings: [], tree };
     tree.childCountsOfMissing.delete(hash);
     tree.nodes.set(hash, node);
-    addChildren(tree, parent, 1);
+    this.addChildren(tree, parent, 1);
     return node;
   }
 
-  function setHolding(node: BlockNode, source: string, { weights, size }: BlockEvent): void {
-    const known = find(node, source, weights);
+  private setHolding(node: BlockNode, source: string, { weights, size }: BlockEvent): void {
+    const known = this.find(node, source, weights);
     if (known) {
       known.doubted = false;
       known.kept = size;
@@ -138,84 +121,79 @@
     }
   }
 
-  function store(source: string, event: BlockEvent): BlockNode {
-    const node = ensureNode(event);
+  /** Notes that a source holds a block. */
+  store(source: string, event: BlockEvent): BlockNode {
+    const node = this.ensureNode(event);
     node.size = Math.max(node.size, event.size);
-    setHolding(node, source, event);
-    const held = bySource.get(source) ?? new Set<BlockNode>();
+    this.setHolding(node, source, event);
+    const held = this.bySource.get(source) ?? new Set<BlockNode>();
     held.add(node);
-    bySource.set(source, held);
-    touch(node);
-    if (byUse.size > maxBlocks) evict();
+    this.bySource.set(source, held);
+    this.touch(node);
+    if (this.byUse.size > this.maxBlocks) this.evict();
     return node;
   }
 
   /** Evicts leaves, the least recently used first; where that is not enough, any blocks. */
-  function evict(): void {
-    for (const node of byUse.keys()) {
+  private evict(): void {
+    for (const node of this.byUse.keys()) {
       if (node.childCount > 0) continue;
-      remove(node);
-      evictedCount++;
-      if (byUse.size <= maxBlocks) return;
+      this.remove(node);
+      this.evictedCount++;
+      if (this.byUse.size <= this.maxBlocks) return;
     }
-    for (const node of byUse.keys()) {
-      if (byUse.size <= maxBlocks) return;
-      remove(node);
-      evictedCount++;
+    for (const node of this.byUse.keys()) {
+      if (this.byUse.size <= this.maxBlocks) return;
+      this.remove(node);
+      this.evictedCount++;
     }
   }
 
-  function release(source: string, weights: string, node: BlockNode): void {
+  /** Notes that a source holds a block no longer. */
+  release(source: string, weights: string, node: BlockNode): void {
     function isOfSource(holding: Holding): boolean {
       return holding.source === source;
     }
-    const holding = find(node, source, weights);
+    const holding = this.find(node, source, weights);
     if (holding) node.holdings.splice(node.holdings.indexOf(holding), 1);
-    if (!node.holdings.some(isOfSource)) bySource.get(source)?.delete(node);
-    if (node.holdings.length === 0) remove(node);
+    if (!node.holdings.some(isOfSource)) this.bySource.get(source)?.delete(node);
+    if (node.holdings.length === 0) this.remove(node);
   }
 
-  function tree(model: string, salt: string): PrefixTree | undefined {
-    return trees.get(treeKey(model, salt));
+  /** The blocks of a model under a cache salt. */
+  tree(model: string, salt: string): PrefixTree | undefined {
+    return this.trees.get(treeKey(model, salt));
   }
 
-  function block(model: string, salt: string, hash: string): BlockNode | undefined {
-    return tree(model, salt)?.nodes.get(hash);
+  /** A block by its hash. */
+  block(model: string, salt: string, hash: string): BlockNode | undefined {
+    return this.tree(model, salt)?.nodes.get(hash);
   }
 
-  function all(): IterableIterator<BlockNode> {
-    return byUse.keys();
+  /** All blocks, the least recently used first. */
+  all(): IterableIterator<BlockNode> {
+    return this.byUse.keys();
   }
 
-  function heldBy(source: string): ReadonlySet<BlockNode> {
-    return bySource.get(source) ?? NO_BLOCKS;
+  /** The blocks that a source holds. */
+  heldBy(source: string): ReadonlySet<BlockNode> {
+    return this.bySource.get(source) ?? NO_BLOCKS;
   }
 
-  function setParent(node: BlockNode, parent: string): void {
-    addChildren(node.tree, node.parent, -1);
+  /** Moves a block below another parent. */
+  setParent(node: BlockNode, parent: string): void {
+    this.addChildren(node.tree, node.parent, -1);
     node.parent = parent;
-    addChildren(node.tree, node.parent, 1);
+    this.addChildren(node.tree, node.parent, 1);
   }
 
-  function size(): number {
-    return byUse.size;
+  /** How many blocks there are. */
+  size(): number {
+    return this.byUse.size;
   }
 
-  function evicted(): number {
-    return evictedCount;
+  /** How many blocks were evicted so far. */
+  evicted(): number {
+    return this.evictedCount;
   }
-
-  return {
-    tree,
-    block,
-    all,
-    heldBy,
-    find,
-    store,
-    release,
-    touch,
-    setParent,
-    size,
-    evicted,
-  };
 }
--- a/src/index/gap-filler.ts
+++ b/src/index/gap-filler.ts
@@ -36,31 +36,26 @@
   apply: (source: string, epoch: string, batch: EventBatch) => void;
 }
 
-/** The gaps of an indexer's sources. */
-export interface GapFiller {
-  /** Asks peers for the batches behind a position and before `next`; those that none has are lost. */
-  fill: (source: string, position: FeedPosition, next: number) => Promise<void>;
-  statsOf: (source: string) => SourceGapStats;
-  forget: (source: string) => void;
-}
-
 /** Peers are asked for no more than this many of a gap's newest batches. */
 const MAX_REQUESTED_BATCHES = 2048;
 
-/** Makes the gaps of an indexer; there are none yet. */
-export function makeGapFiller(dependencies: GapFillerDependencies): GapFiller {
-  const { ports, timeLimits, trees, peers, repair, counts, positionOf, apply } = dependencies;
-  const bySource = new Map<string, SourceGapStats>();
+/** The gaps of an indexer's sources; none at first. */
+export class GapFiller {
+  private readonly bySource = new Map<string, SourceGapStats>();
 
-  async function fill(source: string, position: FeedPosition, next: number): Promise<void> {
-    const stats = statsOf(source);
-    bySource.set(source, stats);
+  constructor(private readonly dependencies: GapFillerDependencies) {}
+
+  /** Asks peers for the batches behind a position and before `next`; those that none has are lost. */
+  async fill(source: string, position: FeedPosition, next: number): Promise<void> {
+    const { counts, apply } = this.dependencies;
+    const stats = this.statsOf(source);
+    this.bySource.set(source, stats);
     stats.gaps++;
     counts.gaps++;
-    const found = await requestFromPeers(source, position, next);
-    if (isPassed(source, position.epoch, next)) return;
+    const found = await this.requestFromPeers(source, position, next);
+    if (this.isPassed(source, position.epoch, next)) return;
     const lostBatches = next - 1 - position.seq - found.size;
-    if (lostBatches > 0) noteLost(source, position, lostBatches);
+    if (lostBatches > 0) this.noteLost(source, position, lostBatches);
     for (const number of [...found.keys()].sort(ascending))
       apply(source, position.epoch, found.get(number)!);
     counts.repairedBatches += found.size;
@@ -69,12 +64,13 @@
   }
 
   /** Whether a repair has meanwhile taken over what the source keeps, the gap included. */
-  function isPassed(source: string, epoch: string, next: number): boolean {
-    const current = positionOf(source);
+  private isPassed(source: string, epoch: string, next: number): boolean {
+    const current = this.dependencies.positionOf(source);
     return current.epoch !== epoch || current.seq >= next - 1;
   }
 
-  function noteLost(source: string, position: FeedPosition, lostBatches: number): void {
+  private noteLost(source: string, position: FeedPosition, lostBatches: number): void {
+    const { ports, trees, repair } = this.dependencies;
     trees.markDoubted(source);
     repair.noteLost(source, lostBatches);
     ports.logger.warn(
@@ -83,14 +79,16 @@
     );
   }
 
-  async function requestFromPeers(
+  private async requestFromPeers(
     source: string,
     { epoch, seq }: FeedPosition,
     next: number,
   ): Promise<Map<number, EventBatch>> {
+    const { peers, timeLimits } = this.dependencies;
     const request = { source, epoch, from: seq + 1, to: next - 1 };
     const missing = new Set<number>();
-    for (let n = Math.max(seq + 1, next - MAX_REQUESTED_BATCHES); n < next; n++) missing.add(n);
+    const first = Math.max(seq + 1, next - MAX_REQUESTED_BATCHES);
+    for (let number = first; number < next; number++) missing.add(number);
     const found = new Map<number, EventBatch>();
     for (const address of peers.peerAddresses()) {
       if (found.size === missing.size) break;
@@ -105,15 +103,15 @@
     return found;
   }
 
-  function statsOf(source: string): SourceGapStats {
-    return bySource.get(source) ?? { gaps: 0, repaired: 0 };
+  /** The gaps of one source so far. */
+  statsOf(source: string): SourceGapStats {
+    return this.bySource.get(source) ?? { gaps: 0, repaired: 0 };
   }
 
-  function forget(source: string): void {
-    bySource.delete(source);
+  /** Forgets a source that is listed no more. */
+  forget(source: string): void {
+    this.bySource.delete(source);
   }
-
-  return { fill, statsOf, forget };
 }
 
 function ascending(a: number, b: number): number {
--- a/src/index/indexer.ts
+++ b/src/index/indexer.ts
@@ -15,10 +15,10 @@
 import { addressOf } from '../shared/state/voter-set';
 import { BatchRing } from './batch-ring';
 import { CacheSources, makeOwnSources, makePlatformSources, Registration } from './cache-sources';
-import { ExpectedBlocks, ExpiredExpectation, makeExpectedBlocks } from './expected-blocks';
+import { ExpectedBlocks, ExpiredExpectation } from './expected-blocks';
 import { FeedListener, ListenerView } from './feed-listener';
 import { FeedProcessor } from './feed-processor';
-import { GapCounts, GapFiller, makeGapFiller } from './gap-filler';
+import { GapCounts, GapFiller } from './gap-filler';
 import {
   blocksOf,
   CompactDump,
@@ -28,7 +28,7 @@
   OverlapQuery,
   ReuseReport,
 } from './index-handlers';
-import { makeLoadBoard } from './load-board';
+import { LoadBoard } from './load-board';
 import { OverlapHandlers } from './overlap-handlers';
 import { requestPeerDump } from './peer-dump';
 import { makePrefixTrees, Overlap, PrefixTrees } from './prefix-trees';
@@ -153,7 +153,7 @@
       ? makePlatformSources(ports, this.timeLimits, adapter)
       : makeOwnSources(ports, this.timeLimits);
     this.expectedBlocks = this.makeExpectedBlocks();
-    const loads = makeLoadBoard(ports.clock.now, this.timeLimits.loadReportExpiryMs);
+    const loads = new LoadBoard(ports.clock.now, this.timeLimits.loadReportExpiryMs);
     this.repair = this.makeRepair();
     this.gaps = this.makeGaps();
     this.feeds = this.makeFeeds();
@@ -215,7 +215,7 @@
   }
 
   private makeExpectedBlocks(): ExpectedBlocks {
-    return makeExpectedBlocks(
+    return new ExpectedBlocks(
       this.ports.clock.now,
       this.timeLimits.pendingBlockTtlMs,
       Math.ceil(this.settings.indexMostParts * EXPECTED_BLOCKS_RATIO),
@@ -238,7 +238,7 @@
   }
 
   private makeGaps(): GapFiller {
-    return makeGapFiller({
+    return new GapFiller({
       ports: this.ports,
       timeLimits: this.timeLimits,
       trees: this.trees,
--- a/src/index/load-board.ts
+++ b/src/index/load-board.ts
@@ -21,16 +21,6 @@
   isCounted: boolean;
 }
 
-/** The load board. */
-export interface LoadBoard {
-  /** Takes a router's loads on one of its connections and tells it those of the others. */
-  report: (connection: object, router: string, report: LoadReport) => LoadReply;
-  /** A connection has ended: its router's loads go. */
-  drop: (connection: object) => void;
-  /** The sums over all routers. */
-  totals: () => EngineLoad[];
-}
-
 function toEngineLoad(engine: string, [running, unread, held]: Load): EngineLoad {
   return held > 0 ? [engine, running, unread, held] : [engine, running, unread];
 }
@@ -49,74 +39,83 @@
   return sum[0] - own[0] === told[0] && sum[1] - own[1] === told[1];
 }
 
-/** Makes an empty board; a router that has not reported for `expiryMs` does not count until it reports again. */
-export function makeLoadBoard(now: () => number, expiryMs: number): LoadBoard {
-  const routers = new Map<object, RouterLoads>();
-  const sums = new Map<string, Load>();
+/** The load board; empty at first. */
+export class LoadBoard {
+  /** By connection. */
+  private readonly routers = new Map<object, RouterLoads>();
+  private readonly sums = new Map<string, Load>();
 
-  function addToSum(engine: string, [running, unread, held]: Load, sign: 1 | -1): void {
-    const sum = sums.get(engine) ?? [0, 0, 0];
+  /** A router that has not reported for `expiryMs` does not count until it reports again. */
+  constructor(
+    private readonly now: () => number,
+    private readonly expiryMs: number,
+  ) {}
+
+  private addToSum(engine: string, [running, unread, held]: Load, sign: 1 | -1): void {
+    const sum = this.sums.get(engine) ?? [0, 0, 0];
     sum[0] += running * sign;
     sum[1] += unread * sign;
     sum[2] += held * sign;
-    if (isIdle(sum)) sums.delete(engine);
-    else sums.set(engine, sum);
+    if (isIdle(sum)) this.sums.delete(engine);
+    else this.sums.set(engine, sum);
   }
 
-  function setCounted(router: RouterLoads, isCounted: boolean): void {
+  private setCounted(router: RouterLoads, isCounted: boolean): void {
     if (router.isCounted === isCounted) return;
     router.isCounted = isCounted;
-    for (const [engine, load] of router.own) addToSum(engine, load, isCounted ? 1 : -1);
+    for (const [engine, load] of router.own) this.addToSum(engine, load, isCounted ? 1 : -1);
   }
 
-  function expireSilent(): void {
-    const oldest = now() - expiryMs;
-    for (const router of routers.values())
-      if (router.reportedAt < oldest) setCounted(router, false);
+  private expireSilent(): void {
+    const oldest = this.now() - this.expiryMs;
+    for (const router of this.routers.values())
+      if (router.reportedAt < oldest) this.setCounted(router, false);
   }
 
-  function setOwn(router: RouterLoads, engine: string, load: Load): void {
+  private setOwn(router: RouterLoads, engine: string, load: Load): void {
     const before = router.own.get(engine);
-    if (before) addToSum(engine, before, -1);
+    if (before) this.addToSum(engine, before, -1);
     if (isIdle(load)) router.own.delete(engine);
     else router.own.set(engine, load);
-    addToSum(engine, load, 1);
+    this.addToSum(engine, load, 1);
   }
 
   /** The router of a connection; a new connection of a router replaces its earlier ones. */
-  function routerOf(connection: object, name: string): RouterLoads {
-    const known = routers.get(connection);
+  private routerOf(connection: object, name: string): RouterLoads {
+    const known = this.routers.get(connection);
     if (known) return known;
-    for (const [earlier, router] of [...routers]) if (router.name === name) drop(earlier);
+    for (const [earlier, router] of [...this.routers]) if (router.name === name) this.drop(earlier);
     const router: RouterLoads = {
       name,
       own: new Map(),
       told: new Map(),
-      reportedAt: now(),
+      reportedAt: this.now(),
       isCounted: true,
     };
-    routers.set(connection, router);
+    this.routers.set(connection, router);
     return router;
   }
 
-  function report(connection: object, name: string, loads: LoadReport): LoadReply {
-    const isFirst = !routers.has(connection);
-    const router = routerOf(connection, name);
-    router.reportedAt = now();
-    setCounted(router, true);
-    if (loads.full) for (const engine of [...router.own.keys()]) setOwn(router, engine, NO_LOAD);
+  /** Takes a router's loads on one of its connections and tells it those of the others. */
+  report(connection: object, name: string, loads: LoadReport): LoadReply {
+    const isFirst = !this.routers.has(connection);
+    const router = this.routerOf(connection, name);
+    router.reportedAt = this.now();
+    this.setCounted(router, true);
+    if (loads.full)
+      for (const engine of [...router.own.keys()]) this.setOwn(router, engine, NO_LOAD);
     for (const [engine, running, unread, held] of loads.own)
-      setOwn(router, engine, [running, unread, held ?? 0]);
-    expireSilent();
+      this.setOwn(router, engine, [running, unread, held ?? 0]);
+    this.expireSilent();
     const full = isFirst || loads.full;
     if (full) router.told.clear();
-    return { full, others: takeChanges(router) };
+    return { full, others: this.takeChanges(router) };
   }
 
   /** The loads of all other routers that differ from what a router was last told. */
-  function takeChanges(router: RouterLoads): EngineLoad[] {
+  private takeChanges(router: RouterLoads): EngineLoad[] {
     const changes: EngineLoad[] = [];
-    for (const [engine, sum] of sums) {
+    for (const [engine, sum] of this.sums) {
       const own = router.own.get(engine) ?? NO_LOAD;
       if (isTold(sum, own, router.told.get(engine) ?? NO_LOAD)) continue;
       const others = difference(sum, own);
@@ -125,26 +124,26 @@
       else router.told.set(engine, others);
     }
     for (const engine of [...router.told.keys()]) {
-      if (sums.has(engine)) continue;
+      if (this.sums.has(engine)) continue;
       changes.push([engine, 0, 0]);
       router.told.delete(engine);
     }
     return changes;
   }
 
-  function drop(connection: object): void {
-    const router = routers.get(connection);
+  /** A connection has ended: its router's loads go. */
+  drop(connection: object): void {
+    const router = this.routers.get(connection);
     if (!router) return;
-    setCounted(router, false);
-    routers.delete(connection);
+    this.setCounted(router, false);
+    this.routers.delete(connection);
   }
 
-  function totals(): EngineLoad[] {
-    expireSilent();
+  /** The sums over all routers. */
+  totals(): EngineLoad[] {
+    this.expireSilent();
     const loads: EngineLoad[] = [];
-    for (const [engine, sum] of sums) loads.push(toEngineLoad(engine, sum));
+    for (const [engine, sum] of this.sums) loads.push(toEngineLoad(engine, sum));
     return loads;
   }
-
-  return { report, drop, totals };
 }
--- a/src/index/prefix-trees.ts
+++ b/src/index/prefix-trees.ts
@@ -5,7 +5,7 @@
 
 import { BlockEvent, PromptBlock } from '../shared/contracts/engine';
 import { WireBlock } from '../shared/contracts/indexer';
-import { BlockNode, BlockStore, Holding, makeBlockStore, PrefixTree } from './block-store';
+import { BlockNode, BlockStore, Holding, PrefixTree } from './block-store';
 
 /** What one source has of a prompt from its first block on. The field names are sent. */
 export interface Overlap {
@@ -78,7 +78,7 @@
 
 /** Makes empty trees; past `maxBlocks` the least recently used leaves go first. */
 export function makePrefixTrees(maxBlocks: number): PrefixTrees {
-  const blocks = makeBlockStore(maxBlocks);
+  const blocks = new BlockStore(maxBlocks);
   const trees = new StoredPrefixTrees(blocks);
   return {
     apply: trees.apply.bind(trees),
@@ -92,9 +92,9 @@
     rows: trees.rows.bind(trees),
     loadRows: trees.loadRows.bind(trees),
     replace: trees.replace.bind(trees),
-    size: blocks.size,
+    size: blocks.size.bind(blocks),
     blockCount: trees.blockCount.bind(trees),
-    evicted: blocks.evicted,
+    evicted: blocks.evicted.bind(blocks),
   };
 }
 
--- a/test/index/index-loads.test.ts
+++ b/test/index/index-loads.test.ts
@@ -1,5 +1,5 @@
-import { makeExpectedBlocks, ExpiredExpectation } from '../../src/index/expected-blocks';
-import { makeLoadBoard } from '../../src/index/load-board';
+import { ExpectedBlocks, ExpiredExpectation } from '../../src/index/expected-blocks';
+import { LoadBoard } from '../../src/index/load-board';
 import { computeOverlap } from '../../src/index/overlap';
 import { OverlapHandlers } from '../../src/index/overlap-handlers';
 import { PeerChannel } from '../../src/shared/transport/peer-channel';
@@ -47,7 +47,7 @@
 
 function othersOnly(): void {
   time = 0;
-  const board = makeLoadBoard(now, 900);
+  const board = new LoadBoard(now, 900);
   const [a, b] = [{}, {}];
   expect(
     board.report(a, 'r1', {
@@ -90,7 +90,7 @@
 
 function endsWithItsRouter(): void {
   time = 0;
-  const board = makeLoadBoard(now, 900);
+  const board = new LoadBoard(now, 900);
   const [a, b, b2] = [{}, {}, {}];
   board.report(a, 'r1', { full: true, own: [] });
   board.report(b, 'r2', { full: true, own: [['e1', 3, 30]] });
@@ -106,7 +106,7 @@
 
 function silentDoesNotCount(): void {
   time = 0;
-  const board = makeLoadBoard(now, 900);
+  const board = new LoadBoard(now, 900);
   const [a, b] = [{}, {}];
   board.report(b, 'r2', { full: true, own: [['e1', 3, 30]] });
   time = 800;
@@ -128,7 +128,7 @@
     return Math.floor(seed / 65536) % n;
   }
   time = 0;
-  const board = makeLoadBoard(now, 1e9);
+  const board = new LoadBoard(now, 1e9);
   const plain = new Map<number, Map<string, [number, number]>>();
   const seen = new Map<number, Map<string, [number, number]>>();
   const links = [{}, {}, {}, {}];
@@ -165,7 +165,7 @@
 function keptFromTheFront(): void {
   time = 0;
   const trees = makePrefixTrees(1000);
-  const coming = makeExpectedBlocks(now, 1500, 100, none);
+  const coming = new ExpectedBlocks(now, 1500, 100, none);
   for (const [h, s] of PROMPT) keep(trees, 'e1', h, s);
   keep(trees, 'e2', 'a', 800);
   keep(trees, 'e2', 'c', 250);
@@ -194,7 +194,7 @@
   time = 0;
   const trees = makePrefixTrees(1000);
   const out: ExpiredExpectation[] = [];
-  const coming = makeExpectedBlocks(now, 1500, 100, out.push.bind(out));
+  const coming = new ExpectedBlocks(now, 1500, 100, out.push.bind(out));
   const [r1, r2] = [{}, {}];
   keep(trees, 'e1', 'a', 800);
   function keeps([h]: WireBlock): boolean {
@@ -218,7 +218,7 @@
 async function comesToStores(): Promise<void> {
   time = 0;
   const trees = makePrefixTrees(1000);
-  const coming = makeExpectedBlocks(now, 1500, 100, none);
+  const coming = new ExpectedBlocks(now, 1500, 100, none);
   let open = false;
   function ready(): boolean {
     return open;
@@ -230,7 +230,7 @@
     // does nothing on purpose
   }
   const router = { closed: new Promise<void>(never), peer: 'r1' } as unknown as PeerChannel;
-  const edge = new OverlapHandlers(trees, coming, makeLoadBoard(now, 900), reached, ready);
+  const edge = new OverlapHandlers(trees, coming, new LoadBoard(now, 900), reached, ready);
   keep(trees, 'store', 'a', 800);
   await edge.placed({ ...ask(), engine: 'e1', store: 'store' }, router);
   expect((await edge.overlap(ask())).extract()).toMatchObject({
@@ -250,7 +250,7 @@
 
 function notesAreBounded(): void {
   time = 0;
-  const coming = makeExpectedBlocks(now, 1500, 100, none);
+  const coming = new ExpectedBlocks(now, 1500, 100, none);
   function never(): boolean {
     return false;
   }
@@ -265,7 +265,7 @@
 /** A prompt's parts go last part first once its order is known from a query. */
 function evictsFromTheEnd(): void {
   const trees = makePrefixTrees(3);
-  const coming = makeExpectedBlocks(now, 1500, 100, none);
+  const coming = new ExpectedBlocks(now, 1500, 100, none);
   for (const [h, s] of PROMPT) keep(trees, 'e1', h, s);
   computeOverlap(trees, coming, ask());
   keep(trees, 'e1', 'new', 10);
@@ -275,7 +275,7 @@
 
 function rowsCarryAll(): void {
   const trees = makePrefixTrees(1000);
-  const coming = makeExpectedBlocks(now, 1500, 100, none);
+  const coming = new ExpectedBlocks(now, 1500, 100, none);
   for (const [h, s] of PROMPT) keep(trees, 'e1', h, s);
   keep(trees, 'e2', 'a', 800);
   keep(trees, 'gone', 'a', 800);
