Tallies: additions are taken and totals given at every controller, on both sides of a cut

Additions are a grow-only set by replica and life, merged by union and counted once by id; one is acknowledged once it is synced here and on as many others as any loss that is tolerated leaves one of.

--- a/src/control/api/deployment-api.ts
+++ b/src/control/api/deployment-api.ts
@@ -15,12 +15,8 @@
 import { Controller } from '../controller-interface';
 import { makeDeploymentOperation } from '../configuration/deployment-change';
 import { Operation } from '../configuration/operations';
-
-/** How long a call is worked on before its caller is sent to another controller, as a ratio of the setting `ackMs`. */
-const REPLY_TIMEOUT_RATIO = 0.18;
-
-/** Operators try another controller after a second without a reply; one of unknown effect comes before that. */
-const MAX_REPLY_TIMEOUT_MS = 900;
+import { replyTimeoutMs } from './reply-timeout';
+import { TalliesApi } from './tallies-api';
 
 /** The pause before a change is tried again, as ratios of the retry pause: the shortest, and the random spread. */
 const MIN_RETRY_RATIO = 0.3;
@@ -41,6 +37,7 @@
   dialect: PlatformAdapter,
 ): Promise<Result<Listener>> {
   const api = new DeploymentApi(controller, ports, dialect);
+  const tallies = new TalliesApi(controller, dialect.operators);
   const handleOperatorCall = makeOperatorListener(controller, ports);
 
   async function handle(call: IncomingRequest): Promise<void> {
@@ -48,6 +45,8 @@
     if (call.path === paths.replace || call.path === paths.update) return api.putDeployment(call);
     if (call.path === paths.weights) return api.nameWeights(call);
     if (call.path === paths.describe) return api.describe(call);
+    const tallyCall = dialect.operators.tallyCall(call.path);
+    if (tallyCall) return tallies.handle(call, tallyCall);
     return handleOperatorCall(call);
   }
 
@@ -127,7 +126,7 @@
 
   /** How long a call is worked on here, in ms. */
   private replyTimeoutMs(): number {
-    return Math.min(this.controller.settings.ackMs * REPLY_TIMEOUT_RATIO, MAX_REPLY_TIMEOUT_MS);
+    return replyTimeoutMs(this.controller.settings);
   }
 
   /** Sends an error: 412 for a conflict, 400 for a faulty document, 503 with the time to wait for everything else. */
--- a/src/control/controller-interface.ts
+++ b/src/control/controller-interface.ts
@@ -19,6 +19,7 @@
 import { MembershipRequests } from './membership/membership-requests';
 import { ControlStore } from './storage/control-store';
 import { IdempotencyVotes } from './storage/idempotency-votes';
+import { Tallies } from './tallies/tallies';
 
 /** The part of the liveness view of the voters that the rest of a controller goes by. */
 type LivenessView = Pick<
@@ -50,6 +51,7 @@
   store: ControlStore;
   leases: LeaseRegistry;
   votes: IdempotencyVotes;
+  tallies: Tallies;
   keyOwner: KeyOwner;
   membershipRequests: MembershipRequests;
   /** Makes a waker that wakes when a peer has connected or disconnected, or the voter set has changed. */
--- a/src/control/controller-node.ts
+++ b/src/control/controller-node.ts
@@ -52,6 +52,8 @@
 import { IdempotencyVotes } from './storage/idempotency-votes';
 import { learnedValues } from './storage/register-state';
 import { StoredVotes } from './storage/vote-files';
+import { Tallies } from './tallies/tallies';
+import { StoredTallies } from './tallies/tally-files';
 import { drawRunId } from '../shared/state/members';
 
 /** What a controller is made of. */
@@ -62,6 +64,8 @@
   store: ControlStore;
   /** The idempotency votes that this disk stored before the start. */
   storedVotes: StoredVotes;
+  /** The additions to tallies that this disk stored before the start. */
+  storedTallies: StoredTallies;
   /** Reads the deployment documents of a platform; without one the controller serves intents. */
   parser: DocumentParser | undefined;
 }
@@ -80,6 +84,7 @@
   readonly metrics: Metrics;
   readonly leases: LeaseRegistry;
   readonly votes: IdempotencyVotes;
+  readonly tallies: Tallies;
   readonly keyOwner: KeyOwner;
   readonly membershipRequests: MembershipRequests;
   readonly handlers: object[] = [];
@@ -139,6 +144,7 @@
     this.jointForMs = this.liveness.jointForMs;
     this.membershipRequests = this.makeMembershipRequests();
     this.connections = this.makeConnections();
+    this.tallies = this.makeTallies();
 
     this.coordinator = this.makeCoordinator();
     this.recommit = this.coordinator.recommit;
@@ -154,12 +160,14 @@
   /** Serves: recovers the votes, listens, connects to the voters and starts the loops. */
   async start(): Promise<Result<void>> {
     await this.votes.start(this.options.storedVotes, this.timeLimits.requestTimeoutMs);
+    await this.tallies.start();
     const [error, listener] = errorOrValue(await this.listen());
     if (error) return Left(error);
     this.listener = listener;
     this.connections.refresh();
     void this.maintain();
     void this.announceToSeeds();
+    this.tallies.run();
     return Right(undefined);
   }
 
@@ -222,6 +230,7 @@
   async stop(): Promise<void> {
     this.stopped = true;
     this.wakers.wake();
+    this.tallies.stop();
     this.connections.pool.stop();
     await this.listener!.close();
   }
@@ -271,7 +280,20 @@
       voters: this.voters.bind(this),
       candidates: this.candidates.bind(this),
       onUp: this.onPeerUp.bind(this),
-      onDown: this.wakers.wake,
+      onDown: this.onPeerDown.bind(this),
+    });
+  }
+
+  private makeTallies(): Tallies {
+    return new Tallies({
+      ports: this.ports,
+      settings: this.settings,
+      timeLimits: this.timeLimits,
+      diskId: this.store.diskId,
+      stored: this.options.storedTallies,
+      openChannels: this.connections.pool.openChannels,
+      controllerCount: this.controllerCount.bind(this),
+      isStopped: this.isStopped.bind(this),
     });
   }
 
@@ -373,6 +395,7 @@
       this.acceptor,
       this.leases,
       this.votes,
+      this.tallies,
       this.membershipRequests,
       this.makePeerHandlers(),
       new ReadHandlers(this.reads),
@@ -442,6 +465,12 @@
 
   private onPeerUp(channel: PeerChannel): void {
     this.liveness.noteUp(channel.peer);
+    this.tallies.noteUp(channel);
+    this.wakers.wake();
+  }
+
+  private onPeerDown(channel: PeerChannel): void {
+    this.tallies.noteDown(channel);
     this.wakers.wake();
   }
 
@@ -458,6 +487,12 @@
     return this.membershipRequests.isLeaving(disk, upSince);
   }
 
+  /** How many controllers vote, or, before that is known, found. */
+  private controllerCount(): number {
+    const voters = this.voters();
+    return voters ? voters.now.length : this.settings.founders.length;
+  }
+
   private candidates(): Voter[] {
     return this.membershipRequests.candidates();
   }
--- a/src/control/membership/voter-connections.ts
+++ b/src/control/membership/voter-connections.ts
@@ -26,7 +26,7 @@
   /** Controllers that ask to vote. */
   candidates: () => Voter[];
   onUp: (channel: PeerChannel) => void;
-  onDown: () => void;
+  onDown: (channel: PeerChannel) => void;
 }
 
 /** Keeps the connections of a controller to the voters up. */
--- a/src/control/storage/group-commit.ts
+++ b/src/control/storage/group-commit.ts
@@ -32,6 +32,11 @@
     return this.enqueue([entry]);
   }
 
+  /** Adds entries that share a write, and returns once they are synced, or their write has failed. */
+  addAll(entries: readonly Entry[]): Promise<Result<void>> {
+    return this.enqueue([...entries]);
+  }
+
   /** Returns once all that was added before is synced; writes again where the files are behind. */
   async flush(): Promise<Result<void>> {
     return this.isWriting || this.isBehind() ? this.enqueue([]) : Right(undefined);
--- a/src/shared/platform-adapter/platform-adapter.ts
+++ b/src/shared/platform-adapter/platform-adapter.ts
@@ -127,6 +127,18 @@
   next?: string;
 }
 
+/** A call about a tally: what it asks for, and the tally's name. */
+export interface TallyCall {
+  kind: 'add' | 'read';
+  tally: string;
+}
+
+/** An addition to a tally; the caller's id tells one that comes again. */
+export interface TallyAddition {
+  id: string;
+  amount: number;
+}
+
 /** How the product is spoken to and speaks at its edges: names, formats and calls. It decides nothing. */
 export interface PlatformAdapter {
   name: string;
@@ -178,6 +190,12 @@
   };
   operators: {
     paths: { replace: string; update: string; describe: string; weights: string };
+    /** Reads a call about a tally by its path; undefined where it is none. */
+    tallyCall: (path: string) => Either<string, TallyCall> | undefined;
+    /** Reads an addition to a tally; a string names the field and what is wrong with it. */
+    tallyAddition: (doc: unknown) => Either<string, TallyAddition>;
+    /** Words the total of a tally. */
+    tallyTotal: (total: bigint) => unknown;
     baseVersion: (headers: Record<string, string | undefined>) => number | undefined;
     /** Reads named weights; a higher rank is newer. */
     weights: (doc: unknown) => Either<string, { model: string; weights: string; rank: number }>;
--- a/src/shared/settings/time-limits.ts
+++ b/src/shared/settings/time-limits.ts
@@ -123,6 +123,16 @@
   sourceRepairCooldownMs: number;
 }
 
+/** Tallies. Ratios are of `mergeMs`. */
+export interface TallyLimits {
+  /** The time between comparisons with a controller that is connected. 0.2: what a message lost is there well within the bound. */
+  tallyCompareMs: number;
+  /** How long a controller waits after its start until it has caught up. 0.5: those that are not back by then may stay away. */
+  tallyCatchUpMs: number;
+  /** A disk that works on one write for longer is given no additions. 0.05: the caller has time for another controller. */
+  tallyDiskStallMs: number;
+}
+
 /** The time limits of a process, in ms. */
 export interface TimeLimits
   extends
@@ -133,7 +143,8 @@
     EngineLimits,
     WeightsLimits,
     SingletonLimits,
-    IndexLimits {}
+    IndexLimits,
+    TallyLimits {}
 
 /** The lease of a node as a ratio of the bound of a change. */
 const LEASE_RATIO = 0.7;
@@ -220,6 +231,14 @@
   };
 }
 
+function tallyLimitsOf({ mergeMs }: Settings): TallyLimits {
+  return {
+    tallyCompareMs: mergeMs * 0.2,
+    tallyCatchUpMs: mergeMs * 0.5,
+    tallyDiskStallMs: mergeMs * 0.05,
+  };
+}
+
 /** Derives the time limits from the bounds in the settings. */
 export function timeLimitsOf(settings: Settings): TimeLimits {
   return {
@@ -231,5 +250,6 @@
     ...weightsLimitsOf(settings),
     ...singletonLimitsOf(settings),
     ...indexLimitsOf(settings),
+    ...tallyLimitsOf(settings),
   };
 }
