--- a/src/control/api/deployment-api.ts
+++ b/src/control/api/deployment-api.ts
@@ -37,7 +37,7 @@
   dialect: PlatformAdapter,
 ): Promise<Result<Listener>> {
   const api = new DeploymentApi(controller, ports, dialect);
-  const tallies = new TalliesApi(controller, dialect.operators);
+  const tallies = controller.tallies && new TalliesApi(controller, controller.tallies, dialect);
   const handleOperatorCall = makeOperatorListener(controller, ports);
 
   async function handle(call: IncomingRequest): Promise<void> {
@@ -46,7 +46,7 @@
     if (call.path === paths.weights) return api.nameWeights(call);
     if (call.path === paths.describe) return api.describe(call);
     const tallyCall = dialect.operators.tallyCall(call.path);
-    if (tallyCall) return tallies.handle(call, tallyCall);
+    if (tallies && tallyCall) return tallies.handle(call, tallyCall);
     return handleOperatorCall(call);
   }
 
--- a/src/control/api/tallies-api.ts
+++ b/src/control/api/tallies-api.ts
@@ -8,6 +8,7 @@
 import { IncomingRequest } from '../../shared/ports/network';
 import { readJsonBody, sendError, sendJson } from '../../shared/transport/http-handlers';
 import { Controller } from '../controller-interface';
+import { Tallies } from '../tallies/tallies';
 import { replyTimeoutMs } from './reply-timeout';
 
 /** The HTTP methods of the calls. */
@@ -20,7 +21,8 @@
 export class TalliesApi {
   constructor(
     private readonly controller: Controller,
-    private readonly dialect: PlatformAdapter['operators'],
+    private readonly tallies: Tallies,
+    private readonly dialect: PlatformAdapter,
   ) {}
 
   /** Handles a call whose path was read as one about a tally. */
@@ -36,21 +38,21 @@
   private async add(call: IncomingRequest, tally: string): Promise<void> {
     const body = await readJsonBody(call, MAX_BODY_BYTES);
     if (body === undefined) return;
-    const addition = this.dialect.tallyAddition(body);
+    const addition = this.dialect.operators.tallyAddition(body);
     if (addition.isLeft())
       return sendError(call, 400, 'refused', 'bad-shape', String(addition.extract()));
     const { id, amount } = addition.unsafeCoerce();
-    const { settings, tallies } = this.controller;
-    const added = await tallies.add(tally, id, amount, replyTimeoutMs(settings));
+    const { settings } = this.controller;
+    const added = await this.tallies.add(tally, id, amount, replyTimeoutMs(settings));
     const [error] = errorOrValue(added);
     if (error) return this.sendTallyError(call, error);
     sendJson(call, 200, {});
   }
 
   private read(call: IncomingRequest, tally: string): void {
-    const [error, total] = errorOrValue(this.controller.tallies.total(tally));
+    const [error, total] = errorOrValue(this.tallies.total(tally));
     if (error) return this.sendTallyError(call, error);
-    sendJson(call, 200, this.dialect.tallyTotal(total));
+    sendJson(call, 200, this.dialect.operators.tallyTotal(total));
   }
 
   /** Sends an error: 503, which promises that nothing was done, or 504 where the addition may count. */
--- a/src/control/controller-interface.ts
+++ b/src/control/controller-interface.ts
@@ -51,7 +51,8 @@
   store: ControlStore;
   leases: LeaseRegistry;
   votes: IdempotencyVotes;
-  tallies: Tallies;
+  /** Where a platform's dialect is spoken: only its applications keep tallies. */
+  tallies?: Tallies;
   keyOwner: KeyOwner;
   membershipRequests: MembershipRequests;
   /** Makes a waker that wakes when a peer has connected or disconnected, or the voter set has changed. */
--- a/src/control/controller-node.ts
+++ b/src/control/controller-node.ts
@@ -84,7 +84,7 @@
   readonly metrics: Metrics;
   readonly leases: LeaseRegistry;
   readonly votes: IdempotencyVotes;
-  readonly tallies: Tallies;
+  readonly tallies?: Tallies;
   readonly keyOwner: KeyOwner;
   readonly membershipRequests: MembershipRequests;
   readonly handlers: object[] = [];
@@ -102,6 +102,7 @@
 
   private readonly ports: Ports;
   private readonly self: Voter;
+  private readonly runId: string;
   private readonly wakers: WakerGroup;
   private readonly acceptor: Acceptor;
   private readonly liveness: VoterLiveness;
@@ -126,7 +127,8 @@
     this.timeLimits = timeLimitsOf(settings);
     this.hello = helloOf(settings, 'controller', store.diskId);
     this.self = { disk: store.diskId, at: settings.wire };
-    this.ownerId = `${settings.name}.${drawRunId(ports.random)}`;
+    this.runId = drawRunId(ports.random);
+    this.ownerId = `${settings.name}.${this.runId}`;
     this.wakers = makeWakerGroup(ports.clock);
     const transport = this.makeVoterTransport();
     this.acceptor = new Acceptor(store, transport, ports);
@@ -144,7 +146,7 @@
     this.jointForMs = this.liveness.jointForMs;
     this.membershipRequests = this.makeMembershipRequests();
     this.connections = this.makeConnections();
-    this.tallies = this.makeTallies();
+    if (options.parser) this.tallies = this.makeTallies();
 
     this.coordinator = this.makeCoordinator();
     this.recommit = this.coordinator.recommit;
@@ -160,14 +162,14 @@
   /** Serves: recovers the votes, listens, connects to the voters and starts the loops. */
   async start(): Promise<Result<void>> {
     await this.votes.start(this.options.storedVotes, this.timeLimits.requestTimeoutMs);
-    await this.tallies.start();
+    await this.tallies?.start();
     const [error, listener] = errorOrValue(await this.listen());
     if (error) return Left(error);
     this.listener = listener;
     this.connections.refresh();
     void this.maintain();
     void this.announceToSeeds();
-    this.tallies.run();
+    this.tallies?.run();
     return Right(undefined);
   }
 
@@ -230,7 +232,7 @@
   async stop(): Promise<void> {
     this.stopped = true;
     this.wakers.wake();
-    this.tallies.stop();
+    this.tallies?.stop();
     this.connections.pool.stop();
     await this.listener!.close();
   }
@@ -290,6 +292,7 @@
       settings: this.settings,
       timeLimits: this.timeLimits,
       diskId: this.store.diskId,
+      runId: this.runId,
       stored: this.options.storedTallies,
       openChannels: this.connections.pool.openChannels,
       controllerCount: this.controllerCount.bind(this),
@@ -395,12 +398,12 @@
       this.acceptor,
       this.leases,
       this.votes,
-      this.tallies,
       this.membershipRequests,
       this.makePeerHandlers(),
       new ReadHandlers(this.reads),
       new ReplicaHandlers(this.store),
     );
+    if (this.tallies) this.handlers.push(this.tallies);
     this.handlers.push(new CompressedRequestHandlers(this.handlers));
   }
 
@@ -465,12 +468,12 @@
 
   private onPeerUp(channel: PeerChannel): void {
     this.liveness.noteUp(channel.peer);
-    this.tallies.noteUp(channel);
+    this.tallies?.noteUp(channel);
     this.wakers.wake();
   }
 
   private onPeerDown(channel: PeerChannel): void {
-    this.tallies.noteDown(channel);
+    this.tallies?.noteDown(channel);
     this.wakers.wake();
   }
 
--- a/src/control/tallies/tallies.ts
+++ b/src/control/tallies/tallies.ts
@@ -8,7 +8,6 @@
 import { Ports } from '../../shared/ports/ports';
 import { Settings } from '../../shared/settings/settings';
 import { TimeLimits } from '../../shared/settings/time-limits';
-import { drawRunId } from '../../shared/state/members';
 import { compress } from '../../shared/transport/compression';
 import { HandlerResult, messageHandler } from '../../shared/transport/message-handlers';
 import { PeerChannel } from '../../shared/transport/peer-channel';
@@ -43,6 +42,8 @@
   settings: Settings;
   timeLimits: TimeLimits;
   diskId: string;
+  /** The id of this run of the process. */
+  runId: string;
   /** What this disk held at the start. */
   stored: StoredTallies;
   /** The connections that are up. */
@@ -87,9 +88,9 @@
   private hasCaughtUp = false;
 
   constructor(private readonly dependencies: TalliesDependencies) {
-    const { ports, settings, timeLimits, diskId, isStopped } = dependencies;
+    const { ports, settings, timeLimits, diskId, runId, isStopped } = dependencies;
     const { requestTimeoutMs } = timeLimits;
-    this.replica = `${diskId.slice(0, DISK_ID_CHARACTERS)}-${drawRunId(ports.random)}`;
+    this.replica = `${diskId.slice(0, DISK_ID_CHARACTERS)}-${runId}`;
     this.startedAt = ports.clock.now();
     this.log = new TallyLog(ports, this.set, timeLimits.retryPauseMs);
     this.replication = new AdditionReplication({
--- a/test/control/tallies.test.ts
+++ b/test/control/tallies.test.ts
@@ -286,7 +286,7 @@
 
 function isLevelEverywhere(rig: CoreRig): boolean {
   for (const controller of rig.controllers.values())
-    for (const { isLevel } of controller.tallies.status().peers) if (!isLevel) return false;
+    for (const { isLevel } of controller.tallies!.status().peers) if (!isLevel) return false;
   return true;
 }
 
