--- a/tools/compatibility/scenarios.ts
+++ b/tools/compatibility/scenarios.ts
@@ -20,6 +20,7 @@
 import { askControllers } from './controller-asks';
 import { makeProbe, Probe, settled } from './probe';
 import { makeRecorder, RecordedType, Recorder } from './recording';
+import { tallies } from './tally-scenario';
 
 /** A run and how its messages come about. */
 export interface Scenario {
@@ -192,6 +193,11 @@
     description: `a follower fetches a configuration of ${MANY_ROUTES} routes`,
     run: pieces,
   },
+  {
+    name: 'tallies',
+    description: 'five controllers add to a tally, one of which is cut off for a while',
+    run: tallies,
+  },
 ];
 
 /** Plays all scenarios and gives what was recorded. */
