Router: a silent engine's stream is given up only once its next attempt is reserved and paid for

What callers saw: streams that could be resumed were closed in the middle (logged as cut off: retry-budget, or no-engine), where their engine had been silent on all connections and only some of its streams could go elsewhere.

Cause: the watch of an engine asked whether the budget had a retry left and whether another engine would take the request, and then aborted the attempt; both were asked again, and the retry spent, only when the next attempt began. All streams of one engine wait for the same check of its machine, and are judged in one turn, so that each saw the same last retry.

Now the watch spends the retry and counts the stream as load at the other engine in the turn in which it gives the attempt up; what it can't reserve stays where it is. An attempt that was reserved and is not made is counted off again.

--- a/src/data/gateway/admission.ts
+++ b/src/data/gateway/admission.ts
@@ -119,6 +119,7 @@
     lastEvent: undefined,
     excluded: new Set(),
     sentAttempts: 0,
+    hasPaidRetry: false,
   };
 }
 
--- a/src/data/gateway/admitted-request.ts
+++ b/src/data/gateway/admitted-request.ts
@@ -3,10 +3,16 @@
  */
 
 import { CallerRequest, HttpRoute, TenantAccess } from '../../shared/state/deployment';
-import { AttemptOutcome } from './attempt-tracker';
-import { SelectionRequest } from './engine-chooser';
+import { AttemptOutcome, AttemptTracker } from './attempt-tracker';
+import { EngineSelection, SelectionRequest } from './engine-chooser';
 import { InFlightRequest } from './in-flight-requests';
 
+/** An attempt that was not sent yet; its engine counts it as load from now on. */
+export interface PreparedAttempt {
+  selection: EngineSelection;
+  tracker: AttemptTracker;
+}
+
 /** An admitted request. Times are ms of the clock port. */
 export interface AdmittedRequest {
   request: CallerRequest;
@@ -28,6 +34,10 @@
   excluded: Set<string>;
   /** Attempts that reached an engine. */
   sentAttempts: number;
+  /** The attempt that follows, where the one under way was given up for it. */
+  failover?: PreparedAttempt;
+  /** Whether the next retry was spent from the budget already. */
+  hasPaidRetry: boolean;
 }
 
 /** What a request asks of the engine that is to be chosen now. */
--- a/src/data/gateway/attempts.ts
+++ b/src/data/gateway/attempts.ts
@@ -2,10 +2,16 @@
  * The attempts of a request: engine after engine until one has answered, or no further attempt may be made.
  */
 
+import { Either, Right } from 'purify-ts';
 import { errorOrValue } from '../../shared/errors/errors';
 import { HttpRoute } from '../../shared/state/deployment';
 import { HttpConnection, RawIncomingRequest } from '../../shared/ports/raw-http';
-import { AdmittedRequest, canResume, selectionRequestOf } from './admitted-request';
+import {
+  AdmittedRequest,
+  canResume,
+  PreparedAttempt,
+  selectionRequestOf,
+} from './admitted-request';
 import { AttemptOutcome, AttemptTracker } from './attempt-tracker';
 import { EngineSelection } from './engine-chooser';
 import { Rejection } from './error-responses';
@@ -57,6 +63,7 @@
       if (tries >= maxAttempts * MAX_TRIES_RATIO) break;
       if (await this.tryNextEngine()) break;
     }
+    this.takeFailover()?.tracker.recordEnd('caller-gone');
     return this.end;
   }
 
@@ -65,13 +72,12 @@
     const { admitted, gateway } = this;
     if (this.isTimeShort()) return this.endWith('time-up');
     if (gateway.drain.isOver()) return true;
-    const choice = await gateway.chooser.choose(selectionRequestOf(admitted));
-    const [rejection, selection] = errorOrValue(choice);
+    const [rejection, prepared] = errorOrValue(await this.prepareAttempt());
     if (rejection) {
       this.end = { ...this.end, rejection };
       return this.endWith('no-engine');
     }
-    const tracker = gateway.chooser.startAttempt(selection, admitted.request);
+    const { selection, tracker } = prepared;
     admitted.excluded.add(selection.engine.id);
     const connection = await this.connect(selection, tracker);
     if (!connection) return false;
@@ -85,6 +91,24 @@
     return this.isLast();
   }
 
+  /** The attempt that was prepared while the one before was under way, or one with an engine that is chosen now. */
+  private async prepareAttempt(): Promise<Either<Rejection, PreparedAttempt>> {
+    const { admitted, gateway } = this;
+    const failover = this.takeFailover();
+    if (failover) return Right(failover);
+    const choice = await gateway.chooser.choose(selectionRequestOf(admitted));
+    function start(selection: EngineSelection): PreparedAttempt {
+      return { selection, tracker: gateway.chooser.startAttempt(selection, admitted.request) };
+    }
+    return choice.map(start);
+  }
+
+  private takeFailover(): PreparedAttempt | undefined {
+    const { failover } = this.admitted;
+    this.admitted.failover = undefined;
+    return failover;
+  }
+
   private isTimeShort(): boolean {
     const { clock } = this.gateway.ports;
     const minMs = this.gateway.settings.transitMs * MIN_ATTEMPT_RATIO;
@@ -116,7 +140,7 @@
     const { admitted, gateway } = this;
     const isTimeUp = gateway.ports.clock.now() >= admitted.deadlineAt;
     if (isTimeUp || this.call.aborted.aborted) return 'time-up';
-    const isRetry = admitted.sentAttempts > 0;
+    const isRetry = admitted.sentAttempts > 0 && !admitted.hasPaidRetry;
     return isRetry && !gateway.budget.trySpend(admitted.pool) ? 'retry-budget' : undefined;
   }
 
@@ -127,6 +151,7 @@
   ): Promise<void> {
     const { admitted, call, gateway } = this;
     this.countAttempt(selection);
+    admitted.hasPaidRetry = false;
     const mayRetry = admitted.sentAttempts + 1 < admitted.route.maxAttempts;
     const attempt = { call, admitted, selection, connection, tracker, mayRetry };
     const outcome = await forward(gateway, attempt);
--- a/src/data/gateway/silence-watch.ts
+++ b/src/data/gateway/silence-watch.ts
@@ -1,12 +1,13 @@
 /**
  * Watches an engine for as long as an attempt lasts. Where it is silent on all its connections for a latency target, its
- * machine is checked; where it stays silent, it is taken for lost, but never while no other engine would take the
- * request.
+ * machine is checked; where it stays silent, it is taken for lost, but only once another engine is reserved for the
+ * request and its retry is paid for.
  */
 
 import { AdmittedRequest, selectionRequestOf } from './admitted-request';
 import { RawIncomingRequest } from '../../shared/ports/raw-http';
 import { Engine } from '../../shared/state/engines';
+import { EngineSelection } from './engine-chooser';
 import { GatewayDependencies } from './gateway-dependencies';
 
 /** How long an engine that is reachable may be silent before it is taken for lost, as multiples of the route's targets for the first event and for the gap between two. */
@@ -64,17 +65,31 @@
   private async judge(): Promise<void> {
     const isReachable = await this.gateway.connections.isReachable(this.engine);
     const isPresent = isReachable && this.silentMs() < this.maxSilentMs;
-    const mayGoElsewhere = !isPresent && (await this.canGoElsewhere());
+    const selection = isPresent ? undefined : await this.chooseOther();
     if (this.isStopped) return;
-    if (mayGoElsewhere && this.silentMs() >= this.checkAfterMs) {
-      this.admitted.inFlight.silentEngines++;
-      this.engineLost.abort();
-    } else this.cancelTimer = this.lookAfter(this.checkAfterMs);
+    if (selection && this.silentMs() >= this.checkAfterMs && this.payRetry())
+      this.failOver(selection);
+    else this.cancelTimer = this.lookAfter(this.checkAfterMs);
   }
 
-  private async canGoElsewhere(): Promise<boolean> {
+  private async chooseOther(): Promise<EngineSelection | undefined> {
     const { budget, chooser } = this.gateway;
-    if (!budget.hasBudget(this.admitted.pool)) return false;
-    return (await chooser.choose(selectionRequestOf(this.admitted))).isRight();
+    if (!budget.hasBudget(this.admitted.pool)) return undefined;
+    return (await chooser.choose(selectionRequestOf(this.admitted))).toMaybe().extract();
+  }
+
+  private payRetry(): boolean {
+    const { admitted, gateway } = this;
+    admitted.hasPaidRetry = gateway.budget.trySpend(admitted.pool);
+    return admitted.hasPaidRetry;
+  }
+
+  /** Gives the attempt up for another one. */
+  private failOver(selection: EngineSelection): void {
+    const { admitted, gateway } = this;
+    const tracker = gateway.chooser.startAttempt(selection, admitted.request);
+    admitted.failover = { selection, tracker };
+    admitted.inFlight.silentEngines++;
+    this.engineLost.abort();
   }
 }
