--- a/test/data/drain-fixture.ts
+++ b/test/data/drain-fixture.ts
@@ -7,6 +7,7 @@
   startGatewayFixture,
   startStandIn,
 } from './gateway-fixture';
+import { Settings } from '../../src/shared/settings/settings';
 import { heldStreams, HeldStreams } from './held-streams';
 import { ManualClock, manualClock } from '../shared/manual-clock';
 
@@ -23,13 +24,17 @@
 }
 
 /** Starts a gateway whose one route has so much time; engines that are silent have not begun on what they hold. */
-export async function startHeldRig(timeoutMs: number, isSilent = false): Promise<HeldRig> {
+export async function startHeldRig(
+  timeoutMs: number,
+  isSilent = false,
+  settings: Partial<Settings> = {},
+): Promise<HeldRig> {
   const clock = manualClock();
   const streams = heldStreams(isSilent);
   const rig = await startGatewayFixture({
     engines: [await startStandIn('e1', streams.answer)],
     deployment: deployment([route({ timeoutMs })]),
-    settings: { graceMs: GRACE_MS, contactMs: CONTACT_MS },
+    settings: { graceMs: GRACE_MS, contactMs: CONTACT_MS, ...settings },
     clock,
   });
   return { rig, clock, streams };
