--- a/tools/standins/platform/book.ts
+++ b/tools/standins/platform/book.ts
@@ -1,4 +1,5 @@
 import { Clock } from '../../../src/shared/ports/clock';
+import { ApartRecords, makeApartRecords } from './apart-records';
 
 /** How often a kind of request may run. */
 export type RouteType = 'safe' | 'unsafe' | 'streaming';
@@ -36,6 +37,9 @@
   maxConnections?: number;
   protocol?: string;
   tls?: boolean;
+  /** For how long an engine that has started is cold, in s, and how many requests a second it bears then. */
+  warmupS?: number;
+  warmupPerS?: number;
   engine?: {
     capacity: number;
     cacheTokens: number;
@@ -122,6 +126,8 @@
   from: string;
   instance: string;
   service: string;
+  /** The engine's zone. */
+  zone?: string;
   method: string;
   target: string;
   body?: string;
@@ -197,10 +203,12 @@
   at: number;
 }
 
-/** A trouble or planned work: `who` is an IP number of a machine, an instance, or `core`. */
+/** A trouble or planned work: `who` is an IP number of a machine, an instance, `core` or `links`. */
 export interface Trouble {
   kind: string;
   who: string;
+  /** The IP number of the one machine that it struck, where `who` is more. */
+  machine?: string;
   at: number;
   until: number;
   planned: boolean;
@@ -214,7 +222,7 @@
 }
 
 /** All that engines, clients, operators and the platform have observed, on one clock. */
-export interface Book {
+export interface Book extends ApartRecords {
   clock: Clock;
   tries: Map<string, Try>;
   arrivals: Arrival[];
@@ -240,6 +248,7 @@
 /** An empty book. */
 export function makeBook(clock: Clock): Book {
   return {
+    ...makeApartRecords(),
     clock,
     tries: new Map(),
     arrivals: [],
@@ -260,8 +269,14 @@
 }
 
 /** Opens a trouble; the given function ends it. */
-export function troubled(book: Book, kind: string, who: string, planned = false): () => void {
-  const t: Trouble = { kind, who, at: book.clock.now(), until: Infinity, planned };
+export function troubled(
+  book: Book,
+  kind: string,
+  who: string,
+  planned = false,
+  machine?: string,
+): () => void {
+  const t: Trouble = { kind, who, machine, at: book.clock.now(), until: Infinity, planned };
   book.troubles.push(t);
   function over(): void {
     t.until = book.clock.now();
--- a/tools/standins/platform/engine.ts
+++ b/tools/standins/platform/engine.ts
@@ -108,6 +108,7 @@
       from: x.peer,
       instance: spec.instance,
       service: spec.service,
+      zone: spec.zone,
       method: x.method,
       target: x.target,
       body,
--- a/tools/standins/platform/ground.ts
+++ b/tools/standins/platform/ground.ts
@@ -22,7 +22,11 @@
   retryBudgetRatio: number;
   retryWindowS: number;
   retryBudgetSlack: number;
+  warmupOvershoot: number;
+  warmupSlack: number;
+  evacuateMs: number;
   recoveryS: number;
+  mergeMs: number;
   transitMs: number;
   fencing: boolean;
   leaseMs: number;
@@ -96,6 +100,7 @@
   deadline: 'plumhollow-deadline-ms',
   instance: 'plumhollow-expect-instance',
   told: 'plumhollow-instance-id',
+  warmup: 'plumhollow-warmup-ms',
   expect: 'plumhollow-expect-version',
   versions: 'plumhollow-weight-versions',
   tenant: 'plumhollow-tenant',
--- a/tools/standins/platform/ledger.ts
+++ b/tools/standins/platform/ledger.ts
@@ -3,7 +3,9 @@
 import { judgeConduct } from './conduct';
 import { Guarantees } from './ground';
 import { judgeRuns } from './runs';
+import { judgeTallies } from './tally-rules';
 import { makeLookup } from './touch';
+import { judgeZones } from './zone-rules';
 
 /** What a day comes to. */
 export interface DayReport {
@@ -40,6 +42,8 @@
   judgeAnswers(l, say);
   judgeRuns(l, say);
   judgeConduct(l, say);
+  judgeTallies(l, say);
+  judgeZones(l, say);
   return broken;
 }
 
