Operators start and finish evacuations of zones

An evacuation is a change of one control key, made on the path of every other change: committed on a majority by the key's owner, answered 200 as well where it stands already. What stands is confirmed by a majority before it is answered, so that a repeat at any controller is never acknowledged by an old value. A Start names a zone of the settings or of a listed engine; others get 400, only once the engines are listed.

Our own interface has /v1/evacuations with the places that are left in each pool, and /v1/fleet, the metrics and the log tell the evacuated zones. The retries of the dialect's changes are a module of their own.

The follower of lease-after-power-loss.test.ts moved to follower-rig.ts as it was, since the new tests use it too.

--- a/src/control/api/cluster-api.ts
+++ b/src/control/api/cluster-api.ts
@@ -11,6 +11,7 @@
 import { Controller } from '../controller-interface';
 import { replaceVoter } from '../membership/reconfiguration';
 import { readVoterStatus, voterMetricRows } from '../membership/voter-status';
+import { evacuatedZones } from './evacuation-plan';
 import { currentRevision, sendOperationError } from './operator-replies';
 import { BootstrapRequest, ReplaceVoterRequest } from './operator-requests';
 import { METRICS_CONTENT_TYPE } from '../../shared/observability/metrics';
@@ -57,6 +58,7 @@
       majority: controller.hasQuorum(),
       members: leases.members(),
       engines: controller.committedValue(CONTROL_KEYS.engines)?.value ?? [],
+      evacuated: evacuatedZones(controller),
       revision: currentRevision(controller),
       routers: leases.appliedVersions(CONTROL_KEYS.intents),
     });
@@ -82,6 +84,7 @@
       `plumhollow_controller_live_voters ${controller.liveAddresses().length}`,
       `plumhollow_controller_disk_fit ${store.isWritable() ? 1 : 0}`,
       `plumhollow_controller_intents_revision ${currentRevision(controller)}`,
+      `plumhollow_controller_evacuated_zones ${evacuatedZones(controller).length}`,
       ...leases.lagRows(),
       ...voterMetricRows(await readVoterStatus(controller)),
     ];
--- a/src/control/api/deployment-api.ts
+++ b/src/control/api/deployment-api.ts
@@ -2,37 +2,18 @@
  * The HTTP interface for operators who speak a platform's dialect; the operators' own interface is served beside it.
  */
 
-import { PlatformAdapter } from '../../shared/platform-adapter/platform-adapter';
+import { EvacuationCall, PlatformAdapter } from '../../shared/platform-adapter/platform-adapter';
 import { sendError, sendJson, readJsonBody } from '../../shared/transport/http-handlers';
-import { OperationError, errorOrValue, Result } from '../../shared/errors/errors';
+import { errorOrValue, Result } from '../../shared/errors/errors';
 import { IncomingRequest, Listener } from '../../shared/ports/network';
 import { Ports } from '../../shared/ports/ports';
 import { DeploymentValue } from '../../shared/state/deployment';
-import { withTimeout } from '../../shared/concurrency/timeout';
 import { CONTROL_KEYS } from '../../shared/state/control-keys';
 import { makeOperatorListener } from './operator-api';
-import { ChangeResult } from '../configuration/change-coordinator';
+import { isZoneUnknown } from './evacuation-plan';
+import { RetriedChanges } from './retried-changes';
 import { Controller } from '../controller-interface';
 import { makeDeploymentOperation } from '../configuration/deployment-change';
-import { Operation } from '../configuration/operations';
-
-/** How long a call is worked on before its caller is sent to another controller, as a ratio of the setting `ackMs`. */
-const REPLY_TIMEOUT_RATIO = 0.18;
-
-/** Operators try another controller after a second without a reply; one of unknown effect comes before that. */
-const MAX_REPLY_TIMEOUT_MS = 900;
-
-/** The pause before a change is tried again, as ratios of the retry pause: the shortest, and the random spread. */
-const MIN_RETRY_RATIO = 0.3;
-const RETRY_SPREAD_RATIO = 0.4;
-
-/** The codes of errors that the same change would meet again. */
-const FINAL_CODES: ReadonlySet<string> = new Set([
-  'stands',
-  'conflict',
-  'bad-deployment',
-  'forgotten',
-]);
 
 /** Serves operators who speak a dialect, and the operators' own interface on the paths that the dialect has not. */
 export function serveDeployment(
@@ -48,6 +29,8 @@
     if (call.path === paths.replace || call.path === paths.update) return api.putDeployment(call);
     if (call.path === paths.weights) return api.nameWeights(call);
     if (call.path === paths.describe) return api.describe(call);
+    const evacuation = dialect.operators.evacuation(call.path);
+    if (evacuation) return api.evacuate(call, evacuation);
     return handleOperatorCall(call);
   }
 
@@ -55,11 +38,15 @@
 }
 
 class DeploymentApi {
+  private readonly changes: RetriedChanges;
+
   constructor(
     private readonly controller: Controller,
-    private readonly ports: Ports,
+    ports: Ports,
     private readonly dialect: PlatformAdapter,
-  ) {}
+  ) {
+    this.changes = new RetriedChanges(controller, ports);
+  }
 
   /** Replaces or updates the deployment, on the version that the headers name as its base. */
   async putDeployment(call: IncomingRequest): Promise<void> {
@@ -73,8 +60,8 @@
       return sendError(call, 400, 'refused', 'no-base', message);
     }
     const kind = call.path === operators.paths.update ? 'update' : 'replace';
-    const [error] = errorOrValue(await this.change(makeDeploymentOperation(base, kind, body)));
-    if (error && error.code !== 'stands') return this.sendChangeError(call, error);
+    const error = await this.changes.change(makeDeploymentOperation(base, kind, body));
+    if (error) return this.changes.sendError(call, error);
     sendJson(call, 200, { taken: true });
   }
 
@@ -87,61 +74,30 @@
     if (parsed.isLeft())
       return sendError(call, 400, 'refused', 'bad-weights', String(parsed.extract()));
     const { model, weights, rank } = parsed.unsafeCoerce();
-    const [error] = errorOrValue(await this.change({ kind: 'weights', model, weights, rank }));
-    if (error && error.code !== 'stands') return this.sendChangeError(call, error);
+    const error = await this.changes.change({ kind: 'weights', model, weights, rank });
+    if (error) return this.changes.sendError(call, error);
     sendJson(call, 200, { model, weights });
   }
 
+  /**
+   * Starts or finishes the evacuation of a zone; doing so again succeeds. A body is not read. A finish is taken for any
+   * zone: once it was taken, nothing else may name the zone when it is sent again.
+   */
+  async evacuate(call: IncomingRequest, { zone, evacuated }: EvacuationCall): Promise<void> {
+    if (call.method !== 'POST') return sendError(call, 405, 'refused', 'bad-method', call.method);
+    if (zone === undefined || (evacuated && isZoneUnknown(this.controller, zone)))
+      return sendError(call, 400, 'refused', 'bad-zone', 'there is no such zone');
+    const error = await this.changes.change({ kind: 'evacuation', zone, evacuated });
+    if (error) return this.changes.sendError(call, error);
+    sendJson(call, 200, { zone, evacuated });
+  }
+
   /** Gives the deployment document in force, never older than what was acknowledged before. */
   async describe(call: IncomingRequest): Promise<void> {
     const reading = this.controller.readLinearizable(CONTROL_KEYS.deployment);
-    const [error, committed] = errorOrValue(await this.inTime('describe', reading));
-    if (error) return this.sendChangeError(call, error);
+    const [error, committed] = errorOrValue(await this.changes.inTime('describe', reading));
+    if (error) return this.changes.sendError(call, error);
     if (!committed) return sendError(call, 404, 'refused', 'none', 'there is no deployment yet');
     sendJson(call, 200, (committed.value as DeploymentValue).doc);
   }
-
-  private change(operation: Operation): Promise<Result<ChangeResult>> {
-    return this.inTime('change', this.changeWithRetries(operation));
-  }
-
-  /** Makes a change; one of unknown effect is made again, since one that was committed is recognized. */
-  private async changeWithRetries(operation: Operation): Promise<Result<ChangeResult>> {
-    const { clock, random } = this.ports;
-    const { retryPauseMs } = this.controller.timeLimits;
-    const retryUntil = clock.now() + this.replyTimeoutMs();
-    for (;;) {
-      const result = await this.controller.change(operation);
-      const [error] = errorOrValue(result);
-      if (!error || isFinal(error) || clock.now() + retryPauseMs > retryUntil) return result;
-      const pauseRatio = MIN_RETRY_RATIO + RETRY_SPREAD_RATIO * random.next();
-      await clock.sleep(retryPauseMs * pauseRatio);
-    }
-  }
-
-  /** The result, or an error of unknown effect once the caller no longer waits. */
-  private inTime<T>(step: string, result: Promise<Result<T>>): Promise<Result<T>> {
-    const { name } = this.controller;
-    return withTimeout(this.ports.clock, this.replyTimeoutMs(), step, name, result);
-  }
-
-  /** How long a call is worked on here, in ms. */
-  private replyTimeoutMs(): number {
-    return Math.min(this.controller.settings.ackMs * REPLY_TIMEOUT_RATIO, MAX_REPLY_TIMEOUT_MS);
-  }
-
-  /** Sends an error: 412 for a conflict, 400 for a faulty document, 503 with the time to wait for everything else. */
-  private sendChangeError(call: IncomingRequest, error: OperationError): void {
-    const { code, certainty, reason } = error;
-    if (code === 'conflict') return sendError(call, 412, 'refused', code, reason);
-    if (code === 'bad-deployment') return sendError(call, 400, 'refused', code, reason);
-    const message = `${error.step} at ${error.peer}: ${reason}`;
-    const { retryPauseMs } = this.controller.timeLimits;
-    sendError(call, 503, certainty, code ?? 'unknown', message, retryPauseMs);
-  }
-}
-
-/** Whether the same change would meet the same error again. */
-function isFinal(error: OperationError): boolean {
-  return FINAL_CODES.has(error.code ?? '');
 }
--- a/src/control/api/operator-api.ts
+++ b/src/control/api/operator-api.ts
@@ -9,13 +9,18 @@
 import { Controller } from '../controller-interface';
 import { ClusterApi } from './cluster-api';
 import { ConfigurationApi } from './configuration-api';
+import { EvacuationApi } from './evacuation-api';
 
 /** Makes the function that handles the calls of the operators' HTTP interface. */
 export function makeOperatorListener(
   controller: Controller,
   ports: Ports,
 ): (call: IncomingRequest) => Promise<void> {
-  const handlers = [new ConfigurationApi(controller, ports), new ClusterApi(controller, ports)];
+  const handlers = [
+    new ConfigurationApi(controller, ports),
+    new ClusterApi(controller, ports),
+    new EvacuationApi(controller),
+  ];
   return makeRequestListener(handlers, ports.logger);
 }
 
--- a/src/control/change-log.ts
+++ b/src/control/change-log.ts
@@ -1,10 +1,11 @@
 /**
- * Log lines of what a controller learns: changes of the voter set, of singleton roles, and of the quorum.
+ * Log lines of what a controller learns: changes of the voter set, of singleton roles, of evacuations, and of the quorum.
  */
 
 import { Clock } from '../shared/ports/clock';
 import { Logger } from '../shared/ports/logger';
 import { CONTROL_KEYS } from '../shared/state/control-keys';
+import { EvacuationsValue } from '../shared/state/evacuations';
 import { VersionedValue } from '../shared/state/versions';
 import { Voter, VoterSet } from '../shared/state/voter-set';
 import { SingletonHolder } from './configuration/singleton-holder';
@@ -12,7 +13,7 @@
 /** How many characters of a disk's id are logged. */
 const LOGGED_DISK_CHARACTERS = 8;
 
-/** Logs a change of the voter set or of its owner, and of the holder of a singleton role; other keys are passed over. */
+/** Logs a change of the voter set or of its owner, of the holder of a singleton role, and of the evacuated zones; other keys are passed over. */
 export function logChange(
   logger: Logger,
   learned: VersionedValue,
@@ -20,6 +21,7 @@
 ): void {
   if (learned.key === CONTROL_KEYS.voters) logVoterSet(logger, learned);
   if (learned.key.startsWith(CONTROL_KEYS.duty)) logSingletonHolder(logger, learned, before);
+  if (learned.key === CONTROL_KEYS.evacuations) logEvacuations(logger, learned, before);
 }
 
 function logVoterSet(logger: Logger, { epoch, by, number, value }: VersionedValue): void {
@@ -41,6 +43,19 @@
   logger.notice(fields, `${holder} holds ${key}`);
 }
 
+function logEvacuations(
+  logger: Logger,
+  learned: VersionedValue,
+  before: VersionedValue | undefined,
+): void {
+  const { by, epoch, number, value } = learned;
+  if (number === before?.number) return;
+  const { zones } = value as EvacuationsValue;
+  const fields = { event: 'evacuations.changed', peer: by, epoch, number };
+  const text = zones.length > 0 ? `evacuated: ${zones.join(' ')}` : 'no zone is evacuated';
+  logger.notice(fields, text);
+}
+
 /** A voter by its address and the beginning of its disk's id, so that an emptied disk shows. */
 function describeVoter(voter: Voter): string {
   return `${voter.at}/${voter.disk.slice(0, LOGGED_DISK_CHARACTERS)}`;
--- a/src/control/configuration/next-value.ts
+++ b/src/control/configuration/next-value.ts
@@ -6,6 +6,7 @@
 import { Right } from 'purify-ts';
 import { failure, Result } from '../../shared/errors/errors';
 import { CONTROL_KEYS } from '../../shared/state/control-keys';
+import { EvacuationsValue } from '../../shared/state/evacuations';
 import { deriveSalts, Intents, IntentsValue } from '../../shared/state/intents';
 import { VersionedValue } from '../../shared/state/versions';
 import { VoterSet } from '../../shared/state/voter-set';
@@ -13,6 +14,7 @@
 import { computeDeployment, DocumentParser } from './deployment-change';
 import { validateIntents } from './intents-validation';
 import {
+  EvacuationOperation,
   IntentsOperation,
   Operation,
   SingletonOperation,
@@ -52,6 +54,8 @@
       return Right(operation.engines);
     case 'duty':
       return acquireSingleton(operation, committed);
+    case 'evacuation':
+      return changeEvacuations(operation, committed);
     case 'voters':
       return replaceVoters(operation, committed);
   }
@@ -154,6 +158,22 @@
   return Right({ holder, at, fence: number + 1 });
 }
 
+/** Adds a zone to those that are evacuated, or removes it. */
+function changeEvacuations(
+  { zone, evacuated }: EvacuationOperation,
+  committed: VersionedValue | undefined,
+): Result<EvacuationsValue> {
+  const before = committed?.value as EvacuationsValue | undefined;
+  const zones = new Set(before?.zones);
+  if (zones.has(zone) === evacuated) {
+    const reason = evacuated ? 'the zone is evacuated already' : 'the zone is not evacuated';
+    return failure('evacuate', zone, reason, 'refused', 'stands');
+  }
+  if (evacuated) zones.add(zone);
+  else zones.delete(zone);
+  return Right({ zones: [...zones].sort() });
+}
+
 function replaceVoters(
   operation: VotersOperation,
   committed: VersionedValue | undefined,
--- a/src/control/configuration/operations.ts
+++ b/src/control/configuration/operations.ts
@@ -68,6 +68,13 @@
   basedOn?: number;
 }
 
+/** Starts the evacuation of a zone, or finishes it. */
+export interface EvacuationOperation {
+  kind: 'evacuation';
+  zone: string;
+  evacuated: boolean;
+}
+
 /** Replaces the set of voters, on top of the number `basedOn`. */
 export interface VotersOperation {
   kind: 'voters';
@@ -85,6 +92,7 @@
   | WeightsRetirement
   | EnginesOperation
   | SingletonOperation
+  | EvacuationOperation
   | VotersOperation;
 
 /** The control key that an operation changes. */
@@ -104,6 +112,8 @@
       return CONTROL_KEYS.engines;
     case 'duty':
       return CONTROL_KEYS.duty + operation.duty;
+    case 'evacuation':
+      return CONTROL_KEYS.evacuations;
     case 'voters':
       return CONTROL_KEYS.voters;
   }
--- a/src/shared/platform-adapter/platform-adapter.ts
+++ b/src/shared/platform-adapter/platform-adapter.ts
@@ -127,6 +127,12 @@
   next?: string;
 }
 
+/** An operator's call that starts or finishes the evacuation of a zone; no zone where its name can't be read. */
+export interface EvacuationCall {
+  zone: string | undefined;
+  evacuated: boolean;
+}
+
 /** How the product is spoken to and speaks at its edges: names, formats and calls. It decides nothing. */
 export interface PlatformAdapter {
   name: string;
@@ -181,5 +187,7 @@
     baseVersion: (headers: Record<string, string | undefined>) => number | undefined;
     /** Reads named weights; a higher rank is newer. */
     weights: (doc: unknown) => Either<string, { model: string; weights: string; rank: number }>;
+    /** Reads the path of a call about an evacuation; nothing where it is another path. */
+    evacuation: (path: string) => EvacuationCall | undefined;
   };
 }
--- a/test/control/lease-after-power-loss.test.ts
+++ b/test/control/lease-after-power-loss.test.ts
@@ -1,48 +1,5 @@
-import { openChannel } from '../../src/shared/transport/peer-channel';
-import { HelloHandlers } from '../../src/shared/transport/hello-handlers';
-import { PROTOCOL_VERSION } from '../../src/shared/transport/hello';
-import { followCore, Follower } from '../../src/shared/replication/follower';
-import { timeLimitsOf } from '../../src/shared/settings/time-limits';
-import { defaultSettings } from '../../src/shared/settings/settings';
-import { Proc } from '../../tools/sim/process';
-import { CoreRig, makeCore, documentOf, PATHS } from './deploymentrig';
-
-const BOUNDS = timeLimitsOf({ ...defaultSettings(), strict: false });
-
-function followAt(rig: CoreRig, router: Proc): Follower {
-  const ports = rig.net.ports(router);
-  const address = `${router.ip}:7000`;
-  const hello = {
-    version: PROTOCOL_VERSION,
-    name: router.name,
-    role: 'router',
-    at: address,
-    zone: router.name,
-  };
-  const edges: object[] = [new HelloHandlers(hello)];
-  void ports.network.listen(address, taken);
-  function taken(connection: Parameters<typeof openChannel>[1]): void {
-    openChannel(ports, connection, edges);
-  }
-  return followCore(ports, {
-    timeLimits: BOUNDS,
-    hello,
-    member: {
-      name: router.name,
-      role: 'router',
-      at: address,
-      http: address,
-      zone: router.name,
-      life: ports.random.uuid().slice(0, 8),
-    },
-    seeds: rig.core.map(wireOf),
-    handlers: edges,
-  });
-}
-
-function wireOf(router: Proc): string {
-  return `${router.ip}:7000`;
-}
+import { makeCore, documentOf, PATHS } from './deploymentrig';
+import { BOUNDS, followAt } from './follower-rig';
 
 /** Ms from when a majority and the follower are up until the follower has its leases. */
 async function returns(seed: number): Promise<number> {
