Routers send nothing to the engines of an evacuated zone

The engines of an evacuated zone are in no choice of either router, so that new requests, retries and resumed streams go elsewhere; a request that was placed before and waits for its connection is checked once more before it is sent. Answers that have begun go on. As with engines that drain, no prompt blocks are fetched from there.

--- a/src/data/engine-tracker.ts
+++ b/src/data/engine-tracker.ts
@@ -5,6 +5,7 @@
 
 import { EngineStatus, engineStatus } from '../shared/contracts/engine';
 import { errorOrValue } from '../shared/errors/errors';
+import { isZoneEvacuated } from '../shared/replication/evacuated-zones';
 import { Follower } from '../shared/replication/follower';
 import { Ports } from '../shared/ports/ports';
 import { TimeLimits } from '../shared/settings/time-limits';
@@ -123,11 +124,12 @@
     return engine.leaving || this.follower.isDraining(engine.id);
   }
 
-  /** Whether an engine may get a request: it reports, does not drain, and its circuit is closed or to be probed. */
+  /** Whether an engine may get a request: it reports, does not drain, is in no evacuated zone, and its circuit is closed or to be probed. */
   isUsable(tracked: TrackedEngine): boolean {
     const now = this.ports.clock.now();
     const { status, statusAt, circuitOpenUntil } = tracked;
     if (this.isDraining(tracked) || !status || status.leaving) return false;
+    if (isZoneEvacuated(this.follower, tracked.engine.zone)) return false;
     if (now - statusAt > this.timeLimits.circuitOpenMs * MAX_STATUS_AGE_RATIO) return false;
     if (now < tracked.rejectedUntil) return false;
     if (circuitOpenUntil === 0) return true;
--- a/src/data/gateway/engine-directory.ts
+++ b/src/data/gateway/engine-directory.ts
@@ -2,6 +2,7 @@
  * The engines of each pool as the follower last heard of them, and which of them may serve a request now.
  */
 
+import { isZoneEvacuated } from '../../shared/replication/evacuated-zones';
 import { Follower } from '../../shared/replication/follower';
 import { Settings } from '../../shared/settings/settings';
 import { CONTROL_KEYS } from '../../shared/state/control-keys';
@@ -113,8 +114,10 @@
     this.dependencies.onListed(names);
   }
 
-  private isUnavailable({ id, leaving }: Engine): boolean {
-    return leaving || this.dependencies.follower.isDraining(id) || this.replaced.has(id);
+  private isUnavailable({ id, leaving, zone }: Engine): boolean {
+    const { follower } = this.dependencies;
+    if (leaving || this.replaced.has(id)) return true;
+    return follower.isDraining(id) || isZoneEvacuated(follower, zone);
   }
 
   private expectedWeights(engine: Engine, model: string | undefined): ExpectedWeights | undefined {
--- a/src/data/gateway/gateway-dependencies.ts
+++ b/src/data/gateway/gateway-dependencies.ts
@@ -42,7 +42,7 @@
   counts: GatewayCounts;
   /** The deployment's look-ups, once this router may serve. */
   routes: () => RouteTable | undefined;
-  /** Whether an engine is still listed and not draining. */
+  /** Whether an engine is still listed, not draining, and in no evacuated zone. */
   isEngineActive: (engine: Engine) => boolean;
   drain: GracefulDrain;
   inFlight: InFlightRequests;
--- a/src/data/gateway/serving-state.ts
+++ b/src/data/gateway/serving-state.ts
@@ -4,6 +4,7 @@
 
 import { Either } from 'purify-ts';
 import { PlatformAdapter } from '../../shared/platform-adapter/platform-adapter';
+import { isZoneEvacuated } from '../../shared/replication/evacuated-zones';
 import { Follower } from '../../shared/replication/follower';
 import { Settings } from '../../shared/settings/settings';
 import { CONTROL_KEYS } from '../../shared/state/control-keys';
@@ -74,9 +75,11 @@
     return this.lastRouterCount;
   }
 
-  /** Whether an engine is still listed and not draining. */
-  isEngineActive({ id }: Engine): boolean {
-    return this.activeEngines.has(id) && !this.follower.isDraining(id);
+  /** Whether an engine is still listed, not draining, and in no evacuated zone. */
+  isEngineActive({ id, zone }: Engine): boolean {
+    const { follower } = this;
+    if (!this.activeEngines.has(id) || follower.isDraining(id)) return false;
+    return !isZoneEvacuated(follower, zone);
   }
 
   /** Takes a new list of engines. */
