--- a/src/programs/cli/fleet-commands.ts
+++ b/src/programs/cli/fleet-commands.ts
@@ -30,6 +30,8 @@
   diskFit: boolean;
   live: string[];
   revision: number;
+  /** None from controllers of releases before evacuations. */
+  evacuated?: string[];
   standing: VotersStatus;
   members: MemberRow[];
   engines: EngineRow[];
@@ -67,6 +69,10 @@
   return `  ${engine.id} ${engine.at} ${engine.weights}${engine.leaving ? ' leaving' : ''}`;
 }
 
+function formatEvacuated(zones: readonly string[] = []): string[] {
+  return zones.length > 0 ? [`evacuated zones ${zones.join(' ')}`] : [];
+}
+
 function formatFleet(fleet: FleetBody): string {
   const majority = fleet.majority ? 'in a majority' : 'no majority';
   const disk = fleet.diskFit ? 'fit' : 'unfit';
@@ -76,6 +82,7 @@
     ...formatVoterStatus(fleet.standing),
     'members',
     ...fleet.members.map(formatMember),
+    ...formatEvacuated(fleet.evacuated),
     'engines',
     ...fleet.engines.map(formatEngine),
   ].join('\n');
