--- a/test/data/gateway-evacuation.test.ts
+++ b/test/data/gateway-evacuation.test.ts
@@ -60,6 +60,8 @@
   const b = await startStandIn('e2', streamEvents(3), 'zone-b');
   const rig = await startGatewayFixture({ engines: [a], deployment: deployment([route({})]) });
   evacuate(rig, ['zone-b']);
+  rig.publishEngines([b]);
+  for (const { status } of await sendMany(rig, 3)) expect(status).toBe(503);
   rig.publishEngines([a, b]);
   for (const { status } of await sendMany(rig, 6)) expect(status).toBe(200);
   expect(b.calls.length).toBe(0);
