--- a/src/control/singletons/engine-list-watch.ts
+++ b/src/control/singletons/engine-list-watch.ts
@@ -8,7 +8,8 @@
 import { Engine } from '../../shared/state/engines';
 import { CONTROL_KEYS } from '../../shared/state/control-keys';
 import { Controller } from '../controller-interface';
-import { keepReportedWarmUp, listAllEngines } from './engine-listing';
+import { listAllEngines } from './engine-listing';
+import { WarmUpReports } from './warm-up-reports';
 
 /**
  * Watches the platform's list while this node owns the key `engines`; that key's register is the fence. Routers are
@@ -20,8 +21,10 @@
   ports: Ports,
   adapter?: PlatformAdapter,
 ): Promise<void> {
+  const { platformPollMs, statusTimeoutMs } = controller.timeLimits;
+  const warmUps = new WarmUpReports(ports.clock, statusTimeoutMs);
   while (!controller.isStopped()) {
-    await ports.clock.sleep(controller.timeLimits.platformPollMs);
+    await ports.clock.sleep(platformPollMs);
     if (!isWatcher(controller) || (adapter && !controller.hasQuorum())) continue;
     const [error, listed] = errorOrValue(await listEngines(controller, ports, adapter));
     if (error) {
@@ -29,7 +32,7 @@
       continue;
     }
     const committed = controller.committedValue<Engine[]>(CONTROL_KEYS.engines)?.value;
-    const engines = keepReportedWarmUp(committed ?? [], listed.sort(compareIds));
+    const engines = warmUps.keepFirst(committed ?? [], listed.sort(compareIds));
     if (JSON.stringify(committed) === JSON.stringify(engines)) continue;
     const leaving = newlyLeaving(committed ?? [], engines);
     if (leaving.length > 0) controller.leases.notifyAll('leaving', leaving);
--- a/src/control/singletons/engine-listing.ts
+++ b/src/control/singletons/engine-listing.ts
@@ -41,18 +41,3 @@
   }
   return failure('list engines', address, `more than ${MAX_PAGES} pages`);
 }
-
-/**
- * Leaves out what only counts down: the time for which an engine is still warming up stays as it was first reported,
- * until that is over, so that the committed list does not change with each poll.
- */
-export function keepReportedWarmUp(before: readonly Engine[], list: readonly Engine[]): Engine[] {
-  const reported = new Map<string, Engine>();
-  for (const engine of before) reported.set(engine.id, engine);
-  function keepWarmUp(engine: Engine): Engine {
-    const warmMs = reported.get(engine.id)?.warmMs;
-    const isWarmingUp = engine.warmMs !== undefined && engine.warmMs > 0;
-    return isWarmingUp && warmMs !== undefined && warmMs > 0 ? { ...engine, warmMs } : engine;
-  }
-  return list.map(keepWarmUp);
-}
