--- a/src/control/controller-interface.ts
+++ b/src/control/controller-interface.ts
@@ -19,6 +19,7 @@
 import { MembershipRequests } from './membership/membership-requests';
 import { ControlStore } from './storage/control-store';
 import { IdempotencyVotes } from './storage/idempotency-votes';
+import { WarmUpPermits } from './warm-up/warm-up-permits';
 
 /** The part of the liveness view of the voters that the rest of a controller goes by. */
 type LivenessView = Pick<
@@ -49,6 +50,7 @@
   timeLimits: TimeLimits;
   store: ControlStore;
   leases: LeaseRegistry;
+  permits: WarmUpPermits;
   votes: IdempotencyVotes;
   keyOwner: KeyOwner;
   membershipRequests: MembershipRequests;
--- a/src/control/controller-node.ts
+++ b/src/control/controller-node.ts
@@ -52,6 +52,7 @@
 import { IdempotencyVotes } from './storage/idempotency-votes';
 import { learnedValues } from './storage/register-state';
 import { StoredVotes } from './storage/vote-files';
+import { makeWarmUpPermits, WarmUpPermits } from './warm-up/warm-up-permits';
 import { drawRunId } from '../shared/state/members';
 
 /** What a controller is made of. */
@@ -78,6 +79,7 @@
   readonly timeLimits: TimeLimits;
   readonly store: ControlStore;
   readonly metrics: Metrics;
+  readonly permits: WarmUpPermits;
   readonly leases: LeaseRegistry;
   readonly votes: IdempotencyVotes;
   readonly keyOwner: KeyOwner;
@@ -125,7 +127,9 @@
     this.wakers = makeWakerGroup(ports.clock);
     const transport = this.makeVoterTransport();
     this.acceptor = new Acceptor(store, transport, ports);
-    this.leases = new LeaseRegistry(store, ports, this.timeLimits, this.voters.bind(this));
+    const voters = this.voters.bind(this);
+    this.permits = makeWarmUpPermits(this, ports.clock, options.parser);
+    this.leases = new LeaseRegistry(store, ports, this.timeLimits, voters, this.permits);
     this.keyOwner = makeKeyOwner(store, transport);
     this.votes = new IdempotencyVotes(store, ports, this.voters.bind(this), settings.onceKeepMs);
 
--- a/src/control/leases/lease-registry.ts
+++ b/src/control/leases/lease-registry.ts
@@ -4,10 +4,12 @@
  * lease covers it.
  */
 
+import { isDeepStrictEqual } from 'node:util';
 import { Right } from 'purify-ts';
 import { appliedEntries, ChangeMessage } from '../../shared/replication/change-message';
 import { ChunkRequest } from '../../shared/replication/chunk-fetcher';
 import { LeaseReply } from '../../shared/replication/lease-renewal';
+import { PermitGrant } from '../../shared/replication/warm-up-permits';
 import { failure } from '../../shared/errors/errors';
 import { Ports } from '../../shared/ports/ports';
 import { TimeLimits } from '../../shared/settings/time-limits';
@@ -31,6 +33,14 @@
   place?: Version;
 }
 
+/** Permits to send to engines that warm up, which routers are granted with their leases. */
+export interface PermitSource {
+  /** All permits of a node from now on; `knowsLast` tells that it has applied what it was granted last. */
+  grant: (member: Member, knowsLast: boolean) => PermitGrant[];
+  /** Takes a node's permits back, as it has left by itself. */
+  release: (member: Member) => void;
+}
+
 /** Leases that nodes hold at this controller, and the changes that they are sent. */
 export class LeaseRegistry {
   private readonly table: LeaseTable;
@@ -42,6 +52,7 @@
     private readonly ports: Ports,
     private readonly timeLimits: TimeLimits,
     private readonly voters: () => VoterSet | undefined,
+    private readonly permits?: PermitSource,
   ) {
     const confirm = this.confirmAll.bind(this);
     this.table = new LeaseTable(ports.clock, timeLimits);
@@ -118,6 +129,7 @@
   @messageHandler('leave', LeaseRequest)
   leave(request: LeaseRequest): HandlerResult {
     this.table.release(request.member);
+    this.permits?.release(request.member);
     this.effects.wake();
     return Promise.resolve(Right(undefined));
   }
@@ -162,7 +174,7 @@
     return { granted: false, disk, lacking: appliedEntries(missing), voters, members: [] };
   }
 
-  /** The reply to a follower that is granted a lease: it names voters and members only where they changed since its last request on this channel. */
+  /** The reply to a follower that is granted a lease: it names voters, members and permits only where they changed since its last request on this channel. */
   private grant(
     request: LeaseRequest,
     holder: LeaseHolder,
@@ -170,9 +182,15 @@
     voters: VoterSet,
   ): LeaseReply {
     const view = this.table.view();
-    const granted: LeaseReply = { granted: true, disk: this.store.diskId, missing: [] };
     const last = before?.lastSent;
-    holder.lastSent = { voters, view };
+    const permits = this.permits?.grant(request.member, last !== undefined) ?? [];
+    const granted: LeaseReply = {
+      granted: true,
+      disk: this.store.diskId,
+      missing: [],
+      ...(isDeepStrictEqual(permits, last?.permits ?? []) ? {} : { permits }),
+    };
+    holder.lastSent = { voters, view, permits };
     if (last?.voters === voters && last.view === view) return granted;
     return last?.voters === voters && request.deltas
       ? { ...granted, ...membershipDelta(last.view.members, view.members) }
--- a/src/control/leases/lease-table.ts
+++ b/src/control/leases/lease-table.ts
@@ -8,6 +8,7 @@
 import { TimeLimits } from '../../shared/settings/time-limits';
 import { incarnationOf, Member } from '../../shared/state/members';
 import { VoterSet } from '../../shared/state/voter-set';
+import { PermitGrant } from '../../shared/replication/warm-up-permits';
 import { PeerChannel } from '../../shared/transport/peer-channel';
 import { ChangeSender } from './change-sender';
 import { AppliedVersions } from './lease-messages';
@@ -26,8 +27,8 @@
   /** The count of keys learned here up to which `applied` lacks nothing. */
   coveredCount: number;
   sender: ChangeSender;
-  /** The voters and members that the node was sent last. */
-  lastSent?: { voters: VoterSet; view: MembershipView };
+  /** The voters, members and permits that the node was sent last. */
+  lastSent?: { voters: VoterSet; view: MembershipView; permits: readonly PermitGrant[] };
 }
 
 /** The leases of one controller, by the incarnations of their holders. */
--- a/src/shared/replication/follower.ts
+++ b/src/shared/replication/follower.ts
@@ -25,8 +25,9 @@
 import { DrainingEngines, makeDrainingEngines } from './draining-engines';
 import { applyMessages, FollowerHandlers } from './follower-handlers';
 import { hasLeaseQuorum } from './lease-quorum';
-import { LeaseReply, LeaseRenewals } from './lease-renewal';
+import { LeaseReply, LeaseRenewals, LeaseRequestContext } from './lease-renewal';
 import { makeMemberView, MemberView } from './member-view';
+import { HeldPermits } from './warm-up-permits';
 
 /** A node's view of the control state, which committed changes and leases keep current. */
 export interface Follower {
@@ -52,6 +53,8 @@
   drainingNotices: Stream<string[]>;
   /** All members, each time that they have changed. */
   memberChanges: Stream<Member[]>;
+  /** How many permits to send to an engine that warms up this node holds now. */
+  permitCount: (engine: string) => number;
   /** Sends a notification to all controllers that are connected. */
   notifyCore: (type: string, body: unknown) => void;
   /** Sends a request to all voters: whether a quorum gave a reply that `isYes` accepts, and the replies until then. */
@@ -81,6 +84,7 @@
 
 class CoreFollower {
   readonly members: MemberView;
+  readonly permits: HeldPermits;
   readonly state = new AppliedState(this.beforeNotify.bind(this));
   readonly drainingNotices = makePushStream<string[]>();
   readonly memberChanges = makePushStream<Member[]>();
@@ -102,6 +106,7 @@
     const { clock } = ports;
     const { timeLimits } = options;
     this.members = makeMemberView(clock.now, this.memberChanges.push);
+    this.permits = new HeldPermits(clock.now);
     this.draining = makeDrainingEngines(clock.now, timeLimits.drainingNoticeTtlMs);
     options.handlers.push(this.makeHandlers());
     this.catchUp = this.makeCatchUp();
@@ -187,6 +192,7 @@
 
   async releaseLeases(): Promise<void> {
     this.members.clear();
+    this.permits.giveBack();
     const { member, timeLimits } = this.options;
     const replies: Promise<unknown>[] = [];
     for (const address of this.pool.peerAddresses()) {
@@ -325,9 +331,16 @@
     this.refusedUntil.set(error.peer, this.ports.clock.now() + leaseMs - connectTimeoutMs);
   }
 
-  private onGranted(reply: LeaseReply, from: PeerChannel, requestedAt: number): void {
+  private onGranted(
+    reply: LeaseReply,
+    from: PeerChannel,
+    { requestedAt, toldAll }: LeaseRequestContext,
+  ): void {
+    const { disk, permits } = reply;
+    const expiresAt = requestedAt + this.options.timeLimits.leaseMs;
     this.refusedUntil.delete(from.peer);
-    this.members.grant(reply.disk, requestedAt + this.options.timeLimits.leaseMs, reply);
+    this.permits.note({ disk, requestedAt, expiresAt, permits, isComplete: toldAll });
+    this.members.grant(disk, expiresAt, reply);
     this.connectToCore();
   }
 
@@ -363,7 +376,7 @@
 export function followCore(ports: Ports, options: FollowerOptions): Follower {
   const follower = new CoreFollower(ports, options);
   follower.start();
-  const { state, members } = follower;
+  const { state, members, permits } = follower;
   return {
     hasLease: follower.hasLease.bind(follower),
     value: follower.value.bind(follower),
@@ -376,6 +389,7 @@
     isDraining: follower.isDraining.bind(follower),
     drainingNotices: follower.drainingNotices.stream,
     memberChanges: follower.memberChanges.stream,
+    permitCount: permits.count.bind(permits),
     notifyCore: follower.notifyCore.bind(follower),
     askVoters: follower.askVoters.bind(follower),
     releaseLeases: follower.releaseLeases.bind(follower),
--- a/src/shared/replication/lease-renewal.ts
+++ b/src/shared/replication/lease-renewal.ts
@@ -15,6 +15,7 @@
 import { CatchUp } from './catch-up';
 import { AppliedEntry } from './change-message';
 import { MemberUpdate } from './member-view';
+import { PermitGrant } from './warm-up-permits';
 
 /** A controller's reply to a lease request. The field names are sent. */
 export interface LeaseReply extends MemberUpdate {
@@ -26,6 +27,16 @@
   /** The versions of the keys that this node lacks, to be fetched. */
   lacking?: AppliedEntry[];
   voters?: VoterSet;
+  /** All permits of this node at the controller; left out where they are as in its last reply, or where it has none and was told of all keys. */
+  permits?: PermitGrant[];
+}
+
+/** How a lease was requested. */
+export interface LeaseRequestContext {
+  /** In ms of the clock port. */
+  requestedAt: number;
+  /** Whether the request told of all keys, so that the reply leaves nothing out that an earlier one said. */
+  toldAll: boolean;
 }
 
 /** What renewals work with. */
@@ -37,8 +48,8 @@
   catchUp: CatchUp;
   /** Applies changes that came complete; whether one was newer. */
   applyAll: (changes: VersionedValue[]) => boolean;
-  /** Called with each grant, and when it was requested in ms of the clock port. */
-  onGranted: (reply: LeaseReply, from: PeerChannel, requestedAt: number) => void;
+  /** Called with each grant, and how it was requested. */
+  onGranted: (reply: LeaseReply, from: PeerChannel, context: LeaseRequestContext) => void;
   onVoterSet: (voters: VoterSet) => void;
   isStopped: () => boolean;
 }
@@ -108,7 +119,8 @@
         continue;
       }
       if (reply.voters) this.dependencies.onVoterSet(reply.voters);
-      if (reply.granted) await this.afterGrant(reply, requestedAt, changeCount);
+      const context = { requestedAt, toldAll: changed === undefined };
+      if (reply.granted) await this.afterGrant(reply, context, changeCount);
       else await this.afterRefusal(reply, changed === undefined ? undefined : changeCount);
     }
   }
@@ -137,12 +149,12 @@
 
   private async afterGrant(
     reply: LeaseReply,
-    requestedAt: number,
+    context: LeaseRequestContext,
     changeCount: number,
   ): Promise<void> {
     const { ports, onGranted } = this.dependencies;
     this.reportedCount = changeCount;
-    onGranted(reply, this.channel, requestedAt);
+    onGranted(reply, this.channel, context);
     await this.pause(jittered(ports.random, INTERVAL_RATIO));
   }
 
