--- a/src/data/gateway/attempts.ts
+++ b/src/data/gateway/attempts.ts
@@ -75,6 +75,11 @@
     admitted.excluded.add(selection.engine.id);
     const connection = await this.connect(selection, tracker);
     if (!connection) return false;
+    if (!gateway.warmUpLimit.trySend(selection.engine)) {
+      tracker.recordEnd('caller-gone');
+      gateway.connections.release(selection.engine, connection);
+      return false;
+    }
     const cause = this.causeNotToSend();
     if (cause) {
       tracker.recordEnd('caller-gone');
@@ -96,12 +101,13 @@
     { engine }: EngineSelection,
     tracker: AttemptTracker,
   ): Promise<HttpConnection | undefined> {
-    const { connections, isEngineActive } = this.gateway;
+    const { coldEngines, connections, isEngineActive } = this.gateway;
     const [error, connection] = errorOrValue(
       await connections.acquire(engine, this.admitted.maxConnections),
     );
     if (error) {
       if (error.code === 'no-connection') tracker.recordRejection('not-run');
+      else coldEngines.recordUnreachable(engine);
       tracker.recordEnd('not-sent');
       return undefined;
     }
--- /dev/null
+++ b/src/data/gateway/cold-engines.ts
@@ -0,0 +1,131 @@
+/**
+ * Which engines are to be taken as cold: those that a list shows as warming up, those of zones whose evacuation has
+ * ended, and those that could not be connected to and may have started again since.
+ */
+
+import { Clock } from '../../shared/ports/clock';
+import { Pool } from '../../shared/state/deployment';
+import { Engine } from '../../shared/state/engines';
+
+/** What a look at cold engines works with. */
+export interface ColdEnginesDependencies {
+  clock: Clock;
+  /** By how much the time that a list reports may be too short, in ms. */
+  reportToleranceMs: number;
+  pool: (name: string) => Pool | undefined;
+  /** Whether an engine takes connections now. */
+  isReachable: (engine: Engine) => Promise<boolean>;
+}
+
+/** What is known of an engine. Times are ms of the clock. */
+interface EngineWarmth {
+  /** The warm-up time by the last list, in ms; 0 where it is warm. */
+  reportedMs: number;
+  /** Until when it is taken as cold, by a list and by the other signs. */
+  listedUntil: number;
+  presumedUntil: number;
+  /** Whether it could not be connected to, and has not been since. */
+  isUnreachable: boolean;
+  isBeingChecked: boolean;
+  nextCheckAt: number;
+}
+
+/** The least time between two checks whether an engine takes connections again, in ms. */
+const CHECK_INTERVAL_MS = 500;
+
+function emptyWarmth(): EngineWarmth {
+  return {
+    reportedMs: 0,
+    listedUntil: -Infinity,
+    presumedUntil: -Infinity,
+    isUnreachable: false,
+    isBeingChecked: false,
+    nextCheckAt: -Infinity,
+  };
+}
+
+/** Keeps which engines are taken as cold. */
+export class ColdEngines {
+  private readonly warmthById = new Map<string, EngineWarmth>();
+  private engines: readonly Engine[] = [];
+  private evacuatedZones: ReadonlySet<string> = new Set();
+
+  constructor(private readonly dependencies: ColdEnginesDependencies) {}
+
+  /** Takes a new list of engines. */
+  applyEngines(engines: readonly Engine[]): void {
+    this.engines = engines;
+    const ids = new Set<string>();
+    for (const engine of engines) {
+      ids.add(engine.id);
+      this.applyReport(engine);
+    }
+    for (const id of this.warmthById.keys()) if (!ids.has(id)) this.warmthById.delete(id);
+  }
+
+  /** Takes the zones that are evacuated; the engines of those that no longer are may have turned cold meanwhile. */
+  applyEvacuations(zones: readonly string[]): void {
+    const evacuated = new Set(zones);
+    for (const engine of this.engines) {
+      const { zone } = engine;
+      if (this.evacuatedZones.has(zone) && !evacuated.has(zone)) this.presumeCold(engine);
+    }
+    this.evacuatedZones = evacuated;
+  }
+
+  /** Records that an engine could not be connected to. */
+  recordUnreachable({ id }: Engine): void {
+    const warmth = this.warmthOf(id);
+    warmth.isUnreachable = true;
+    warmth.nextCheckAt = this.dependencies.clock.now() + CHECK_INTERVAL_MS;
+  }
+
+  /** Whether an engine is to be taken as cold now. One that is unreachable is checked again from time to time. */
+  isCold(engine: Engine): boolean {
+    const warmth = this.warmthById.get(engine.id);
+    if (!warmth || !this.isLimited(engine)) return false;
+    const now = this.dependencies.clock.now();
+    if (!warmth.isUnreachable) return now < Math.max(warmth.listedUntil, warmth.presumedUntil);
+    if (!warmth.isBeingChecked && now >= warmth.nextCheckAt) void this.check(engine, warmth);
+    return true;
+  }
+
+  /** A report that differs from the last one is a new one; the same one still counts from when it first came. */
+  private applyReport({ id, warmMs = 0 }: Engine): void {
+    const warmth = this.warmthOf(id);
+    if (warmMs === warmth.reportedMs) return;
+    const { clock, reportToleranceMs } = this.dependencies;
+    warmth.reportedMs = warmMs;
+    warmth.listedUntil = warmMs > 0 ? clock.now() + warmMs + reportToleranceMs : -Infinity;
+  }
+
+  private presumeCold(engine: Engine): void {
+    const { clock, pool } = this.dependencies;
+    const warmUpMs = pool(engine.pool ?? '')?.warmUpMs ?? 0;
+    this.warmthOf(engine.id).presumedUntil = clock.now() + warmUpMs;
+  }
+
+  /** Whether a cold engine of its pool bears only so many requests. */
+  private isLimited(engine: Engine): boolean {
+    return (this.dependencies.pool(engine.pool ?? '')?.warmUpPerS ?? 0) > 0;
+  }
+
+  /** An engine that takes connections again may have started at any time until now. */
+
+  private async check(engine: Engine, warmth: EngineWarmth): Promise<void> {
+    warmth.isBeingChecked = true;
+    const isReachable = await this.dependencies.isReachable(engine);
+    warmth.isBeingChecked = false;
+    if (!isReachable) return this.recordUnreachable(engine);
+    warmth.isUnreachable = false;
+    this.presumeCold(engine);
+  }
+
+  private warmthOf(id: string): EngineWarmth {
+    const known = this.warmthById.get(id);
+    if (known) return known;
+    const warmth = emptyWarmth();
+    this.warmthById.set(id, warmth);
+    return warmth;
+  }
+}
--- a/src/data/gateway/engine-chooser.ts
+++ b/src/data/gateway/engine-chooser.ts
@@ -70,6 +70,8 @@
   weights: WeightsTracker;
   pool: (name: string) => Pool | undefined;
   stores: () => readonly PartStore[];
+  /** Whether an engine may be sent a request now, as far as it warms up. */
+  mayTake: (engine: Engine) => boolean;
   /** How many routers there are, as far as it is known. */
   routerCount: () => number | undefined;
 }
@@ -102,7 +104,7 @@
   private readonly directory: EngineDirectory;
 
   constructor(private readonly dependencies: EngineChooserDependencies) {
-    const { ports, settings, follower, weights, stores, routerCount } = dependencies;
+    const { ports, settings, follower, weights, stores, mayTake, routerCount } = dependencies;
     this.placement = new Placement({
       now: ports.clock.now,
       random: ports.random.next,
@@ -118,7 +120,14 @@
       routerCount,
     });
     const onListed = this.placement.retain.bind(this.placement);
-    this.directory = new EngineDirectory({ settings, follower, weights, stores, onListed });
+    this.directory = new EngineDirectory({
+      settings,
+      follower,
+      weights,
+      stores,
+      mayTake,
+      onListed,
+    });
   }
 
   /** Chooses an engine, or says why none takes the request. */
--- a/src/data/gateway/engine-directory.ts
+++ b/src/data/gateway/engine-directory.ts
@@ -26,6 +26,8 @@
   follower: Follower;
   weights: WeightsTracker;
   stores: () => readonly PartStore[];
+  /** Whether an engine may be sent a request now, as far as it warms up. */
+  mayTake: (engine: Engine) => boolean;
   /** Called with the names of all engines and stores when the list of engines is another. */
   onListed: (names: ReadonlySet<string>) => void;
 }
@@ -66,7 +68,7 @@
     const cacheScope = cacheScopeOf(tenant);
     const serving: ServingEngines = { endpoints: [], weights: new Map(), namedWeights: '' };
     for (const engine of this.enginesOf(pool)) {
-      if (this.isUnavailable(engine)) continue;
+      if (this.isUnavailable(engine) || !this.dependencies.mayTake(engine)) continue;
       const expected = this.expectedWeights(engine, model);
       if (expected === undefined || expected.kind === 'loading') continue;
       if (expected.kind === 'now') serving.namedWeights = expected.weights;
--- a/src/data/gateway/gateway-dependencies.ts
+++ b/src/data/gateway/gateway-dependencies.ts
@@ -11,7 +11,9 @@
 import { GracefulDrain } from './graceful-drain';
 import { InFlightRequests } from './in-flight-requests';
 import { RetryBudget } from './retry-budget';
+import { ColdEngines } from './cold-engines';
 import { RouteTable } from './route-table';
+import { WarmUpLimit } from './warm-up-limit';
 
 /** Counters of the request path since its start. */
 export interface GatewayCounts {
@@ -39,6 +41,8 @@
   chooser: EngineChooser;
   connections: EngineConnections;
   budget: RetryBudget;
+  coldEngines: ColdEngines;
+  warmUpLimit: WarmUpLimit;
   counts: GatewayCounts;
   /** The deployment's look-ups, once this router may serve. */
   routes: () => RouteTable | undefined;
--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -16,11 +16,14 @@
 } from '../../shared/ports/raw-http';
 import { Ports } from '../../shared/ports/ports';
 import { Settings } from '../../shared/settings/settings';
+import { timeLimitsOf } from '../../shared/settings/time-limits';
 import { makeStallMonitor, StallMonitor } from '../../shared/observability/event-loop-stalls';
 import { NamedWeights } from '../../shared/state/weights';
 import { Engine } from '../../shared/state/engines';
 import { CONTROL_KEYS } from '../../shared/state/control-keys';
+import { EvacuationsValue } from '../../shared/state/evacuations';
 import { VersionedValue } from '../../shared/state/versions';
+import { ColdEngines } from './cold-engines';
 import { EngineChooser } from './engine-chooser';
 import { EngineConnections } from './engine-connections';
 import { GatewayCounts, GatewayDependencies, zeroCounts } from './gateway-dependencies';
@@ -30,6 +33,7 @@
 import { RetryBudget } from './retry-budget';
 import { ServingState } from './serving-state';
 import { StartLog } from './start-log';
+import { WarmUpLimit } from './warm-up-limit';
 import { WeightsMessages } from './weights-messages';
 import { WeightsTracker } from './weights-tracker';
 import { idsOf } from './candidates';
@@ -72,6 +76,8 @@
   private readonly draining: GracefulDrain;
   private readonly weights: WeightsTracker;
   private readonly connections: EngineConnections;
+  private readonly coldEngines: ColdEngines;
+  private readonly warmUpLimit: WarmUpLimit;
   private readonly chooser: EngineChooser;
   private readonly dependencies: GatewayDependencies;
   private listeners: Listeners | undefined;
@@ -93,6 +99,8 @@
     this.messages = new WeightsMessages(this.weights);
     const routerCount = this.state.routerCount.bind(this.state);
     this.connections = new EngineConnections(clock, http, settings, routerCount);
+    this.coldEngines = this.makeColdEngines();
+    this.warmUpLimit = this.makeWarmUpLimit();
     this.chooser = this.makeChooser(routerCount);
     this.dependencies = this.makeDependencies(new RetryBudget(clock, settings, routerCount));
   }
@@ -140,17 +148,48 @@
     await Promise.all([this.draining.close(callers), readiness.close()]);
   }
 
+  private makeColdEngines(): ColdEngines {
+    const { ports, settings } = this.options;
+    const { connections, state } = this;
+    return new ColdEngines({
+      clock: ports.clock,
+      reportToleranceMs: timeLimitsOf(settings).statusTimeoutMs,
+      pool: state.poolOf.bind(state),
+      isReachable: connections.isReachable.bind(connections),
+    });
+  }
+
+  private makeWarmUpLimit(): WarmUpLimit {
+    const { ports, follower } = this.options;
+    const { coldEngines } = this;
+    return new WarmUpLimit({
+      clock: ports.clock,
+      isCold: coldEngines.isCold.bind(coldEngines),
+      permitCount: follower.permitCount,
+    });
+  }
+
   private makeChooser(routerCount: () => number | undefined): EngineChooser {
     const { ports, settings, follower } = this.options;
-    const { state, weights } = this;
+    const { state, warmUpLimit, weights } = this;
     const pool = state.poolOf.bind(state);
     const stores = state.stores.bind(state);
-    return new EngineChooser({ ports, settings, follower, weights, pool, stores, routerCount });
+    const mayTake = warmUpLimit.allows.bind(warmUpLimit);
+    return new EngineChooser({
+      ports,
+      settings,
+      follower,
+      weights,
+      pool,
+      stores,
+      mayTake,
+      routerCount,
+    });
   }
 
   private makeDependencies(budget: RetryBudget): GatewayDependencies {
     const { ports, settings, adapter } = this.options;
-    const { state, chooser, connections, counts, inFlight } = this;
+    const { state, chooser, connections, counts, inFlight, coldEngines, warmUpLimit } = this;
     return {
       ports,
       settings,
@@ -158,6 +197,8 @@
       chooser,
       connections,
       budget,
+      coldEngines,
+      warmUpLimit,
       counts,
       routes: state.routes.bind(state),
       isEngineActive: state.isEngineActive.bind(state),
@@ -207,12 +248,17 @@
     if (key === CONTROL_KEYS.engines) this.applyEngines(value as Engine[]);
     if (key.startsWith(CONTROL_KEYS.weights))
       this.weights.recordNaming(value as NamedWeights, this.options.follower.hasLease());
+    if (key === CONTROL_KEYS.evacuations)
+      this.coldEngines.applyEvacuations((value as EvacuationsValue).zones);
     if (key === CONTROL_KEYS.deployment) this.applyDeployment((value as DeploymentValue).doc);
   }
 
   private applyEngines(engines: Engine[]): void {
     this.state.applyEngines(engines);
-    this.connections.retain(new Set(idsOf(engines)));
+    const ids = new Set(idsOf(engines));
+    this.connections.retain(ids);
+    this.warmUpLimit.retain(ids);
+    this.coldEngines.applyEngines(engines);
     this.weights.recordEngines(engines);
   }
 
--- a/test/data/gateway-fixture.ts
+++ b/test/data/gateway-fixture.ts
@@ -184,6 +184,8 @@
   /** Whether it holds a majority's leases from the start. */
   hasLease?: boolean;
   clock?: Ports['clock'];
+  /** How many permits to send to an engine that warms up it holds; none where it is left out. */
+  permitCount?: (engine: string) => number;
   /** Called when a connection to an engine has come up, before it is used. */
   onConnect?: (at: string) => void;
 }
@@ -229,6 +231,7 @@
         leaving: e.leaving ?? false,
         pool: e.pool ?? 'p',
         batch: 4,
+        warmMs: e.warmMs,
       };
     }
     tell(CONTROL_KEYS.engines, list.map(whole));
@@ -252,6 +255,9 @@
   function leaving(): boolean {
     return false;
   }
+  function noPermits(): number {
+    return 0;
+  }
   if (ways.engines) tellEngines(ways.engines);
   if (ways.deployment) tell(CONTROL_KEYS.deployment, { revision: 1, doc: ways.deployment });
   function sink(): void {
@@ -267,6 +273,7 @@
     changes: changes.stream,
     drainingNotices: makePushStream<string[]>().stream,
     memberChanges: makePushStream<never>().stream,
+    permitCount: ways.permitCount ?? noPermits,
   } as unknown as Follower;
   const settings: Settings = {
     ...defaultSettings(),
