--- a/src/control/controller-interface.ts
+++ b/src/control/controller-interface.ts
@@ -20,6 +20,7 @@
 import { ControlStore } from './storage/control-store';
 import { IdempotencyVotes } from './storage/idempotency-votes';
 import { Tallies } from './tallies/tallies';
+import { WarmUpPermits } from './warm-up/warm-up-permits';
 
 /** The part of the liveness view of the voters that the rest of a controller goes by. */
 type LivenessView = Pick<
@@ -50,6 +51,7 @@
   timeLimits: TimeLimits;
   store: ControlStore;
   leases: LeaseRegistry;
+  permits: WarmUpPermits;
   votes: IdempotencyVotes;
   /** Where a platform's dialect is spoken: only its applications keep tallies. */
   tallies?: Tallies;
--- a/src/control/controller-node.ts
+++ b/src/control/controller-node.ts
@@ -54,6 +54,7 @@
 import { StoredVotes } from './storage/vote-files';
 import { Tallies } from './tallies/tallies';
 import { StoredTallies } from './tallies/tally-files';
+import { makeWarmUpPermits, WarmUpPermits } from './warm-up/warm-up-permits';
 import { drawRunId } from '../shared/state/members';
 
 /** What a controller is made of. */
@@ -82,6 +83,7 @@
   readonly timeLimits: TimeLimits;
   readonly store: ControlStore;
   readonly metrics: Metrics;
+  readonly permits: WarmUpPermits;
   readonly leases: LeaseRegistry;
   readonly votes: IdempotencyVotes;
   readonly tallies?: Tallies;
@@ -132,7 +134,9 @@
     this.wakers = makeWakerGroup(ports.clock);
     const transport = this.makeVoterTransport();
     this.acceptor = new Acceptor(store, transport, ports);
-    this.leases = new LeaseRegistry(store, ports, this.timeLimits, this.voters.bind(this));
+    const voters = this.voters.bind(this);
+    this.permits = makeWarmUpPermits(this, ports.clock, options.parser);
+    this.leases = new LeaseRegistry(store, ports, this.timeLimits, voters, this.permits);
     this.keyOwner = makeKeyOwner(store, transport);
     this.votes = new IdempotencyVotes(store, ports, this.voters.bind(this), settings.onceKeepMs);
 
