--- a/tools/standins/platform/operator.ts
+++ b/tools/standins/platform/operator.ts
@@ -1,7 +1,7 @@
-import http from 'node:http';
+import { EvacuationSent } from './apart-records';
 import { ConfigDoc, ConfigSent, faultOf } from './book';
+import { callFollowing, ControlAnswer } from './control-calls';
 import { Ground, H, wireName } from './ground';
-import { kept, splitAt } from './serve';
 
 /** The stand-in operator. */
 export interface Operator {
@@ -16,6 +16,8 @@
   ) => Promise<ConfigSent>;
   /** Names new weights until that is taken. */
   nameVersion: (model: string, revision: number, withinMs: number) => Promise<boolean>;
+  /** Asks that a zone's engines get nothing more, or takes that back; whether it was acknowledged. */
+  evacuate: (zone: string, kind: EvacuationSent['kind'], withinMs: number) => Promise<boolean>;
   /** Reads the newest configuration back, again and again for the time. */
   readBack: (forMs: number) => Promise<ConfigDoc | undefined>;
   /** The control addresses that it picks from. */
@@ -29,84 +31,16 @@
   remove?: Record<string, string[]>;
 }
 
-interface Answer {
-  status: number;
-  body: string;
-  location?: string;
-}
-
+const EVACUATION_PATHS = {
+  start: '/api/Evacuations.Start/',
+  finish: '/api/Evacuations.Finish/',
+};
 const CLEAR = new Set([400, 409, 412, 413, 422]);
 
-/** One call, at one node. */
-function callOnce(
-  at: string,
-  method: string,
-  path: string,
-  body: string | undefined,
-  headers: Record<string, string>,
-  withinMs: number,
-): Promise<Answer> {
-  const k = kept<Answer>();
-  const failed = { status: 0, body: '' };
-  function answered(res: http.IncomingMessage): void {
-    let text = '';
-    function data(b: Buffer): void {
-      text += b.toString();
-    }
-    function end(): void {
-      k.keep({ status: res.statusCode ?? 0, body: text, location: res.headers.location });
-    }
-    res.on('data', data);
-    res.on('end', end);
-    res.on('error', fail);
-    res.on('close', fail);
-  }
-  function fail(): void {
-    req.destroy();
-    k.keep(failed);
-  }
-  const length =
-    body === undefined
-      ? {}
-      : { 'Content-Type': 'application/json', 'Content-Length': String(Buffer.byteLength(body)) };
-  const req = http.request(
-    {
-      ...splitAt(at),
-      method,
-      path,
-      agent: false,
-      headers: { ...length, ...headers },
-      timeout: withinMs,
-    },
-    answered,
-  );
-  req.on('timeout', fail);
-  req.on('error', fail);
-  req.end(body);
-  return k.promise;
-}
-
 /** Makes the operator. */
 export function makeOperator(ground: Ground, nodes: string[]): Operator {
   const { clock, dice, book } = ground;
 
-  /** Calls one node and follows it elsewhere twice. */
-  async function follow(
-    at: string,
-    method: string,
-    path: string,
-    body: string | undefined,
-    headers: Record<string, string>,
-  ): Promise<Answer> {
-    const withinMs = 1000 + (body?.length ?? 0) / 100;
-    let a = await callOnce(at, method, path, body, headers, withinMs);
-    for (let i = 0; i < 2 && a.status === 307 && a.location !== undefined; i++) {
-      const to = new URL(a.location);
-      a = await callOnce(to.host, method, to.pathname, body, headers, withinMs);
-    }
-    return a;
-  }
-
   /** Calls node after node until the answer is clear. */
   async function call(
     method: string,
@@ -114,13 +48,15 @@
     body: string | undefined,
     headers: Record<string, string>,
     withinMs: number,
-  ): Promise<Answer | undefined> {
+  ): Promise<ControlAnswer | undefined> {
     const end = clock.now() + withinMs;
+    const silenceMs = 1000 + (body?.length ?? 0) / 100;
+    const request = { method, path, body, headers };
     let pause = 50;
     let at = Math.floor(dice.next() * nodes.length);
     let odd = 0;
     while (clock.now() < end) {
-      const a = await follow(nodes[at++ % nodes.length], method, path, body, headers);
+      const a = await callFollowing(nodes[at++ % nodes.length], request, silenceMs);
       if ((a.status >= 200 && a.status < 300) || CLEAR.has(a.status)) return a;
       if (a.status >= 400 && a.status < 500 && a.status !== 408 && a.status !== 429 && ++odd >= 3)
         return a;
@@ -130,7 +66,7 @@
     return undefined;
   }
 
-  function settle(sent: ConfigSent, a: Answer | undefined): ConfigSent {
+  function settle(sent: ConfigSent, a: ControlAnswer | undefined): ConfigSent {
     if (!a) sent.outcome = 'unclear';
     else if (a.status === 200) {
       sent.outcome = 'acked';
@@ -200,6 +136,19 @@
     return true;
   }
 
+  async function evacuate(
+    zone: string,
+    kind: EvacuationSent['kind'],
+    withinMs: number,
+  ): Promise<boolean> {
+    const sent: EvacuationSent = { zone, kind, at: clock.now() };
+    book.evacuations.push(sent);
+    const answer = await call('POST', EVACUATION_PATHS[kind] + zone, undefined, {}, withinMs);
+    if (!answer || answer.status < 200 || answer.status >= 300) return false;
+    sent.ackAt = clock.now();
+    return true;
+  }
+
   async function readBack(forMs: number): Promise<ConfigDoc | undefined> {
     const end = clock.now() + forMs;
     book.readBackAsked = true;
@@ -221,5 +170,5 @@
     return undefined;
   }
 
-  return { replace, update, nameVersion, readBack, nodes };
+  return { replace, update, nameVersion, evacuate, readBack, nodes };
 }
--- a/tools/standins/platform/zone-rules.ts
+++ b/tools/standins/platform/zone-rules.ts
@@ -2,6 +2,7 @@
 
 import { Say } from './answers';
 import { ColdSpan, EvacuationSent } from './apart-records';
+import { Arrival } from './book';
 import { Lookup } from './touch';
 
 const WINDOW_MS = 1000;
@@ -39,12 +40,17 @@
     for (const arrival of l.book.arrivals) {
       const isLate = arrival.at > from + l.bounds.evacuateMs && arrival.at < until;
       if (arrival.zone !== zone || arrival.turned === MISDIRECTED || !isLate) continue;
-      if (!l.inTouch(arrival.from, arrival.at)) continue;
+      if (!l.inTouch(senderOf(l, arrival), arrival.at)) continue;
       const lateMs = Math.round(arrival.at - from);
       say('EVAC', `${arrival.id}: reached ${zone} ${lateMs} ms after its evacuation`);
     }
 }
 
+/** The machine that sent a request on: the one that its client sent it to, where that is known. */
+function senderOf(l: Lookup, { id, from }: Arrival): string {
+  return l.book.tries.get(id)?.router ?? from;
+}
+
 function judgeCold(l: Lookup, say: Say): void {
   for (const span of l.book.cold) {
     const most = span.perS * l.bounds.warmupOvershoot + l.bounds.warmupSlack;
