--- a/test/tools/soak.test.ts
+++ b/test/tools/soak.test.ts
@@ -1,3 +1,4 @@
+import { APART_TROUBLES } from '../../tools/fleet/apart-troubles';
 import { TROUBLES } from '../../tools/fleet/troubles';
 import { drawSoak, SoakStep, SoakWays } from '../../tools/fleet/soak';
 import { seededDice } from '../../tools/sim/dice';
@@ -29,6 +30,22 @@
   expect(seen.size).toBeGreaterThan(12);
 }
 
+/** Soaks of sites whose zones may be cut apart draw their troubles too, and lose no zone while a disk is repaired. */
+function zonesToo(): void {
+  const seen = new Set<string>();
+  for (let seed = 1; seed <= DRAWN_SEEDS; seed++) {
+    let diskLostAt = -Infinity;
+    for (const { at, trouble } of drawSoak(seededDice(seed), { ...WAYS, apart: true })) {
+      seen.add(trouble);
+      if (trouble === 'wipe-controller') diskLostAt = at;
+      if (trouble === 'zone-cut' || trouble === 'zone-loss')
+        expect(at - diskLostAt).toBeGreaterThan(WAYS.repairMs);
+    }
+  }
+  for (const trouble of Object.keys(APART_TROUBLES)) expect(seen).toContain(trouble);
+  for (const trouble of seen) expect(TROUBLES[trouble] ?? APART_TROUBLES[trouble]).toBeDefined();
+}
+
 function sameAgain(): void {
   expect(drawSoak(seededDice(9), WAYS)).toEqual(drawSoak(seededDice(9), WAYS));
 }
@@ -52,5 +69,6 @@
 }
 
 test('soaks lose one disk at a time, and draw troubles that there are', oneDiskAtATime);
+test('soaks of zones that may be cut apart draw their troubles', zonesToo);
 test('a soak is the same again by its seed', sameAgain);
 test('signals, restarts and changes that overlap break no rule', shortSoaks);
--- a/tools/fleet/busy-machine.ts
+++ b/tools/fleet/busy-machine.ts
@@ -12,6 +12,8 @@
   rollbackSlackMs: 2000,
   versionMs: 60000,
   lossSlackMs: 2000,
+  evacuateMs: 6000,
+  mergeMs: 10000,
   leaseMs: 1000,
 };
 
--- a/tools/fleet/fleet.ts
+++ b/tools/fleet/fleet.ts
@@ -192,6 +192,10 @@
       '--other-build <folder>',
       "soaks: the `dist` of another release, which half of each role's processes run",
     )
+    .option(
+      '--apart',
+      'on the platform: zones that may be cut apart, tallies, evacuations, cold engines',
+    )
     .option('--net <n>', 'second number of the loopback addresses', '10')
     .option('--place-by <way>', 'index or affinity', 'index')
     .option('--scale <x>', "callers' rate against the brief's", '1')
--- a/tools/fleet/machines.ts
+++ b/tools/fleet/machines.ts
@@ -7,6 +7,7 @@
 import { SettingsOf, settingsText } from '../standins/platform/settingsfile';
 import { Site } from '../standins/platform/site';
 import { Builds, makeBuilds } from './builds';
+import { ZoneCuts } from './zone-cuts';
 
 /** A process of ours, in its present life. */
 export interface Proc {
@@ -34,6 +35,10 @@
   /** Kills a process whose disk is lost with it. */
   wipe: (name: string, pauseMs: number) => Promise<void>;
   lifeOf: (ip: string) => number;
+  /** Cuts a zone off from the others, engines included; clients reach it. The given function heals the cut. */
+  cutOff: (zone: string) => () => void;
+  /** Whether a zone reaches another one. */
+  reaches: (from: string, to: string) => boolean;
   /** Ends every process; none starts after it. */
   stopAll: () => Promise<void>;
 }
@@ -52,6 +57,7 @@
   const ending = new Set<Promise<void>>();
   const turns = new Map<string, Promise<void>>();
   let stopped = false;
+  const cuts = new ZoneCuts(site, folder);
   const seeds = site.cores.map(controlOf);
   function controlOf(c: { control: string }): string {
     return c.control;
@@ -118,10 +124,15 @@
     if (p.of.data !== undefined) mkdirSync(p.of.data, { recursive: true });
     writeFileSync(file, settingsText(site, { ...p.of, bootstrap: p.life === 0 }));
     p.life++;
-    const child = spawn(process.execPath, [p.program], {
+    const child = spawn(process.execPath, [...cuts.nodeFlags, p.program], {
       stdio: ['ignore', 'pipe', 'pipe'],
       cwd: folder,
-      env: { PATH: process.env.PATH, HOME: process.env.HOME, PLUMHOLLOW_SETTINGS: file },
+      env: {
+        PATH: process.env.PATH,
+        HOME: process.env.HOME,
+        PLUMHOLLOW_SETTINGS: file,
+        ...cuts.envOf(p.of.ip),
+      },
     });
     p.child = child;
     const up = kept<void>();
@@ -203,7 +214,7 @@
   }
 
   async function wipeOnce(p: Proc, name: string, pauseMs: number): Promise<void> {
-    const over = troubled(book, 'wipe', p.who);
+    const over = troubled(book, 'wipe', p.who, false, p.of.ip);
     await end(p, 'SIGKILL');
     if (p.of.data !== undefined) rmSync(p.of.data, { recursive: true, force: true });
     await clock.sleep(pauseMs);
@@ -243,7 +254,7 @@
   }
 
   function lifeOf(ip: string): number {
-    for (const p of procs.values()) if (p.who === ip) return p.life;
+    for (const p of procs.values()) if (p.of.ip === ip && p.of.role !== 'indexer') return p.life;
     return 0;
   }
 
@@ -256,5 +267,7 @@
     await Promise.all(ending);
   }
 
-  return { procs, startAll, kill, roll, freeze, wipe, lifeOf, stopAll };
+  const cutOff = cuts.cutOff.bind(cuts);
+  const reaches = cuts.reaches.bind(cuts);
+  return { procs, startAll, kill, roll, freeze, wipe, lifeOf, cutOff, reaches, stopAll };
 }
--- a/tools/fleet/platform.ts
+++ b/tools/fleet/platform.ts
@@ -7,11 +7,15 @@
 import { Entry } from '../standins/platform/entry';
 import { Guarantees } from '../standins/platform/ground';
 import { DayReport, reportDay } from '../standins/platform/ledger';
+import { withApart } from '../standins/platform/apart-site';
 import { makeSite, Site, SITES } from '../standins/platform/site';
 import { Builds } from './builds';
 import { makeMachines } from './machines';
 import { SoakStep } from './soak';
-import { Played, TROUBLES } from './troubles';
+import { APART_TROUBLES } from './apart-troubles';
+import { Played, TROUBLES as PLAIN_TROUBLES } from './troubles';
+
+const TROUBLES = { ...PLAIN_TROUBLES, ...APART_TROUBLES };
 
 /** How a day is played on real processes. */
 export interface PlayWays {
@@ -100,8 +104,15 @@
     const ready = await untilReady(clock, entry);
     const readyMs = Math.round(clock.now() - begun);
     const clients = day.clients(entry, ways.seconds * 1000, machines.lifeOf);
+    const applications = day.applications(machines);
     const played: Played = { day, machines, clients };
-    await Promise.all([clients.run(), bring(played, ways), overlap(played, ways.steps ?? [])]);
+    await Promise.all([
+      clients.run(),
+      applications?.run(ways.seconds * 1000),
+      bring(played, ways),
+      overlap(played, ways.steps ?? []),
+    ]);
+    await applications?.readEnds(ways.site.bounds.contactMs);
     await day.operator.readBack(ways.site.bounds.contactMs);
     const ended: string[] = [];
     for (const [name, p] of machines.procs) for (const e of p.ended) ended.push(`${name} ${e}`);
@@ -128,6 +139,8 @@
   scale: string;
   edges: string;
   engines: string;
+  /** Whether zones may be cut apart, with tallies, evacuations and cold engines. */
+  apart?: boolean;
 }
 
 /** Plays days from the command line; whether no rule was broken. */
@@ -147,6 +160,7 @@
     );
     process.exit(2);
   }
+  if (o.apart) withApart(site);
   let clean = true;
   const rows: string[] = [];
   const plays = o.fault === 'all' ? all.map(alone) : [all];
--- a/tools/fleet/soak-run.ts
+++ b/tools/fleet/soak-run.ts
@@ -2,6 +2,7 @@
 
 import { resolve } from 'node:path';
 import { seededDice } from '../sim/dice';
+import { withApart } from '../standins/platform/apart-site';
 import { SITES } from '../standins/platform/site';
 import { makeBuilds } from './builds';
 import { makePatientSite, slowEngines, slowReaders, WIDE_BOUNDS } from './busy-machine';
@@ -48,8 +49,10 @@
     seconds,
     perSecond: Number(o.steps),
     repairMs: REPAIR_MS,
+    apart: o.apart,
   });
   const site = makePatientSite(name, size, Number(o.net), folder)!;
+  if (o.apart) withApart(site);
   if (hasSlowEngines(seed)) slowEngines(site);
   if (hasSlowReaders(seed)) slowReaders(site);
   const day = await playDay({
--- a/tools/fleet/soak.ts
+++ b/tools/fleet/soak.ts
@@ -19,6 +19,8 @@
   perSecond: number;
   /** A disk may be lost again this long after the last one was. */
   repairMs: number;
+  /** Whether the site's zones may be cut apart. */
+  apart?: boolean;
 }
 
 /** Troubles that come again and again; the more often, the more often a name stands here. */
@@ -46,11 +48,19 @@
   'revoke',
   'version-bump',
 ] as const;
+/** Those of sites whose zones may be cut apart. */
+const APART_SERIES = ['zone-cut', 'zone-loss', 'cold-return', 'evacuate', 'evacuate'] as const;
 /** A loss of a disk; one at a time, and no other controller is lost meanwhile. */
 const LOSS_OF_DISK = 'wipe-controller';
 const LOSS_OF_DISK_SHARE = 0.08;
 /** Troubles that take controllers away. */
-const OF_CONTROLLERS = new Set<string>(['roll-controller', 'kill-controller', 'kill-core']);
+const OF_CONTROLLERS = new Set<string>([
+  'roll-controller',
+  'kill-controller',
+  'kill-core',
+  'zone-cut',
+  'zone-loss',
+]);
 /** The soak's last part is left without new troubles, so that all can come back. */
 const QUIET_SHARE = 0.25;
 
@@ -61,6 +71,7 @@
   const times: number[] = [];
   for (let i = 0; i < count; i++) times.push(Math.round(dice.next() * span));
   times.sort(byTime);
+  const series = ways.apart ? [...SERIES, ...APART_SERIES] : SERIES;
   const steps: SoakStep[] = [];
   let diskLostAt = -Infinity;
   let controllersLostAt = -Infinity;
@@ -73,7 +84,7 @@
     function drawTrouble(): string {
       const isRepaired = at - Math.max(diskLostAt, controllersLostAt) > ways.repairMs;
       if (dice.next() < LOSS_OF_DISK_SHARE && isRepaired) return LOSS_OF_DISK;
-      const drawn = SERIES[Math.floor(dice.next() * SERIES.length)];
+      const drawn = series[Math.floor(dice.next() * series.length)];
       const isBarred = OF_CONTROLLERS.has(drawn) && at - diskLostAt <= ways.repairMs;
       return isBarred ? 'roll-router' : drawn;
     }
