--- a/test/control/tallies-histories.test.ts
+++ b/test/control/tallies-histories.test.ts
@@ -18,7 +18,8 @@
   | { kind: 'cut'; side: number[] }
   | { kind: 'heal' }
   | { kind: 'kill'; at: number; power: boolean }
-  | { kind: 'lose'; machines: number[]; all: boolean }
+  | { kind: 'lose'; machines: number[]; all: boolean; id: number; at: number }
+  | { kind: 'slow'; at: number; times: number }
   | { kind: 'pass'; ms: number };
 
 const controller = fc.integer({ min: 0, max: SIZE - 1 });
@@ -53,6 +54,16 @@
       kind: fc.constant('lose' as const),
       machines: fc.uniqueArray(controller, { minLength: 1, maxLength: 2 }),
       all: fc.boolean(),
+      id: fc.integer({ min: 0, max: 11 }),
+      at: controller,
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('slow' as const),
+      at: controller,
+      times: fc.constantFrom(1, 20),
     }),
   },
   {
@@ -82,7 +93,8 @@
     if (one.kind === 'cut') return this.cut(one.side);
     if (one.kind === 'heal') return this.heal();
     if (one.kind === 'kill') return this.kill(one.at, one.power);
-    if (one.kind === 'lose') return this.lose(one.machines, one.all);
+    if (one.kind === 'lose') return this.lose(one.machines, one.all, one.at, one.id);
+    if (one.kind === 'slow') return this.slow(one.at, one.times);
     await this.rig.pass(one.ms);
   }
 
@@ -104,16 +116,25 @@
   }
 
   private async add(at: number, id: number): Promise<void> {
+    const isAcknowledged = await this.addOnly(at, id);
+    const found = await this.read(at);
+    if (isAcknowledged && found !== undefined) expect(Math.floor(found / 2 ** id) % 2).toBe(1);
+    for (let each = 0; each < SIZE; each++) await this.read(each);
+  }
+
+  /** Adds without a read after it; whether that was acknowledged. */
+  private async addOnly(at: number, id: number): Promise<boolean> {
     this.sent.add(id);
     const heard = await add(this.rig, at, TALLY, `id-${id}`, 2 ** id);
-    if (heard?.status === 200) {
-      const by = this.acknowledged.get(id) ?? new Set();
-      this.acknowledged.set(id, by.add(at));
-      if (this.isCut) this.duringCut.push({ id, at });
-      const found = await this.read(at);
-      if (found !== undefined) expect(Math.floor(found / 2 ** id) % 2).toBe(1);
-    }
-    for (let each = 0; each < SIZE; each++) await this.read(each);
+    if (heard?.status !== 200) return false;
+    const by = this.acknowledged.get(id) ?? new Set();
+    this.acknowledged.set(id, by.add(at));
+    if (this.isCut) this.duringCut.push({ id, at });
+    return true;
+  }
+
+  private slow(at: number, times: number): void {
+    this.rig.core[at].disk.slow = times;
   }
 
   private async read(at: number): Promise<number | undefined> {
@@ -149,15 +170,21 @@
     await this.rig.pass(MERGE_MS);
   }
 
-  /** Machines lose power with their disks, and all others at the same moment where `all`; what is lost is repaired before the next. */
-  private async lose(machines: readonly number[], all: boolean): Promise<void> {
+  /** Right after an addition, machines lose power with their disks, and all others at the same moment where `all`; what is lost is repaired before the next. */
+  private async lose(
+    machines: readonly number[],
+    all: boolean,
+    at: number,
+    id: number,
+  ): Promise<void> {
+    await this.addOnly(at, id);
     const { core } = this.rig;
     const wiped = machines.map(procAt);
     function procAt(index: number): (typeof core)[number] {
       return core[index];
     }
-    for (const { id, at } of this.duringCut)
-      if (machines.includes(at)) this.acknowledged.get(id)?.delete(at);
+    for (const one of this.duringCut)
+      if (machines.includes(one.at)) this.acknowledged.get(one.id)?.delete(one.at);
     await losePower(this.rig, all ? core : wiped, wiped);
     await this.heal();
   }
--- a/test/control/tallies.test.ts
+++ b/test/control/tallies.test.ts
@@ -46,6 +46,19 @@
   }
 }
 
+// Guards against LOST: an acknowledgement must wait for copies on disks that are slow, and not for messages only.
+async function copiesOnSlowDisksAreWaitedFor(): Promise<void> {
+  const SLOW_TIMES = 20;
+  for (const seed of [31, 32, 33]) {
+    const rig = await startedCore(seed);
+    for (const proc of rig.core.slice(1)) proc.disk.slow = SLOW_TIMES;
+    expect(await statusOfAdding(rig, 0, 't', 'last', 7)).toBe(200);
+    await losePower(rig, rig.core, [rig.core[0], rig.core[seed % 4]]);
+    await rig.pass(2 * MERGE_MS);
+    expect(await totals(rig, 't')).toEqual([7, 7, 7, 7, 7]);
+  }
+}
+
 // Guards against TWICE: an id that comes again, at any controller, counted again.
 async function anIdCountsOnce(): Promise<void> {
   const rig = await startedCore(7);
@@ -293,6 +306,7 @@
 test('every controller serves tallies', everyControllerServesTallies);
 test('acknowledged additions outlast the closing loss', acknowledgedAdditionsOutlastTheClosingLoss);
 test('an addition outlasts who acknowledged it', anAdditionOutlastsWhoAcknowledgedIt);
+test('copies on slow disks are waited for', copiesOnSlowDisksAreWaitedFor);
 test('an id counts once', anIdCountsOnce);
 test('both sides of a cut add', bothSidesOfACutAdd);
 test('differing amounts are chosen alike', differingAmountsAreChosenAlike);
