--- a/src/control/api/cluster-api.ts
+++ b/src/control/api/cluster-api.ts
@@ -11,6 +11,7 @@
 import { Controller } from '../controller-interface';
 import { replaceVoter } from '../membership/reconfiguration';
 import { readVoterStatus, voterMetricRows } from '../membership/voter-status';
+import { tallyMetricRows } from '../tallies/tally-status';
 import { currentRevision, sendOperationError } from './operator-replies';
 import { BootstrapRequest, ReplaceVoterRequest } from './operator-requests';
 import { METRICS_CONTENT_TYPE } from '../../shared/observability/metrics';
@@ -59,6 +60,7 @@
       engines: controller.committedValue(CONTROL_KEYS.engines)?.value ?? [],
       revision: currentRevision(controller),
       routers: leases.appliedVersions(CONTROL_KEYS.intents),
+      tallies: controller.tallies?.status(),
     });
   }
 
@@ -76,7 +78,7 @@
   @httpHandler('GET', '/metrics')
   async metrics(call: IncomingRequest): Promise<void> {
     const { controller } = this;
-    const { leases, store } = controller;
+    const { leases, store, tallies } = controller;
     const rows = [
       `plumhollow_controller_members ${leases.members().length}`,
       `plumhollow_controller_live_voters ${controller.liveAddresses().length}`,
@@ -84,6 +86,7 @@
       `plumhollow_controller_intents_revision ${currentRevision(controller)}`,
       ...leases.lagRows(),
       ...voterMetricRows(await readVoterStatus(controller)),
+      ...(tallies ? tallyMetricRows(tallies.status()) : []),
     ];
     call.writeHead(200, { 'content-type': METRICS_CONTENT_TYPE });
     call.end(await controller.metrics.text(rows));
--- a/src/control/tallies/tallies.ts
+++ b/src/control/tallies/tallies.ts
@@ -28,6 +28,7 @@
   RangesRequest,
 } from './tally-messages';
 import { PeerRepair, TallyRepair } from './tally-repair';
+import { TalliesPeerStatus, TalliesStatus } from './tally-status';
 
 /** Characters of the disk id in the name of a replica. */
 const DISK_ID_CHARACTERS = 8;
@@ -53,29 +54,6 @@
   isStopped: () => boolean;
 }
 
-/** Tallies as operators see them. */
-export interface TalliesStatus {
-  /** Whether this controller has caught up since its start, and serves. */
-  isReady: boolean;
-  isWritable: boolean;
-  additions: number;
-  replicas: number;
-  fileBytes: number;
-  /** Additions that wait for copies. */
-  waiting: number;
-  peers: TalliesPeerStatus[];
-}
-
-/** How far this controller is with a connected peer. */
-export interface TalliesPeerStatus {
-  at: string;
-  /** Whether nothing of the peer's was missing here at the last comparison. */
-  isLevel: boolean;
-  /** How long ago that was found, in ms. */
-  levelAgoMs?: number;
-  fetched: number;
-}
-
 /** The tallies of one controller. */
 export class Tallies {
   private readonly set = new AdditionSet();
--- a/src/programs/cli/fleet-commands.ts
+++ b/src/programs/cli/fleet-commands.ts
@@ -4,6 +4,7 @@
 
 import { Command } from 'commander';
 import { VoterStatus, VotersStatus } from '../../control/membership/voter-status';
+import { TalliesPeerStatus, TalliesStatus } from '../../control/tallies/tally-status';
 import { printChangeAndExit } from './change-reply';
 import { Console } from './console';
 import { ControllerClient, HttpReply } from './controller-client';
@@ -33,6 +34,8 @@
   standing: VotersStatus;
   members: MemberRow[];
   engines: EngineRow[];
+  /** Where a platform's dialect is spoken. */
+  tallies?: TalliesStatus;
 }
 
 const OK = 200;
@@ -67,6 +70,21 @@
   return `  ${engine.id} ${engine.at} ${engine.weights}${engine.leaving ? ' leaving' : ''}`;
 }
 
+function formatTalliesPeer({ at, isLevel, levelAgoMs }: TalliesPeerStatus): string {
+  const since = levelAgoMs === undefined ? 'not yet' : `${levelAgoMs} ms ago`;
+  return `  ${at} ${isLevel ? 'level' : 'catching up'}, last level ${since}`;
+}
+
+/** Whether tallies are served, and how far this controller is with each that it is connected to. */
+function formatTallies(tallies: TalliesStatus): string[] {
+  const service = tallies.isReady ? 'served' : 'not served until caught up';
+  const disk = tallies.isWritable ? '' : ', the disk takes no additions';
+  return [
+    `tallies ${service}${disk}, ${tallies.additions} additions`,
+    ...tallies.peers.map(formatTalliesPeer),
+  ];
+}
+
 function formatFleet(fleet: FleetBody): string {
   const majority = fleet.majority ? 'in a majority' : 'no majority';
   const disk = fleet.diskFit ? 'fit' : 'unfit';
@@ -78,6 +96,7 @@
     ...fleet.members.map(formatMember),
     'engines',
     ...fleet.engines.map(formatEngine),
+    ...(fleet.tallies ? formatTallies(fleet.tallies) : []),
   ].join('\n');
 }
 
