--- a/src/control/api/cluster-api.ts
+++ b/src/control/api/cluster-api.ts
@@ -12,6 +12,7 @@
 import { replaceVoter } from '../membership/reconfiguration';
 import { readVoterStatus, voterMetricRows } from '../membership/voter-status';
 import { evacuatedZones } from './evacuation-plan';
+import { tallyMetricRows } from '../tallies/tally-status';
 import { currentRevision, sendOperationError } from './operator-replies';
 import { BootstrapRequest, ReplaceVoterRequest } from './operator-requests';
 import { METRICS_CONTENT_TYPE } from '../../shared/observability/metrics';
@@ -61,6 +62,7 @@
       evacuated: evacuatedZones(controller),
       revision: currentRevision(controller),
       routers: leases.appliedVersions(CONTROL_KEYS.intents),
+      tallies: controller.tallies?.status(),
     });
   }
 
@@ -78,7 +80,7 @@
   @httpHandler('GET', '/metrics')
   async metrics(call: IncomingRequest): Promise<void> {
     const { controller } = this;
-    const { leases, store } = controller;
+    const { leases, store, tallies } = controller;
     const rows = [
       `plumhollow_controller_members ${leases.members().length}`,
       `plumhollow_controller_live_voters ${controller.liveAddresses().length}`,
@@ -87,6 +89,7 @@
       `plumhollow_controller_evacuated_zones ${evacuatedZones(controller).length}`,
       ...leases.lagRows(),
       ...voterMetricRows(await readVoterStatus(controller)),
+      ...(tallies ? tallyMetricRows(tallies.status()) : []),
     ];
     call.writeHead(200, { 'content-type': METRICS_CONTENT_TYPE });
     call.end(await controller.metrics.text(rows));
