--- a/src/control/leases/lease-messages.ts
+++ b/src/control/leases/lease-messages.ts
@@ -18,6 +18,8 @@
   @bodyField('boolean', false) fetches?: boolean;
   /** Whether the node fetches in chunks what is long. */
   @bodyField('boolean', false) pieces?: boolean;
+  /** The engines that it lately could not connect to. */
+  @bodyField('list', false) unreachable?: string[];
 }
 
 /** A follower's request for the newest versions of some keys, with the versions that it holds. */
--- a/src/control/leases/lease-registry.ts
+++ b/src/control/leases/lease-registry.ts
@@ -33,12 +33,16 @@
   place?: Version;
 }
 
-/** Permits to send to engines that warm up, which routers are granted with their leases. */
-export interface PermitSource {
+/** What leases carry of engines that may be cold: permits to send to them, and which of them can't be reached. */
+export interface WarmUpSource {
   /** All permits of a node from now on; `knowsLast` tells that it has applied what it was granted last. */
   grant: (member: Member, knowsLast: boolean) => PermitGrant[];
   /** Takes a node's permits back, as it has left by itself. */
   release: (member: Member) => void;
+  /** Notes the engines that a router could not connect to. */
+  noteUnreachable: (member: Member, engines: readonly string[]) => void;
+  /** The engines that count as unreachable. */
+  unreachable: () => string[];
 }
 
 /** Leases that nodes hold at this controller, and the changes that they are sent. */
@@ -52,7 +56,7 @@
     private readonly ports: Ports,
     private readonly timeLimits: TimeLimits,
     private readonly voters: () => VoterSet | undefined,
-    private readonly permits?: PermitSource,
+    private readonly warmUp?: WarmUpSource,
   ) {
     const confirm = this.confirmAll.bind(this);
     this.table = new LeaseTable(ports.clock, timeLimits);
@@ -112,6 +116,7 @@
       return Promise.resolve(
         failure('claim', name, 'no claim on this stream to go by', 'refused', 'tell-all'),
       );
+    if (request.unreachable) this.warmUp?.noteUnreachable(request.member, request.unreachable);
     const before = isRenewal ? known : undefined;
     const applied = noteApplied(request, before);
     const coveredCount = this.changes.count();
@@ -129,7 +134,7 @@
   @messageHandler('leave', LeaseRequest)
   leave(request: LeaseRequest): HandlerResult {
     this.table.release(request.member);
-    this.permits?.release(request.member);
+    this.warmUp?.release(request.member);
     this.effects.wake();
     return Promise.resolve(Right(undefined));
   }
@@ -183,14 +188,16 @@
   ): LeaseReply {
     const view = this.table.view();
     const last = before?.lastSent;
-    const permits = this.permits?.grant(request.member, last !== undefined) ?? [];
+    const permits = this.warmUp?.grant(request.member, last !== undefined) ?? [];
+    const unreachable = this.warmUp?.unreachable() ?? [];
     const granted: LeaseReply = {
       granted: true,
       disk: this.store.diskId,
       missing: [],
       ...(isDeepStrictEqual(permits, last?.permits ?? []) ? {} : { permits }),
+      ...(isDeepStrictEqual(unreachable, last?.unreachable ?? []) ? {} : { unreachable }),
     };
-    holder.lastSent = { voters, view, permits };
+    holder.lastSent = { voters, view, permits, unreachable };
     if (last?.voters === voters && last.view === view) return granted;
     return last?.voters === voters && request.deltas
       ? { ...granted, ...membershipDelta(last.view.members, view.members) }
--- a/src/control/leases/lease-table.ts
+++ b/src/control/leases/lease-table.ts
@@ -17,6 +17,14 @@
 /** An expired lease is forgotten after so many lease times: until then its holder may renew by what changed. */
 const EXPIRED_KEPT_LEASES = 10;
 
+/** What a grant of a lease said, which the next one leaves out where it is the same. */
+export interface SentGrant {
+  voters: VoterSet;
+  view: MembershipView;
+  permits: readonly PermitGrant[];
+  unreachable: readonly string[];
+}
+
 /** One node's lease. */
 export interface LeaseHolder {
   member: Member;
@@ -27,8 +35,8 @@
   /** The count of keys learned here up to which `applied` lacks nothing. */
   coveredCount: number;
   sender: ChangeSender;
-  /** The voters, members and permits that the node was sent last. */
-  lastSent?: { voters: VoterSet; view: MembershipView; permits: readonly PermitGrant[] };
+  /** What the node was sent last. */
+  lastSent?: SentGrant;
 }
 
 /** The leases of one controller, by the incarnations of their holders. */
--- a/src/control/warm-up/warm-up-permits.ts
+++ b/src/control/warm-up/warm-up-permits.ts
@@ -19,12 +19,13 @@
 import { CommittedPools } from './committed-pools';
 import { PermitShares, quotaOf, VoterPlace } from './permit-shares';
 import { PermitTable, WantedPermits } from './permit-table';
+import { UnreachableEngines } from './unreachable-engines';
 
 /** What granting permits goes by. The lists are new objects where they have changed. */
 export interface WarmUpPermitsDependencies {
   clock: Clock;
   settings: Pick<Settings, 'warmUpOvershootRatio' | 'warmUpSlack'>;
-  timeLimits: Pick<TimeLimits, 'leaseExpiryMs'>;
+  timeLimits: Pick<TimeLimits, 'leaseMs' | 'leaseExpiryMs'>;
   /** The id of this controller's disk. */
   disk: string;
   voters: () => VoterSet | undefined;
@@ -55,6 +56,7 @@
 export class WarmUpPermits {
   private readonly table: PermitTable;
   private readonly shares = new PermitShares();
+  private readonly reported: UnreachableEngines;
   private readonly commitmentMs: number;
   /** When this controller began to be a voter, as far as this process knows, in ms of the clock. */
   private voterSince: number | undefined;
@@ -62,7 +64,9 @@
   private wantedByIncarnation = new Map<string, WantedPermits[]>();
 
   constructor(private readonly dependencies: WarmUpPermitsDependencies) {
-    const { clock, timeLimits } = dependencies;
+    const { clock, timeLimits, engines, members } = dependencies;
+    const reportMs = timeLimits.leaseMs;
+    this.reported = new UnreachableEngines({ clock, reportMs, engines, members });
     const afterReleaseMs = PERMIT_SPACING_MS * CLOCK_RATE_RATIO;
     this.commitmentMs = timeLimits.leaseExpiryMs + afterReleaseMs;
     this.table = new PermitTable(clock, { afterGrantMs: this.commitmentMs, afterReleaseMs });
@@ -79,6 +83,16 @@
     this.table.release(incarnationOf(member));
   }
 
+  /** Notes the engines that a router could not connect to. */
+  noteUnreachable(member: Member, engines: readonly string[]): void {
+    this.reported.note(member, engines);
+  }
+
+  /** The engines that routers of their zones can't connect to. */
+  unreachable(): string[] {
+    return this.reported.list();
+  }
+
   /** Permits that were granted since the start, where their router did not have them already. */
   grantedCount(): number {
     return this.table.grantedCount();
--- a/src/data/gateway/cold-engines.ts
+++ b/src/data/gateway/cold-engines.ts
@@ -13,6 +13,8 @@
   /** By how much the time that a list reports may be too short, in ms. */
   reportToleranceMs: number;
   pool: (name: string) => Pool | undefined;
+  /** Has the controllers hear that this router could not connect to an engine. */
+  reportUnreachable: (id: string) => void;
   /** Whether an engine takes connections now. */
   isReachable: (engine: Engine) => Promise<boolean>;
 }
@@ -74,10 +76,20 @@
   }
 
   /** Records that an engine could not be connected to. */
-  recordUnreachable({ id }: Engine): void {
-    const warmth = this.warmthOf(id);
+  recordUnreachable(engine: Engine): void {
+    if (!this.isLimited(engine)) return;
+    const warmth = this.warmthOf(engine.id);
     warmth.isUnreachable = true;
     warmth.nextCheckAt = this.dependencies.clock.now() + CHECK_INTERVAL_MS;
+    this.dependencies.reportUnreachable(engine.id);
+  }
+
+  /** Takes the report of a controller that routers of its zone can't connect to an engine. */
+  applyUnreachable(id: string): void {
+    const warmth = this.warmthById.get(id);
+    if (!warmth || warmth.isUnreachable) return;
+    warmth.isUnreachable = true;
+    warmth.nextCheckAt = this.dependencies.clock.now();
   }
 
   /** Whether an engine is to be taken as cold now. One that is unreachable is checked again from time to time. */
--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -118,6 +118,7 @@
     if (readinessError) return readinessError;
     this.listeners = { callers, readiness };
     void follower.changes.observe(this.applyChange.bind(this));
+    void follower.warmUp.notices.observe(this.coldEngines.applyUnreachable.bind(this.coldEngines));
     for (const change of follower.appliedValues()) this.applyChange(change);
     this.cancelSelfCheck = this.selfCheckAfter(0);
     return undefined;
@@ -149,12 +150,13 @@
   }
 
   private makeColdEngines(): ColdEngines {
-    const { ports, settings } = this.options;
+    const { ports, settings, follower } = this.options;
     const { connections, state } = this;
     return new ColdEngines({
       clock: ports.clock,
       reportToleranceMs: timeLimitsOf(settings).statusTimeoutMs,
       pool: state.poolOf.bind(state),
+      reportUnreachable: follower.warmUp.reportUnreachable.bind(follower.warmUp),
       isReachable: connections.isReachable.bind(connections),
     });
   }
@@ -165,7 +167,7 @@
     return new WarmUpLimit({
       clock: ports.clock,
       isCold: coldEngines.isCold.bind(coldEngines),
-      permitCount: follower.permitCount,
+      permitCount: follower.warmUp.permitCount.bind(follower.warmUp),
     });
   }
 
--- a/src/shared/replication/follower.ts
+++ b/src/shared/replication/follower.ts
@@ -24,10 +24,10 @@
 import { CoreDiscovery, CoreLocation } from './core-discovery';
 import { DrainingEngines, makeDrainingEngines } from './draining-engines';
 import { applyMessages, FollowerHandlers } from './follower-handlers';
+import { FollowerWarmUp } from './follower-warm-up';
 import { hasLeaseQuorum } from './lease-quorum';
 import { LeaseReply, LeaseRenewals, LeaseRequestContext } from './lease-renewal';
 import { makeMemberView, MemberView } from './member-view';
-import { HeldPermits } from './warm-up-permits';
 
 /** A node's view of the control state, which committed changes and leases keep current. */
 export interface Follower {
@@ -53,8 +53,8 @@
   drainingNotices: Stream<string[]>;
   /** All members, each time that they have changed. */
   memberChanges: Stream<Member[]>;
-  /** How many permits to send to an engine that warms up this node holds now. */
-  permitCount: (engine: string) => number;
+  /** What is said with the leases of engines that may be cold. */
+  warmUp: FollowerWarmUp;
   /** Sends a notification to all controllers that are connected. */
   notifyCore: (type: string, body: unknown) => void;
   /** Sends a request to all voters: whether a quorum gave a reply that `isYes` accepts, and the replies until then. */
@@ -84,7 +84,7 @@
 
 class CoreFollower {
   readonly members: MemberView;
-  readonly permits: HeldPermits;
+  readonly warmUp: FollowerWarmUp;
   readonly state = new AppliedState(this.beforeNotify.bind(this));
   readonly drainingNotices = makePushStream<string[]>();
   readonly memberChanges = makePushStream<Member[]>();
@@ -106,10 +106,10 @@
     const { clock } = ports;
     const { timeLimits } = options;
     this.members = makeMemberView(clock.now, this.memberChanges.push);
-    this.permits = new HeldPermits(clock.now);
     this.draining = makeDrainingEngines(clock.now, timeLimits.drainingNoticeTtlMs);
     options.handlers.push(this.makeHandlers());
     this.catchUp = this.makeCatchUp();
+    this.warmUp = new FollowerWarmUp(clock.now, timeLimits.leaseMs, this.wakeRenewals.bind(this));
     this.renewals = this.makeRenewals();
     this.pool = this.makePool();
     this.discovery = this.makeDiscovery();
@@ -192,7 +192,7 @@
 
   async releaseLeases(): Promise<void> {
     this.members.clear();
-    this.permits.giveBack();
+    this.warmUp.giveBack();
     const { member, timeLimits } = this.options;
     const replies: Promise<unknown>[] = [];
     for (const address of this.pool.peerAddresses()) {
@@ -233,6 +233,7 @@
       member,
       state: this.state,
       catchUp: this.catchUp,
+      warmUp: this.warmUp,
       applyAll: this.applyAll.bind(this),
       onGranted: this.onGranted.bind(this),
       onVoterSet: this.onVoterSet.bind(this),
@@ -267,6 +268,10 @@
     });
   }
 
+  private wakeRenewals(): void {
+    this.renewals.wake();
+  }
+
   private hasStopped(): boolean {
     return this.isStopped;
   }
@@ -331,16 +336,12 @@
     this.refusedUntil.set(error.peer, this.ports.clock.now() + leaseMs - connectTimeoutMs);
   }
 
-  private onGranted(
-    reply: LeaseReply,
-    from: PeerChannel,
-    { requestedAt, toldAll }: LeaseRequestContext,
-  ): void {
-    const { disk, permits } = reply;
+  private onGranted(reply: LeaseReply, from: PeerChannel, context: LeaseRequestContext): void {
+    const { requestedAt, toldAll } = context;
     const expiresAt = requestedAt + this.options.timeLimits.leaseMs;
     this.refusedUntil.delete(from.peer);
-    this.permits.note({ disk, requestedAt, expiresAt, permits, isComplete: toldAll });
-    this.members.grant(disk, expiresAt, reply);
+    this.warmUp.note({ ...reply, requestedAt, expiresAt, isComplete: toldAll });
+    this.members.grant(reply.disk, expiresAt, reply);
     this.connectToCore();
   }
 
@@ -376,7 +377,7 @@
 export function followCore(ports: Ports, options: FollowerOptions): Follower {
   const follower = new CoreFollower(ports, options);
   follower.start();
-  const { state, members, permits } = follower;
+  const { state, members, warmUp } = follower;
   return {
     hasLease: follower.hasLease.bind(follower),
     value: follower.value.bind(follower),
@@ -389,7 +390,7 @@
     isDraining: follower.isDraining.bind(follower),
     drainingNotices: follower.drainingNotices.stream,
     memberChanges: follower.memberChanges.stream,
-    permitCount: permits.count.bind(permits),
+    warmUp,
     notifyCore: follower.notifyCore.bind(follower),
     askVoters: follower.askVoters.bind(follower),
     releaseLeases: follower.releaseLeases.bind(follower),
--- a/src/shared/replication/lease-renewal.ts
+++ b/src/shared/replication/lease-renewal.ts
@@ -14,6 +14,7 @@
 import { AppliedState } from './applied-state';
 import { CatchUp } from './catch-up';
 import { AppliedEntry } from './change-message';
+import { FollowerWarmUp } from './follower-warm-up';
 import { MemberUpdate } from './member-view';
 import { PermitGrant } from './warm-up-permits';
 
@@ -29,6 +30,8 @@
   voters?: VoterSet;
   /** All permits of this node at the controller; left out where they are as in its last reply, or where it has none and was told of all keys. */
   permits?: PermitGrant[];
+  /** The engines that routers of their zones can't connect to; left out as `permits` are. */
+  unreachable?: string[];
 }
 
 /** How a lease was requested. */
@@ -46,6 +49,7 @@
   member: Member;
   state: AppliedState;
   catchUp: CatchUp;
+  warmUp: Pick<FollowerWarmUp, 'unreachable'>;
   /** Applies changes that came complete; whether one was newer. */
   applyAll: (changes: VersionedValue[]) => boolean;
   /** Called with each grant, and how it was requested. */
@@ -67,6 +71,8 @@
   has?: AppliedEntry[];
   /** The versions of the keys that were applied since the last request. */
   changed?: AppliedEntry[];
+  /** The engines that this node lately could not connect to; left out where there are none. */
+  unreachable?: string[];
 }
 
 /** The pause after a renewal that was refused or failed, as a ratio of the renewal interval. */
@@ -132,8 +138,10 @@
   }
 
   private makeRequest(changed: AppliedEntry[] | undefined): LeaseRequest {
-    const { member, state } = this.dependencies;
+    const { member, state, warmUp } = this.dependencies;
     const request: LeaseRequest = { member, fetches: true, pieces: true };
+    const unreachable = warmUp.unreachable();
+    if (unreachable.length > 0) request.unreachable = unreachable;
     if (changed === undefined) return { ...request, has: state.entries() };
     return { ...request, deltas: true, ...(changed.length > 0 ? { changed } : {}) };
   }
--- a/test/data/gateway-cold-engines.test.ts
+++ b/test/data/gateway-cold-engines.test.ts
@@ -130,6 +130,19 @@
   await rig.close();
 }
 
+async function reportedByOthers(): Promise<void> {
+  const engine = await startStandIn('e1', streamEvents(1));
+  const { rig, clock } = await startOne([listed(engine, 0)], 0);
+  rig.tellUnreachable('e1');
+  expect(await statuses(rig, 1)).toEqual([503]);
+  while (engine.connections === 0) await turn();
+  await clock.advance(1);
+  expect(await statuses(rig, 1)).toEqual([503]);
+  await clock.advance(WARM_UP_MS);
+  expect(await statuses(rig, 1)).toEqual([200]);
+  await rig.close();
+}
+
 /** Routers as gateways on sockets and as holders of permits, in one time. */
 class WarmingFleet {
   readonly log: SendLog = new Map<string, number[]>();
@@ -266,6 +279,8 @@
 test('the engines of a zone whose evacuation has ended are taken as cold', afterEvacuation);
 // Guards against FAILBACK: an engine that starts again at its address is cold before a list shows it.
 test('an engine that could not be connected to is taken as cold once it can be', backAtItsAddress);
+// Guards against FAILBACK: a router that sent nothing to an engine while it was down took it as warm once it was back.
+test('an engine that routers of its zone report as unreachable is taken as cold', reportedByOthers);
 // Guards against FAILBACK: engines of a zone that came back cold got all requests at once, more so beside restarts of routers.
 test(
   'a zone that comes back cold amid restarts of routers gets no more than it may',
--- a/test/data/gateway-fixture.ts
+++ b/test/data/gateway-fixture.ts
@@ -172,6 +172,8 @@
   publish: (key: string, value: unknown) => void;
   publishEngines: (list: Partial<Engine>[]) => void;
   setLease: (on: boolean) => void;
+  /** Tells that routers of its zone can't connect to an engine. */
+  tellUnreachable: (engine: string) => void;
   close: () => Promise<void>;
 }
 
@@ -186,6 +188,8 @@
   clock?: Ports['clock'];
   /** How many permits to send to an engine that warms up it holds; none where it is left out. */
   permitCount?: (engine: string) => number;
+  /** Called with each engine that it reports as unreachable. */
+  onUnreachable?: (engine: string) => void;
   /** Called when a connection to an engine has come up, before it is used. */
   onConnect?: (at: string) => void;
 }
@@ -255,6 +259,10 @@
   function leaving(): boolean {
     return false;
   }
+  const unreachable = makePushStream<string>();
+  function reportUnreachable(id: string): void {
+    ways.onUnreachable?.(id);
+  }
   function noPermits(): number {
     return 0;
   }
@@ -273,7 +281,11 @@
     changes: changes.stream,
     drainingNotices: makePushStream<string[]>().stream,
     memberChanges: makePushStream<never>().stream,
-    permitCount: ways.permitCount ?? noPermits,
+    warmUp: {
+      permitCount: ways.permitCount ?? noPermits,
+      reportUnreachable,
+      notices: unreachable.stream,
+    },
   } as unknown as Follower;
   const settings: Settings = {
     ...defaultSettings(),
@@ -310,6 +322,7 @@
     publish: tell,
     publishEngines: tellEngines,
     setLease: setLive,
+    tellUnreachable: unreachable.push,
     close,
   };
 }
