Tallies: a file that was never completed is written next, not the one that holds all

A start that begins a new file of additions and loses its power between the header and the batches leaves the newer file incomplete. The current file is now the one that was completed last.

--- a/src/control/tallies/tally-files.ts
+++ b/src/control/tallies/tally-files.ts
@@ -23,11 +23,11 @@
 /** What the files held. */
 export interface StoredTallies {
   batches: AdditionRun[][];
-  /** The file that was written last. */
+  /** The file that was completed last. */
   fileIndex: number;
-  /** The generation of that file; 0 where there is none. */
+  /** The highest generation of a file; 0 where there is none. */
   generation: number;
-  /** The bytes of that file. */
+  /** The bytes of the file that was completed last. */
   fileBytes: number;
   /** Whether that file can be appended to. */
   isAppendable: boolean;
@@ -61,16 +61,20 @@
   return Right({ ...recoverTallies(files), sync: reader.sync.bind(reader) });
 }
 
-/** Where the newer file was never completed, or has changed, the older one holds what the newer one began with. */
+/**
+ * Where the newer file was never completed, or has changed, the older one holds what the newer one began with; a file
+ * that was never completed is the one that is written next.
+ */
 function recoverTallies(files: readonly TallyFile[]): Omit<StoredTallies, 'sync'> {
   const ordered = [...files].sort(byGeneration);
-  const last = ordered[0];
+  const [last, older] = ordered;
+  const current = isComplete(last) ? last : older;
   const isIntact = isComplete(last) && !last.frames.isCorrupt;
   return {
     batches: isIntact ? batchesOf(last) : ordered.flatMap(batchesOf),
-    fileIndex: last.index,
+    fileIndex: current.index,
     generation: generationOf(last),
-    fileBytes: last.bytes,
+    fileBytes: current.bytes,
     isAppendable: isIntact && !last.frames.isTorn,
     isCorrupt: files.some(isCorruptFile),
   };
