Tallies: no message and no file before somebody keeps them; old recordings stand as they were

Digests were asked for and a file was begun where nobody had additions, which moved request numbers of the recorded runs. Comparing begins with the first call, message or stored addition; the first calls wait for a moment until the controller has caught up.

--- a/src/control/api/tallies-api.ts
+++ b/src/control/api/tallies-api.ts
@@ -49,8 +49,8 @@
     sendJson(call, 200, {});
   }
 
-  private read(call: IncomingRequest, tally: string): void {
-    const [error, total] = errorOrValue(this.tallies.total(tally));
+  private async read(call: IncomingRequest, tally: string): Promise<void> {
+    const [error, total] = errorOrValue(await this.tallies.total(tally));
     if (error) return this.sendTallyError(call, error);
     sendJson(call, 200, this.dialect.operators.tallyTotal(total));
   }
--- a/src/control/controller-node.ts
+++ b/src/control/controller-node.ts
@@ -53,7 +53,6 @@
 import { learnedValues } from './storage/register-state';
 import { StoredVotes } from './storage/vote-files';
 import { Tallies } from './tallies/tallies';
-import { StoredTallies } from './tallies/tally-files';
 import { drawRunId } from '../shared/state/members';
 
 /** What a controller is made of. */
@@ -64,8 +63,6 @@
   store: ControlStore;
   /** The idempotency votes that this disk stored before the start. */
   storedVotes: StoredVotes;
-  /** The additions to tallies that this disk stored before the start. */
-  storedTallies: StoredTallies;
   /** Reads the deployment documents of a platform; without one the controller serves intents. */
   parser: DocumentParser | undefined;
 }
@@ -162,7 +159,8 @@
   /** Serves: recovers the votes, listens, connects to the voters and starts the loops. */
   async start(): Promise<Result<void>> {
     await this.votes.start(this.options.storedVotes, this.timeLimits.requestTimeoutMs);
-    await this.tallies?.start();
+    const [talliesError] = errorOrValue((await this.tallies?.start()) ?? Right(undefined));
+    if (talliesError) return Left(talliesError);
     const [error, listener] = errorOrValue(await this.listen());
     if (error) return Left(error);
     this.listener = listener;
@@ -293,7 +291,6 @@
       timeLimits: this.timeLimits,
       diskId: this.store.diskId,
       runId: this.runId,
-      stored: this.options.storedTallies,
       openChannels: this.connections.pool.openChannels,
       controllerCount: this.controllerCount.bind(this),
       isStopped: this.isStopped.bind(this),
--- a/src/control/controller.ts
+++ b/src/control/controller.ts
@@ -13,7 +13,6 @@
 import { ControllerNode } from './controller-node';
 import { openControlStore, ControlStore } from './storage/control-store';
 import { StoredVotes, readStoredVotes } from './storage/vote-files';
-import { readStoredTallies, StoredTallies } from './tallies/tally-files';
 
 export type { Controller } from './controller-interface';
 
@@ -24,7 +23,6 @@
 interface ControllerStorage {
   store: ControlStore;
   storedVotes: StoredVotes;
-  storedTallies: StoredTallies;
 }
 
 /**
@@ -61,15 +59,13 @@
   return { ...ports, disk: timedDisk(ports.disk, ports.clock, observeSyncMs) };
 }
 
-/** Reads what the disk holds; the votes first: they tell whose disk this was, which the store needs to know. */
+/** Reads the votes first: they tell whose disk this was, which the store needs to know. */
 async function openStorage(ports: Ports, settings: Settings): Promise<Result<ControllerStorage>> {
   const [votesError, storedVotes] = errorOrValue(await readStoredVotes(ports));
   if (votesError) return Left(votesError);
-  const [talliesError, storedTallies] = errorOrValue(await readStoredTallies(ports));
-  if (talliesError) return Left(talliesError);
   const { requestTimeoutMs } = timeLimitsOf(settings);
   const [storeError, store] = errorOrValue(
     await openControlStore(ports, MAX_LOG_BYTES, storedVotes, requestTimeoutMs),
   );
-  return storeError ? Left(storeError) : Right({ store, storedVotes, storedTallies });
+  return storeError ? Left(storeError) : Right({ store, storedVotes });
 }
--- a/src/control/tallies/tallies.ts
+++ b/src/control/tallies/tallies.ts
@@ -15,7 +15,7 @@
 import { AdditionReplication } from './addition-replication';
 import { AdditionSet } from './addition-set';
 import { EMPTY_DIGEST } from './replica-additions';
-import { StoredTallies } from './tally-files';
+import { readStoredTallies } from './tally-files';
 import { TallyLog } from './tally-log';
 import {
   AddMessage,
@@ -45,8 +45,6 @@
   diskId: string;
   /** The id of this run of the process. */
   runId: string;
-  /** What this disk held at the start. */
-  stored: StoredTallies;
   /** The connections that are up. */
   openChannels: () => PeerChannel[];
   /** How many controllers there are, this one included, as far as is known. */
@@ -62,6 +60,10 @@
   private readonly repair: TallyRepair;
   private readonly replica: string;
   private readonly startedAt: number;
+  /** When comparing with others began, in ms of the clock port; undefined before the first call, message or stored addition. */
+  private begunAt?: number;
+  /** Callers that wait until this controller has caught up. */
+  private readonly readyWaits: (() => void)[] = [];
   private lastSequence = 0;
   private hasCaughtUp = false;
 
@@ -91,9 +93,14 @@
     });
   }
 
-  /** Takes over what this disk holds; its first write is waited for up to the time of a request. */
-  async start(): Promise<void> {
-    const { ports, stored, timeLimits } = this.dependencies;
+  /**
+   * Takes over what this disk holds; its first write is waited for up to the time of a request. Error: a file that can't
+   * be read.
+   */
+  async start(): Promise<Result<void>> {
+    const { ports, timeLimits } = this.dependencies;
+    const [error, stored] = errorOrValue(await readStoredTallies(ports));
+    if (error) return Left(error);
     for (const batch of stored.batches) if (areRuns(batch)) this.set.merge(batch);
     if (stored.isCorrupt)
       ports.logger.error(
@@ -101,13 +108,12 @@
         'synced additions to tallies have changed on this disk; what is missing is fetched from other controllers',
       );
     await this.log.start(stored, timeLimits.requestTimeoutMs);
+    return Right(undefined);
   }
 
-  /** Begins to compare with other controllers. */
+  /** Begins to compare with other controllers where this disk holds additions; else the first call or message does. */
   run(): void {
-    const { ports, timeLimits } = this.dependencies;
-    void this.repair.run();
-    ports.clock.setTimer(timeLimits.tallyCatchUpMs, this.checkCaughtUp.bind(this));
+    if (this.set.size() > 0) this.begin();
   }
 
   /** Ends what runs in the background. */
@@ -135,6 +141,7 @@
    * refused where nothing was done, else of unknown effect.
    */
   async add(tally: string, id: string, amount: number, timeoutMs: number): Promise<Result<void>> {
+    await this.waitAtBeginning();
     const [refusal] = errorOrValue(this.checkAdding());
     if (refusal) return Left(refusal);
     const known = this.set.find(tally, id);
@@ -147,7 +154,8 @@
   }
 
   /** The total of a tally, never an older one in one life of this process. Error: refused, before it has caught up. */
-  total(tally: string): Result<bigint> {
+  async total(tally: string): Promise<Result<bigint>> {
+    await this.waitAtBeginning();
     return this.checkReady().map(readTotal.bind(undefined, this.set, tally));
   }
 
@@ -167,6 +175,7 @@
   /** Holds additions of another controller; replies once they are synced. */
   @messageHandler('tally-add', AddMessage)
   async onAdditions({ runs }: AddMessage, from: PeerChannel): HandlerResult {
+    this.begin();
     if (!areRuns(runs)) return failure('tally-add', from.peer, 'no runs', 'refused', 'bad-shape');
     const recorded = await this.record(runs);
     return recorded.map(isHeld);
@@ -175,6 +184,7 @@
   /** Gives the digests of the replicas, unless the asker has the same additions. */
   @messageHandler('tally-digests', DigestsRequest)
   giveDigests({ digest }: DigestsRequest): HandlerResult {
+    this.begin();
     const own = this.set.digest();
     const reply: DigestsReply = {
       digest: own,
@@ -229,6 +239,29 @@
       : failure('tallies', wire, 'not caught up since the start', 'refused', 'unsettled');
   }
 
+  /** Begins to compare with other controllers: not before somebody keeps tallies. */
+  private begin(): void {
+    if (this.begunAt !== undefined) return;
+    const { ports, timeLimits } = this.dependencies;
+    this.begunAt = ports.clock.now();
+    void this.repair.run();
+    ports.clock.setTimer(timeLimits.tallyCatchUpMs, this.checkCaughtUp.bind(this));
+  }
+
+  /** Lets the calls that came first wait for a moment until this controller has caught up. */
+  private waitAtBeginning(): Promise<void> {
+    this.begin();
+    const { ports, timeLimits } = this.dependencies;
+    const { readyWaits } = this;
+    const leftMs = this.begunAt! + timeLimits.tallyFirstWaitMs - ports.clock.now();
+    if (this.isReady() || leftMs <= 0) return Promise.resolve();
+    function wait(resolve: () => void): void {
+      readyWaits.push(resolve);
+      ports.clock.setTimer(leftMs, resolve);
+    }
+    return new Promise(wait);
+  }
+
   private isReady(): boolean {
     if (!this.hasCaughtUp) this.checkCaughtUp();
     return this.hasCaughtUp;
@@ -239,16 +272,20 @@
    * can't be reached is not waited for over the bound, but additions that still come are.
    */
   private checkCaughtUp(): void {
-    if (this.hasCaughtUp) return;
+    const { begunAt } = this;
+    if (this.hasCaughtUp || begunAt === undefined) return;
     const { settings, timeLimits, controllerCount, ports } = this.dependencies;
     const now = ports.clock.now();
     const peers = this.repair.peers();
     const levelCount = peers.filter(wasLevel).length;
     const isEnough = levelCount + 1 >= controllerCount() - settings.tolerated;
-    const isOverdue = now - this.startedAt >= timeLimits.tallyCatchUpMs;
+    const isOverdue =
+      now - this.startedAt >= timeLimits.tallyCatchUpMs &&
+      (levelCount === peers.length || now - begunAt >= timeLimits.tallyFirstWaitMs);
     const isFetching = peers.some(isStillFetching);
     if (!(isEnough && levelCount === peers.length) && (!isOverdue || isFetching)) return;
     this.hasCaughtUp = true;
+    for (const resolve of this.readyWaits.splice(0)) resolve();
     ports.logger.notice(
       { event: 'tallies.ready', level: levelCount, connected: peers.length },
       `tallies are served, level with ${levelCount} of ${controllerCount() - 1} other controllers`,
--- a/src/control/tallies/tally-log.ts
+++ b/src/control/tallies/tally-log.ts
@@ -21,6 +21,8 @@
   private bytesInFile = 0;
   /** Whether the file can't be appended to: none was begun, its end is torn, or a write failed. */
   private needsNewFile = true;
+  /** Whether the last write failed. */
+  private hasFailed = false;
   private isStopped = false;
   private isRetrying = false;
   /** When the write that is under way began, in ms of the clock port. */
@@ -63,9 +65,9 @@
     return this.group.flush();
   }
 
-  /** Whether this disk has taken all that was written, as far as writes have returned. */
+  /** Whether the last write that returned succeeded. */
   isWritable(): boolean {
-    return !this.isBehind();
+    return !this.hasFailed;
   }
 
   /** For how long the write that is under way has been, in ms. */
@@ -78,15 +80,17 @@
     return this.bytesInFile;
   }
 
+  /** Without additions there is nothing to write: no file is begun before the first one. */
   private isBehind(): boolean {
-    return this.needsNewFile || this.syncRead !== undefined;
+    return this.set.size() > 0 && (this.needsNewFile || this.syncRead !== undefined);
   }
 
   private async writeBatch(runs: AdditionRun[]): Promise<Result<void>> {
     this.writeBeganAt = this.ports.clock.now();
     const written = await this.writeRuns(runs);
     this.writeBeganAt = undefined;
-    if (written.isLeft() && !this.isRetrying) void this.retryUntilWritten();
+    this.hasFailed = written.isLeft();
+    if (this.hasFailed && !this.isRetrying) void this.retryUntilWritten();
     return written;
   }
 
--- a/src/shared/settings/time-limits.ts
+++ b/src/shared/settings/time-limits.ts
@@ -129,6 +129,8 @@
   tallyCompareMs: number;
   /** How long a controller waits after its start until it has caught up. 0.5: those that are not back by then may stay away. */
   tallyCatchUpMs: number;
+  /** How long the first calls wait while a controller catches up. 0.05: the caller has time for another one. */
+  tallyFirstWaitMs: number;
   /** A disk that works on one write for longer is given no additions. 0.05: the caller has time for another controller. */
   tallyDiskStallMs: number;
 }
@@ -235,6 +237,7 @@
   return {
     tallyCompareMs: mergeMs * 0.2,
     tallyCatchUpMs: mergeMs * 0.5,
+    tallyFirstWaitMs: mergeMs * 0.05,
     tallyDiskStallMs: mergeMs * 0.05,
   };
 }
--- a/test/compatibility/wire.test.ts
+++ b/test/compatibility/wire.test.ts
@@ -34,11 +34,9 @@
 const ROOT = join(__dirname, '..', '..', '..');
 const SOURCES = join(ROOT, 'src');
 const RECORDER = join(__dirname, '..', '..', 'tools', 'compatibility', 'record-wire.js');
-/** Oldest first; a later one holds the types that came with it, and those whose examples have other drawn values since. */
+/** Each type of message is in the recording of the time at which it came. */
 const RECORDINGS = ['wire-0e33e2c', 'wire-d3bc73a'];
-const RECORDED = RECORDINGS.flatMap(recordedAt);
-/** The newest recording of each type. */
-const NEWEST = newestOfEachType();
+const RECORDED = RECORDINGS.flatMap(recordedAt).sort(byType);
 /** Recorded for its answer: no process knows it. */
 const UNKNOWN = 'no-such-type';
 /** All classes whose methods take messages. */
@@ -66,12 +64,6 @@
   return readRecording(join(ROOT, 'test', 'fixtures', folder));
 }
 
-function newestOfEachType(): RecordedType[] {
-  const newest = new Map<string, RecordedType>();
-  for (const one of RECORDED) newest.set(one.type, one);
-  return [...newest.values()].sort(byType);
-}
-
 function byType(first: RecordedType, second: RecordedType): number {
   return first.type < second.type ? -1 : 1;
 }
@@ -101,7 +93,7 @@
 }
 
 function everyTypeIsRecorded(): void {
-  expect(NEWEST.filter(isKnown).map(typeOf)).toEqual(typesInSources());
+  expect(RECORDED.filter(isKnown).map(typeOf).sort()).toEqual(typesInSources());
   for (const one of RECORDED) expect([one.type, one.exchanges.length]).not.toEqual([one.type, 0]);
 }
 
@@ -249,7 +241,7 @@
 }
 
 async function sameFieldsSent(): Promise<void> {
-  expect((await recordedNow()).map(fieldsOfType)).toEqual(NEWEST.map(fieldsOfType));
+  expect((await recordedNow()).map(fieldsOfType)).toEqual(RECORDED.map(fieldsOfType));
 }
 
 function isCompressed(path: string): boolean {
@@ -267,12 +259,12 @@
 
 async function sameBytesSent(): Promise<void> {
   const now = (await recordedNow()).filter(isPlain).map(exchangesOf);
-  const before = NEWEST.filter(isPlain).map(exchangesOf);
-  expect(before.length).toBeGreaterThan(NEWEST.length / 2);
+  const before = RECORDED.filter(isPlain).map(exchangesOf);
+  expect(before.length).toBeGreaterThan(RECORDED.length / 2);
   expect(now).toEqual(before);
 }
 
-describe('messages recorded at 0e33e2c, and later ones at d3bc73a', all);
+describe('messages recorded at 0e33e2c, and types that came later at d3bc73a', all);
 function all(): void {
   test('are of every type that the sources handle', everyTypeIsRecorded);
   test('are read and written with the same bytes', sameBytesBack);
