--- a/src/control/tallies/tallies.ts
+++ b/src/control/tallies/tallies.ts
@@ -34,6 +34,10 @@
 const DISK_ID_CHARACTERS = 8;
 /** Additions that may wait for copies; more are refused. */
 const MAX_WAITING = 2000;
+/** The part of the process's memory that additions may take, and what one takes. */
+const MEMORY_RATIO = 0.3;
+const BYTES_PER_ADDITION = 200;
+const BYTES_PER_MB = 1024 * 1024;
 /** Digests of ranges in one reply. */
 const RANGES_PER_REPLY = 64;
 
@@ -143,9 +147,9 @@
    */
   async add(tally: string, id: string, amount: number, timeoutMs: number): Promise<Result<void>> {
     await this.waitAtBeginning();
-    const [refusal] = errorOrValue(this.checkAdding());
-    if (refusal) return Left(refusal);
     const known = this.set.find(tally, id);
+    const [refusal] = errorOrValue(this.checkAdding(known !== undefined));
+    if (refusal) return Left(refusal);
     if (known) return this.replication.replicate(known, this.log.flush(), timeoutMs);
     const sequence = ++this.lastSequence;
     const addition: Addition = { replica: this.replica, sequence, tally, id, amount };
@@ -166,6 +170,7 @@
       isReady: this.isReady(),
       isWritable: this.log.isWritable(),
       additions: this.set.size(),
+      maxAdditions: Math.floor(maxAdditions(this.dependencies.settings)),
       replicas: this.set.replicaCount(),
       fileBytes: this.log.fileBytes(),
       waiting: this.replication.waiting(),
@@ -221,13 +226,16 @@
     return added.length > 0 ? this.log.append(added) : this.log.flush();
   }
 
-  private checkAdding(): Result<void> {
+  /** Whether an addition can be taken now; one that is known needs no more memory. */
+  private checkAdding(isKnown: boolean): Result<void> {
     const { settings, timeLimits } = this.dependencies;
     const ready = this.checkReady();
     if (ready.isLeft()) return ready;
     const isStalled = this.log.writingForMs() > timeLimits.tallyDiskStallMs;
     if (!this.log.isWritable() || isStalled)
       return failure('add', settings.wire, 'the disk takes no writes', 'refused', 'disk');
+    if (!isKnown && this.set.size() >= maxAdditions(settings))
+      return failure('add', settings.wire, 'no memory for more additions', 'refused', 'pending');
     if (this.replication.waiting() >= MAX_WAITING)
       return failure('add', settings.wire, 'too many additions wait', 'refused', 'pending');
     return Right(undefined);
@@ -321,6 +329,11 @@
   }
 }
 
+/** How many additions are taken from callers at the most; those of other controllers are always held. */
+function maxAdditions({ memoryMb }: Settings): number {
+  return (memoryMb * BYTES_PER_MB * MEMORY_RATIO) / BYTES_PER_ADDITION;
+}
+
 function isHeldRange(range: Partial<HeldRange> | undefined): range is HeldRange {
   return Number.isSafeInteger(range?.index) && range?.bitmap instanceof Uint8Array;
 }
--- a/src/control/tallies/tally-status.ts
+++ b/src/control/tallies/tally-status.ts
@@ -8,6 +8,8 @@
   isReady: boolean;
   isWritable: boolean;
   additions: number;
+  /** Callers' additions beyond this are refused. */
+  maxAdditions: number;
   /** Incarnations of controllers that additions are of. */
   replicas: number;
   fileBytes: number;
@@ -29,11 +31,13 @@
 
 /** The status as rows of the Prometheus text format. */
 export function tallyMetricRows(status: TalliesStatus): string[] {
-  const { isReady, isWritable, additions, replicas, fileBytes, waiting, peers } = status;
+  const { isReady, isWritable, additions, maxAdditions, replicas, fileBytes, waiting, peers } =
+    status;
   const rows = [
     `plumhollow_controller_tallies_ready ${isReady ? 1 : 0}`,
     `plumhollow_controller_tallies_writable ${isWritable ? 1 : 0}`,
     `plumhollow_controller_tally_additions ${additions}`,
+    `plumhollow_controller_tally_max_additions ${maxAdditions}`,
     `plumhollow_controller_tally_replicas ${replicas}`,
     `plumhollow_controller_tally_file_bytes ${fileBytes}`,
     `plumhollow_controller_tally_additions_waiting ${waiting}`,
--- a/src/programs/cli/fleet-commands.ts
+++ b/src/programs/cli/fleet-commands.ts
@@ -80,7 +80,7 @@
   const service = tallies.isReady ? 'served' : 'not served until caught up';
   const disk = tallies.isWritable ? '' : ', the disk takes no additions';
   return [
-    `tallies ${service}${disk}, ${tallies.additions} additions`,
+    `tallies ${service}${disk}, ${tallies.additions} of at most ${tallies.maxAdditions} additions`,
     ...tallies.peers.map(formatTalliesPeer),
   ];
 }
--- a/test/control/tallies.test.ts
+++ b/test/control/tallies.test.ts
@@ -102,6 +102,20 @@
   }
 }
 
+// Guards against a controller that ends for lack of memory: additions beyond its share of it are refused, and all else goes on.
+async function additionsAreBoundedByMemory(): Promise<void> {
+  const SMALL_MB = 0.01;
+  const rig = await startedCore(45);
+  for (const { settings } of rig.controllers.values()) settings.memoryMb = SMALL_MB;
+  const statuses: (number | undefined)[] = [];
+  for (let i = 0; i < 20; i++) statuses.push(await statusOfAdding(rig, i % 5, 't', `id-${i}`, 1));
+  const taken = statuses.indexOf(503);
+  expect(taken).toBeGreaterThan(10);
+  expect(new Set(statuses.slice(taken))).toEqual(new Set([503]));
+  expect(await statusOfAdding(rig, 0, 't', 'id-0', 1)).toBe(200);
+  expect(await totals(rig, 't')).toEqual(Array(5).fill(taken));
+}
+
 // Guards against TWICE: an id that comes again, at any controller, counted again.
 async function anIdCountsOnce(): Promise<void> {
   const rig = await startedCore(7);
@@ -352,6 +366,7 @@
 test('copies on slow disks are waited for', copiesOnSlowDisksAreWaitedFor);
 test('reset connections are waited for', resetConnectionsAreWaitedFor);
 test('reads wait for all that come back', readsWaitForAllThatComeBack);
+test('additions are bounded by memory', additionsAreBoundedByMemory);
 test('an id counts once', anIdCountsOnce);
 test('both sides of a cut add', bothSidesOfACutAdd);
 test('differing amounts are chosen alike', differingAmountsAreChosenAlike);
