Voters are replaced so that any one zone may go

Callers would see: with faultTolerance.zones 1 and five core machines in zones of 2, 2 and 1, a lost voter's place went to the first machine that asked, of whatever zone.

Where no candidate keeps them apart, a voter that is unreachable together with its whole zone keeps its place for four catch-up times, since a cut heals; one whose disk is gone, that leaves, or whose zone is otherwise there is replaced all the same.

A controller hears its peers' zones by their handshake, so that neither stored nor sent forms change.

--- a/src/control/controller-interface.ts
+++ b/src/control/controller-interface.ts
@@ -27,6 +27,7 @@
   | 'isUp'
   | 'hasOtherDisk'
   | 'isLeaving'
+  | 'zoneOf'
   | 'hasQuorum'
   | 'isSelfLeaving'
   | 'jointForMs'
--- a/src/control/controller-node.ts
+++ b/src/control/controller-node.ts
@@ -87,6 +87,7 @@
   readonly isUp: VoterLiveness['isUp'];
   readonly hasOtherDisk: VoterLiveness['hasOtherDisk'];
   readonly isLeaving: VoterLiveness['isLeaving'];
+  readonly zoneOf: VoterLiveness['zoneOf'];
   readonly isSelfLeaving: VoterLiveness['isSelfLeaving'];
   readonly liveAddresses: VoterLiveness['liveAddresses'];
   readonly hasQuorum: VoterLiveness['hasQuorum'];
@@ -133,6 +134,7 @@
     this.isUp = this.liveness.isUp;
     this.hasOtherDisk = this.liveness.hasOtherDisk;
     this.isLeaving = this.liveness.isLeaving;
+    this.zoneOf = this.liveness.zoneOf;
     this.isSelfLeaving = this.liveness.isSelfLeaving;
     this.liveAddresses = this.liveness.liveAddresses;
     this.hasQuorum = this.liveness.hasQuorum;
@@ -245,6 +247,7 @@
     return new VoterLivenessView({
       clock: this.ports.clock,
       self: this.self,
+      zone: this.settings.zone,
       voters: this.voters.bind(this),
       channelTo: this.channelTo.bind(this),
       announcedLeave: this.hasAnnouncedLeave.bind(this),
--- a/src/control/membership/voter-health.ts
+++ b/src/control/membership/voter-health.ts
@@ -39,18 +39,25 @@
     if (hasOtherDisk(voter)) return 'emptied';
     if (isLeaving(voter)) return 'leaving';
     if (isUp(voter)) return 'here';
-    return this.isUnreachableTooLong(voter) ? 'lost' : 'away';
+    return this.isUnreachableFor(voter, this.dependencies.timeLimits.voterLostAfterMs)
+      ? 'lost'
+      : 'away';
   }
 
   /** Whether a voter that is not up should not be waited for: its disk is another one, or it is lost. */
   isGone(voter: Voter): boolean {
-    return this.dependencies.hasOtherDisk(voter) || this.isUnreachableTooLong(voter);
+    const { hasOtherDisk, timeLimits } = this.dependencies;
+    return hasOtherDisk(voter) || this.isUnreachableFor(voter, timeLimits.voterLostAfterMs);
   }
 
-  private isUnreachableTooLong(voter: Voter): boolean {
-    const { clock, timeLimits } = this.dependencies;
+  /** Whether a voter has been unreachable for longer than a cut of its zone may last. */
+  isLostForLong(voter: Voter): boolean {
+    return this.isUnreachableFor(voter, this.dependencies.timeLimits.zoneLostAfterMs);
+  }
+
+  private isUnreachableFor(voter: Voter, limitMs: number): boolean {
     const since = this.unreachableSince.get(voter.disk);
-    const unreachableForMs = since === undefined ? 0 : clock.now() - since;
-    return unreachableForMs > timeLimits.voterLostAfterMs;
+    const unreachableForMs = since === undefined ? 0 : this.dependencies.clock.now() - since;
+    return unreachableForMs > limitMs;
   }
 }
--- a/src/control/membership/voter-liveness.ts
+++ b/src/control/membership/voter-liveness.ts
@@ -12,6 +12,8 @@
   clock: Clock;
   /** This controller as a voter. */
   self: Voter;
+  /** The zone of this controller's machine. */
+  zone: string;
   voters: () => VoterSet | undefined;
   /** The connection to a controller, while it is up. */
   channelTo: (address: string) => PeerChannel | undefined;
@@ -27,6 +29,8 @@
   /** Whether a voter's machine is there with another disk, so that its own is gone. */
   hasOtherDisk: (voter: Voter) => boolean;
   isLeaving: (voter: Voter) => boolean;
+  /** The zone of a voter's machine, as it was last told by a connection; undefined before one was up. */
+  zoneOf: (voter: Voter) => string | undefined;
   /** The addresses of the voters that are up and don't leave. */
   liveAddresses: () => string[];
   hasQuorum: () => boolean;
@@ -45,6 +49,8 @@
 export class VoterLivenessView implements VoterLiveness {
   /** By address, in ms of the clock port. */
   private readonly upSince = new Map<string, number>();
+  /** By address. */
+  private readonly zones = new Map<string, string>();
   private isEnding = false;
   private jointSince: number | undefined;
 
@@ -72,6 +78,13 @@
     return this.dependencies.announcedLeave(voter.disk, this.upSince.get(voter.at));
   }
 
+  zoneOf(voter: Voter): string | undefined {
+    if (this.isSelf(voter)) return this.dependencies.zone;
+    const zone = this.dependencies.channelTo(voter.at)?.hello?.zone;
+    if (zone !== undefined) this.zones.set(voter.at, zone);
+    return this.zones.get(voter.at);
+  }
+
   liveAddresses(): string[] {
     const voters = this.dependencies.voters();
     return voters ? allVoters(voters).filter(this.isLive.bind(this)).map(addressOf) : [];
--- a/src/control/membership/voter-set-controller.ts
+++ b/src/control/membership/voter-set-controller.ts
@@ -4,7 +4,7 @@
 
 import { errorOrValue } from '../../shared/errors/errors';
 import { Ports } from '../../shared/ports/ports';
-import { addressOf, Voter, VoterSet } from '../../shared/state/voter-set';
+import { addressOf, allVoters, Voter, VoterSet } from '../../shared/state/voter-set';
 import { CONTROL_KEYS } from '../../shared/state/control-keys';
 import { Controller } from '../controller-interface';
 import { waitForNextRound } from '../maintenance-pause';
@@ -71,10 +71,11 @@
     }
   }
 
-  /** Notes the health of the voters; false where none are known. */
+  /** Notes the health and the zones of the voters; false where none are known. */
   private observeVoters(): boolean {
     const voters = this.controller.voters();
     if (voters) this.health.observe(voters);
+    for (const voter of voters ? allVoters(voters) : []) this.controller.zoneOf(voter);
     return voters !== undefined;
   }
 
@@ -107,13 +108,16 @@
   }
 
   private plan(now: readonly Voter[]): Voter[] | undefined {
-    const { isUp, membershipRequests, settings } = this.controller;
+    const { isUp, membershipRequests, settings, zoneOf } = this.controller;
     const { health } = this;
     function healthOf(voter: Voter): ReturnType<VoterHealthTracker['healthOf']> {
       return health.healthOf(voter);
     }
     const candidates = membershipRequests.candidates().filter(isUp);
-    return planVoterSet(now, candidates, healthOf, settings.tolerated * 2 + 1);
+    return planVoterSet(now, candidates, healthOf, settings.tolerated * 2 + 1, {
+      zones: { toleratedZones: settings.toleratedZones, zoneOf },
+      isLostForLong: health.isLostForLong.bind(health),
+    });
   }
 
   /** Whether the other voters don't reach those either that are dropped because they only seem to be lost. */
--- a/src/shared/settings/time-limits.ts
+++ b/src/shared/settings/time-limits.ts
@@ -43,6 +43,11 @@
    * machine's start.
    */
   voterLostAfterMs: number;
+  /**
+   * For how long the voters of a zone that is unreachable as a whole keep their places, where no other machine keeps the
+   * zones apart. 4 of `catchUpMs`: longer than a cut that heals by itself.
+   */
+  zoneLostAfterMs: number;
   /** How long a machine that replaces a lost disk is waited for. 0.5 of `catchUpMs`: another machine may still take its place. */
   diskRepairMs: number;
   /** How long a majority of the founders waits for the rest, where it may found. 0.25 of `contactMs`: all that start at about the same time are in. */
@@ -163,6 +168,7 @@
 function membershipLimitsOf({ catchUpMs, contactMs }: Settings): MembershipLimits {
   return {
     voterLostAfterMs: catchUpMs * 0.25,
+    zoneLostAfterMs: catchUpMs * 4,
     diskRepairMs: catchUpMs * 0.5,
     bootstrapWaitMs: contactMs * 0.25,
   };
