--- a/src/control/api/cluster-api.ts
+++ b/src/control/api/cluster-api.ts
@@ -83,6 +83,7 @@
       `plumhollow_controller_disk_fit ${store.isWritable() ? 1 : 0}`,
       `plumhollow_controller_intents_revision ${currentRevision(controller)}`,
       ...leases.lagRows(),
+      ...controller.permits.metricRows(),
       ...voterMetricRows(await readVoterStatus(controller)),
     ];
     call.writeHead(200, { 'content-type': METRICS_CONTENT_TYPE });
--- a/src/control/warm-up/warm-up-permits.ts
+++ b/src/control/warm-up/warm-up-permits.ts
@@ -93,9 +93,12 @@
     return this.reported.list();
   }
 
-  /** Permits that were granted since the start, where their router did not have them already. */
-  grantedCount(): number {
-    return this.table.grantedCount();
+  /** What was granted and what is reported, as metric rows. */
+  metricRows(): string[] {
+    return [
+      `plumhollow_controller_permits_granted_total ${this.table.grantedCount()}`,
+      `plumhollow_controller_unreachable_engines ${this.reported.list().length}`,
+    ];
   }
 
   private wantedBy(incarnation: string): readonly WantedPermits[] {
--- a/src/data/gateway/cold-engines.ts
+++ b/src/data/gateway/cold-engines.ts
@@ -6,10 +6,12 @@
 import { Clock } from '../../shared/ports/clock';
 import { Pool } from '../../shared/state/deployment';
 import { Engine } from '../../shared/state/engines';
+import { ColdEngineLog, ColdReason } from './cold-engine-log';
 
 /** What a look at cold engines works with. */
 export interface ColdEnginesDependencies {
   clock: Clock;
+  log: ColdEngineLog;
   /** By how much the time that a list reports may be too short, in ms. */
   reportToleranceMs: number;
   pool: (name: string) => Pool | undefined;
@@ -70,7 +72,8 @@
     const evacuated = new Set(zones);
     for (const engine of this.engines) {
       const { zone } = engine;
-      if (this.evacuatedZones.has(zone) && !evacuated.has(zone)) this.presumeCold(engine);
+      if (this.evacuatedZones.has(zone) && !evacuated.has(zone))
+        this.presumeCold(engine, 'evacuation-ended');
     }
     this.evacuatedZones = evacuated;
   }
@@ -79,6 +82,7 @@
   recordUnreachable(engine: Engine): void {
     if (!this.isLimited(engine)) return;
     const warmth = this.warmthOf(engine.id);
+    if (!warmth.isUnreachable) this.dependencies.log.noteCold(engine.id, 'unreachable');
     warmth.isUnreachable = true;
     warmth.nextCheckAt = this.dependencies.clock.now() + CHECK_INTERVAL_MS;
     this.dependencies.reportUnreachable(engine.id);
@@ -90,6 +94,7 @@
     if (!warmth || warmth.isUnreachable) return;
     warmth.isUnreachable = true;
     warmth.nextCheckAt = this.dependencies.clock.now();
+    this.dependencies.log.noteCold(id, 'reported');
   }
 
   /** Whether an engine is to be taken as cold now. One that is unreachable is checked again from time to time. */
@@ -106,15 +111,17 @@
   private applyReport({ id, warmMs = 0 }: Engine): void {
     const warmth = this.warmthOf(id);
     if (warmMs === warmth.reportedMs) return;
-    const { clock, reportToleranceMs } = this.dependencies;
+    const { clock, log, reportToleranceMs } = this.dependencies;
     warmth.reportedMs = warmMs;
+    if (warmMs > 0) log.noteCold(id, 'listed', warmMs);
     warmth.listedUntil = warmMs > 0 ? clock.now() + warmMs + reportToleranceMs : -Infinity;
   }
 
-  private presumeCold(engine: Engine): void {
-    const { clock, pool } = this.dependencies;
+  private presumeCold(engine: Engine, reason: ColdReason): void {
+    const { clock, log, pool } = this.dependencies;
     const warmUpMs = pool(engine.pool ?? '')?.warmUpMs ?? 0;
     this.warmthOf(engine.id).presumedUntil = clock.now() + warmUpMs;
+    log.noteCold(engine.id, reason, warmUpMs);
   }
 
   /** Whether a cold engine of its pool bears only so many requests. */
@@ -130,7 +137,7 @@
     warmth.isBeingChecked = false;
     if (!isReachable) return this.recordUnreachable(engine);
     warmth.isUnreachable = false;
-    this.presumeCold(engine);
+    this.presumeCold(engine, 'returned');
   }
 
   private warmthOf(id: string): EngineWarmth {
--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -23,6 +23,7 @@
 import { CONTROL_KEYS } from '../../shared/state/control-keys';
 import { EvacuationsValue } from '../../shared/state/evacuations';
 import { VersionedValue } from '../../shared/state/versions';
+import { ColdEngineLog } from './cold-engine-log';
 import { ColdEngines } from './cold-engines';
 import { EngineChooser } from './engine-chooser';
 import { EngineConnections } from './engine-connections';
@@ -76,6 +77,7 @@
   private readonly draining: GracefulDrain;
   private readonly weights: WeightsTracker;
   private readonly connections: EngineConnections;
+  private readonly coldEngineLog: ColdEngineLog;
   private readonly coldEngines: ColdEngines;
   private readonly warmUpLimit: WarmUpLimit;
   private readonly chooser: EngineChooser;
@@ -99,6 +101,7 @@
     this.messages = new WeightsMessages(this.weights);
     const routerCount = this.state.routerCount.bind(this.state);
     this.connections = new EngineConnections(clock, http, settings, routerCount);
+    this.coldEngineLog = new ColdEngineLog(clock, logger, settings.contactMs);
     this.coldEngines = this.makeColdEngines();
     this.warmUpLimit = this.makeWarmUpLimit();
     this.chooser = this.makeChooser(routerCount);
@@ -154,6 +157,7 @@
     const { connections, state } = this;
     return new ColdEngines({
       clock: ports.clock,
+      log: this.coldEngineLog,
       reportToleranceMs: timeLimitsOf(settings).statusTimeoutMs,
       pool: state.poolOf.bind(state),
       reportUnreachable: follower.warmUp.reportUnreachable.bind(follower.warmUp),
@@ -282,6 +286,7 @@
   private selfCheck(): void {
     this.stalls.look();
     this.startLog.update();
+    this.coldEngineLog.noteCounts(this.warmUpLimit.counts);
     this.state.routerCount();
     this.cancelSelfCheck = this.selfCheckAfter(this.options.settings.contactMs * SELF_CHECK_RATIO);
   }
