--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -123,6 +123,7 @@
     void follower.changes.observe(this.applyChange.bind(this));
     void follower.warmUp.notices.observe(this.coldEngines.applyUnreachable.bind(this.coldEngines));
     for (const change of follower.appliedValues()) this.applyChange(change);
+    for (const id of follower.warmUp.reported()) this.coldEngines.applyUnreachable(id);
     this.cancelSelfCheck = this.selfCheckAfter(0);
     return undefined;
   }
--- a/src/shared/replication/follower-warm-up.ts
+++ b/src/shared/replication/follower-warm-up.ts
@@ -53,6 +53,14 @@
     return [...this.failedAt.keys()];
   }
 
+  /** The engines that controllers report as unreachable, by what they said last. */
+  reported(): string[] {
+    const engines = new Set<string>();
+    for (const reported of this.reportedByDisk.values())
+      for (const engine of reported) engines.add(engine);
+    return [...engines];
+  }
+
   /** Notes what a controller's grant says. */
   note(update: WarmUpUpdate): void {
     this.permits.note(update);
--- a/test/control/unreachable-engines.test.ts
+++ b/test/control/unreachable-engines.test.ts
@@ -80,7 +80,9 @@
   warmUp.note({ ...update, unreachable: ['i-2'] });
   warmUp.note(update);
   warmUp.note({ ...update, unreachable: ['i-2', 'i-3'] });
+  expect(warmUp.reported()).toEqual(['i-2', 'i-3']);
   warmUp.note({ ...update, isComplete: true });
+  expect(warmUp.reported()).toEqual([]);
   warmUp.note({ ...update, unreachable: ['i-2'] });
   expect(heard).toEqual(['i-2', 'i-3', 'i-2']);
 }
--- a/test/data/gateway-cold-engines.test.ts
+++ b/test/data/gateway-cold-engines.test.ts
@@ -143,6 +143,35 @@
   await rig.close();
 }
 
+async function reportedBeforeItsStart(): Promise<void> {
+  const engine = await startStandIn('e1', streamEvents(1));
+  const rig = await startGatewayFixture({
+    engines: [listed(engine, 0)],
+    deployment: warmingDeployment(),
+    clock: manualClock(),
+    reported: ['e1'],
+  });
+  expect(await statuses(rig, 2)).toEqual([503, 503]);
+  await rig.close();
+}
+
+async function reportsWhatItCannotReach(): Promise<void> {
+  const engine = await startStandIn('e1', streamEvents(1));
+  const told: string[] = [];
+  function onUnreachable(id: string): void {
+    told.push(id);
+  }
+  const rig = await startGatewayFixture({
+    engines: [{ ...listed(engine, 0), at: '127.0.0.1:9' }],
+    deployment: warmingDeployment(),
+    clock: manualClock(),
+    onUnreachable,
+  });
+  expect(await statuses(rig, 1)).toEqual([503]);
+  expect(told).toEqual(['e1']);
+  await rig.close();
+}
+
 /** Routers as gateways on sockets and as holders of permits, in one time. */
 class WarmingFleet {
   readonly log: SendLog = new Map<string, number[]>();
@@ -281,6 +310,12 @@
 test('an engine that could not be connected to is taken as cold once it can be', backAtItsAddress);
 // Guards against FAILBACK: a router that sent nothing to an engine while it was down took it as warm once it was back.
 test('an engine that routers of its zone report as unreachable is taken as cold', reportedByOthers);
+// Guards against FAILBACK: a router that starts beside the return of a zone has heard of no failure itself.
+test(
+  'an engine that was reported before a router began to listen is taken as cold',
+  reportedBeforeItsStart,
+);
+test('a router reports an engine that it can not connect to', reportsWhatItCannotReach);
 // Guards against FAILBACK: engines of a zone that came back cold got all requests at once, more so beside restarts of routers.
 test(
   'a zone that comes back cold amid restarts of routers gets no more than it may',
--- a/test/data/gateway-fixture.ts
+++ b/test/data/gateway-fixture.ts
@@ -188,6 +188,8 @@
   clock?: Ports['clock'];
   /** How many permits to send to an engine that warms up it holds; none where it is left out. */
   permitCount?: (engine: string) => number;
+  /** Engines that controllers reported as unreachable before it began to listen. */
+  reported?: string[];
   /** Called with each engine that it reports as unreachable. */
   onUnreachable?: (engine: string) => void;
   /** Called when a connection to an engine has come up, before it is used. */
@@ -260,6 +262,9 @@
     return false;
   }
   const unreachable = makePushStream<string>();
+  function reported(): readonly string[] {
+    return ways.reported ?? [];
+  }
   function reportUnreachable(id: string): void {
     ways.onUnreachable?.(id);
   }
@@ -285,6 +290,7 @@
       permitCount: ways.permitCount ?? noPermits,
       reportUnreachable,
       notices: unreachable.stream,
+      reported,
     },
   } as unknown as Follower;
   const settings: Settings = {
