--- a/src/control/api/cluster-api.ts
+++ b/src/control/api/cluster-api.ts
@@ -88,6 +88,7 @@
       `plumhollow_controller_intents_revision ${currentRevision(controller)}`,
       `plumhollow_controller_evacuated_zones ${evacuatedZones(controller).length}`,
       ...leases.lagRows(),
+      ...controller.permits.metricRows(),
       ...voterMetricRows(await readVoterStatus(controller)),
       ...(tallies ? tallyMetricRows(tallies.status()) : []),
     ];
