Evacuations: an order that is read late is not made after its opposite

What operators saw: an evacuation that had been finished was in force again, or one that had been started ended, once a controller that had been frozen went on: it read the order that the operator had given up on after a second, and made it. Cause: such an order had no base.

--- a/src/control/api/deployment-api.ts
+++ b/src/control/api/deployment-api.ts
@@ -10,6 +10,7 @@
 import { DeploymentValue } from '../../shared/state/deployment';
 import { CONTROL_KEYS } from '../../shared/state/control-keys';
 import { makeOperatorListener } from './operator-api';
+import { EvacuationChanges } from './evacuation-changes';
 import { isZoneUnknown } from './evacuation-plan';
 import { RetriedChanges } from './retried-changes';
 import { Controller } from '../controller-interface';
@@ -22,9 +23,10 @@
   ports: Ports,
   dialect: PlatformAdapter,
 ): Promise<Result<Listener>> {
-  const api = new DeploymentApi(controller, ports, dialect);
+  const evacuations = new EvacuationChanges(controller, ports);
+  const api = new DeploymentApi(controller, ports, dialect, evacuations);
   const tallies = controller.tallies && new TalliesApi(controller, controller.tallies, dialect);
-  const handleOperatorCall = makeOperatorListener(controller, ports);
+  const handleOperatorCall = makeOperatorListener(controller, ports, evacuations);
 
   async function handle(call: IncomingRequest): Promise<void> {
     const { paths } = dialect.operators;
@@ -48,6 +50,7 @@
     private readonly controller: Controller,
     ports: Ports,
     private readonly dialect: PlatformAdapter,
+    private readonly evacuations: EvacuationChanges,
   ) {
     this.changes = new RetriedChanges(controller, ports);
   }
@@ -91,7 +94,8 @@
     if (call.method !== 'POST') return sendError(call, 405, 'refused', 'bad-method', call.method);
     if (zone === undefined || (evacuated && isZoneUnknown(this.controller, zone)))
       return sendError(call, 400, 'refused', 'bad-zone', 'there is no such zone');
-    const error = await this.changes.change({ kind: 'evacuation', zone, evacuated });
+    const attempt = this.evacuations.change.bind(this.evacuations, call, zone, evacuated);
+    const error = await this.changes.run(attempt);
     if (error) return this.changes.sendError(call, error);
     sendJson(call, 200, { zone, evacuated });
   }
--- a/src/control/api/evacuation-api.ts
+++ b/src/control/api/evacuation-api.ts
@@ -8,12 +8,16 @@
 import { Engine } from '../../shared/state/engines';
 import { httpHandler, sendError, sendJson } from '../../shared/transport/http-handlers';
 import { Controller } from '../controller-interface';
+import { EvacuationChanges } from './evacuation-changes';
 import { evacuatedZones, isZoneUnknown, placesOutside, PoolPlaces } from './evacuation-plan';
 import { sendChangeResult, sendOperationError } from './operator-replies';
 
 /** Handles the operators' requests about evacuations. */
 export class EvacuationApi {
-  constructor(private readonly controller: Controller) {}
+  constructor(
+    private readonly controller: Controller,
+    private readonly evacuations: EvacuationChanges,
+  ) {}
 
   /** Gives the evacuated zones, and the places of each pool that are left. */
   @httpHandler('GET', '/v1/evacuations')
@@ -50,8 +54,8 @@
   private async change(call: IncomingRequest, zone: string, evacuated: boolean): Promise<void> {
     const { controller } = this;
     if (evacuated && isZoneUnknown(controller, zone)) return this.refuse(call);
-    const operation = { kind: 'evacuation', zone, evacuated } as const;
-    const [error, result] = errorOrValue(await controller.change(operation));
+    const changed = await this.evacuations.change(call, zone, evacuated);
+    const [error, result] = errorOrValue(changed);
     if (error?.code === 'stands') return this.replyStanding(call, zone, evacuated);
     if (error) return sendOperationError(controller, call, error);
     sendChangeResult(call, CONTROL_KEYS.evacuations, result, { zone, evacuated });
--- a/src/control/api/retried-changes.ts
+++ b/src/control/api/retried-changes.ts
@@ -25,6 +25,9 @@
   'forgotten',
 ]);
 
+/** Makes one attempt at a change. */
+type ChangeAttempt = () => Promise<Result<ChangeResult>>;
+
 /** Makes changes for operators, and sends their errors. */
 export class RetriedChanges {
   constructor(
@@ -33,8 +36,13 @@
   ) {}
 
   /** Makes a change. One that stands already succeeds: it was made before, or by another. */
-  async change(operation: Operation): Promise<OperationError | undefined> {
-    const [error] = errorOrValue(await this.inTime('change', this.changeWithRetries(operation)));
+  change(operation: Operation): Promise<OperationError | undefined> {
+    return this.run(this.controller.change.bind(undefined, operation));
+  }
+
+  /** The same for a change that `attempt` makes. */
+  async run(attempt: ChangeAttempt): Promise<OperationError | undefined> {
+    const [error] = errorOrValue(await this.inTime('change', this.changeWithRetries(attempt)));
     return error?.code === 'stands' ? undefined : error;
   }
 
@@ -61,12 +69,12 @@
   }
 
   /** Makes a change; one of unknown effect is made again, since one that was committed is recognized. */
-  private async changeWithRetries(operation: Operation): Promise<Result<ChangeResult>> {
+  private async changeWithRetries(attempt: ChangeAttempt): Promise<Result<ChangeResult>> {
     const { clock, random } = this.ports;
     const { retryPauseMs } = this.controller.timeLimits;
     const retryUntil = clock.now() + replyTimeoutMs(this.controller.settings);
     for (;;) {
-      const result = await this.controller.change(operation);
+      const result = await attempt();
       const [error] = errorOrValue(result);
       if (!error || isFinal(error) || clock.now() + retryPauseMs > retryUntil) return result;
       const pauseRatio = MIN_RETRY_RATIO + RETRY_SPREAD_RATIO * random.next();
--- a/src/control/configuration/next-value.ts
+++ b/src/control/configuration/next-value.ts
@@ -158,9 +158,9 @@
   return Right({ holder, at, fence: number + 1 });
 }
 
-/** Adds a zone to those that are evacuated, or removes it. */
+/** Adds a zone to those that are evacuated, or removes it. An operation that was on its way while another was made is refused: it may be older. */
 function changeEvacuations(
-  { zone, evacuated }: EvacuationOperation,
+  { zone, evacuated, basedOn }: EvacuationOperation,
   committed: VersionedValue | undefined,
 ): Result<EvacuationsValue> {
   const before = committed?.value as EvacuationsValue | undefined;
@@ -169,6 +169,8 @@
     const reason = evacuated ? 'the zone is evacuated already' : 'the zone is not evacuated';
     return failure('evacuate', zone, reason, 'refused', 'stands');
   }
+  if (basedOn !== (committed?.number ?? 0))
+    return failure('evacuate', zone, 'another change came first', 'refused', 'conflict');
   if (evacuated) zones.add(zone);
   else zones.delete(zone);
   return Right({ zones: [...zones].sort() });
--- a/src/control/configuration/operations.ts
+++ b/src/control/configuration/operations.ts
@@ -68,11 +68,12 @@
   basedOn?: number;
 }
 
-/** Starts the evacuation of a zone, or finishes it. */
+/** Starts the evacuation of a zone, or finishes it, on top of the number `basedOn`. */
 export interface EvacuationOperation {
   kind: 'evacuation';
   zone: string;
   evacuated: boolean;
+  basedOn: number;
 }
 
 /** Replaces the set of voters, on top of the number `basedOn`. */
--- a/test/control/evacuations.test.ts
+++ b/test/control/evacuations.test.ts
@@ -28,7 +28,8 @@
     let committed: VersionedValue | undefined;
     const expected = new Set<string>();
     for (const { zone, evacuated } of orders) {
-      const operation = { kind: 'evacuation', zone, evacuated } as const;
+      const basedOn = committed?.number ?? 0;
+      const operation = { kind: 'evacuation', zone, evacuated, basedOn } as const;
       const next = computeNextValue(operation, committed);
       const isRepeat = expected.has(zone) === evacuated;
       expect(next.isLeft() && next.extract()).toEqual(
