--- a/src/data/gateway/warm-up-limit.ts
+++ b/src/data/gateway/warm-up-limit.ts
@@ -46,9 +46,10 @@
     return true;
   }
 
-  /** Forgets all engines but these. */
+  /** Forgets all engines but these, and those whose permits are in use: they may be listed again meanwhile. */
   retain(ids: ReadonlySet<string>): void {
-    for (const id of this.sentAt.keys()) if (!ids.has(id)) this.sentAt.delete(id);
+    for (const id of [...this.sentAt.keys()])
+      if (!ids.has(id) && this.recent(id).length === 0) this.sentAt.delete(id);
   }
 
   private hasPermit(id: string): boolean {
