Routers: engines of a zone that was taken back are cold whenever their entries come

The end of an evacuation is now kept by zone, not by the engines that are listed at that moment. A doc comment that hung is joined to its method.

--- a/src/data/gateway/cold-engines.ts
+++ b/src/data/gateway/cold-engines.ts
@@ -47,14 +47,14 @@
 /** Keeps which engines are taken as cold. */
 export class ColdEngines {
   private readonly warmthById = new Map<string, EngineWarmth>();
-  private engines: readonly Engine[] = [];
   private evacuatedZones: ReadonlySet<string> = new Set();
+  /** When the evacuations of zones ended, as far as it was seen here. */
+  private readonly evacuationEndedAt = new Map<string, number>();
 
   constructor(private readonly dependencies: ColdEnginesDependencies) {}
 
   /** Takes a new list of engines. */
   applyEngines(engines: readonly Engine[]): void {
-    this.engines = engines;
     const ids = new Set<string>();
     for (const engine of engines) {
       ids.add(engine.id);
@@ -66,10 +66,9 @@
   /** Takes the zones that are evacuated; the engines of those that no longer are may have turned cold meanwhile. */
   applyEvacuations(zones: readonly string[]): void {
     const evacuated = new Set(zones);
-    for (const engine of this.engines) {
-      const { zone } = engine;
-      if (this.evacuatedZones.has(zone) && !evacuated.has(zone)) this.presumeCold(engine);
-    }
+    const now = this.dependencies.clock.now();
+    for (const zone of this.evacuatedZones)
+      if (!evacuated.has(zone)) this.evacuationEndedAt.set(zone, now);
     this.evacuatedZones = evacuated;
   }
 
@@ -85,7 +84,7 @@
     const warmth = this.warmthById.get(engine.id);
     if (!warmth || !this.isLimited(engine)) return false;
     const now = this.dependencies.clock.now();
-    if (!warmth.isUnreachable) return now < Math.max(warmth.listedUntil, warmth.presumedUntil);
+    if (!warmth.isUnreachable) return now < this.coldUntil(engine, warmth);
     if (!warmth.isBeingChecked && now >= warmth.nextCheckAt) void this.check(engine, warmth);
     return true;
   }
@@ -99,10 +98,17 @@
     warmth.listedUntil = warmMs > 0 ? clock.now() + warmMs + reportToleranceMs : -Infinity;
   }
 
+  private coldUntil(engine: Engine, { listedUntil, presumedUntil }: EngineWarmth): number {
+    const evacuationEndedAt = this.evacuationEndedAt.get(engine.zone) ?? -Infinity;
+    return Math.max(listedUntil, presumedUntil, evacuationEndedAt + this.warmUpMs(engine));
+  }
+
   private presumeCold(engine: Engine): void {
-    const { clock, pool } = this.dependencies;
-    const warmUpMs = pool(engine.pool ?? '')?.warmUpMs ?? 0;
-    this.warmthOf(engine.id).presumedUntil = clock.now() + warmUpMs;
+    this.warmthOf(engine.id).presumedUntil = this.dependencies.clock.now() + this.warmUpMs(engine);
+  }
+
+  private warmUpMs({ pool }: Engine): number {
+    return this.dependencies.pool(pool ?? '')?.warmUpMs ?? 0;
   }
 
   /** Whether a cold engine of its pool bears only so many requests. */
@@ -111,7 +117,6 @@
   }
 
   /** An engine that takes connections again may have started at any time until now. */
-
   private async check(engine: Engine, warmth: EngineWarmth): Promise<void> {
     warmth.isBeingChecked = true;
     const isReachable = await this.dependencies.isReachable(engine);
