Tallies: a controller whose connection was reset is still waited for a while

A peer whose connection has ended counts as reachable for 0.2 of mergeMs, in which a reset connection is up again.

--- a/src/control/tallies/addition-replication.ts
+++ b/src/control/tallies/addition-replication.ts
@@ -25,6 +25,8 @@
   channels: () => PeerChannel[];
   /** How long a peer's reply may take, in ms. */
   requestTimeoutMs: number;
+  /** How long a peer whose connection has ended still counts as reachable, in ms. */
+  reconnectMs: number;
 }
 
 /** What is to be sent to one peer. */
@@ -44,6 +46,8 @@
 export class AdditionReplication {
   private readonly outboxes = new Map<PeerChannel, Outbox>();
   private readonly waits = new Set<CopyWait>();
+  /** Peers whose connections ended lately, by address: a connection that was reset comes up again. */
+  private readonly expectedBack = new Map<string, CopyHolder>();
   /** Connections to peers of an earlier release, which knows no tallies. */
   private readonly channelsWithoutTallies = new WeakSet<PeerChannel>();
 
@@ -67,12 +71,22 @@
 
   /** Sends what callers wait for to a peer that has just connected: it counts among those that can hold copies now. */
   noteUp(channel: PeerChannel): void {
+    this.expectedBack.delete(channel.peer);
     for (const { addition } of this.waits) this.enqueue(channel, addition);
   }
 
-  /** A peer that is gone is no longer waited for. */
+  /** A peer whose connection has ended is waited for until it should be back. */
   noteDown(channel: PeerChannel): void {
+    const { clock, reconnectMs } = this.dependencies;
+    const holder = holderOf(channel);
     this.outboxes.delete(channel);
+    if (this.lacksTallies(channel)) return this.checkWaits();
+    this.expectedBack.set(holder.address, holder);
+    clock.setTimer(reconnectMs, this.giveUp.bind(this, holder));
+  }
+
+  private giveUp(holder: CopyHolder): void {
+    if (this.expectedBack.get(holder.address) === holder) this.expectedBack.delete(holder.address);
     this.checkWaits();
   }
 
@@ -169,7 +183,7 @@
   private checkWait(wait: CopyWait): void {
     const { self, losses } = this.dependencies;
     if (!wait.holders.has(self.address)) return;
-    const reachable = new Map(wait.holders);
+    const reachable = new Map([...this.expectedBack, ...wait.holders]);
     for (const channel of this.peers()) reachable.set(channel.peer, holderOf(channel));
     if (outlastsLosses([...wait.holders.values()], [...reachable.values()], losses))
       wait.done(Right(undefined));
--- a/src/control/tallies/tallies.ts
+++ b/src/control/tallies/tallies.ts
@@ -99,6 +99,7 @@
       losses: settings,
       channels: this.controllerChannels.bind(this),
       requestTimeoutMs,
+      reconnectMs: timeLimits.tallyReconnectMs,
     });
     this.repair = new TallyRepair({
       ports,
--- a/src/shared/settings/time-limits.ts
+++ b/src/shared/settings/time-limits.ts
@@ -131,6 +131,8 @@
   tallyCatchUpMs: number;
   /** A disk that works on one write for longer is given no additions. 0.05: the caller has time for another controller. */
   tallyDiskStallMs: number;
+  /** How long a controller whose connection has ended is still waited for. 0.2: a connection that was reset is up again by then. */
+  tallyReconnectMs: number;
 }
 
 /** The time limits of a process, in ms. */
@@ -236,6 +238,7 @@
     tallyCompareMs: mergeMs * 0.2,
     tallyCatchUpMs: mergeMs * 0.5,
     tallyDiskStallMs: mergeMs * 0.05,
+    tallyReconnectMs: mergeMs * 0.2,
   };
 }
 
