Evacuations: an order is made only while its caller still waits

Orders about evacuations have no base version that would tell. A controller now reads the committed value from a majority first; a process that was held up learns meanwhile that its caller has gone, and drops the order. dist/test/control/evacuations-late-orders.test.js failed before, and passes now. What remains: an order held up between that read and its commit.

--- a/src/control/api/deployment-api.ts
+++ b/src/control/api/deployment-api.ts
@@ -91,6 +91,10 @@
     if (call.method !== 'POST') return sendError(call, 405, 'refused', 'bad-method', call.method);
     if (zone === undefined || (evacuated && isZoneUnknown(this.controller, zone)))
       return sendError(call, 400, 'refused', 'bad-zone', 'there is no such zone');
+    const reading = this.controller.readLinearizable(CONTROL_KEYS.evacuations);
+    const [readError] = errorOrValue(await this.changes.inTime('evacuate', reading));
+    if (call.aborted.aborted) return;
+    if (readError) return this.changes.sendError(call, readError);
     const error = await this.changes.change({ kind: 'evacuation', zone, evacuated });
     if (error) return this.changes.sendError(call, error);
     sendJson(call, 200, { zone, evacuated });
