--- a/src/data/gateway/cold-engines.ts
+++ b/src/data/gateway/cold-engines.ts
@@ -53,6 +53,8 @@
   private readonly warmthById = new Map<string, EngineWarmth>();
   private engines: readonly Engine[] = [];
   private evacuatedZones: ReadonlySet<string> = new Set();
+  /** When the evacuations of zones ended, as far as it was seen here. */
+  private readonly evacuationEndedAt = new Map<string, number>();
 
   constructor(private readonly dependencies: ColdEnginesDependencies) {}
 
@@ -70,11 +72,8 @@
   /** Takes the zones that are evacuated; the engines of those that no longer are may have turned cold meanwhile. */
   applyEvacuations(zones: readonly string[]): void {
     const evacuated = new Set(zones);
-    for (const engine of this.engines) {
-      const { zone } = engine;
-      if (this.evacuatedZones.has(zone) && !evacuated.has(zone))
-        this.presumeCold(engine, 'evacuation-ended');
-    }
+    const now = this.dependencies.clock.now();
+    for (const zone of this.evacuatedZones) if (!evacuated.has(zone)) this.endEvacuation(zone, now);
     this.evacuatedZones = evacuated;
   }
 
@@ -102,7 +101,7 @@
     const warmth = this.warmthById.get(engine.id);
     if (!warmth || !this.isLimited(engine)) return false;
     const now = this.dependencies.clock.now();
-    if (!warmth.isUnreachable) return now < Math.max(warmth.listedUntil, warmth.presumedUntil);
+    if (!warmth.isUnreachable) return now < this.coldUntil(engine, warmth);
     if (!warmth.isBeingChecked && now >= warmth.nextCheckAt) void this.check(engine, warmth);
     return true;
   }
@@ -117,20 +116,36 @@
     warmth.listedUntil = warmMs > 0 ? clock.now() + warmMs + reportToleranceMs : -Infinity;
   }
 
+  /** The engines of the zone that are listed then or later are taken as cold. */
+  private endEvacuation(zone: string, now: number): void {
+    this.evacuationEndedAt.set(zone, now);
+    for (const engine of this.engines)
+      if (engine.zone === zone)
+        this.dependencies.log.noteCold(engine.id, 'evacuation-ended', this.warmUpMs(engine));
+  }
+
+  private coldUntil(engine: Engine, { listedUntil, presumedUntil }: EngineWarmth): number {
+    const evacuationEndedAt = this.evacuationEndedAt.get(engine.zone) ?? -Infinity;
+    return Math.max(listedUntil, presumedUntil, evacuationEndedAt + this.warmUpMs(engine));
+  }
+
   private presumeCold(engine: Engine, reason: ColdReason): void {
-    const { clock, log, pool } = this.dependencies;
-    const warmUpMs = pool(engine.pool ?? '')?.warmUpMs ?? 0;
+    const { clock, log } = this.dependencies;
+    const warmUpMs = this.warmUpMs(engine);
     this.warmthOf(engine.id).presumedUntil = clock.now() + warmUpMs;
     log.noteCold(engine.id, reason, warmUpMs);
   }
 
+  private warmUpMs({ pool }: Engine): number {
+    return this.dependencies.pool(pool ?? '')?.warmUpMs ?? 0;
+  }
+
   /** Whether a cold engine of its pool bears only so many requests. */
   private isLimited(engine: Engine): boolean {
     return (this.dependencies.pool(engine.pool ?? '')?.warmUpPerS ?? 0) > 0;
   }
 
   /** An engine that takes connections again may have started at any time until now. */
-
   private async check(engine: Engine, warmth: EngineWarmth): Promise<void> {
     warmth.isBeingChecked = true;
     const isReachable = await this.dependencies.isReachable(engine);
