--- a/tools/fleet/soak-run.ts
+++ b/tools/fleet/soak-run.ts
@@ -1,5 +1,6 @@
 /** Soaks by seed, from the command line. */
 
+import { renameSync, rmSync } from 'node:fs';
 import { resolve } from 'node:path';
 import { seededDice } from '../sim/dice';
 import { withApart } from '../standins/platform/apart-site';
@@ -40,6 +41,13 @@
   day: PlayedDay;
 }
 
+/** Keeps the logs of a soak that broke a rule apart from those of the next ones. */
+function keepLogs(folder: string, seed: number): void {
+  const kept = `${folder}-seed-${seed}`;
+  rmSync(kept, { recursive: true, force: true });
+  renameSync(folder, kept);
+}
+
 async function soakOnce(o: SoakOptions, seed: number): Promise<Soaked> {
   const name = SITES[seed % SITES.length];
   const folder = resolve('fleet-data', `soak-${o.net}`);
@@ -65,6 +73,7 @@
     builds: makeBuilds(o.otherBuild),
     judged: WIDE_BOUNDS,
   });
+  if (!isClean(day)) keepLogs(folder, seed);
   return { seed, steps, day };
 }
 
