--- a/test/data/gateway-silent-budget.test.ts
+++ b/test/data/gateway-silent-budget.test.ts
@@ -22,6 +22,12 @@
 const SILENCE_MS = AIM_MS * 6;
 const SETTLING_MS = 1000;
 
+const closers: (() => void | Promise<void>)[] = [];
+
+async function closeAll(): Promise<void> {
+  for (const close of closers.splice(0)) await close();
+}
+
 /** Guards against LOST: a silent engine's streams were given up all at once, although the budget paid for one of them only; the others were cut off. */
 async function keepsWhatCannotMove(): Promise<void> {
   const clock = manualClock();
@@ -44,6 +50,7 @@
     await isHeld;
   }
   const other = await startStandIn('e2', streamEvents(2));
+  closers.push(rig.close, other.close);
   rig.publishEngines([silent, other]);
   await clock.advance(SILENCE_MS - STEP_MS);
   clock.holdUp(2 * STEP_MS);
@@ -52,12 +59,12 @@
   const got = await Promise.all(asked);
   expect(got.filter(isCut).length).toBe(0);
   expect(rig.gateway.counts.resumed).toBe(1);
-  await rig.close();
-  other.close();
 }
 
 function isCut({ isComplete }: CallerResponse): boolean {
   return !isComplete;
 }
 
+afterEach(closeAll);
+
 test('a silent engine keeps the streams that the retry budget cannot move', keepsWhatCannotMove);
--- a/test/tools/applications.test.ts
+++ b/test/tools/applications.test.ts
@@ -27,7 +27,13 @@
   asked: Asked[];
   applications: Applications;
   operator: ReturnType<typeof makeOperator>;
-  close: () => Promise<void>;
+}
+
+const doors = new Set<Door>();
+
+async function closeDoors(): Promise<void> {
+  for (const door of doors) await door.reset();
+  doors.clear();
 }
 
 function nodeOf(zone: string, i: number): CoreNode {
@@ -49,8 +55,7 @@
   const ground = makeGround(clock, seededDice(1), book, BOUNDS);
   const nodes = ZONES.map(nodeOf);
   const asked: Asked[] = [];
-  const doors: Door[] = [];
-  for (const { ip, control } of nodes) doors.push(await openDoor(control, {}, take.bind(null, ip)));
+  for (const { ip, control } of nodes) doors.add(await openDoor(control, {}, take.bind(null, ip)));
   function take(ip: string, x: Exchange): void {
     void answerTo(ip, x);
   }
@@ -59,16 +64,13 @@
     const { status, total } = answer(ip);
     answerJson(x, status, total === undefined ? undefined : { total });
   }
-  async function close(): Promise<void> {
-    for (const door of doors) await door.reset();
-  }
   const ways = { zones: ZONES, nodes, tallies: 2, perS: PER_S, lifeOf, reaches: all, ...more };
   const applications = new Applications(ground, ways);
   function controlOf({ control }: CoreNode): string {
     return control;
   }
   const operator = makeOperator(ground, nodes.map(controlOf));
-  return { book, asked, applications, operator, close };
+  return { book, asked, applications, operator };
 }
 
 function succeeds(): { status: number; total: number } {
@@ -91,7 +93,6 @@
     expect(rig.asked).toContainEqual(expect.objectContaining({ method: 'POST', path, body }));
     expect(add.instanceId).toMatch(/^[0-9a-f]{16}$/);
   }
-  await rig.close();
 }
 
 /** A call goes on at another address, with the same id, after a promise that nothing was done and after a failure. */
@@ -111,7 +112,6 @@
     return outcome;
   }
   expect(paths).toEqual(new Set(['refused unclear acked', 'unclear acked', 'acked']));
-  await rig.close();
 }
 
 /** An application whose zone is cut off calls only the addresses of its own zone. */
@@ -131,7 +131,6 @@
   function nodeCalled({ node }: { node: string }): string {
     return node;
   }
-  await rig.close();
 }
 
 /** The operator's evacuations have no body, and are noted with their answers. */
@@ -147,9 +146,10 @@
     { zone: 'b', kind: 'start' },
     { zone: 'b', kind: 'finish' },
   ]);
-  await rig.close();
 }
 
+afterEach(closeDoors);
+
 test('an application calls once where that succeeds, and all is noted', callsOnce);
 test('an application goes on at another address with the same id', goesOnElsewhere);
 test('an application whose zone is cut off calls only its own zone', staysInItsZone);
--- a/test/tools/link-cuts.test.ts
+++ b/test/tools/link-cuts.test.ts
@@ -110,6 +110,18 @@
   }
 }
 
+let running: Rig | undefined;
+
+async function startRig(): Promise<Rig> {
+  running = new Rig(await startPeer(NEAR), await startPeer(FAR));
+  return running;
+}
+
+function stopRunning(): void {
+  running?.stop();
+  running = undefined;
+}
+
 async function until(test: () => boolean): Promise<void> {
   function turn(done: () => void): void {
     setTimeout(done, TICK_MS);
@@ -131,7 +143,7 @@
 
 /** A link that is up is silent both ways while it is cut, and gives all of it once it has healed. */
 async function cutsLinks(): Promise<void> {
-  const rig = new Rig(await startPeer(NEAR), await startPeer(FAR));
+  const rig = await startRig();
   rig.tell([]);
   rig.start();
   function isFarUp(): boolean {
@@ -148,12 +160,11 @@
     return rig.far.ticks() >= sent + TICKS && rig.readFrom(FAR) >= read + TICKS;
   }
   await until(isCaughtUp);
-  rig.stop();
 }
 
 /** No connection comes up over a link that is cut, until it has healed. */
 async function cutsConnects(): Promise<void> {
-  const rig = new Rig(await startPeer(NEAR), await startPeer(FAR));
+  const rig = await startRig();
   rig.tell(CUT);
   rig.start();
   await nearGoesOn(rig);
@@ -164,8 +175,9 @@
   }
   await until(isFarUp);
   expect(rig.far.connections()).toBe(1);
-  rig.stop();
 }
 
+afterEach(stopRunning);
+
 test('a link that is cut is silent both ways, and gives all once it has healed', cutsLinks);
 test('no connection comes up over a link that is cut', cutsConnects);
