--- a/src/control/tallies/tally-files.ts
+++ b/src/control/tallies/tally-files.ts
@@ -68,7 +68,7 @@
 function recoverTallies(files: readonly TallyFile[]): Omit<StoredTallies, 'sync'> {
   const ordered = [...files].sort(byGeneration);
   const [last, older] = ordered;
-  const current = isComplete(last) ? last : older;
+  const current = isComplete(older) && !isComplete(last) ? older : last;
   const isIntact = isComplete(last) && !last.frames.isCorrupt;
   return {
     batches: isIntact ? batchesOf(last) : ordered.flatMap(batchesOf),
