Permits for cold engines: a part is left to routers of other zones

Where two permits for each router of an engine's zone used up the voters' quotas, routers of other zones got none: while the only engine of a pool was cold, they refused all that was for it (SHORT).

--- a/src/control/warm-up/permit-shares.ts
+++ b/src/control/warm-up/permit-shares.ts
@@ -9,6 +9,8 @@
 
 /** How many permits for each router of an engine's zone come before those for other zones: what crosses zones costs. */
 const PERMITS_PER_ZONE_ROUTER = 2;
+/** The part of each voter's permits that is left to routers of other zones: theirs may be the only engine of its pool. */
+const OTHER_ZONES_RATIO = 0.3;
 /** Voters that may grant without being counted: one that was replaced and does not know it yet. */
 const UNCOUNTED_VOTERS = 1;
 const HASH_HEX_DIGITS = 8;
@@ -45,7 +47,10 @@
     function isElsewhere({ zone }: Member): boolean {
       return zone !== engine.zone;
     }
-    const zonePermits = inZone.length * PERMITS_PER_ZONE_ROUTER - place.index * quota;
+    const zonePermits = Math.min(
+      inZone.length * PERMITS_PER_ZONE_ROUTER - place.index * quota,
+      quota - Math.floor(quota * OTHER_ZONES_RATIO),
+    );
     const shares = new Map<string, number>();
     for (let i = 0; i < quota; i++) {
       const isForZone = i < zonePermits || elsewhere.length === 0;
