--- a/src/control/controller-interface.ts
+++ b/src/control/controller-interface.ts
@@ -29,6 +29,7 @@
   | 'isUp'
   | 'hasOtherDisk'
   | 'isLeaving'
+  | 'zoneOf'
   | 'hasQuorum'
   | 'isSelfLeaving'
   | 'jointForMs'
--- a/src/control/controller-node.ts
+++ b/src/control/controller-node.ts
@@ -53,7 +53,6 @@
 import { learnedValues } from './storage/register-state';
 import { StoredVotes } from './storage/vote-files';
 import { Tallies } from './tallies/tallies';
-import { StoredTallies } from './tallies/tally-files';
 import { makeWarmUpPermits, WarmUpPermits } from './warm-up/warm-up-permits';
 import { drawRunId } from '../shared/state/members';
 
@@ -65,8 +64,6 @@
   store: ControlStore;
   /** The idempotency votes that this disk stored before the start. */
   storedVotes: StoredVotes;
-  /** The additions to tallies that this disk stored before the start. */
-  storedTallies: StoredTallies;
   /** Reads the deployment documents of a platform; without one the controller serves intents. */
   parser: DocumentParser | undefined;
 }
@@ -94,6 +91,7 @@
   readonly isUp: VoterLiveness['isUp'];
   readonly hasOtherDisk: VoterLiveness['hasOtherDisk'];
   readonly isLeaving: VoterLiveness['isLeaving'];
+  readonly zoneOf: VoterLiveness['zoneOf'];
   readonly isSelfLeaving: VoterLiveness['isSelfLeaving'];
   readonly liveAddresses: VoterLiveness['liveAddresses'];
   readonly hasQuorum: VoterLiveness['hasQuorum'];
@@ -144,6 +142,7 @@
     this.isUp = this.liveness.isUp;
     this.hasOtherDisk = this.liveness.hasOtherDisk;
     this.isLeaving = this.liveness.isLeaving;
+    this.zoneOf = this.liveness.zoneOf;
     this.isSelfLeaving = this.liveness.isSelfLeaving;
     this.liveAddresses = this.liveness.liveAddresses;
     this.hasQuorum = this.liveness.hasQuorum;
@@ -166,7 +165,8 @@
   /** Serves: recovers the votes, listens, connects to the voters and starts the loops. */
   async start(): Promise<Result<void>> {
     await this.votes.start(this.options.storedVotes, this.timeLimits.requestTimeoutMs);
-    await this.tallies?.start();
+    const [talliesError] = errorOrValue((await this.tallies?.start()) ?? Right(undefined));
+    if (talliesError) return Left(talliesError);
     const [error, listener] = errorOrValue(await this.listen());
     if (error) return Left(error);
     this.listener = listener;
@@ -260,6 +260,7 @@
     return new VoterLivenessView({
       clock: this.ports.clock,
       self: this.self,
+      zone: this.settings.zone,
       voters: this.voters.bind(this),
       channelTo: this.channelTo.bind(this),
       announcedLeave: this.hasAnnouncedLeave.bind(this),
@@ -297,7 +298,6 @@
       timeLimits: this.timeLimits,
       diskId: this.store.diskId,
       runId: this.runId,
-      stored: this.options.storedTallies,
       openChannels: this.connections.pool.openChannels,
       controllerCount: this.controllerCount.bind(this),
       isStopped: this.isStopped.bind(this),
--- a/src/control/tallies/tallies.ts
+++ b/src/control/tallies/tallies.ts
@@ -15,7 +15,7 @@
 import { AdditionReplication } from './addition-replication';
 import { AdditionSet } from './addition-set';
 import { EMPTY_DIGEST } from './replica-additions';
-import { StoredTallies } from './tally-files';
+import { readStoredTallies } from './tally-files';
 import { TallyLog } from './tally-log';
 import {
   AddMessage,
@@ -28,11 +28,16 @@
   RangesRequest,
 } from './tally-messages';
 import { PeerRepair, TallyRepair } from './tally-repair';
+import { TalliesPeerStatus, TalliesStatus } from './tally-status';
 
 /** Characters of the disk id in the name of a replica. */
 const DISK_ID_CHARACTERS = 8;
 /** Additions that may wait for copies; more are refused. */
 const MAX_WAITING = 2000;
+/** The part of the process's memory that additions may take, and what one takes. */
+const MEMORY_RATIO = 0.3;
+const BYTES_PER_ADDITION = 200;
+const BYTES_PER_MB = 1024 * 1024;
 /** Digests of ranges in one reply. */
 const RANGES_PER_REPLY = 64;
 
@@ -44,8 +49,6 @@
   diskId: string;
   /** The id of this run of the process. */
   runId: string;
-  /** What this disk held at the start. */
-  stored: StoredTallies;
   /** The connections that are up. */
   openChannels: () => PeerChannel[];
   /** How many controllers there are, this one included, as far as is known. */
@@ -53,29 +56,6 @@
   isStopped: () => boolean;
 }
 
-/** Tallies as operators see them. */
-export interface TalliesStatus {
-  /** Whether this controller has caught up since its start, and serves. */
-  isReady: boolean;
-  isWritable: boolean;
-  additions: number;
-  replicas: number;
-  fileBytes: number;
-  /** Additions that wait for copies. */
-  waiting: number;
-  peers: TalliesPeerStatus[];
-}
-
-/** How far this controller is with a connected peer. */
-export interface TalliesPeerStatus {
-  at: string;
-  /** Whether nothing of the peer's was missing here at the last comparison. */
-  isLevel: boolean;
-  /** How long ago that was found, in ms. */
-  levelAgoMs?: number;
-  fetched: number;
-}
-
 /** The tallies of one controller. */
 export class Tallies {
   private readonly set = new AdditionSet();
@@ -84,6 +64,10 @@
   private readonly repair: TallyRepair;
   private readonly replica: string;
   private readonly startedAt: number;
+  /** When comparing with others began, in ms of the clock port; undefined before the first call, message or stored addition. */
+  private begunAt?: number;
+  /** Callers that wait until this controller has caught up. */
+  private readonly readyWaits: (() => void)[] = [];
   private lastSequence = 0;
   private hasCaughtUp = false;
 
@@ -99,6 +83,7 @@
       losses: settings,
       channels: this.controllerChannels.bind(this),
       requestTimeoutMs,
+      reconnectMs: timeLimits.tallyReconnectMs,
     });
     this.repair = new TallyRepair({
       ports,
@@ -113,9 +98,14 @@
     });
   }
 
-  /** Takes over what this disk holds; its first write is waited for up to the time of a request. */
-  async start(): Promise<void> {
-    const { ports, stored, timeLimits } = this.dependencies;
+  /**
+   * Takes over what this disk holds; its first write is waited for up to the time of a request. Error: a file that can't
+   * be read.
+   */
+  async start(): Promise<Result<void>> {
+    const { ports, timeLimits } = this.dependencies;
+    const [error, stored] = errorOrValue(await readStoredTallies(ports));
+    if (error) return Left(error);
     for (const batch of stored.batches) if (areRuns(batch)) this.set.merge(batch);
     if (stored.isCorrupt)
       ports.logger.error(
@@ -123,13 +113,12 @@
         'synced additions to tallies have changed on this disk; what is missing is fetched from other controllers',
       );
     await this.log.start(stored, timeLimits.requestTimeoutMs);
+    return Right(undefined);
   }
 
-  /** Begins to compare with other controllers. */
+  /** Begins to compare with other controllers where this disk holds additions; else the first call or message does. */
   run(): void {
-    const { ports, timeLimits } = this.dependencies;
-    void this.repair.run();
-    ports.clock.setTimer(timeLimits.tallyCatchUpMs, this.checkCaughtUp.bind(this));
+    if (this.set.size() > 0) this.begin();
   }
 
   /** Ends what runs in the background. */
@@ -147,7 +136,7 @@
 
   /** Notes a connection that has ended. */
   noteDown(channel: PeerChannel): void {
-    this.replication.noteDown(channel);
+    if (isController(channel)) this.replication.noteDown(channel);
     this.repair.noteDown(channel);
     this.checkCaughtUp();
   }
@@ -157,9 +146,10 @@
    * refused where nothing was done, else of unknown effect.
    */
   async add(tally: string, id: string, amount: number, timeoutMs: number): Promise<Result<void>> {
-    const [refusal] = errorOrValue(this.checkAdding());
-    if (refusal) return Left(refusal);
+    await this.waitAtBeginning();
     const known = this.set.find(tally, id);
+    const [refusal] = errorOrValue(this.checkAdding(known !== undefined));
+    if (refusal) return Left(refusal);
     if (known) return this.replication.replicate(known, this.log.flush(), timeoutMs);
     const sequence = ++this.lastSequence;
     const addition: Addition = { replica: this.replica, sequence, tally, id, amount };
@@ -169,7 +159,8 @@
   }
 
   /** The total of a tally, never an older one in one life of this process. Error: refused, before it has caught up. */
-  total(tally: string): Result<bigint> {
+  async total(tally: string): Promise<Result<bigint>> {
+    await this.waitAtBeginning();
     return this.checkReady().map(readTotal.bind(undefined, this.set, tally));
   }
 
@@ -179,6 +170,7 @@
       isReady: this.isReady(),
       isWritable: this.log.isWritable(),
       additions: this.set.size(),
+      maxAdditions: Math.floor(maxAdditions(this.dependencies.settings)),
       replicas: this.set.replicaCount(),
       fileBytes: this.log.fileBytes(),
       waiting: this.replication.waiting(),
@@ -189,6 +181,7 @@
   /** Holds additions of another controller; replies once they are synced. */
   @messageHandler('tally-add', AddMessage)
   async onAdditions({ runs }: AddMessage, from: PeerChannel): HandlerResult {
+    this.begin();
     if (!areRuns(runs)) return failure('tally-add', from.peer, 'no runs', 'refused', 'bad-shape');
     const recorded = await this.record(runs);
     return recorded.map(isHeld);
@@ -197,6 +190,7 @@
   /** Gives the digests of the replicas, unless the asker has the same additions. */
   @messageHandler('tally-digests', DigestsRequest)
   giveDigests({ digest }: DigestsRequest): HandlerResult {
+    this.begin();
     const own = this.set.digest();
     const reply: DigestsReply = {
       digest: own,
@@ -232,13 +226,16 @@
     return added.length > 0 ? this.log.append(added) : this.log.flush();
   }
 
-  private checkAdding(): Result<void> {
+  /** Whether an addition can be taken now; one that is known needs no more memory. */
+  private checkAdding(isKnown: boolean): Result<void> {
     const { settings, timeLimits } = this.dependencies;
     const ready = this.checkReady();
     if (ready.isLeft()) return ready;
     const isStalled = this.log.writingForMs() > timeLimits.tallyDiskStallMs;
     if (!this.log.isWritable() || isStalled)
       return failure('add', settings.wire, 'the disk takes no writes', 'refused', 'disk');
+    if (!isKnown && this.set.size() >= maxAdditions(settings))
+      return failure('add', settings.wire, 'no memory for more additions', 'refused', 'pending');
     if (this.replication.waiting() >= MAX_WAITING)
       return failure('add', settings.wire, 'too many additions wait', 'refused', 'pending');
     return Right(undefined);
@@ -251,26 +248,53 @@
       : failure('tallies', wire, 'not caught up since the start', 'refused', 'unsettled');
   }
 
+  /** Begins to compare with other controllers: not before somebody keeps tallies. */
+  private begin(): void {
+    if (this.begunAt !== undefined) return;
+    const { ports, timeLimits } = this.dependencies;
+    this.begunAt = ports.clock.now();
+    void this.repair.run();
+    ports.clock.setTimer(timeLimits.tallyCatchUpMs, this.checkCaughtUp.bind(this));
+  }
+
+  /** Lets the calls that came first wait for a moment until this controller has caught up. */
+  private waitAtBeginning(): Promise<void> {
+    this.begin();
+    const { ports, timeLimits } = this.dependencies;
+    const { readyWaits } = this;
+    const leftMs = this.begunAt! + timeLimits.tallyFirstWaitMs - ports.clock.now();
+    if (this.isReady() || leftMs <= 0) return Promise.resolve();
+    function wait(resolve: () => void): void {
+      readyWaits.push(resolve);
+      ports.clock.setTimer(leftMs, resolve);
+    }
+    return new Promise(wait);
+  }
+
   private isReady(): boolean {
     if (!this.hasCaughtUp) this.checkCaughtUp();
     return this.hasCaughtUp;
   }
 
   /**
-   * After a start: caught up with all that are connected, and with so many that they hold all that was acknowledged. What
+   * After a start: caught up with all controllers, since what was acknowledged may be left on one disk only. One that
    * can't be reached is not waited for over the bound, but additions that still come are.
    */
   private checkCaughtUp(): void {
-    if (this.hasCaughtUp) return;
-    const { settings, timeLimits, controllerCount, ports } = this.dependencies;
+    const { begunAt } = this;
+    if (this.hasCaughtUp || begunAt === undefined) return;
+    const { timeLimits, controllerCount, ports } = this.dependencies;
     const now = ports.clock.now();
     const peers = this.repair.peers();
     const levelCount = peers.filter(wasLevel).length;
-    const isEnough = levelCount + 1 >= controllerCount() - settings.tolerated;
-    const isOverdue = now - this.startedAt >= timeLimits.tallyCatchUpMs;
+    const isEnough = levelCount + 1 >= controllerCount();
+    const isOverdue =
+      now - this.startedAt >= timeLimits.tallyCatchUpMs &&
+      (levelCount === peers.length || now - begunAt >= timeLimits.tallyFirstWaitMs);
     const isFetching = peers.some(isStillFetching);
     if (!(isEnough && levelCount === peers.length) && (!isOverdue || isFetching)) return;
     this.hasCaughtUp = true;
+    for (const resolve of this.readyWaits.splice(0)) resolve();
     ports.logger.notice(
       { event: 'tallies.ready', level: levelCount, connected: peers.length },
       `tallies are served, level with ${levelCount} of ${controllerCount() - 1} other controllers`,
@@ -305,6 +329,11 @@
   }
 }
 
+/** How many additions are taken from callers at the most; those of other controllers are always held. */
+function maxAdditions({ memoryMb }: Settings): number {
+  return (memoryMb * BYTES_PER_MB * MEMORY_RATIO) / BYTES_PER_ADDITION;
+}
+
 function isHeldRange(range: Partial<HeldRange> | undefined): range is HeldRange {
   return Number.isSafeInteger(range?.index) && range?.bitmap instanceof Uint8Array;
 }
--- a/src/programs/cli/fleet-commands.ts
+++ b/src/programs/cli/fleet-commands.ts
@@ -4,6 +4,7 @@
 
 import { Command } from 'commander';
 import { VoterStatus, VotersStatus } from '../../control/membership/voter-status';
+import { TalliesPeerStatus, TalliesStatus } from '../../control/tallies/tally-status';
 import { printChangeAndExit } from './change-reply';
 import { Console } from './console';
 import { ControllerClient, HttpReply } from './controller-client';
@@ -35,6 +36,8 @@
   standing: VotersStatus;
   members: MemberRow[];
   engines: EngineRow[];
+  /** Where a platform's dialect is spoken. */
+  tallies?: TalliesStatus;
 }
 
 const OK = 200;
@@ -73,6 +76,21 @@
   return zones.length > 0 ? [`evacuated zones ${zones.join(' ')}`] : [];
 }
 
+function formatTalliesPeer({ at, isLevel, levelAgoMs }: TalliesPeerStatus): string {
+  const since = levelAgoMs === undefined ? 'not yet' : `${levelAgoMs} ms ago`;
+  return `  ${at} ${isLevel ? 'level' : 'catching up'}, last level ${since}`;
+}
+
+/** Whether tallies are served, and how far this controller is with each that it is connected to. */
+function formatTallies(tallies: TalliesStatus): string[] {
+  const service = tallies.isReady ? 'served' : 'not served until caught up';
+  const disk = tallies.isWritable ? '' : ', the disk takes no additions';
+  return [
+    `tallies ${service}${disk}, ${tallies.additions} of at most ${tallies.maxAdditions} additions`,
+    ...tallies.peers.map(formatTalliesPeer),
+  ];
+}
+
 function formatFleet(fleet: FleetBody): string {
   const majority = fleet.majority ? 'in a majority' : 'no majority';
   const disk = fleet.diskFit ? 'fit' : 'unfit';
@@ -85,6 +103,7 @@
     ...formatEvacuated(fleet.evacuated),
     'engines',
     ...fleet.engines.map(formatEngine),
+    ...(fleet.tallies ? formatTallies(fleet.tallies) : []),
   ].join('\n');
 }
 
--- a/src/shared/settings/time-limits.ts
+++ b/src/shared/settings/time-limits.ts
@@ -43,6 +43,11 @@
    * machine's start.
    */
   voterLostAfterMs: number;
+  /**
+   * For how long the voters of a zone that is unreachable as a whole keep their places, where no other machine keeps the
+   * zones apart. 4 of `catchUpMs`: longer than a cut that heals by itself.
+   */
+  zoneLostAfterMs: number;
   /** How long a machine that replaces a lost disk is waited for. 0.5 of `catchUpMs`: another machine may still take its place. */
   diskRepairMs: number;
   /** How long a majority of the founders waits for the rest, where it may found. 0.25 of `contactMs`: all that start at about the same time are in. */
@@ -129,6 +134,10 @@
   tallyCompareMs: number;
   /** How long a controller waits after its start until it has caught up. 0.5: those that are not back by then may stay away. */
   tallyCatchUpMs: number;
+  /** How long the first calls wait while a controller catches up. 0.05: the caller has time for another one. */
+  tallyFirstWaitMs: number;
+  /** A controller whose connection has ended is waited for to hold copies for this long. 0.1: connections that were only reset are back, and the caller still waits. */
+  tallyReconnectMs: number;
   /** A disk that works on one write for longer is given no additions. 0.05: the caller has time for another controller. */
   tallyDiskStallMs: number;
 }
@@ -174,6 +183,7 @@
 function membershipLimitsOf({ catchUpMs, contactMs }: Settings): MembershipLimits {
   return {
     voterLostAfterMs: catchUpMs * 0.25,
+    zoneLostAfterMs: catchUpMs * 4,
     diskRepairMs: catchUpMs * 0.5,
     bootstrapWaitMs: contactMs * 0.25,
   };
@@ -235,6 +245,8 @@
   return {
     tallyCompareMs: mergeMs * 0.2,
     tallyCatchUpMs: mergeMs * 0.5,
+    tallyFirstWaitMs: mergeMs * 0.05,
+    tallyReconnectMs: mergeMs * 0.1,
     tallyDiskStallMs: mergeMs * 0.05,
   };
 }
--- a/test/control/tallies.test.ts
+++ b/test/control/tallies.test.ts
@@ -46,6 +46,76 @@
   }
 }
 
+// Guards against LOST: an acknowledgement must wait for copies on disks that are slow, and not for messages only.
+async function copiesOnSlowDisksAreWaitedFor(): Promise<void> {
+  const SLOW_TIMES = 20;
+  for (const seed of [31, 32, 33]) {
+    const rig = await startedCore(seed);
+    for (const proc of rig.core.slice(1)) proc.disk.slow = SLOW_TIMES;
+    expect(await statusOfAdding(rig, 0, 't', 'last', 7)).toBe(200);
+    await losePower(rig, rig.core, [rig.core[0], rig.core[seed % 4]]);
+    await rig.pass(2 * MERGE_MS);
+    expect(await totals(rig, 't')).toEqual([7, 7, 7, 7, 7]);
+  }
+}
+
+// Guards against LOST: while connections are reset, an acknowledgement must not go without the copies that a moment later has.
+async function resetConnectionsAreWaitedFor(): Promise<void> {
+  for (const seed of [41, 42, 43]) {
+    const rig = await startedCore(seed);
+    expect(await statusOfAdding(rig, 0, 't', 'first', 1)).toBe(200);
+    for (const other of rig.core.slice(1)) rig.net.reset(rig.core[0], other);
+    await rig.pass(2);
+    expect(await statusOfAdding(rig, 0, 't', 'last', 7)).toBe(200);
+    await losePower(rig, rig.core, [rig.core[0], rig.core[1]]);
+    await rig.pass(MERGE_MS);
+    expect(await totals(rig, 't')).toEqual([8, 8, 8, 8, 8]);
+  }
+}
+
+// Guards against LOST: the one disk that is left with an addition comes back a little later than the others.
+async function readsWaitForAllThatComeBack(): Promise<void> {
+  const rig = await startedCore(44);
+  for (const proc of rig.core.slice(3)) proc.disk.stalled = true;
+  expect(await statusOfAdding(rig, 0, 't', 'a', 7)).toBe(200);
+  const [late, second, third, ...rest] = rig.core;
+  for (const proc of rig.core) rig.w.kill(proc, true);
+  for (const proc of rest) proc.disk.stalled = false;
+  for (const proc of [second, third]) proc.files.clear();
+  for (const proc of [second, third, ...rest, late]) {
+    if (proc === late) await readUntil(rig, 1000);
+    rig.controllers.delete(proc.name);
+    rig.w.revive(proc);
+    rig.start(proc);
+  }
+  await readUntil(rig, MERGE_MS);
+  expect(await totals(rig, 't')).toEqual([7, 7, 7, 7, 7]);
+}
+
+/** Reads at all for a while; no read may lack what was acknowledged. */
+async function readUntil(rig: CoreRig, ms: number): Promise<void> {
+  const STEP_MS = 50;
+  const until = rig.w.now() + ms;
+  while (rig.w.now() < until) {
+    for (const read of await totals(rig, 't')) expect([undefined, 7]).toContain(read);
+    await rig.pass(STEP_MS);
+  }
+}
+
+// Guards against a controller that ends for lack of memory: additions beyond its share of it are refused, and all else goes on.
+async function additionsAreBoundedByMemory(): Promise<void> {
+  const SMALL_MB = 0.01;
+  const rig = await startedCore(45);
+  for (const { settings } of rig.controllers.values()) settings.memoryMb = SMALL_MB;
+  const statuses: (number | undefined)[] = [];
+  for (let i = 0; i < 20; i++) statuses.push(await statusOfAdding(rig, i % 5, 't', `id-${i}`, 1));
+  const taken = statuses.indexOf(503);
+  expect(taken).toBeGreaterThan(10);
+  expect(new Set(statuses.slice(taken))).toEqual(new Set([503]));
+  expect(await statusOfAdding(rig, 0, 't', 'id-0', 1)).toBe(200);
+  expect(await totals(rig, 't')).toEqual(Array(5).fill(taken));
+}
+
 // Guards against TWICE: an id that comes again, at any controller, counted again.
 async function anIdCountsOnce(): Promise<void> {
   const rig = await startedCore(7);
@@ -293,6 +363,10 @@
 test('every controller serves tallies', everyControllerServesTallies);
 test('acknowledged additions outlast the closing loss', acknowledgedAdditionsOutlastTheClosingLoss);
 test('an addition outlasts who acknowledged it', anAdditionOutlastsWhoAcknowledgedIt);
+test('copies on slow disks are waited for', copiesOnSlowDisksAreWaitedFor);
+test('reset connections are waited for', resetConnectionsAreWaitedFor);
+test('reads wait for all that come back', readsWaitForAllThatComeBack);
+test('additions are bounded by memory', additionsAreBoundedByMemory);
 test('an id counts once', anIdCountsOnce);
 test('both sides of a cut add', bothSidesOfACutAdd);
 test('differing amounts are chosen alike', differingAmountsAreChosenAlike);
--- a/tools/fleet/soak-run.ts
+++ b/tools/fleet/soak-run.ts
@@ -1,7 +1,9 @@
 /** Soaks by seed, from the command line. */
 
+import { renameSync, rmSync } from 'node:fs';
 import { resolve } from 'node:path';
 import { seededDice } from '../sim/dice';
+import { withApart } from '../standins/platform/apart-site';
 import { SITES } from '../standins/platform/site';
 import { makeBuilds } from './builds';
 import { makePatientSite, slowEngines, slowReaders, WIDE_BOUNDS } from './busy-machine';
@@ -39,6 +41,13 @@
   day: PlayedDay;
 }
 
+/** Keeps the logs of a soak that broke a rule apart from those of the next ones. */
+function keepLogs(folder: string, seed: number): void {
+  const kept = `${folder}-seed-${seed}`;
+  rmSync(kept, { recursive: true, force: true });
+  renameSync(folder, kept);
+}
+
 async function soakOnce(o: SoakOptions, seed: number): Promise<Soaked> {
   const name = SITES[seed % SITES.length];
   const folder = resolve('fleet-data', `soak-${o.net}`);
@@ -48,8 +57,10 @@
     seconds,
     perSecond: Number(o.steps),
     repairMs: REPAIR_MS,
+    apart: o.apart,
   });
   const site = makePatientSite(name, size, Number(o.net), folder)!;
+  if (o.apart) withApart(site);
   if (hasSlowEngines(seed)) slowEngines(site);
   if (hasSlowReaders(seed)) slowReaders(site);
   const day = await playDay({
@@ -62,6 +73,7 @@
     builds: makeBuilds(o.otherBuild),
     judged: WIDE_BOUNDS,
   });
+  if (!isClean(day)) keepLogs(folder, seed);
   return { seed, steps, day };
 }
 
