--- a/src/control/configuration/attempted-changes.ts
+++ b/src/control/configuration/attempted-changes.ts
@@ -17,8 +17,6 @@
   switch (operation.kind) {
     case 'deployment':
       return operationIdentity(operation);
-    case 'evacuation':
-      return `evacuation ${operation.zone} ${operation.evacuated}`;
     case 'engines':
     case 'duty':
     case 'voters':
