--- a/src/control/configuration/change-coordinator.ts
+++ b/src/control/configuration/change-coordinator.ts
@@ -16,7 +16,6 @@
 import { CONTROL_KEYS } from '../../shared/state/control-keys';
 import { Version, VersionedValue } from '../../shared/state/versions';
 import { notConnected } from '../../shared/transport/peer-channel';
-import { AttemptedChanges } from './attempted-changes';
 import { isApplied, nextValueInDoubt, refusalInDoubt, withDoubt } from './change-doubt';
 import { forwardChange } from './change-forwarding';
 import { checkBaseRevision, DocumentParser, operationIdentity } from './deployment-change';
@@ -83,8 +82,6 @@
 class Changes {
   private readonly madeAsOwner = makeSingleFlight<Result<ChangeResult>>();
   private readonly committed = makeSingleFlight<Result<ChangeResult>>();
-  private readonly attemptsAsOwner = new AttemptedChanges();
-  private readonly attempts = new AttemptedChanges();
   private readonly owners: OwnerRequests;
 
   constructor(private readonly dependencies: ChangeCoordinatorDependencies) {
@@ -108,8 +105,7 @@
     isInDoubt = false,
   ): Promise<Result<ChangeResult>> {
     const { keyOwner, parser } = this.dependencies;
-    const attempt = this.madeAsOwner.run.bind(undefined, identityOf(operation), start);
-    const result = await this.attemptsAsOwner.run(operation, attempt);
+    const result = await this.madeAsOwner.run(identityOf(operation), start);
     return isInDoubt ? withDoubt(result) : result;
 
     async function start(): Promise<Result<ChangeResult>> {
@@ -127,9 +123,7 @@
    * controller: its owner is left to the changes that are made, and is not outbid for a verdict.
    */
   private commit(operation: Operation): Promise<Result<ChangeResult>> {
-    const start = this.start.bind(this, operation);
-    const attempt = this.committed.run.bind(undefined, identityOf(operation), start);
-    return this.attempts.run(operation, attempt);
+    return this.committed.run(identityOf(operation), this.start.bind(this, operation));
   }
 
   private async start(operation: Operation): Promise<Result<ChangeResult>> {
