--- a/src/control/tallies/addition-replication.ts
+++ b/src/control/tallies/addition-replication.ts
@@ -58,9 +58,12 @@
     return this.waits.size;
   }
 
-  /** Whether a peer is known not to know tallies. */
-  lacksTallies(channel: PeerChannel): boolean {
-    return this.channelsWithoutTallies.has(channel);
+  /** The connections to other controllers that are not known to lack tallies. */
+  peers(): PeerChannel[] {
+    const peers: PeerChannel[] = [];
+    for (const channel of this.dependencies.channels())
+      if (!this.lacksTallies(channel)) peers.push(channel);
+    return peers;
   }
 
   /** Notes that the peer of a connection knows no tallies, so that nobody waits for its copy. */
@@ -84,6 +87,11 @@
     clock.setTimer(reconnectMs, this.forgetConnection.bind(this, holder));
   }
 
+  /** Whether a peer is known not to know tallies. */
+  private lacksTallies(channel: PeerChannel): boolean {
+    return this.channelsWithoutTallies.has(channel);
+  }
+
   private forgetConnection(holder: CopyHolder): void {
     if (this.recentlyConnected.get(holder.address) !== holder) return;
     this.recentlyConnected.delete(holder.address);
@@ -133,14 +141,6 @@
     this.checkWait(wait);
   }
 
-  /** The connected controllers that know tallies, or are not known not to. */
-  private peers(): PeerChannel[] {
-    const peers: PeerChannel[] = [];
-    for (const channel of this.dependencies.channels())
-      if (!this.lacksTallies(channel)) peers.push(channel);
-    return peers;
-  }
-
   private enqueue(channel: PeerChannel, addition: Addition): void {
     const outbox = this.outboxes.get(channel) ?? { queue: [], isSending: false };
     this.outboxes.set(channel, outbox);
--- a/src/control/tallies/tallies.ts
+++ b/src/control/tallies/tallies.ts
@@ -89,7 +89,7 @@
       ports,
       set: this.set,
       record: this.record.bind(this),
-      channels: this.peers.bind(this),
+      channels: this.replication.peers.bind(this.replication),
       onWithoutTallies: this.replication.noteWithoutTallies.bind(this.replication),
       onCompared: this.checkCaughtUp.bind(this),
       intervalMs: timeLimits.tallyCompareMs,
@@ -310,14 +310,6 @@
     return this.dependencies.openChannels().filter(isController);
   }
 
-  /** The connections to other controllers that are not known to lack tallies. */
-  private peers(): PeerChannel[] {
-    const peers: PeerChannel[] = [];
-    for (const channel of this.controllerChannels())
-      if (!this.replication.lacksTallies(channel)) peers.push(channel);
-    return peers;
-  }
-
   private peerStatus({ peer, isLevel, levelAt, fetched }: PeerRepair): TalliesPeerStatus {
     const now = this.dependencies.ports.clock.now();
     return {
