--- a/src/control/tallies/replica-additions.ts
+++ b/src/control/tallies/replica-additions.ts
@@ -59,8 +59,6 @@
   /** The indexes of the ranges that have additions, lowest first; undefined where one has come since. */
   private sortedIndexes?: number[];
   private cachedDigest?: string;
-  private count = 0;
-  private highest = 0;
 
   constructor(readonly replica: string) {}
 
@@ -75,27 +73,9 @@
     }
     if (!range.add(offset, addition)) return false;
     this.cachedDigest = undefined;
-    this.count++;
-    this.highest = Math.max(this.highest, addition.sequence);
     return true;
   }
 
-  /** Whether the addition at a place of the sequence is present. */
-  has(sequence: number): boolean {
-    const { index, offset } = placeOf(sequence);
-    return this.ranges.get(index)?.has(offset) === true;
-  }
-
-  /** How many additions are present. */
-  size(): number {
-    return this.count;
-  }
-
-  /** The highest sequence number that is present; 0 where there is none. */
-  highestSequence(): number {
-    return this.highest;
-  }
-
   /** The digest of all additions. */
   digest(): string {
     this.cachedDigest ??= this.digestBefore(Infinity);
