Unreachable engines: the routers of a zone are gathered once for all engines

Each renewal of a lease went through all members for each engine that was reported, and put their names together anew; now once for all engines.

--- a/src/control/warm-up/unreachable-engines.ts
+++ b/src/control/warm-up/unreachable-engines.ts
@@ -40,21 +40,33 @@
   list(): string[] {
     this.forgetOld();
     if (this.reports.size === 0) return [];
+    const routersByZone = this.routersByZone();
     const unreachable: string[] = [];
-    for (const engine of this.dependencies.engines())
-      if (this.reports.has(engine.id) && this.isUnreachable(engine)) unreachable.push(engine.id);
+    for (const { id, zone } of this.dependencies.engines())
+      if (this.isUnreachable(id, routersByZone.get(zone) ?? [])) unreachable.push(id);
     return unreachable.sort();
   }
 
-  private isUnreachable({ id, zone }: Engine): boolean {
-    let routers = 0;
-    let reporters = 0;
+  private isUnreachable(id: string, routers: readonly string[]): boolean {
+    const reports = this.reports.get(id);
+    if (!reports) return false;
+    function hasReported(router: string): boolean {
+      return reports!.has(router);
+    }
+    const reporters = routers.filter(hasReported).length;
+    return reporters > 0 && reporters >= Math.min(MIN_REPORTERS, routers.length);
+  }
+
+  /** The incarnations of the routers that hold a lease here, by their zones. */
+  private routersByZone(): Map<string, string[]> {
+    const byZone = new Map<string, string[]>();
     for (const member of this.dependencies.members()) {
-      if (member.role !== 'router' || member.zone !== zone) continue;
-      routers++;
-      if (this.reports.get(id)?.has(incarnationOf(member))) reporters++;
+      if (member.role !== 'router') continue;
+      const routers = byZone.get(member.zone) ?? [];
+      routers.push(incarnationOf(member));
+      byZone.set(member.zone, routers);
     }
-    return reporters > 0 && reporters >= Math.min(MIN_REPORTERS, routers);
+    return byZone;
   }
 
   private forgetOld(): void {
