--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # their syntax.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in lib-2/kit lib-2/link lib-2/desk 4/scenario 5/scenario 6/scenario; do
+for file in lib-2/kit lib-2/desk 4/scenario 5/scenario 6/scenario; do
   node -e '
     const { readFileSync } = require("node:fs");
     const { Script } = require("node:vm");
