--- a/src/control/storage/control-store.ts
+++ b/src/control/storage/control-store.ts
@@ -7,11 +7,12 @@
 import { errorOrValue, Result } from '../../shared/errors/errors';
 import { Delta } from '../../shared/replication/delta';
 import { Ports } from '../../shared/ports/ports';
+import { Version } from '../../shared/state/versions';
 import { KeyJournal, makeKeyJournal } from '../../shared/replication/key-journal';
 import { applyLogEntry, RegisterState, LogEntry, encodeLogEntry } from './register-state';
 import { DecodedFrames, decodeFrames } from './frames';
 import { awaitFirstWrite } from './group-commit';
-import { recoverStore, RecoveredStore, StoreState } from './store-recovery';
+import { DataLoss, recoverStore, RecoveredStore, StoreState } from './store-recovery';
 import { StoreWriter } from './store-writer';
 import { SyncedReader } from './synced-read';
 import { StoredVotes } from './vote-files';
@@ -111,15 +112,31 @@
   const hasLostVotes =
     votes !== undefined &&
     (votes.isCorrupt || (!votes.isLegacy && votes.disk !== state.diskId && hasKeys));
-  if (!recovered?.hasLostData && !hasLostVotes) return state;
+  const lost: DataLoss | undefined =
+    recovered?.lost ?? (hasLostVotes ? { reason: 'votes-changed' } : undefined);
+  if (!lost) return state;
   const diskId = ports.random.uuid();
+  const { reason, key, version, base } = lost;
   ports.logger.error(
-    { event: 'storage.synced-data-lost', formerDisk: state.diskId, disk: diskId },
+    {
+      event: 'storage.synced-data-lost',
+      formerDisk: state.diskId,
+      disk: diskId,
+      cause: reason,
+      key,
+      version: version && versionText(version),
+      base: base && versionText(base),
+    },
     `synced data of disk ${state.diskId} is gone; this node counts as a new disk ${diskId} and does not vote until it is named in the place of the old one`,
   );
   return { ...state, diskId, isCorrupt: true };
 }
 
+/** A version as it is logged. */
+function versionText({ epoch, number }: Version): string {
+  return `${epoch}.${number}`;
+}
+
 function makeControlStore(
   state: StoreState,
   registers: Map<string, RegisterState>,
--- a/src/control/storage/register-state.ts
+++ b/src/control/storage/register-state.ts
@@ -3,7 +3,8 @@
  * both. The field names of the stored forms stay.
  */
 
-import { Delta, makeDelta, readDelta } from '../../shared/replication/delta';
+import { Either, Left, Right } from 'purify-ts';
+import { applyDelta, Delta, makeDelta } from '../../shared/replication/delta';
 import { compareVersions, VersionedValue } from '../../shared/state/versions';
 
 /** What a disk holds of one control key. */
@@ -95,17 +96,34 @@
   return stored.acceptedDelta !== undefined || stored.learnedDelta !== undefined;
 }
 
-/** Reads a stored entry over the registers as all entries before it left them; undefined where a delta does not fit. */
+/** Why a stored entry can't be read: a delta's base is not what its key has learned by then, or its result has another digest than it names. */
+export type LogEntryFault = 'other-base' | 'other-digest';
+
+/** Reads a stored entry over the registers as all entries before it left them. */
 export function decodeLogEntry(
   registers: ReadonlyMap<string, RegisterState>,
   stored: StoredLogEntry,
-): LogEntry | undefined {
+): Either<LogEntryFault, LogEntry> {
   const { key, promised, acceptedDelta, learnedDelta } = stored;
   const base = registers.get(key)?.learned;
-  const accepted = acceptedDelta ? readDelta(base, acceptedDelta) : stored.accepted;
-  const learned = learnedDelta ? readDelta(base, learnedDelta) : stored.learned;
-  if ((acceptedDelta && !accepted) || (learnedDelta && !learned)) return undefined;
-  return { key, promised, accepted, learned };
+  const accepted = acceptedDelta ? readStoredDelta(base, acceptedDelta) : Right(stored.accepted);
+  const learned = learnedDelta ? readStoredDelta(base, learnedDelta) : Right(stored.learned);
+  if (accepted.isLeft()) return accepted;
+  if (learned.isLeft()) return learned;
+  return Right({
+    key,
+    promised,
+    accepted: accepted.extract() as VersionedValue | undefined,
+    learned: learned.extract() as VersionedValue | true | undefined,
+  });
+}
+
+function readStoredDelta(
+  base: VersionedValue | undefined,
+  delta: Delta,
+): Either<LogEntryFault, VersionedValue> {
+  const applied = applyDelta(base, delta);
+  return applied.kind === 'exact' ? Right(applied.change) : Left(applied.kind);
 }
 
 /** The stored form of a register. */
--- a/src/control/storage/store-recovery.ts
+++ b/src/control/storage/store-recovery.ts
@@ -4,10 +4,14 @@
  */
 
 import { DecodedFrames } from './frames';
+import { versionOf } from '../../shared/replication/delta';
+import { Version } from '../../shared/state/versions';
 import {
   applyLogEntry,
   decodeLogEntry,
   decodeRegister,
+  LogEntry,
+  LogEntryFault,
   RegisterState,
   StoredLogEntry,
   StoredRegisterState,
@@ -46,12 +50,28 @@
   readonly isCorrupt?: boolean;
 }
 
+/**
+ * Why synced data counts as gone: no snapshot can be read, bytes of a log or of the votes have changed or are missing,
+ * or an entry of a log can't be read. The reasons are logged.
+ */
+export type DataLossReason =
+  'no-snapshot' | 'log-changed' | 'next-log-changed' | 'log-gap' | 'votes-changed' | LogEntryFault;
+
+/** Synced data that is gone, and the entry that shows it where one does. */
+export interface DataLoss {
+  reason: DataLossReason;
+  key?: string;
+  /** The version that the entry stands for, and the one that it was made from. */
+  version?: Version;
+  base?: Version;
+}
+
 /** What was read from a disk that has files. */
 export interface RecoveredStore {
   state: StoreState;
   registers: Map<string, RegisterState>;
-  /** Whether synced data is gone. */
-  hasLostData: boolean;
+  /** The synced data that is gone, where some is. */
+  lost?: DataLoss;
   /** Whether version 0.1 wrote the snapshot. */
   isLegacy: boolean;
 }
@@ -59,8 +79,8 @@
 /** What the replay of a log gave. */
 interface Replay {
   bootstrapVoterSet: unknown;
-  /** Whether all that was synced was there, and each delta had its base. */
-  isComplete: boolean;
+  /** What is missing of all that was synced. */
+  lost?: DataLoss;
 }
 
 /**
@@ -80,13 +100,18 @@
   const registers = decodeRegisters(snapshot);
   const replayed = replayLog(registers, log, snapshot.founding);
   const isLogIntact = isLegacy || (generationOf(log) === snapshot.gen && !log.isCorrupt);
-  const replay = { ...replayed, isComplete: replayed.isComplete && isLogIntact };
+  const replay = isLogIntact ? replayed : withLoss(replayed, 'log-changed');
   const isNextLost = !snapshots[1 - index] && !isLegacy;
-  const { bootstrapVoterSet, isComplete } = isNextLost
+  const { bootstrapVoterSet, lost } = isNextLost
     ? replayNextLog(registers, replay, snapshot.gen, log, logs[1 - index])
     : replay;
   const state = stateOf(snapshot, bootstrapVoterSet);
-  return { state, registers, hasLostData: !isComplete, isLegacy };
+  return { state, registers, lost, isLegacy };
+}
+
+/** A replay with a loss; one that was found before stays. */
+function withLoss(replay: Replay, reason: DataLossReason): Replay {
+  return { ...replay, lost: replay.lost ?? { reason } };
 }
 
 /** Goes on with the next log, whose snapshot can't be read; where the log is an older one, only its bytes are checked. */
@@ -97,12 +122,13 @@
   log: DecodedFrames,
   nextLog: DecodedFrames,
 ): Replay {
-  if (generationOf(nextLog) !== generation + 1)
-    return { ...replay, isComplete: replay.isComplete && !nextLog.isCorrupt };
-  const next = replay.isComplete ? replayLog(registers, nextLog, replay.bootstrapVoterSet) : replay;
+  const isNext = generationOf(nextLog) === generation + 1;
+  const next =
+    isNext && !replay.lost ? replayLog(registers, nextLog, replay.bootstrapVoterSet) : replay;
+  if (nextLog.isCorrupt) return withLoss(next, 'next-log-changed');
   // The next log has entries, so that its snapshot was complete, with more than the torn log gives.
-  const hasGap = log.isTorn && nextLog.values.length > 1;
-  return { ...next, isComplete: next.isComplete && !nextLog.isCorrupt && !hasGap };
+  const hasGap = isNext && log.isTorn && nextLog.values.length > 1;
+  return hasGap ? withLoss(next, 'log-gap') : next;
 }
 
 function snapshotOf(slot: DecodedFrames): StoredSnapshot | undefined {
@@ -136,7 +162,7 @@
   return {
     state: { generation: 0, diskId: '' },
     registers: new Map(),
-    hasLostData: true,
+    lost: { reason: 'no-snapshot' },
     isLegacy: false,
   };
 }
@@ -157,7 +183,7 @@
   return (entry as Partial<StoredBootstrap>).founding !== undefined;
 }
 
-/** Applies a log to the registers, up to the first entry whose delta has no base. */
+/** Applies a log to the registers, up to the first entry that can't be read. */
 function replayLog(
   registers: Map<string, RegisterState>,
   log: DecodedFrames,
@@ -169,9 +195,17 @@
       bootstrapVoterSet = stored.founding;
       continue;
     }
-    const entry = decodeLogEntry(registers, stored);
-    if (!entry) return { bootstrapVoterSet, isComplete: false };
-    applyLogEntry(registers, entry);
+    const decoded = decodeLogEntry(registers, stored);
+    if (decoded.isLeft()) return { bootstrapVoterSet, lost: lossAt(stored, decoded.extract()) };
+    applyLogEntry(registers, decoded.extract() as LogEntry);
   }
-  return { bootstrapVoterSet, isComplete: true };
+  return { bootstrapVoterSet };
+}
+
+function lossAt(
+  { key, acceptedDelta, learnedDelta }: StoredLogEntry,
+  reason: LogEntryFault,
+): DataLoss {
+  const delta = acceptedDelta ?? learnedDelta;
+  return { reason, key, version: delta && versionOf(delta), base: delta?.base };
 }
--- a/src/shared/replication/delta.ts
+++ b/src/shared/replication/delta.ts
@@ -38,15 +38,28 @@
   return { key: change.key, ...versionOf(change), base: versionOf(base), patch, sum: hash };
 }
 
+/**
+ * What a delta gives over an applied version: its change, where the digest of the result is the delta's own (`exact`) or
+ * another one (`other-digest`); nothing where that version is not its base.
+ */
+export type AppliedDelta =
+  { kind: 'exact' | 'other-digest'; change: VersionedValue } | { kind: 'other-base' };
+
+/** Applies a delta to an applied version. */
+export function applyDelta(applied: VersionedValue | undefined, delta: Delta): AppliedDelta {
+  if (!applied || compareVersions(applied, delta.base) !== 0) return { kind: 'other-base' };
+  const value = applyPatch(applied.value, delta.patch);
+  const change = { key: delta.key, ...versionOf(delta), value };
+  return { kind: digestOf(value).hash === delta.sum ? 'exact' : 'other-digest', change };
+}
+
 /** Reads a delta over the applied version; undefined where that is not its base, or the digest of the result differs. */
 export function readDelta(
   applied: VersionedValue | undefined,
   delta: Delta,
 ): VersionedValue | undefined {
-  if (!applied || compareVersions(applied, delta.base) !== 0) return undefined;
-  const value = applyPatch(applied.value, delta.patch);
-  if (digestOf(value).hash !== delta.sum) return undefined;
-  return { key: delta.key, ...versionOf(delta), value };
+  const read = applyDelta(applied, delta);
+  return read.kind === 'exact' ? read.change : undefined;
 }
 
 /** A value equal to `fresh` that shares with an earlier one all that did not change. */
--- a/test/control/storage-log-deltas.test.ts
+++ b/test/control/storage-log-deltas.test.ts
@@ -8,10 +8,12 @@
   openControlStore,
   ControlStore,
 } from '../../src/control/storage/control-store';
-import { encodeFrame } from '../../src/control/storage/frames';
+import { DecodedFrames, decodeFrames, encodeFrame } from '../../src/control/storage/frames';
+import { StoredLogEntry } from '../../src/control/storage/register-state';
+import { RecoveredStore, recoverStore } from '../../src/control/storage/store-recovery';
 import { Acceptor } from '../../src/control/consensus/acceptor';
 import { makeKeyOwner } from '../../src/control/consensus/key-owner';
-import { makeDelta } from '../../src/shared/replication/delta';
+import { makeDelta, versionOf } from '../../src/shared/replication/delta';
 import { dispatch } from '../../src/shared/transport/message-handlers';
 import { errorOrValue, Result } from '../../src/shared/errors/errors';
 import { Disk } from '../../src/shared/ports/disk';
@@ -147,21 +149,7 @@
   const learned = { key: 'k', epoch: 1, by: 'a', number: 1, value: documentAt(1) };
   const next = { ...learned, number: 2, value: documentAt(2) };
   for (const base of [learned, { ...learned, number: 7 }]) {
-    const register: RegisterState = {
-      promised: { epoch: 1, by: 'a' },
-      accepted: base,
-      learned: base,
-    };
-    const files: Files = new Map([
-      ['slot-1', encodeFrame({ gen: 1, disk: 'd', cells: [['k', register]] })],
-      [
-        'log-1',
-        Buffer.concat([
-          encodeFrame({ gen: 1 }),
-          encodeFrame([{ key: 'k', acceptedDelta: makeDelta(learned, next) }]),
-        ]),
-      ],
-    ]);
+    const files = filesWithEntry(base, { key: 'k', acceptedDelta: makeDelta(learned, next) });
     const store = await openStore({ files, bytes: 0, writes: 0 });
     const fits = base === learned;
     expect({ fits, kept: store.diskId === 'd', isCorrupt: store.isCorrupt }).toEqual({
@@ -173,6 +161,47 @@
   }
 }
 
+/** The files of a disk whose snapshot has learned `base`, and whose log then holds one entry. */
+function filesWithEntry(base: VersionedValue, entry: StoredLogEntry): Files {
+  const register: RegisterState = {
+    promised: { epoch: 1, by: 'a' },
+    accepted: base,
+    learned: base,
+  };
+  const log = Buffer.concat([encodeFrame({ gen: 1 }), encodeFrame([entry])]);
+  return new Map([
+    ['slot-1', encodeFrame({ gen: 1, disk: 'd', cells: [['k', register]] })],
+    ['log-1', log],
+  ]);
+}
+
+function recovered(files: Files): RecoveredStore | undefined {
+  const [slot0, slot1, log0, log1] = ['slot-0', 'slot-1', 'log-0', 'log-1'].map(framesOf);
+  return recoverStore([slot0, slot1], [log0, log1]);
+  function framesOf(name: string): DecodedFrames {
+    return decodeFrames(files.get(name));
+  }
+}
+
+/** Operators could not tell why a disk counted as new. */
+function namesLoss(): void {
+  const learned = { key: 'k', epoch: 1, by: 'a', number: 1, value: documentAt(1) };
+  const next = { ...learned, number: 2, value: documentAt(2) };
+  const files = filesWithEntry(
+    { ...learned, number: 7 },
+    { key: 'k', acceptedDelta: makeDelta(learned, next) },
+  );
+  expect(recovered(files)?.lost).toEqual({
+    reason: 'other-base',
+    key: 'k',
+    version: versionOf(next),
+    base: versionOf(learned),
+  });
+  const log = files.get('log-1')!;
+  log[log.length - 1] ^= 1;
+  expect(recovered(files)?.lost).toEqual({ reason: 'log-changed' });
+}
+
 /** A folder whose slots hold both values of each cell and whose log holds whole ones, as all did before. */
 async function folderOfFullValues(): Promise<void> {
   function at(number: number): VersionedValue {
@@ -211,4 +240,5 @@
   changesCostLittle,
 );
 test('a delta without its base makes it a new disk', missingBase);
+test('a loss is named by its reason and entry', namesLoss);
 test('a data folder of full values is read as before', folderOfFullValues);
