--- a/src/control/storage/control-store.ts
+++ b/src/control/storage/control-store.ts
@@ -12,7 +12,13 @@
 import { applyLogEntry, RegisterState, LogEntry, encodeLogEntry } from './register-state';
 import { DecodedFrames, decodeFrames } from './frames';
 import { awaitFirstWrite } from './group-commit';
-import { DataLoss, recoverStore, RecoveredStore, StoreState } from './store-recovery';
+import {
+  DataLoss,
+  LogEntryPlace,
+  recoverStore,
+  RecoveredStore,
+  StoreState,
+} from './store-recovery';
 import { StoreWriter } from './store-writer';
 import { SyncedReader } from './synced-read';
 import { StoredVotes } from './vote-files';
@@ -75,6 +81,7 @@
   const [readError, files] = errorOrValue(await readFiles(reader));
   if (readError) return Left(readError);
   const recovered = recoverStore(files.slots, files.logs);
+  reportInexact(ports, recovered);
   const state = identifyDisk(ports, recovered, votes);
   const registers = recovered?.registers ?? new Map<string, RegisterState>();
   const isLegacy = recovered?.isLegacy === true;
@@ -116,22 +123,38 @@
     recovered?.lost ?? (hasLostVotes ? { reason: 'votes-changed' } : undefined);
   if (!lost) return state;
   const diskId = ports.random.uuid();
-  const { reason, key, version, base } = lost;
+  const { reason, ...place } = lost;
   ports.logger.error(
     {
       event: 'storage.synced-data-lost',
       formerDisk: state.diskId,
       disk: diskId,
       cause: reason,
-      key,
-      version: version && versionText(version),
-      base: base && versionText(base),
+      ...placeFields(place),
     },
     `synced data of disk ${state.diskId} is gone; this node counts as a new disk ${diskId} and does not vote until it is named in the place of the old one`,
   );
   return { ...state, diskId, isCorrupt: true };
 }
 
+/** Logs the entries whose result has another digest than they name; the next snapshot replaces them. */
+function reportInexact(ports: Ports, recovered: RecoveredStore | undefined): void {
+  for (const place of recovered?.inexact ?? [])
+    ports.logger.warn(
+      { event: 'storage.entry-digest-differs', ...placeFields(place) },
+      `a log entry of ${place.key} leads to another digest than it names; its value was taken`,
+    );
+}
+
+/** The place of a log entry as it is logged. */
+function placeFields({ key, version, base }: LogEntryPlace): Record<string, unknown> {
+  return {
+    key,
+    version: version && versionText(version),
+    base: base && versionText(base),
+  };
+}
+
 /** A version as it is logged. */
 function versionText({ epoch, number }: Version): string {
   return `${epoch}.${number}`;
--- a/src/control/storage/register-state.ts
+++ b/src/control/storage/register-state.ts
@@ -3,7 +3,7 @@
  * both. The field names of the stored forms stay.
  */
 
-import { Either, Left, Right } from 'purify-ts';
+import { pack, unpack } from 'msgpackr';
 import { applyDelta, Delta, makeDelta } from '../../shared/replication/delta';
 import { compareVersions, VersionedValue } from '../../shared/state/versions';
 
@@ -79,12 +79,12 @@
   const stored: StoredLogEntry = { key: entry.key };
   if (entry.promised) stored.promised = entry.promised;
   if (entry.accepted) {
-    const delta = acceptedDelta ?? makeDelta(base, entry.accepted);
+    const delta = acceptedDelta ?? makeReadableDelta(base, entry.accepted);
     if (delta) stored.acceptedDelta = delta;
     else stored.accepted = entry.accepted;
   }
   if (entry.learned) {
-    const delta = entry.learned === true ? undefined : makeDelta(base, entry.learned);
+    const delta = entry.learned === true ? undefined : makeReadableDelta(base, entry.learned);
     if (delta) stored.learnedDelta = delta;
     else stored.learned = entry.learned;
   }
@@ -96,34 +96,45 @@
   return stored.acceptedDelta !== undefined || stored.learnedDelta !== undefined;
 }
 
-/** Why a stored entry can't be read: a delta's base is not what its key has learned by then, or its result has another digest than it names. */
-export type LogEntryFault = 'other-base' | 'other-digest';
+/** The delta to a change, where what the disk gives back of it leads to that change. */
+function makeReadableDelta(
+  base: VersionedValue | undefined,
+  change: VersionedValue,
+): Delta | undefined {
+  const delta = makeDelta(base, change);
+  if (!delta) return undefined;
+  const readBack = unpack(pack(delta)) as Delta;
+  return applyDelta(base, readBack).kind === 'exact' ? delta : undefined;
+}
 
-/** Reads a stored entry over the registers as all entries before it left them. */
+/** A log entry that was read; `isExact` unless a delta's result has another digest than it names. */
+export interface DecodedLogEntry {
+  entry: LogEntry;
+  isExact: boolean;
+}
+
+/**
+ * Reads a stored entry over the registers as all entries before it left them; undefined where the base of a delta is
+ * missing. The base is known by its version, and the bytes by their checksum, so that the result of a delta is taken also
+ * where its digest is another one: release 7dda877 left such entries, whose fields stand in another order.
+ */
 export function decodeLogEntry(
   registers: ReadonlyMap<string, RegisterState>,
   stored: StoredLogEntry,
-): Either<LogEntryFault, LogEntry> {
+): DecodedLogEntry | undefined {
   const { key, promised, acceptedDelta, learnedDelta } = stored;
   const base = registers.get(key)?.learned;
-  const accepted = acceptedDelta ? readStoredDelta(base, acceptedDelta) : Right(stored.accepted);
-  const learned = learnedDelta ? readStoredDelta(base, learnedDelta) : Right(stored.learned);
-  if (accepted.isLeft()) return accepted;
-  if (learned.isLeft()) return learned;
-  return Right({
+  const accepted = acceptedDelta && applyDelta(base, acceptedDelta);
+  const learned = learnedDelta && applyDelta(base, learnedDelta);
+  if (accepted?.kind === 'other-base' || learned?.kind === 'other-base') return undefined;
+  const entry: LogEntry = {
     key,
     promised,
-    accepted: accepted.extract() as VersionedValue | undefined,
-    learned: learned.extract() as VersionedValue | true | undefined,
-  });
-}
-
-function readStoredDelta(
-  base: VersionedValue | undefined,
-  delta: Delta,
-): Either<LogEntryFault, VersionedValue> {
-  const applied = applyDelta(base, delta);
-  return applied.kind === 'exact' ? Right(applied.change) : Left(applied.kind);
+    accepted: accepted ? accepted.change : stored.accepted,
+    learned: learned ? learned.change : stored.learned,
+  };
+  const isExact = accepted?.kind !== 'other-digest' && learned?.kind !== 'other-digest';
+  return { entry, isExact };
 }
 
 /** The stored form of a register. */
--- a/src/control/storage/store-recovery.ts
+++ b/src/control/storage/store-recovery.ts
@@ -10,8 +10,6 @@
   applyLogEntry,
   decodeLogEntry,
   decodeRegister,
-  LogEntry,
-  LogEntryFault,
   RegisterState,
   StoredLogEntry,
   StoredRegisterState,
@@ -52,26 +50,32 @@
 
 /**
  * Why synced data counts as gone: no snapshot can be read, bytes of a log or of the votes have changed or are missing,
- * or an entry of a log can't be read. The reasons are logged.
+ * or an entry of a log has no base. The reasons are logged.
  */
 export type DataLossReason =
-  'no-snapshot' | 'log-changed' | 'next-log-changed' | 'log-gap' | 'votes-changed' | LogEntryFault;
+  'no-snapshot' | 'log-changed' | 'next-log-changed' | 'log-gap' | 'votes-changed' | 'other-base';
 
-/** Synced data that is gone, and the entry that shows it where one does. */
-export interface DataLoss {
-  reason: DataLossReason;
+/** The entry of a log that something was seen at. */
+export interface LogEntryPlace {
   key?: string;
   /** The version that the entry stands for, and the one that it was made from. */
   version?: Version;
   base?: Version;
 }
 
+/** Synced data that is gone, and the entry that shows it where one does. */
+export interface DataLoss extends LogEntryPlace {
+  reason: DataLossReason;
+}
+
 /** What was read from a disk that has files. */
 export interface RecoveredStore {
   state: StoreState;
   registers: Map<string, RegisterState>;
   /** The synced data that is gone, where some is. */
   lost?: DataLoss;
+  /** Entries whose result has another digest than they name. */
+  inexact: LogEntryPlace[];
   /** Whether version 0.1 wrote the snapshot. */
   isLegacy: boolean;
 }
@@ -81,6 +85,8 @@
   bootstrapVoterSet: unknown;
   /** What is missing of all that was synced. */
   lost?: DataLoss;
+  /** Entries whose result has another digest than they name. */
+  inexact: LogEntryPlace[];
 }
 
 /**
@@ -98,15 +104,18 @@
   const isLegacy = slots[index].isLegacy === true;
   const log = logs[index];
   const registers = decodeRegisters(snapshot);
-  const replayed = replayLog(registers, log, snapshot.founding);
+  const replayed = replayLog(registers, log, {
+    bootstrapVoterSet: snapshot.founding,
+    inexact: [],
+  });
   const isLogIntact = isLegacy || (generationOf(log) === snapshot.gen && !log.isCorrupt);
   const replay = isLogIntact ? replayed : withLoss(replayed, 'log-changed');
   const isNextLost = !snapshots[1 - index] && !isLegacy;
-  const { bootstrapVoterSet, lost } = isNextLost
+  const { bootstrapVoterSet, lost, inexact } = isNextLost
     ? replayNextLog(registers, replay, snapshot.gen, log, logs[1 - index])
     : replay;
   const state = stateOf(snapshot, bootstrapVoterSet);
-  return { state, registers, lost, isLegacy };
+  return { state, registers, lost, inexact, isLegacy };
 }
 
 /** A replay with a loss; one that was found before stays. */
@@ -123,8 +132,7 @@
   nextLog: DecodedFrames,
 ): Replay {
   const isNext = generationOf(nextLog) === generation + 1;
-  const next =
-    isNext && !replay.lost ? replayLog(registers, nextLog, replay.bootstrapVoterSet) : replay;
+  const next = isNext && !replay.lost ? replayLog(registers, nextLog, replay) : replay;
   if (nextLog.isCorrupt) return withLoss(next, 'next-log-changed');
   // The next log has entries, so that its snapshot was complete, with more than the torn log gives.
   const hasGap = isNext && log.isTorn && nextLog.values.length > 1;
@@ -163,6 +171,7 @@
     state: { generation: 0, diskId: '' },
     registers: new Map(),
     lost: { reason: 'no-snapshot' },
+    inexact: [],
     isLegacy: false,
   };
 }
@@ -183,29 +192,29 @@
   return (entry as Partial<StoredBootstrap>).founding !== undefined;
 }
 
-/** Applies a log to the registers, up to the first entry that can't be read. */
+/** Applies a log to the registers, up to the first entry that can't be read; goes on from what was replayed before. */
 function replayLog(
   registers: Map<string, RegisterState>,
   log: DecodedFrames,
-  bootstrapBefore: unknown,
+  before: Replay,
 ): Replay {
-  let bootstrapVoterSet = bootstrapBefore;
+  let { bootstrapVoterSet } = before;
+  const inexact = [...before.inexact];
   for (const stored of entriesOf(log)) {
     if (isBootstrap(stored)) {
       bootstrapVoterSet = stored.founding;
       continue;
     }
     const decoded = decodeLogEntry(registers, stored);
-    if (decoded.isLeft()) return { bootstrapVoterSet, lost: lossAt(stored, decoded.extract()) };
-    applyLogEntry(registers, decoded.extract() as LogEntry);
+    if (!decoded)
+      return { bootstrapVoterSet, inexact, lost: { reason: 'other-base', ...placeOf(stored) } };
+    if (!decoded.isExact) inexact.push(placeOf(stored));
+    applyLogEntry(registers, decoded.entry);
   }
-  return { bootstrapVoterSet };
+  return { bootstrapVoterSet, inexact };
 }
 
-function lossAt(
-  { key, acceptedDelta, learnedDelta }: StoredLogEntry,
-  reason: LogEntryFault,
-): DataLoss {
+function placeOf({ key, acceptedDelta, learnedDelta }: StoredLogEntry): LogEntryPlace {
   const delta = acceptedDelta ?? learnedDelta;
-  return { reason, key, version: delta && versionOf(delta), base: delta?.base };
+  return { key, version: delta && versionOf(delta), base: delta?.base };
 }
--- a/src/shared/replication/patch.ts
+++ b/src/shared/replication/patch.ts
@@ -1,8 +1,9 @@
 /**
- * Patches: how one plain value becomes another. The field names are sent.
+ * Patches: how one plain value becomes another, down to the order of its fields. The field names are sent.
  */
 
 import { isDeepStrictEqual } from 'node:util';
+import { isIdentical } from '../util/identical';
 import { isPlainObject, ownField, PlainObject, setOwnField } from '../util/plain-object';
 
 /** How one value becomes another. */
@@ -47,10 +48,6 @@
   return items;
 }
 
-function isEqual(one: unknown, other: unknown): boolean {
-  return one === other || isDeepStrictEqual(one, other);
-}
-
 /** The patch of a list: one range, or items by identity where that puts fewer of them. */
 function diffOfLists(
   before: readonly unknown[],
@@ -72,9 +69,9 @@
 ): { start: number; tail: number } {
   const shorter = Math.min(before.length, after.length);
   let start = 0;
-  while (start < shorter && isEqual(before[start], after[start])) start++;
+  while (start < shorter && isIdentical(before[start], after[start])) start++;
   let tail = 0;
-  while (tail < shorter - start && isEqual(before.at(-1 - tail), after.at(-1 - tail))) tail++;
+  while (tail < shorter - start && isIdentical(before.at(-1 - tail), after.at(-1 - tail))) tail++;
   return { start, tail };
 }
 
@@ -94,15 +91,18 @@
   }
   for (const [identity, item] of itemsAfter) {
     if (!itemsBefore.has(identity)) order.push(identity);
-    if (!isEqual(itemsBefore.get(identity), item)) patch.items.put.push(item);
+    if (!isIdentical(itemsBefore.get(identity), item)) patch.items.put.push(item);
   }
   return isDeepStrictEqual(order, [...itemsAfter.keys()]) ? patch : undefined;
 }
 
-function diffOfFields(before: PlainObject, after: PlainObject): FieldsPatch {
+/** The patch of an object; the complete one where a patch would leave its fields in another order. */
+function diffOfFields(before: PlainObject, after: PlainObject): FieldsPatch | PutPatch {
+  const names = Object.keys(after);
+  if (!isIdentical(patchedNames(before, after), names)) return { put: after };
   const patch: FieldsPatch = { set: {}, drop: [] };
   for (const name of Object.keys(before)) if (!Object.hasOwn(after, name)) patch.drop.push(name);
-  for (const name of Object.keys(after)) {
+  for (const name of names) {
     const isKnown = Object.hasOwn(before, name);
     const field = isKnown ? diff(before[name], after[name]) : { put: after[name] };
     if (field) setOwnField(patch.set, name, field);
@@ -110,9 +110,17 @@
   return patch;
 }
 
-/** The patch from one value to another; undefined where they are equal. */
+/** The names of the fields of a patched object in their order: those that stay, then the new ones. */
+function patchedNames(before: PlainObject, after: PlainObject): string[] {
+  const names: string[] = [];
+  for (const name of Object.keys(before)) if (Object.hasOwn(after, name)) names.push(name);
+  for (const name of Object.keys(after)) if (!Object.hasOwn(before, name)) names.push(name);
+  return names;
+}
+
+/** The patch from one value to another; undefined where they are identical. */
 export function diff(before: unknown, after: unknown): Patch | undefined {
-  if (isEqual(before, after)) return undefined;
+  if (isIdentical(before, after)) return undefined;
   if (Array.isArray(before) && Array.isArray(after)) return diffOfLists(before, after);
   if (!isPlainObject(before) || !isPlainObject(after)) return { put: after };
   return diffOfFields(before, after);
