--- a/src/data/gateway/gateway.ts
+++ b/src/data/gateway/gateway.ts
@@ -30,6 +30,7 @@
 import { GatewayCounts, GatewayDependencies, zeroCounts } from './gateway-dependencies';
 import { GracefulDrain } from './graceful-drain';
 import { InFlightRequests } from './in-flight-requests';
+import { OverdueRequestLog } from './overdue-requests';
 import { handleRequest } from './request-handling';
 import { RetryBudget } from './retry-budget';
 import { ServingState } from './serving-state';
@@ -73,6 +74,7 @@
   private readonly state: ServingState;
   private readonly startLog: StartLog;
   private readonly inFlight: InFlightRequests;
+  private readonly overdueLog: OverdueRequestLog;
   private readonly stalls: StallMonitor;
   private readonly draining: GracefulDrain;
   private readonly weights: WeightsTracker;
@@ -91,6 +93,7 @@
     this.state = new ServingState(settings, follower, adapter);
     this.startLog = new StartLog(clock, logger, settings, this.state);
     this.inFlight = new InFlightRequests(clock, logger, settings);
+    this.overdueLog = new OverdueRequestLog(clock, logger, settings, this.inFlight);
     this.stalls = makeStallMonitor(clock, settings.contactMs * SELF_CHECK_RATIO);
     this.draining = new GracefulDrain(clock, logger, settings, this.inFlight, this.stalls);
     this.weights = new WeightsTracker(
@@ -287,6 +290,7 @@
   private selfCheck(): void {
     this.stalls.look();
     this.startLog.update();
+    this.overdueLog.update();
     this.coldEngineLog.noteCounts(this.warmUpLimit.counts);
     this.state.routerCount();
     this.cancelSelfCheck = this.selfCheckAfter(this.options.settings.contactMs * SELF_CHECK_RATIO);
