--- a/src/shared/system/http-client.ts
+++ b/src/shared/system/http-client.ts
@@ -9,6 +9,7 @@
 import { ErrorCode, systemErrorCode } from '../errors/error-codes';
 import { Certainty, makeError, Result } from '../errors/errors';
 import { HttpRequest, HttpResponse } from '../ports/network';
+import { OutgoingRequest } from './outgoing-request';
 import { ignore, splitAddress } from './sockets';
 
 /** Codes of errors before any byte was sent: the request had certainly no effect. */
@@ -38,7 +39,7 @@
   /** Why this side ended the exchange, and what is certain then. */
   private ending: { certainty: Certainty; code: ErrorCode } | undefined;
   private isConnected = false;
-  private outgoing!: http.ClientRequest;
+  private outgoing!: OutgoingRequest;
   private timeout: NodeJS.Timeout | undefined;
   private connectTimeout: NodeJS.Timeout | undefined;
   private readonly onAbort = this.abort.bind(this, 'timeout');
@@ -54,17 +55,19 @@
   /** Sends the request. */
   start(): void {
     const { signal, body, timeoutMs } = this.request;
-    this.outgoing = this.makeOutgoing();
+    const clientRequest = this.makeClientRequest();
     this.timeout = setTimeout(this.onAbort, timeoutMs);
-    this.outgoing.on('error', this.onError.bind(this));
-    this.outgoing.on('socket', this.onSocket.bind(this));
-    this.outgoing.on('response', this.onResponse.bind(this));
-    if (signal?.aborted) this.onAbort();
+    clientRequest.on('socket', this.onSocket.bind(this));
+    this.outgoing = new OutgoingRequest(clientRequest, {
+      onResponse: this.onResponse.bind(this),
+      onFailure: this.onFailure.bind(this),
+    });
     signal?.addEventListener('abort', this.onAbort, { once: true });
-    this.outgoing.end(body);
+    if (signal?.aborted) this.onAbort();
+    clientRequest.end(body);
   }
 
-  private makeOutgoing(): http.ClientRequest {
+  private makeClientRequest(): http.ClientRequest {
     const { address, method, path, body } = this.request;
     const { agent, localAddress } = this.options;
     const headers: Record<string, string | number> = { ...this.request.headers };
@@ -74,7 +77,7 @@
 
   private abort(code: ErrorCode): void {
     this.ending = this.ending ?? { certainty: this.isConnected ? 'unknown' : 'refused', code };
-    this.outgoing.destroy(new Error(`given up: ${code}`));
+    this.outgoing.giveUp(new Error(`given up: ${code}`));
   }
 
   /** Drops the timers and listeners of an exchange that has ended. */
@@ -84,10 +87,10 @@
     this.request.signal?.removeEventListener('abort', this.onAbort);
   }
 
-  private onError(error: Error): void {
+  private onFailure(error: Error): void {
     this.release();
-    const code = this.ending?.code ?? systemErrorCode(error);
-    const isNotSent = code !== undefined && NOT_SENT_CODES.has(code);
+    const code = this.ending?.code ?? systemErrorCode(error) ?? 'broken';
+    const isNotSent = NOT_SENT_CODES.has(code);
     const certainty = this.ending?.certainty ?? (isNotSent ? 'refused' : 'unknown');
     this.resolve(Left(makeError(this.step, this.request.address, error, certainty, code)));
   }
--- a/src/shared/system/raw-http-client.ts
+++ b/src/shared/system/raw-http-client.ts
@@ -8,6 +8,7 @@
 import { ErrorCode, systemErrorCode } from '../errors/error-codes';
 import { failure, makeError, Result } from '../errors/errors';
 import { HttpConnection, RawHttpRequest, RawHttpResponse } from '../ports/raw-http';
+import { OutgoingRequest } from './outgoing-request';
 import { PulledResponse } from './raw-http-response';
 import { connectSocket, ignore, splitAddress } from './sockets';
 
@@ -18,7 +19,7 @@
 
 /** What an exchange tells its connection of. */
 interface ExchangeEvents {
-  /** An error; `isComplete` where it came after the complete response. */
+  /** An error, after which the connection is of no use; `isComplete` where it came after the complete response. */
   onError: (isComplete: boolean) => void;
 }
 
@@ -27,13 +28,14 @@
   /** Why this side ended the exchange, where it did. */
   private endingCode: ErrorCode | undefined;
   private isComplete = false;
-  private outgoing!: http.ClientRequest;
+  private request!: http.ClientRequest;
+  private outgoing!: OutgoingRequest;
   private timer: NodeJS.Timeout | undefined;
   private readonly onAbort = this.abort.bind(this, 'caller-gone', 'the caller went away');
 
   constructor(
     private readonly peer: string,
-    private readonly request: RawHttpRequest,
+    private readonly rawRequest: RawHttpRequest,
     private readonly aborted: AbortSignal,
     private readonly events: ExchangeEvents,
     private readonly resolve: ResponseListener,
@@ -41,8 +43,8 @@
 
   /** Sends the request by an agent that holds the connection. */
   start(agent: http.Agent, timeoutMs: number): void {
-    const { method, target, headers, body } = this.request;
-    this.outgoing = http.request({
+    const { method, target, headers, body } = this.rawRequest;
+    this.request = http.request({
       agent,
       ...splitAddress(this.peer),
       method,
@@ -53,14 +55,17 @@
     const onTimeout = this.abort.bind(this, 'timeout', 'no answer in time');
     this.timer = setTimeout(onTimeout, timeoutMs);
     this.aborted.addEventListener('abort', this.onAbort, { once: true });
-    this.outgoing.on('error', this.onError.bind(this));
-    this.outgoing.on('response', this.onResponse.bind(this));
-    this.outgoing.end(body);
+    this.request.on('error', this.onError.bind(this));
+    this.outgoing = new OutgoingRequest(this.request, {
+      onResponse: this.onResponse.bind(this),
+      onFailure: this.onFailure.bind(this),
+    });
+    this.request.end(body);
   }
 
   private abort(code: ErrorCode, reason: string): void {
     this.endingCode = code;
-    this.outgoing.destroy(new Error(reason));
+    this.outgoing.giveUp(new Error(reason));
   }
 
   /** Drops the timer and listener of an exchange that has ended. */
@@ -69,20 +74,24 @@
     this.aborted.removeEventListener('abort', this.onAbort);
   }
 
-  private onError(error: Error): void {
+  private onError(): void {
     this.release();
     this.events.onError(this.isComplete);
-    const code = this.endingCode ?? systemErrorCode(error);
-    this.resolve(Left(makeError(stepOf(this.request), this.peer, error, 'unknown', code)));
+  }
+
+  private onFailure(error: Error): void {
+    this.onError();
+    const code = this.endingCode ?? systemErrorCode(error) ?? 'broken';
+    this.resolve(Left(makeError(stepOf(this.rawRequest), this.peer, error, 'unknown', code)));
   }
 
   private onResponse(response: http.IncomingMessage): void {
     response.on('end', this.onResponseEnd.bind(this, response));
     const pulled = new PulledResponse(response, {
-      step: stepOf(this.request),
+      step: stepOf(this.rawRequest),
       peer: this.peer,
-      method: this.request.method,
-      outgoing: this.outgoing,
+      method: this.rawRequest.method,
+      outgoing: this.request,
       onEnd: this.release.bind(this),
       endingCode: this.endingCodeOf.bind(this),
     });
