--- a/src/control/storage/control-store.ts
+++ b/src/control/storage/control-store.ts
@@ -57,6 +57,8 @@
   isWritable: () => boolean;
   /** Whether synced data of this disk is gone, so that it counts as a new one. */
   isCorrupt: boolean;
+  /** Whether a disk id, as other files of this disk name it, is or was the id of this one. */
+  isOwnDiskId: (diskId: string) => boolean;
 }
 
 /** The decoded files of a store. */
@@ -81,7 +83,7 @@
   const [readError, files] = errorOrValue(await readFiles(reader));
   if (readError) return Left(readError);
   const recovered = recoverStore(files.slots, files.logs);
-  reportInexact(ports, recovered);
+  if (recovered) reportInexact(ports, recovered);
   const state = identifyDisk(ports, recovered, votes);
   const registers = recovered?.registers ?? new Map<string, RegisterState>();
   const isLegacy = recovered?.isLegacy === true;
@@ -118,7 +120,7 @@
   const hasKeys = (recovered?.registers.size ?? 0) > 0;
   const hasLostVotes =
     votes !== undefined &&
-    (votes.isCorrupt || (!votes.isLegacy && votes.disk !== state.diskId && hasKeys));
+    (votes.isCorrupt || (!votes.isLegacy && !isDiskIdOf(state, votes.disk) && hasKeys));
   const lost: DataLoss | undefined =
     recovered?.lost ?? (hasLostVotes ? { reason: 'votes-changed' } : undefined);
   if (!lost) return state;
@@ -137,13 +139,24 @@
   return { ...state, diskId, isCorrupt: true };
 }
 
+function isDiskIdOf({ diskId, abandonedDiskId }: StoreState, other: string): boolean {
+  return other === diskId || other === abandonedDiskId;
+}
+
 /** Logs the entries whose result has another digest than they name; the next snapshot replaces them. */
-function reportInexact(ports: Ports, recovered: RecoveredStore | undefined): void {
-  for (const place of recovered?.inexact ?? [])
-    ports.logger.warn(
+function reportInexact({ logger }: Ports, { inexact, state }: RecoveredStore): void {
+  if (inexact.length === 0) return;
+  for (const place of inexact)
+    logger.warn(
       { event: 'storage.entry-digest-differs', ...placeFields(place) },
       `a log entry of ${place.key} leads to another digest than it names; its value was taken`,
     );
+  const { abandonedDiskId, diskId } = state;
+  if (abandonedDiskId !== undefined)
+    logger.warn(
+      { event: 'storage.disk-id-restored', formerDisk: abandonedDiskId, disk: diskId },
+      `this disk had counted as lost for such an entry, and is ${diskId} again`,
+    );
 }
 
 /** The place of a log entry as it is logged. */
@@ -201,5 +214,6 @@
     hasSyncedDiskId: writer.hasSyncedDiskId.bind(writer),
     isWritable: writer.isWritable.bind(writer),
     isCorrupt: state.isCorrupt === true,
+    isOwnDiskId: isDiskIdOf.bind(undefined, state),
   };
 }
--- a/src/control/storage/idempotency-votes.ts
+++ b/src/control/storage/idempotency-votes.ts
@@ -57,7 +57,7 @@
    * `firstWriteTimeoutMs` is written as soon as it does.
    */
   async start(stored: StoredVotes, firstWriteTimeoutMs = Infinity): Promise<void> {
-    if (stored.isLegacy || stored.disk === this.store.diskId)
+    if (stored.isLegacy || this.store.isOwnDiskId(stored.disk))
       for (const vote of stored.votes) this.table.set(vote);
     await this.log.start(stored, firstWriteTimeoutMs);
   }
--- a/src/control/storage/store-recovery.ts
+++ b/src/control/storage/store-recovery.ts
@@ -5,7 +5,7 @@
 
 import { DecodedFrames } from './frames';
 import { versionOf } from '../../shared/replication/delta';
-import { Version } from '../../shared/state/versions';
+import { compareEpochs, compareVersions, Version } from '../../shared/state/versions';
 import {
   applyLogEntry,
   decodeLogEntry,
@@ -24,6 +24,8 @@
   founding?: unknown;
   /** Whether the disk has lost synced data once. */
   spoilt?: boolean;
+  /** The id that the disk had while its data was wrongly taken for lost. */
+  abandoned?: string;
   cells: [string, StoredRegisterState][];
 }
 
@@ -46,6 +48,8 @@
   readonly bootstrapVoterSet?: unknown;
   /** Whether the disk has lost synced data once, so that it counts as a new one. */
   readonly isCorrupt?: boolean;
+  /** The id that the disk had while its data was wrongly taken for lost; what was written under it is this disk's. */
+  readonly abandonedDiskId?: string;
 }
 
 /**
@@ -68,6 +72,9 @@
   reason: DataLossReason;
 }
 
+/** A file that holds nothing. */
+const NO_FRAMES: DecodedFrames = { values: [], isTorn: false, isCorrupt: false };
+
 /** What was read from a disk that has files. */
 export interface RecoveredStore {
   state: StoreState;
@@ -89,11 +96,61 @@
   inexact: LogEntryPlace[];
 }
 
+/** Recovers what the files hold; undefined for a disk without files. */
+export function recoverStore(
+  slots: readonly DecodedFrames[],
+  logs: readonly DecodedFrames[],
+): RecoveredStore | undefined {
+  const newest = recoverNewest(slots, logs);
+  return newest && (recoverMisjudged(newest, slots, logs) ?? newest);
+}
+
 /**
- * Recovers the newest complete snapshot, then its log, then the next log where the snapshot before that can't be read.
- * Undefined for a disk without files.
+ * Undoes a snapshot that release 7dda877 began as a new disk, since a delta of the log before had another digest than it
+ * names. Undefined for any other: nothing may have been written since, and the log before must give all that the snapshot
+ * holds.
  */
-export function recoverStore(
+function recoverMisjudged(
+  newest: RecoveredStore,
+  slots: readonly DecodedFrames[],
+  logs: readonly DecodedFrames[],
+): RecoveredStore | undefined {
+  const { diskId, generation, isCorrupt } = newest.state;
+  const index = generation % 2;
+  if (!isCorrupt || !isUnused(logs[index])) return undefined;
+  const former = recoverNewest(slots.with(index, NO_FRAMES), logs);
+  if (!former || former.lost || former.inexact.length === 0) return undefined;
+  if (former.state.generation !== generation - 1 || former.state.diskId === diskId)
+    return undefined;
+  if (!includesAll(former.registers, newest.registers)) return undefined;
+  return { ...former, state: { ...former.state, abandonedDiskId: diskId } };
+}
+
+/** Whether a log has its header and nothing behind it. */
+function isUnused(log: DecodedFrames): boolean {
+  return log.values.length === 1 && !log.isTorn && !log.isCorrupt;
+}
+
+/** Whether registers have all that others have, or later versions. */
+function includesAll(
+  registers: ReadonlyMap<string, RegisterState>,
+  others: ReadonlyMap<string, RegisterState>,
+): boolean {
+  for (const [key, other] of others) {
+    const register = registers.get(key);
+    if (!register || compareEpochs(register.promised, other.promised) < 0) return false;
+    if (!isSameOrLater(register.accepted, other.accepted)) return false;
+    if (!isSameOrLater(register.learned, other.learned)) return false;
+  }
+  return true;
+}
+
+function isSameOrLater(one: Version | undefined, other: Version | undefined): boolean {
+  return other === undefined || (one !== undefined && compareVersions(one, other) >= 0);
+}
+
+/** Recovers the newest complete snapshot, then its log, then the next log where the snapshot before that can't be read. */
+function recoverNewest(
   slots: readonly DecodedFrames[],
   logs: readonly DecodedFrames[],
 ): RecoveredStore | undefined {
@@ -149,6 +206,7 @@
     diskId: snapshot.disk,
     bootstrapVoterSet,
     isCorrupt: snapshot.spoilt,
+    abandonedDiskId: snapshot.abandoned,
   };
 }
 
--- a/src/control/storage/store-writer.ts
+++ b/src/control/storage/store-writer.ts
@@ -173,7 +173,9 @@
 
   private toSnapshot(generation: number): StoredSnapshot {
     const { state } = this.options;
+    const { abandonedDiskId } = state;
     return {
+      ...(abandonedDiskId === undefined ? {} : { abandoned: abandonedDiskId }),
       gen: generation,
       disk: state.diskId,
       founding: this.written.bootstrapVoterSet(),
--- a/test/control/storage-reordered-fields.test.ts
+++ b/test/control/storage-reordered-fields.test.ts
@@ -6,6 +6,8 @@
 import { readFileSync } from 'node:fs';
 import { resolve } from 'node:path';
 import { pack, unpack } from 'msgpackr';
+import { ControlStore } from '../../src/control/storage/control-store';
+import { decodeFrames, encodeFrame } from '../../src/control/storage/frames';
 import { encodeLogEntry } from '../../src/control/storage/register-state';
 import {
   deltaMessage,
@@ -121,6 +123,44 @@
   expect(diskIds).toEqual(votersOf(await openedVoters()));
 }
 
+/** The disk id and the configuration of a disk that was opened. */
+function identityOf(store: ControlStore): object {
+  const { diskId, isCorrupt, registers } = store;
+  return { diskId, isCorrupt, learned: registers.get('deployment')?.learned };
+}
+
+/** Disks that release 7dda877 had taken for lost at its own restart: they kept their new ids, and nothing voted. */
+async function misjudgedDisksAreRestored(): Promise<void> {
+  for (const core of CORES) {
+    const original = await openDisk(loadFiles(`${FIXTURES}/reordered-core-${core}`));
+    const expected = identityOf(original.slots);
+    const files = loadFiles(`${FIXTURES}/restarted-core-${core}`);
+    for (let start = 0; start < 3; start++) {
+      const { slots: store, kept } = await openDisk(files);
+      expect(identityOf(store)).toEqual(expected);
+      expect(store.isOwnDiskId(kept.disk)).toBe(true);
+    }
+  }
+}
+
+/** What was written, or may have been, after a disk had counted as new stays. */
+async function usedDisksStayNew(): Promise<void> {
+  const restarted = loadFiles(`${FIXTURES}/restarted-core-1`);
+  const used = new Map(restarted);
+  const entry = encodeFrame([{ key: 'deployment', promised: { epoch: 9, by: 'b' } }]);
+  used.set('log-0', Buffer.concat([restarted.get('log-0')!, entry]));
+  const changed = new Map(restarted);
+  const log = Buffer.from(restarted.get('log-1')!);
+  log[log.length - 1] ^= 1;
+  changed.set('log-1', log);
+  const newest = decodeFrames(restarted.get('slot-0')).values[0] as { disk: string };
+  for (const files of [used, changed]) {
+    const { slots: store } = await openDisk(files);
+    expect(store.isCorrupt).toBe(true);
+    expect(store.diskId).toBe(newest.disk);
+  }
+}
+
 async function openedVoters(): Promise<VersionedValue | undefined> {
   const { slots: store } = await openDisk(loadFiles(`${FIXTURES}/reordered-core-1`));
   return store.registers.get('voters')?.learned;
@@ -158,5 +198,7 @@
   storedAsReadableDeltas,
 );
 test('disks of release 7dda877 with such a change keep it and their ids', recordedDisksAreRead);
+test('disks that release 7dda877 took for lost are themselves again', misjudgedDisksAreRestored);
+test('disks that were used since, or have really changed, stay new ones', usedDisksStayNew);
 test('deltas of release 7dda877 are read where they are exact', recordedMessagesAreRead);
 test('deltas of the usual order are those of release 7dda877', usualMessagesAreTheSame);
