--- a/src/control/api/configuration-api.ts
+++ b/src/control/api/configuration-api.ts
@@ -10,6 +10,7 @@
 import { CONTROL_KEYS } from '../../shared/state/control-keys';
 import { IntentsValue } from '../../shared/state/intents';
 import { NamedWeights } from '../../shared/state/weights';
+import { findUncarriable } from '../../shared/util/stored-text';
 import { httpHandler, readBodyAs, sendError, sendJson } from '../../shared/transport/http-handlers';
 import { sha256Hex } from '../../shared/util/hashing';
 import { validateIntents } from '../configuration/intents-validation';
@@ -50,7 +51,13 @@
   @httpHandler('PUT', '/v1/intents')
   async putIntents(call: IncomingRequest): Promise<void> {
     const { bodyMostBytes } = this.controller.settings;
-    const request = await readBodyAs(call, ApplyIntentsRequest, bodyMostBytes, 'apply');
+    const request = await readBodyAs(
+      call,
+      ApplyIntentsRequest,
+      bodyMostBytes,
+      'apply',
+      findUncarriable,
+    );
     if (!request) return;
     const validated = validateIntents(request.intents);
     if (validated.isLeft())
@@ -124,7 +131,13 @@
   async putWeights(call: IncomingRequest, model: string): Promise<void> {
     if (!isId(model)) return sendError(call, 400, 'refused', 'bad-name', 'the model is not a name');
     const { bodyMostBytes } = this.controller.settings;
-    const request = await readBodyAs(call, NameWeightsRequest, bodyMostBytes, 'name weights');
+    const request = await readBodyAs(
+      call,
+      NameWeightsRequest,
+      bodyMostBytes,
+      'name weights',
+      findUncarriable,
+    );
     if (!request) return;
     const { weights } = request;
     if (!isId(weights))
--- a/src/control/api/deployment-api.ts
+++ b/src/control/api/deployment-api.ts
@@ -8,6 +8,7 @@
 import { IncomingRequest, Listener } from '../../shared/ports/network';
 import { Ports } from '../../shared/ports/ports';
 import { DeploymentValue } from '../../shared/state/deployment';
+import { findUncarriable } from '../../shared/util/stored-text';
 import { CONTROL_KEYS } from '../../shared/state/control-keys';
 import { makeOperatorListener } from './operator-api';
 import { EvacuationChanges } from './evacuation-changes';
@@ -58,7 +59,7 @@
   /** Replaces or updates the deployment, on the version that the headers name as its base. */
   async putDeployment(call: IncomingRequest): Promise<void> {
     if (call.method !== 'POST') return sendError(call, 405, 'refused', 'bad-method', call.method);
-    const body = await readJsonBody(call, this.controller.settings.bodyMostBytes);
+    const body = await readJsonBody(call, this.controller.settings.bodyMostBytes, findUncarriable);
     if (body === undefined) return;
     const { operators } = this.dialect;
     const base = operators.baseVersion(call.headers);
@@ -75,7 +76,7 @@
   /** Names the weights of a model; naming the same ones again succeeds. */
   async nameWeights(call: IncomingRequest): Promise<void> {
     if (call.method !== 'POST') return sendError(call, 405, 'refused', 'bad-method', call.method);
-    const body = await readJsonBody(call, this.controller.settings.bodyMostBytes);
+    const body = await readJsonBody(call, this.controller.settings.bodyMostBytes, findUncarriable);
     if (body === undefined) return;
     const parsed = this.dialect.operators.weights(body);
     if (parsed.isLeft())
--- a/src/control/api/tallies-api.ts
+++ b/src/control/api/tallies-api.ts
@@ -6,6 +6,7 @@
 import { errorOrValue, OperationError } from '../../shared/errors/errors';
 import { PlatformAdapter, TallyCall } from '../../shared/platform-adapter/platform-adapter';
 import { IncomingRequest } from '../../shared/ports/network';
+import { findUncarriable } from '../../shared/util/stored-text';
 import { readJsonBody, sendError, sendJson } from '../../shared/transport/http-handlers';
 import { Controller } from '../controller-interface';
 import { Tallies } from '../tallies/tallies';
@@ -36,7 +37,7 @@
   }
 
   private async add(call: IncomingRequest, tally: string): Promise<void> {
-    const body = await readJsonBody(call, MAX_BODY_BYTES);
+    const body = await readJsonBody(call, MAX_BODY_BYTES, findUncarriable);
     if (body === undefined) return;
     const addition = this.dialect.operators.tallyAddition(body);
     if (addition.isLeft())
--- a/src/shared/transport/http-handlers.ts
+++ b/src/shared/transport/http-handlers.ts
@@ -62,8 +62,22 @@
   return String(Math.max(1, Math.ceil(retryAfterMs / MS_PER_S)));
 }
 
-/** Reads a JSON body of at most `maxBytes`; where it can't be read the error is sent, and undefined is returned. */
-export async function readJsonBody(call: IncomingRequest, maxBytes: number): Promise<unknown> {
+/** What is wrong with a body that was parsed; undefined where nothing is. */
+export type BodyCheck = (body: unknown) => string | undefined;
+
+function acceptAny(): undefined {
+  return undefined;
+}
+
+/**
+ * Reads a JSON body of at most `maxBytes`; where it can't be read, or `check` finds something wrong with it, the error is
+ * sent, and undefined is returned.
+ */
+export async function readJsonBody(
+  call: IncomingRequest,
+  maxBytes: number,
+  check: BodyCheck = acceptAny,
+): Promise<unknown> {
   const [bodyError, text] = errorOrValue(await call.body(maxBytes));
   if (bodyError) {
     const { code, reason } = bodyError;
@@ -75,7 +89,10 @@
     sendError(call, 400, 'refused', 'bad-json', parseError ? parseError.reason : 'empty');
     return undefined;
   }
-  return body;
+  const fault = check(body);
+  if (fault === undefined) return body;
+  sendError(call, 400, 'refused', 'bad-json', fault);
+  return undefined;
 }
 
 /** Reads a JSON body as a class with declared fields; where it can't be read the error is sent, and undefined is returned. */
@@ -84,8 +101,9 @@
   bodyClass: BodyClass<T>,
   maxBytes: number,
   step: string,
+  check?: BodyCheck,
 ): Promise<T | undefined> {
-  const body = await readJsonBody(call, maxBytes);
+  const body = await readJsonBody(call, maxBytes, check);
   if (body === undefined) return undefined;
   const [error, parsed] = errorOrValue(parseBody(bodyClass, body, step, call.peer));
   if (error) sendError(call, 400, 'refused', error.code ?? 'bad-shape', error.reason);
