--- a/src/shared/system/http-server.ts
+++ b/src/shared/system/http-server.ts
@@ -10,6 +10,8 @@
 
 /** How long an idle connection of a caller is kept. */
 const KEEP_ALIVE_MS = 30000;
+/** Stands for the server's own address in URLs. */
+const ORIGIN = 'http://node';
 /** Connections that wait to be accepted. */
 const BACKLOG = 1024;
 
@@ -17,8 +19,17 @@
   return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('utf8');
 }
 
-function makeIncomingRequest(req: http.IncomingMessage, res: http.ServerResponse): IncomingRequest {
-  const url = new URL(req.url ?? '/', 'http://node');
+/** The URL of a request's target; undefined where it is none. A target that begins with two slashes names no host. */
+function parseTarget(target: string): URL | undefined {
+  const url = target.startsWith('/') ? `${ORIGIN}${target}` : target;
+  return URL.canParse(url, ORIGIN) ? new URL(url, ORIGIN) : undefined;
+}
+
+function makeIncomingRequest(
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+  url: URL,
+): IncomingRequest {
   const controller = abortOnClose(res);
   const aborted = controller.signal;
   function onError(): void {
@@ -63,7 +74,10 @@
   onRequest: (call: IncomingRequest) => Promise<void>,
 ): Promise<Result<Listener>> {
   function receive(req: http.IncomingMessage, res: http.ServerResponse): void {
-    void onRequest(makeIncomingRequest(req, res));
+    const url = parseTarget(req.url ?? '/');
+    if (url) return void onRequest(makeIncomingRequest(req, res, url));
+    res.writeHead(400, { connection: 'close' });
+    res.end();
   }
   const server = http.createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, receive);
   function close(): Promise<void> {
