--- a/test/data/gateway-fixture.ts
+++ b/test/data/gateway-fixture.ts
@@ -5,6 +5,8 @@
 import { Gateway, startGateway } from '../../src/data/gateway/gateway';
 import { Deployment, HttpRoute } from '../../src/shared/state/deployment';
 import { Follower } from '../../src/shared/replication/follower';
+import { describeError, errorOrValue, Result } from '../../src/shared/errors/errors';
+import { RawHttpNetwork, RawListener } from '../../src/shared/ports/raw-http';
 import { makePushStream } from '../../src/shared/util/push-stream';
 import { Ports } from '../../src/shared/ports/ports';
 import { makeSystemClock } from '../../src/shared/system/system-clock';
@@ -196,24 +198,44 @@
   onConnect?: (at: string) => void;
 }
 
-async function freePort(): Promise<string> {
-  const s = net.createServer();
-  function listen(done: () => void): void {
-    s.listen(0, '127.0.0.1', done);
+/** Addresses at which the system chooses a port that nothing else has; the two differ only to be told apart. */
+const ANY_CALLERS_PORT = '127.0.0.1:0';
+const ANY_READINESS_PORT = '127.0.0.2:0';
+
+/** A raw HTTP network that notes at which address each listener was bound. */
+interface BoundNetwork {
+  http: RawHttpNetwork;
+  /** The bound address of what was to listen at an address. */
+  boundAddress: (address: string) => string;
+}
+
+function noteBoundAddresses(network: RawHttpNetwork): BoundNetwork {
+  const bound = new Map<string, string>();
+  async function serve(
+    ...[address, limits, onRequest]: Parameters<RawHttpNetwork['serve']>
+  ): Promise<Result<RawListener>> {
+    const served = await network.serve(address, limits, onRequest);
+    const [, listener] = errorOrValue(served);
+    if (listener) bound.set(address, listener.address);
+    return served;
   }
-  await new Promise<void>(listen);
-  const { port } = s.address() as net.AddressInfo;
-  function close(done: () => void): void {
-    s.close(done);
+  function boundAddress(address: string): string {
+    return bound.get(address) ?? address;
   }
-  await new Promise<void>(close);
-  return `127.0.0.1:${port}`;
+  return { http: { ...network, serve }, boundAddress };
 }
 
 function readDeployment(doc: unknown): ReturnType<typeof usersPlatform.deployment> {
   return doc === undefined ? Left(['nothing']) : Right(doc as Deployment);
 }
 
+/** The gateway that was started; throws what kept it from starting. */
+function startedOrThrow(started: Result<Gateway>): Gateway {
+  const [error, gateway] = errorOrValue(started);
+  if (error) throw new Error(`the gateway did not start: ${describeError(error)}`);
+  return gateway;
+}
+
 /** Starts a gateway on loopback sockets. */
 export async function startGatewayFixture(ways: GatewayFixtureOptions): Promise<GatewayFixture> {
   const state = new Map<string, VersionedValue>();
@@ -298,11 +320,11 @@
     name: 'edge-1',
     zone: 'zone-a',
     strict: false,
-    http: await freePort(),
-    readiness: await freePort(),
+    http: ANY_CALLERS_PORT,
+    readiness: ANY_READINESS_PORT,
     ...ways.settings,
   };
-  const http = makeRawHttpNetwork();
+  const { http, boundAddress } = noteBoundAddresses(makeRawHttpNetwork());
   async function connect(at: string, within: number): ReturnType<typeof http.connect> {
     const o = await http.connect(at, within);
     ways.onConnect?.(at);
@@ -314,17 +336,16 @@
     logger: log,
     rawHttp: { ...http, connect },
   } as unknown as Ports;
-  const gateway = (
-    await startGateway(ports, settings, follower, { ...usersPlatform, deployment: readDeployment })
-  ).unsafeCoerce();
+  const adapter = { ...usersPlatform, deployment: readDeployment };
+  const gateway = startedOrThrow(await startGateway(ports, settings, follower, adapter));
   async function close(): Promise<void> {
     await gateway.stop();
     for (const e of ways.engines ?? []) e.close();
   }
   return {
     gateway,
-    address: settings.http,
-    readinessAddress: settings.readiness,
+    address: boundAddress(settings.http),
+    readinessAddress: boundAddress(settings.readiness),
     publish: tell,
     publishEngines: tellEngines,
     setLease: setLive,
