--- a/src/control/api/cluster-api.ts
+++ b/src/control/api/cluster-api.ts
@@ -90,7 +90,7 @@
       ...leases.lagRows(),
       ...controller.permits.metricRows(),
       ...voterMetricRows(await readVoterStatus(controller)),
-      ...(tallies ? tallyMetricRows(tallies.status()) : []),
+      ...(tallies ? [...tallyMetricRows(tallies.status()), ...tallies.copyRows()] : []),
     ];
     call.writeHead(200, { 'content-type': METRICS_CONTENT_TYPE });
     call.end(await controller.metrics.text(rows));
--- a/src/control/tallies/addition-replication.ts
+++ b/src/control/tallies/addition-replication.ts
@@ -3,12 +3,13 @@
  */
 
 import { errorOrValue, failure, Result } from '../../shared/errors/errors';
-import { Clock } from '../../shared/ports/clock';
+import { Ports } from '../../shared/ports/ports';
 import { requestCompressed } from '../../shared/transport/compressed-requests';
 import { PeerChannel } from '../../shared/transport/peer-channel';
 import { Right } from 'purify-ts';
 import { Addition, toRuns } from './addition';
-import { CopyHolder, outlastsLosses, ToleratedLosses } from './survivability';
+import { CopyCounts } from './copy-counts';
+import { CopyHolder, outlastsLosses, requiredCopies, ToleratedLosses } from './survivability';
 import { AddMessage, TALLY_MESSAGES } from './tally-messages';
 
 /** Additions that wait for one peer; what comes beyond that is left to the repair. */
@@ -18,7 +19,7 @@
 
 /** What replication needs of its controller. */
 export interface ReplicationDependencies {
-  clock: Clock;
+  ports: Ports;
   self: CopyHolder;
   losses: ToleratedLosses;
   /** The connections to other controllers that are up. */
@@ -48,10 +49,14 @@
   private readonly waits = new Set<CopyWait>();
   /** Peers whose connections have ended a moment ago, by address. */
   private readonly recentlyConnected = new Map<string, CopyHolder>();
+  /** With how many copies additions were acknowledged. */
+  readonly copyCounts: CopyCounts;
   /** Connections to peers of an earlier release, which knows no tallies. */
   private readonly channelsWithoutTallies = new WeakSet<PeerChannel>();
 
-  constructor(private readonly dependencies: ReplicationDependencies) {}
+  constructor(private readonly dependencies: ReplicationDependencies) {
+    this.copyCounts = new CopyCounts(dependencies.ports.logger);
+  }
 
   /** How many callers wait. */
   waiting(): number {
@@ -81,10 +86,10 @@
   noteDown(channel: PeerChannel): void {
     this.outboxes.delete(channel);
     if (this.lacksTallies(channel)) return;
-    const { clock, reconnectMs } = this.dependencies;
+    const { ports, reconnectMs } = this.dependencies;
     const holder = holderOf(channel);
     this.recentlyConnected.set(holder.address, holder);
-    clock.setTimer(reconnectMs, this.forgetConnection.bind(this, holder));
+    ports.clock.setTimer(reconnectMs, this.forgetConnection.bind(this, holder));
   }
 
   /** Whether a peer is known not to know tallies. */
@@ -117,10 +122,10 @@
     timeoutMs: number,
     resolve: (result: Result<void>) => void,
   ): void {
-    const { clock, self } = this.dependencies;
+    const { ports, self } = this.dependencies;
     const { waits } = this;
     const wait: CopyWait = { addition, holders: new Map(), done };
-    const cancelTimer = clock.setTimer(timeoutMs, onTimeout);
+    const cancelTimer = ports.clock.setTimer(timeoutMs, onTimeout);
     waits.add(wait);
     void syncedHere.then(this.noteSyncedHere.bind(this, wait));
     function done(result: Result<void>): void {
@@ -185,8 +190,11 @@
     if (!wait.holders.has(self.address)) return;
     const reachable = new Map([...this.recentlyConnected, ...wait.holders]);
     for (const channel of this.peers()) reachable.set(channel.peer, holderOf(channel));
-    if (outlastsLosses([...wait.holders.values()], [...reachable.values()], losses))
-      wait.done(Right(undefined));
+    const holders = [...wait.holders.values()];
+    const candidates = [...reachable.values()];
+    if (!outlastsLosses(holders, candidates, losses)) return;
+    this.copyCounts.noteAcknowledged(holders, requiredCopies(candidates, losses));
+    wait.done(Right(undefined));
   }
 }
 
--- a/src/control/tallies/survivability.ts
+++ b/src/control/tallies/survivability.ts
@@ -13,21 +13,35 @@
 /** The losses that are tolerated at once: that many machines, or that many zones with all of their machines. */
 export type ToleratedLosses = Pick<Settings, 'tolerated' | 'toleratedZones'>;
 
-/**
- * Whether copies at `holders` outlast any tolerated loss. Where fewer can be reached than that takes, all that can be
- * reached have to hold one. `reachable` includes the holders.
- */
+/** The copies that an addition needs. */
+export interface RequiredCopies {
+  copies: number;
+  /** In how many zones. */
+  zones: number;
+}
+
+/** The copies that outlast any tolerated loss; where there are fewer candidates than that takes, a copy at each of them. */
+export function requiredCopies(
+  candidates: readonly CopyHolder[],
+  losses: ToleratedLosses,
+): RequiredCopies {
+  return {
+    copies: Math.min(losses.tolerated + 1, candidates.length),
+    zones: Math.min(losses.toleratedZones + 1, countZones(candidates)),
+  };
+}
+
+/** Whether the holders of an addition are as many, and in as many zones, as it needs. `candidates` includes the holders. */
 export function outlastsLosses(
   holders: readonly CopyHolder[],
-  reachable: readonly CopyHolder[],
+  candidates: readonly CopyHolder[],
   losses: ToleratedLosses,
 ): boolean {
-  const neededCopies = Math.min(losses.tolerated + 1, reachable.length);
-  const neededZones = Math.min(losses.toleratedZones + 1, zonesOf(reachable));
-  return holders.length >= neededCopies && zonesOf(holders) >= neededZones;
+  const required = requiredCopies(candidates, losses);
+  return holders.length >= required.copies && countZones(holders) >= required.zones;
 }
 
-function zonesOf(holders: readonly CopyHolder[]): number {
+function countZones(holders: readonly CopyHolder[]): number {
   const zones = new Set<string>();
   for (const { zone } of holders) zones.add(zone);
   return zones.size;
--- a/src/control/tallies/tallies.ts
+++ b/src/control/tallies/tallies.ts
@@ -78,7 +78,7 @@
     this.startedAt = ports.clock.now();
     this.log = new TallyLog(ports, this.set, timeLimits.retryPauseMs);
     this.replication = new AdditionReplication({
-      clock: ports.clock,
+      ports,
       self: { address: settings.wire, zone: settings.zone },
       losses: settings,
       channels: this.controllerChannels.bind(this),
@@ -178,6 +178,11 @@
     };
   }
 
+  /** With how many copies additions were acknowledged, as metric rows. */
+  copyRows(): string[] {
+    return this.replication.copyCounts.metricRows();
+  }
+
   /** Holds additions of another controller; replies once they are synced. */
   @messageHandler('tally-add', AddMessage)
   async onAdditions({ runs }: AddMessage, from: PeerChannel): HandlerResult {
