--- a/src/control/connection-acceptor.ts
+++ b/src/control/connection-acceptor.ts
@@ -14,6 +14,8 @@
   /** Where connections are accepted. */
   address: string;
   handlers: readonly object[];
+  /** Holds the accepted connections that are open. */
+  channels: Set<PeerChannel>;
   /** A connection on which nothing arrives for this many ms is closed; live peers never are silent for so long. */
   idleTimeoutMs: number;
   isStopped: () => boolean;
@@ -23,8 +25,7 @@
 export async function acceptConnections(
   dependencies: ConnectionAcceptorDependencies,
 ): Promise<Result<Listener>> {
-  const { ports, address, handlers, idleTimeoutMs, isStopped } = dependencies;
-  const channels = new Set<PeerChannel>();
+  const { ports, address, handlers, channels, idleTimeoutMs, isStopped } = dependencies;
   const listening = await ports.network.listen(address, accept);
   if (listening.isRight()) void closeIdleChannels(ports, channels, idleTimeoutMs, isStopped);
   return listening;
--- a/src/control/controller-node.ts
+++ b/src/control/controller-node.ts
@@ -13,7 +13,7 @@
 import { TimeLimits, timeLimitsOf } from '../shared/settings/time-limits';
 import { CONTROL_KEYS } from '../shared/state/control-keys';
 import { VersionedValue } from '../shared/state/versions';
-import { Voter, VoterSet } from '../shared/state/voter-set';
+import { allVoters, Voter, VoterSet } from '../shared/state/voter-set';
 import { CompressedRequestHandlers } from '../shared/transport/compressed-requests';
 import { Hello, helloOf } from '../shared/transport/hello';
 import { HelloHandlers } from '../shared/transport/hello-handlers';
@@ -45,6 +45,7 @@
 import { MembershipRequests } from './membership/membership-requests';
 import { announceToSeeds } from './membership/seed-announcer';
 import { VoterConnections } from './membership/voter-connections';
+import { ZoneCutDetector } from './membership/zone-cut-detector';
 import { VoterLiveness, VoterLivenessView } from './membership/voter-liveness';
 import { waitForNextRound } from './maintenance-pause';
 import { PeerHandlers } from './peer-handlers';
@@ -52,6 +53,7 @@
 import { IdempotencyVotes } from './storage/idempotency-votes';
 import { learnedValues } from './storage/register-state';
 import { StoredVotes } from './storage/vote-files';
+import { CopyHolder } from './tallies/survivability';
 import { Tallies } from './tallies/tallies';
 import { makeWarmUpPermits, WarmUpPermits } from './warm-up/warm-up-permits';
 import { drawRunId } from '../shared/state/members';
@@ -107,6 +109,8 @@
   private readonly acceptor: Acceptor;
   private readonly liveness: VoterLiveness;
   private readonly connections: VoterConnections;
+  private readonly acceptedChannels = new Set<PeerChannel>();
+  private readonly zoneCuts: ZoneCutDetector;
   private readonly coordinator: ChangeCoordinator;
   private readonly reads: ReadDependencies;
   private readonly clusterBootstrap: ClusterBootstrap;
@@ -149,6 +153,7 @@
     this.jointForMs = this.liveness.jointForMs;
     this.membershipRequests = this.makeMembershipRequests();
     this.connections = this.makeConnections();
+    this.zoneCuts = this.makeZoneCutDetector();
     if (options.parser) this.tallies = this.makeTallies();
 
     this.coordinator = this.makeCoordinator();
@@ -172,6 +177,7 @@
     this.listener = listener;
     this.connections.refresh();
     void this.maintain();
+    void this.zoneCuts.run();
     void this.announceToSeeds();
     this.tallies?.run();
     return Right(undefined);
@@ -291,6 +297,17 @@
     });
   }
 
+  private makeZoneCutDetector(): ZoneCutDetector {
+    return new ZoneCutDetector({
+      ports: this.ports,
+      ownZone: this.settings.zone,
+      channels: this.allChannels.bind(this),
+      silenceMs: this.timeLimits.zoneSilenceMs,
+      onChange: this.onZoneCutChange.bind(this),
+      isStopped: this.isStopped.bind(this),
+    });
+  }
+
   private makeTallies(): Tallies {
     return new Tallies({
       ports: this.ports,
@@ -300,6 +317,8 @@
       runId: this.runId,
       openChannels: this.connections.pool.openChannels,
       controllerCount: this.controllerCount.bind(this),
+      otherVoters: this.otherVoters.bind(this),
+      isCutOff: this.zoneCuts.isCutOff.bind(this.zoneCuts),
       isStopped: this.isStopped.bind(this),
     });
   }
@@ -416,6 +435,7 @@
       ports: this.ports,
       address: this.settings.wire,
       handlers: this.handlers,
+      channels: this.acceptedChannels,
       idleTimeoutMs: this.timeLimits.idleChannelTimeoutMs,
       isStopped: this.isStopped.bind(this),
     });
@@ -500,6 +520,31 @@
     return voters ? voters.now.length : this.settings.founders.length;
   }
 
+  /** Where the other voters are, or, before they are known, the founders. */
+  private otherVoters(): CopyHolder[] {
+    const voters = this.voters();
+    if (!voters) return this.settings.founders.filter(this.isOther.bind(this)).map(placeOfFounder);
+    const places: CopyHolder[] = [];
+    for (const voter of allVoters(voters))
+      if (this.isOther(voter.at))
+        places.push({ address: voter.at, zone: this.zoneOf(voter) ?? '' });
+    return places;
+  }
+
+  private isOther(address: string): boolean {
+    return address !== this.settings.wire;
+  }
+
+  /** The connections that are open, made here or accepted. */
+  private *allChannels(): Generator<PeerChannel> {
+    yield* this.connections.pool.openChannels();
+    yield* this.acceptedChannels;
+  }
+
+  private onZoneCutChange(): void {
+    this.tallies?.noteZoneCutChange();
+  }
+
   private candidates(): Voter[] {
     return this.membershipRequests.candidates();
   }
@@ -547,3 +592,7 @@
       await this.keyOwner.change(CONTROL_KEYS.voters, keepCommitted);
   }
 }
+
+function placeOfFounder(address: string): CopyHolder {
+  return { address, zone: '' };
+}
--- a/src/control/membership/voter-liveness.ts
+++ b/src/control/membership/voter-liveness.ts
@@ -80,8 +80,6 @@
 
   zoneOf(voter: Voter): string | undefined {
     if (this.isSelf(voter)) return this.dependencies.zone;
-    const zone = this.dependencies.channelTo(voter.at)?.hello?.zone;
-    if (zone !== undefined) this.zones.set(voter.at, zone);
     return this.zones.get(voter.at);
   }
 
@@ -98,6 +96,8 @@
 
   noteUp(address: string): void {
     this.upSince.set(address, this.dependencies.clock.now());
+    const zone = this.dependencies.channelTo(address)?.hello?.zone;
+    if (zone !== undefined) this.zones.set(address, zone);
   }
 
   beginLeave(): void {
--- a/src/control/tallies/addition-replication.ts
+++ b/src/control/tallies/addition-replication.ts
@@ -8,6 +8,7 @@
 import { PeerChannel } from '../../shared/transport/peer-channel';
 import { Right } from 'purify-ts';
 import { Addition, toRuns } from './addition';
+import { CopyCandidates, holderOf } from './copy-candidates';
 import { CopyCounts } from './copy-counts';
 import { CopyHolder, outlastsLosses, requiredCopies, ToleratedLosses } from './survivability';
 import { AddMessage, TALLY_MESSAGES } from './tally-messages';
@@ -22,12 +23,9 @@
   ports: Ports;
   self: CopyHolder;
   losses: ToleratedLosses;
-  /** The connections to other controllers that are up. */
-  channels: () => PeerChannel[];
+  candidates: CopyCandidates;
   /** How long a peer's reply may take, in ms. */
   requestTimeoutMs: number;
-  /** How long a peer whose connection has ended still counts as reachable, in ms: it may be back at once. */
-  reconnectMs: number;
 }
 
 /** What is to be sent to one peer. */
@@ -47,12 +45,8 @@
 export class AdditionReplication {
   private readonly outboxes = new Map<PeerChannel, Outbox>();
   private readonly waits = new Set<CopyWait>();
-  /** Peers whose connections have ended a moment ago, by address. */
-  private readonly recentlyConnected = new Map<string, CopyHolder>();
   /** With how many copies additions were acknowledged. */
   readonly copyCounts: CopyCounts;
-  /** Connections to peers of an earlier release, which knows no tallies. */
-  private readonly channelsWithoutTallies = new WeakSet<PeerChannel>();
 
   constructor(private readonly dependencies: ReplicationDependencies) {
     this.copyCounts = new CopyCounts(dependencies.ports.logger);
@@ -63,44 +57,19 @@
     return this.waits.size;
   }
 
-  /** The connections to other controllers that are not known to lack tallies. */
-  peers(): PeerChannel[] {
-    const peers: PeerChannel[] = [];
-    for (const channel of this.dependencies.channels())
-      if (!this.lacksTallies(channel)) peers.push(channel);
-    return peers;
-  }
-
-  /** Notes that the peer of a connection knows no tallies, so that nobody waits for its copy. */
-  noteWithoutTallies(channel: PeerChannel): void {
-    this.channelsWithoutTallies.add(channel);
-    this.checkWaits();
-  }
-
   /** Sends what callers wait for to a peer that has just connected: it counts among those that can hold copies now. */
   noteUp(channel: PeerChannel): void {
     for (const { addition } of this.waits) this.enqueue(channel, addition);
   }
 
-  /** A peer that is gone is no longer waited for, once it had the time to connect again. */
+  /** Drops what was to be sent over a connection that has ended. */
   noteDown(channel: PeerChannel): void {
     this.outboxes.delete(channel);
-    if (this.lacksTallies(channel)) return;
-    const { ports, reconnectMs } = this.dependencies;
-    const holder = holderOf(channel);
-    this.recentlyConnected.set(holder.address, holder);
-    ports.clock.setTimer(reconnectMs, this.forgetConnection.bind(this, holder));
-  }
-
-  /** Whether a peer is known not to know tallies. */
-  private lacksTallies(channel: PeerChannel): boolean {
-    return this.channelsWithoutTallies.has(channel);
   }
 
-  private forgetConnection(holder: CopyHolder): void {
-    if (this.recentlyConnected.get(holder.address) !== holder) return;
-    this.recentlyConnected.delete(holder.address);
-    this.checkWaits();
+  /** Checks what waits by the candidates as they are now. */
+  checkWaits(): void {
+    for (const wait of [...this.waits]) this.checkWait(wait);
   }
 
   /**
@@ -112,7 +81,7 @@
     syncedHere: Promise<Result<void>>,
     timeoutMs: number,
   ): Promise<Result<void>> {
-    for (const channel of this.peers()) this.enqueue(channel, addition);
+    for (const channel of this.dependencies.candidates.peers()) this.enqueue(channel, addition);
     return new Promise(this.waitForCopies.bind(this, addition, syncedHere, timeoutMs));
   }
 
@@ -146,6 +115,12 @@
     this.checkWait(wait);
   }
 
+  /** Notes that the peer of a connection knows no tallies, so that nobody waits for its copy. */
+  noteWithoutTallies(channel: PeerChannel): void {
+    this.dependencies.candidates.noteWithoutTallies(channel);
+    this.checkWaits();
+  }
+
   private enqueue(channel: PeerChannel, addition: Addition): void {
     const outbox = this.outboxes.get(channel) ?? { queue: [], isSending: false };
     this.outboxes.set(channel, outbox);
@@ -181,23 +156,13 @@
     }
   }
 
-  private checkWaits(): void {
-    for (const wait of [...this.waits]) this.checkWait(wait);
-  }
-
   private checkWait(wait: CopyWait): void {
     const { self, losses } = this.dependencies;
     if (!wait.holders.has(self.address)) return;
-    const reachable = new Map([...this.recentlyConnected, ...wait.holders]);
-    for (const channel of this.peers()) reachable.set(channel.peer, holderOf(channel));
     const holders = [...wait.holders.values()];
-    const candidates = [...reachable.values()];
+    const candidates = this.dependencies.candidates.all();
     if (!outlastsLosses(holders, candidates, losses)) return;
     this.copyCounts.noteAcknowledged(holders, requiredCopies(candidates, losses));
     wait.done(Right(undefined));
   }
 }
-
-function holderOf({ peer, hello }: PeerChannel): CopyHolder {
-  return { address: peer, zone: hello?.zone ?? '' };
-}
--- a/src/control/tallies/tallies.ts
+++ b/src/control/tallies/tallies.ts
@@ -14,7 +14,9 @@
 import { Addition, AdditionRun, areRuns, toRuns } from './addition';
 import { AdditionReplication } from './addition-replication';
 import { AdditionSet } from './addition-set';
+import { CopyCandidates } from './copy-candidates';
 import { EMPTY_DIGEST } from './replica-additions';
+import { CopyHolder } from './survivability';
 import { readStoredTallies } from './tally-files';
 import { TallyLog } from './tally-log';
 import {
@@ -51,6 +53,10 @@
   runId: string;
   /** The connections that are up. */
   openChannels: () => PeerChannel[];
+  /** The other voters, connected or not. */
+  otherVoters: () => CopyHolder[];
+  /** Whether there is evidence that a zone is cut off from this controller. */
+  isCutOff: (zone: string) => boolean;
   /** How many controllers there are, this one included, as far as is known. */
   controllerCount: () => number;
   isStopped: () => boolean;
@@ -60,6 +66,7 @@
 export class Tallies {
   private readonly set = new AdditionSet();
   private readonly log: TallyLog;
+  private readonly candidates: CopyCandidates;
   private readonly replication: AdditionReplication;
   private readonly repair: TallyRepair;
   private readonly replica: string;
@@ -77,19 +84,28 @@
     this.replica = `${diskId.slice(0, DISK_ID_CHARACTERS)}-${runId}`;
     this.startedAt = ports.clock.now();
     this.log = new TallyLog(ports, this.set, timeLimits.retryPauseMs);
-    this.replication = new AdditionReplication({
+    const self = { address: settings.wire, zone: settings.zone };
+    this.candidates = new CopyCandidates({
       ports,
-      self: { address: settings.wire, zone: settings.zone },
+      self,
       losses: settings,
       channels: this.controllerChannels.bind(this),
-      requestTimeoutMs,
+      otherVoters: dependencies.otherVoters,
+      isCutOff: dependencies.isCutOff,
       reconnectMs: timeLimits.tallyReconnectMs,
     });
+    this.replication = new AdditionReplication({
+      ports,
+      self,
+      losses: settings,
+      candidates: this.candidates,
+      requestTimeoutMs,
+    });
     this.repair = new TallyRepair({
       ports,
       set: this.set,
       record: this.record.bind(this),
-      channels: this.replication.peers.bind(this.replication),
+      channels: this.candidates.peers.bind(this.candidates),
       onWithoutTallies: this.replication.noteWithoutTallies.bind(this.replication),
       onCompared: this.checkCaughtUp.bind(this),
       intervalMs: timeLimits.tallyCompareMs,
@@ -131,6 +147,7 @@
   noteUp(channel: PeerChannel): void {
     if (!isController(channel)) return;
     this.replication.noteUp(channel);
+    this.candidates.noteChange();
     this.repair.wake();
   }
 
@@ -138,17 +155,25 @@
   noteDown(channel: PeerChannel): void {
     if (isController(channel)) this.replication.noteDown(channel);
     this.repair.noteDown(channel);
+    this.candidates.noteChange();
     this.checkCaughtUp();
   }
 
+  /** Notes that a zone is found cut off, or is reached again. */
+  noteZoneCutChange(): void {
+    this.candidates.noteChange();
+    this.replication.checkWaits();
+  }
+
   /**
    * Adds to a tally, once for each id, and returns when the addition outlasts the losses that are tolerated. Errors:
    * refused where nothing was done, else of unknown effect.
    */
   async add(tally: string, id: string, amount: number, timeoutMs: number): Promise<Result<void>> {
     await this.waitAtBeginning();
+    const areEnoughConnected = await this.candidates.awaitEnough();
     const known = this.set.find(tally, id);
-    const [refusal] = errorOrValue(this.checkAdding(known !== undefined));
+    const [refusal] = errorOrValue(this.checkAdding(known !== undefined, areEnoughConnected));
     if (refusal) return Left(refusal);
     if (known) return this.replication.replicate(known, this.log.flush(), timeoutMs);
     const sequence = ++this.lastSequence;
@@ -232,10 +257,12 @@
   }
 
   /** Whether an addition can be taken now; one that is known needs no more memory. */
-  private checkAdding(isKnown: boolean): Result<void> {
+  private checkAdding(isKnown: boolean, areEnoughConnected: boolean): Result<void> {
     const { settings, timeLimits } = this.dependencies;
     const ready = this.checkReady();
     if (ready.isLeft()) return ready;
+    if (!areEnoughConnected)
+      return failure('add', settings.wire, 'too few controllers connected', 'refused', 'no-quorum');
     const isStalled = this.log.writingForMs() > timeLimits.tallyDiskStallMs;
     if (!this.log.isWritable() || isStalled)
       return failure('add', settings.wire, 'the disk takes no writes', 'refused', 'disk');
--- a/src/shared/settings/time-limits.ts
+++ b/src/shared/settings/time-limits.ts
@@ -21,6 +21,8 @@
   retryPauseMs: number;
   /** An accepted connection from which nothing came for this long is closed. The contact bound (`contactMs`) itself: a machine that is out of touch for longer has no claim to other bounds. */
   idleChannelTimeoutMs: number;
+  /** A zone from which nothing was heard for longer may be cut off. 0.5: several renewals of leases, and longer than a killed process is away. */
+  zoneSilenceMs: number;
   /** A node that lacks a change for longer is logged. 0.5: late enough that it is no ordinary delay, and before the bound. */
   lagLogThresholdMs: number;
 }
@@ -136,7 +138,7 @@
   tallyCatchUpMs: number;
   /** How long the first calls wait while a controller catches up. 0.05: the caller has time for another one. */
   tallyFirstWaitMs: number;
-  /** A controller whose connection has ended is waited for to hold copies for this long. 0.1: connections that were only reset are back, and the caller still waits. */
+  /** Calls wait for this long for controllers that went away to hold copies. 0.1: connections that were only reset are back, and the caller has time for another controller. */
   tallyReconnectMs: number;
   /** A disk that works on one write for longer is given no additions. 0.05: the caller has time for another controller. */
   tallyDiskStallMs: number;
@@ -168,6 +170,7 @@
     connectTimeoutMs: changeBoundMs * 0.2,
     retryPauseMs: changeBoundMs * 0.1,
     idleChannelTimeoutMs: contactMs,
+    zoneSilenceMs: changeBoundMs * 0.5,
     lagLogThresholdMs: changeBoundMs * 0.5,
   };
 }
--- a/test/control/follower-rig.ts
+++ b/test/control/follower-rig.ts
@@ -10,8 +10,8 @@
 /** The time limits of followers. */
 export const BOUNDS = timeLimitsOf({ ...defaultSettings(), strict: false });
 
-/** Starts a router's follower on a machine. */
-export function followAt(rig: CoreRig, router: Proc): Follower {
+/** Starts a router's follower on a machine, in a zone of its own where none is given. */
+export function followAt(rig: CoreRig, router: Proc, zone = router.name): Follower {
   const ports = rig.net.ports(router);
   const address = wireOf(router);
   const hello = {
@@ -19,7 +19,7 @@
     name: router.name,
     role: 'router',
     at: address,
-    zone: router.name,
+    zone,
   };
   const edges: object[] = [new HelloHandlers(hello)];
   void ports.network.listen(address, taken);
@@ -34,7 +34,7 @@
       role: 'router',
       at: address,
       http: address,
-      zone: router.name,
+      zone,
       life: ports.random.uuid().slice(0, 8),
     },
     seeds: rig.core.map(wireOf),
--- a/test/control/tallies-histories.test.ts
+++ b/test/control/tallies-histories.test.ts
@@ -5,8 +5,7 @@
  */
 
 import * as fc from 'fast-check';
-import { CoreRig } from './deploymentrig';
-import { add, cutOff, losePower, NOTICED_MS, startedCore, total } from './tallies-rig';
+import { add, cutOff, losePower, NOTICED_MS, startedCore, TallyRig, total } from './tallies-rig';
 
 const MERGE_MS = 3000;
 const TALLY = 't';
@@ -86,7 +85,7 @@
   private readonly highest = new Map<string, number>();
   private isCut = false;
 
-  constructor(private readonly rig: CoreRig) {}
+  constructor(private readonly rig: TallyRig) {}
 
   async take(one: Step): Promise<void> {
     if (one.kind === 'add') return this.add(one.at, one.id);
--- a/test/control/tallies-rig.ts
+++ b/test/control/tallies-rig.ts
@@ -1,7 +1,8 @@
-/** Applications that add to tallies and read them at the controllers of a simulated core. */
+/** Applications that add to tallies and read them at the controllers of a simulated core, with routers in each zone. */
 
 import { Proc } from '../../tools/sim/process';
 import { CoreRig, Heard, makeCore } from './deploymentrig';
+import { followAt } from './follower-rig';
 
 /** A cut shows at the connections after this: a silent peer is pinged and given up. */
 export const NOTICED_MS = 2000;
@@ -10,13 +11,37 @@
 const START_MS = 4000;
 const STEP_MS = 50;
 
+/** Routers in each zone, from which a controller hears whether the zone is cut off from it. */
+const ROUTERS_PER_ZONE = 2;
+
+/** A simulated core and its routers. */
+export interface TallyRig extends CoreRig {
+  /** By the index of the controller in their zone. */
+  routers: Proc[][];
+}
+
 /** A core of five controllers in five zones, two of which may be lost, after its start. */
-export async function startedCore(seed: number): Promise<CoreRig> {
-  const rig = makeCore(seed, { size: 5, told: { tolerated: 2, toleratedZones: 1 } });
+export async function startedCore(
+  seed: number,
+  routersPerZone = ROUTERS_PER_ZONE,
+): Promise<TallyRig> {
+  const core = makeCore(seed, { size: 5, told: { tolerated: 2, toleratedZones: 1 } });
+  const rig: TallyRig = { ...core, routers: [] };
+  for (const index of rig.core.keys()) rig.routers.push(startRouters(rig, index, routersPerZone));
   while (rig.w.now() < START_MS) await rig.pass(STEP_MS);
   return rig;
 }
 
+function startRouters(rig: CoreRig, zoneIndex: number, count: number): Proc[] {
+  const routers: Proc[] = [];
+  for (let i = 1; i <= count; i++) {
+    const router = rig.w.proc(`edge-${zoneIndex}-${i}`, `10.2.${zoneIndex}.${i}`);
+    followAt(rig, router, rig.core[zoneIndex].name);
+    routers.push(router);
+  }
+  return routers;
+}
+
 /** Adds to a tally at one controller; nothing comes where it is silent for a second. */
 export function add(
   rig: CoreRig,
@@ -59,11 +84,22 @@
   return read;
 }
 
-/** Cuts some controllers off from the others, both ways, or joins them again. */
-export function cutOff(rig: CoreRig, side: readonly number[], isCut: boolean): void {
-  for (const [index, proc] of rig.core.entries())
-    for (const [otherIndex, other] of rig.core.entries())
-      if (side.includes(index) !== side.includes(otherIndex)) rig.w.cut(proc.ip, other.ip, isCut);
+/** Cuts the zones of some controllers off from the others, both ways, or joins them again. */
+export function cutOff(rig: TallyRig, side: readonly number[], isCut: boolean): void {
+  for (const index of rig.core.keys())
+    for (const otherIndex of rig.core.keys())
+      if (side.includes(index) !== side.includes(otherIndex))
+        cutZones(rig, index, otherIndex, isCut);
+}
+
+/** Cuts the packets from one zone to another, or lets them pass again. */
+export function cutZones(rig: TallyRig, from: number, to: number, isCut: boolean): void {
+  for (const sender of machinesOf(rig, from))
+    for (const receiver of machinesOf(rig, to)) rig.w.cut(sender.ip, receiver.ip, isCut);
+}
+
+function machinesOf(rig: TallyRig, zoneIndex: number): Proc[] {
+  return [rig.core[zoneIndex], ...rig.routers[zoneIndex]];
 }
 
 /** Ends the processes of controllers by a loss of power, some with their disks, and starts them again after a while. */
@@ -75,6 +111,16 @@
   for (const proc of procs) rig.w.kill(proc, true);
   for (const proc of wiped) proc.files.clear();
   await rig.pass(500);
+  restart(rig, procs);
+}
+
+/** Kills the processes of controllers; their disks remain. */
+export function killProcesses(rig: CoreRig, procs: readonly Proc[]): void {
+  for (const proc of procs) rig.w.kill(proc, false);
+}
+
+/** Starts the processes of controllers again. */
+export function restart(rig: CoreRig, procs: readonly Proc[]): void {
   for (const proc of procs) {
     rig.controllers.delete(proc.name);
     rig.w.revive(proc);
