--- a/test/control/tallies-lost-controllers.test.ts
+++ b/test/control/tallies-lost-controllers.test.ts
@@ -4,6 +4,7 @@
  */
 
 import { Proc } from '../../tools/sim/process';
+import { LOSSES, loseDisk } from './controller-losses';
 import {
   cutOff,
   cutZones,
@@ -24,61 +25,6 @@
 const ROUTER_COUNTS = [0, 2];
 const HELD_UP_MS = 6000;
 
-/** How controllers go, and how they come back. */
-interface Loss {
-  take: (rig: TallyRig, procs: readonly Proc[]) => void;
-  giveBack: (rig: TallyRig, procs: readonly Proc[]) => void;
-}
-
-const LOSSES: Record<string, Loss> = {
-  'killed processes': { take: killProcesses, giveBack: restart },
-  'lost power': { take: cutPower, giveBack: restart },
-  'frozen processes': { take: freeze, giveBack: thaw },
-  'stalled disks': { take: stall, giveBack: unstall },
-  'links of the core alone': { take: cutCoreLinks, giveBack: joinCoreLinks },
-};
-
-function cutPower(rig: TallyRig, procs: readonly Proc[]): void {
-  for (const proc of procs) rig.w.kill(proc, true);
-}
-
-function freeze(rig: TallyRig, procs: readonly Proc[]): void {
-  for (const proc of procs) rig.w.freeze(proc);
-}
-
-function thaw(rig: TallyRig, procs: readonly Proc[]): void {
-  for (const proc of procs) rig.w.wake(proc);
-}
-
-function stall(rig: TallyRig, procs: readonly Proc[]): void {
-  for (const proc of procs) rig.w.stall(proc, true);
-}
-
-function unstall(rig: TallyRig, procs: readonly Proc[]): void {
-  for (const proc of procs) rig.w.stall(proc, false);
-}
-
-function setCoreLinks(rig: TallyRig, procs: readonly Proc[], isCut: boolean): void {
-  for (const proc of procs)
-    for (const other of rig.core) {
-      rig.w.cut(proc.ip, other.ip, isCut);
-      rig.w.cut(other.ip, proc.ip, isCut);
-    }
-}
-
-function cutCoreLinks(rig: TallyRig, procs: readonly Proc[]): void {
-  setCoreLinks(rig, procs, true);
-}
-
-function joinCoreLinks(rig: TallyRig, procs: readonly Proc[]): void {
-  setCoreLinks(rig, procs, false);
-}
-
-function loseDisk(rig: TallyRig, proc: Proc): void {
-  rig.w.kill(proc, true);
-  proc.files.clear();
-}
-
 /** Adds to a tally at one controller, each time by another id; the sum of what is acknowledged. */
 class Additions {
   acknowledged = 0;
