--- a/src/control/tallies/copy-candidates.ts
+++ b/src/control/tallies/copy-candidates.ts
@@ -58,7 +58,16 @@
     return [...candidates.values()];
   }
 
-  /** Whether enough are connected; where they ceased to be a moment ago, that is waited for. */
+  /** Whether enough are connected now. */
+  areEnoughConnected(): boolean {
+    const { ports, self, losses } = this.dependencies;
+    const connected = [self, ...this.peers().map(holderOf)];
+    const areEnough = outlastsLosses(connected, this.all(), losses);
+    this.shortSince = areEnough ? undefined : (this.shortSince ?? ports.clock.now());
+    return areEnough;
+  }
+
+  /** Waits until enough are connected; false where they are not within `reconnectMs` of when they ceased to be. */
   async awaitEnough(): Promise<boolean> {
     const { clock } = this.dependencies.ports;
     while (!this.areEnoughConnected()) {
@@ -75,14 +84,6 @@
     for (const resolve of [...this.changeWaits]) resolve();
   }
 
-  private areEnoughConnected(): boolean {
-    const { ports, self, losses } = this.dependencies;
-    const connected = [self, ...this.peers().map(holderOf)];
-    const areEnough = outlastsLosses(connected, this.all(), losses);
-    this.shortSince = areEnough ? undefined : (this.shortSince ?? ports.clock.now());
-    return areEnough;
-  }
-
   private awaitChange(timeoutMs: number): Promise<void> {
     const { clock } = this.dependencies.ports;
     const { changeWaits } = this;
--- a/src/control/tallies/tallies.ts
+++ b/src/control/tallies/tallies.ts
@@ -171,7 +171,8 @@
    */
   async add(tally: string, id: string, amount: number, timeoutMs: number): Promise<Result<void>> {
     await this.waitAtBeginning();
-    const areEnoughConnected = await this.candidates.awaitEnough();
+    const areEnoughConnected =
+      this.candidates.areEnoughConnected() || (await this.candidates.awaitEnough());
     const known = this.set.find(tally, id);
     const [refusal] = errorOrValue(this.checkAdding(known !== undefined, areEnoughConnected));
     if (refusal) return Left(refusal);
