--- a/src/control/api/configuration-api.ts
+++ b/src/control/api/configuration-api.ts
@@ -10,12 +10,12 @@
 import { CONTROL_KEYS } from '../../shared/state/control-keys';
 import { IntentsValue } from '../../shared/state/intents';
 import { NamedWeights } from '../../shared/state/weights';
-import { findUncarriable } from '../../shared/util/stored-text';
-import { httpHandler, readBodyAs, sendError, sendJson } from '../../shared/transport/http-handlers';
+import { httpHandler, sendError, sendJson } from '../../shared/transport/http-handlers';
 import { sha256Hex } from '../../shared/util/hashing';
 import { validateIntents } from '../configuration/intents-validation';
 import { Operation, TenantKeys } from '../configuration/operations';
 import { Controller } from '../controller-interface';
+import { readChangeBodyAs } from './change-body';
 import {
   currentRevision,
   parseChangeName,
@@ -51,13 +51,7 @@
   @httpHandler('PUT', '/v1/intents')
   async putIntents(call: IncomingRequest): Promise<void> {
     const { bodyMostBytes } = this.controller.settings;
-    const request = await readBodyAs(
-      call,
-      ApplyIntentsRequest,
-      bodyMostBytes,
-      'apply',
-      findUncarriable,
-    );
+    const request = await readChangeBodyAs(call, ApplyIntentsRequest, bodyMostBytes, 'apply');
     if (!request) return;
     const validated = validateIntents(request.intents);
     if (validated.isLeft())
@@ -131,13 +125,7 @@
   async putWeights(call: IncomingRequest, model: string): Promise<void> {
     if (!isId(model)) return sendError(call, 400, 'refused', 'bad-name', 'the model is not a name');
     const { bodyMostBytes } = this.controller.settings;
-    const request = await readBodyAs(
-      call,
-      NameWeightsRequest,
-      bodyMostBytes,
-      'name weights',
-      findUncarriable,
-    );
+    const request = await readChangeBodyAs(call, NameWeightsRequest, bodyMostBytes, 'name weights');
     if (!request) return;
     const { weights } = request;
     if (!isId(weights))
--- a/src/control/api/deployment-api.ts
+++ b/src/control/api/deployment-api.ts
@@ -3,18 +3,18 @@
  */
 
 import { EvacuationCall, PlatformAdapter } from '../../shared/platform-adapter/platform-adapter';
-import { sendError, sendJson, readJsonBody } from '../../shared/transport/http-handlers';
+import { sendError, sendJson } from '../../shared/transport/http-handlers';
 import { errorOrValue, Result } from '../../shared/errors/errors';
 import { IncomingRequest, Listener } from '../../shared/ports/network';
 import { Ports } from '../../shared/ports/ports';
 import { DeploymentValue } from '../../shared/state/deployment';
-import { findUncarriable } from '../../shared/util/stored-text';
 import { CONTROL_KEYS } from '../../shared/state/control-keys';
 import { makeOperatorListener } from './operator-api';
 import { EvacuationChanges } from './evacuation-changes';
 import { isZoneUnknown } from './evacuation-plan';
 import { RetriedChanges } from './retried-changes';
 import { Controller } from '../controller-interface';
+import { readChangeBody } from './change-body';
 import { makeDeploymentOperation } from '../configuration/deployment-change';
 import { TalliesApi } from './tallies-api';
 
@@ -59,7 +59,7 @@
   /** Replaces or updates the deployment, on the version that the headers name as its base. */
   async putDeployment(call: IncomingRequest): Promise<void> {
     if (call.method !== 'POST') return sendError(call, 405, 'refused', 'bad-method', call.method);
-    const body = await readJsonBody(call, this.controller.settings.bodyMostBytes, findUncarriable);
+    const body = await readChangeBody(call, this.controller.settings.bodyMostBytes);
     if (body === undefined) return;
     const { operators } = this.dialect;
     const base = operators.baseVersion(call.headers);
@@ -76,7 +76,7 @@
   /** Names the weights of a model; naming the same ones again succeeds. */
   async nameWeights(call: IncomingRequest): Promise<void> {
     if (call.method !== 'POST') return sendError(call, 405, 'refused', 'bad-method', call.method);
-    const body = await readJsonBody(call, this.controller.settings.bodyMostBytes, findUncarriable);
+    const body = await readChangeBody(call, this.controller.settings.bodyMostBytes);
     if (body === undefined) return;
     const parsed = this.dialect.operators.weights(body);
     if (parsed.isLeft())
--- a/src/control/api/tallies-api.ts
+++ b/src/control/api/tallies-api.ts
@@ -6,10 +6,10 @@
 import { errorOrValue, OperationError } from '../../shared/errors/errors';
 import { PlatformAdapter, TallyCall } from '../../shared/platform-adapter/platform-adapter';
 import { IncomingRequest } from '../../shared/ports/network';
-import { findUncarriable } from '../../shared/util/stored-text';
-import { readJsonBody, sendError, sendJson } from '../../shared/transport/http-handlers';
+import { sendError, sendJson } from '../../shared/transport/http-handlers';
 import { Controller } from '../controller-interface';
 import { Tallies } from '../tallies/tallies';
+import { readChangeBody } from './change-body';
 import { replyTimeoutMs } from './reply-timeout';
 
 /** The HTTP methods of the calls. */
@@ -37,7 +37,7 @@
   }
 
   private async add(call: IncomingRequest, tally: string): Promise<void> {
-    const body = await readJsonBody(call, MAX_BODY_BYTES, findUncarriable);
+    const body = await readChangeBody(call, MAX_BODY_BYTES);
     if (body === undefined) return;
     const addition = this.dialect.operators.tallyAddition(body);
     if (addition.isLeft())
--- a/src/control/consensus/acceptor.ts
+++ b/src/control/consensus/acceptor.ts
@@ -14,6 +14,7 @@
 import {
   compareEpochs,
   compareVersions,
+  describeVersion,
   VersionedValue,
   Version,
 } from '../../shared/state/versions';
@@ -161,7 +162,7 @@
     const { key, epoch, by: owner, number } = change;
     this.ports.logger.info(
       { event: 'consensus.value-learned', key, epoch, owner, number },
-      `${key} ${epoch}.${number}`,
+      `${key} ${describeVersion(change)}`,
     );
     return Right({ disk: this.store.diskId });
   }
--- a/src/control/membership/zone-cut-detector.ts
+++ b/src/control/membership/zone-cut-detector.ts
@@ -5,6 +5,7 @@
  * machines, several of which, that run a router and no controller, fell silent together.
  */
 
+import { checkPeriodically } from '../../shared/concurrency/periodic-checks';
 import { Ports } from '../../shared/ports/ports';
 import { Hello } from '../../shared/transport/hello';
 import { PeerChannel } from '../../shared/transport/peer-channel';
@@ -14,8 +15,6 @@
 const ROUTER_ROLE = 'router';
 /** Checks in the time that a zone must be silent for. */
 const CHECKS_PER_SILENCE = 4;
-/** A check that comes later than this ratio of its interval after the one before tells that this process was held up. */
-const MAX_CHECK_DELAY_RATIO = 2;
 /** Machines with a router and no controller that must have fallen silent together. */
 const MIN_SILENT_MACHINES = 2;
 
@@ -86,17 +85,10 @@
   }
 
   /** Checks again and again until the controller is stopped. */
-  async run(): Promise<void> {
+  run(): Promise<void> {
     const { ports, silenceMs, isStopped } = this.dependencies;
     const intervalMs = silenceMs / CHECKS_PER_SILENCE;
-    let previousCheckAt = ports.clock.now();
-    while (!isStopped()) {
-      await ports.clock.sleep(intervalMs);
-      const now = ports.clock.now();
-      if (now - previousCheckAt > intervalMs * MAX_CHECK_DELAY_RATIO) this.runningSince = now;
-      previousCheckAt = now;
-      this.check(now);
-    }
+    return checkPeriodically(ports.clock, intervalMs, isStopped, this.check.bind(this));
   }
 
   /** Whether a zone is cut off, by all that was heard until now. */
@@ -113,7 +105,8 @@
     return names.sort();
   }
 
-  private check(now: number): void {
+  private check(now: number, wasHeldUp: boolean): void {
+    if (wasHeldUp) this.runningSince = now;
     this.readChannels();
     for (const [zone, contact] of this.zones) this.checkZone(zone, contact, now);
   }
--- a/src/control/storage/control-store.ts
+++ b/src/control/storage/control-store.ts
@@ -7,18 +7,13 @@
 import { errorOrValue, Result } from '../../shared/errors/errors';
 import { Delta } from '../../shared/replication/delta';
 import { Ports } from '../../shared/ports/ports';
-import { Version } from '../../shared/state/versions';
+import { describeVersion } from '../../shared/state/versions';
 import { KeyJournal, makeKeyJournal } from '../../shared/replication/key-journal';
 import { applyLogEntry, RegisterState, LogEntry, encodeLogEntry } from './register-state';
 import { DecodedFrames, decodeFrames } from './frames';
 import { awaitFirstWrite } from './group-commit';
-import {
-  DataLoss,
-  LogEntryPlace,
-  recoverStore,
-  RecoveredStore,
-  StoreState,
-} from './store-recovery';
+import { DataLoss, LogEntryPlace, RecoveredStore, StoreState } from './recovered-store';
+import { recoverStore } from './store-recovery';
 import { StoreWriter } from './store-writer';
 import { SyncedReader } from './synced-read';
 import { StoredVotes } from './vote-files';
@@ -163,16 +158,11 @@
 function placeFields({ key, version, base }: LogEntryPlace): Record<string, unknown> {
   return {
     key,
-    version: version && versionText(version),
-    base: base && versionText(base),
+    version: version && describeVersion(version),
+    base: base && describeVersion(base),
   };
 }
 
-/** A version as it is logged. */
-function versionText({ epoch, number }: Version): string {
-  return `${epoch}.${number}`;
-}
-
 function makeControlStore(
   state: StoreState,
   registers: Map<string, RegisterState>,
--- a/src/control/storage/store-writer.ts
+++ b/src/control/storage/store-writer.ts
@@ -16,7 +16,7 @@
   StoredLogEntry,
   StoredRegisterState,
 } from './register-state';
-import { StoreState, StoredBootstrap, StoredLogHeader, StoredSnapshot } from './store-recovery';
+import { StoreState, StoredBootstrap, StoredLogHeader, StoredSnapshot } from './recovered-store';
 import { SyncedReader } from './synced-read';
 import { WrittenContents } from './written-contents';
 
--- a/src/data/gateway/in-flight-requests.ts
+++ b/src/data/gateway/in-flight-requests.ts
@@ -36,8 +36,8 @@
   | 'retry-budget'
   | 'time-up';
 
-/** Lines that are logged within `contactMs`; cut-offs beyond them are counted in the next line. */
-const MAX_LOG_LINES = 20;
+/** Lines of one event that are logged within `contactMs`, or at once; what is beyond them is counted in the other lines. */
+export const MAX_LOG_LINES = 20;
 
 function rounded(ms: number | undefined): number | undefined {
   return ms === undefined ? undefined : Math.round(ms);
--- a/src/data/gateway/overdue-requests.ts
+++ b/src/data/gateway/overdue-requests.ts
@@ -5,12 +5,10 @@
 import { Clock } from '../../shared/ports/clock';
 import { Logger } from '../../shared/ports/logger';
 import { Settings } from '../../shared/settings/settings';
-import { InFlightRequest, InFlightRequests } from './in-flight-requests';
+import { InFlightRequest, InFlightRequests, MAX_LOG_LINES } from './in-flight-requests';
 
 /** How long after its time a request counts as overdue, as a ratio of `transitMs`. */
 const OVERDUE_RATIO = 2;
-/** Lines that are logged at once; overdue requests beyond them are counted in the last line. */
-const MAX_LOG_LINES = 20;
 
 /** Whom an overdue request waits for: the engine of its newest attempt, or its caller, who has not read the answer yet. */
 type AwaitedPeer = 'engine' | 'caller';
--- a/src/shared/state/versions.ts
+++ b/src/shared/state/versions.ts
@@ -30,3 +30,8 @@
   if (a.by === b.by) return 0;
   return a.by > b.by ? 1 : -1;
 }
+
+/** A version as it is logged, without its owner. */
+export function describeVersion({ epoch, number }: Version): string {
+  return `${epoch}.${number}`;
+}
--- a/test/control/storage-log-deltas.test.ts
+++ b/test/control/storage-log-deltas.test.ts
@@ -10,7 +10,8 @@
 } from '../../src/control/storage/control-store';
 import { DecodedFrames, decodeFrames, encodeFrame } from '../../src/control/storage/frames';
 import { StoredLogEntry } from '../../src/control/storage/register-state';
-import { RecoveredStore, recoverStore } from '../../src/control/storage/store-recovery';
+import { RecoveredStore } from '../../src/control/storage/recovered-store';
+import { recoverStore } from '../../src/control/storage/store-recovery';
 import { Acceptor } from '../../src/control/consensus/acceptor';
 import { makeKeyOwner } from '../../src/control/consensus/key-owner';
 import { makeDelta, versionOf } from '../../src/shared/replication/delta';
--- a/test/control/uncarriable-changes.test.ts
+++ b/test/control/uncarriable-changes.test.ts
@@ -4,7 +4,7 @@
 
 import fc from 'fast-check';
 import { pack, unpack } from 'msgpackr';
-import { findUncarriable } from '../../src/shared/util/stored-text';
+import { findUncarriable } from '../../src/shared/util/uncarriable-values';
 import { isIdentical } from '../../src/shared/util/identical';
 import { begin, CoreRig, described, documentOf, insisted, PATHS, post } from './deploymentrig';
 
