--- a/test/control/tallies-lost-controllers.test.ts
+++ b/test/control/tallies-lost-controllers.test.ts
@@ -207,6 +207,27 @@
   expect(await totals(rig, 't')).toEqual(Array(5).fill(1));
 }
 
+// Guards against LOST and SHORT: a controller that starts in a cut knows nothing of the other zones; it refuses, and goes on after the heal.
+async function aStartInTheMiddleOfACut(): Promise<void> {
+  const rig = await startedCore(69);
+  const additions = new Additions(rig);
+  const [first] = rig.core;
+  expect(await additions.add(0, 1)).toBe(200);
+  cutOff(rig, [0], true);
+  await rig.pass(NOTICED_MS);
+  expect(await additions.add(0, 1)).toBe(200);
+  killProcesses(rig, [first]);
+  restart(rig, [first]);
+  await rig.pass(MERGE_MS);
+  expect(await additions.add(0, 100)).toBe(503);
+  expect(await additions.add(1, 1)).toBe(200);
+  cutOff(rig, [0], false);
+  await rig.pass(MERGE_MS);
+  expect(await additions.add(0, 1)).toBe(200);
+  await rig.pass(MERGE_MS);
+  expect(await totals(rig, 't')).toEqual(Array(5).fill(4));
+}
+
 for (const name of Object.keys(LOSSES))
   for (const count of ROUTER_COUNTS) {
     test(
@@ -223,4 +244,5 @@
 test('a healed cut is no cut', aHealedCutIsNoCut);
 test('zones whose routers are gone', zonesWhoseRoutersAreGone);
 test('cut zones go on', cutZonesGoOn);
+test('a start in the middle of a cut', aStartInTheMiddleOfACut);
 test('a refusal does nothing', aRefusalDoesNothing);
