--- a/src/control/api/cluster-api.ts
+++ b/src/control/api/cluster-api.ts
@@ -87,6 +87,7 @@
       `plumhollow_controller_disk_fit ${store.isWritable() ? 1 : 0}`,
       `plumhollow_controller_intents_revision ${currentRevision(controller)}`,
       `plumhollow_controller_evacuated_zones ${evacuatedZones(controller).length}`,
+      `plumhollow_controller_cut_off_zones ${controller.cutOffZones().length}`,
       ...leases.lagRows(),
       ...controller.permits.metricRows(),
       ...voterMetricRows(await readVoterStatus(controller)),
--- a/src/control/controller-interface.ts
+++ b/src/control/controller-interface.ts
@@ -54,6 +54,8 @@
   leases: LeaseRegistry;
   permits: WarmUpPermits;
   votes: IdempotencyVotes;
+  /** The zones that are found to be cut off from this controller. */
+  cutOffZones: () => string[];
   /** Where a platform's dialect is spoken: only its applications keep tallies. */
   tallies?: Tallies;
   keyOwner: KeyOwner;
--- a/src/control/controller-node.ts
+++ b/src/control/controller-node.ts
@@ -251,6 +251,10 @@
     return this.stopped;
   }
 
+  cutOffZones(): string[] {
+    return this.zoneCuts.cutOffZones();
+  }
+
   private makeVoterTransport(): VoterTransport {
     return {
       ownerId: this.ownerId,
