--- a/test/control/tallies-lost-controllers.test.ts
+++ b/test/control/tallies-lost-controllers.test.ts
@@ -39,7 +39,13 @@
     return status;
   }
 
-  async expectAll(): Promise<void> {
+  /** Some disks are lost, the other controllers come back first, and all that was acknowledged is read. */
+  async expectAllAfterLoss(lost: readonly Proc[], giveBack: () => void): Promise<void> {
+    for (const proc of lost) loseDisk(this.rig, proc);
+    giveBack();
+    await this.rig.pass(100);
+    restart(this.rig, lost);
+    await this.rig.pass(RECOVERY_MS + MERGE_MS);
     for (const total of await totals(this.rig, 't'))
       expect(total).toBeGreaterThanOrEqual(this.acknowledged);
   }
@@ -57,12 +63,7 @@
     take(rig, others);
     await rig.pass(CALLS_AFTER_MS[round % CALLS_AFTER_MS.length]);
     for (let i = 0; i < 3; i++) await additions.add(left, 100);
-    loseDisk(rig, rig.core[left]);
-    giveBack(rig, others);
-    await rig.pass(100);
-    restart(rig, [rig.core[left]]);
-    await rig.pass(RECOVERY_MS + MERGE_MS);
-    await additions.expectAll();
+    await additions.expectAllAfterLoss([rig.core[left]], giveBack.bind(undefined, rig, others));
   }
 }
 
@@ -80,12 +81,7 @@
   take(rig, others);
   await rig.pass(NOTICED_MS);
   for (let i = 0; i < 4; i++) await additions.add(i % 2, 100);
-  for (const proc of [first, second]) loseDisk(rig, proc);
-  giveBack(rig, others);
-  await rig.pass(100);
-  restart(rig, [first, second]);
-  await rig.pass(RECOVERY_MS + MERGE_MS);
-  await additions.expectAll();
+  await additions.expectAllAfterLoss([first, second], giveBack.bind(undefined, rig, others));
 }
 
 // Guards against LOST: a controller that starts while no other runs acknowledges before it has met any.
@@ -101,12 +97,7 @@
       await additions.add(0, 100);
       await rig.pass(MERGE_MS / 6);
     }
-    loseDisk(rig, first);
-    restart(rig, others);
-    await rig.pass(100);
-    restart(rig, [first]);
-    await rig.pass(RECOVERY_MS + MERGE_MS);
-    await additions.expectAll();
+    await additions.expectAllAfterLoss([first], restart.bind(undefined, rig, others));
   }
 }
 
@@ -125,12 +116,7 @@
       await additions.add(0, 100);
       await rig.pass(40);
     }
-    loseDisk(rig, first);
-    restart(rig, others);
-    await rig.pass(100);
-    restart(rig, [first]);
-    await rig.pass(RECOVERY_MS + MERGE_MS);
-    await additions.expectAll();
+    await additions.expectAllAfterLoss([first], restart.bind(undefined, rig, others));
   }
 }
 
@@ -147,12 +133,7 @@
   killProcesses(rig, others);
   await rig.pass(NOTICED_MS);
   for (let i = 0; i < 3; i++) await additions.add(0, 100);
-  loseDisk(rig, first);
-  restart(rig, others);
-  await rig.pass(100);
-  restart(rig, [first]);
-  await rig.pass(RECOVERY_MS + MERGE_MS);
-  await additions.expectAll();
+  await additions.expectAllAfterLoss([first], restart.bind(undefined, rig, others));
 }
 
 // Guards against LOST: routers that ended long ago are no evidence that their zone is cut off when its controller goes.
@@ -166,12 +147,7 @@
   killProcesses(rig, others);
   await rig.pass(2 * NOTICED_MS);
   for (let i = 0; i < 3; i++) expect(await additions.add(0, 100)).toBe(503);
-  loseDisk(rig, first);
-  restart(rig, others);
-  await rig.pass(100);
-  restart(rig, [first]);
-  await rig.pass(RECOVERY_MS + MERGE_MS);
-  await additions.expectAll();
+  await additions.expectAllAfterLoss([first], restart.bind(undefined, rig, others));
 }
 
 // Guards against SHORT: a zone that is cut off, both ways or one way, several times, goes on with one copy.
--- a/test/data/gateway-fixture.ts
+++ b/test/data/gateway-fixture.ts
@@ -16,6 +16,9 @@
 import { CONTROL_KEYS } from '../../src/shared/state/control-keys';
 import { VersionedValue } from '../../src/shared/state/versions';
 
+/** Settings whose retry budget no test uses up. */
+export const AMPLE_RETRY_BUDGET = { retryWindowMs: 1, retrySlack: 1000 };
+
 /** What a stand-in engine was asked, and its answer to be given. */
 export interface EngineCall {
   req: nodeHttp.IncomingMessage;
--- a/test/data/gateway-late-bytes.test.ts
+++ b/test/data/gateway-late-bytes.test.ts
@@ -1,5 +1,6 @@
 import net from 'node:net';
 import {
+  AMPLE_RETRY_BUDGET,
   sendRequest,
   deployment,
   GatewayFixture,
@@ -102,7 +103,7 @@
       route({ kind: 'unsafe' }),
       route({ name: 's', prefix: '/s/', kind: 'safe' }),
     ]),
-    settings: { retryWindowMs: 1, retrySlack: 1000 },
+    settings: AMPLE_RETRY_BUDGET,
   });
   rig.publishEngines(engines);
   function count(): number {
--- a/test/data/gateway-silent-engines.test.ts
+++ b/test/data/gateway-silent-engines.test.ts
@@ -1,6 +1,7 @@
 import { makeRawHttpNetwork } from '../../src/shared/system/raw-http';
 import { makeSystemNetwork } from '../../src/shared/system/tcp-network';
 import {
+  AMPLE_RETRY_BUDGET,
   sendRequest,
   deployment,
   EngineCall,
@@ -11,7 +12,6 @@
   streamEvents,
 } from './gateway-fixture';
 
-const roomy = { retryWindowMs: 1, retrySlack: 1000 };
 const QUICK = { resumable: true, aimMs: 30, gapAimMs: 10, maxAttempts: 2 };
 
 function turn(): Promise<void> {
@@ -46,7 +46,7 @@
   const rig = await startGatewayFixture({
     engines: [e],
     deployment: deployment([route(QUICK)]),
-    settings: roomy,
+    settings: AMPLE_RETRY_BUDGET,
   });
   const got = sendRequest(rig.address);
   while (finish === undefined) await turn();
@@ -73,7 +73,7 @@
   const rig = await startGatewayFixture({
     engines: [a, b],
     deployment: deployment([route(QUICK)]),
-    settings: roomy,
+    settings: AMPLE_RETRY_BUDGET,
   });
   const got = sendRequest(rig.address);
   while (running === undefined) await turn();
--- a/test/data/gateway-switched-protocols.test.ts
+++ b/test/data/gateway-switched-protocols.test.ts
@@ -3,6 +3,7 @@
  */
 
 import {
+  AMPLE_RETRY_BUDGET,
   deployment,
   EngineCall,
   engineHeaders,
@@ -13,7 +14,6 @@
   streamEvents,
 } from './gateway-fixture';
 
-const ROOMY = { retryWindowMs: 1, retrySlack: 1000 };
 const ANSWER = streamEvents(2);
 /** Well below the time of a request, which is 2 s. */
 const SOON_MS = 1500;
@@ -40,7 +40,7 @@
   const rig = await startGatewayFixture({
     engines: [engine],
     deployment: deployment([route({ kind: 'unsafe', maxAttempts: 1 })]),
-    settings: ROOMY,
+    settings: AMPLE_RETRY_BUDGET,
   });
   const startedAt = performance.now();
   expect(await sendRequest(rig.address)).toMatchObject({ status: 502, isComplete: true });
@@ -56,7 +56,7 @@
   const rig = await startGatewayFixture({
     engines: [engine, other],
     deployment: deployment([route({ kind: 'safe', maxAttempts: 3 })]),
-    settings: ROOMY,
+    settings: AMPLE_RETRY_BUDGET,
   });
   const outcomes = [await sendRequest(rig.address), await sendRequest(rig.address)];
   expect(outcomes.map(statusOf).sort()).toEqual([200, 502]);
@@ -74,7 +74,7 @@
   const rig = await startGatewayFixture({
     engines: [engine],
     deployment: deployment([route({ kind: 'unsafe', maxAttempts: 1 })]),
-    settings: ROOMY,
+    settings: AMPLE_RETRY_BUDGET,
   });
   const startedAt = performance.now();
   expect(await sendRequest(rig.address)).toMatchObject({ status: 502, isComplete: true });
--- a/test/data/gateway-uncertain-attempts.test.ts
+++ b/test/data/gateway-uncertain-attempts.test.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import {
+  AMPLE_RETRY_BUDGET,
   sendRequest,
   deployment,
   EngineCall,
@@ -15,8 +16,6 @@
 
 const FIVE = streamOf(1, 5);
 
-const roomy = { retryWindowMs: 1, retrySlack: 1000 };
-
 function streamOf(from: number, to: number): string {
   let out = '';
   for (let i = from; i <= to; i++) out += `id: ${i}\ndata: piece ${i}\n\n`;
@@ -44,7 +43,7 @@
   const rig = await startGatewayFixture({
     engines: [e, other],
     deployment: deployment([route({})]),
-    settings: roomy,
+    settings: AMPLE_RETRY_BUDGET,
   });
   const got = await sendRequest(rig.address);
   expect(got).toMatchObject({ status: 200, isComplete: false });
@@ -58,7 +57,7 @@
   const rig = await startGatewayFixture({
     engines: [a, b],
     deployment: deployment([route({ resumable: true })]),
-    settings: roomy,
+    settings: AMPLE_RETRY_BUDGET,
   });
   for (let i = 0; i < 4; i++) {
     const got = await sendRequest(rig.address);
@@ -95,7 +94,7 @@
   const rig = await startGatewayFixture({
     engines: [a, b],
     deployment: deployment([route({ resumable: true })]),
-    settings: roomy,
+    settings: AMPLE_RETRY_BUDGET,
   });
   expect(await sendRequest(rig.address)).toMatchObject({ body: streamOf(1, 2), isComplete: false });
   expect({ a: a.calls.length, b: b.calls.length }).toEqual({ a: 1, b: 1 });
@@ -151,7 +150,7 @@
   const rig = await startGatewayFixture({
     engines: [a, b],
     deployment: deployment([route({})]),
-    settings: roomy,
+    settings: AMPLE_RETRY_BUDGET,
   });
   for (let i = 0; i < 6; i++)
     expect(await sendRequest(rig.address)).toMatchObject({ status: 200, body: FIVE });
@@ -216,7 +215,7 @@
   const rig = await startGatewayFixture({
     engines: [a, b],
     deployment: deployment([route({ resumable: true, aimMs: 30, gapAimMs: 10 })]),
-    settings: roomy,
+    settings: AMPLE_RETRY_BUDGET,
   });
   for (let i = 0; i < 3; i++)
     expect(await sendRequest(rig.address)).toMatchObject({
@@ -270,7 +269,7 @@
     const rig = await startGatewayFixture({
       engines: [a, b],
       deployment: deployment([route({})]),
-      settings: roomy,
+      settings: AMPLE_RETRY_BUDGET,
     });
     expect((await sendRequest(rig.address)).status).toBe(502);
     expect(a.calls.length + b.calls.length).toBe(1);
