--- a/tools/fleet/machines.ts
+++ b/tools/fleet/machines.ts
@@ -124,7 +124,8 @@
     if (p.of.data !== undefined) mkdirSync(p.of.data, { recursive: true });
     writeFileSync(file, settingsText(site, { ...p.of, bootstrap: p.life === 0 }));
     p.life++;
-    const child = spawn(process.execPath, [...cuts.nodeFlags, p.program], {
+    const flags = [...cuts.nodeFlags, ...(site.nodeFlags ?? [])];
+    const child = spawn(process.execPath, [...flags, p.program], {
       stdio: ['ignore', 'pipe', 'pipe'],
       cwd: folder,
       env: {
--- a/tools/standins/platform/settingsfile.ts
+++ b/tools/standins/platform/settingsfile.ts
@@ -2,7 +2,7 @@
  * The settings file that the platform gives a process.
  */
 
-import { Site } from './site';
+import { PROCESS_LIMITS, Site } from './site';
 
 const POLICIES = [
   'base',
@@ -63,12 +63,13 @@
       `readiness = "${p.ip}:${site.ports.readiness}"`,
     );
   if (p.serves.includes('control_plane')) lines.push(`control = "${p.ip}:${site.ports.control}"`);
+  const { memoryMb, maxOpenFiles } = site.limits ?? PROCESS_LIMITS;
   lines.push(
     '[limits]',
     'cpuShare = 0.81',
     'cpuCores = 2',
-    'memoryMb = 350',
-    'maxOpenFiles = 4096',
+    `memoryMb = ${memoryMb}`,
+    `maxOpenFiles = ${maxOpenFiles}`,
     'bandwidthMbps = 1000.0',
     `diskMb = ${p.data === undefined ? 0 : 128}`,
   );
--- a/tools/standins/platform/site.ts
+++ b/tools/standins/platform/site.ts
@@ -33,9 +33,22 @@
   clientRestMs?: number;
   /** Where its zones may be cut apart. */
   apart?: ApartSheet;
+  /** What each process may use; the users' own figures where it is not given. */
+  limits?: ProcessLimits;
+  /** Flags of Node for each process. */
+  nodeFlags?: readonly string[];
   ports: Ports;
 }
 
+/** What the platform lets a process use; one that goes over its memory is killed. */
+export interface ProcessLimits {
+  memoryMb: number;
+  maxOpenFiles: number;
+}
+
+/** The users' own limits of a process. */
+export const PROCESS_LIMITS: ProcessLimits = { memoryMb: 350, maxOpenFiles: 4096 };
+
 /** What a site whose zones may be cut apart has besides. */
 export interface ApartSheet {
   /** How long an engine that starts during traffic is cold, in ms. */
