--- a/src/control/api/cluster-api.ts
+++ b/src/control/api/cluster-api.ts
@@ -2,6 +2,7 @@
  * The operators' HTTP interface to the cluster: its voter set and bootstrap, its status, health and metrics.
  */
 
+import { memoryRows } from '../../shared/limits/pressure-log';
 import { errorOrValue, Result } from '../../shared/errors/errors';
 import { IncomingRequest } from '../../shared/ports/network';
 import { Ports } from '../../shared/ports/ports';
@@ -91,6 +92,7 @@
       ...leases.lagRows(),
       ...controller.permits.metricRows(),
       ...voterMetricRows(await readVoterStatus(controller)),
+      ...memoryRows(this.ports.memoryFigures?.()),
       ...(tallies ? [...tallyMetricRows(tallies.status()), ...tallies.copyRows()] : []),
     ];
     call.writeHead(200, { 'content-type': METRICS_CONTENT_TYPE });
--- a/src/data/caller-api.ts
+++ b/src/data/caller-api.ts
@@ -2,6 +2,7 @@
  * The callers' HTTP interface of a router.
  */
 
+import { memoryRows } from '../shared/limits/pressure-log';
 import { httpHandler, sendJson } from '../shared/transport/http-handlers';
 import { IncomingRequest } from '../shared/ports/network';
 import { runGenerateAttempts } from './generate-attempts';
@@ -46,6 +47,7 @@
   async metrics(call: IncomingRequest): Promise<void> {
     const rows = counterRows('plumhollow_router', this.router.counts);
     rows.push(`plumhollow_router_under_way ${this.inFlight}`);
+    rows.push(...memoryRows(this.router.ports.memoryFigures?.()));
     call.writeHead(200, { 'content-type': METRICS_CONTENT_TYPE });
     call.end(await this.router.metrics.text(rows));
   }
--- a/src/data/gateway/admission.ts
+++ b/src/data/gateway/admission.ts
@@ -58,10 +58,21 @@
 function unreadBody(
   gateway: GatewayDependencies,
   limits: CallerLimits | undefined,
-  error: OperationError,
+  { code, reason }: OperationError,
 ): Rejection {
   if (!limits) return unavailable(gateway, NO_DEPLOYMENT);
-  return { status: error.code === 'too-large' ? 413 : 400, reason: error.reason };
+  if (code === 'overloaded') return unavailable(gateway, reason);
+  if (code === 'timeout') return { status: 408, reason };
+  return { status: code === 'too-large' ? 413 : 400, reason };
+}
+
+/** How long the body of a request may take, in ms: its route's time, or its own where that is shorter; any where it has no route. */
+function bodyTimeoutMs(
+  table: RouteTable | undefined,
+  { deadlineMs, host, path }: CallerRequest,
+): number | undefined {
+  const timeoutMs = table?.findRoute(host, path)?.timeoutMs;
+  return timeoutMs === undefined ? undefined : Math.min(deadlineMs ?? timeoutMs, timeoutMs);
 }
 
 async function readRequest(
@@ -72,13 +83,14 @@
   const limits = routes()?.limits;
   if (limits && headerBytes(call) > limits.maxHeaderBytes)
     return Left({ status: 431, reason: 'the headers are too large' });
+  const read = adapter.callers.read(call.method, call.target, call.headersByName);
+  const timeoutMs = read.map(bodyTimeoutMs.bind(undefined, routes())).orDefault(undefined);
   const [error, body] = errorOrValue(
-    await call.body(limits?.maxBodyBytes ?? settings.bodyMostBytes),
+    await call.body(limits?.maxBodyBytes ?? settings.bodyMostBytes, timeoutMs),
   );
   if (error) return Left(unreadBody(gateway, limits, error));
   const table = routes();
   if (!table) return Left(unavailable(gateway, NO_DEPLOYMENT));
-  const read = adapter.callers.read(call.method, call.target, call.headersByName);
   if (read.isLeft()) return Left({ status: 400, reason: read.extract() });
   return Right({ request: read.extract() as CallerRequest, body, table });
 }
--- a/src/data/gateway/response-relay.ts
+++ b/src/data/gateway/response-relay.ts
@@ -73,13 +73,18 @@
     if (!this.hasChunk) tracker.recordFirstEvent();
     this.hasChunk = true;
     const bytes = this.parser ? this.newEvents(this.parser.take(chunk)) : chunk;
-    if (bytes === undefined) return this.cancel(markUncertain(admitted));
+    if (bytes === undefined || this.isEventTooLong()) return this.cancel(markUncertain(admitted));
     if (bytes.length === 0) return undefined;
     this.writeHead();
     if (await call.write(bytes)) return undefined;
     return this.cancel('caller-gone');
   }
 
+  /** Whether the event that is not complete yet is longer than the largest body. */
+  private isEventTooLong(): boolean {
+    return (this.parser?.rest() ?? 0) > this.gateway.settings.bodyMostBytes;
+  }
+
   /** Ends the answer; a stream that ends within an event broke off. */
   private complete(): AttemptOutcome {
     const { admitted, call } = this.relayed;
--- a/src/index/index-api.ts
+++ b/src/index/index-api.ts
@@ -2,6 +2,7 @@
  * The index's HTTP interface.
  */
 
+import { memoryRows } from '../shared/limits/pressure-log';
 import { Result } from '../shared/errors/errors';
 import { IncomingRequest, Listener } from '../shared/ports/network';
 import { Ports } from '../shared/ports/ports';
@@ -31,7 +32,10 @@
 
 /** Handlers of the HTTP interface. */
 export class IndexApi {
-  constructor(private readonly indexer: Indexer) {}
+  constructor(
+    private readonly indexer: Indexer,
+    private readonly ports: Ports,
+  ) {}
 
   /** Tells per source how many tokens of a prompt match: text, token ids or blocks. */
   @httpHandler('POST', '/query')
@@ -95,6 +99,7 @@
       `plumhollow_index_evicted_total ${trees.evicted()}`,
     ];
     rows.push(...counterRows('plumhollow_index', counts));
+    rows.push(...memoryRows(this.ports.memoryFigures?.()));
     const byStatus = new Map<string, number>();
     for (const { status } of this.indexer.listenerViews())
       byStatus.set(status, (byStatus.get(status) ?? 0) + 1);
@@ -106,7 +111,7 @@
 
 /** Serves the HTTP interface at the address in the settings. */
 export function serveIndex(indexer: Indexer, ports: Ports): Promise<Result<Listener>> {
-  const handlers = [new IndexApi(indexer)];
+  const handlers = [new IndexApi(indexer, ports)];
   return ports.network.serveHttp(
     indexer.settings.http,
     makeRequestListener(handlers, ports.logger),
--- a/src/programs/daemon.ts
+++ b/src/programs/daemon.ts
@@ -10,9 +10,11 @@
 import { Ports } from '../shared/ports/ports';
 import { Settings } from '../shared/settings/settings';
 import { timeLimitsOf } from '../shared/settings/time-limits';
+import { logPressure } from '../shared/limits/pressure-log';
 import { makeFileDisk } from '../shared/system/file-disk';
 import { makeLogger } from '../shared/system/logger';
 import { makeRawHttpNetwork } from '../shared/system/raw-http';
+import { makeServerResources } from '../shared/system/server-resources';
 import { makeSystemClock } from '../shared/system/system-clock';
 import { makeSystemNetwork } from '../shared/system/tcp-network';
 import { makeSystemRandom } from '../shared/system/system-random';
@@ -87,13 +89,18 @@
 }
 
 function makeSystemPorts(settings: Settings, logger: Logger): Ports {
+  const clock = makeSystemClock(settings.suspends);
+  const resources = makeServerResources(settings, clock);
+  const { account } = resources;
+  logPressure(account, clock, logger, settings.contactMs);
   return {
-    clock: makeSystemClock(settings.suspends),
+    clock,
     random: makeSystemRandom(),
     disk: makeFileDisk(settings.data),
-    network: makeSystemNetwork(timeLimitsOf(settings).connectTimeoutMs, settings.bind),
+    network: makeSystemNetwork(timeLimitsOf(settings).connectTimeoutMs, settings.bind, resources),
     logger,
-    rawHttp: makeRawHttpNetwork(settings.bind),
+    memoryFigures: account.figures.bind(account),
+    rawHttp: makeRawHttpNetwork(settings.bind, resources),
   };
 }
 
--- a/src/shared/errors/error-codes.ts
+++ b/src/shared/errors/error-codes.ts
@@ -42,6 +42,7 @@
   | 'bad-shape'
   | 'bad-return'
   | 'too-large'
+  | 'overloaded'
   | 'foreign-line'
   | 'bad-count'
   | 'bad-order';
@@ -116,6 +117,7 @@
     case 'bad-shape':
     case 'bad-return':
     case 'too-large':
+    case 'overloaded':
     case 'foreign-line':
     case 'bad-count':
     case 'bad-order':
--- a/src/shared/ports/network.ts
+++ b/src/shared/ports/network.ts
@@ -36,7 +36,10 @@
   peer: string;
   /** Aborted when the caller goes away before its response is complete. */
   aborted: AbortSignal;
-  /** Reads the body. Errors: `too-large` for more than `maxBytes`, `bad-body` where the caller goes away. */
+  /**
+   * Reads the body. Errors (refused): `too-large` for more than `maxBytes`, `overloaded` where there is no memory for it,
+   * `timeout` where nothing of it comes for long, `bad-body` where the caller goes away.
+   */
   body: (maxBytes: number) => Promise<Result<string>>;
   writeHead: (status: number, headers: Record<string, string>) => void;
   /** Resolves when there is room for the next chunk; with false once the caller is gone. */
@@ -65,6 +68,8 @@
   /** The next chunk of the body; undefined at its complete end. */
   nextChunk: () => Promise<Result<string | undefined>>;
   cancel: () => void;
+  /** The longest text that may be read as a whole; any where it is left out. */
+  maxWholeBytes?: number;
 }
 
 /** Something that listens. */
--- a/src/shared/ports/ports.ts
+++ b/src/shared/ports/ports.ts
@@ -3,6 +3,7 @@
  * the connections and requests that they give, need no `this`: a caller may pass them on by themselves.
  */
 
+import { MemoryAccountFigures } from '../limits/memory-account';
 import { Clock } from './clock';
 import { RandomSource } from './random';
 import { Disk } from './disk';
@@ -17,6 +18,8 @@
   disk: Disk;
   network: Network;
   logger: Logger;
+  /** Figures of the memory that unfinished work holds, where there is an account of it. */
+  memoryFigures?: () => MemoryAccountFigures;
   /** Raw HTTP, where the process serves a platform by its adapter. */
   rawHttp?: RawHttpNetwork;
 }
--- a/src/shared/ports/raw-http.ts
+++ b/src/shared/ports/raw-http.ts
@@ -18,8 +18,11 @@
   peer: string;
   /** Aborted when the caller goes away before its response is complete. */
   aborted: AbortSignal;
-  /** Reads the body. Errors: `too-large` for more than `maxBytes`, `bad-body` where the caller goes away. */
-  body: (maxBytes: number) => Promise<Result<Uint8Array>>;
+  /**
+   * Reads the body. Errors (refused): `too-large` for more than `maxBytes`, `overloaded` where there is no memory for it,
+   * `timeout` where it takes longer than `timeoutMs` or nothing of it comes for long, `bad-body` where the caller goes away.
+   */
+  body: (maxBytes: number, timeoutMs?: number) => Promise<Result<Uint8Array>>;
   /** The head is sent with the first chunk or the end. */
   writeHead: (status: number, headers: RawHeaderList) => void;
   write: (bytes: Uint8Array) => Promise<boolean>;
--- a/src/shared/settings/settings-schema.ts
+++ b/src/shared/settings/settings-schema.ts
@@ -198,6 +198,11 @@
   },
   platformLagMs: { doc: "how far the platform's list lags", format: positive, default: 800 },
   memoryMb: { doc: 'memory that the process may use', format: positive, default: 512 },
+  maxOpenFiles: {
+    doc: 'descriptors that the process may have open',
+    format: positive,
+    default: 4096,
+  },
   cores: { doc: "cores' worth of work that the process gets", format: positive, default: 1 },
   zones: { doc: 'the region of each zone', format: regions, default: {} as Record<string, string> },
 };
--- a/src/shared/settings/settings.ts
+++ b/src/shared/settings/settings.ts
@@ -80,6 +80,8 @@
   platformRate: number;
   platformLagMs: number;
   memoryMb: number;
+  /** Descriptors that the process may have open. */
+  maxOpenFiles: number;
   /** Processor cores' worth of work that this process gets. */
   cores: number;
   /** The region of each zone. */
--- a/src/shared/system/http-client.ts
+++ b/src/shared/system/http-client.ts
@@ -29,6 +29,7 @@
   agent: http.Agent;
   connectTimeoutMs: number;
   localAddress: string | undefined;
+  maxWholeBytes: number;
 }
 
 type ResponseListener = (response: Result<HttpResponse>) => void;
@@ -121,6 +122,7 @@
         headers: response.headers as Record<string, string | undefined>,
         nextChunk: this.nextChunk.bind(this, chunks, decoder),
         cancel: this.cancel.bind(this, response),
+        maxWholeBytes: this.options.maxWholeBytes,
       }),
     );
   }
@@ -156,13 +158,14 @@
 export function makeHttpClient(
   connectTimeoutMs: number,
   localAddress: string | undefined,
+  maxWholeBytes: number,
 ): (request: HttpRequest) => Promise<Result<HttpResponse>> {
   const agent = new http.Agent({
     keepAlive: true,
     maxSockets: MAX_CONNECTIONS,
     timeout: IDLE_TIMEOUT_MS,
   });
-  const options: ClientOptions = { agent, connectTimeoutMs, localAddress };
+  const options: ClientOptions = { agent, connectTimeoutMs, localAddress, maxWholeBytes };
 
   function send(request: HttpRequest): Promise<Result<HttpResponse>> {
     function run(resolve: ResponseListener): void {
--- a/src/shared/system/raw-http-server.ts
+++ b/src/shared/system/raw-http-server.ts
@@ -7,7 +7,10 @@
 import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises';
 import { Result } from '../errors/errors';
 import { RawHeaderList, RawIncomingRequest, RawListener, ServeLimits } from '../ports/raw-http';
-import { abortOnClose, readBody, writeChunk } from './http-io';
+import { MemoryAccount } from '../limits/memory-account';
+import { BodyOptions, CallerMessage } from './caller-message';
+import { ConnectionGuard } from './connection-guard';
+import { abortOnClose, writeChunk } from './http-io';
 import { CallerConnectionTracker } from './raw-http-connections';
 import { ignore, listenOn } from './sockets';
 
@@ -52,6 +55,8 @@
   /** Whether the connection closes after this response. */
   private isLast(): boolean {
     const { limits, callers } = this.context;
+    const isRefused = (this.req as CallerMessage).refusal !== undefined;
+    if (isRefused) return true;
     return (limits().closing || !this.res.shouldKeepAlive) && !callers.isFollowed(this.req);
   }
 
@@ -76,8 +81,9 @@
   res.on('error', ignore);
   req.on('error', ignore);
 
-  function body(maxBytes: number): Promise<Result<Uint8Array>> {
-    return readBody(req, maxBytes);
+  function body(maxBytes: number, timeoutMs?: number): Promise<Result<Uint8Array>> {
+    const options: BodyOptions = { maxBytes, timeoutMs };
+    return (req as CallerMessage).readBody(options);
   }
   function write(bytes: Uint8Array): Promise<boolean> {
     return writeChunk(res, aborted, bytes);
@@ -108,14 +114,17 @@
 class RawHttpServer {
   readonly server: http.Server;
   private readonly callers: CallerConnectionTracker;
+  private readonly guard: ConnectionGuard;
   private arrived = 0;
 
   constructor(
     private limits: ServeLimits,
+    account: MemoryAccount,
     private readonly onRequest: (call: RawIncomingRequest) => Promise<void>,
   ) {
     this.server = http.createServer(
       {
+        IncomingMessage: CallerMessage,
         maxHeaderSize: MAX_HEADER_BYTES,
         keepAlive: true,
         noDelay: true,
@@ -126,6 +135,7 @@
     );
     this.server.on('connection', this.onConnection.bind(this));
     this.callers = new CallerConnectionTracker(this.server, this.idleTimeoutMs.bind(this));
+    this.guard = new ConnectionGuard(this.server, account, this.currentLimits.bind(this));
     this.setLimits(limits);
   }
 
@@ -186,7 +196,12 @@
     if (written === undefined) return;
     this.arrived++;
     const limits = this.currentLimits.bind(this);
-    void this.onRequest(makeIncomingRequest(req, res, { limits, callers, written }));
+    const call = makeIncomingRequest(req, res, { limits, callers, written });
+    this.guard.take(req, res, this.handle.bind(this, call));
+  }
+
+  private handle(call: RawIncomingRequest): void {
+    void this.onRequest(call);
   }
 
   private onConnection(): void {
@@ -211,8 +226,9 @@
 export function serve(
   address: string,
   limits: ServeLimits,
+  account: MemoryAccount,
   onRequest: (call: RawIncomingRequest) => Promise<void>,
 ): Promise<Result<RawListener>> {
-  const server = new RawHttpServer(limits, onRequest);
+  const server = new RawHttpServer(limits, account, onRequest);
   return listenOn(server.server, address, BACKLOG, server.listenerAt.bind(server));
 }
--- a/src/shared/transport/http-handlers.ts
+++ b/src/shared/transport/http-handlers.ts
@@ -2,6 +2,7 @@
  * Handlers of HTTP requests, declared by decorators, and the documented form of errors.
  */
 
+import { ErrorCode } from '../errors/error-codes';
 import { describeError, errorOrValue } from '../errors/errors';
 import { Logger } from '../ports/logger';
 import { IncomingRequest } from '../ports/network';
@@ -62,6 +63,14 @@
   return String(Math.max(1, Math.ceil(retryAfterMs / MS_PER_S)));
 }
 
+/** The status of a body that could not be read, by the error's code; 408 and 503 promise that nothing was done with it. */
+const BODY_STATUS: Partial<Record<ErrorCode, number>> = {
+  'too-large': 413,
+  overloaded: 503,
+  timeout: 408,
+};
+const BAD_REQUEST = 400;
+
 /** What is wrong with a body that was parsed; undefined where nothing is. */
 export type BodyCheck = (body: unknown) => string | undefined;
 
@@ -80,8 +89,8 @@
 ): Promise<unknown> {
   const [bodyError, text] = errorOrValue(await call.body(maxBytes));
   if (bodyError) {
-    const { code, reason } = bodyError;
-    sendError(call, code === 'too-large' ? 413 : 400, 'refused', code ?? 'bad-body', reason);
+    const { code = 'bad-body', reason } = bodyError;
+    sendError(call, BODY_STATUS[code] ?? BAD_REQUEST, 'refused', code, reason);
     return undefined;
   }
   const [parseError, body] = errorOrValue(parseJson(text, 'read body', call.peer));
--- a/src/shared/util/http-json.ts
+++ b/src/shared/util/http-json.ts
@@ -3,7 +3,7 @@
  */
 
 import { Left, Right } from 'purify-ts';
-import { errorOrValue, makeError, Result } from '../errors/errors';
+import { errorOrValue, makeError, OperationError, Result } from '../errors/errors';
 import { HttpRequest, HttpResponse, Network } from '../ports/network';
 import { parseJson } from './try-catch';
 
@@ -14,14 +14,23 @@
   headers: Record<string, string | undefined>;
 }
 
-/** Reads the body of a response to its end. */
+/** The error of a text that is longer than may be read as a whole. */
+function tooLarge(step: string, peer: string, maxBytes: number): OperationError {
+  return makeError(step, peer, `over ${maxBytes} bytes`, 'unknown', 'too-large');
+}
+
+/** Reads the body of a response to its end. Errors: `too-large` where it is longer than the network allows. */
 export async function readText(response: HttpResponse): Promise<Result<string>> {
+  const { maxWholeBytes = Infinity } = response;
   let text = '';
   for (;;) {
     const [error, chunk] = errorOrValue(await response.nextChunk());
     if (error) return Left(error);
     if (chunk === undefined) return Right(text);
     text += chunk;
+    if (text.length <= maxWholeBytes) continue;
+    response.cancel();
+    return Left(tooLarge('read response', '', maxWholeBytes));
   }
 }
 
@@ -47,10 +56,11 @@
   return text === '' ? Right(undefined) : parseJson(text, step, peer);
 }
 
-/** Cuts pulled pieces into lines; undefined is a whole end, a broken last line is a fault. */
+/** Cuts pulled pieces into lines; undefined is a whole end, a broken last line and one over `maxBytes` are faults. */
 export function makeLineReader(
   next: () => Promise<Result<string | undefined>>,
   peer: string,
+  maxBytes = Infinity,
 ): () => Promise<Result<string | undefined>> {
   let held = '';
   async function line(): Promise<Result<string | undefined>> {
@@ -69,6 +79,7 @@
         return Right(undefined);
       }
       held += piece;
+      if (held.length > maxBytes) return Left(tooLarge('read lines', peer, maxBytes));
     }
   }
   return line;
--- a/test/platform/settings-file.test.ts
+++ b/test/platform/settings-file.test.ts
@@ -32,6 +32,7 @@
 [limits]
 cpuShare = 0.81
 memoryMb = 346
+maxOpenFiles = 4100
 [guarantees]
 contactMs = 60000
 configApplyMs = 2000
@@ -74,6 +75,7 @@
     platform: '10.200.0.56:8161',
     platformRate: 47,
     memoryMb: 346,
+    maxOpenFiles: 4100,
     cores: 0.81,
     tolerated: 1,
     toleratedZones: 1,
