--- a/tools/ci/knownred.ts
+++ b/tools/ci/knownred.ts
@@ -110,6 +110,22 @@
   return known.kind === 'test';
 }
 
+/** The report of several runs together. */
+export function joinReports(reports: readonly JestReport[]): JestReport {
+  return {
+    success: reports.every(wasSuccessful),
+    testResults: reports.flatMap(filesOf),
+  };
+}
+
+function wasSuccessful({ success }: JestReport): boolean {
+  return success;
+}
+
+function filesOf({ testResults }: JestReport): JestFile[] {
+  return testResults;
+}
+
 /** What speaks against a run, given the listed tests; nothing where only these failed. */
 export function judgeRun(report: JestReport, known: readonly KnownTest[]): string[] {
   const problems: string[] = [];
--- a/tools/fleet/machines.ts
+++ b/tools/fleet/machines.ts
@@ -167,7 +167,7 @@
     const k = kept<void>();
     if (child?.exitCode !== null || child.signalCode !== null) return Promise.resolve();
     ending.add(k.promise);
-    child.once('exit', gone);
+    child.once('close', gone);
     child.kill(signal);
     function gone(): void {
       ending.delete(k.promise);
--- a/tools/fleet/process-watch.ts
+++ b/tools/fleet/process-watch.ts
@@ -27,6 +27,7 @@
     private readonly memoryMb: number,
   ) {
     this.timer = setInterval(this.look.bind(this), LOOK_MS);
+    this.timer.unref();
   }
 
   /** Whether it still runs. */
