--- a/src/shared/system/connection-guard.ts
+++ b/src/shared/system/connection-guard.ts
@@ -108,7 +108,7 @@
     const { bytesRead, bytesTaken } = this;
     const message = this.newest();
     this.bytesRead = this.socket.bytesRead;
-    this.bytesTaken = this.socket.bytesWritten - this.socket.writableLength;
+    this.bytesTaken = this.takenBytes();
     const hasMoved = bytesRead !== this.bytesRead || bytesTaken !== this.bytesTaken;
     if (hasMoved || message?.isHeldBack()) this.movedAt = now;
     if (bytesTaken !== this.bytesTaken) this.hold.noteProgress();
@@ -179,8 +179,14 @@
     this.isDropped = true;
   }
 
+  /** Whether an answer waits of which its caller has taken nothing since the connection was last looked at. */
   private isUnread(): boolean {
-    return this.socket.writableLength > 0;
+    return this.socket.writableLength > 0 && this.takenBytes() === this.bytesTaken;
+  }
+
+  /** Bytes of answers that the system has taken. */
+  private takenBytes(): number {
+    return this.socket.bytesWritten - this.socket.writableLength;
   }
 }
 
